--- /dev/null
+++ b/src/http/connection.rs
@@ -0,0 +1,347 @@
+//! One blocking TCP connection with a read buffer and deadlines.
+
+use std::{
+    io::{
+        self,
+        Read,
+        Write, //
+    },
+    net::TcpStream,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use super::message::{
+    Framing,
+    MessageError,
+    RequestHead,
+    ResponseHead, //
+};
+
+/// Longest head of a request or response.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Longest line that announces a chunk.
+const MAX_CHUNK_LINE_BYTES: usize = 128;
+const READ_BYTES: usize = 16 * 1024;
+/// The kernel rejects a timeout of zero.
+const MIN_TIMEOUT: Duration = Duration::from_millis(1);
+
+/// A connection with the bytes that were read but not yet consumed.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    consumed: usize,
+}
+
+impl Connection {
+    /// Wraps a connected socket.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream,
+            buffer: Vec::new(),
+            consumed: 0,
+        })
+    }
+
+    /// The socket.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Whether bytes have been read that no message has used.
+    pub fn has_unread_bytes(&self) -> bool {
+        self.consumed < self.buffer.len()
+    }
+
+    /// Writes all bytes before `deadline`.
+    pub fn write_all(&mut self, bytes: &[u8], deadline: Instant) -> Result<(), MessageError> {
+        self.stream.set_write_timeout(Some(remaining(deadline)?))?;
+        self.stream.write_all(bytes).map_err(from_io)
+    }
+
+    /// Whether the other side has closed its end while nothing is expected.
+    pub fn is_closed_by_peer(&self) -> bool {
+        if self.has_unread_bytes() || self.stream.set_nonblocking(true).is_err() {
+            return false;
+        }
+        let mut byte = [0];
+        let peeked = self.stream.peek(&mut byte);
+        let restored = self.stream.set_nonblocking(false);
+        match peeked {
+            Ok(count) => count == 0 || restored.is_err(),
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Reads the head of a request; `Ok(None)` if the peer closed before it.
+    pub fn read_request_head(
+        &mut self,
+        deadline: Instant,
+    ) -> Result<Option<RequestHead>, MessageError> {
+        loop {
+            if let Some((head, length)) = RequestHead::parse(self.unread())? {
+                self.consume(length);
+                return Ok(Some(head));
+            }
+            self.check_head_size()?;
+            if self.fill(deadline)? == 0 {
+                let is_between_requests = !self.has_unread_bytes();
+                return if is_between_requests {
+                    Ok(None)
+                } else {
+                    Err(MessageError::Closed)
+                };
+            }
+        }
+    }
+
+    /// Reads the head of a response.
+    pub fn read_response_head(&mut self, deadline: Instant) -> Result<ResponseHead, MessageError> {
+        loop {
+            if let Some((head, length)) = ResponseHead::parse(self.unread())? {
+                self.consume(length);
+                return Ok(head);
+            }
+            self.check_head_size()?;
+            self.fill_some(deadline)?;
+        }
+    }
+
+    fn check_head_size(&self) -> Result<(), MessageError> {
+        if self.unread().len() < MAX_HEAD_BYTES {
+            return Ok(());
+        }
+        Err(MessageError::TooLarge {
+            part: "message head",
+            limit_bytes: MAX_HEAD_BYTES,
+        })
+    }
+
+    fn unread(&self) -> &[u8] {
+        &self.buffer[self.consumed..]
+    }
+
+    fn consume(&mut self, count: usize) {
+        self.consumed += count;
+        if self.consumed == self.buffer.len() {
+            self.buffer.clear();
+            self.consumed = 0;
+        }
+    }
+
+    fn fill(&mut self, deadline: Instant) -> Result<usize, MessageError> {
+        if self.consumed > 0 {
+            self.buffer.drain(..self.consumed);
+            self.consumed = 0;
+        }
+        self.stream.set_read_timeout(Some(remaining(deadline)?))?;
+        let old_length = self.buffer.len();
+        self.buffer.resize(old_length + READ_BYTES, 0);
+        let result = self.stream.read(&mut self.buffer[old_length..]);
+        self.buffer
+            .truncate(old_length + result.as_ref().copied().unwrap_or(0));
+        result.map_err(from_io)
+    }
+
+    fn fill_some(&mut self, deadline: Instant) -> Result<(), MessageError> {
+        match self.fill(deadline)? {
+            0 => Err(MessageError::Closed),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Reads one body piece by piece and knows whether its end was seen.
+#[derive(Debug)]
+pub struct BodyReader {
+    framing: Framing,
+    left_in_chunk: u64,
+    is_first_chunk: bool,
+    is_complete: bool,
+}
+
+impl BodyReader {
+    /// A reader at the start of a body.
+    pub fn new(framing: Framing) -> Self {
+        Self {
+            framing,
+            left_in_chunk: match framing {
+                Framing::Length(length) => length,
+                Framing::Chunked | Framing::UntilClose => 0,
+            },
+            is_first_chunk: true,
+            is_complete: framing == Framing::Length(0),
+        }
+    }
+
+    /// Whether the proper end of the body was read.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Appends the next piece to `out`; returns its length, 0 at the end.
+    ///
+    /// A read that times out may be repeated: no byte is lost.
+    pub fn read_piece(
+        &mut self,
+        connection: &mut Connection,
+        out: &mut Vec<u8>,
+        deadline: Instant,
+    ) -> Result<usize, MessageError> {
+        if self.is_complete {
+            return Ok(0);
+        }
+        match self.framing {
+            Framing::Length(_) => self.read_counted(connection, out, deadline),
+            Framing::Chunked => self.read_chunked(connection, out, deadline),
+            Framing::UntilClose => self.read_until_close(connection, out, deadline),
+        }
+    }
+
+    /// Reads the whole body, at most `limit_bytes` long.
+    pub fn read_to_end(
+        &mut self,
+        connection: &mut Connection,
+        limit_bytes: usize,
+        deadline: Instant,
+    ) -> Result<Vec<u8>, MessageError> {
+        let too_large = MessageError::TooLarge {
+            part: "message body",
+            limit_bytes,
+        };
+        if matches!(self.framing, Framing::Length(length) if length > limit_bytes as u64) {
+            return Err(too_large);
+        }
+        let mut body = Vec::new();
+        while self.read_piece(connection, &mut body, deadline)? > 0 {
+            if body.len() > limit_bytes {
+                return Err(too_large);
+            }
+        }
+        Ok(body)
+    }
+
+    fn read_counted(
+        &mut self,
+        connection: &mut Connection,
+        out: &mut Vec<u8>,
+        deadline: Instant,
+    ) -> Result<usize, MessageError> {
+        if !connection.has_unread_bytes() {
+            connection.fill_some(deadline)?;
+        }
+        let count = take(connection, self.left_in_chunk, out);
+        self.left_in_chunk -= count as u64;
+        self.is_complete = self.left_in_chunk == 0;
+        Ok(count)
+    }
+
+    fn read_until_close(
+        &mut self,
+        connection: &mut Connection,
+        out: &mut Vec<u8>,
+        deadline: Instant,
+    ) -> Result<usize, MessageError> {
+        if !connection.has_unread_bytes() && connection.fill(deadline)? == 0 {
+            self.is_complete = true;
+            return Ok(0);
+        }
+        Ok(take(connection, u64::MAX, out))
+    }
+
+    fn read_chunked(
+        &mut self,
+        connection: &mut Connection,
+        out: &mut Vec<u8>,
+        deadline: Instant,
+    ) -> Result<usize, MessageError> {
+        if self.left_in_chunk == 0 {
+            self.read_chunk_line(connection, deadline)?;
+        }
+        if self.is_complete {
+            return Ok(0);
+        }
+        if !connection.has_unread_bytes() {
+            connection.fill_some(deadline)?;
+        }
+        let count = take(connection, self.left_in_chunk, out);
+        self.left_in_chunk -= count as u64;
+        Ok(count)
+    }
+
+    fn read_chunk_line(
+        &mut self,
+        connection: &mut Connection,
+        deadline: Instant,
+    ) -> Result<(), MessageError> {
+        // The line end that closes the previous chunk is read with the next
+        // size, so that a piece is passed on as soon as it is there.
+        let skipped = if self.is_first_chunk { 0 } else { 2 };
+        loop {
+            let bytes = connection.unread();
+            if bytes.len() > skipped {
+                if !b"\r\n"[..].starts_with(&bytes[..skipped]) {
+                    return Err(MessageError::Malformed("chunk without line end"));
+                }
+                match httparse::parse_chunk_size(&bytes[skipped..]) {
+                    Ok(httparse::Status::Complete((used, size))) => {
+                        let is_last = size == 0;
+                        if !is_last {
+                            connection.consume(skipped + used);
+                            self.left_in_chunk = size;
+                            self.is_first_chunk = false;
+                            return Ok(());
+                        }
+                        // Trailers are not used; only the empty one is accepted.
+                        let end = &bytes[skipped + used..];
+                        if end.len() >= 2 {
+                            if !end.starts_with(b"\r\n") {
+                                return Err(MessageError::Malformed("unexpected trailer"));
+                            }
+                            connection.consume(skipped + used + 2);
+                            self.is_complete = true;
+                            return Ok(());
+                        }
+                    }
+                    Ok(httparse::Status::Partial) => {
+                        if bytes.len() > MAX_CHUNK_LINE_BYTES {
+                            return Err(MessageError::Malformed("chunk size line too long"));
+                        }
+                    }
+                    Err(_) => return Err(MessageError::Malformed("invalid chunk size")),
+                }
+            }
+            connection.fill_some(deadline)?;
+        }
+    }
+}
+
+fn take(connection: &mut Connection, limit: u64, out: &mut Vec<u8>) -> usize {
+    let available = connection.unread().len() as u64;
+    let count = available.min(limit) as usize;
+    out.extend_from_slice(&connection.unread()[..count]);
+    connection.consume(count);
+    count
+}
+
+fn remaining(deadline: Instant) -> Result<Duration, MessageError> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(MessageError::TimedOut);
+    }
+    Ok(left.max(MIN_TIMEOUT))
+}
+
+fn from_io(error: io::Error) -> MessageError {
+    match error.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => MessageError::TimedOut,
+        io::ErrorKind::UnexpectedEof
+        | io::ErrorKind::ConnectionReset
+        | io::ErrorKind::BrokenPipe => MessageError::Closed,
+        _ => MessageError::Io(error),
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,179 @@
+//! Accepts connections and hands each to a thread of its own.
+
+use std::{
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use super::{
+    connection::Connection,
+    message::{
+        Headers,
+        MessageError,
+        ResponseHead, //
+    }, //
+};
+
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+const WAKE_TIMEOUT: Duration = Duration::from_millis(200);
+const CONNECTION_STACK_BYTES: usize = 256 * 1024;
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Limits and stop signal of one listener.
+#[derive(Debug, Clone)]
+pub struct Acceptor {
+    /// Most connections at the same time.
+    pub max_connections: usize,
+    /// Set to stop accepting.
+    pub is_stopping: Arc<AtomicBool>,
+    /// Connections that are open now.
+    pub open_connections: Arc<AtomicUsize>,
+}
+
+impl Acceptor {
+    /// An acceptor that runs until `is_stopping` is set.
+    pub fn new(max_connections: usize, is_stopping: Arc<AtomicBool>) -> Self {
+        Self {
+            max_connections,
+            is_stopping,
+            open_connections: Arc::new(AtomicUsize::new(0)),
+        }
+    }
+
+    /// Accepts until stopped; `serve` runs on a new thread for each connection
+    /// and `refuse` answers a connection over the limit.
+    pub fn run<S, R>(&self, listener: TcpListener, serve: S, refuse: R)
+    where
+        S: Fn(Connection, SocketAddr) + Send + Sync + 'static,
+        R: Fn(&mut Connection),
+    {
+        let serve = Arc::new(serve);
+        while !self.is_stopping.load(Ordering::Acquire) {
+            match listener.accept() {
+                Ok((stream, peer)) => self.start(stream, peer, &serve, &refuse),
+                Err(error) => {
+                    tracing::warn!(%error, "could not accept a connection");
+                    thread::sleep(ACCEPT_RETRY_DELAY);
+                }
+            }
+        }
+    }
+
+    /// Stops accepting on `address`; open connections go on.
+    pub fn stop(&self, address: SocketAddr) {
+        self.is_stopping.store(true, Ordering::Release);
+        // The blocking accept returns only for a connection.
+        if let Err(error) = TcpStream::connect_timeout(&address, WAKE_TIMEOUT) {
+            tracing::debug!(%error, "could not wake the acceptor");
+        }
+    }
+
+    fn start<S, R>(&self, stream: TcpStream, peer: SocketAddr, serve: &Arc<S>, refuse: &R)
+    where
+        S: Fn(Connection, SocketAddr) + Send + Sync + 'static,
+        R: Fn(&mut Connection),
+    {
+        let Ok(mut connection) = Connection::new(stream) else {
+            return;
+        };
+        if self.open_connections.load(Ordering::Relaxed) >= self.max_connections {
+            refuse(&mut connection);
+            return;
+        }
+        let slot = ConnectionSlot::take(&self.open_connections);
+        let serve = Arc::clone(serve);
+        let started = thread::Builder::new()
+            .name("connection".into())
+            .stack_size(CONNECTION_STACK_BYTES)
+            .spawn(move || {
+                let _slot = slot;
+                serve(connection, peer);
+            });
+        if let Err(error) = started {
+            tracing::warn!(%error, "could not start a connection thread");
+        }
+    }
+}
+
+/// Counts one open connection until it is dropped, also after a panic.
+struct ConnectionSlot(Arc<AtomicUsize>);
+
+impl ConnectionSlot {
+    fn take(open_connections: &Arc<AtomicUsize>) -> Self {
+        open_connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open_connections))
+    }
+}
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Writes a response with a whole body.
+pub fn respond(
+    connection: &mut Connection,
+    status: u16,
+    headers: Headers,
+    body: &[u8],
+    deadline: Instant,
+) -> Result<(), MessageError> {
+    let headers = headers.with_field("content-length", &body.len().to_string());
+    let mut bytes = ResponseHead { status, headers }.encode().into_bytes();
+    bytes.extend_from_slice(body);
+    connection.write_all(&bytes, deadline)
+}
+
+/// Writes the head of a chunked response.
+pub fn start_chunked(
+    connection: &mut Connection,
+    status: u16,
+    headers: Headers,
+    deadline: Instant,
+) -> Result<(), MessageError> {
+    let headers = headers.with_field("transfer-encoding", "chunked");
+    let head = ResponseHead { status, headers }.encode();
+    connection.write_all(head.as_bytes(), deadline)
+}
+
+/// Writes one chunk at once; an empty one is skipped, since it would end the body.
+pub fn write_chunk(
+    connection: &mut Connection,
+    piece: &[u8],
+    deadline: Instant,
+) -> Result<(), MessageError> {
+    if piece.is_empty() {
+        return Ok(());
+    }
+    let mut bytes = format!("{:x}\r\n", piece.len()).into_bytes();
+    bytes.extend_from_slice(piece);
+    bytes.extend_from_slice(b"\r\n");
+    connection.write_all(&bytes, deadline)
+}
+
+/// Ends a chunked response.
+pub fn end_chunked(connection: &mut Connection, deadline: Instant) -> Result<(), MessageError> {
+    connection.write_all(b"0\r\n\r\n", deadline)
+}
+
+/// The deadline for writing a refusal to a caller that may not read.
+pub fn refusal_deadline() -> Instant {
+    Instant::now() + REFUSAL_TIMEOUT
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! cardamombridge: a multi-region inference gateway.
+//!
+//! Every entry host runs the same process. `docs/design.md` describes the
+//! modules, the state and its owners, the messages, and what happens when each
+//! part fails.
+
+pub mod cli;
+pub mod decision;
+pub mod http;
+pub mod intent;
+pub mod outcome;
+pub mod types;
