Add the caller interface, the relay and the decider thread

Requests are parsed, authenticated and checked against the residency of their key before the body is read; the relay then follows the decider's actions until the caller has its final answer. Not wired into a process yet.

--- /dev/null
+++ b/src/caller.rs
@@ -0,0 +1,458 @@
+//! The caller interface: parses, authenticates and routes requests.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use compact_str::CompactString;
+use rand::RngExt;
+use serde_json::json;
+
+use crate::{
+    auth,
+    clock,
+    decider::DeciderHandle,
+    decision::event::{
+        Arrival,
+        Origin,
+        Refusal,
+        RefusalReason, //
+    },
+    http::{
+        client::Call,
+        connection::{
+            BodyReader,
+            Connection, //
+        },
+        message::{
+            Headers,
+            MessageError,
+            RequestHead, //
+        }, //
+    },
+    in_force::{
+        InForce,
+        InForceCell, //
+    },
+    intent::CallerIntent,
+    openai::{
+        ChatRequest,
+        ErrorAnswer, //
+    },
+    outcome::{
+        RunState,
+        Unsent, //
+    },
+    relay::{
+        self,
+        Exchange,
+        Payload, //
+    },
+    sink::AnswerSink,
+    types::{
+        Bytes,
+        CallerId,
+        Millis,
+        RegionId,
+        RequestId,
+        ServiceId,
+        Target,
+        Tier,
+        Tokens, //
+    }, //
+};
+
+/// Largest request body.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const NOT_READY_RETRY_AFTER_MS: Millis = Millis(2_000);
+const SERVICE_PREFIX: &str = "/v1/services/";
+
+/// What every caller connection needs.
+#[derive(Clone)]
+pub struct CallerContext {
+    /// Region of this host.
+    pub region: RegionId,
+    /// Leads to the decisions.
+    pub decider: DeciderHandle,
+    /// Configuration in force.
+    pub in_force: InForceCell,
+    /// Set when this host takes no new work.
+    pub is_leaving: Arc<AtomicBool>,
+    /// Requests that are being answered.
+    pub open_requests: Arc<AtomicUsize>,
+}
+
+/// An error to be written as the final answer.
+type Rejection = Box<ErrorAnswer>;
+
+/// A request with its caller.
+struct Request {
+    id: RequestId,
+    head: RequestHead,
+    caller: CallerId,
+    in_force: Arc<InForce>,
+}
+
+impl Request {
+    fn intent(&self) -> Result<&CallerIntent, Rejection> {
+        self.in_force
+            .intents
+            .caller(&self.caller)
+            .ok_or_else(|| not_run(401, "invalid_api_key", "the key is not known"))
+    }
+}
+
+/// Serves the requests of one connection until it closes.
+pub fn serve(context: &CallerContext, connection: Connection) {
+    let mut connection = connection;
+    loop {
+        let head = match connection.read_request_head(Instant::now() + HEAD_TIMEOUT) {
+            Ok(Some(head)) => head,
+            Ok(None) => return,
+            Err(error) => {
+                refuse_unreadable(connection, &error);
+                return;
+            }
+        };
+        let _open = OpenRequest::new(&context.open_requests);
+        match serve_request(context, connection, head) {
+            Some(next) => connection = next,
+            None => return,
+        }
+    }
+}
+
+/// Counts a request that is being answered until it is dropped.
+struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequest {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn refuse_unreadable(connection: Connection, error: &MessageError) {
+    let (status, code) = match error {
+        MessageError::TooLarge { .. } => (431, "head_too_large"),
+        MessageError::Malformed(_) => (400, "malformed_request"),
+        MessageError::TimedOut => (408, "request_timeout"),
+        MessageError::Closed | MessageError::Io(_) => return,
+    };
+    let answer = not_run(status, code, &error.to_string());
+    let mut sink = AnswerSink::new(connection, new_request_id()).with_closing(true);
+    sink.give_up(&answer);
+}
+
+/// Serves one request; returns the connection if another one may follow.
+fn serve_request(
+    context: &CallerContext,
+    mut connection: Connection,
+    head: RequestHead,
+) -> Option<Connection> {
+    let id = new_request_id();
+    let is_closing = !head.keeps_alive() || context.is_leaving.load(Ordering::Acquire);
+    match prepare(context, &mut connection, id, head) {
+        Ok(Prepared::Exchange(exchange)) => {
+            let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
+            relay::run(&context.decider, *exchange, &mut sink);
+            sink.into_connection()
+        }
+        Ok(Prepared::Answer { status, body }) => {
+            let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
+            let headers = Headers::new().with_field("content-type", "application/json");
+            // A caller that does not take its answer has closed the connection.
+            let _ = sink.whole(status, headers, &body);
+            sink.into_connection()
+        }
+        Err(answer) => {
+            // The body may be unread, so no other request can follow.
+            let mut sink = AnswerSink::new(connection, id).with_closing(true);
+            sink.give_up(&answer);
+            None
+        }
+    }
+}
+
+enum Prepared {
+    Exchange(Box<Exchange>),
+    Answer { status: u16, body: Vec<u8> },
+}
+
+fn prepare(
+    context: &CallerContext,
+    connection: &mut Connection,
+    id: RequestId,
+    head: RequestHead,
+) -> Result<Prepared, Rejection> {
+    let path = head.path.split('?').next().unwrap_or_default();
+    match (head.method.as_str(), path) {
+        ("GET", "/healthz") => return Ok(json_answer(&json!({"status": "ok"}))),
+        ("GET", "/readyz") => return readiness(context),
+        _ => {}
+    }
+    let request = authenticate(context, id, head)?;
+    let path = request.head.path.clone();
+    let path = path.split('?').next().unwrap_or_default();
+    match (request.head.method.as_str(), path) {
+        ("POST", "/v1/chat/completions") => chat(context, connection, &request),
+        ("GET", "/v1/models") => models(&request),
+        (_, path) if path.starts_with(SERVICE_PREFIX) => service(context, connection, &request),
+        (_, "/v1/chat/completions" | "/v1/models") => Err(not_run(
+            405,
+            "method_not_allowed",
+            "the path exists but not with this method",
+        )),
+        _ => Err(not_run(404, "not_found", "the path does not exist")),
+    }
+}
+
+fn readiness(context: &CallerContext) -> Result<Prepared, Rejection> {
+    if context.is_leaving.load(Ordering::Acquire) {
+        return Err(refused(Refusal::new(RefusalReason::Leaving)));
+    }
+    if context.in_force.get().is_none() {
+        return Err(not_ready());
+    }
+    let revision = context.in_force.revision();
+    Ok(json_answer(
+        &json!({"status": "ready", "revision": revision}),
+    ))
+}
+
+fn authenticate(
+    context: &CallerContext,
+    id: RequestId,
+    head: RequestHead,
+) -> Result<Request, Rejection> {
+    let in_force = context.in_force.get().ok_or_else(not_ready)?;
+    let key = auth::bearer(head.headers.get("authorization"))
+        .ok_or_else(|| not_run(401, "missing_api_key", "a bearer key is required"))?;
+    let caller = in_force
+        .keys
+        .find(key)
+        .cloned()
+        .ok_or_else(|| not_run(401, "invalid_api_key", "the key is not known"))?;
+    Ok(Request {
+        id,
+        head,
+        caller,
+        in_force,
+    })
+}
+
+/// Refuses before the body is read, so that no data enters a forbidden region.
+fn check_residency(context: &CallerContext, intent: &CallerIntent) -> Result<(), Rejection> {
+    if intent.regions.contains(&context.region) {
+        return Ok(());
+    }
+    Err(refused(Refusal::new(RefusalReason::WrongRegion)))
+}
+
+fn check_new_work(context: &CallerContext) -> Result<(), Rejection> {
+    if context.is_leaving.load(Ordering::Acquire) {
+        let refusal = Refusal::new(RefusalReason::Leaving).with_retry_after(Millis(1_000));
+        return Err(refused(refusal));
+    }
+    Ok(())
+}
+
+fn models(request: &Request) -> Result<Prepared, Rejection> {
+    let data: Vec<_> = request
+        .intent()?
+        .targets
+        .iter()
+        .filter_map(|target| match target {
+            Target::Model(id) => Some(json!({
+                "id": id,
+                "object": "model",
+                "created": 0,
+                "owned_by": "cardamombridge",
+            })),
+            Target::Service(_) => None,
+        })
+        .collect();
+    Ok(json_answer(&json!({"object": "list", "data": data})))
+}
+
+fn chat(
+    context: &CallerContext,
+    connection: &mut Connection,
+    request: &Request,
+) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    check_residency(context, intent)?;
+    check_new_work(context)?;
+    let body = read_body(connection, &request.head)?;
+    let chat = ChatRequest::parse(&body)
+        .map_err(|error| not_run(400, "invalid_request", &error.to_string()))?;
+    let arrival = Arrival {
+        request: request.id,
+        caller: request.caller.clone(),
+        target: Target::Model(chat.model.clone()),
+        // Tiers order from the most urgent, so the caller's limit is the minimum.
+        tier: chat.tier.max(intent.tier),
+        prompt: chat.prompt,
+        max_output: chat.max_output,
+        prefix_hashes: chat.prefix_hashes.clone(),
+        body: Bytes(body.len() as u64),
+        deadline_ms: deadline(&request.head, intent)?,
+        is_repeatable: true,
+        origin: Origin::Caller,
+    };
+    Ok(Prepared::Exchange(Box::new(Exchange {
+        arrival,
+        payload: Payload::Chat(Box::new(chat)),
+    })))
+}
+
+fn service(
+    context: &CallerContext,
+    connection: &mut Connection,
+    request: &Request,
+) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    check_residency(context, intent)?;
+    check_new_work(context)?;
+    let (id, path) = service_path(&request.head.path)?;
+    let known = request.in_force.intents.service(&id);
+    let is_allowed = intent.targets.contains(&Target::Service(id.clone()));
+    let service = known.filter(|_| is_allowed).ok_or_else(|| {
+        let refusal = Refusal::new(RefusalReason::UnknownTarget);
+        refused(refusal)
+    })?;
+    let is_repeatable = service.repeatable_methods.contains(&request.head.method);
+    if !is_repeatable {
+        return Err(not_run(
+            428,
+            "ticket_required",
+            "this call must not be repeated and needs a ticket",
+        ));
+    }
+    let body = read_body(connection, &request.head)?;
+    let arrival = Arrival {
+        request: request.id,
+        caller: request.caller.clone(),
+        target: Target::Service(id),
+        tier: Tier::Default.max(intent.tier),
+        prompt: Tokens(0),
+        max_output: Tokens(0),
+        prefix_hashes: Vec::new(),
+        body: Bytes(body.len() as u64),
+        deadline_ms: deadline(&request.head, intent)?,
+        is_repeatable,
+        origin: Origin::Caller,
+    };
+    let call = Call {
+        method: request.head.method.clone(),
+        path,
+        headers: forwarded_headers(&request.head.headers, request.id),
+        body,
+    };
+    Ok(Prepared::Exchange(Box::new(Exchange {
+        arrival,
+        payload: Payload::Service(call),
+    })))
+}
+
+/// Splits `/v1/services/SERVICE/REST` into the service and `/REST`.
+fn service_path(path: &str) -> Result<(ServiceId, CompactString), Rejection> {
+    let rest = path.strip_prefix(SERVICE_PREFIX).unwrap_or_default();
+    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let id = name
+        .parse()
+        .map_err(|_| refused(Refusal::new(RefusalReason::UnknownTarget)))?;
+    Ok((id, compact_str::format_compact!("/{rest}")))
+}
+
+/// Fields of the caller that a service gets; marks for hosts never pass.
+fn forwarded_headers(headers: &Headers, id: RequestId) -> Headers {
+    const PASSED: [&str; 4] = ["content-type", "accept", "accept-language", "if-none-match"];
+    let mut forwarded = Headers::new().with_field("x-request-id", &id.to_string());
+    for field in headers.iter() {
+        if PASSED.contains(&field.name.as_str()) {
+            forwarded.push(&field.name, &field.value);
+        }
+    }
+    forwarded
+}
+
+fn read_body(connection: &mut Connection, head: &RequestHead) -> Result<Vec<u8>, Rejection> {
+    let unreadable = |error: MessageError| match error {
+        MessageError::TooLarge { .. } => not_run(413, "body_too_large", &error.to_string()),
+        MessageError::TimedOut => not_run(408, "request_timeout", &error.to_string()),
+        _ => not_run(400, "malformed_request", &error.to_string()),
+    };
+    let framing = head.framing().map_err(unreadable)?;
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    if head.headers.has_token("expect", "100-continue") {
+        connection
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
+            .map_err(unreadable)?;
+    }
+    BodyReader::new(framing)
+        .read_to_end(connection, MAX_BODY_BYTES, deadline)
+        .map_err(unreadable)
+}
+
+/// The instant by which the answer is due, at most the intent's deadline ahead.
+fn deadline(head: &RequestHead, intent: &CallerIntent) -> Result<Millis, Rejection> {
+    let asked_ms = match head.headers.get("x-deadline-ms") {
+        None => intent.deadline_ms,
+        Some(text) => text.parse().map(Millis).map_err(|_| {
+            not_run(
+                400,
+                "invalid_request",
+                "X-Deadline-Ms must be a whole number of milliseconds",
+            )
+        })?,
+    };
+    Ok(clock::now() + asked_ms.min(intent.deadline_ms))
+}
+
+fn json_answer(value: &serde_json::Value) -> Prepared {
+    Prepared::Answer {
+        status: 200,
+        body: value.to_string().into_bytes(),
+    }
+}
+
+fn not_ready() -> Rejection {
+    refused(Refusal::new(RefusalReason::NotReady).with_retry_after(NOT_READY_RETRY_AFTER_MS))
+}
+
+fn refused(refusal: Refusal) -> Rejection {
+    Box::new(ErrorAnswer::from_refusal(refusal, not_run_state()))
+}
+
+fn not_run(status: u16, code: &str, message: &str) -> Rejection {
+    Box::new(ErrorAnswer::new(status, code, message, not_run_state()))
+}
+
+/// The state of a request that was never given to the relay.
+fn not_run_state() -> RunState {
+    RunState::NotRun(Unsent::new().give_up())
+}
+
+fn new_request_id() -> RequestId {
+    RequestId(rand::rng().random())
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,313 @@
+//! Settings of one host, read from an INI file and checked as a whole.
+
+use std::{
+    fs,
+    io,
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    }, //
+};
+
+use compact_str::{
+    CompactString,
+    format_compact, //
+};
+use thiserror::Error;
+
+use crate::{
+    decision::RegionLink,
+    ini_file::{
+        self,
+        IniError,
+        IniFile,
+        Section, //
+    },
+    types::{
+        DataCentreId,
+        HostId,
+        MbitPerSecond,
+        Millis,
+        RegionId, //
+    }, //
+};
+
+const LINK_SECTION_PREFIX: &str = "link.";
+const DEFAULT_MAX_CONNECTIONS: usize = 2_048;
+const DEFAULT_DRAIN_LIMIT_MS: Millis = Millis(60_000);
+const MIN_KEY_BYTES: usize = 16;
+
+/// Why the settings cannot be used.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// A file could not be read.
+    #[error("could not read {}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The content is wrong.
+    #[error(transparent)]
+    Content(#[from] IniError),
+    /// A key file holds too little.
+    #[error("{}: the key has {found_bytes} bytes, expected at least {MIN_KEY_BYTES}", path.display())]
+    ShortKey {
+        /// The file.
+        path: PathBuf,
+        /// Length of its content.
+        found_bytes: usize,
+    },
+}
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl std::str::FromStr for LogFormat {
+    type Err = crate::types::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(Self::Err::new("log format", text, "text or json")),
+        }
+    }
+}
+
+impl std::fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        })
+    }
+}
+
+/// Settings of one host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// Name of this host.
+    pub host: HostId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other hosts connect, for TCP and UDP.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    /// The platform's key-value service and list.
+    pub platform_address: SocketAddr,
+    /// File with the key that all hosts share.
+    pub cluster_key_file: PathBuf,
+    /// File with the operators' key.
+    pub operator_key_file: PathBuf,
+    /// Other hosts to contact at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Links to the other regions.
+    pub links: Vec<RegionLink>,
+    /// Most caller connections at the same time.
+    pub max_connections: usize,
+    /// Longest wait for requests in progress at shutdown.
+    pub drain_limit_ms: Millis,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+    /// Filter for log lines, as `tracing` reads it.
+    pub log_filter: CompactString,
+    /// StatsD address for metrics, if they are sent.
+    pub statsd_address: Option<SocketAddr>,
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = fs::read_to_string(path).map_err(|source| ConfigError::Read {
+            path: path.to_path_buf(),
+            source,
+        })?;
+        Ok(Self::parse(path, &text)?)
+    }
+
+    /// Checks settings that were read from `path`.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, IniError> {
+        let file = IniFile::parse(path, text)?;
+        file.reject_unknown_sections(|name| {
+            matches!(
+                name,
+                "host" | "platform" | "keys" | "peers" | "limits" | "logs" | "metrics"
+            ) || name.starts_with(LINK_SECTION_PREFIX)
+        })?;
+        let host = known_section(
+            &file,
+            "host",
+            &[
+                "name",
+                "region",
+                "data_centre",
+                "caller_address",
+                "peer_address",
+                "admin_address",
+            ],
+        )?;
+        let platform = known_section(&file, "platform", &["address"])?;
+        let keys = known_section(&file, "keys", &["cluster_key_file", "operator_key_file"])?;
+        let peers = optional_section(&file, "peers", &["seeds"])?;
+        let limits = optional_section(&file, "limits", &["max_connections", "drain_limit"])?;
+        let logs = optional_section(&file, "logs", &["format", "filter"])?;
+        let metrics = optional_section(&file, "metrics", &["statsd_address"])?;
+
+        let max_connections = file.optional(&limits, "max_connections")?;
+        let drain_limit_ms = file.optional(&limits, "drain_limit")?;
+        let log_format = file.optional(&logs, "format")?;
+        let log_filter = file.optional(&logs, "filter")?;
+        Ok(Self {
+            host: file.value(host, "name")?,
+            region: file.value(host, "region")?,
+            data_centre: file.value(host, "data_centre")?,
+            caller_address: file.value(host, "caller_address")?,
+            peer_address: file.value(host, "peer_address")?,
+            admin_address: file.value(host, "admin_address")?,
+            platform_address: file.value(platform, "address")?,
+            cluster_key_file: file.value(keys, "cluster_key_file")?,
+            operator_key_file: file.value(keys, "operator_key_file")?,
+            seeds: file.list(&peers, "seeds")?,
+            links: read_links(&file)?,
+            max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
+            drain_limit_ms: drain_limit_ms.unwrap_or(DEFAULT_DRAIN_LIMIT_MS),
+            log_format: log_format.unwrap_or(LogFormat::Text),
+            log_filter: log_filter.unwrap_or_else(|| "info".into()),
+            statsd_address: file.optional(&metrics, "statsd_address")?,
+        })
+    }
+
+    /// All values in force as an INI text, defaults included.
+    pub fn to_ini(&self) -> String {
+        let text = |value: &dyn std::fmt::Display| value.to_string();
+        let path = |value: &Path| value.display().to_string();
+        let seeds: Vec<String> = self.seeds.iter().map(SocketAddr::to_string).collect();
+        let link_names: Vec<CompactString> = self
+            .links
+            .iter()
+            .map(|link| format_compact!("{LINK_SECTION_PREFIX}{}", link.region))
+            .collect();
+        let mut sections = vec![
+            (
+                "host",
+                vec![
+                    ("name", text(&self.host)),
+                    ("region", text(&self.region)),
+                    ("data_centre", text(&self.data_centre)),
+                    ("caller_address", text(&self.caller_address)),
+                    ("peer_address", text(&self.peer_address)),
+                    ("admin_address", text(&self.admin_address)),
+                ],
+            ),
+            ("platform", vec![("address", text(&self.platform_address))]),
+            (
+                "keys",
+                vec![
+                    ("cluster_key_file", path(&self.cluster_key_file)),
+                    ("operator_key_file", path(&self.operator_key_file)),
+                ],
+            ),
+            ("peers", vec![("seeds", seeds.join(", "))]),
+            (
+                "limits",
+                vec![
+                    ("max_connections", text(&self.max_connections)),
+                    ("drain_limit", text(&self.drain_limit_ms)),
+                ],
+            ),
+            (
+                "logs",
+                vec![
+                    ("format", text(&self.log_format)),
+                    ("filter", text(&self.log_filter)),
+                ],
+            ),
+        ];
+        if let Some(address) = &self.statsd_address {
+            sections.push(("metrics", vec![("statsd_address", text(address))]));
+        }
+        for (name, link) in link_names.iter().zip(&self.links) {
+            let entries = vec![
+                ("latency", text(&link.latency_ms)),
+                ("rate", text(&link.rate)),
+            ];
+            sections.push((name, entries));
+        }
+        ini_file::write(sections)
+    }
+}
+
+/// Reads a key file; white space at the end does not count.
+pub fn read_key(path: &Path) -> Result<Vec<u8>, ConfigError> {
+    let bytes = fs::read(path).map_err(|source| ConfigError::Read {
+        path: path.to_path_buf(),
+        source,
+    })?;
+    let key = bytes.trim_ascii_end().to_vec();
+    if key.len() < MIN_KEY_BYTES {
+        return Err(ConfigError::ShortKey {
+            path: path.to_path_buf(),
+            found_bytes: key.len(),
+        });
+    }
+    Ok(key)
+}
+
+fn known_section<'a>(
+    file: &'a IniFile,
+    name: &str,
+    keys: &[&str],
+) -> Result<&'a Section, IniError> {
+    let section = file.require(name)?;
+    file.reject_unknown_keys(section, keys)?;
+    Ok(section)
+}
+
+fn optional_section(file: &IniFile, name: &str, keys: &[&str]) -> Result<Section, IniError> {
+    if file.section(name).is_some() {
+        return known_section(file, name, keys).cloned();
+    }
+    Ok(Section {
+        name: name.into(),
+        line: 1,
+        entries: Vec::new(),
+    })
+}
+
+fn read_links(file: &IniFile) -> Result<Vec<RegionLink>, IniError> {
+    let mut links = Vec::new();
+    for section in &file.sections {
+        let Some(region) = section.name.strip_prefix(LINK_SECTION_PREFIX) else {
+            continue;
+        };
+        file.reject_unknown_keys(section, &["latency", "rate"])?;
+        let region: RegionId = region.parse().map_err(|_| {
+            file.error(
+                section.line,
+                ini_file::IniProblem::UnknownSection(section.name.clone()),
+            )
+        })?;
+        let latency_ms: Millis = file.value(section, "latency")?;
+        let rate: MbitPerSecond = file.value(section, "rate")?;
+        links.push(RegionLink {
+            region,
+            latency_ms,
+            rate,
+        });
+    }
+    Ok(links)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,19 @@
 //! modules, the state and its owners, the messages, and what happens when each
 //! part fails.
 
+pub mod auth;
+pub mod caller;
 pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod decider;
 pub mod decision;
 pub mod http;
+pub mod in_force;
+pub mod ini_file;
 pub mod intent;
+pub mod openai;
 pub mod outcome;
+pub mod relay;
+pub mod sink;
 pub mod types;
