Add a stand-in of the platform's key-value service and list

The client, the rollout and the tests need a service that speaks the published Consul HTTP interface and can fail on request.

--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins of the systems around the gateway, for tests and the demo.
+
+pub mod platform;
