--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod outcome;
 pub mod relay;
 pub mod sink;
+pub mod standin;
 pub mod types;
