Add the client of the platform's key-value service and list

Configuration, spending and the endpoint list come from the platform, so a client must say exactly what it knows. oxhttp does not report whether any byte of a request was sent, so every failure but a refused connection or a 4xx status counts as possibly written and a conditional write returns it as `Unknown`.

Ruled out: retrying inside the client, which would hide a lost answer from the code that can settle it. An endpoint with a failing check other than maintenance is left out of the list; one in maintenance is leaving.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod http;
 pub mod intent;
 pub mod outcome;
+pub mod platform;
 pub mod standin;
 pub mod types;
