--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod intent;
 pub mod openai;
 pub mod outcome;
+pub mod platform;
 pub mod relay;
 pub mod sink;
 pub mod standin;
