Add engine and service stand-ins on loopback

The gateway needs outside systems to be tested against, and the policy experiment needs an engine in explicit time. Answers derive from a hash of the messages, so a test knows every byte.

Faults are injected by number of tokens and not by time, so that a test does not depend on the speed of the machine. A continuation with a text that the engine would not have written is answered from the start, since an exact continuation of foreign text is not defined.

--- /dev/null
+++ b/tests/standin.rs
@@ -0,0 +1,393 @@
+//! Guards against stand-ins that do not behave as they say, which would make
+//! every test built on them worthless.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use cardamombridge::{
+    http::{
+        client::{
+            self,
+            Answer,
+            Call, //
+        },
+        message::{
+            Headers,
+            MessageError, //
+        }, //
+    },
+    standin::{
+        answer::{
+            ChatMessage,
+            expected_answer, //
+        },
+        engine::{
+            EngineFault,
+            EngineOptions,
+            EngineStandin, //
+        },
+        model::ModelOptions,
+        service::{
+            ServiceOptions,
+            ServiceStandin, //
+        }, //
+    },
+    types::Tokens, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn deadline() -> Instant {
+    Instant::now() + LIMIT
+}
+
+fn open(address: SocketAddr, method: &str, path: &str, body: &Value) -> Answer {
+    let call = Call {
+        method: method.into(),
+        path: path.into(),
+        headers: Headers::new().with_field("x-request-id", "r1"),
+        body: if body.is_null() {
+            Vec::new()
+        } else {
+            body.to_string().into_bytes()
+        },
+    };
+    let mut connection = client::connect(address, LIMIT).expect("stand-in listens");
+    client::send(&mut connection, &call, deadline()).expect("request is sent");
+    client::receive(connection, deadline()).expect("head of the answer")
+}
+
+fn read(answer: &mut Answer) -> Result<String, MessageError> {
+    let connection = &mut answer.connection;
+    let bytes = answer.body.read_to_end(connection, 1 << 22, deadline())?;
+    Ok(String::from_utf8(bytes).expect("answer is UTF-8"))
+}
+
+fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    let mut answer = open(address, "GET", path, &Value::Null);
+    (answer.head.status, read(&mut answer).expect("whole answer"))
+}
+
+fn chat(address: SocketAddr, body: &Value) -> Answer {
+    open(address, "POST", "/v1/chat/completions", body)
+}
+
+fn question() -> Vec<ChatMessage> {
+    vec![
+        ChatMessage::new("system", &"house rules ".repeat(100)),
+        ChatMessage::new("user", "which stain matches?"),
+    ]
+}
+
+fn stream_tokens(text: &str) -> Vec<String> {
+    text.split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+        .filter_map(|chunk| {
+            let content = chunk["choices"][0]["delta"]["content"].as_str()?;
+            (!content.is_empty()).then(|| content.to_owned())
+        })
+        .collect()
+}
+
+fn engine() -> EngineStandin {
+    EngineStandin::start(EngineOptions::new("stain")).expect("engine starts")
+}
+
+fn slow_engine(slots: u32, max_waiting: u32) -> EngineStandin {
+    let speed = ModelOptions {
+        slots,
+        max_waiting,
+        step: Duration::from_millis(20),
+        ..ModelOptions::default()
+    };
+    EngineStandin::start(EngineOptions::new("stain").with_speed(speed)).expect("engine starts")
+}
+
+fn wait_until<F>(what: &str, mut is_true: F)
+where
+    F: FnMut() -> bool,
+{
+    let end = deadline();
+    while !is_true() {
+        assert!(Instant::now() < end, "{what} did not happen in {LIMIT:?}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Guards against an answer that a test cannot predict byte by byte.
+#[test]
+fn plain_and_streamed_answers_are_the_expected_ones() {
+    let engine = engine();
+    let body = json!({ "messages": question(), "max_tokens": 20 });
+    let mut streamed = body.clone();
+    streamed["stream"] = json!(true);
+    streamed["stream_options"] = json!({ "include_usage": true });
+
+    let plain = read(&mut chat(engine.address(), &body)).expect("whole answer");
+    let stream = read(&mut chat(engine.address(), &streamed)).expect("whole answer");
+
+    let expected = expected_answer(&question(), 20);
+    let plain = serde_json::from_str::<Value>(&plain).expect("JSON");
+    assert_eq!(expected.len(), 20);
+    assert_eq!(
+        plain["choices"][0]["message"]["content"],
+        json!(expected.concat())
+    );
+    assert_eq!(plain["choices"][0]["finish_reason"], json!("length"));
+    assert_eq!(plain["usage"]["completion_tokens"], json!(20));
+    assert_eq!(stream_tokens(&stream), expected);
+    assert!(stream.ends_with("data: [DONE]\n\n"), "{stream}");
+    // The second request finds the shared prefix of the first one.
+    let cached = &engine.seen()[1].cached;
+    assert!(*cached > Tokens(0));
+    assert!(stream.contains(&format!("\"cached_tokens\":{}", cached.0)));
+}
+
+/// Guards against a continuation that repeats or loses a byte, also when the
+/// partial answer ends inside a token.
+#[test]
+fn a_continued_answer_is_exactly_the_missing_part() {
+    let engine = engine();
+    let whole = expected_answer(&question(), 30).concat();
+    let cuts = whole.char_indices().map(|(at, _)| at).take(60);
+
+    for cut in cuts.step_by(7) {
+        let mut messages = question();
+        messages.push(ChatMessage::new("assistant", &whole[..cut]));
+        let body = json!({
+            "messages": messages, "max_tokens": 400, "stream": true,
+            "continue_final_message": true, "add_generation_prompt": false,
+        });
+        let text = read(&mut chat(engine.address(), &body)).expect("whole answer");
+
+        let all = expected_answer(&question(), usize::MAX).concat();
+        assert_eq!(
+            format!("{}{}", &whole[..cut], stream_tokens(&text).concat()),
+            all
+        );
+    }
+}
+
+/// Guards against faults that a gateway could not notice.
+#[test]
+fn truncated_streams_break_in_the_way_they_say() {
+    let engine = engine();
+    let body = json!({ "messages": question(), "max_tokens": 20, "stream": true });
+    let expected = expected_answer(&question(), 20);
+
+    for fault in [
+        EngineFault::CutAfter(5),
+        EngineFault::TruncatedChunk(5),
+        EngineFault::WrongLength,
+    ] {
+        engine.fail_next(fault);
+        let mut answer = chat(engine.address(), &body);
+        assert!(read(&mut answer).is_err(), "{fault:?} ended properly");
+        assert!(!answer.body.is_complete());
+    }
+    engine.fail_next(EngineFault::NoDone);
+    let text = read(&mut chat(engine.address(), &body)).expect("framing is whole");
+    assert_eq!(stream_tokens(&text), expected);
+    assert!(!text.contains("[DONE]"));
+
+    engine.fail_next(EngineFault::Status(500));
+    assert_eq!(chat(engine.address(), &body).head.status, 500);
+    // The list of single faults is used up.
+    let text = read(&mut chat(engine.address(), &body)).expect("whole answer");
+    assert_eq!(stream_tokens(&text), expected);
+}
+
+/// Guards against a plain answer whose break goes unnoticed.
+#[test]
+fn a_plain_answer_with_a_wrong_length_is_incomplete() {
+    let engine = engine();
+    let body = json!({ "messages": question(), "max_tokens": 20 });
+
+    engine.fail_next(EngineFault::WrongLength);
+    let mut answer = chat(engine.address(), &body);
+
+    assert!(matches!(read(&mut answer), Err(MessageError::Closed)));
+}
+
+/// Guards against a stall that ends by itself or sends more than announced.
+#[test]
+fn a_stalled_stream_sends_nothing_more() {
+    let engine = engine();
+    let body = json!({ "messages": question(), "max_tokens": 20, "stream": true });
+
+    engine.fail_next(EngineFault::StallAfter(3));
+    let mut answer = chat(engine.address(), &body);
+    let mut bytes = Vec::new();
+    let quiet = Instant::now() + Duration::from_millis(400);
+    let end = loop {
+        let connection = &mut answer.connection;
+        if let Err(error) = answer.body.read_piece(connection, &mut bytes, quiet) {
+            break error;
+        }
+    };
+
+    assert!(matches!(end, MessageError::TimedOut), "{end}");
+    let text = String::from_utf8(bytes).expect("UTF-8");
+    assert_eq!(stream_tokens(&text), expected_answer(&question(), 3));
+}
+
+/// Guards against a slot that a closed caller keeps.
+#[test]
+fn a_closed_caller_frees_its_slot() {
+    let engine = slow_engine(1, 4);
+    let long = json!({ "messages": question(), "max_tokens": 400, "stream": true });
+    let short = json!({ "messages": question(), "max_tokens": 1 });
+
+    drop(chat(engine.address(), &long));
+    let started = Instant::now();
+    read(&mut chat(engine.address(), &short)).expect("whole answer");
+
+    // The long answer alone takes at least 24 steps of 20 ms.
+    assert!(started.elapsed() < Duration::from_millis(400));
+    let seen = engine.seen();
+    assert!(seen[0].is_cancelled && !seen[1].is_cancelled);
+    assert!(seen[0].generated < Tokens(24));
+}
+
+/// Guards against a refused request that ran nevertheless.
+#[test]
+fn a_full_or_leaving_engine_refuses_before_it_runs() {
+    let engine = slow_engine(1, 0);
+    let body = json!({ "messages": question(), "max_tokens": 400, "stream": true });
+
+    let kept = chat(engine.address(), &body);
+    let full = chat(engine.address(), &body);
+    drop(kept);
+    wait_until("freed slot", || engine.load().running == 0);
+    engine.set_leaving(true);
+    let leaving = chat(engine.address(), &body);
+
+    for answer in [full, leaving] {
+        assert_eq!(answer.head.status, 503);
+        assert_eq!(answer.head.headers.get("retry-after"), Some("1"));
+    }
+    let has_run = engine.seen().iter().map(|s| s.has_run).collect::<Vec<_>>();
+    assert_eq!(has_run, [true, false, false]);
+    assert_eq!(get(engine.address(), "/health").0, 503);
+}
+
+/// Guards against a low-priority request that overtakes.
+#[test]
+fn a_lower_priority_number_runs_first() {
+    let engine = slow_engine(1, 4);
+    let address = engine.address();
+    let request = |priority: i32, count: u32| json!({ "messages": question(), "max_tokens": count, "priority": priority });
+    let first = chat(
+        address,
+        &json!({
+            "messages": question(), "max_tokens": 8, "stream": true
+        }),
+    );
+    let send = |priority| {
+        let body = request(priority, 4);
+        thread::spawn(move || {
+            read(&mut chat(address, &body)).expect("whole answer");
+            Instant::now()
+        })
+    };
+
+    let late = send(5);
+    wait_until("first waiting request", || engine.load().waiting == 1);
+    let early = send(1);
+    wait_until("second waiting request", || engine.load().waiting == 2);
+    let (late, early) = (late.join().expect("late"), early.join().expect("early"));
+
+    assert!(early < late);
+    drop(first);
+}
+
+/// Guards against a load report that is fresher than the engine claims.
+#[test]
+fn the_reported_load_is_late() {
+    let engine = slow_engine(2, 4);
+    let running = "vllm:num_requests_running{model_name=\"stain\"}";
+    let reported = || get(engine.address(), "/metrics").1;
+    engine.set_load_lag(Duration::from_millis(200));
+
+    let started = Instant::now();
+    let kept = chat(
+        engine.address(),
+        &json!({ "messages": question(), "max_tokens": 400, "stream": true }),
+    );
+    assert_eq!(engine.load().running, 1);
+    wait_until("reported load", || {
+        reported().contains(&format!("{running} 1"))
+    });
+
+    assert!(started.elapsed() >= Duration::from_millis(190));
+    drop(kept);
+    let text = reported();
+    for name in [
+        "vllm:num_requests_waiting",
+        "vllm:kv_cache_usage_perc",
+        "cardamombridge_standin_incarnation",
+    ] {
+        assert!(text.contains(name), "{name} is missing in {text}");
+    }
+}
+
+/// Guards against a stop that leaves the port or a connection open.
+#[test]
+fn a_stopped_engine_breaks_its_connections() {
+    let mut engine = slow_engine(1, 4);
+    let body = json!({ "messages": question(), "max_tokens": 400, "stream": true });
+    let mut answer = chat(engine.address(), &body);
+
+    engine.stop();
+
+    assert!(read(&mut answer).is_err());
+    assert!(client::connect(engine.address(), LIMIT).is_err());
+}
+
+/// Guards against a service that runs a call without counting it.
+#[test]
+fn a_dropped_call_has_run_once() {
+    let service = ServiceStandin::start(ServiceOptions::new("dispatch")).expect("starts");
+    let body = json!({ "key": "box-7" });
+    let call = Call {
+        method: "POST".into(),
+        path: "/dispatch".into(),
+        headers: Headers::new(),
+        body: body.to_string().into_bytes(),
+    };
+
+    service.drop_after_running(1);
+    let mut connection = client::connect(service.address(), LIMIT).expect("listens");
+    client::send(&mut connection, &call, deadline()).expect("sent");
+    let dropped = client::receive(connection, deadline());
+
+    assert!(dropped.is_err());
+    assert_eq!(service.runs("box-7"), 1);
+    let mut answer = open(service.address(), "POST", "/dispatch", &body);
+    assert_eq!(
+        read(&mut answer).expect("whole"),
+        "{\"key\":\"box-7\",\"runs\":2}"
+    );
+    let stock = get(service.address(), "/stock/box");
+    assert_eq!(stock, get(service.address(), "/stock/box"));
+    assert_eq!(service.all_runs().len(), 1);
+    service.set_leaving(true);
+    assert_eq!(
+        open(service.address(), "POST", "/dispatch", &body)
+            .head
+            .status,
+        503
+    );
+    assert_eq!(service.runs("box-7"), 2);
+}
