Add tickets and the table that owns them

Calls that must not be repeated need one place that decides whether they run. A ticket names that place, and its table records the start of a call before the call can be sent. The table keeps the one `Unsent` of a ticket while it is issued and hands it out with the permit, so `not_run` can be said only by a table that holds the proof.

Ruled out: a table that knows only started tickets and treats an absent one as issued. It needs less memory, but a forgotten ticket could then run again, and a handover could not tell issued from lost.

--- /dev/null
+++ b/src/ticket/refusal.rs
@@ -0,0 +1,205 @@
+//! What a caller is told when a ticketed call gets no answer of an endpoint.
+
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::table::IssueError;
+use crate::{
+    outcome::{
+        NotRun,
+        RunState,
+        Unsent, //
+    },
+    types::Millis, //
+};
+
+/// When to ask again about a call that is in progress.
+pub const IN_PROGRESS_RETRY_MS: Millis = Millis(1_000);
+/// When to ask again if the owner cannot be reached; a silent host gets no
+/// forwarded requests for at least this long.
+pub const UNREACHABLE_RETRY_MS: Millis = Millis(2_000);
+/// When to ask again while a table is on its way to the successor.
+pub const LEAVING_RETRY_MS: Millis = Millis(3_000);
+
+/// Why a ticket can never run again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClosedReason {
+    /// The caller voided it before it started.
+    Voided,
+    /// It expired before it started.
+    Expired,
+    /// Its host gave the call up before a byte was sent.
+    GivenUp,
+}
+
+impl fmt::Display for ClosedReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Voided => "voided",
+            Self::Expired => "expired",
+            Self::GivenUp => "given_up",
+        })
+    }
+}
+
+/// The end of a ticket whose call did not run and never will.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Closed {
+    /// How it came to this.
+    pub reason: ClosedReason,
+    /// The proof.
+    pub not_run: NotRun,
+}
+
+impl Closed {
+    /// Closes the ticket that `unsent` belongs to.
+    pub(super) fn new(reason: ClosedReason, unsent: Unsent) -> Self {
+        Self {
+            reason,
+            not_run: unsent.give_up(),
+        }
+    }
+}
+
+/// Why a ticketed call gets no answer of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TicketRefusalReason {
+    /// The call needs a ticket and has none.
+    TicketRequired(NotRun),
+    /// The call needs a ticket, has none, and none can be issued.
+    CannotIssue(IssueError, NotRun),
+    /// The ticket never ran and never will.
+    Closed(Closed),
+    /// The call has started and has not ended.
+    InProgress,
+    /// The ticket belongs to a call with another method, path or body.
+    OtherCall,
+    /// The call ran and its answer is not kept, or it cannot be voided.
+    AlreadyFinished,
+    /// Nobody knows whether the call ran.
+    Unknown,
+    /// The table starts no calls because its host is leaving.
+    Leaving,
+    /// The table has no room for one more answer.
+    AnswersFull,
+    /// The owner cannot be reached from here.
+    Unreachable,
+}
+
+/// A refusal with its retry time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TicketRefusal {
+    /// Why.
+    pub reason: TicketRefusalReason,
+    /// After how long asking again with the same ticket can give more, or, with
+    /// [`TicketRefusalReason::CannotIssue`], after how long a ticket may be
+    /// issued. `None` if asking again never gives more.
+    pub retry_after_ms: Option<Millis>,
+}
+
+impl TicketRefusal {
+    /// A refusal that no later question changes.
+    pub fn new(reason: TicketRefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// The same refusal with a retry time.
+    pub fn with_retry_after(mut self, retry_after_ms: Millis) -> Self {
+        self.retry_after_ms = Some(retry_after_ms);
+        self
+    }
+
+    /// For a call without a ticket; the answer carries a fresh one.
+    pub fn ticket_required(request: Unsent) -> Self {
+        Self::new(TicketRefusalReason::TicketRequired(request.give_up()))
+    }
+
+    /// For a call without a ticket when the table cannot issue one.
+    pub fn cannot_issue(request: Unsent, error: IssueError) -> Self {
+        let reason = TicketRefusalReason::CannotIssue(error, request.give_up());
+        Self {
+            reason,
+            retry_after_ms: error.retry_after_ms(),
+        }
+    }
+
+    /// For a call whose owner did not answer, whether or not bytes were sent.
+    pub fn unreachable() -> Self {
+        Self::new(TicketRefusalReason::Unreachable).with_retry_after(UNREACHABLE_RETRY_MS)
+    }
+
+    pub(super) fn in_progress() -> Self {
+        Self::new(TicketRefusalReason::InProgress).with_retry_after(IN_PROGRESS_RETRY_MS)
+    }
+
+    pub(super) fn leaving() -> Self {
+        Self::new(TicketRefusalReason::Leaving).with_retry_after(LEAVING_RETRY_MS)
+    }
+
+    /// HTTP status of the refusal.
+    pub fn status(&self) -> u16 {
+        match self.reason {
+            TicketRefusalReason::TicketRequired(_) => 428,
+            TicketRefusalReason::CannotIssue(IssueError::OutsideResidency, _) => 421,
+            TicketRefusalReason::CannotIssue(..)
+            | TicketRefusalReason::Leaving
+            | TicketRefusalReason::AnswersFull => 503,
+            TicketRefusalReason::Closed(_) => 410,
+            TicketRefusalReason::InProgress
+            | TicketRefusalReason::OtherCall
+            | TicketRefusalReason::AlreadyFinished
+            | TicketRefusalReason::Unknown => 409,
+            TicketRefusalReason::Unreachable => 502,
+        }
+    }
+
+    /// What the caller is told about the call of the ticket.
+    pub fn run_state(&self) -> RunState {
+        match self.reason {
+            TicketRefusalReason::TicketRequired(not_run)
+            | TicketRefusalReason::CannotIssue(_, not_run)
+            | TicketRefusalReason::Closed(Closed { not_run, .. }) => RunState::NotRun(not_run),
+            TicketRefusalReason::InProgress
+            | TicketRefusalReason::OtherCall
+            | TicketRefusalReason::AlreadyFinished
+            | TicketRefusalReason::Unknown
+            | TicketRefusalReason::Leaving
+            | TicketRefusalReason::AnswersFull
+            | TicketRefusalReason::Unreachable => RunState::Unknown,
+        }
+    }
+
+    /// Error code in the body of the answer.
+    pub fn code(&self) -> &'static str {
+        match self.reason {
+            TicketRefusalReason::TicketRequired(_) => "ticket_required",
+            TicketRefusalReason::CannotIssue(error, _) => error.code(),
+            TicketRefusalReason::Closed(closed) => match closed.reason {
+                ClosedReason::Voided => "ticket_voided",
+                ClosedReason::Expired => "ticket_expired",
+                ClosedReason::GivenUp => "ticket_given_up",
+            },
+            TicketRefusalReason::InProgress => "ticket_in_progress",
+            TicketRefusalReason::OtherCall => "ticket_of_another_call",
+            TicketRefusalReason::AlreadyFinished => "ticket_already_finished",
+            TicketRefusalReason::Unknown => "ticket_state_unknown",
+            TicketRefusalReason::Leaving => "ticket_host_leaving",
+            TicketRefusalReason::AnswersFull => "ticket_answers_full",
+            TicketRefusalReason::Unreachable => "ticket_host_unreachable",
+        }
+    }
+
+    /// Value of the `Retry-After` field, in whole seconds rounded up.
+    pub fn retry_after_s(&self) -> Option<u64> {
+        self.retry_after_ms
+            .map(|span_ms| span_ms.0.div_ceil(1_000).max(1))
+    }
+}
--- /dev/null
+++ b/src/ticket/table.rs
@@ -0,0 +1,844 @@
+//! The owner's table: the only place where a ticket changes its state.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc, //
+};
+
+use thiserror::Error;
+
+use super::{
+    STATE_RETENTION_MS,
+    call::{
+        CallDigest,
+        KeptAnswer, //
+    },
+    handover::{
+        HANDOVER_VALID_MS,
+        HandedState,
+        HandedTicket,
+        Handover,
+        HandoverError,
+        ImportError,
+        Imported, //
+    },
+    refusal::{
+        Closed,
+        ClosedReason,
+        TicketRefusal,
+        TicketRefusalReason,
+        UNREACHABLE_RETRY_MS, //
+    },
+    route::OWNER_SETTLE_MS,
+    token::{
+        HostRun,
+        Owner,
+        Ticket,
+        TicketBody,
+        TicketId, //
+    }, //
+};
+use crate::{
+    decision::residency::AllowedRegions,
+    outcome::{
+        Sent,
+        Unsent, //
+    },
+    types::{
+        Bytes,
+        CallerId,
+        Millis,
+        ServiceId, //
+    }, //
+};
+
+/// Bounds of one table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TicketLimits {
+    /// How long after its issue a ticket can start.
+    pub lifetime_ms: Millis,
+    /// Most tickets in the table, whatever their state.
+    pub max_tickets: usize,
+    /// Most tickets of one caller, so that one caller cannot use up the table.
+    pub max_tickets_per_caller: usize,
+    /// Largest answer that is kept.
+    pub max_answer_bytes: Bytes,
+    /// Kept answers and room reserved for calls in progress, in total.
+    pub max_kept_bytes: Bytes,
+}
+
+impl Default for TicketLimits {
+    fn default() -> Self {
+        Self {
+            lifetime_ms: Millis(10 * 60 * 1000),
+            max_tickets: 16_384,
+            max_tickets_per_caller: 4_096,
+            max_answer_bytes: Bytes(64 * 1024),
+            max_kept_bytes: Bytes(8 * 1024 * 1024),
+        }
+    }
+}
+
+/// Whom a ticket is issued to and for what.
+#[derive(Debug, Clone)]
+pub struct IssueFor<'a> {
+    /// The authenticated caller.
+    pub caller: &'a CallerId,
+    /// The service that it will call.
+    pub service: &'a ServiceId,
+    /// Regions that the caller's intent allows.
+    pub allowed: &'a AllowedRegions,
+}
+
+/// Why no ticket is issued.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum IssueError {
+    /// The host is leaving; another entry host issues tickets.
+    #[error("host is leaving and issues no tickets")]
+    Leaving,
+    /// The table is full.
+    #[error("ticket table is full until a ticket is forgotten in {retry_after_ms}")]
+    Full {
+        /// When the next ticket is forgotten.
+        retry_after_ms: Millis,
+    },
+    /// The caller has too many tickets.
+    #[error("caller has too many tickets until one is forgotten in {retry_after_ms}")]
+    CallerFull {
+        /// When the next ticket of any caller is forgotten.
+        retry_after_ms: Millis,
+    },
+    /// The caller's data must not reach this region.
+    #[error("region of this host is outside the regions of the caller")]
+    OutsideResidency,
+    /// The random number is already in use; draw another one.
+    #[error("ticket id is already in use")]
+    DuplicateId,
+}
+
+impl IssueError {
+    /// After how long a ticket may be issued here, if it ever is.
+    pub fn retry_after_ms(self) -> Option<Millis> {
+        match self {
+            Self::Full { retry_after_ms } | Self::CallerFull { retry_after_ms } => {
+                Some(retry_after_ms)
+            }
+            Self::Leaving | Self::DuplicateId => Some(Millis(0)),
+            Self::OutsideResidency => None,
+        }
+    }
+
+    /// Error code in the body of the answer.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Leaving => "ticket_host_leaving",
+            Self::Full { .. } => "ticket_table_full",
+            Self::CallerFull { .. } => "ticket_caller_limit",
+            Self::OutsideResidency => "outside_residency",
+            Self::DuplicateId => "ticket_id_in_use",
+        }
+    }
+}
+
+/// The right to run one call once; there is at most one per ticket at a time.
+#[derive(Debug)]
+#[must_use]
+pub struct Permit {
+    id: TicketId,
+    table: HostRun,
+    run: u64,
+}
+
+impl Permit {
+    /// The ticket that the permit belongs to.
+    pub fn id(&self) -> TicketId {
+        self.id
+    }
+}
+
+/// A permit comes from another table, or the table has handed its tickets over
+/// or forgotten this one. The state of the ticket is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("ticket {0} is not in progress in this table any more")]
+pub struct StalePermit(pub TicketId);
+
+/// Answer to the begin of a call.
+#[derive(Debug)]
+#[must_use]
+pub enum Begin {
+    /// The call has started: send it, then use the permit.
+    Started {
+        /// Ends the call.
+        permit: Permit,
+        /// Shows that no byte of the call has been sent.
+        unsent: Unsent,
+    },
+    /// The call has ended before; give its answer again.
+    Replay(Arc<KeptAnswer>),
+    /// The call must not be sent.
+    Refused(TicketRefusal),
+}
+
+/// State of a ticket for `GET /v1/tickets/TICKET`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TicketState {
+    /// Not started; it may still start, so this is not `not_run`.
+    Issued,
+    /// In progress.
+    Started,
+    /// Ended; the answer if it is still kept.
+    Finished(Option<Arc<KeptAnswer>>),
+    /// Never ran and never will.
+    Closed(Closed),
+    /// May have run, and nobody will ever know.
+    Unknown,
+}
+
+impl TicketState {
+    /// The state as a word for callers.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Issued => "issued",
+            Self::Started => "started",
+            Self::Finished(_) => "finished",
+            Self::Closed(closed) => match closed.reason {
+                ClosedReason::Voided => "voided",
+                ClosedReason::Expired => "expired",
+                ClosedReason::GivenUp => "given_up",
+            },
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    /// Holds the only `Unsent` of the ticket until a call begins.
+    Issued(Unsent),
+    Started {
+        run: u64,
+    },
+    Finished(Option<Arc<KeptAnswer>>),
+    Closed(Closed),
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Entry {
+    body: TicketBody,
+    digest: Option<CallDigest>,
+    state: State,
+}
+
+impl Entry {
+    /// Whether a call with `digest` is not the one the ticket is bound to.
+    fn is_bound_elsewhere(&self, digest: CallDigest) -> bool {
+        self.digest.is_some_and(|bound| bound != digest)
+    }
+
+    fn forget_at_ms(&self) -> Millis {
+        self.body.expires_ms + STATE_RETENTION_MS
+    }
+}
+
+#[derive(Debug)]
+enum Phase {
+    Serving,
+    Leaving(HostRun),
+    Exported(Arc<Handover>),
+}
+
+/// The tickets that one run of a host owns or has imported.
+///
+/// All times are instants on the host's clock. The table never goes back behind
+/// the latest instant it was given, so a clock that is set back cannot revive a
+/// ticket that was called expired.
+#[derive(Debug)]
+pub struct TicketTable {
+    me: Owner,
+    limits: TicketLimits,
+    started_ms: Millis,
+    now_ms: Millis,
+    phase: Phase,
+    entries: BTreeMap<TicketId, Entry>,
+    /// Next instant at which each ticket expires or is forgotten.
+    due: BTreeSet<(Millis, TicketId)>,
+    per_caller: BTreeMap<CallerId, usize>,
+    kept_bytes: Bytes,
+    imported: BTreeSet<HostRun>,
+    held: BTreeSet<HostRun>,
+    next_run: u64,
+}
+
+impl TicketTable {
+    /// An empty table of a run that starts at `now_ms`.
+    pub fn new(me: Owner, now_ms: Millis) -> Self {
+        let held = BTreeSet::from([me.run.clone()]);
+        Self {
+            me,
+            limits: TicketLimits::default(),
+            started_ms: now_ms,
+            now_ms,
+            phase: Phase::Serving,
+            entries: BTreeMap::new(),
+            due: BTreeSet::new(),
+            per_caller: BTreeMap::new(),
+            kept_bytes: Bytes(0),
+            imported: BTreeSet::new(),
+            held,
+            next_run: 0,
+        }
+    }
+
+    /// The same table with other bounds.
+    pub fn with_limits(mut self, limits: TicketLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// The run that this table belongs to.
+    pub fn me(&self) -> &Owner {
+        &self.me
+    }
+
+    /// Number of tickets in the table.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the table has no tickets.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Kept answers and room reserved for calls in progress.
+    pub fn kept_bytes(&self) -> Bytes {
+        self.kept_bytes
+    }
+
+    /// Number of calls in progress.
+    pub fn started_count(&self) -> usize {
+        self.entries
+            .values()
+            .filter(|entry| matches!(entry.state, State::Started { .. }))
+            .count()
+    }
+
+    /// Runs whose tickets are decided here, for the heartbeat; none after the
+    /// export.
+    pub fn held(&self) -> &BTreeSet<HostRun> {
+        &self.held
+    }
+
+    /// Whether the state of `ticket` is decided here.
+    pub fn holds(&self, ticket: &Ticket) -> bool {
+        self.held.contains(&ticket.body().owner.run)
+    }
+
+    /// Issues a ticket; `id` must be drawn at random.
+    pub fn issue(
+        &mut self,
+        id: TicketId,
+        issue_for: &IssueFor<'_>,
+        now_ms: Millis,
+    ) -> Result<Ticket, IssueError> {
+        self.advance(now_ms);
+        self.check_issue(id, issue_for)?;
+        let body = TicketBody {
+            id,
+            owner: self.me.clone(),
+            caller: issue_for.caller.clone(),
+            service: issue_for.service.clone(),
+            expires_ms: self.now_ms + self.limits.lifetime_ms,
+        };
+        self.insert(Entry {
+            body: body.clone(),
+            digest: None,
+            state: State::Issued(Unsent::new()),
+        });
+        Ok(Ticket::new(body))
+    }
+
+    fn check_issue(&self, id: TicketId, issue_for: &IssueFor<'_>) -> Result<(), IssueError> {
+        if !matches!(self.phase, Phase::Serving) {
+            return Err(IssueError::Leaving);
+        }
+        if !issue_for.allowed.contains(&self.me.region) {
+            return Err(IssueError::OutsideResidency);
+        }
+        if self.entries.contains_key(&id) {
+            return Err(IssueError::DuplicateId);
+        }
+        let retry_after_ms = self.next_due_ms() - self.now_ms;
+        if self.entries.len() >= self.limits.max_tickets {
+            return Err(IssueError::Full { retry_after_ms });
+        }
+        let of_caller = self.per_caller.get(issue_for.caller).copied();
+        if of_caller.unwrap_or(0) >= self.limits.max_tickets_per_caller {
+            return Err(IssueError::CallerFull { retry_after_ms });
+        }
+        Ok(())
+    }
+
+    /// Starts the call of a ticket, unless it has started before.
+    ///
+    /// The start is recorded before this returns. `request` is the caller's
+    /// proof that it has not sent the call itself; it is consumed, so that a
+    /// refused duplicate cannot be reported as `not_run`.
+    pub fn begin(
+        &mut self,
+        ticket: &Ticket,
+        digest: CallDigest,
+        request: Unsent,
+        now_ms: Millis,
+    ) -> Begin {
+        self.advance(now_ms);
+        let _consumed = request;
+        match self.refuse_begin(ticket, digest) {
+            Some(refused) => refused,
+            None => self.start(ticket.body().id, digest),
+        }
+    }
+
+    fn refuse_begin(&self, ticket: &Ticket, digest: CallDigest) -> Option<Begin> {
+        let entry = match self.find(ticket) {
+            Ok(entry) => entry,
+            Err(refusal) => return Some(Begin::Refused(refusal)),
+        };
+        if let State::Closed(closed) = entry.state {
+            return Some(refused(TicketRefusalReason::Closed(closed)));
+        }
+        if entry.is_bound_elsewhere(digest) {
+            return Some(refused(TicketRefusalReason::OtherCall));
+        }
+        match &entry.state {
+            State::Issued(_) => self.refuse_start(),
+            State::Started { .. } => Some(Begin::Refused(TicketRefusal::in_progress())),
+            State::Finished(Some(answer)) => Some(Begin::Replay(Arc::clone(answer))),
+            State::Finished(None) => Some(refused(TicketRefusalReason::AlreadyFinished)),
+            State::Closed(closed) => Some(refused(TicketRefusalReason::Closed(*closed))),
+            State::Unknown => Some(refused(TicketRefusalReason::Unknown)),
+        }
+    }
+
+    fn refuse_start(&self) -> Option<Begin> {
+        if !matches!(self.phase, Phase::Serving) {
+            return Some(Begin::Refused(TicketRefusal::leaving()));
+        }
+        let needed_bytes = self.kept_bytes + self.limits.max_answer_bytes;
+        if needed_bytes > self.limits.max_kept_bytes {
+            let retry_after_ms = self.next_due_ms() - self.now_ms;
+            let refusal = TicketRefusal::new(TicketRefusalReason::AnswersFull)
+                .with_retry_after(retry_after_ms);
+            return Some(Begin::Refused(refusal));
+        }
+        None
+    }
+
+    fn start(&mut self, id: TicketId, digest: CallDigest) -> Begin {
+        let run = self.next_run;
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return refused(TicketRefusalReason::Unknown);
+        };
+        let before = std::mem::replace(&mut entry.state, State::Started { run });
+        let State::Issued(unsent) = before else {
+            entry.state = before;
+            return refused(TicketRefusalReason::Unknown);
+        };
+        entry.digest = Some(digest);
+        self.next_run += 1;
+        self.kept_bytes = self.kept_bytes + self.limits.max_answer_bytes;
+        let table = self.me.run.clone();
+        let permit = Permit { id, table, run };
+        Begin::Started { permit, unsent }
+    }
+
+    /// Ends a call that was sent and properly answered, whatever the status.
+    ///
+    /// An answer above [`TicketLimits::max_answer_bytes`] is not kept; a repeat
+    /// then learns only that the call has finished.
+    pub fn finish(
+        &mut self,
+        permit: Permit,
+        sent: Sent,
+        answer: KeptAnswer,
+        now_ms: Millis,
+    ) -> Result<(), StalePermit> {
+        self.advance(now_ms);
+        let _consumed = sent;
+        let size_bytes = answer.size_bytes();
+        let is_kept = size_bytes <= self.limits.max_answer_bytes;
+        let now_ms = self.now_ms;
+        let entry = self.end(permit)?;
+        let is_kept = is_kept && now_ms < entry.body.expires_ms;
+        entry.state = State::Finished(is_kept.then(|| Arc::new(answer)));
+        if is_kept {
+            self.kept_bytes = self.kept_bytes + size_bytes;
+        }
+        Ok(())
+    }
+
+    /// Ends a call that may have been sent and has no proper answer.
+    pub fn finish_unknown(&mut self, permit: Permit, now_ms: Millis) -> Result<(), StalePermit> {
+        self.advance(now_ms);
+        self.end(permit)?;
+        Ok(())
+    }
+
+    /// Takes a call back of which no byte was sent; the ticket can start again.
+    ///
+    /// Nobody may be told `not_run` for this, because the same ticket may run
+    /// later. A ticket that has expired meanwhile is closed.
+    pub fn release(
+        &mut self,
+        permit: Permit,
+        unsent: Unsent,
+        now_ms: Millis,
+    ) -> Result<(), StalePermit> {
+        self.advance(now_ms);
+        let now_ms = self.now_ms;
+        let entry = self.end(permit)?;
+        entry.state = if now_ms < entry.body.expires_ms {
+            State::Issued(unsent)
+        } else {
+            State::Closed(Closed::new(ClosedReason::Expired, unsent))
+        };
+        Ok(())
+    }
+
+    /// Gives up a call of which no byte was sent and closes its ticket, so that
+    /// the caller can be told `not_run`.
+    pub fn give_up(
+        &mut self,
+        permit: Permit,
+        unsent: Unsent,
+        now_ms: Millis,
+    ) -> Result<Closed, StalePermit> {
+        self.advance(now_ms);
+        let entry = self.end(permit)?;
+        let closed = Closed::new(ClosedReason::GivenUp, unsent);
+        entry.state = State::Closed(closed);
+        Ok(closed)
+    }
+
+    /// Takes the call of `permit` out of progress, with the state `Unknown`.
+    fn end(&mut self, permit: Permit) -> Result<&mut Entry, StalePermit> {
+        let stale = StalePermit(permit.id);
+        if permit.table != self.me.run {
+            return Err(stale);
+        }
+        let entry = self.entries.get_mut(&permit.id).ok_or(stale)?;
+        match entry.state {
+            State::Started { run } if run == permit.run => {
+                entry.state = State::Unknown;
+                self.kept_bytes = self.kept_bytes - self.limits.max_answer_bytes;
+                Ok(entry)
+            }
+            _ => Err(stale),
+        }
+    }
+
+    /// Voids a ticket that has not started; it never runs after this.
+    pub fn void(&mut self, ticket: &Ticket, now_ms: Millis) -> Result<Closed, TicketRefusal> {
+        self.advance(now_ms);
+        self.find(ticket)?;
+        let unknown = TicketRefusal::new(TicketRefusalReason::Unknown);
+        let entry = self.entries.get_mut(&ticket.body().id).ok_or(unknown)?;
+        match std::mem::replace(&mut entry.state, State::Unknown) {
+            State::Issued(unsent) => {
+                let closed = Closed::new(ClosedReason::Voided, unsent);
+                entry.state = State::Closed(closed);
+                Ok(closed)
+            }
+            before => {
+                entry.state = before;
+                refuse_void(&entry.state)
+            }
+        }
+    }
+
+    /// State of a ticket; refused if it is not decided here.
+    pub fn state(&mut self, ticket: &Ticket, now_ms: Millis) -> Result<TicketState, TicketRefusal> {
+        self.advance(now_ms);
+        let entry = self.find(ticket)?;
+        Ok(match &entry.state {
+            State::Issued(_) => TicketState::Issued,
+            State::Started { .. } => TicketState::Started,
+            State::Finished(answer) => TicketState::Finished(answer.clone()),
+            State::Closed(closed) => TicketState::Closed(*closed),
+            State::Unknown => TicketState::Unknown,
+        })
+    }
+
+    /// Expires and forgets tickets that are due, and returns how many tickets
+    /// are left. Every other method does this first.
+    pub fn sweep(&mut self, now_ms: Millis) -> usize {
+        self.advance(now_ms);
+        self.entries.len()
+    }
+
+    /// Stops issuing and starting. `successor` can be replaced until the export.
+    pub fn start_handover(&mut self, successor: HostRun) -> Result<(), HandoverError> {
+        if successor == self.me.run {
+            return Err(HandoverError::ToItself(successor));
+        }
+        if let Phase::Exported(handover) = &self.phase {
+            return Err(HandoverError::AlreadyExported(handover.to.clone()));
+        }
+        self.phase = Phase::Leaving(successor);
+        Ok(())
+    }
+
+    /// Empties the table into a message for the successor.
+    ///
+    /// Calls that are still in progress become unknown, so wait for
+    /// [`started_count`](Self::started_count) to reach zero first, up to the
+    /// drain limit. From here on this table decides nothing. A further export
+    /// returns the same message, so that it can be sent again. Tickets of
+    /// callers for which `may_receive` is false, because their data must not
+    /// reach the successor, are left out and become unknown.
+    pub fn export<F>(
+        &mut self,
+        may_receive: F,
+        now_ms: Millis,
+    ) -> Result<Arc<Handover>, HandoverError>
+    where
+        F: Fn(&CallerId) -> bool,
+    {
+        self.advance(now_ms);
+        let successor = match &self.phase {
+            Phase::Serving => return Err(HandoverError::NotLeaving),
+            Phase::Leaving(successor) => successor.clone(),
+            Phase::Exported(handover) => return Ok(Arc::clone(handover)),
+        };
+        let entries = std::mem::take(&mut self.entries).into_values();
+        let handover = Arc::new(Handover {
+            from: self.me.run.clone(),
+            to: successor,
+            held: std::mem::take(&mut self.held).into_iter().collect(),
+            valid_until_ms: self.now_ms + HANDOVER_VALID_MS,
+            tickets: entries
+                .filter(|entry| may_receive(&entry.body.caller))
+                .map(hand_over)
+                .collect(),
+        });
+        self.due.clear();
+        self.per_caller.clear();
+        self.kept_bytes = Bytes(0);
+        self.phase = Phase::Exported(Arc::clone(&handover));
+        Ok(handover)
+    }
+
+    /// Takes over the tickets of a leaving run.
+    ///
+    /// Tickets that an earlier run of this host issued can only be finished or
+    /// unknown here, because this host may have called them unknown for good.
+    pub fn import(&mut self, handover: &Handover, now_ms: Millis) -> Result<Imported, ImportError> {
+        self.advance(now_ms);
+        self.check_import(handover)?;
+        self.imported.insert(handover.from.clone());
+        let other_runs = handover.held.iter().filter(|run| **run != self.me.run);
+        self.held.extend(other_runs.cloned());
+        let mut imported = Imported::default();
+        for ticket in &handover.tickets {
+            if self.has_room_to_import(ticket) {
+                self.insert_handed(ticket);
+                imported.accepted += 1;
+            } else {
+                imported.dropped += 1;
+            }
+        }
+        // Tickets that expired on the way must not start.
+        self.advance(now_ms);
+        Ok(imported)
+    }
+
+    fn check_import(&self, handover: &Handover) -> Result<(), ImportError> {
+        let from = handover.from.clone();
+        if handover.to != self.me.run {
+            return Err(ImportError::NotAddressed {
+                to: handover.to.clone(),
+                me: self.me.run.clone(),
+            });
+        }
+        if self.imported.contains(&from) {
+            return Err(ImportError::AlreadyImported(from));
+        }
+        if matches!(self.phase, Phase::Exported(_)) {
+            return Err(ImportError::AlreadyExported(from));
+        }
+        if self.now_ms >= handover.valid_until_ms {
+            return Err(ImportError::Late {
+                from,
+                valid_until_ms: handover.valid_until_ms,
+            });
+        }
+        Ok(())
+    }
+
+    /// Twice the bound, so that a full table can be handed to a full table.
+    fn has_room_to_import(&self, ticket: &HandedTicket) -> bool {
+        let has_room = self.entries.len() < self.limits.max_tickets.saturating_mul(2);
+        has_room && !self.entries.contains_key(&ticket.body.id)
+    }
+
+    fn insert_handed(&mut self, ticket: &HandedTicket) {
+        let is_of_this_host = ticket.body.owner.run.host == self.me.run.host;
+        let state = match &ticket.state {
+            HandedState::Finished(answer) => State::Finished(self.keep_handed(answer.as_ref())),
+            _ if is_of_this_host => State::Unknown,
+            // The exporter has given up its own proof with the export.
+            HandedState::Issued => State::Issued(Unsent::new()),
+            HandedState::Closed(reason) => State::Closed(Closed::new(*reason, Unsent::new())),
+            HandedState::Unknown => State::Unknown,
+        };
+        self.insert(Entry {
+            body: ticket.body.clone(),
+            digest: ticket.digest,
+            state,
+        });
+    }
+
+    fn keep_handed(&mut self, answer: Option<&KeptAnswer>) -> Option<Arc<KeptAnswer>> {
+        let answer = answer?;
+        let kept_bytes = self.kept_bytes + answer.size_bytes();
+        if kept_bytes > self.limits.max_kept_bytes {
+            return None;
+        }
+        self.kept_bytes = kept_bytes;
+        Some(Arc::new(answer.clone()))
+    }
+
+    fn find(&self, ticket: &Ticket) -> Result<&Entry, TicketRefusal> {
+        if matches!(self.phase, Phase::Exported(_)) {
+            return Err(TicketRefusal::leaving());
+        }
+        let body = ticket.body();
+        let entry = self.entries.get(&body.id);
+        entry
+            .filter(|entry| entry.body == *body)
+            .ok_or_else(|| self.not_held(&body.owner.run))
+    }
+
+    /// Answer for a ticket that is not in the table.
+    fn not_held(&self, owner: &HostRun) -> TicketRefusal {
+        let unknown = TicketRefusal::new(TicketRefusalReason::Unknown);
+        if self.held.contains(owner) {
+            // Forgotten, or left out of a handover.
+            return unknown;
+        }
+        if owner.host != self.me.run.host {
+            return unknown.with_retry_after(UNREACHABLE_RETRY_MS);
+        }
+        // A successor of the earlier run may not have announced itself yet.
+        if self.now_ms < self.started_ms + OWNER_SETTLE_MS {
+            return unknown.with_retry_after(UNREACHABLE_RETRY_MS);
+        }
+        unknown
+    }
+
+    fn insert(&mut self, entry: Entry) {
+        let id = entry.body.id;
+        self.due.insert((entry.body.expires_ms, id));
+        *self
+            .per_caller
+            .entry(entry.body.caller.clone())
+            .or_default() += 1;
+        self.entries.insert(id, entry);
+    }
+
+    fn next_due_ms(&self) -> Millis {
+        self.due.first().map_or(self.now_ms, |(due_ms, _)| *due_ms)
+    }
+
+    fn advance(&mut self, now_ms: Millis) {
+        self.now_ms = self.now_ms.max(now_ms);
+        while let Some((due_ms, id)) = self.due.first().copied() {
+            if due_ms > self.now_ms {
+                break;
+            }
+            self.due.remove(&(due_ms, id));
+            self.expire_or_forget(id, due_ms);
+        }
+    }
+
+    fn expire_or_forget(&mut self, id: TicketId, due_ms: Millis) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        let forget_at_ms = entry.forget_at_ms();
+        if due_ms >= forget_at_ms {
+            self.forget(id);
+            return;
+        }
+        self.due.insert((forget_at_ms, id));
+        let freed_bytes = expire(&mut entry.state);
+        self.kept_bytes = self.kept_bytes - freed_bytes;
+    }
+
+    fn forget(&mut self, id: TicketId) {
+        let Some(entry) = self.entries.remove(&id) else {
+            return;
+        };
+        let freed_bytes = match &entry.state {
+            State::Started { .. } => self.limits.max_answer_bytes,
+            State::Finished(Some(answer)) => answer.size_bytes(),
+            _ => Bytes(0),
+        };
+        self.kept_bytes = self.kept_bytes - freed_bytes;
+        if let Some(count) = self.per_caller.get_mut(&entry.body.caller) {
+            *count -= 1;
+            if *count == 0 {
+                self.per_caller.remove(&entry.body.caller);
+            }
+        }
+    }
+}
+
+fn refused(reason: TicketRefusalReason) -> Begin {
+    Begin::Refused(TicketRefusal::new(reason))
+}
+
+fn refuse_void(state: &State) -> Result<Closed, TicketRefusal> {
+    match state {
+        State::Closed(closed) => Ok(*closed),
+        State::Started { .. } => Err(TicketRefusal::in_progress()),
+        State::Finished(_) => Err(TicketRefusal::new(TicketRefusalReason::AlreadyFinished)),
+        State::Issued(_) | State::Unknown => Err(TicketRefusal::new(TicketRefusalReason::Unknown)),
+    }
+}
+
+/// Applies the expiry to a state and returns the bytes that it no longer keeps.
+fn expire(state: &mut State) -> Bytes {
+    match std::mem::replace(state, State::Unknown) {
+        State::Issued(unsent) => {
+            *state = State::Closed(Closed::new(ClosedReason::Expired, unsent));
+            Bytes(0)
+        }
+        State::Finished(answer) => {
+            *state = State::Finished(None);
+            answer.map_or(Bytes(0), |answer| answer.size_bytes())
+        }
+        before => {
+            *state = before;
+            Bytes(0)
+        }
+    }
+}
+
+fn hand_over(entry: Entry) -> HandedTicket {
+    let state = match entry.state {
+        State::Issued(_) => HandedState::Issued,
+        State::Started { .. } | State::Unknown => HandedState::Unknown,
+        State::Finished(answer) => HandedState::Finished(answer.as_deref().cloned()),
+        State::Closed(closed) => HandedState::Closed(closed.reason),
+    };
+    HandedTicket {
+        body: entry.body,
+        digest: entry.digest,
+        state,
+    }
+}
--- /dev/null
+++ b/tests/ticket_token.rs
@@ -0,0 +1,185 @@
+//! Guards against tickets that are accepted from the wrong hands, and against
+//! a text that cannot be verified by another host with the same key.
+
+use cardamombridge::{
+    decision::residency::AllowedRegions,
+    ticket::{
+        STATE_RETENTION_MS,
+        table::{
+            IssueFor,
+            TicketTable, //
+        },
+        token::{
+            HostRun,
+            MAX_TICKET_TEXT_BYTES,
+            MIN_KEY_BYTES,
+            Owner,
+            Presented,
+            Ticket,
+            TicketError,
+            TicketId,
+            TicketSigner, //
+        }, //
+    },
+    types::{
+        CallerId,
+        Incarnation,
+        MAX_ID_BYTES,
+        Millis,
+        RequestId,
+        ServiceId, //
+    }, //
+};
+use proptest::prelude::*;
+
+const KEY: [u8; MIN_KEY_BYTES] = [7; MIN_KEY_BYTES];
+const NOW_MS: Millis = Millis(1_000_000);
+
+fn regions(names: &[&str]) -> AllowedRegions {
+    serde_json::from_value(serde_json::json!(names)).expect("regions")
+}
+
+fn id<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("id")
+}
+
+fn issue(caller: &str, service: &str, host: &str) -> Ticket {
+    let owner = Owner {
+        run: HostRun {
+            host: id(host),
+            incarnation: Incarnation(u64::MAX),
+        },
+        region: id("stred"),
+        peer_address: "[2001:db8::ffff:1]:65535".parse().expect("address"),
+    };
+    let mut table = TicketTable::new(owner, NOW_MS);
+    let issue_for = IssueFor {
+        caller: &id(caller),
+        service: &id(service),
+        allowed: &regions(&["stred"]),
+    };
+    table
+        .issue(TicketId(RequestId(u128::MAX)), &issue_for, NOW_MS)
+        .expect("ticket")
+}
+
+struct Holder {
+    caller: CallerId,
+    service: ServiceId,
+    allowed: AllowedRegions,
+    now_ms: Millis,
+}
+
+impl Holder {
+    fn new() -> Self {
+        Self {
+            caller: id("drevoton"),
+            service: id("orders"),
+            allowed: regions(&["stred", "zapad"]),
+            now_ms: NOW_MS,
+        }
+    }
+
+    fn open(&self, text: &str) -> Result<Ticket, TicketError> {
+        let presented = Presented {
+            caller: &self.caller,
+            service: Some(&self.service),
+            allowed: &self.allowed,
+            now_ms: self.now_ms,
+        };
+        signer().open(text, &presented)
+    }
+}
+
+fn signer() -> TicketSigner {
+    TicketSigner::new(&KEY).expect("key")
+}
+
+fn text() -> String {
+    let ticket = issue("drevoton", "orders", "host-1");
+    signer().encode(&ticket).expect("text")
+}
+
+#[test]
+fn a_ticket_is_verified_by_another_signer_with_the_same_key() {
+    let ticket = issue("drevoton", "orders", "host-1");
+
+    let opened = Holder::new().open(&text()).expect("authentic");
+
+    assert_eq!(opened, ticket);
+}
+
+#[test]
+fn the_longest_names_fit_the_longest_text() {
+    let name = "x".repeat(MAX_ID_BYTES);
+
+    let ticket = issue(&name, &name, &name);
+    let text = signer().encode(&ticket).expect("text");
+
+    // The region of the fixture is shorter than the longest one.
+    let spare_bytes = (MAX_ID_BYTES - "stred".len()).div_ceil(3) * 4;
+    assert!(text.len() + spare_bytes <= MAX_TICKET_TEXT_BYTES);
+}
+
+#[test]
+fn a_ticket_of_another_caller_service_region_or_time_is_refused() {
+    let text = text();
+    let expires_ms = Holder::new().open(&text).expect("open").body().expires_ms;
+    let last_ms = expires_ms + STATE_RETENTION_MS;
+    let with = |change: fn(&mut Holder, Millis)| {
+        let mut holder = Holder::new();
+        change(&mut holder, last_ms);
+        holder.open(&text).map(|_| ())
+    };
+
+    let caller = with(|holder, _| holder.caller = id("marcos"));
+    let service = with(|holder, _| holder.service = id("other"));
+    let region = with(|holder, _| holder.allowed = regions(&["zapad"]));
+    let just_kept = with(|holder, last_ms| holder.now_ms = last_ms - Millis(1));
+    let expired = with(|holder, last_ms| holder.now_ms = last_ms);
+
+    assert_eq!(caller, Err(TicketError::WrongCaller));
+    assert_eq!(service, Err(TicketError::WrongService));
+    assert_eq!(region, Err(TicketError::OutsideResidency));
+    assert_eq!(just_kept, Ok(()));
+    assert_eq!(expired, Err(TicketError::Expired));
+}
+
+#[test]
+fn another_key_and_a_short_key_are_refused() {
+    let other = TicketSigner::new(&[8; MIN_KEY_BYTES]).expect("key");
+    let ticket = issue("drevoton", "orders", "host-1");
+    let forged = other.encode(&ticket).expect("text");
+
+    let opened = Holder::new().open(&forged);
+    let short = TicketSigner::new(&KEY[1..]);
+
+    assert_eq!(opened, Err(TicketError::Forged));
+    assert_eq!(short.expect_err("short").bytes, MIN_KEY_BYTES - 1);
+}
+
+proptest! {
+    /// Guards against a byte of the text that the tag does not cover.
+    #[test]
+    fn a_changed_text_is_never_accepted(position in any::<prop::sample::Index>(), byte: u8) {
+        let text = text();
+        let mut bytes = text.clone().into_bytes();
+        let position = position.index(bytes.len());
+        prop_assume!(bytes[position] != byte);
+        bytes[position] = byte;
+
+        let opened = Holder::new().open(&String::from_utf8_lossy(&bytes));
+
+        prop_assert!(matches!(opened, Err(TicketError::Malformed | TicketError::Forged)));
+    }
+
+    /// Guards against a panic on input from callers.
+    #[test]
+    fn any_text_is_refused(text in ".{0,700}") {
+        prop_assert!(Holder::new().open(&text).is_err());
+    }
+}
