--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod relay;
 pub mod sink;
 pub mod standin;
+pub mod ticket;
 pub mod types;
