Keep endpoint drain and load in the view, and add policy and predictor

The view took a list at face value: an endpoint shown live out of order came back to life while it was leaving, and one that was dropped took the count of its requests in progress with it. Leaving is now final for a run of the endpoint, and a dropped endpoint is kept while it has requests.

A leaving mark by the list counts only when it changes, because a lagging list would otherwise mark the endpoint's next run as well. Marking on each reading was ruled out for that reason.

Hosts and summaries have an age, late heartbeats and reports of an earlier run are ignored, and revisions never go down. ForwardHost also carries the address for callers, which the list of entry hosts needs.

--- /dev/null
+++ b/src/decision/load.rs
@@ -0,0 +1,225 @@
+//! One endpoint: whether it takes new work, and how loaded it is.
+//!
+//! A report is late by its age and by the time it took to get here. The estimate
+//! therefore adds what this host has sent since, removes what has ended since,
+//! and moves towards the mean of the other endpoints as the report ages, so that
+//! a silent endpoint looks neither idle nor full.
+
+use std::collections::BTreeMap;
+
+use super::{
+    policy::{
+        Policy,
+        share, //
+    },
+    prefix::PrefixMemory,
+    view::{
+        EndpointInfo,
+        EndpointReport, //
+    }, //
+};
+use crate::types::{
+    Attempt,
+    Incarnation,
+    Millis,
+    RequestId, //
+};
+
+/// Incarnations remembered, so that their late reports are ignored.
+const PAST_INCARNATIONS: usize = 4;
+
+/// Ended attempts remembered between two reports.
+const ENDED_LIMIT: usize = 256;
+
+/// An endpoint with what is known of its load.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointState {
+    /// What the list says.
+    pub info: EndpointInfo,
+    /// Newest load report.
+    pub report: Option<EndpointReport>,
+    /// When it was dropped from the list, unless it is in it.
+    pub unlisted_ms: Option<Millis>,
+    /// Prompt prefixes that this host has sent there.
+    pub prefixes: PrefixMemory,
+    leaving: Option<LeavingMark>,
+    past: Vec<Incarnation>,
+    sends: BTreeMap<(RequestId, Attempt), Millis>,
+    ended: Vec<EndedSend>,
+}
+
+/// That an endpoint leaves, with the run in which it does, if known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct LeavingMark {
+    incarnation: Option<Incarnation>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct EndedSend {
+    sent_ms: Millis,
+    ended_ms: Millis,
+}
+
+impl EndpointState {
+    /// An endpoint that the list shows for the first time.
+    pub fn new(info: EndpointInfo) -> Self {
+        let mut state = Self {
+            info,
+            report: None,
+            unlisted_ms: None,
+            prefixes: PrefixMemory::new(),
+            leaving: None,
+            past: Vec::new(),
+            sends: BTreeMap::new(),
+            ended: Vec::new(),
+        };
+        if state.info.is_leaving {
+            state.mark_leaving();
+        }
+        state
+    }
+
+    /// Requests that this host has in progress there.
+    pub fn in_flight(&self) -> usize {
+        self.sends.len()
+    }
+
+    /// Whether it may be given new work.
+    pub fn takes_work(&self) -> bool {
+        self.leaving.is_none() && self.unlisted_ms.is_none() && self.info.slots > 0
+    }
+
+    /// Whether it is leaving in its current run.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Gives it no new work until it reports a new run.
+    pub fn mark_leaving(&mut self) {
+        if self.leaving.is_none() {
+            let incarnation = self.report.as_ref().map(|report| report.incarnation);
+            self.leaving = Some(LeavingMark { incarnation });
+        }
+    }
+
+    /// Takes over what a newly read list says.
+    ///
+    /// Only a change to leaving counts: a list that lags would otherwise mark
+    /// the next run of an endpoint too.
+    pub fn relist(&mut self, info: EndpointInfo) {
+        let turns_leaving = info.is_leaving && !self.info.is_leaving;
+        self.info = info;
+        self.unlisted_ms = None;
+        if turns_leaving {
+            self.mark_leaving();
+        }
+    }
+
+    /// Takes over a report unless a newer one is known.
+    pub fn apply_report(&mut self, report: EndpointReport) {
+        if self.past.contains(&report.incarnation) {
+            return;
+        }
+        let known = self
+            .report
+            .as_ref()
+            .map(|known| (known.incarnation, known.measured_ms));
+        let is_same_run = known.is_none_or(|(run, _)| run == report.incarnation);
+        let is_newer = known.is_none_or(|(_, at_ms)| at_ms < report.measured_ms);
+        if is_newer {
+            self.apply_newer(report, is_same_run);
+        } else if is_same_run && report.is_leaving {
+            // Leaving is final for a run, however late it is heard.
+            self.mark_leaving();
+        }
+    }
+
+    fn apply_newer(&mut self, report: EndpointReport, is_same_run: bool) {
+        if !is_same_run {
+            self.start_run();
+        }
+        if let Some(mark) = self.leaving.as_mut() {
+            mark.incarnation.get_or_insert(report.incarnation);
+        }
+        let measured_ms = report.measured_ms;
+        let is_leaving = report.is_leaving;
+        self.report = Some(report);
+        self.ended.retain(|ended| ended.ended_ms > measured_ms);
+        if is_leaving {
+            self.mark_leaving();
+        }
+    }
+
+    fn start_run(&mut self) {
+        self.leaving = None;
+        self.prefixes.clear();
+        if let Some(old) = self.report.take() {
+            self.past.push(old.incarnation);
+        }
+        if self.past.len() > PAST_INCARNATIONS {
+            self.past.remove(0);
+        }
+    }
+
+    /// Notes a request sent there.
+    pub fn start(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        attempt: Attempt,
+        prefix_hashes: &[u64],
+        policy: &Policy,
+    ) {
+        self.sends.insert((request, attempt), now_ms);
+        self.prefixes.note(prefix_hashes, policy.prefix_memory);
+    }
+
+    /// Notes that an attempt there has ended.
+    pub fn end(&mut self, now_ms: Millis, request: RequestId, attempt: Attempt) {
+        let Some(sent_ms) = self.sends.remove(&(request, attempt)) else {
+            return;
+        };
+        if self.ended.len() == ENDED_LIMIT {
+            self.ended.remove(0);
+        }
+        self.ended.push(EndedSend {
+            sent_ms,
+            ended_ms: now_ms,
+        });
+    }
+
+    /// Weight of the newest report, from 1 when new to 0 at its bound.
+    pub fn report_weight(&self, now_ms: Millis, policy: &Policy) -> f64 {
+        let Some(report) = self.report.as_ref() else {
+            return 0.0;
+        };
+        let bound = policy.report_max_age_ms.0.max(1) as f64;
+        let age = (now_ms - report.measured_ms).0 as f64;
+        (1.0 - age / bound).max(0.0)
+    }
+
+    /// Requests that the newest report shows.
+    pub fn reported(&self) -> Option<u32> {
+        let report = self.report.as_ref()?;
+        Some(report.running.saturating_add(report.waiting))
+    }
+
+    /// Estimates the requests there now.
+    ///
+    /// `prior` is the load of a typical endpoint of the same size, and `hosts`
+    /// the number of hosts that share it.
+    pub fn load(&self, now_ms: Millis, prior: f64, hosts: usize, policy: &Policy) -> f64 {
+        let weight = self.report_weight(now_ms, policy);
+        let measured_ms = self.report.as_ref().map(|report| report.measured_ms);
+        let is_before = |sent_ms: Millis| measured_ms.is_some_and(|at_ms| sent_ms <= at_ms);
+        let before = self.sends.values().filter(|at| is_before(**at)).count();
+        let after = self.sends.len() - before;
+        let gone = self.ended.iter().filter(|end| is_before(end.sent_ms));
+        let gone = gone.count() as f64;
+        let reported = f64::from(self.reported().unwrap_or(0));
+        let seen = (reported - gone).max(before as f64);
+        let unseen = prior + before as f64;
+        let per_send = 1.0 + share(policy.peer_send_permille) * hosts.saturating_sub(1) as f64;
+        weight * seen + (1.0 - weight) * unseen + after as f64 * per_send
+    }
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -6,6 +6,10 @@
 //! same actions. The threads around it only carry events in and actions out.
 
 pub mod event;
+pub mod load;
+pub mod policy;
+pub mod predict;
+pub mod prefix;
 pub mod residency;
 pub mod view;
 
@@ -120,8 +124,8 @@
             } => self.ended(now_ms, request, outcome, actions),
             Event::Heartbeat(heartbeat) => self.view.apply_heartbeat(now_ms, heartbeat),
             Event::Report(report) => self.view.apply_report(report),
-            Event::Summary(summary) => self.view.apply_summary(summary),
-            Event::Listed { endpoints, .. } => self.view.apply_list(endpoints),
+            Event::Summary(summary) => self.view.apply_summary(now_ms, summary),
+            Event::Listed { endpoints, hosts } => self.view.apply_list(now_ms, endpoints, &hosts),
             Event::InForce(intents) => self.apply_intents(intents),
             Event::Leaving => self.is_leaving = true,
             Event::FirstToken { .. }
@@ -139,23 +143,35 @@
         }
     }
 
-    fn arrived(&mut self, _now_ms: Millis, arrival: Arrival, actions: &mut Vec<Action>) {
+    fn arrived(&mut self, now_ms: Millis, arrival: Arrival, actions: &mut Vec<Action>) {
         let request = arrival.request;
         let open = OpenRequest {
             arrival,
             attempt: Attempt(0),
             endpoint: None,
         };
-        self.dispatch(request, open, actions);
+        self.dispatch(now_ms, request, open, actions);
     }
 
-    fn dispatch(&mut self, request: RequestId, mut open: OpenRequest, actions: &mut Vec<Action>) {
+    fn dispatch(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        mut open: OpenRequest,
+        actions: &mut Vec<Action>,
+    ) {
         match self.choose(&open.arrival) {
             Ok(endpoint) => {
                 let Some(state) = self.view.endpoints.get_mut(&endpoint) else {
                     return;
                 };
-                state.in_flight += 1;
+                state.start(
+                    now_ms,
+                    request,
+                    open.attempt,
+                    &open.arrival.prefix_hashes,
+                    &policy::Policy::default(),
+                );
                 actions.push(Action::Send {
                     request,
                     attempt: open.attempt,
@@ -190,8 +206,8 @@
             .endpoints
             .values()
             .filter(|state| state.info.region == self.config.region)
-            .filter(|state| state.info.target == arrival.target && !state.info.is_leaving)
-            .min_by_key(|state| state.in_flight)
+            .filter(|state| state.info.target == arrival.target && state.takes_work())
+            .min_by_key(|state| state.in_flight())
             .map(|state| state.info.id.clone())
             .ok_or(RefusalReason::NoEndpoint)
     }
@@ -211,7 +227,7 @@
             .take()
             .and_then(|id| self.view.endpoints.get_mut(&id))
         {
-            state.in_flight = state.in_flight.saturating_sub(1);
+            state.end(now_ms, request, open.attempt);
         }
         let may_retry = matches!(
             outcome,
@@ -219,7 +235,7 @@
         );
         if may_retry && now_ms < open.arrival.deadline_ms && open.attempt < Attempt(2) {
             open.attempt = Attempt(open.attempt.0 + 1);
-            self.dispatch(request, open, actions);
+            self.dispatch(now_ms, request, open, actions);
         } else if may_retry || matches!(outcome, AttemptOutcome::Interrupted { .. }) {
             actions.push(Action::Refuse {
                 request,
--- /dev/null
+++ b/src/decision/predict.rs
@@ -0,0 +1,161 @@
+//! How long a request will take at an endpoint.
+//!
+//! Prefill time comes from the prompt tokens that are not cached, decode time
+//! from the batch size and the expected answer length, and queue wait from the
+//! requests beyond the endpoint's slots and the run time seen so far. Answer
+//! lengths and run times are moving averages of attempts that ended completely.
+
+use std::collections::BTreeMap;
+
+use super::policy::{
+    Policy,
+    share, //
+};
+use crate::types::{
+    Millis,
+    Target,
+    Tokens, //
+};
+
+/// Size of the work that a prediction is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Work {
+    /// Prompt tokens to prefill.
+    pub prompt: Tokens,
+    /// Most tokens that may be generated.
+    pub max_output: Tokens,
+}
+
+/// Predicted parts of one run, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Prediction {
+    /// Wait at the endpoint before the run starts.
+    pub wait_ms: f64,
+    /// From the start of the run to the first token.
+    pub prefill_ms: f64,
+    /// From the first token to the last; the whole run of a service call.
+    pub decode_ms: f64,
+}
+
+impl Prediction {
+    /// From now to the whole answer.
+    pub fn finish_ms(&self) -> f64 {
+        self.wait_ms + self.run_ms()
+    }
+
+    /// From the start of the run to the whole answer.
+    pub fn run_ms(&self) -> f64 {
+        self.prefill_ms + self.decode_ms
+    }
+}
+
+/// Averages of the attempts of one target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Learned {
+    output: f64,
+    run_ms: f64,
+}
+
+/// Predicts run times from the policy's constants and past attempts.
+#[derive(Debug, Default)]
+pub struct Predictor {
+    learned: BTreeMap<Target, Learned>,
+}
+
+impl Predictor {
+    /// A predictor that has seen nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over a complete attempt with its duration, including its wait at
+    /// the endpoint.
+    pub fn learn(&mut self, policy: &Policy, target: &Target, output: Tokens, run_ms: Millis) {
+        let weight = share(policy.learn_permille);
+        let mut known = self.known(policy, target);
+        known.output += weight * (output.0 as f64 - known.output);
+        known.run_ms += weight * (run_ms.0 as f64 - known.run_ms);
+        self.learned.insert(target.clone(), known);
+    }
+
+    /// Run time of a typical request of `target`, in milliseconds.
+    pub fn typical_run_ms(&self, policy: &Policy, target: &Target) -> f64 {
+        self.known(policy, target).run_ms.max(1.0)
+    }
+
+    /// Predicts a run at an endpoint that holds `load` requests in `slots`.
+    pub fn predict(
+        &self,
+        policy: &Policy,
+        target: &Target,
+        work: Work,
+        load: f64,
+        slots: f64,
+    ) -> Prediction {
+        let wait_ms = self.wait_ms(policy, target, load, slots);
+        match target {
+            Target::Service(_) => Prediction {
+                wait_ms,
+                prefill_ms: 0.0,
+                decode_ms: self.typical_run_ms(policy, target),
+            },
+            Target::Model(_) => Prediction {
+                wait_ms,
+                prefill_ms: prefill_ms(policy, work.prompt),
+                decode_ms: self.output(policy, target, work.max_output)
+                    * token_ms(policy, (load + 1.0).min(slots)),
+            },
+        }
+    }
+
+    fn wait_ms(&self, policy: &Policy, target: &Target, load: f64, slots: f64) -> f64 {
+        let beyond = load + 1.0 - slots;
+        if beyond <= 0.0 {
+            return 0.0;
+        }
+        beyond / slots.max(1.0) * self.typical_run_ms(policy, target)
+    }
+
+    fn output(&self, policy: &Policy, target: &Target, max_output: Tokens) -> f64 {
+        let expected = self.known(policy, target).output;
+        expected.min(max_output.0 as f64)
+    }
+
+    fn known(&self, policy: &Policy, target: &Target) -> Learned {
+        let known = self.learned.get(target).copied();
+        known.unwrap_or_else(|| initial(policy, target))
+    }
+}
+
+/// Time to prefill `uncached` prompt tokens, in milliseconds.
+pub fn prefill_ms(policy: &Policy, uncached: Tokens) -> f64 {
+    uncached.0 as f64 * 1_000.0 / f64::from(policy.prefill_tokens_per_s.max(1))
+}
+
+/// Time between two tokens in a batch of `batch` requests, in milliseconds.
+pub fn token_ms(policy: &Policy, batch: f64) -> f64 {
+    let micros = f64::from(policy.decode_base_us) + f64::from(policy.decode_per_request_us) * batch;
+    micros / 1_000.0
+}
+
+fn initial(policy: &Policy, target: &Target) -> Learned {
+    match target {
+        Target::Service(_) => Learned {
+            output: 0.0,
+            run_ms: policy.service_call_ms.0 as f64,
+        },
+        Target::Model(_) => {
+            let output = policy.output.0 as f64;
+            let batch = f64::from(policy.default_slots) / 2.0;
+            Learned {
+                output,
+                run_ms: output * token_ms(policy, batch),
+            }
+        }
+    }
+}
+
+/// A predicted time as a whole number of milliseconds, rounded up.
+pub fn whole_ms(ms: f64) -> Millis {
+    Millis(ms.max(0.0).ceil() as u64)
+}
--- a/src/decision/view.rs
+++ b/src/decision/view.rs
@@ -5,7 +5,10 @@
 //! which makes loss, duplication and reordering of messages harmless.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr, //
 };
 
@@ -15,6 +18,11 @@
     Serialize, //
 };
 
+pub use super::load::EndpointState;
+use super::policy::{
+    Policy,
+    share, //
+};
 use crate::types::{
     DataCentreId,
     EndpointId,
@@ -124,6 +132,8 @@
     pub host: HostId,
     /// Its address for other hosts.
     pub peer_address: SocketAddr,
+    /// Its address for callers.
+    pub caller_address: SocketAddr,
 }
 
 /// What a region says of itself.
@@ -141,16 +151,8 @@
     pub hosts: Vec<ForwardHost>,
 }
 
-/// An endpoint with what is known of its load.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EndpointState {
-    /// What the list says.
-    pub info: EndpointInfo,
-    /// Newest load report.
-    pub report: Option<EndpointReport>,
-    /// Requests that this host has in progress there.
-    pub in_flight: u32,
-}
+/// Runs of a host remembered, so that their late heartbeats are ignored.
+const PAST_INCARNATIONS: usize = 4;
 
 /// A host with what is known of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -159,6 +161,63 @@
     pub heartbeat: Heartbeat,
     /// When it arrived here.
     pub heard_ms: Millis,
+    /// Whether it has said in its current run, or the list, that it leaves.
+    pub is_leaving: bool,
+    /// Whether callers should rather use other hosts.
+    pub is_overloaded: bool,
+    past: Vec<Incarnation>,
+}
+
+impl HostState {
+    fn new(now_ms: Millis, heartbeat: Heartbeat) -> Self {
+        Self {
+            is_leaving: heartbeat.is_leaving,
+            heartbeat,
+            heard_ms: now_ms,
+            is_overloaded: false,
+            past: Vec::new(),
+        }
+    }
+
+    /// Whether it has been heard lately, is ready and stays.
+    pub fn takes_work(&self, now_ms: Millis, policy: &Policy) -> bool {
+        self.is_live(now_ms, policy) && self.heartbeat.is_ready && !self.is_leaving
+    }
+
+    /// Whether it has been heard lately.
+    pub fn is_live(&self, now_ms: Millis, policy: &Policy) -> bool {
+        now_ms - self.heard_ms < policy.host_live_ms
+    }
+
+    fn apply(&mut self, now_ms: Millis, mut heartbeat: Heartbeat) {
+        let is_same_run = self.heartbeat.incarnation == heartbeat.incarnation;
+        if is_same_run && heartbeat.sequence <= self.heartbeat.sequence
+            || self.past.contains(&heartbeat.incarnation)
+        {
+            return;
+        }
+        if is_same_run {
+            heartbeat.revision = heartbeat.revision.max(self.heartbeat.revision);
+            self.is_leaving |= heartbeat.is_leaving;
+        } else {
+            self.is_leaving = heartbeat.is_leaving;
+            self.past.push(self.heartbeat.incarnation);
+        }
+        if self.past.len() > PAST_INCARNATIONS {
+            self.past.remove(0);
+        }
+        self.heartbeat = heartbeat;
+        self.heard_ms = now_ms;
+    }
+}
+
+/// A region's summary with the instant at which it arrived here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SummaryState {
+    /// The summary.
+    pub summary: RegionSummary,
+    /// When it arrived; its age does not depend on the clock of its source.
+    pub heard_ms: Millis,
 }
 
 /// Everything this host knows of the others.
@@ -168,8 +227,11 @@
     pub endpoints: BTreeMap<EndpointId, EndpointState>,
     /// Hosts that have been heard, by name.
     pub hosts: BTreeMap<HostId, HostState>,
-    /// Newest summary of each other region.
-    pub summaries: BTreeMap<RegionId, RegionSummary>,
+    /// Newest summary of each region.
+    pub summaries: BTreeMap<RegionId, SummaryState>,
+    by_target: BTreeMap<RegionId, BTreeMap<Target, Vec<EndpointId>>>,
+    listed_leaving: BTreeSet<HostId>,
+    avoided: BTreeMap<HostId, Millis>,
 }
 
 impl View {
@@ -179,56 +241,199 @@
     }
 
     /// Takes over the platform's list.
-    pub fn apply_list(&mut self, listed: Vec<EndpointInfo>) {
-        let mut old = std::mem::take(&mut self.endpoints);
-        for info in listed {
-            let state = match old.remove(&info.id) {
-                Some(known) => EndpointState { info, ..known },
-                None => EndpointState {
-                    info,
-                    report: None,
-                    in_flight: 0,
-                },
-            };
-            self.endpoints.insert(state.info.id.clone(), state);
+    ///
+    /// Endpoints that it no longer shows get no new work, but are kept for the
+    /// requests still there and for what is known of their leaving.
+    pub fn apply_list(&mut self, now_ms: Millis, endpoints: Vec<EndpointInfo>, hosts: &[HostInfo]) {
+        for state in self.endpoints.values_mut() {
+            state.unlisted_ms.get_or_insert(now_ms);
+        }
+        for info in endpoints {
+            match self.endpoints.get_mut(&info.id) {
+                Some(known) => known.relist(info),
+                None => {
+                    let id = info.id.clone();
+                    self.endpoints.insert(id, EndpointState::new(info));
+                }
+            }
+        }
+        self.index_targets();
+        self.apply_listed_hosts(hosts);
+    }
+
+    fn apply_listed_hosts(&mut self, hosts: &[HostInfo]) {
+        let leaving = hosts.iter().filter(|host| host.is_leaving);
+        let leaving: BTreeSet<HostId> = leaving.map(|host| host.id.clone()).collect();
+        // As for endpoints, only the change counts, since the list lags.
+        for id in leaving.difference(&self.listed_leaving) {
+            if let Some(state) = self.hosts.get_mut(id) {
+                state.is_leaving = true;
+            }
+        }
+        self.listed_leaving = leaving;
+    }
+
+    fn index_targets(&mut self) {
+        self.by_target.clear();
+        for (id, state) in &self.endpoints {
+            let region = self.by_target.entry(state.info.region.clone());
+            let targets = region.or_default();
+            let ids = targets.entry(state.info.target.clone()).or_default();
+            ids.push(id.clone());
         }
     }
 
+    /// Endpoints of a region that take new work for a target and version.
+    ///
+    /// Services have no version, so `version` is `None` for them.
+    pub fn serving<'a>(
+        &'a self,
+        region: &RegionId,
+        target: &Target,
+        version: Option<&'a str>,
+    ) -> impl Iterator<Item = &'a EndpointState> {
+        let targets = self.by_target.get(region);
+        let ids = targets.and_then(|targets| targets.get(target));
+        ids.into_iter()
+            .flatten()
+            .filter_map(|id| self.endpoints.get(id))
+            .filter(|state| state.takes_work())
+            .filter(move |state| version.is_none_or(|version| state.info.version == version))
+    }
+
     /// Takes over a load report unless a newer one is known.
     pub fn apply_report(&mut self, report: EndpointReport) {
-        let Some(state) = self.endpoints.get_mut(&report.endpoint) else {
-            return;
-        };
-        let known_ms = state.report.as_ref().map(|known| known.measured_ms);
-        if known_ms.is_none_or(|known_ms| known_ms < report.measured_ms) {
-            state.report = Some(report);
+        if let Some(state) = self.endpoints.get_mut(&report.endpoint) {
+            state.apply_report(report);
         }
     }
 
     /// Takes over a heartbeat unless a newer one is known.
     pub fn apply_heartbeat(&mut self, now_ms: Millis, heartbeat: Heartbeat) {
-        let is_newer = self.hosts.get(&heartbeat.host).is_none_or(|known| {
-            known.heartbeat.incarnation != heartbeat.incarnation
-                || known.heartbeat.sequence < heartbeat.sequence
-        });
-        if !is_newer {
+        match self.hosts.get_mut(&heartbeat.host) {
+            Some(known) => known.apply(now_ms, heartbeat),
+            None => {
+                let id = heartbeat.host.clone();
+                self.hosts.insert(id, HostState::new(now_ms, heartbeat));
+            }
+        }
+    }
+
+    /// Takes over a summary unless a newer one is known.
+    pub fn apply_summary(&mut self, now_ms: Millis, mut summary: RegionSummary) {
+        let known = self.summaries.get(&summary.region);
+        let known = known.map(|known| &known.summary);
+        if known.is_some_and(|known| known.made_ms >= summary.made_ms) {
             return;
         }
-        let state = HostState {
-            heartbeat,
+        if let Some(known) = known {
+            summary.lowest_revision = summary.lowest_revision.max(known.lowest_revision);
+        }
+        let region = summary.region.clone();
+        let state = SummaryState {
+            summary,
             heard_ms: now_ms,
         };
-        self.hosts.insert(state.heartbeat.host.clone(), state);
+        self.summaries.insert(region, state);
     }
 
-    /// Takes over a summary unless a newer one is known.
-    pub fn apply_summary(&mut self, summary: RegionSummary) {
-        let known_ms = self
-            .summaries
-            .get(&summary.region)
-            .map(|known| known.made_ms);
-        if known_ms.is_none_or(|known_ms| known_ms < summary.made_ms) {
-            self.summaries.insert(summary.region.clone(), summary);
+    /// The summary of a region, unless it is too old.
+    pub fn fresh_summary(
+        &self,
+        now_ms: Millis,
+        region: &RegionId,
+        policy: &Policy,
+    ) -> Option<&RegionSummary> {
+        let state = self.summaries.get(region)?;
+        let is_fresh = now_ms - state.heard_ms < policy.summary_max_age_ms;
+        is_fresh.then_some(&state.summary)
+    }
+
+    /// Forwards nothing to a host for a while.
+    pub fn avoid_host(&mut self, host: HostId, until_ms: Millis) {
+        self.avoided.insert(host, until_ms);
+    }
+
+    /// Hosts of a region's summary that take forwarded requests now.
+    pub fn forward_hosts(
+        &self,
+        now_ms: Millis,
+        region: &RegionId,
+        policy: &Policy,
+    ) -> Vec<&ForwardHost> {
+        let summary = self.fresh_summary(now_ms, region, policy);
+        let hosts = summary.into_iter().flat_map(|summary| &summary.hosts);
+        hosts
+            .filter(|host| self.may_forward_to(now_ms, host, region, policy))
+            .collect()
+    }
+
+    fn may_forward_to(
+        &self,
+        now_ms: Millis,
+        host: &ForwardHost,
+        region: &RegionId,
+        policy: &Policy,
+    ) -> bool {
+        let is_avoided = self.avoided.get(&host.host).is_some_and(|at| now_ms < *at);
+        if is_avoided || self.listed_leaving.contains(&host.host) {
+            return false;
+        }
+        // A host of another region is mostly known from its summary alone.
+        self.hosts.get(&host.host).is_none_or(|state| {
+            state.takes_work(now_ms, policy) && state.heartbeat.region == *region
+        })
+    }
+
+    /// Hosts of a region that take work, this one included if it is heard.
+    pub fn ready_hosts<'a>(
+        &'a self,
+        now_ms: Millis,
+        region: &'a RegionId,
+        policy: &'a Policy,
+    ) -> impl Iterator<Item = &'a HostState> {
+        self.hosts.values().filter(move |state| {
+            state.heartbeat.region == *region && state.takes_work(now_ms, policy)
+        })
+    }
+
+    /// Number of hosts that share the work of a region, at least one.
+    pub fn host_count(&self, now_ms: Millis, region: &RegionId, policy: &Policy) -> usize {
+        self.ready_hosts(now_ms, region, policy).count().max(1)
+    }
+
+    /// Forgets what is too old, and finds the overloaded hosts.
+    pub fn refresh(&mut self, now_ms: Millis, policy: &Policy) {
+        self.hosts
+            .retain(|_, state| now_ms - state.heard_ms < policy.host_forget_ms);
+        self.avoided.retain(|_, until_ms| now_ms < *until_ms);
+        let endpoints = self.endpoints.len();
+        self.endpoints.retain(|_, state| {
+            let gone_ms = state.unlisted_ms.map(|at_ms| now_ms - at_ms);
+            state.in_flight() > 0 || gone_ms.is_none_or(|gone| gone < policy.endpoint_forget_ms)
+        });
+        if self.endpoints.len() < endpoints {
+            self.index_targets();
+        }
+        self.refresh_overload(policy);
+    }
+
+    fn refresh_overload(&mut self, policy: &Policy) {
+        let mut sums: BTreeMap<RegionId, (f64, f64)> = BTreeMap::new();
+        for state in self.hosts.values() {
+            let sum = sums.entry(state.heartbeat.region.clone()).or_default();
+            sum.0 += f64::from(state.heartbeat.open_requests);
+            sum.1 += 1.0;
+        }
+        for state in self.hosts.values_mut() {
+            let (requests, hosts) = sums[&state.heartbeat.region];
+            let open = state.heartbeat.open_requests;
+            let limit = match state.is_overloaded {
+                true => policy.recover_permille,
+                false => policy.overload_permille,
+            };
+            let is_above = f64::from(open) > requests / hosts * share(limit);
+            state.is_overloaded = is_above && open >= policy.overload_min_requests;
         }
     }
 }
