--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod http;
 pub mod intent;
 pub mod outcome;
+pub mod peer;
 pub mod types;
