--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,21 @@
 //! The command line.
 
-use std::process::ExitCode;
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
 
 use clap::{
+    Args,
     Parser,
     Subcommand, //
 };
 
+use crate::{
+    serve,
+    settings, //
+};
+
 /// Multi-region inference gateway.
 #[derive(Debug, Parser)]
 #[command(name = "cardamombridge", version, about)]
@@ -16,9 +25,34 @@
 }
 
 #[derive(Debug, Subcommand)]
-enum Command {}
+enum Command {
+    /// Run one entry host until SIGTERM or SIGINT.
+    Serve(SettingsFile),
+    /// Check or print settings.
+    #[command(subcommand)]
+    Settings(SettingsCommand),
+}
+
+#[derive(Debug, Subcommand)]
+enum SettingsCommand {
+    /// Check a settings file; start nothing.
+    Check(SettingsFile),
+    /// Print all settings in force, defaults included.
+    Show(SettingsFile),
+}
+
+#[derive(Debug, Args)]
+struct SettingsFile {
+    /// Settings of the host, in INI.
+    #[arg(value_name = "SETTINGS.ini")]
+    path: PathBuf,
+}
 
 /// Runs the command and returns the exit code of the process.
 pub fn run(cli: Cli) -> anyhow::Result<ExitCode> {
-    match cli.command {}
+    match cli.command {
+        Command::Serve(file) => serve::run(&file.path),
+        Command::Settings(SettingsCommand::Check(file)) => settings::check(&file.path),
+        Command::Settings(SettingsCommand::Show(file)) => settings::show(&file.path),
+    }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -31,9 +31,9 @@
 };
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 const WAKE_TIMEOUT: Duration = Duration::from_millis(200);
 const CONNECTION_STACK_BYTES: usize = 256 * 1024;
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Limits and stop signal of one listener.
 #[derive(Debug, Clone)]
@@ -61,7 +61,7 @@
     pub fn run<S, R>(&self, listener: TcpListener, serve: S, refuse: R)
     where
         S: Fn(Connection, SocketAddr) + Send + Sync + 'static,
-        R: Fn(&mut Connection),
+        R: Fn(Connection),
     {
         let serve = Arc::new(serve);
         while !self.is_stopping.load(Ordering::Acquire) {
@@ -87,13 +87,13 @@
     fn start<S, R>(&self, stream: TcpStream, peer: SocketAddr, serve: &Arc<S>, refuse: &R)
     where
         S: Fn(Connection, SocketAddr) + Send + Sync + 'static,
-        R: Fn(&mut Connection),
+        R: Fn(Connection),
     {
-        let Ok(mut connection) = Connection::new(stream) else {
+        let Ok(connection) = Connection::new(stream) else {
             return;
         };
         if self.open_connections.load(Ordering::Relaxed) >= self.max_connections {
-            refuse(&mut connection);
+            refuse(connection);
             return;
         }
         let slot = ConnectionSlot::take(&self.open_connections);
--- a/src/standin/listener.rs
+++ b/src/standin/listener.rs
@@ -178,10 +178,10 @@
         }
         lock(&streams).remove(&id);
     };
-    acceptor.run(socket, run, |connection| {
+    acceptor.run(socket, run, |mut connection| {
         let headers = Headers::new().with_field("retry-after", "1");
         // The caller may be gone; there is nobody else to tell.
-        let _ = respond(connection, 503, headers, b"", refusal_deadline());
+        let _ = respond(&mut connection, 503, headers, b"", refusal_deadline());
     });
 }
 
