Add a fault-injecting wire for TCP and UDP

Integration tests need partitions, slow links and lost answers between processes that know nothing of them. A wire listens on one loopback port for both protocols, since hosts use the same port for both, and its faults are switched while it runs.

A held direction keeps the bytes of a connection until it passes again, as a network with retransmission does, and loses datagrams. Dropping the bytes of a connection was ruled out: no TCP connection loses bytes in the middle.

--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,3 +5,4 @@
 pub mod listener;
 pub mod model;
 pub mod service;
+pub mod wire;
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -2,7 +2,10 @@
 //! every test built on them worthless.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
     thread,
     time::{
         Duration,
@@ -36,9 +39,18 @@
         service::{
             ServiceOptions,
             ServiceStandin, //
+        },
+        wire::{
+            DatagramFaults,
+            Direction,
+            Flow,
+            Wire, //
         }, //
     },
-    types::Tokens, //
+    types::{
+        Bytes,
+        Tokens, //
+    }, //
 };
 use serde_json::{
     Value,
@@ -391,3 +403,125 @@
     );
     assert_eq!(service.runs("box-7"), 2);
 }
+
+fn stock_over(wire: &Wire) -> Result<u16, MessageError> {
+    let call = Call {
+        method: "GET".into(),
+        path: "/stock/box".into(),
+        headers: Headers::new(),
+        body: Vec::new(),
+    };
+    let soon = Instant::now() + Duration::from_millis(300);
+    let mut connection = client::connect(wire.address(), LIMIT)?;
+    client::send(&mut connection, &call, soon)?;
+    Ok(client::receive(connection, soon)?.head.status)
+}
+
+fn wire_to_service() -> (ServiceStandin, Wire) {
+    let service = ServiceStandin::start(ServiceOptions::new("stock")).expect("starts");
+    let wire = Wire::start(service.address(), 1).expect("wire starts");
+    (service, wire)
+}
+
+/// Guards against a fault that stays after it was switched off, or never acts.
+#[test]
+fn a_wire_cuts_holds_and_delays_only_while_told() {
+    let (service, wire) = wire_to_service();
+
+    assert!(matches!(stock_over(&wire), Ok(200)));
+    assert!(wire.passed(Direction::ToTarget) > Bytes(0));
+    assert!(wire.passed(Direction::ToCaller) > Bytes(0));
+
+    wire.set_cut(true);
+    assert!(matches!(stock_over(&wire), Err(MessageError::Closed)));
+    wire.set_cut(false);
+    assert!(matches!(stock_over(&wire), Ok(200)));
+
+    wire.set_frozen(true);
+    assert!(matches!(stock_over(&wire), Err(MessageError::TimedOut)));
+    wire.set_frozen(false);
+
+    wire.set_delay(Duration::from_millis(60));
+    let started = Instant::now();
+    assert!(matches!(stock_over(&wire), Ok(200)));
+    assert!(started.elapsed() >= Duration::from_millis(120));
+    assert!(!service.seen().is_empty());
+}
+
+/// Guards against a one-way fault that also stops the other way, and against a
+/// lost answer whose request was lost as well.
+#[test]
+fn a_one_way_fault_lets_the_request_through() {
+    let (service, wire) = wire_to_service();
+
+    wire.set_flow(Direction::ToTarget, Flow::Hold);
+    assert!(matches!(stock_over(&wire), Err(MessageError::TimedOut)));
+    assert_eq!(service.seen().len(), 0);
+    wire.set_flow(Direction::ToTarget, Flow::Pass);
+    wait_until("held request", || service.seen().len() == 1);
+
+    wire.set_flow(Direction::ToCaller, Flow::Hold);
+    assert!(matches!(stock_over(&wire), Err(MessageError::TimedOut)));
+    assert_eq!(service.seen().len(), 2);
+    wire.set_flow(Direction::ToCaller, Flow::Pass);
+
+    // Held answers of earlier connections pass now and must not count.
+    let wire = Wire::start(service.address(), 1).expect("wire starts");
+    wire.drop_answers(1);
+    assert!(matches!(stock_over(&wire), Err(MessageError::Closed)));
+    assert_eq!(service.seen().len(), 3);
+    assert_eq!(wire.passed(Direction::ToCaller), Bytes(0));
+    assert!(matches!(stock_over(&wire), Ok(200)));
+}
+
+/// Guards against datagram faults that do not act, and against answers that go
+/// to the wrong sender.
+#[test]
+fn a_wire_loses_duplicates_and_reorders_datagrams() {
+    let target = UdpSocket::bind("127.0.0.1:0").expect("target socket");
+    let sender = UdpSocket::bind("127.0.0.1:0").expect("sender socket");
+    target
+        .set_read_timeout(Some(Duration::from_millis(200)))
+        .expect("timeout");
+    sender.set_read_timeout(Some(LIMIT)).expect("timeout");
+    let wire = Wire::start(target.local_addr().expect("address"), 7).expect("wire starts");
+    let exchange = |faults| {
+        wire.set_datagram_faults(faults);
+        for number in 0..100_u8 {
+            sender.send_to(&[number], wire.address()).expect("sent");
+            // Keeps datagrams apart, so that an undisturbed wire keeps order.
+            thread::sleep(Duration::from_micros(500));
+        }
+        let mut received = Vec::new();
+        let mut buffer = [0; 8];
+        while let Ok((_, from)) = target.recv_from(&mut buffer) {
+            received.push((buffer[0], from));
+        }
+        received
+    };
+    let some = |lost_permille, duplicated_permille, reordered_permille| DatagramFaults {
+        lost_permille,
+        duplicated_permille,
+        reordered_permille,
+    };
+
+    let plain = exchange(some(0, 0, 0));
+    let lost = exchange(some(300, 0, 0)).len();
+    let duplicated = exchange(some(0, 300, 0)).len();
+    let reordered = exchange(some(0, 0, 300));
+
+    let numbers = |received: &[(u8, SocketAddr)]| received.iter().map(|r| r.0).collect::<Vec<_>>();
+    assert_eq!(numbers(&plain), (0..100).collect::<Vec<_>>());
+    assert!((50..90).contains(&lost), "{lost} arrived");
+    assert!((110..150).contains(&duplicated), "{duplicated} arrived");
+    assert_eq!(reordered.len(), 100);
+    assert!(!numbers(&reordered).is_sorted());
+
+    target.send_to(b"answer", plain[0].1).expect("answered");
+    let mut buffer = [0; 8];
+    let (count, from) = sender.recv_from(&mut buffer).expect("answer arrives");
+    assert_eq!((&buffer[..count], from), (&b"answer"[..], wire.address()));
+
+    wire.set_flow(Direction::ToTarget, Flow::Hold);
+    assert_eq!(exchange(some(0, 0, 0)).len(), 0);
+}
