--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,3 +7,4 @@
 pub mod model;
 pub mod platform;
 pub mod service;
+pub mod wire;
