Block single sources at the fault-injecting wire

A partition between two of three regions cuts pairs of hosts, while each host advertises one address. The wire in front of a host now drops what comes from listed source addresses.

--- a/src/standin/wire.rs
+++ b/src/standin/wire.rs
@@ -22,6 +22,7 @@
         Write as _, //
     },
     net::{
+        IpAddr,
         Ipv4Addr,
         Shutdown,
         SocketAddr,
@@ -121,9 +122,14 @@
     passed_to_caller: Bytes,
     connections: u64,
     streams: HashMap<u64, Ends>,
+    blocked: Vec<IpAddr>,
 }
 
 impl State {
+    fn is_blocked(&self, source: SocketAddr) -> bool {
+        self.is_cut || self.blocked.contains(&source.ip())
+    }
+
     fn flow(&self, direction: Direction) -> Flow {
         match direction {
             Direction::ToTarget => self.to_target,
@@ -248,6 +254,7 @@
                 passed_to_caller: Bytes(0),
                 connections: 0,
                 streams: HashMap::new(),
+                blocked: Vec::new(),
             }),
             changed: Condvar::new(),
         });
@@ -307,6 +314,20 @@
         });
     }
 
+    /// Lets nothing through that comes from these addresses, and breaks their
+    /// connections; an empty list lets everything in again.
+    pub fn set_blocked_sources(&self, sources: &[IpAddr]) {
+        self.shared.change(|state| {
+            state.blocked = sources.to_vec();
+            for ends in state.streams.values() {
+                let source = ends.caller.peer_addr();
+                if source.is_ok_and(|source| state.blocked.contains(&source.ip())) {
+                    ends.close();
+                }
+            }
+        });
+    }
+
     /// Breaks the next `count` connections on which the target answers, instead
     /// of passing the answer on.
     pub fn drop_answers(&self, count: u32) {
@@ -381,15 +402,20 @@
         if shared.is_stopping() {
             return;
         }
-        let result = accepted.and_then(|(caller, _)| connect(shared, caller, target));
+        let result = accepted.and_then(|(caller, source)| connect(shared, caller, source, target));
         if let Err(error) = result {
             tracing::debug!(%error, %target, "wire could not pass a connection on");
         }
     }
 }
 
-fn connect(shared: &Arc<Shared>, caller: TcpStream, target: SocketAddr) -> io::Result<()> {
-    if lock(&shared.state).is_cut {
+fn connect(
+    shared: &Arc<Shared>,
+    caller: TcpStream,
+    source: SocketAddr,
+    target: SocketAddr,
+) -> io::Result<()> {
+    if lock(&shared.state).is_blocked(source) {
         return caller.shutdown(Shutdown::Both);
     }
     let target = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
@@ -399,7 +425,7 @@
     let id = {
         let mut state = lock(&shared.state);
         // A cut that came in between did not see this connection.
-        if state.is_cut || state.is_stopping {
+        if state.is_blocked(source) || state.is_stopping {
             ends.close();
             return Ok(());
         }
@@ -535,6 +561,9 @@
         // Each sender gets a socket of its own, so that answers find their way.
         let mut peers = HashMap::new();
         self.receive_from(&self.socket, |from, bytes| {
+            if lock(&self.shared.state).is_blocked(from) {
+                return;
+            }
             if !peers.contains_key(&from) && peers.len() < MAX_UDP_PEERS {
                 match self.start_peer(from) {
                     Ok(socket) => {
