--- a/src/config.rs
+++ b/src/config.rs
@@ -105,6 +105,8 @@
     pub caller_address: SocketAddr,
     /// Where other hosts connect, for TCP and UDP.
     pub peer_address: SocketAddr,
+    /// Where other hosts reach this one, if it is not `peer_address`.
+    pub advertised_peer_address: Option<SocketAddr>,
     /// Where operators connect.
     pub admin_address: SocketAddr,
     /// The platform's key-value service and list.
@@ -157,6 +159,7 @@
                 "data_centre",
                 "caller_address",
                 "peer_address",
+                "advertised_peer_address",
                 "admin_address",
             ],
         )?;
@@ -177,6 +180,7 @@
             data_centre: file.value(host, "data_centre")?,
             caller_address: file.value(host, "caller_address")?,
             peer_address: file.value(host, "peer_address")?,
+            advertised_peer_address: file.optional(host, "advertised_peer_address")?,
             admin_address: file.value(host, "admin_address")?,
             platform_address: file.value(platform, "address")?,
             cluster_key_file: file.value(keys, "cluster_key_file")?,
@@ -191,6 +195,11 @@
         })
     }
 
+    /// The address that other hosts are told.
+    pub fn peer_address_for_others(&self) -> SocketAddr {
+        self.advertised_peer_address.unwrap_or(self.peer_address)
+    }
+
     /// All values in force as an INI text, defaults included.
     pub fn to_ini(&self) -> String {
         let text = |value: &dyn std::fmt::Display| value.to_string();
@@ -237,6 +246,11 @@
                 ],
             ),
         ];
+        if let Some(address) = &self.advertised_peer_address {
+            sections[0]
+                .1
+                .push(("advertised_peer_address", text(address)));
+        }
         if let Some(address) = &self.statsd_address {
             sections.push(("metrics", vec![("statsd_address", text(address))]));
         }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,4 +7,5 @@
 pub mod model;
 pub mod platform;
 pub mod service;
+pub mod testbed;
 pub mod wire;
--- /dev/null
+++ b/tests/testenv/mod.rs
@@ -0,0 +1,453 @@
+//! Hosts as real processes in a testbed, and a caller that speaks to them.
+#![allow(
+    dead_code,
+    reason = "each test file uses the part of this module that it needs"
+)]
+
+use std::{
+    fs::{
+        self,
+        File, //
+    },
+    net::SocketAddr,
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        ExitStatus, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use cardamombridge::{
+    http::{
+        client::{
+            self,
+            Call, //
+        },
+        message::{
+            Headers,
+            MessageError, //
+        }, //
+    },
+    standin::testbed::{
+        self,
+        CALLER_KEY,
+        MODEL,
+        Testbed,
+        TestbedOptions, //
+    }, //
+};
+use nix::{
+    sys::signal::{
+        Signal,
+        kill, //
+    },
+    unistd::Pid, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use tempfile::TempDir;
+
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+const POLL: Duration = Duration::from_millis(10);
+
+/// One host process.
+pub struct HostProcess {
+    pub name: String,
+    pub region: String,
+    pub address: SocketAddr,
+    pub admin_address: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl HostProcess {
+    /// Starts the process; it may not be ready yet.
+    pub fn start(&mut self) {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("the log file must open");
+        let child = Command::new(env!("CARGO_BIN_EXE_cardamombridge"))
+            .arg("serve")
+            .arg(&self.settings)
+            .current_dir(self.settings.parent().expect("settings lie in a folder"))
+            .stdout(log.try_clone().expect("the log file must be shared"))
+            .stderr(log)
+            .spawn()
+            .expect("the host process must start");
+        self.child = Some(child);
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let pid = Pid::from_raw(child.id() as i32);
+            kill(pid, signal).expect("the host process must take the signal");
+        }
+    }
+
+    /// Ends the process without any warning.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("the host process must end");
+            child.wait().expect("the host process must be reaped");
+        }
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self, timeout: Duration) -> Option<ExitStatus> {
+        let deadline = Instant::now() + timeout;
+        let child = self.child.as_mut()?;
+        while Instant::now() < deadline {
+            if let Some(status) = child.try_wait().expect("the child must be known") {
+                self.child = None;
+                return Some(status);
+            }
+            thread::sleep(POLL);
+        }
+        None
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let answer = Caller::new(self.address).get("/readyz");
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    pub fn wait_ready(&self) {
+        wait_for(READY_TIMEOUT, &format!("{} is ready", self.name), || {
+            self.is_ready()
+        });
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        // A frozen process ends by this signal as well.
+        self.kill();
+    }
+}
+
+/// A testbed with host processes.
+pub struct TestEnv {
+    pub testbed: Testbed,
+    pub hosts: Vec<HostProcess>,
+    pub dir: TempDir,
+}
+
+impl TestEnv {
+    /// Starts the surroundings and all hosts, and waits until they are ready.
+    pub fn start(options: &TestbedOptions) -> Self {
+        let mut env = Self::prepare(options);
+        env.accept_intents(&Testbed::intent_text(options));
+        for host in &mut env.hosts {
+            host.start();
+        }
+        for host in &env.hosts {
+            host.wait_ready();
+        }
+        env
+    }
+
+    /// Starts the surroundings; no host runs and no intent is accepted.
+    pub fn prepare(options: &TestbedOptions) -> Self {
+        let testbed = Testbed::start(options).expect("the testbed must start");
+        let dir = tempfile::tempdir().expect("a folder for settings must be made");
+        write(&dir, "cluster.key", testbed::CLUSTER_KEY);
+        write(&dir, "operator.key", testbed::OPERATOR_KEY);
+        let hosts = testbed
+            .seats
+            .iter()
+            .map(|seat| {
+                let name = seat.config.host.to_string();
+                let settings = write(&dir, &format!("{name}.ini"), &seat.config.to_ini());
+                HostProcess {
+                    region: seat.config.region.to_string(),
+                    address: seat.config.caller_address,
+                    admin_address: seat.config.admin_address,
+                    log: dir.path().join(format!("{name}.log")),
+                    name,
+                    settings,
+                    child: None,
+                }
+            })
+            .collect();
+        Self {
+            testbed,
+            hosts,
+            dir,
+        }
+    }
+
+    /// The first host of a region.
+    pub fn host(&self, region: &str) -> &HostProcess {
+        let mut hosts = self.hosts.iter().filter(|host| host.region == region);
+        hosts.next().expect("the region must have a host")
+    }
+
+    pub fn host_mut(&mut self, region: &str) -> &mut HostProcess {
+        let mut hosts = self.hosts.iter_mut().filter(|host| host.region == region);
+        hosts.next().expect("the region must have a host")
+    }
+
+    /// A caller at the first host of a region.
+    pub fn caller(&self, region: &str) -> Caller {
+        Caller::new(self.host(region).address).with_key(CALLER_KEY)
+    }
+
+    /// The logs of all hosts, for the message of a failed check.
+    pub fn logs(&self) -> String {
+        let logs = self
+            .hosts
+            .iter()
+            .map(|host| format!("--- {}\n{}", host.name, host.log()));
+        logs.collect()
+    }
+}
+
+fn write(dir: &TempDir, name: &str, text: &str) -> PathBuf {
+    let path = dir.path().join(name);
+    fs::write(&path, text).expect("a file of the test must be written");
+    path
+}
+
+/// Waits until `is_true`; fails with `what` after `timeout`.
+pub fn wait_for<F>(timeout: Duration, what: &str, is_true: F)
+where
+    F: Fn() -> bool,
+{
+    let deadline = Instant::now() + timeout;
+    while !is_true() {
+        assert!(Instant::now() < deadline, "timed out: {what}");
+        thread::sleep(POLL);
+    }
+}
+
+/// A whole answer as a caller sees it.
+#[derive(Debug, Clone)]
+pub struct CallerAnswer {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+}
+
+impl CallerAnswer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    pub fn run_state(&self) -> String {
+        let value = self.json();
+        value["error"]["run_state"]
+            .as_str()
+            .unwrap_or_default()
+            .to_string()
+    }
+
+    pub fn text(&self) -> String {
+        let value = self.json();
+        let content = &value["choices"][0]["message"]["content"];
+        content.as_str().unwrap_or_default().to_string()
+    }
+}
+
+/// What a caller read of a stream.
+#[derive(Debug, Clone, Default)]
+pub struct StreamAnswer {
+    pub status: u16,
+    pub text: String,
+    pub has_done: bool,
+    pub has_proper_end: bool,
+    pub error: Option<Value>,
+    /// When each piece with text arrived, from the start of the call.
+    pub arrivals: Vec<Duration>,
+}
+
+/// An ordinary client of one host.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    address: SocketAddr,
+    key: Option<String>,
+    headers: Headers,
+    timeout: Duration,
+}
+
+impl Caller {
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            key: None,
+            headers: Headers::new(),
+            timeout: CALL_TIMEOUT,
+        }
+    }
+
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.key = Some(key.to_string());
+        self
+    }
+
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push(name, value);
+        self
+    }
+
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    pub fn get(&self, path: &str) -> Result<CallerAnswer, MessageError> {
+        self.call("GET", path, Vec::new())
+    }
+
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<CallerAnswer, MessageError> {
+        let deadline = Instant::now() + self.timeout;
+        let mut answer = self.send(method, path, body, deadline)?;
+        let limit = 64 * 1024 * 1024;
+        let body = answer
+            .body
+            .read_to_end(&mut answer.connection, limit, deadline)?;
+        Ok(CallerAnswer {
+            status: answer.head.status,
+            headers: answer.head.headers,
+            body,
+        })
+    }
+
+    /// Asks for a plain answer.
+    pub fn chat(&self, prompt: &str, max_tokens: u64) -> Result<CallerAnswer, MessageError> {
+        let body = chat_body(prompt, max_tokens, false);
+        self.call("POST", "/v1/chat/completions", body)
+    }
+
+    /// Asks for a stream and reads it to its end.
+    pub fn stream(&self, prompt: &str, max_tokens: u64) -> Result<StreamAnswer, MessageError> {
+        self.stream_with(prompt, max_tokens, |_| {})
+    }
+
+    /// Asks for a stream; `on_piece` hears how many pieces with text have come.
+    pub fn stream_with<F>(
+        &self,
+        prompt: &str,
+        max_tokens: u64,
+        mut on_piece: F,
+    ) -> Result<StreamAnswer, MessageError>
+    where
+        F: FnMut(usize),
+    {
+        let started = Instant::now();
+        let deadline = started + self.timeout;
+        let body = chat_body(prompt, max_tokens, true);
+        let mut answer = self.send("POST", "/v1/chat/completions", body, deadline)?;
+        let mut read = StreamAnswer {
+            status: answer.head.status,
+            ..StreamAnswer::default()
+        };
+        let mut bytes = Vec::new();
+        loop {
+            let count = answer
+                .body
+                .read_piece(&mut answer.connection, &mut bytes, deadline);
+            let is_end = !matches!(count, Ok(count) if count > 0);
+            while let Some(end) = bytes.windows(2).position(|pair| pair == b"\n\n") {
+                let event: Vec<u8> = bytes.drain(..end + 2).collect();
+                let had = read.arrivals.len();
+                read.take(&String::from_utf8_lossy(&event), started);
+                if read.arrivals.len() > had {
+                    on_piece(read.arrivals.len());
+                }
+            }
+            if is_end {
+                read.has_proper_end = answer.body.is_complete();
+                if read.status != 200 {
+                    read.error = serde_json::from_slice(&bytes).ok();
+                }
+                return Ok(read);
+            }
+        }
+    }
+
+    fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+        deadline: Instant,
+    ) -> Result<client::Answer, MessageError> {
+        let mut headers = self.headers.clone();
+        if let Some(key) = &self.key {
+            headers.push("authorization", &format!("Bearer {key}"));
+        }
+        let call = Call {
+            method: method.into(),
+            path: path.into(),
+            headers,
+            body,
+        };
+        let mut connection = client::connect(self.address, Duration::from_secs(2))?;
+        client::send(&mut connection, &call, deadline)?;
+        client::receive(connection, deadline)
+    }
+}
+
+impl StreamAnswer {
+    fn take(&mut self, event: &str, started: Instant) {
+        let Some(data) = event.trim().strip_prefix("data:").map(str::trim) else {
+            return;
+        };
+        if data == "[DONE]" {
+            self.has_done = true;
+            return;
+        }
+        let value: Value = serde_json::from_str(data).unwrap_or_default();
+        if !value["error"].is_null() {
+            self.error = Some(value);
+            return;
+        }
+        let content = value["choices"][0]["delta"]["content"].as_str();
+        if let Some(content) = content.filter(|content| !content.is_empty()) {
+            self.text.push_str(content);
+            self.arrivals.push(started.elapsed());
+        }
+    }
+}
+
+/// A chat request with one user message.
+pub fn chat_body(prompt: &str, max_tokens: u64, is_stream: bool) -> Vec<u8> {
+    json!({
+        "model": MODEL,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+        "stream": is_stream,
+    })
+    .to_string()
+    .into_bytes()
+}
+
+/// The answer that every engine derives from the same request.
+pub fn expected_text(prompt: &str, max_tokens: usize) -> String {
+    use cardamombridge::standin::answer::{
+        ChatMessage,
+        expected_answer, //
+    };
+    expected_answer(&[ChatMessage::new("user", prompt)], max_tokens).concat()
+}
