Add the single decisions as separate modules

Endpoint choice, region choice, the waiting queue, the retry budget, the spending shares, entry hosts and region summaries are functions over a read-only context, so that each can be tested alone. The gateway does not call them yet.

Load estimates move towards the mean of the other endpoints as a report ages. Discounting towards zero was ruled out: a silent endpoint would look idle and attract the requests of every host.

Bytes on a link are counted by this host alone, which assumes an equal part of the link for each host of the region. Counting all hosts' bytes would need another gossip item.

--- /dev/null
+++ b/src/decision/budget.rs
@@ -0,0 +1,357 @@
+//! Spending of each caller from the shares that were granted to this host.
+//!
+//! A request reserves the most it can cost before it is sent, and is charged
+//! what its attempts did cost. What is charged and reserved in a period never
+//! exceeds the grants of that period plus the outage allowance, which one run of
+//! this host may use while no grant can be had. A charge beyond its reservation,
+//! from an endpoint that generated more than it was asked for, counts in full
+//! and is made up for by what is granted next.
+
+use std::collections::BTreeMap;
+
+use super::policy::{
+    Policy,
+    share, //
+};
+use crate::{
+    intent::{
+        CallerIntent,
+        Intents, //
+    },
+    types::{
+        Bytes,
+        CallerId,
+        CostMicros,
+        Millis,
+        Target,
+        Tokens, //
+    }, //
+};
+
+/// Periods kept for requests that started in them, the current one included.
+const KEPT_PERIODS: usize = 3;
+
+/// What a run of a target costs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Price {
+    /// A thousand prompt tokens that are not cached.
+    pub prompt_per_ktok: CostMicros,
+    /// A thousand generated tokens.
+    pub output_per_ktok: CostMicros,
+    /// One call.
+    pub per_call: CostMicros,
+}
+
+impl Price {
+    /// The price in force, or `None` if the target has no intent.
+    pub fn new(intents: &Intents, target: &Target) -> Option<Self> {
+        match target {
+            Target::Model(id) => intents.model(id).map(|model| Self {
+                prompt_per_ktok: model.prefill_micros_per_ktok,
+                output_per_ktok: model.decode_micros_per_ktok,
+                per_call: CostMicros(0),
+            }),
+            Target::Service(id) => intents.service(id).map(|service| Self {
+                per_call: service.call_micros,
+                ..Self::default()
+            }),
+        }
+    }
+
+    /// The cost of one run, rounded up.
+    pub fn cost(&self, prompt: Tokens, output: Tokens) -> CostMicros {
+        let prompt = self.prompt_per_ktok.0.saturating_mul(prompt.0);
+        let output = self.output_per_ktok.0.saturating_mul(output.0);
+        let tokens = prompt.saturating_add(output).div_ceil(1_000);
+        CostMicros(tokens) + self.per_call
+    }
+}
+
+/// Money set aside for one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    caller: CallerId,
+    period_start_ms: Millis,
+    amount: CostMicros,
+}
+
+/// Why money could not be set aside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortage {
+    /// A grant is on its way.
+    AwaitingGrant,
+    /// Nothing more can be had for now.
+    Exhausted {
+        /// When more may be had.
+        retry_after_ms: Millis,
+    },
+}
+
+/// What one caller has spent through this host in one period.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Ledger {
+    /// Granted by the platform's service.
+    pub granted: CostMicros,
+    /// Taken from the outage allowance.
+    pub drawn: CostMicros,
+    /// Charged for attempts.
+    pub spent: CostMicros,
+    /// Set aside for requests in progress.
+    pub reserved: CostMicros,
+}
+
+impl Ledger {
+    /// What can still be set aside.
+    pub fn available(&self) -> CostMicros {
+        self.granted + self.drawn - self.spent - self.reserved
+    }
+}
+
+/// Work that was paid for or carried without use to a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Waste {
+    /// Attempts after the first one of a request.
+    pub retries: u64,
+    /// Tokens generated for callers that had gone, or by broken exchanges.
+    pub cancelled: Tokens,
+    /// Bytes sent to and received from other regions.
+    pub away: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    ledgers: BTreeMap<Millis, Ledger>,
+    allowance_used: CostMicros,
+    /// Charges, fading over the time that a grant covers.
+    demand: f64,
+    demand_at_ms: Millis,
+    asked_ms: Option<Millis>,
+    /// Largest shortfall of a request that waits for a grant.
+    shortfall: CostMicros,
+    refused_period_ms: Option<Millis>,
+    is_unavailable: bool,
+}
+
+/// Spending shares of all callers.
+#[derive(Debug, Default)]
+pub struct Budget {
+    accounts: BTreeMap<CallerId, Account>,
+}
+
+impl Budget {
+    /// No grant yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Spending of a caller in the period that starts at `period_start_ms`.
+    pub fn ledger(&self, caller: &CallerId, period_start_ms: Millis) -> Option<Ledger> {
+        let account = self.accounts.get(caller)?;
+        account.ledgers.get(&period_start_ms).copied()
+    }
+
+    /// What this run of the host has used of a caller's outage allowance.
+    pub fn allowance_used(&self, caller: &CallerId) -> CostMicros {
+        let account = self.accounts.get(caller);
+        account.map_or(CostMicros(0), |account| account.allowance_used)
+    }
+
+    /// Sets `amount` aside for a request that starts now.
+    pub fn reserve(
+        &mut self,
+        now_ms: Millis,
+        caller: &CallerId,
+        intent: &CallerIntent,
+        amount: CostMicros,
+        policy: &Policy,
+    ) -> Result<Reservation, Shortage> {
+        let account = self.accounts.entry(caller.clone()).or_default();
+        let period_start_ms = period_start(now_ms, intent);
+        account.cover(now_ms, period_start_ms, intent, amount, policy)?;
+        let ledger = account.ledger(period_start_ms);
+        ledger.reserved = ledger.reserved + amount;
+        Ok(Reservation {
+            caller: caller.clone(),
+            period_start_ms,
+            amount,
+        })
+    }
+
+    /// Charges `cost` to a reservation, which shrinks by as much.
+    pub fn charge(
+        &mut self,
+        now_ms: Millis,
+        reservation: &mut Reservation,
+        cost: CostMicros,
+        policy: &Policy,
+    ) {
+        let Some(account) = self.accounts.get_mut(&reservation.caller) else {
+            return;
+        };
+        account.note_demand(now_ms, cost, policy);
+        let covered = cost.min(reservation.amount);
+        reservation.amount = reservation.amount - covered;
+        if let Some(ledger) = account.ledgers.get_mut(&reservation.period_start_ms) {
+            ledger.reserved = ledger.reserved - covered;
+            ledger.spent = ledger.spent + cost;
+        }
+    }
+
+    /// Gives back what is left of a reservation.
+    pub fn release(&mut self, reservation: Reservation) {
+        let account = self.accounts.get_mut(&reservation.caller);
+        let ledger =
+            account.and_then(|account| account.ledgers.get_mut(&reservation.period_start_ms));
+        if let Some(ledger) = ledger {
+            ledger.reserved = ledger.reserved - reservation.amount;
+        }
+    }
+
+    /// The amount to ask for now, if the share is running low.
+    pub fn take_ask(
+        &mut self,
+        now_ms: Millis,
+        caller: &CallerId,
+        intent: &CallerIntent,
+        policy: &Policy,
+    ) -> Option<CostMicros> {
+        let account = self.accounts.get_mut(caller)?;
+        account.take_ask(now_ms, period_start(now_ms, intent), intent, policy)
+    }
+
+    /// Adds a grant.
+    pub fn granted(&mut self, caller: &CallerId, period_start_ms: Millis, amount: CostMicros) {
+        let account = self.accounts.entry(caller.clone()).or_default();
+        account.asked_ms = None;
+        account.shortfall = CostMicros(0);
+        account.is_unavailable = false;
+        let ledger = account.ledger(period_start_ms);
+        ledger.granted = ledger.granted + amount;
+    }
+
+    /// Notes that there is nothing left of the budget of a period.
+    pub fn refused(&mut self, caller: &CallerId, period_start_ms: Millis) {
+        let account = self.accounts.entry(caller.clone()).or_default();
+        account.asked_ms = None;
+        account.shortfall = CostMicros(0);
+        account.is_unavailable = false;
+        account.refused_period_ms = Some(period_start_ms);
+    }
+
+    /// Notes that grants cannot be had at the moment.
+    pub fn unavailable(&mut self, caller: &CallerId) {
+        let account = self.accounts.entry(caller.clone()).or_default();
+        account.is_unavailable = true;
+    }
+
+    /// Forgets refusals, since the budgets may have been raised.
+    pub fn budgets_changed(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.refused_period_ms = None;
+        }
+    }
+}
+
+impl Account {
+    fn ledger(&mut self, period_start_ms: Millis) -> &mut Ledger {
+        while self.ledgers.len() >= KEPT_PERIODS && !self.ledgers.contains_key(&period_start_ms) {
+            self.ledgers.pop_first();
+        }
+        self.ledgers.entry(period_start_ms).or_default()
+    }
+
+    fn cover(
+        &mut self,
+        now_ms: Millis,
+        period_start_ms: Millis,
+        intent: &CallerIntent,
+        amount: CostMicros,
+        policy: &Policy,
+    ) -> Result<(), Shortage> {
+        let missing = amount - self.ledger(period_start_ms).available();
+        if missing == CostMicros(0) {
+            return Ok(());
+        }
+        if self.refused_period_ms == Some(period_start_ms) {
+            let end_ms = period_start_ms + intent.period_ms;
+            return Err(Shortage::Exhausted {
+                retry_after_ms: end_ms - now_ms,
+            });
+        }
+        if !self.is_unavailable {
+            self.shortfall = self.shortfall.max(missing);
+            return Err(Shortage::AwaitingGrant);
+        }
+        self.draw(period_start_ms, intent, missing, policy)
+    }
+
+    fn draw(
+        &mut self,
+        period_start_ms: Millis,
+        intent: &CallerIntent,
+        missing: CostMicros,
+        policy: &Policy,
+    ) -> Result<(), Shortage> {
+        let allowance = part(intent.budget_micros, policy.outage_permille);
+        if self.allowance_used + missing > allowance {
+            self.shortfall = self.shortfall.max(missing);
+            return Err(Shortage::Exhausted {
+                retry_after_ms: policy.grant_retry_ms,
+            });
+        }
+        self.allowance_used = self.allowance_used + missing;
+        let ledger = self.ledger(period_start_ms);
+        ledger.drawn = ledger.drawn + missing;
+        Ok(())
+    }
+
+    fn note_demand(&mut self, now_ms: Millis, cost: CostMicros, policy: &Policy) {
+        self.demand = self.faded_demand(now_ms, policy) + cost.0 as f64;
+        self.demand_at_ms = now_ms;
+    }
+
+    /// Charges of about the last `grant_cover_ms`.
+    fn faded_demand(&self, now_ms: Millis, policy: &Policy) -> f64 {
+        let elapsed = (now_ms - self.demand_at_ms).0 as f64;
+        self.demand * (-elapsed / policy.grant_cover_ms.0.max(1) as f64).exp()
+    }
+
+    fn take_ask(
+        &mut self,
+        now_ms: Millis,
+        period_start_ms: Millis,
+        intent: &CallerIntent,
+        policy: &Policy,
+    ) -> Option<CostMicros> {
+        let is_refused = self.refused_period_ms == Some(period_start_ms);
+        let is_pending = self
+            .asked_ms
+            .is_some_and(|asked_ms| now_ms - asked_ms < policy.grant_retry_ms);
+        if is_refused || is_pending {
+            return None;
+        }
+        let size = self.grant_size(now_ms, intent, policy);
+        let low = part(size, policy.grant_low_permille);
+        let is_low = self.ledger(period_start_ms).available() < low;
+        if !is_low && self.shortfall == CostMicros(0) {
+            return None;
+        }
+        self.asked_ms = Some(now_ms);
+        Some(size.max(self.shortfall))
+    }
+
+    fn grant_size(&self, now_ms: Millis, intent: &CallerIntent, policy: &Policy) -> CostMicros {
+        let demand = CostMicros(self.faded_demand(now_ms, policy).ceil() as u64);
+        let largest = part(intent.budget_micros, policy.grant_max_permille);
+        let smallest = policy.grant_min.min(intent.budget_micros);
+        demand.min(largest).max(smallest)
+    }
+}
+
+fn period_start(now_ms: Millis, intent: &CallerIntent) -> Millis {
+    Millis(now_ms.0 - now_ms.0 % intent.period_ms.0.max(1))
+}
+
+fn part(amount: CostMicros, permille: u16) -> CostMicros {
+    CostMicros((amount.0 as f64 * share(permille)) as u64)
+}
--- /dev/null
+++ b/src/decision/context.rs
@@ -0,0 +1,41 @@
+//! What every choice reads and none changes.
+
+use super::{
+    policy::Policy,
+    predict::Predictor,
+    view::{
+        ForwardHost,
+        View, //
+    }, //
+};
+use crate::types::{
+    Millis,
+    RegionId, //
+};
+
+/// What is known at one instant.
+#[derive(Debug, Clone, Copy)]
+pub struct Context<'a> {
+    /// The instant.
+    pub now_ms: Millis,
+    /// This host's region.
+    pub region: &'a RegionId,
+    /// Hosts, endpoints and other regions.
+    pub view: &'a View,
+    /// Run times.
+    pub predictor: &'a Predictor,
+    /// Parameters.
+    pub policy: &'a Policy,
+}
+
+impl<'a> Context<'a> {
+    /// Hosts that share the work of this region, at least one.
+    pub fn host_count(&self) -> usize {
+        self.view.host_count(self.now_ms, self.region, self.policy)
+    }
+
+    /// Hosts of another region that take forwarded requests.
+    pub fn forward_hosts(&self, region: &RegionId) -> Vec<&'a ForwardHost> {
+        self.view.forward_hosts(self.now_ms, region, self.policy)
+    }
+}
--- /dev/null
+++ b/src/decision/endpoint.rs
@@ -0,0 +1,239 @@
+//! Which endpoint of the region gets a request.
+//!
+//! Every candidate gets a predicted completion, in which a cached prefix counts
+//! as prefill that is not needed. Candidates that are nearly as good as the best
+//! one are equal: among them a prompt goes to its place by rendezvous hashing on
+//! its prefix, unless that endpoint is loaded beyond a bound, and everything
+//! else to the less loaded of two drawn at random. Many hosts that choose from
+//! the same late report therefore do not all choose the same endpoint.
+
+use rand::{
+    Rng,
+    RngExt, //
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    context::Context,
+    policy::{
+        Policy,
+        Routing,
+        share, //
+    },
+    predict::{
+        Prediction,
+        Work, //
+    },
+    view::EndpointState, //
+};
+use crate::types::{
+    EndpointId,
+    Millis,
+    Target,
+    Tokens, //
+};
+
+/// What a request asks of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// What it is for.
+    pub target: &'a Target,
+    /// Version that the endpoint must serve; `None` for services.
+    pub version: Option<&'a str>,
+    /// Size of the work.
+    pub work: Work,
+    /// Hashes of the prompt's leading blocks.
+    pub prefix_hashes: &'a [u64],
+    /// Endpoints that have already failed it.
+    pub tried: &'a [EndpointId],
+}
+
+/// An endpoint that could serve a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Estimated requests there.
+    pub load: f64,
+    /// Requests that the newest report shows, whatever its age.
+    pub reported: u32,
+    /// Requests that it runs at the same time.
+    pub slots: f64,
+    /// Leading blocks of the prompt that it probably has cached.
+    pub cached_blocks: usize,
+    /// Predicted run.
+    pub prediction: Prediction,
+}
+
+impl Candidate {
+    /// Whether one more request would have to wait there.
+    pub fn is_full(&self) -> bool {
+        // The estimate has fractions; half a request is rounded off.
+        self.load + 0.5 > self.slots
+    }
+}
+
+/// Endpoints of a region that could serve a request now.
+///
+/// Those that have failed it are left out if there are others.
+pub fn candidates(context: &Context<'_>, demand: &Demand<'_>) -> Vec<Candidate> {
+    let (now_ms, policy) = (context.now_ms, context.policy);
+    let view = context.view;
+    let serving = view.serving(context.region, demand.target, demand.version);
+    let states: Vec<&EndpointState> = serving.collect();
+    let hosts = context.host_count();
+    let prior = prior_ratio(&states, now_ms, policy);
+    let has_untried = states.iter().any(|state| !is_tried(state, demand));
+    states
+        .into_iter()
+        .filter(|state| !has_untried || !is_tried(state, demand))
+        .map(|state| {
+            let prior = prior * f64::from(state.info.slots);
+            let load = state.load(now_ms, prior, hosts, policy);
+            candidate(context, state, load, demand)
+        })
+        .collect()
+}
+
+/// Mean reported load of endpoints for each slot, weighted by report age.
+pub(super) fn prior_ratio(states: &[&EndpointState], now_ms: Millis, policy: &Policy) -> f64 {
+    let mut load = 0.0;
+    let mut slots = 0.0;
+    for state in states {
+        let weight = state.report_weight(now_ms, policy);
+        load += weight * f64::from(state.reported().unwrap_or(0));
+        slots += weight * f64::from(state.info.slots);
+    }
+    if slots > 0.0 { load / slots } else { 0.0 }
+}
+
+fn is_tried(state: &EndpointState, demand: &Demand<'_>) -> bool {
+    demand.tried.contains(&state.info.id)
+}
+
+fn candidate(
+    context: &Context<'_>,
+    state: &EndpointState,
+    load: f64,
+    demand: &Demand<'_>,
+) -> Candidate {
+    let policy = context.policy;
+    let predictor = context.predictor;
+    let slots = f64::from(state.info.slots);
+    let cached_blocks = state.prefixes.known_blocks(demand.prefix_hashes);
+    let cached = Tokens(policy.prefix_block.0.saturating_mul(cached_blocks as u64));
+    let work = Work {
+        prompt: demand.work.prompt - cached,
+        ..demand.work
+    };
+    Candidate {
+        endpoint: state.info.id.clone(),
+        load,
+        reported: state.reported().unwrap_or(0),
+        slots,
+        cached_blocks,
+        prediction: predictor.predict(policy, demand.target, work, load, slots),
+    }
+}
+
+/// The candidate with the earliest predicted completion.
+pub fn earliest(candidates: &[Candidate]) -> Option<&Candidate> {
+    candidates.iter().min_by(|a, b| {
+        let a = a.prediction.finish_ms();
+        a.total_cmp(&b.prediction.finish_ms())
+    })
+}
+
+/// Chooses among candidates by the routing policy.
+///
+/// Adaptive routing returns `None` when all are full; the baselines send to full
+/// endpoints, which then queue. `turn` counts the choices for `RoundRobin`.
+pub fn choose<'a, R>(
+    candidates: &'a [Candidate],
+    demand: &Demand<'_>,
+    policy: &Policy,
+    turn: usize,
+    rng: &mut R,
+) -> Option<&'a Candidate>
+where
+    R: Rng,
+{
+    if candidates.is_empty() {
+        return None;
+    }
+    match policy.routing {
+        Routing::Adaptive | Routing::HomeOnly => adaptive(candidates, demand, policy, rng),
+        Routing::Random => candidates.get(rng.random_range(0..candidates.len())),
+        Routing::RoundRobin => candidates.get(turn % candidates.len()),
+        Routing::LeastReported => candidates.iter().min_by_key(|one| one.reported),
+    }
+}
+
+fn adaptive<'a, R>(
+    candidates: &'a [Candidate],
+    demand: &Demand<'_>,
+    policy: &Policy,
+    rng: &mut R,
+) -> Option<&'a Candidate>
+where
+    R: Rng,
+{
+    let open: Vec<&Candidate> = candidates.iter().filter(|one| !one.is_full()).collect();
+    let near = near_equals(&open, policy);
+    if let Some(home) = affine(&open, &near, demand, policy) {
+        return Some(home);
+    }
+    less_loaded_of_two(&near, rng)
+}
+
+fn near_equals<'a>(open: &[&'a Candidate], policy: &Policy) -> Vec<&'a Candidate> {
+    let finishes = open.iter().map(|one| one.prediction.finish_ms());
+    let best = finishes.fold(f64::INFINITY, f64::min);
+    let slack = (best * share(policy.near_equal_permille)).max(policy.near_equal_ms.0 as f64);
+    let is_near = |one: &&&Candidate| one.prediction.finish_ms() <= best + slack;
+    open.iter().filter(is_near).copied().collect()
+}
+
+/// The endpoint whose cache the prompt should use.
+fn affine<'a>(
+    open: &[&'a Candidate],
+    near: &[&'a Candidate],
+    demand: &Demand<'_>,
+    policy: &Policy,
+) -> Option<&'a Candidate> {
+    let deepest = demand.prefix_hashes.len().min(policy.affinity_blocks);
+    let key = demand.prefix_hashes.get(deepest.checked_sub(1)?)?;
+    let rank = |one: &&Candidate| xxh3_64_with_seed(one.endpoint.as_str().as_bytes(), *key);
+    let bound = load_bound(open, policy);
+    let holders = near.iter().filter(|one| one.cached_blocks > 0);
+    let most_blocks = holders.clone().map(|one| one.cached_blocks).max();
+    let holder = holders
+        .filter(|one| Some(one.cached_blocks) == most_blocks && is_within(one, bound))
+        .max_by_key(|one| rank(one));
+    holder.copied().or_else(|| {
+        let within = open.iter().filter(|one| is_within(one, bound));
+        within.max_by_key(|one| rank(one)).copied()
+    })
+}
+
+/// Load for each slot up to which affinity holds.
+fn load_bound(open: &[&Candidate], policy: &Policy) -> f64 {
+    let load: f64 = open.iter().map(|one| one.load).sum();
+    let slots: f64 = open.iter().map(|one| one.slots).sum();
+    load / slots.max(1.0) * share(policy.bounded_load_permille)
+}
+
+fn is_within(one: &Candidate, bound: f64) -> bool {
+    // One request beyond the bound, or an idle region would have no affinity.
+    one.load <= bound * one.slots + 1.0
+}
+
+fn less_loaded_of_two<'a, R>(near: &[&'a Candidate], rng: &mut R) -> Option<&'a Candidate>
+where
+    R: Rng,
+{
+    let first = near.get(rng.random_range(0..near.len().max(1)))?;
+    let second = near.get(rng.random_range(0..near.len()))?;
+    let is_first = first.load / first.slots <= second.load / second.slots;
+    Some(if is_first { first } else { second })
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -5,12 +5,22 @@
 //! numbers from a seeded generator, so the same seed and events always give the
 //! same actions. The threads around it only carry events in and actions out.
 
+pub mod admission;
+pub mod away;
+pub mod budget;
+pub mod context;
+pub mod endpoint;
+pub mod entry;
 pub mod event;
 pub mod load;
 pub mod policy;
 pub mod predict;
 pub mod prefix;
+pub mod ramp;
+pub mod region;
 pub mod residency;
+pub mod retry;
+pub mod summary;
 pub mod view;
 
 use std::{
--- /dev/null
+++ b/src/decision/summary.rs
@@ -0,0 +1,117 @@
+//! What this region tells the others of itself.
+
+use std::collections::BTreeMap;
+
+use super::{
+    endpoint::prior_ratio,
+    policy::Policy,
+    view::{
+        EndpointState,
+        ForwardHost,
+        HostState,
+        RegionSummary,
+        TargetCapacity,
+        View, //
+    }, //
+};
+use crate::{
+    intent::Intents,
+    types::{
+        Millis,
+        RegionId,
+        Revision,
+        Target, //
+    }, //
+};
+
+/// Hosts named in a summary; more do not fit in a datagram.
+pub const MAX_FORWARD_HOSTS: usize = 8;
+
+/// Sums up a region from this host's view.
+///
+/// `revision` is the one in force here. Endpoints that serve another version of
+/// a model than the one in force are left out.
+pub fn region_summary(
+    view: &View,
+    now_ms: Millis,
+    region: &RegionId,
+    intents: &Intents,
+    policy: &Policy,
+) -> RegionSummary {
+    let revisions = view.ready_hosts(now_ms, region, policy);
+    let lowest = revisions.map(|state| state.heartbeat.revision).min();
+    RegionSummary {
+        region: region.clone(),
+        made_ms: now_ms,
+        capacity: capacity(view, now_ms, region, intents, policy),
+        lowest_revision: lowest.unwrap_or(intents.revision).min(intents.revision),
+        hosts: forward_hosts(view, now_ms, region, policy),
+    }
+}
+
+fn capacity(
+    view: &View,
+    now_ms: Millis,
+    region: &RegionId,
+    intents: &Intents,
+    policy: &Policy,
+) -> Vec<TargetCapacity> {
+    let mut by_target: BTreeMap<&Target, Vec<&EndpointState>> = BTreeMap::new();
+    for state in view.endpoints.values() {
+        let is_here = state.info.region == *region && state.takes_work();
+        if is_here && serves_version(state, intents) {
+            by_target.entry(&state.info.target).or_default().push(state);
+        }
+    }
+    let hosts = view.host_count(now_ms, region, policy);
+    by_target
+        .into_iter()
+        .map(|(target, states)| TargetCapacity {
+            target: target.clone(),
+            slots: states.iter().map(|state| state.info.slots).sum(),
+            busy: busy(&states, now_ms, hosts, policy),
+        })
+        .collect()
+}
+
+fn busy(states: &[&EndpointState], now_ms: Millis, hosts: usize, policy: &Policy) -> u32 {
+    let prior = prior_ratio(states, now_ms, policy);
+    let loads = states.iter().map(|state| {
+        let slots = f64::from(state.info.slots);
+        state.load(now_ms, prior * slots, hosts, policy)
+    });
+    loads.sum::<f64>().ceil() as u32
+}
+
+fn serves_version(state: &EndpointState, intents: &Intents) -> bool {
+    match &state.info.target {
+        Target::Service(_) => true,
+        Target::Model(id) => intents
+            .model(id)
+            .is_some_and(|model| model.version == state.info.version),
+    }
+}
+
+fn forward_hosts(
+    view: &View,
+    now_ms: Millis,
+    region: &RegionId,
+    policy: &Policy,
+) -> Vec<ForwardHost> {
+    let mut ready: Vec<&HostState> = view.ready_hosts(now_ms, region, policy).collect();
+    ready.sort_by_key(|state| (state.is_overloaded, state.heartbeat.open_requests));
+    let named = ready.into_iter().take(MAX_FORWARD_HOSTS);
+    named
+        .map(|state| ForwardHost {
+            host: state.heartbeat.host.clone(),
+            peer_address: state.heartbeat.peer_address,
+            caller_address: state.heartbeat.caller_address,
+        })
+        .collect()
+}
+
+/// The lowest revision that a region is known to have in force.
+pub fn known_revision(view: &View, region: &RegionId) -> Option<Revision> {
+    let state = view.summaries.get(region)?;
+    Some(state.summary.lowest_revision)
+}
