Decide with predictions, queues, budgets and retries

It now takes each request through the money set aside for it, the region, the endpoint and the waiting queue, and looks at deadlines and delayed retries on ticks.

A call that must not be repeated never leaves its region here, since it is final at the owner of its ticket. An answer whose first token has been passed on is not cut at the deadline.

--- /dev/null
+++ b/src/decision/arrive.rs
@@ -0,0 +1,168 @@
+//! Checks of a new request and the money for it.
+
+use super::{
+    Gateway,
+    budget::{
+        Price,
+        Reservation,
+        Shortage, //
+    },
+    event::{
+        Action,
+        Arrival,
+        Refusal,
+        RefusalReason, //
+    },
+    request::{
+        OpenRequest,
+        Place, //
+    },
+    residency::AllowedRegions, //
+};
+use crate::types::{
+    CallerId,
+    CostMicros,
+    Millis,
+    RequestId, //
+};
+
+impl Gateway {
+    pub(super) fn arrived(&mut self, now_ms: Millis, arrival: Arrival, actions: &mut Vec<Action>) {
+        let request = arrival.request;
+        if self.open.contains_key(&request) {
+            return;
+        }
+        match self.check(now_ms, arrival) {
+            Ok(open) => self.accept(now_ms, request, open, actions),
+            Err(refusal) => actions.push(Action::Refuse { request, refusal }),
+        }
+    }
+
+    fn check(&self, now_ms: Millis, mut arrival: Arrival) -> Result<OpenRequest, Refusal> {
+        let later = |reason| self.later(reason);
+        if self.is_leaving {
+            return Err(later(RefusalReason::Leaving));
+        }
+        let intents = self.known.intents.as_ref();
+        let intents = intents.ok_or_else(|| later(RefusalReason::NotReady))?;
+        let unknown = Refusal::new(RefusalReason::UnknownTarget);
+        let intent = intents.caller(&arrival.caller).ok_or(unknown)?;
+        if !intent.targets.contains(&arrival.target) {
+            return Err(unknown);
+        }
+        let price = Price::new(intents, &arrival.target).ok_or(unknown)?;
+        let allowed = AllowedRegions::for_request(intent, &arrival.origin);
+        if !allowed.contains(&self.known.region) {
+            return Err(Refusal::new(RefusalReason::WrongRegion));
+        }
+        arrival.deadline_ms = arrival.deadline_ms.min(now_ms + intent.deadline_ms);
+        arrival.tier = arrival.tier.max(intent.tier);
+        if arrival.deadline_ms <= now_ms {
+            return Err(Refusal::new(RefusalReason::DeadlinePassed));
+        }
+        Ok(OpenRequest::new(now_ms, arrival, allowed, price))
+    }
+
+    fn accept(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        open: OpenRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        self.retries.earn(&self.known.policy);
+        let deadline_ms = open.arrival.deadline_ms;
+        self.timers.insert((deadline_ms, request));
+        if open.is_own() {
+            let target = &open.arrival.target;
+            self.regions
+                .note_request(now_ms, target, &self.known.policy);
+            self.fund(now_ms, request, open, actions);
+        } else {
+            // The host that forwarded it has reserved the money.
+            self.place(now_ms, request, open, actions);
+        }
+    }
+
+    /// Sets money aside and goes on, or waits for a grant.
+    fn fund(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        mut open: OpenRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        let caller = open.arrival.caller.clone();
+        let amount = open.most_cost();
+        match self.reserve(now_ms, &caller, amount, actions) {
+            Ok(reservation) => {
+                open.reservation = reservation;
+                self.place(now_ms, request, open, actions);
+            }
+            Err(Shortage::AwaitingGrant) => self.await_grant(request, open),
+            Err(Shortage::Exhausted { retry_after_ms }) => {
+                let refusal =
+                    Refusal::new(RefusalReason::OverBudget).with_retry_after(retry_after_ms);
+                self.refuse(request, open, refusal, actions);
+            }
+        }
+    }
+
+    /// Sets money aside, and asks for a grant if the share is running low.
+    pub(super) fn reserve(
+        &mut self,
+        now_ms: Millis,
+        caller: &CallerId,
+        amount: CostMicros,
+        actions: &mut Vec<Action>,
+    ) -> Result<Option<Reservation>, Shortage> {
+        let Some(intents) = self.known.intents.clone() else {
+            return Ok(None);
+        };
+        let Some(intent) = intents.caller(caller) else {
+            // The caller was removed while its request waited.
+            return Err(Shortage::Exhausted {
+                retry_after_ms: self.known.policy.retry_after_ms,
+            });
+        };
+        let policy = &self.known.policy;
+        let reserved = self.budget.reserve(now_ms, caller, intent, amount, policy);
+        if let Some(amount_micros) = self.budget.take_ask(now_ms, caller, intent, policy) {
+            actions.push(Action::AskGrant {
+                caller: caller.clone(),
+                amount_micros,
+            });
+        }
+        reserved.map(Some)
+    }
+
+    fn await_grant(&mut self, request: RequestId, open: OpenRequest) {
+        if let Place::Granting { since_ms } = open.place {
+            let until_ms = since_ms + self.known.policy.grant_wait_ms;
+            self.timers.insert((until_ms, request));
+        }
+        let caller = open.arrival.caller.clone();
+        self.granting.entry(caller).or_default().push(request);
+        self.open.insert(request, open);
+    }
+
+    /// Tries again for all requests of a caller that wait for a grant.
+    pub(super) fn fund_waiting(
+        &mut self,
+        now_ms: Millis,
+        caller: &CallerId,
+        actions: &mut Vec<Action>,
+    ) {
+        let waiting = self.granting.remove(caller).unwrap_or_default();
+        for request in waiting {
+            if let Some(open) = self.open.remove(&request) {
+                self.fund(now_ms, request, open, actions);
+            }
+        }
+    }
+
+    /// A refusal after which coming back in a while makes sense.
+    pub(super) fn later(&self, reason: RefusalReason) -> Refusal {
+        Refusal::new(reason).with_retry_after(self.known.policy.retry_after_ms)
+    }
+}
--- a/src/decision/context.rs
+++ b/src/decision/context.rs
@@ -5,6 +5,7 @@
     predict::Predictor,
     view::{
         ForwardHost,
+        HostState,
         View, //
     }, //
 };
@@ -34,6 +35,11 @@
         self.view.host_count(self.now_ms, self.region, self.policy)
     }
 
+    /// Hosts of this region that take work.
+    pub fn ready_hosts(&self) -> impl Iterator<Item = &'a HostState> {
+        self.view.ready_hosts(self.now_ms, self.region, self.policy)
+    }
+
     /// Hosts of another region that take forwarded requests.
     pub fn forward_hosts(&self, region: &RegionId) -> Vec<&'a ForwardHost> {
         self.view.forward_hosts(self.now_ms, region, self.policy)
--- a/src/decision/event.rs
+++ b/src/decision/event.rs
@@ -123,7 +123,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Event {
-    /// A request came in.
+    /// A request came in; ignored while another one with its id is open.
     Arrived(Arrival),
     /// The first token of an attempt was passed on.
     FirstToken {
@@ -132,7 +132,7 @@
         /// The attempt.
         attempt: Attempt,
     },
-    /// An attempt ended.
+    /// An attempt ended, or the caller of a waiting request went away.
     Ended {
         /// The request.
         request: RequestId,
@@ -179,7 +179,7 @@
     },
     /// This host is shutting down.
     Leaving,
-    /// Time passed.
+    /// Time passed; at least every 100 ms.
     Tick,
 }
 
@@ -269,7 +269,7 @@
         /// What to say.
         refusal: Refusal,
     },
-    /// Stop an attempt.
+    /// Stop an attempt, whose end is then still to be told.
     Cancel {
         /// The request.
         request: RequestId,
--- /dev/null
+++ b/src/decision/finish.rs
@@ -0,0 +1,263 @@
+//! What follows when an attempt ends.
+
+use super::{
+    Gateway,
+    event::{
+        Action,
+        AttemptOutcome,
+        Refusal,
+        RefusalReason, //
+    },
+    request::{
+        OpenRequest,
+        Place, //
+    },
+    retry::{
+        self,
+        may_repeat, //
+    }, //
+};
+use crate::types::{
+    Attempt,
+    Bytes,
+    Millis,
+    RequestId, //
+};
+
+impl Gateway {
+    pub(super) fn ended(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        attempt: Attempt,
+        outcome: &AttemptOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.get(&request) else {
+            return;
+        };
+        if !open.is_running() {
+            if matches!(outcome, AttemptOutcome::CallerGone { .. }) {
+                self.drop_waiting(request);
+            }
+            return;
+        }
+        if open.attempt != attempt {
+            return;
+        }
+        if let Some(open) = self.open.remove(&request) {
+            let target = open.arrival.target.clone();
+            self.attempt_ended(now_ms, request, open, outcome, actions);
+            self.release(now_ms, &target, actions);
+        }
+    }
+
+    /// Drops a waiting request whose caller has gone.
+    fn drop_waiting(&mut self, request: RequestId) {
+        if let Some(open) = self.take_waiting(request) {
+            self.close(request, open);
+        }
+    }
+
+    /// Takes a waiting request out of whatever it waits in.
+    pub(super) fn take_waiting(&mut self, request: RequestId) -> Option<OpenRequest> {
+        let open = self.open.remove(&request)?;
+        let arrival = &open.arrival;
+        if let Some(waiting) = self.granting.get_mut(&arrival.caller) {
+            waiting.retain(|one| *one != request);
+        }
+        self.queue.remove(&arrival.target, arrival.tier, request);
+        Some(open)
+    }
+
+    fn attempt_ended(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        mut open: OpenRequest,
+        outcome: &AttemptOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        self.leave_place(now_ms, request, &open);
+        self.learn(now_ms, &open, outcome);
+        self.note_trouble(now_ms, &mut open, outcome);
+        self.charge(now_ms, &mut open, outcome);
+        let is_answered = open.answered_ms.is_some();
+        if !is_answered && may_repeat(outcome, open.arrival.is_repeatable) {
+            self.retry(now_ms, request, open, outcome, actions);
+        } else if !is_answered && matches!(outcome, AttemptOutcome::Interrupted { .. }) {
+            let refusal = self.later(RefusalReason::RetriesExhausted);
+            self.refuse(request, open, refusal, actions);
+        } else {
+            self.close(request, open);
+        }
+    }
+
+    /// Ends the accounting of an attempt at its endpoint or region.
+    pub(super) fn leave_place(&mut self, now_ms: Millis, request: RequestId, open: &OpenRequest) {
+        match &open.place {
+            Place::Endpoint(id) => {
+                if let Some(state) = self.known.view.endpoints.get_mut(id) {
+                    state.end(now_ms, request, open.attempt);
+                }
+            }
+            Place::Away { region, .. } => {
+                self.regions.end(region, &open.arrival.target, request);
+            }
+            Place::Granting { .. } | Place::Queued | Place::Delayed { .. } => {}
+        }
+    }
+
+    fn learn(&mut self, now_ms: Millis, open: &OpenRequest, outcome: &AttemptOutcome) {
+        let AttemptOutcome::Complete { output, .. } = outcome else {
+            return;
+        };
+        if let Place::Away { .. } = open.place {
+            let bytes = u64::from(self.known.policy.answer_bytes_per_token) * output.0;
+            self.waste.away = self.waste.away + Bytes(bytes);
+            return;
+        }
+        let known = &mut self.known;
+        let run_ms = now_ms - open.sent_ms;
+        known
+            .predictor
+            .learn(&known.policy, &open.arrival.target, *output, run_ms);
+    }
+
+    fn note_trouble(&mut self, now_ms: Millis, open: &mut OpenRequest, outcome: &AttemptOutcome) {
+        let is_leaving = matches!(
+            outcome,
+            AttemptOutcome::Rejected {
+                is_leaving: true,
+                ..
+            }
+        );
+        let is_unreachable = matches!(outcome, AttemptOutcome::NotSent);
+        let view = &mut self.known.view;
+        match &open.place {
+            Place::Endpoint(id) => {
+                if let Some(state) = view.endpoints.get_mut(id).filter(|_| is_leaving) {
+                    state.mark_leaving();
+                }
+                open.tried.push(id.clone());
+            }
+            Place::Away { region, host } => {
+                if is_leaving || is_unreachable {
+                    let until_ms = now_ms + self.known.policy.host_avoid_ms;
+                    view.avoid_host(host.clone(), until_ms);
+                }
+                open.tried_regions.push(region.clone());
+            }
+            Place::Granting { .. } | Place::Queued | Place::Delayed { .. } => {}
+        }
+    }
+
+    fn charge(&mut self, now_ms: Millis, open: &mut OpenRequest, outcome: &AttemptOutcome) {
+        if let AttemptOutcome::CallerGone { wasted } = outcome {
+            self.waste.cancelled = self.waste.cancelled + *wasted;
+        }
+        let cost = open.cost(outcome);
+        if let Some(reservation) = open.reservation.as_mut() {
+            self.budget
+                .charge(now_ms, reservation, cost, &self.known.policy);
+        }
+    }
+
+    /// Charges an attempt that did not end after it was cancelled, at the most
+    /// it can have cost.
+    pub(super) fn write_off(&mut self, now_ms: Millis, request: RequestId) {
+        let Some(mut open) = self.open.remove(&request) else {
+            return;
+        };
+        self.leave_place(now_ms, request, &open);
+        let most = AttemptOutcome::CallerGone {
+            wasted: open.arrival.max_output,
+        };
+        self.charge(now_ms, &mut open, &most);
+        self.close(request, open);
+    }
+
+    fn retry(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        mut open: OpenRequest,
+        outcome: &AttemptOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let hint_ms = retry_hint_ms(outcome);
+        let delay_ms = self.retry_delay_ms(now_ms, &open, hint_ms);
+        let is_in_time = now_ms + delay_ms < open.arrival.deadline_ms;
+        let has_attempts = open.attempt.0 + 1 < self.known.policy.max_attempts;
+        if !is_in_time || !has_attempts || !self.retries.spend() {
+            let wait_ms = hint_ms.unwrap_or(self.known.policy.retry_after_ms);
+            let refusal = Refusal::new(RefusalReason::RetriesExhausted).with_retry_after(wait_ms);
+            return self.refuse(request, open, refusal, actions);
+        }
+        if !self.top_up(now_ms, &mut open, actions) {
+            let refusal = self.later(RefusalReason::OverBudget);
+            return self.refuse(request, open, refusal, actions);
+        }
+        self.waste.retries += 1;
+        open.attempt = Attempt(open.attempt.0 + 1);
+        self.send_after(now_ms, request, open, delay_ms, actions);
+    }
+
+    fn retry_delay_ms(
+        &mut self,
+        now_ms: Millis,
+        open: &OpenRequest,
+        hint_ms: Option<Millis>,
+    ) -> Millis {
+        let delay_ms = retry::delay(&mut self.rng, &self.known.policy, open.attempt);
+        let context = self.known.context(now_ms);
+        let target = &open.arrival.target;
+        let mut serving = context.view.serving(context.region, target, None);
+        let has_other = serving.any(|state| !open.tried.contains(&state.info.id));
+        match hint_ms {
+            Some(hint_ms) if !has_other => delay_ms.max(hint_ms),
+            _ => delay_ms,
+        }
+    }
+
+    /// Sets money aside for one more whole attempt.
+    fn top_up(
+        &mut self,
+        now_ms: Millis,
+        open: &mut OpenRequest,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(left) = open.reservation.take() else {
+            return true;
+        };
+        self.budget.release(left);
+        let caller = open.arrival.caller.clone();
+        let reserved = self.reserve(now_ms, &caller, open.most_cost(), actions);
+        open.reservation = reserved.unwrap_or(None);
+        open.reservation.is_some()
+    }
+
+    fn send_after(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        mut open: OpenRequest,
+        delay_ms: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        if delay_ms <= self.known.policy.retry_now_ms {
+            return self.place(now_ms, request, open, actions);
+        }
+        let until_ms = now_ms + delay_ms;
+        open.place = Place::Delayed { until_ms };
+        self.timers.insert((until_ms, request));
+        self.open.insert(request, open);
+    }
+}
+
+fn retry_hint_ms(outcome: &AttemptOutcome) -> Option<Millis> {
+    match outcome {
+        AttemptOutcome::Rejected { retry_after_ms, .. } => *retry_after_ms,
+        _ => None,
+    }
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -6,25 +6,33 @@
 //! same actions. The threads around it only carry events in and actions out.
 
 pub mod admission;
+mod arrive;
 pub mod away;
 pub mod budget;
 pub mod context;
 pub mod endpoint;
 pub mod entry;
 pub mod event;
+mod finish;
 pub mod load;
+mod place;
 pub mod policy;
 pub mod predict;
 pub mod prefix;
 pub mod ramp;
 pub mod region;
+mod request;
 pub mod residency;
 pub mod retry;
 pub mod summary;
+mod tick;
 pub mod view;
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::Arc, //
 };
 
@@ -32,21 +40,39 @@
 use rand_pcg::Pcg64Mcg;
 
 use self::{
+    admission::WaitQueue,
+    budget::{
+        Budget,
+        Waste, //
+    },
+    context::Context,
+    entry::{
+        EntryList,
+        entry_hosts,
+        known_hosts, //
+    },
     event::{
         Action,
-        Arrival,
-        AttemptOutcome,
-        Event,
-        Refusal,
-        RefusalReason, //
+        Event, //
     },
-    view::View, //
+    policy::Policy,
+    predict::Predictor,
+    region::Regions,
+    request::OpenRequest,
+    residency::AllowedRegions,
+    retry::RetryBudget,
+    summary::region_summary,
+    view::{
+        EndpointReport,
+        RegionSummary,
+        View, //
+    }, //
 };
 use crate::{
     intent::Intents,
     types::{
         Attempt,
-        EndpointId,
+        CallerId,
         HostId,
         Incarnation,
         MbitPerSecond,
@@ -82,176 +108,219 @@
     pub seed: u64,
 }
 
+/// What this host knows and only events change.
 #[derive(Debug)]
-struct OpenRequest {
-    arrival: Arrival,
-    attempt: Attempt,
-    endpoint: Option<EndpointId>,
+struct Known {
+    region: RegionId,
+    policy: Policy,
+    view: View,
+    predictor: Predictor,
+    intents: Option<Arc<Intents>>,
 }
 
-/// Decision state of one host.
+impl Known {
+    fn context(&self, now_ms: Millis) -> Context<'_> {
+        Context {
+            now_ms,
+            region: &self.region,
+            view: &self.view,
+            predictor: &self.predictor,
+            policy: &self.policy,
+        }
+    }
+}
+
+/// The decision state of one host.
+///
+/// The threads around it keep three promises. A request id is not reused while
+/// the request is open; a second arrival under it is ignored. Each attempt sent
+/// or forwarded ends with one [`Event::Ended`], also after an
+/// [`Action::Cancel`]. And a [`Event::Tick`] comes at least every 100 ms, since
+/// deadlines and delayed retries are looked at only then.
 #[derive(Debug)]
 pub struct Gateway {
     config: GatewayConfig,
-    view: View,
-    intents: Option<Arc<Intents>>,
-    open: HashMap<RequestId, OpenRequest>,
+    known: Known,
+    regions: Regions,
+    budget: Budget,
+    retries: RetryBudget,
+    queue: WaitQueue,
+    open: BTreeMap<RequestId, OpenRequest>,
+    /// When to look at a request again; entries may be out of date.
+    timers: BTreeSet<(Millis, RequestId)>,
+    /// Requests that wait for a grant, by caller, oldest first.
+    granting: BTreeMap<CallerId, Vec<RequestId>>,
+    waste: Waste,
     is_leaving: bool,
-    #[expect(dead_code, reason = "used by endpoint choice")]
+    /// Counts choices, for the baseline that takes turns.
+    turn: usize,
     rng: Pcg64Mcg,
 }
 
 impl Gateway {
-    /// A host that knows nothing yet.
+    /// A host that knows nothing yet, with the default policy.
     pub fn new(config: GatewayConfig) -> Self {
-        let rng = Pcg64Mcg::seed_from_u64(config.seed);
+        let policy = Policy::default();
         Self {
+            rng: Pcg64Mcg::seed_from_u64(config.seed),
+            regions: Regions::new(config.links.clone()),
+            retries: RetryBudget::new(&policy),
+            known: Known {
+                region: config.region.clone(),
+                policy,
+                view: View::new(),
+                predictor: Predictor::new(),
+                intents: None,
+            },
             config,
-            view: View::new(),
-            intents: None,
-            open: HashMap::new(),
+            budget: Budget::new(),
+            queue: WaitQueue::new(),
+            open: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            granting: BTreeMap::new(),
+            waste: Waste::default(),
             is_leaving: false,
-            rng,
+            turn: 0,
         }
     }
 
+    /// The same host with other parameters.
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.retries = RetryBudget::new(&policy);
+        self.known.policy = policy;
+        self
+    }
+
+    /// Its settings.
+    pub fn config(&self) -> &GatewayConfig {
+        &self.config
+    }
+
+    /// Its parameters.
+    pub fn policy(&self) -> &Policy {
+        &self.known.policy
+    }
+
     /// What this host knows of the others.
     pub fn view(&self) -> &View {
-        &self.view
+        &self.known.view
+    }
+
+    /// The configuration in force here.
+    pub fn intents(&self) -> Option<&Arc<Intents>> {
+        self.known.intents.as_ref()
     }
 
-    /// Requests in progress at this host.
+    /// Requests in progress at this host, waiting ones included.
     pub fn open_requests(&self) -> usize {
         self.open.len()
     }
 
+    /// Requests that wait here for an endpoint.
+    pub fn waiting_requests(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Spending of each caller through this host.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
+    /// Work paid for or carried without use.
+    pub fn waste(&self) -> Waste {
+        self.waste
+    }
+
+    /// What this region tells the others, or `None` without a configuration.
+    ///
+    /// This host is part of it if its own heartbeats are fed to it as events.
+    pub fn region_summary(&self, now_ms: Millis) -> Option<RegionSummary> {
+        let intents = self.known.intents.as_ref()?;
+        let context = self.known.context(now_ms);
+        Some(region_summary(&context, intents))
+    }
+
+    /// Entry hosts for a caller, or `None` if no intent names it.
+    pub fn entry_list(&self, now_ms: Millis, caller: &CallerId) -> Option<EntryList> {
+        let intents = self.known.intents.as_ref()?;
+        let intent = intents.caller(caller)?;
+        let allowed = AllowedRegions::new(intent);
+        let policy = &self.known.policy;
+        let hosts = known_hosts(&self.known.view, now_ms, &self.known.region, policy);
+        Some(entry_hosts(caller, &intent.home, &allowed, &hosts, policy))
+    }
+
     /// Takes one event and appends what has to be done.
     pub fn handle(&mut self, now_ms: Millis, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.arrived(now_ms, arrival, actions),
+            Event::FirstToken { request, attempt } => self.first_token(request, attempt),
             Event::Ended {
-                request, outcome, ..
-            } => self.ended(now_ms, request, outcome, actions),
-            Event::Heartbeat(heartbeat) => self.view.apply_heartbeat(now_ms, heartbeat),
-            Event::Report(report) => self.view.apply_report(report),
-            Event::Summary(summary) => self.view.apply_summary(now_ms, summary),
-            Event::Listed { endpoints, hosts } => self.view.apply_list(now_ms, endpoints, &hosts),
-            Event::InForce(intents) => self.apply_intents(intents),
+                request,
+                attempt,
+                outcome,
+            } => self.ended(now_ms, request, attempt, &outcome, actions),
+            Event::Heartbeat(heartbeat) => self.known.view.apply_heartbeat(now_ms, heartbeat),
+            Event::Report(report) => self.reported(now_ms, report, actions),
+            Event::Summary(summary) => self.summed_up(now_ms, summary),
+            Event::Listed { endpoints, hosts } => {
+                self.known.view.apply_list(now_ms, endpoints, &hosts);
+                self.release_all(now_ms, actions);
+            }
+            Event::InForce(intents) => self.in_force(intents),
+            Event::Granted {
+                caller,
+                period_start_ms,
+                amount_micros,
+            } => {
+                self.budget.granted(&caller, period_start_ms, amount_micros);
+                self.fund_waiting(now_ms, &caller, actions);
+            }
+            Event::GrantRefused {
+                caller,
+                period_start_ms,
+            } => {
+                self.budget.refused(&caller, period_start_ms);
+                self.fund_waiting(now_ms, &caller, actions);
+            }
+            Event::GrantUnavailable { caller } => {
+                self.budget.unavailable(&caller);
+                self.fund_waiting(now_ms, &caller, actions);
+            }
             Event::Leaving => self.is_leaving = true,
-            Event::FirstToken { .. }
-            | Event::Granted { .. }
-            | Event::GrantRefused { .. }
-            | Event::GrantUnavailable { .. }
-            | Event::Tick => {}
+            Event::Tick => self.tick(now_ms, actions),
         }
     }
 
-    fn apply_intents(&mut self, intents: Arc<Intents>) {
-        let known = self.intents.as_ref().map(|known| known.revision);
+    fn in_force(&mut self, intents: Arc<Intents>) {
+        let known = self.known.intents.as_ref().map(|known| known.revision);
         if known.is_none_or(|known| known < intents.revision) {
-            self.intents = Some(intents);
+            self.known.intents = Some(intents);
+            self.budget.budgets_changed();
         }
     }
 
-    fn arrived(&mut self, now_ms: Millis, arrival: Arrival, actions: &mut Vec<Action>) {
-        let request = arrival.request;
-        let open = OpenRequest {
-            arrival,
-            attempt: Attempt(0),
-            endpoint: None,
-        };
-        self.dispatch(now_ms, request, open, actions);
-    }
-
-    fn dispatch(
-        &mut self,
-        now_ms: Millis,
-        request: RequestId,
-        mut open: OpenRequest,
-        actions: &mut Vec<Action>,
-    ) {
-        match self.choose(&open.arrival) {
-            Ok(endpoint) => {
-                let Some(state) = self.view.endpoints.get_mut(&endpoint) else {
-                    return;
-                };
-                state.start(
-                    now_ms,
-                    request,
-                    open.attempt,
-                    &open.arrival.prefix_hashes,
-                    &policy::Policy::default(),
-                );
-                actions.push(Action::Send {
-                    request,
-                    attempt: open.attempt,
-                    endpoint: endpoint.clone(),
-                    address: state.info.address,
-                });
-                open.endpoint = Some(endpoint);
-                self.open.insert(request, open);
-            }
-            Err(reason) => actions.push(Action::Refuse {
-                request,
-                refusal: Refusal::new(reason).with_retry_after(Millis(1_000)),
-            }),
+    fn reported(&mut self, now_ms: Millis, report: EndpointReport, actions: &mut Vec<Action>) {
+        let id = report.endpoint.clone();
+        self.known.view.apply_report(report);
+        let state = self.known.view.endpoints.get(&id);
+        if let Some(target) = state.map(|state| state.info.target.clone()) {
+            self.release(now_ms, &target, actions);
         }
     }
 
-    fn choose(&self, arrival: &Arrival) -> Result<EndpointId, RefusalReason> {
-        if self.is_leaving {
-            return Err(RefusalReason::Leaving);
-        }
-        let intents = self.intents.as_ref().ok_or(RefusalReason::NotReady)?;
-        let caller = intents
-            .caller(&arrival.caller)
-            .ok_or(RefusalReason::UnknownTarget)?;
-        if !caller.targets.contains(&arrival.target) {
-            return Err(RefusalReason::UnknownTarget);
-        }
-        if !caller.regions.contains(&self.config.region) {
-            return Err(RefusalReason::WrongRegion);
+    fn summed_up(&mut self, now_ms: Millis, summary: RegionSummary) {
+        let is_other = summary.region != self.known.region;
+        let copy = summary.clone();
+        if self.known.view.apply_summary(now_ms, summary) && is_other {
+            self.regions.note_summary(now_ms, &copy, &self.known.policy);
         }
-        self.view
-            .endpoints
-            .values()
-            .filter(|state| state.info.region == self.config.region)
-            .filter(|state| state.info.target == arrival.target && state.takes_work())
-            .min_by_key(|state| state.in_flight())
-            .map(|state| state.info.id.clone())
-            .ok_or(RefusalReason::NoEndpoint)
     }
 
-    fn ended(
-        &mut self,
-        now_ms: Millis,
-        request: RequestId,
-        outcome: AttemptOutcome,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(mut open) = self.open.remove(&request) else {
-            return;
-        };
-        if let Some(state) = open
-            .endpoint
-            .take()
-            .and_then(|id| self.view.endpoints.get_mut(&id))
-        {
-            state.end(now_ms, request, open.attempt);
-        }
-        let may_retry = matches!(
-            outcome,
-            AttemptOutcome::NotSent | AttemptOutcome::Rejected { .. }
-        );
-        if may_retry && now_ms < open.arrival.deadline_ms && open.attempt < Attempt(2) {
-            open.attempt = Attempt(open.attempt.0 + 1);
-            self.dispatch(now_ms, request, open, actions);
-        } else if may_retry || matches!(outcome, AttemptOutcome::Interrupted { .. }) {
-            actions.push(Action::Refuse {
-                request,
-                refusal: Refusal::new(RefusalReason::RetriesExhausted)
-                    .with_retry_after(Millis(1_000)),
-            });
+    fn first_token(&mut self, request: RequestId, attempt: Attempt) {
+        let open = self.open.get_mut(&request);
+        if let Some(open) = open.filter(|open| open.attempt == attempt) {
+            open.has_first_token = true;
         }
     }
 }
--- /dev/null
+++ b/src/decision/request.rs
@@ -0,0 +1,173 @@
+//! A request in progress at this host.
+
+use super::{
+    budget::{
+        Price,
+        Reservation, //
+    },
+    endpoint::Demand,
+    event::{
+        Arrival,
+        AttemptOutcome,
+        Origin, //
+    },
+    predict::Work,
+    region::Trip,
+    residency::AllowedRegions, //
+};
+use crate::types::{
+    Attempt,
+    CostMicros,
+    EndpointId,
+    HostId,
+    Millis,
+    RegionId,
+    Target,
+    Tokens, //
+};
+
+/// Status from which an error of a model engine may have cost a prefill.
+const SERVER_ERROR: u16 = 500;
+
+/// Where a request is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Place {
+    /// It waits for a spending share.
+    Granting { since_ms: Millis },
+    /// It waits for an endpoint.
+    Queued,
+    /// It waits before its next attempt.
+    Delayed { until_ms: Millis },
+    /// Its attempt runs at an endpoint of this region.
+    Endpoint(EndpointId),
+    /// Its attempt runs at a host of another region.
+    Away { region: RegionId, host: HostId },
+}
+
+/// A request with everything decided about it so far.
+#[derive(Debug)]
+pub(super) struct OpenRequest {
+    /// As it arrived, with tier and deadline bounded by the caller's intent.
+    pub arrival: Arrival,
+    /// Regions that may see it.
+    pub allowed: AllowedRegions,
+    /// Price when it arrived.
+    pub price: Price,
+    /// Number of the current or next attempt.
+    pub attempt: Attempt,
+    /// Where it is.
+    pub place: Place,
+    /// Endpoints that have failed it.
+    pub tried: Vec<EndpointId>,
+    /// Regions that have failed it.
+    pub tried_regions: Vec<RegionId>,
+    /// Money set aside; none for a request paid for by another host.
+    pub reservation: Option<Reservation>,
+    /// When its attempt was sent.
+    pub sent_ms: Millis,
+    /// Whether a token of its attempt has reached the caller.
+    pub has_first_token: bool,
+    /// When the caller got its final answer while the attempt still ran.
+    pub answered_ms: Option<Millis>,
+}
+
+impl OpenRequest {
+    /// A request that has just been checked.
+    pub fn new(now_ms: Millis, arrival: Arrival, allowed: AllowedRegions, price: Price) -> Self {
+        Self {
+            arrival,
+            allowed,
+            price,
+            attempt: Attempt(0),
+            place: Place::Granting { since_ms: now_ms },
+            tried: Vec::new(),
+            tried_regions: Vec::new(),
+            reservation: None,
+            sent_ms: now_ms,
+            has_first_token: false,
+            answered_ms: None,
+        }
+    }
+
+    /// Whether an attempt of it runs.
+    pub fn is_running(&self) -> bool {
+        matches!(self.place, Place::Endpoint(_) | Place::Away { .. })
+    }
+
+    /// Whether this host's caller sent it, so that this host pays for it.
+    pub fn is_own(&self) -> bool {
+        self.arrival.origin == Origin::Caller
+    }
+
+    /// Whether it may go to another region.
+    ///
+    /// A forwarded request is final here. One that must not be repeated is
+    /// final at the owner of its ticket.
+    pub fn may_leave(&self) -> bool {
+        self.is_own() && self.arrival.is_repeatable
+    }
+
+    /// Time left until its deadline.
+    pub fn left_ms(&self, now_ms: Millis) -> Millis {
+        self.arrival.deadline_ms - now_ms
+    }
+
+    /// Size of its work without a cached prefix.
+    pub fn work(&self) -> Work {
+        Work {
+            prompt: self.arrival.prompt,
+            max_output: self.arrival.max_output,
+        }
+    }
+
+    /// The most that one attempt can cost.
+    pub fn most_cost(&self) -> CostMicros {
+        let arrival = &self.arrival;
+        self.price.cost(arrival.prompt, arrival.max_output)
+    }
+
+    /// What an attempt with this outcome has cost.
+    pub fn cost(&self, outcome: &AttemptOutcome) -> CostMicros {
+        let prompt = self.arrival.prompt;
+        match outcome {
+            AttemptOutcome::Complete { output, cached } => {
+                self.price.cost(prompt - *cached, *output)
+            }
+            AttemptOutcome::NotSent | AttemptOutcome::Rejected { .. } => CostMicros(0),
+            AttemptOutcome::Interrupted { delivered } => self.price.cost(prompt, *delivered),
+            AttemptOutcome::CallerGone { wasted } => self.price.cost(prompt, *wasted),
+            AttemptOutcome::Failed { status } => self.failure_cost(*status),
+        }
+    }
+
+    fn failure_cost(&self, status: u16) -> CostMicros {
+        let is_model = matches!(self.arrival.target, Target::Model(_));
+        if is_model && status < SERVER_ERROR {
+            return CostMicros(0);
+        }
+        self.price.cost(self.arrival.prompt, Tokens(0))
+    }
+
+    /// What it asks of an endpoint.
+    pub fn demand<'a>(&'a self, version: Option<&'a str>) -> Demand<'a> {
+        Demand {
+            target: &self.arrival.target,
+            version,
+            work: self.work(),
+            prefix_hashes: &self.arrival.prefix_hashes,
+            tried: &self.tried,
+        }
+    }
+
+    /// What it asks of another region.
+    pub fn trip(&self, now_ms: Millis) -> Trip<'_> {
+        Trip {
+            target: &self.arrival.target,
+            work: self.work(),
+            body: self.arrival.body,
+            allowed: &self.allowed,
+            left_ms: self.left_ms(now_ms),
+            tried: &self.tried_regions,
+        }
+    }
+}
--- a/src/decision/summary.rs
+++ b/src/decision/summary.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::{
+    context::Context,
     endpoint::prior_ratio,
-    policy::Policy,
     view::{
         EndpointState,
         ForwardHost,
@@ -17,7 +17,6 @@
 use crate::{
     intent::Intents,
     types::{
-        Millis,
         RegionId,
         Revision,
         Target, //
@@ -27,54 +26,43 @@
 /// Hosts named in a summary; more do not fit in a datagram.
 pub const MAX_FORWARD_HOSTS: usize = 8;
 
-/// Sums up a region from this host's view.
+/// Sums up this host's region from its view.
 ///
-/// `revision` is the one in force here. Endpoints that serve another version of
+/// Endpoints that serve another version of
 /// a model than the one in force are left out.
-pub fn region_summary(
-    view: &View,
-    now_ms: Millis,
-    region: &RegionId,
-    intents: &Intents,
-    policy: &Policy,
-) -> RegionSummary {
-    let revisions = view.ready_hosts(now_ms, region, policy);
+pub fn region_summary(context: &Context<'_>, intents: &Intents) -> RegionSummary {
+    let revisions = context.ready_hosts();
     let lowest = revisions.map(|state| state.heartbeat.revision).min();
     RegionSummary {
-        region: region.clone(),
-        made_ms: now_ms,
-        capacity: capacity(view, now_ms, region, intents, policy),
+        region: context.region.clone(),
+        made_ms: context.now_ms,
+        capacity: capacity(context, intents),
         lowest_revision: lowest.unwrap_or(intents.revision).min(intents.revision),
-        hosts: forward_hosts(view, now_ms, region, policy),
+        hosts: forward_hosts(context),
     }
 }
 
-fn capacity(
-    view: &View,
-    now_ms: Millis,
-    region: &RegionId,
-    intents: &Intents,
-    policy: &Policy,
-) -> Vec<TargetCapacity> {
+fn capacity(context: &Context<'_>, intents: &Intents) -> Vec<TargetCapacity> {
     let mut by_target: BTreeMap<&Target, Vec<&EndpointState>> = BTreeMap::new();
-    for state in view.endpoints.values() {
-        let is_here = state.info.region == *region && state.takes_work();
+    for state in context.view.endpoints.values() {
+        let is_here = state.info.region == *context.region && state.takes_work();
         if is_here && serves_version(state, intents) {
             by_target.entry(&state.info.target).or_default().push(state);
         }
     }
-    let hosts = view.host_count(now_ms, region, policy);
     by_target
         .into_iter()
         .map(|(target, states)| TargetCapacity {
             target: target.clone(),
             slots: states.iter().map(|state| state.info.slots).sum(),
-            busy: busy(&states, now_ms, hosts, policy),
+            busy: busy(context, &states),
         })
         .collect()
 }
 
-fn busy(states: &[&EndpointState], now_ms: Millis, hosts: usize, policy: &Policy) -> u32 {
+fn busy(context: &Context<'_>, states: &[&EndpointState]) -> u32 {
+    let (now_ms, policy) = (context.now_ms, context.policy);
+    let hosts = context.host_count();
     let prior = prior_ratio(states, now_ms, policy);
     let loads = states.iter().map(|state| {
         let slots = f64::from(state.info.slots);
@@ -92,13 +80,8 @@
     }
 }
 
-fn forward_hosts(
-    view: &View,
-    now_ms: Millis,
-    region: &RegionId,
-    policy: &Policy,
-) -> Vec<ForwardHost> {
-    let mut ready: Vec<&HostState> = view.ready_hosts(now_ms, region, policy).collect();
+fn forward_hosts(context: &Context<'_>) -> Vec<ForwardHost> {
+    let mut ready: Vec<&HostState> = context.ready_hosts().collect();
     ready.sort_by_key(|state| (state.is_overloaded, state.heartbeat.open_requests));
     let named = ready.into_iter().take(MAX_FORWARD_HOSTS);
     named
--- /dev/null
+++ b/src/decision/tick.rs
@@ -0,0 +1,130 @@
+//! What happens because time passes.
+
+use super::{
+    Gateway,
+    event::{
+        Action,
+        Refusal,
+        RefusalReason, //
+    },
+    request::Place, //
+};
+use crate::types::{
+    Millis,
+    RequestId,
+    Target, //
+};
+
+/// Part of the predicted wait that a queued request may count on not having.
+/// A request is given up only if even a queue twice as fast would be too late.
+const WAIT_TOLERANCE: f64 = 0.5;
+
+impl Gateway {
+    pub(super) fn tick(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        self.known.view.refresh(now_ms, &self.known.policy);
+        let slots = self.known.view.slots(&self.known.region);
+        self.regions.note_home(now_ms, &self.known.region, &slots);
+        for request in self.take_due(now_ms) {
+            self.wake(now_ms, request, actions);
+        }
+        for target in self.queue.targets() {
+            self.refuse_late(now_ms, &target, actions);
+            self.release(now_ms, &target, actions);
+        }
+    }
+
+    fn take_due(&mut self, now_ms: Millis) -> Vec<RequestId> {
+        let later = self
+            .timers
+            .split_off(&(now_ms + Millis(1), RequestId::default()));
+        let due = std::mem::replace(&mut self.timers, later);
+        due.into_iter().map(|(_, request)| request).collect()
+    }
+
+    fn wake(&mut self, now_ms: Millis, request: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&request) else {
+            return;
+        };
+        let policy = &self.known.policy;
+        if let Some(answered_ms) = open.answered_ms {
+            if answered_ms + policy.cancel_wait_ms <= now_ms {
+                self.write_off(now_ms, request);
+            }
+            return;
+        }
+        if open.arrival.deadline_ms <= now_ms {
+            return self.expire(now_ms, request, actions);
+        }
+        match open.place {
+            Place::Delayed { until_ms } if until_ms <= now_ms => {
+                if let Some(open) = self.open.remove(&request) {
+                    self.place(now_ms, request, open, actions);
+                }
+            }
+            Place::Granting { since_ms } if since_ms + policy.grant_wait_ms <= now_ms => {
+                let caller = open.arrival.caller.clone();
+                self.budget.unavailable(&caller);
+                self.fund_waiting(now_ms, &caller, actions);
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends a request at its deadline.
+    ///
+    /// An answer that has begun is left to end by itself: the caller is already
+    /// reading it, and the whole answer is worth more than a cut one.
+    fn expire(&mut self, now_ms: Millis, request: RequestId, actions: &mut Vec<Action>) {
+        let refusal = Refusal::new(RefusalReason::DeadlinePassed);
+        let Some(open) = self.open.get_mut(&request) else {
+            return;
+        };
+        if open.has_first_token {
+            return;
+        }
+        if !open.is_running() {
+            if let Some(open) = self.take_waiting(request) {
+                self.refuse(request, open, refusal, actions);
+            }
+            return;
+        }
+        open.answered_ms = Some(now_ms);
+        let attempt = open.attempt;
+        let until_ms = now_ms + self.known.policy.cancel_wait_ms;
+        self.timers.insert((until_ms, request));
+        actions.push(Action::Cancel { request, attempt });
+        actions.push(Action::Refuse { request, refusal });
+    }
+
+    /// Refuses queued requests that cannot finish by their deadline any more.
+    fn refuse_late(&mut self, now_ms: Millis, target: &Target, actions: &mut Vec<Action>) {
+        let slots = self.known.view.slots(&self.known.region);
+        let slots = slots.get(target).copied().unwrap_or(0);
+        let context = self.known.context(now_ms);
+        let typical_ms = context.predictor.typical_run_ms(context.policy, target);
+        let each_ms = typical_ms * context.host_count() as f64 / f64::from(slots.max(1));
+        let slots = f64::from(slots.max(1));
+        let mut late = Vec::new();
+        let mut ahead = 0.0;
+        for request in self.queue.in_order(target) {
+            let Some(open) = self.open.get(&request) else {
+                continue;
+            };
+            let run = context
+                .predictor
+                .predict(context.policy, target, open.work(), 0.0, slots);
+            let wait_ms = (ahead + 1.0) * each_ms * WAIT_TOLERANCE;
+            if wait_ms + run.run_ms() > open.left_ms(now_ms).0 as f64 {
+                late.push(request);
+            } else {
+                ahead += 1.0;
+            }
+        }
+        let refusal = self.later(RefusalReason::Overloaded);
+        for request in late {
+            if let Some(open) = self.take_waiting(request) {
+                self.refuse(request, open, refusal, actions);
+            }
+        }
+    }
+}
--- a/src/decision/view.rs
+++ b/src/decision/view.rs
@@ -301,6 +301,16 @@
             .filter(move |state| version.is_none_or(|version| state.info.version == version))
     }
 
+    /// Slots of the endpoints of a region that take new work, by target.
+    pub fn slots(&self, region: &RegionId) -> BTreeMap<Target, u32> {
+        let targets = self.by_target.get(region);
+        let slots = targets.into_iter().flatten().map(|(target, _)| {
+            let states = self.serving(region, target, None);
+            (target.clone(), states.map(|state| state.info.slots).sum())
+        });
+        slots.collect()
+    }
+
     /// Takes over a load report unless a newer one is known.
     pub fn apply_report(&mut self, report: EndpointReport) {
         if let Some(state) = self.endpoints.get_mut(&report.endpoint) {
@@ -319,12 +329,13 @@
         }
     }
 
-    /// Takes over a summary unless a newer one is known.
-    pub fn apply_summary(&mut self, now_ms: Millis, mut summary: RegionSummary) {
+    /// Takes over a summary unless a newer one is known, and returns whether it
+    /// did.
+    pub fn apply_summary(&mut self, now_ms: Millis, mut summary: RegionSummary) -> bool {
         let known = self.summaries.get(&summary.region);
         let known = known.map(|known| &known.summary);
         if known.is_some_and(|known| known.made_ms >= summary.made_ms) {
-            return;
+            return false;
         }
         if let Some(known) = known {
             summary.lowest_revision = summary.lowest_revision.max(known.lowest_revision);
@@ -335,6 +346,7 @@
             heard_ms: now_ms,
         };
         self.summaries.insert(region, state);
+        true
     }
 
     /// The summary of a region, unless it is too old.
