--- a/src/relay.rs
+++ b/src/relay.rs
@@ -100,14 +100,20 @@
 enum Claim {
     Unsent(Unsent),
     Sent(Sent),
+    /// The final answer has been given.
+    Settled,
 }
 
 impl Claim {
+    fn take(&mut self) -> Self {
+        std::mem::replace(self, Self::Settled)
+    }
+
     fn into_state(self, has_delivered: bool) -> RunState {
         match self {
             _ if has_delivered => RunState::Partial,
             Self::Unsent(unsent) => RunState::NotRun(unsent.give_up()),
-            Self::Sent(_) => RunState::Unknown,
+            Self::Sent(_) | Self::Settled => RunState::Unknown,
         }
     }
 }
@@ -220,8 +226,7 @@
 
     fn give_up(&mut self, refusal: Refusal) {
         let has_delivered = self.stream.is_started;
-        let claim = std::mem::replace(&mut self.claim, Claim::Unsent(Unsent::new()));
-        let state = claim.into_state(has_delivered);
+        let state = self.claim.take().into_state(has_delivered);
         let answer = ErrorAnswer::from_refusal(refusal, state);
         tracing::info!(
             request = %self.request,
@@ -269,24 +274,18 @@
 
     /// Records that bytes leave now; returns whether they are the first ones.
     fn mark_sent(&mut self) -> bool {
-        let claim = std::mem::replace(&mut self.claim, Claim::Unsent(Unsent::new()));
-        match claim {
-            Claim::Unsent(unsent) => {
-                self.claim = Claim::Sent(unsent.mark_sent());
-                true
-            }
-            sent @ Claim::Sent(_) => {
-                self.claim = sent;
-                false
-            }
-        }
+        let (claim, is_first) = match self.claim.take() {
+            Claim::Unsent(unsent) => (Claim::Sent(unsent.mark_sent()), true),
+            other => (other, false),
+        };
+        self.claim = claim;
+        is_first
     }
 
     fn restore_unsent(&mut self) {
-        let claim = std::mem::replace(&mut self.claim, Claim::Unsent(Unsent::new()));
-        self.claim = match claim {
+        self.claim = match self.claim.take() {
             Claim::Sent(sent) => Claim::Unsent(sent.refused_by_executor()),
-            unsent @ Claim::Unsent(_) => unsent,
+            other => other,
         };
     }
 
