--- a/src/decision/endpoint.rs
+++ b/src/decision/endpoint.rs
@@ -75,7 +75,8 @@
 
 /// Endpoints of a region that could serve a request now.
 ///
-/// Those that have failed it are left out if there are others.
+/// Those that have failed it, or any request lately, are left out if there are
+/// others.
 pub fn candidates(context: &Context<'_>, demand: &Demand<'_>) -> Vec<Candidate> {
     let (now_ms, policy) = (context.now_ms, context.policy);
     let view = context.view;
@@ -83,10 +84,8 @@
     let states: Vec<&EndpointState> = serving.collect();
     let hosts = context.host_count();
     let prior = prior_ratio(&states, now_ms, policy);
-    let has_untried = states.iter().any(|state| !is_tried(state, demand));
-    states
+    preferred(states, now_ms, demand)
         .into_iter()
-        .filter(|state| !has_untried || !is_tried(state, demand))
         .map(|state| {
             let prior = prior * f64::from(state.info.slots);
             let load = state.load(now_ms, prior, hosts, policy);
@@ -95,6 +94,19 @@
         .collect()
 }
 
+/// Endpoints that have not failed this request, if any, and of these the ones
+/// that have not failed lately, if any.
+fn preferred<'a>(
+    states: Vec<&'a EndpointState>,
+    now_ms: Millis,
+    demand: &Demand<'_>,
+) -> Vec<&'a EndpointState> {
+    let rank = |state: &EndpointState| (is_tried(state, demand), state.is_avoided(now_ms));
+    let best = states.iter().map(|state| rank(state)).min();
+    let is_best = |state: &&EndpointState| Some(rank(state)) == best;
+    states.into_iter().filter(is_best).collect()
+}
+
 /// Mean reported load of endpoints for each slot, weighted by report age.
 pub(super) fn prior_ratio(states: &[&EndpointState], now_ms: Millis, policy: &Policy) -> f64 {
     let mut load = 0.0;
--- a/src/decision/finish.rs
+++ b/src/decision/finish.rs
@@ -8,6 +8,7 @@
         Refusal,
         RefusalReason, //
     },
+    policy::Policy,
     request::{
         OpenRequest,
         Place, //
@@ -15,7 +16,8 @@
     retry::{
         self,
         may_repeat, //
-    }, //
+    },
+    view::EndpointState, //
 };
 use crate::types::{
     Attempt,
@@ -133,20 +135,23 @@
             }
         );
         let is_unreachable = matches!(outcome, AttemptOutcome::NotSent);
+        let policy = &self.known.policy;
         let view = &mut self.known.view;
         match &open.place {
             Place::Endpoint(id) => {
-                if let Some(state) = view.endpoints.get_mut(id).filter(|_| is_leaving) {
-                    state.mark_leaving();
+                if let Some(state) = view.endpoints.get_mut(id) {
+                    note_endpoint(state, now_ms, outcome, policy);
                 }
                 open.tried.push(id.clone());
             }
             Place::Away { region, host } => {
                 if is_leaving || is_unreachable {
-                    let until_ms = now_ms + self.known.policy.host_avoid_ms;
+                    // Other hosts of that region may still take it.
+                    let until_ms = now_ms + policy.host_avoid_ms;
                     view.avoid_host(host.clone(), until_ms);
+                } else {
+                    open.tried_regions.push(region.clone());
                 }
-                open.tried_regions.push(region.clone());
             }
             Place::Granting { .. } | Place::Queued | Place::Delayed { .. } => {}
         }
@@ -186,7 +191,7 @@
         actions: &mut Vec<Action>,
     ) {
         let hint_ms = retry_hint_ms(outcome);
-        let delay_ms = self.retry_delay_ms(now_ms, &open, hint_ms);
+        let delay_ms = self.retry_delay_ms(&open, hint_ms);
         let is_in_time = now_ms + delay_ms < open.arrival.deadline_ms;
         let has_attempts = open.attempt.0 + 1 < self.known.policy.max_attempts;
         if !is_in_time || !has_attempts || !self.retries.spend() {
@@ -203,16 +208,14 @@
         self.send_after(now_ms, request, open, delay_ms, actions);
     }
 
-    fn retry_delay_ms(
-        &mut self,
-        now_ms: Millis,
-        open: &OpenRequest,
-        hint_ms: Option<Millis>,
-    ) -> Millis {
+    fn retry_delay_ms(&mut self, open: &OpenRequest, hint_ms: Option<Millis>) -> Millis {
         let delay_ms = retry::delay(&mut self.rng, &self.known.policy, open.attempt);
-        let context = self.known.context(now_ms);
+        let known = &self.known;
         let target = &open.arrival.target;
-        let mut serving = context.view.serving(context.region, target, None);
+        let version = known.version(target).flatten();
+        let mut serving = known
+            .view
+            .serving(&known.region, target, version.as_deref());
         let has_other = serving.any(|state| !open.tried.contains(&state.info.id));
         match hint_ms {
             Some(hint_ms) if !has_other => delay_ms.max(hint_ms),
@@ -255,6 +258,24 @@
     }
 }
 
+fn note_endpoint(
+    state: &mut EndpointState,
+    now_ms: Millis,
+    outcome: &AttemptOutcome,
+    policy: &Policy,
+) {
+    match outcome {
+        AttemptOutcome::Rejected {
+            is_leaving: true, ..
+        } => state.mark_leaving(),
+        AttemptOutcome::NotSent
+        | AttemptOutcome::Rejected { .. }
+        | AttemptOutcome::Interrupted { .. } => state.note_failure(now_ms, policy),
+        AttemptOutcome::Complete { .. } => state.note_success(),
+        AttemptOutcome::Failed { .. } | AttemptOutcome::CallerGone { .. } => {}
+    }
+}
+
 fn retry_hint_ms(outcome: &AttemptOutcome) -> Option<Millis> {
     match outcome {
         AttemptOutcome::Rejected { retry_after_ms, .. } => *retry_after_ms,
--- a/src/decision/load.rs
+++ b/src/decision/load.rs
@@ -31,6 +31,9 @@
 /// Ended attempts remembered between two reports.
 const ENDED_LIMIT: usize = 256;
 
+/// Doublings of the time for which a failing endpoint is avoided.
+const MAX_DOUBLINGS: u32 = 5;
+
 /// An endpoint with what is known of its load.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointState {
@@ -43,6 +46,8 @@
     /// Prompt prefixes that this host has sent there.
     pub prefixes: PrefixMemory,
     leaving: Option<LeavingMark>,
+    failures: u32,
+    avoid_until_ms: Millis,
     past: Vec<Incarnation>,
     sends: BTreeMap<(RequestId, Attempt), Millis>,
     ended: Vec<EndedSend>,
@@ -69,6 +74,8 @@
             unlisted_ms: None,
             prefixes: PrefixMemory::new(),
             leaving: None,
+            failures: 0,
+            avoid_until_ms: Millis(0),
             past: Vec::new(),
             sends: BTreeMap::new(),
             ended: Vec::new(),
@@ -152,6 +159,7 @@
 
     fn start_run(&mut self) {
         self.leaving = None;
+        self.note_success();
         self.prefixes.clear();
         if let Some(old) = self.report.take() {
             self.past.push(old.incarnation);
@@ -188,6 +196,28 @@
         });
     }
 
+    /// Avoids it for a while that doubles with each failure in a row.
+    ///
+    /// An endpoint that has crashed shows no load, and would otherwise attract
+    /// requests until the list drops it.
+    pub fn note_failure(&mut self, now_ms: Millis, policy: &Policy) {
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        let wait_ms = policy.endpoint_avoid_ms.0.saturating_mul(1 << doublings);
+        self.avoid_until_ms = now_ms + Millis(wait_ms);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Ends the avoidance.
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+        self.avoid_until_ms = Millis(0);
+    }
+
+    /// Whether it has failed lately, so that others come first.
+    pub fn is_avoided(&self, now_ms: Millis) -> bool {
+        now_ms < self.avoid_until_ms
+    }
+
     /// Weight of the newest report, from 1 when new to 0 at its bound.
     pub fn report_weight(&self, now_ms: Millis, policy: &Policy) -> f64 {
         let Some(report) = self.report.as_ref() else {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -36,6 +36,7 @@
     sync::Arc, //
 };
 
+use compact_str::CompactString;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -78,7 +79,8 @@
         MbitPerSecond,
         Millis,
         RegionId,
-        RequestId, //
+        RequestId,
+        Target, //
     }, //
 };
 
@@ -128,6 +130,18 @@
             policy: &self.policy,
         }
     }
+
+    /// The version that endpoints of a target must serve, `Some(None)` for a
+    /// service, or `None` if the target is no longer in force.
+    fn version(&self, target: &Target) -> Option<Option<CompactString>> {
+        match target {
+            Target::Service(_) => Some(None),
+            Target::Model(id) => {
+                let model = self.intents.as_ref()?.model(id)?;
+                Some(Some(model.version.clone()))
+            }
+        }
+    }
 }
 
 /// The decision state of one host.
--- a/src/decision/place.rs
+++ b/src/decision/place.rs
@@ -86,13 +86,10 @@
     }
 
     fn decide(&mut self, now_ms: Millis, open: &OpenRequest, ahead: usize) -> Decision {
-        let intents = self.known.intents.clone();
-        let version = match &open.arrival.target {
-            Target::Service(_) => None,
-            Target::Model(id) => intents.as_ref().and_then(|intents| intents.model(id)),
+        let Some(version) = self.known.version(&open.arrival.target) else {
+            return Decision::Refuse(Refusal::new(RefusalReason::UnknownTarget));
         };
-        let version = version.map(|model| model.version.as_str());
-        let demand = open.demand(version);
+        let demand = open.demand(version.as_deref());
         let candidates = endpoint::candidates(&self.known.context(now_ms), &demand);
         self.turn = self.turn.wrapping_add(1);
         if let Some((region, host)) = self.choose_away(now_ms, open, &candidates, ahead) {
--- a/src/decision/policy.rs
+++ b/src/decision/policy.rs
@@ -79,6 +79,9 @@
     pub near_equal_ms: Millis,
     /// Load relative to the mean up to which affinity holds, in thousandths.
     pub bounded_load_permille: u16,
+    /// How long an endpoint that has failed is chosen last; doubles with each
+    /// failure in a row.
+    pub endpoint_avoid_ms: Millis,
     /// How long an endpoint without requests is kept after it left the list.
     /// Covers a list that shows old states out of order.
     pub endpoint_forget_ms: Millis,
@@ -186,6 +189,7 @@
             near_equal_permille: 100,
             near_equal_ms: Millis(20),
             bounded_load_permille: 1_250,
+            endpoint_avoid_ms: Millis(1_000),
             endpoint_forget_ms: Millis(600_000),
             host_live_ms: Millis(2_000),
             host_forget_ms: Millis(10_000),
--- a/src/decision/region.rs
+++ b/src/decision/region.rs
@@ -86,6 +86,9 @@
     pub slots: f64,
     /// Requests that this host may send there until the next summary.
     pub room: f64,
+    /// The same while home cannot serve them in time. A region that has
+    /// returned is then not spared, since it can refuse what is too much.
+    pub forced_room: f64,
 }
 
 /// State of the choice between regions.
@@ -199,11 +202,16 @@
         R: Rng,
     {
         let left_ms = trip.left_ms.0 as f64;
+        let is_home_late = home.finish_ms.is_none_or(|finish_ms| finish_ms > left_ms);
+        let room = |remote: &Remote| match is_home_late {
+            true => remote.forced_room,
+            false => remote.room,
+        };
         // A fraction of a request is allowed as often as it says.
         let draw = rng.random::<f64>();
         let best = remotes
             .iter()
-            .filter(|remote| remote.finish_ms <= left_ms && remote.room > draw)
+            .filter(|remote| remote.finish_ms <= left_ms && room(remote) > draw)
             .min_by(|a, b| a.finish_ms.total_cmp(&b.finish_ms));
         let is_better = best.is_some_and(|best| self.is_better(context, trip, home, best));
         let flow = self.flows.entry(trip.target.clone()).or_default();
@@ -221,9 +229,8 @@
         let policy = context.policy;
         let flow = self.flows.get(trip.target).copied().unwrap_or_default();
         let ramp = self.factor(context, context.region, trip.target);
-        let is_home_late = home
-            .finish_ms
-            .is_none_or(|finish_ms| finish_ms > trip.left_ms.0 as f64);
+        let left_ms = trip.left_ms.0 as f64;
+        let is_home_late = home.finish_ms.is_none_or(|finish_ms| finish_ms > left_ms);
         let is_pressed = is_home_late || (ramp < 1.0 && home.ratio >= ramp);
         if is_pressed {
             return flow.has_room(policy.away_forced_cap_permille);
@@ -273,16 +280,16 @@
         let unseen = link.unseen(trip.target, state.heard_ms) as f64;
         let slots = f64::from(capacity.slots);
         let busy = f64::from(capacity.busy);
-        let usable = slots * self.factor(context, region, trip.target);
-        let free = (usable - busy).max(0.0);
+        let free = (slots - busy).max(0.0) * share(policy.away_free_permille) / hosts;
         let load = busy + unseen * hosts;
         Some(Remote {
             region: region.clone(),
             finish_ms: trip_ms(context, link, trip)
-                + run_ms(context, trip, load, usable, home.endpoint_slots),
+                + run_ms(context, trip, load, slots, home.endpoint_slots),
             ratio: busy / slots,
             slots,
-            room: free * share(policy.away_free_permille) / hosts - unseen,
+            room: free * self.factor(context, region, trip.target) - unseen,
+            forced_room: free - unseen,
         })
     }
 }
@@ -299,10 +306,10 @@
     context: &Context<'_>,
     trip: &Trip<'_>,
     load: f64,
-    usable: f64,
+    slots: f64,
     endpoint_slots: f64,
 ) -> f64 {
-    let scale = endpoint_slots / usable.max(1.0);
+    let scale = endpoint_slots / slots.max(1.0);
     let predictor = context.predictor;
     let one = predictor.predict(
         context.policy,
