--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,20 @@
 //! The command line.
 
-use std::process::ExitCode;
+use std::{
+    io::stdout,
+    process::ExitCode, //
+};
 
 use clap::{
     Parser,
     Subcommand, //
 };
 
+use crate::experiment::{
+    self,
+    ExperimentArgs, //
+};
+
 /// Multi-region inference gateway.
 #[derive(Debug, Parser)]
 #[command(name = "cardamombridge", version, about)]
@@ -16,9 +24,15 @@
 }
 
 #[derive(Debug, Subcommand)]
-enum Command {}
+enum Command {
+    /// Compare policies on a seeded workload in virtual time.
+    Experiment(ExperimentArgs),
+}
 
 /// Runs the command and returns the exit code of the process.
 pub fn run(cli: Cli) -> anyhow::Result<ExitCode> {
-    match cli.command {}
+    match cli.command {
+        Command::Experiment(args) => experiment::run(&args, &mut stdout().lock())?,
+    }
+    Ok(ExitCode::SUCCESS)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cli;
 pub mod decision;
+pub mod experiment;
 pub mod http;
 pub mod intent;
 pub mod outcome;
