--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -41,11 +41,8 @@
         view::{
             EndpointInfo,
             EndpointReport,
-            ForwardHost,
             Heartbeat,
-            HostInfo,
-            RegionSummary,
-            TargetCapacity, //
+            HostInfo, //
         }, //
     },
     intent::{
@@ -254,7 +251,7 @@
                     links: links.collect(),
                     seed: seed.wrapping_add(number as u64),
                 };
-                gateway(config, policy)
+                Gateway::new(config).with_policy(policy.clone())
             })
             .collect()
     }
@@ -396,41 +393,6 @@
         }
     }
 
-    /// What the first host of a region says of it.
-    pub fn summary(&self, region: usize, now_ms: Millis, _hosts: &[Gateway]) -> RegionSummary {
-        let mut capacity: Vec<TargetCapacity> = Vec::new();
-        let up = |engine: &&Engine| engine.region == region && engine.is_up;
-        for engine in self.engines.iter().filter(up) {
-            let target = engine.target();
-            let load = engine.model.load();
-            let busy = load.running + load.waiting;
-            match capacity.iter_mut().find(|one| one.target == target) {
-                Some(known) => {
-                    known.slots += engine.slots();
-                    known.busy += busy;
-                }
-                None => capacity.push(TargetCapacity {
-                    target,
-                    slots: engine.slots(),
-                    busy,
-                }),
-            }
-        }
-        let hosts = self.hosts_in(region).into_iter();
-        let hosts = hosts.map(|number| ForwardHost {
-            host: self.host_id(number),
-            peer_address: address(number),
-            caller_address: address(number),
-        });
-        RegionSummary {
-            region: self.regions[region].clone(),
-            made_ms: now_ms,
-            capacity,
-            lowest_revision: Revision(1),
-            hosts: hosts.collect(),
-        }
-    }
-
     /// Adds what the engines have computed.
     pub fn add_totals(&self, totals: &mut Totals) {
         for engine in &self.engines {
@@ -464,7 +426,3 @@
         },
     }
 }
-
-fn gateway(config: GatewayConfig, _policy: &Policy) -> Gateway {
-    Gateway::new(config)
-}
--- a/src/experiment/measure.rs
+++ b/src/experiment/measure.rs
@@ -112,7 +112,8 @@
     /// counts with its whole patience, since otherwise a policy could improve
     /// its tail by refusing.
     pub fn new(jobs: &[Job], fates: &[Option<Fate>], totals: &Totals) -> Self {
-        let mut first = Histogram::<u64>::new_with_bounds(1, MAX_TIME_MS, 3).expect("bounds are valid");
+        let mut first =
+            Histogram::<u64>::new_with_bounds(1, MAX_TIME_MS, 3).expect("bounds are valid");
         let mut whole = first.clone();
         let (mut answered, mut refused, mut late, mut useful) = (0, 0, 0, Tokens(0));
         for (job, fate) in jobs.iter().zip(fates) {
--- a/src/experiment/world.rs
+++ b/src/experiment/world.rs
@@ -796,9 +796,11 @@
 
     fn summarize(&mut self) {
         for region in 0..self.customer.regions.len() {
-            let summary = self.fleet.summary(region, self.now_ms(), &self.hosts);
+            let from = self.fleet.hosts_in(region)[0];
+            let Some(summary) = self.hosts[from].region_summary(self.now_ms()) else {
+                continue;
+            };
             for host in 0..self.hosts.len() {
-                let from = self.fleet.hosts_in(region)[0];
                 if self.fleet.region_of(host) == region || self.is_cut(from, host) {
                     continue;
                 }
