--- a/src/experiment/measure.rs
+++ b/src/experiment/measure.rs
@@ -5,7 +5,10 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use super::workload::Job;
+use super::{
+    workload::Job,
+    world::Trace, //
+};
 use crate::types::{
     Bytes,
     CostMicros,
@@ -106,26 +109,26 @@
 }
 
 impl Measures {
-    /// Sums up a replay; `fates` has one entry for each job.
+    /// Sums up a replay; `traces` has one entry for each job.
     ///
     /// Percentiles are over interactive model requests. One that is refused
     /// counts with its whole patience, since otherwise a policy could improve
     /// its tail by refusing.
-    pub fn new(jobs: &[Job], fates: &[Option<Fate>], totals: &Totals) -> Self {
+    pub fn new(jobs: &[Job], traces: &[Trace], totals: &Totals) -> Self {
         let mut first =
             Histogram::<u64>::new_with_bounds(1, MAX_TIME_MS, 3).expect("bounds are valid");
         let mut whole = first.clone();
         let (mut answered, mut refused, mut late, mut useful) = (0, 0, 0, Tokens(0));
-        for (job, fate) in jobs.iter().zip(fates) {
+        for (job, trace) in jobs.iter().zip(traces) {
             let mut times = (job.patience, job.patience);
-            match fate {
+            match trace.fate {
                 Some(Fate::Answered {
                     first_token,
                     whole: to_end,
                 }) => {
                     answered += 1;
-                    late += u64::from(*to_end > job.patience);
-                    times = (*first_token, *to_end);
+                    late += u64::from(to_end > job.patience);
+                    times = (first_token, to_end);
                     if !job.is_order {
                         useful = useful + job.output;
                     }
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -96,7 +96,7 @@
         customer: label(name),
         routing: policy.routing,
         seed,
-        measures: Measures::new(&workload.jobs, &replay.fates, &replay.totals),
+        measures: Measures::new(&workload.jobs, &replay.traces, &replay.totals),
     }
 }
 
--- a/src/experiment/world.rs
+++ b/src/experiment/world.rs
@@ -27,7 +27,6 @@
 use super::{
     customer::Customer,
     fleet::{
-        Engine,
         Fleet,
         Run, //
     },
@@ -128,9 +127,23 @@
     first_token: Option<Duration>,
     delivered: u64,
     tries: u32,
+    runs: u32,
+    ends: u32,
     is_away: bool,
 }
 
+impl Progress {
+    fn trace(&self) -> Trace {
+        Trace {
+            fate: self.fate,
+            ends: self.ends,
+            delivered: Tokens(self.delivered),
+            runs: self.runs,
+            is_away: self.is_away,
+        }
+    }
+}
+
 /// An attempt of a request at a host.
 type AttemptKey = (usize, RequestId, Attempt);
 
@@ -179,13 +192,26 @@
     }
 }
 
+/// What one request has gone through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Trace {
+    /// How it ended for its caller.
+    pub fate: Option<Fate>,
+    /// How often an end was told to the caller; one, or there is a fault.
+    pub ends: u32,
+    /// Tokens that the caller has got.
+    pub delivered: Tokens,
+    /// How often an engine or service accepted it.
+    pub runs: u32,
+    /// Whether it was sent to another region.
+    pub is_away: bool,
+}
+
 /// The end of a replay.
 #[derive(Debug)]
 pub struct Replay {
-    /// How each request ended, in the order of the jobs.
-    pub fates: Vec<Option<Fate>>,
-    /// Tokens that each request has got, in the order of the jobs.
-    pub delivered: Vec<u64>,
+    /// What each request has gone through, in the order of the jobs.
+    pub traces: Vec<Trace>,
     /// Sums.
     pub totals: Totals,
 }
@@ -304,8 +330,7 @@
         self.totals.away = self.progress.iter().filter(|one| one.is_away).count() as u64;
         self.fleet.add_totals(&mut self.totals);
         Replay {
-            fates: self.progress.iter().map(|one| one.fate).collect(),
-            delivered: self.progress.iter().map(|one| one.delivered).collect(),
+            traces: self.progress.iter().map(Progress::trace).collect(),
             totals: self.totals,
         }
     }
@@ -433,6 +458,7 @@
 
     fn finish(&mut self, index: usize, fate: Fate) {
         let progress = &mut self.progress[index];
+        progress.ends += 1;
         if progress.fate.is_none() {
             progress.fate = Some(fate);
             self.open -= 1;
@@ -503,10 +529,10 @@
             self.after(back, Happening::Ended(key, AttemptOutcome::NotSent));
             return;
         }
-        // Tokens of steps that end now must be out before the load changes.
         match engine.submit(self.now, work, Run { key, job: index }) {
             Ok(id) => {
                 self.places.insert(key, Place::Endpoint(endpoint, id));
+                self.progress[index].runs += 1;
                 if let Some(leg) = self.legs.get_mut(&(key.0, key.1)) {
                     leg.has_run = true;
                 }
@@ -839,7 +865,7 @@
 
     fn switch_engines(&mut self, region: usize, is_up: bool) {
         for endpoint in 0..self.fleet.engines.len() {
-            let engine: &mut Engine = &mut self.fleet.engines[endpoint];
+            let engine = &mut self.fleet.engines[endpoint];
             if engine.region != region || engine.is_up == is_up {
                 continue;
             }
