--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::{
+    io::stdout,
     path::PathBuf,
     process::ExitCode, //
 };
@@ -12,6 +13,10 @@
 };
 
 use crate::{
+    experiment::{
+        self,
+        ExperimentArgs, //
+    },
     serve,
     settings, //
 };
@@ -31,6 +36,8 @@
     /// Check or print settings.
     #[command(subcommand)]
     Settings(SettingsCommand),
+    /// Compare policies on a seeded workload in virtual time.
+    Experiment(ExperimentArgs),
 }
 
 #[derive(Debug, Subcommand)]
@@ -54,5 +61,9 @@
         Command::Serve(file) => serve::run(&file.path),
         Command::Settings(SettingsCommand::Check(file)) => settings::check(&file.path),
         Command::Settings(SettingsCommand::Show(file)) => settings::show(&file.path),
+        Command::Experiment(args) => {
+            experiment::run(&args, &mut stdout().lock())?;
+            Ok(ExitCode::SUCCESS)
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod decider;
 pub mod decision;
+pub mod experiment;
 pub mod host;
 pub mod http;
 pub mod in_force;
