Settle an exchange before its final answer is written

A ticketed call has to end in the ticket table before its caller is told anything, so the relay now returns how the exchange ended. An answer can also be kept instead of written.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -97,8 +97,10 @@
 
 /// Whether any byte of the request has left this host so far.
 #[derive(Debug)]
-enum Claim {
+pub enum Claim {
+    /// None has.
     Unsent(Unsent),
+    /// Some may have.
     Sent(Sent),
     /// The final answer has been given.
     Settled,
@@ -109,7 +111,8 @@
         std::mem::replace(self, Self::Settled)
     }
 
-    fn into_state(self, has_delivered: bool) -> RunState {
+    /// What the caller is told.
+    pub fn into_state(self, has_delivered: bool) -> RunState {
         match self {
             _ if has_delivered => RunState::Partial,
             Self::Unsent(unsent) => RunState::NotRun(unsent.give_up()),
@@ -128,8 +131,59 @@
     usage: openai::Usage,
 }
 
-/// Serves one request; returns whether the caller got a whole answer.
-pub fn run(decider: &DeciderHandle, exchange: Exchange, sink: &mut AnswerSink) -> bool {
+/// How an exchange ended.
+#[derive(Debug)]
+pub enum Settlement {
+    /// The whole answer was passed on.
+    Answered(Sent),
+    /// There is no whole answer, and the caller still has to be told.
+    GivenUp {
+        /// Why.
+        refusal: Refusal,
+        /// Whether the request may have run.
+        claim: Claim,
+        /// Whether part of the answer was passed on.
+        has_delivered: bool,
+    },
+    /// Nobody waits for an answer any more.
+    CallerGone,
+}
+
+/// Serves one request and gives the caller its final answer.
+pub fn run(decider: &DeciderHandle, exchange: Exchange, sink: &mut AnswerSink) {
+    let request = exchange.arrival.request;
+    let settlement = carry(decider, exchange, Unsent::new(), sink);
+    if let Settlement::GivenUp {
+        refusal,
+        claim,
+        has_delivered,
+    } = settlement
+    {
+        let state = claim.into_state(has_delivered);
+        let answer = ErrorAnswer::from_refusal(refusal, state);
+        log_given_up(request, &answer);
+        sink.give_up(&answer);
+    }
+}
+
+/// Logs the final answer of a request without a result.
+pub fn log_given_up(request: RequestId, answer: &ErrorAnswer) {
+    tracing::info!(
+        %request,
+        status = answer.status,
+        code = %answer.body.error.code,
+        run_state = %answer.body.error.run_state,
+        "request given up"
+    );
+}
+
+/// Carries one request until it is settled; writes no error answer.
+pub fn carry(
+    decider: &DeciderHandle,
+    exchange: Exchange,
+    unsent: Unsent,
+    sink: &mut AnswerSink,
+) -> Settlement {
     let mut relay = Relay {
         decider,
         request: exchange.arrival.request,
@@ -137,7 +191,7 @@
         deadline: clock::instant_of(exchange.arrival.deadline_ms),
         payload: exchange.payload,
         sink,
-        claim: Claim::Unsent(Unsent::new()),
+        claim: Claim::Unsent(unsent),
         stream: StreamProgress::default(),
     };
     match decider.submit(exchange.arrival) {
@@ -146,8 +200,7 @@
             tracing::warn!(request = %relay.request, %error, "request shed");
             let refusal =
                 Refusal::new(RefusalReason::Overloaded).with_retry_after(SHED_RETRY_AFTER_MS);
-            relay.give_up(refusal);
-            false
+            relay.give_up(refusal)
         }
     }
 }
@@ -172,7 +225,7 @@
 }
 
 impl Relay<'_> {
-    fn follow(&mut self, actions: &Receiver<Action>) -> bool {
+    fn follow(&mut self, actions: &Receiver<Action>) -> Settlement {
         let mut attempt = Attempt::default();
         loop {
             match self.next_action(actions) {
@@ -183,29 +236,38 @@
                 }) => {
                     attempt = number;
                     let outcome = self.attempt(attempt, address);
-                    let is_last = !may_go_on(&outcome);
-                    let is_whole = matches!(outcome, AttemptOutcome::Complete { .. });
+                    let settled = self.settled_by(&outcome);
                     self.decider.ended(self.request, attempt, outcome);
-                    if is_last {
-                        return is_whole;
+                    if let Some(settlement) = settled {
+                        return settlement;
                     }
                 }
-                Some(Action::Refuse { refusal, .. }) => {
-                    self.give_up(refusal);
-                    return false;
-                }
+                Some(Action::Refuse { refusal, .. }) => return self.give_up(refusal),
                 Some(_) => {}
                 None => {
-                    let outcome = AttemptOutcome::CallerGone {
-                        wasted: self.stream.tokens,
-                    };
+                    let outcome = self.caller_gone();
                     self.decider.ended(self.request, attempt, outcome);
-                    return false;
+                    return Settlement::CallerGone;
                 }
             }
         }
     }
 
+    fn settled_by(&mut self, outcome: &AttemptOutcome) -> Option<Settlement> {
+        match outcome {
+            AttemptOutcome::Complete { .. } | AttemptOutcome::Failed { .. } => {
+                match self.claim.take() {
+                    Claim::Sent(sent) => Some(Settlement::Answered(sent)),
+                    _ => Some(Settlement::CallerGone),
+                }
+            }
+            AttemptOutcome::CallerGone { .. } => Some(Settlement::CallerGone),
+            AttemptOutcome::NotSent
+            | AttemptOutcome::Rejected { .. }
+            | AttemptOutcome::Interrupted { .. } => None,
+        }
+    }
+
     /// Waits for the next action; `None` if the caller is gone.
     fn next_action(&mut self, actions: &Receiver<Action>) -> Option<Action> {
         loop {
@@ -224,18 +286,12 @@
         }
     }
 
-    fn give_up(&mut self, refusal: Refusal) {
-        let has_delivered = self.stream.is_started;
-        let state = self.claim.take().into_state(has_delivered);
-        let answer = ErrorAnswer::from_refusal(refusal, state);
-        tracing::info!(
-            request = %self.request,
-            status = answer.status,
-            code = %answer.body.error.code,
-            run_state = %state,
-            "request given up"
-        );
-        self.sink.give_up(&answer);
+    fn give_up(&mut self, refusal: Refusal) -> Settlement {
+        Settlement::GivenUp {
+            refusal,
+            claim: self.claim.take(),
+            has_delivered: self.stream.is_started,
+        }
     }
 
     fn attempt(&mut self, attempt: Attempt, address: SocketAddr) -> AttemptOutcome {
@@ -529,15 +585,6 @@
     }
 }
 
-fn may_go_on(outcome: &AttemptOutcome) -> bool {
-    matches!(
-        outcome,
-        AttemptOutcome::NotSent
-            | AttemptOutcome::Rejected { .. }
-            | AttemptOutcome::Interrupted { .. }
-    )
-}
-
 fn rejection(answer: &Answer) -> AttemptOutcome {
     let retry_after_s = answer
         .head
--- a/src/sink.rs
+++ b/src/sink.rs
@@ -21,6 +21,8 @@
 /// Longest wait for a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+const NOT_A_STREAM: &str = "an answer that is kept cannot be a stream";
+
 /// How far the answer has been written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Progress {
@@ -30,10 +32,27 @@
     Broken,
 }
 
+/// An answer that is kept instead of written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CapturedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Fields of the endpoint's answer.
+    pub headers: Headers,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug)]
+enum Output {
+    Caller(Connection),
+    Capture(Option<CapturedAnswer>),
+}
+
 /// The caller's side of one exchange.
 #[derive(Debug)]
 pub struct AnswerSink {
-    connection: Connection,
+    output: Output,
     request: RequestId,
     is_closing: bool,
     progress: Progress,
@@ -42,8 +61,17 @@
 impl AnswerSink {
     /// A sink that writes to a caller's connection.
     pub fn new(connection: Connection, request: RequestId) -> Self {
+        Self::with_output(Output::Caller(connection), request)
+    }
+
+    /// A sink that keeps a whole answer; nobody waits at its other side.
+    pub fn capture(request: RequestId) -> Self {
+        Self::with_output(Output::Capture(None), request)
+    }
+
+    fn with_output(output: Output, request: RequestId) -> Self {
         Self {
-            connection,
+            output,
             request,
             is_closing: false,
             progress: Progress::Nothing,
@@ -59,12 +87,26 @@
     /// The connection, if another request may follow on it.
     pub fn into_connection(self) -> Option<Connection> {
         let is_reusable = self.progress == Progress::Ended && !self.is_closing;
-        is_reusable.then_some(self.connection)
+        match self.output {
+            Output::Caller(connection) if is_reusable => Some(connection),
+            _ => None,
+        }
+    }
+
+    /// The answer that was kept.
+    pub fn into_captured(self) -> Option<CapturedAnswer> {
+        match self.output {
+            Output::Capture(answer) => answer,
+            Output::Caller(_) => None,
+        }
     }
 
     /// Whether the caller has closed its end.
     pub fn is_gone(&self) -> bool {
-        self.connection.is_closed_by_peer()
+        match &self.output {
+            Output::Caller(connection) => connection.is_closed_by_peer(),
+            Output::Capture(_) => false,
+        }
     }
 
     /// Writes a whole answer.
@@ -74,27 +116,50 @@
         headers: Headers,
         body: &[u8],
     ) -> Result<(), MessageError> {
-        let headers = self.with_common(headers);
-        let result = server::respond(&mut self.connection, status, headers, body, deadline());
+        let common = self.with_common(headers.clone());
+        let result = match &mut self.output {
+            Output::Caller(connection) => {
+                server::respond(connection, status, common, body, deadline())
+            }
+            Output::Capture(answer) => {
+                *answer = Some(CapturedAnswer {
+                    status,
+                    headers,
+                    body: body.to_vec(),
+                });
+                Ok(())
+            }
+        };
         self.note(result, Progress::Ended)
     }
 
     /// Writes the head of a stream.
     pub fn start_stream(&mut self, headers: Headers) -> Result<(), MessageError> {
         let headers = self.with_common(headers);
-        let result = server::start_chunked(&mut self.connection, 200, headers, deadline());
+        let result = match &mut self.output {
+            Output::Caller(connection) => {
+                server::start_chunked(connection, 200, headers, deadline())
+            }
+            Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
+        };
         self.note(result, Progress::Streaming)
     }
 
     /// Writes a piece of a stream at once.
     pub fn piece(&mut self, bytes: &[u8]) -> Result<(), MessageError> {
-        let result = server::write_chunk(&mut self.connection, bytes, deadline());
+        let result = match &mut self.output {
+            Output::Caller(connection) => server::write_chunk(connection, bytes, deadline()),
+            Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
+        };
         self.note(result, Progress::Streaming)
     }
 
     /// Writes the proper end of a stream.
     pub fn end_stream(&mut self) -> Result<(), MessageError> {
-        let result = server::end_chunked(&mut self.connection, deadline());
+        let result = match &mut self.output {
+            Output::Caller(connection) => server::end_chunked(connection, deadline()),
+            Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
+        };
         self.note(result, Progress::Ended)
     }
 
