--- a/src/decision/endpoint.rs
+++ b/src/decision/endpoint.rs
@@ -220,10 +220,10 @@
     let holders = near.iter().filter(|one| one.cached_blocks > 0);
     let most_blocks = holders.clone().map(|one| one.cached_blocks).max();
     let holder = holders
-        .filter(|one| Some(one.cached_blocks) == most_blocks && is_within(one, bound))
+        .filter(|one| Some(one.cached_blocks) == most_blocks && is_within(one, bound, policy))
         .max_by_key(|one| rank(one));
     holder.copied().or_else(|| {
-        let within = open.iter().filter(|one| is_within(one, bound));
+        let within = open.iter().filter(|one| is_within(one, bound, policy));
         within.max_by_key(|one| rank(one)).copied()
     })
 }
@@ -235,9 +235,8 @@
     load / slots.max(1.0) * share(policy.bounded_load_permille)
 }
 
-fn is_within(one: &Candidate, bound: f64) -> bool {
-    // One request beyond the bound, or an idle region would have no affinity.
-    one.load <= bound * one.slots + 1.0
+fn is_within(one: &Candidate, bound: f64, policy: &Policy) -> bool {
+    one.load <= bound * one.slots + f64::from(policy.affinity_slack)
 }
 
 fn less_loaded_of_two<'a, R>(near: &[&'a Candidate], rng: &mut R) -> Option<&'a Candidate>
--- a/src/decision/policy.rs
+++ b/src/decision/policy.rs
@@ -70,7 +70,8 @@
     /// Age at which a load report has lost all weight.
     pub report_max_age_ms: Millis,
     /// Sends that each other host of the region is assumed to have made for
-    /// each send of this host since a report, in thousandths.
+    /// each send of this host since a report, in thousandths. At 500 and eight
+    /// hosts, one request of a conversation drove the next to a cold cache.
     pub peer_send_permille: u16,
     /// Endpoints whose predicted completion is this much later than the best
     /// one, in thousandths of it, count as equal.
@@ -79,6 +80,9 @@
     pub near_equal_ms: Millis,
     /// Load relative to the mean up to which affinity holds, in thousandths.
     pub bounded_load_permille: u16,
+    /// Requests beyond that bound up to which affinity holds, without which an
+    /// idle region would have none.
+    pub affinity_slack: u16,
     /// How long an endpoint that has failed is chosen last; doubles with each
     /// failure in a row.
     pub endpoint_avoid_ms: Millis,
@@ -185,10 +189,11 @@
             prefix_memory: 512,
             affinity_blocks: 2,
             report_max_age_ms: Millis(5_000),
-            peer_send_permille: 500,
+            peer_send_permille: 150,
             near_equal_permille: 100,
             near_equal_ms: Millis(20),
             bounded_load_permille: 1_250,
+            affinity_slack: 2,
             endpoint_avoid_ms: Millis(1_000),
             endpoint_forget_ms: Millis(600_000),
             host_live_ms: Millis(2_000),
