Run gossip on a UDP socket

One thread receives, checks and applies datagrams and hands the news to a closure; one thread runs the rounds and takes what this host has to say from a ring of 64 entries. Full rings drop their oldest entry and count it, since a newer fact replaces an older one. Stopping sends what was said last, so that the others learn that this host is leaving.

An actor thread that owns the gossip state was ruled out: the receive thread would have to copy each datagram into a ring first, and at about 16 datagrams a second the lock is not contended.

--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -89,6 +89,8 @@
 const DELEGATES: usize = 3;
 /// Time between rounds while the budget allows it.
 const ROUND_MS: Millis = Millis(200);
+/// Time until the next look when this host has nothing to say of itself yet.
+const WITHOUT_HEARTBEAT_MS: Millis = Millis(20);
 /// A round happens at least this often, with one datagram if need be.
 const MAX_ROUND_MS: Millis = Millis(1_000);
 /// Hosts of the region that are written to in one round.
@@ -475,7 +477,11 @@
 
     /// Sends a round if it is due.
     pub fn poll(&mut self, now_ms: Millis, out: &mut Vec<Outgoing>) {
-        if now_ms < self.next_round_ms || !self.store.hosts.contains_key(&self.config.host) {
+        if now_ms < self.next_round_ms {
+            return;
+        }
+        if !self.store.hosts.contains_key(&self.config.host) {
+            self.next_round_ms = now_ms + WITHOUT_HEARTBEAT_MS;
             return;
         }
         self.budget.refill(now_ms);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod gossip;
 pub mod measure;
+pub mod socket;
 pub mod store;
 pub mod wire;
 
--- /dev/null
+++ b/src/peer/socket.rs
@@ -0,0 +1,357 @@
+//! Runs gossip on a UDP socket with one thread to receive and one to send.
+//!
+//! The receive thread checks and applies datagrams and hands the news to a
+//! closure. The send thread runs the rounds, takes what this host has to say
+//! from a bounded ring and writes to the socket.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    }, //
+};
+
+use crossbeam::channel::{
+    Receiver,
+    RecvTimeoutError,
+    Sender,
+    TrySendError,
+    bounded, //
+};
+
+use super::{
+    gossip::{
+        Gossip,
+        GossipConfig,
+        GossipCounts,
+        News,
+        Outgoing, //
+    },
+    wire::{
+        ClusterKey,
+        MAX_DATAGRAM_BYTES, //
+    }, //
+};
+use crate::{
+    decision::view::{
+        EndpointReport,
+        Heartbeat,
+        RegionSummary, //
+    },
+    types::Millis, //
+};
+
+/// Datagrams and facts that wait to be sent; the oldest is dropped when full.
+const SEND_RING: usize = 64;
+/// Longest wait of either thread before it looks at the stop signal.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// The clock of gossip: milliseconds since the Unix epoch.
+pub fn wall_clock_ms() -> Millis {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis(since_epoch.map_or(0, |passed| passed.as_millis() as u64))
+}
+
+/// Something that this host has to say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Say {
+    /// What it says of itself.
+    Heartbeat(Heartbeat),
+    /// What it measured at an endpoint.
+    Report(EndpointReport),
+    /// What it says of its region.
+    Summary(RegionSummary),
+    /// Addresses of hosts to contact.
+    Seeds(Vec<SocketAddr>),
+}
+
+/// What was dropped because a ring was full or the socket refused it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct SocketCounts {
+    /// Things to say that were dropped, oldest first.
+    pub dropped_says: u64,
+    /// Datagrams to send that were dropped, oldest first.
+    pub dropped_datagrams: u64,
+    /// Datagrams that the socket did not take.
+    pub failed_sends: u64,
+}
+
+#[derive(Debug, Default)]
+struct Drops {
+    says: AtomicU64,
+    datagrams: AtomicU64,
+    failed_sends: AtomicU64,
+}
+
+/// A ring that drops its oldest entry when it is full.
+#[derive(Debug)]
+struct Ring<T> {
+    sender: Sender<T>,
+    receiver: Receiver<T>,
+}
+
+impl<T> Ring<T> {
+    fn new(entries: usize) -> Self {
+        let (sender, receiver) = bounded(entries);
+        Self { sender, receiver }
+    }
+
+    fn push(&self, entry: T, dropped: &AtomicU64) {
+        let mut entry = entry;
+        while let Err(TrySendError::Full(back)) = self.sender.try_send(entry) {
+            entry = back;
+            if self.receiver.try_recv().is_ok() {
+                dropped.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    gossip: Mutex<Gossip>,
+    socket: UdpSocket,
+    says: Ring<Say>,
+    replies: Ring<Outgoing>,
+    drops: Drops,
+    is_stopping: AtomicBool,
+}
+
+impl Shared {
+    /// A panic while the lock was held leaves facts that are at worst stale.
+    fn gossip(&self) -> MutexGuard<'_, Gossip> {
+        self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+}
+
+/// Gossip of this host while its threads run.
+#[derive(Debug)]
+pub struct GossipSocket {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl GossipSocket {
+    /// Starts the threads on a bound socket; `on_news` runs on the receive
+    /// thread for others' news and on the send thread for this host's reports.
+    ///
+    /// Fails if the socket cannot be configured or a thread cannot be started.
+    pub fn start<F>(
+        socket: UdpSocket,
+        config: GossipConfig,
+        key: &ClusterKey,
+        on_news: F,
+    ) -> io::Result<Self>
+    where
+        F: Fn(News) + Send + Sync + 'static,
+    {
+        socket.set_read_timeout(Some(MAX_WAIT))?;
+        let shared = Arc::new(Shared {
+            gossip: Mutex::new(Gossip::new(config, key)),
+            socket,
+            says: Ring::new(SEND_RING),
+            replies: Ring::new(SEND_RING),
+            drops: Drops::default(),
+            is_stopping: AtomicBool::new(false),
+        });
+        let on_news = Arc::new(on_news);
+        let mut running = Self {
+            shared: Arc::clone(&shared),
+            threads: Vec::new(),
+        };
+        let (receiver, news) = (Arc::clone(&shared), Arc::clone(&on_news));
+        running.spawn("gossip receive", move || receive_loop(&receiver, &*news))?;
+        running.spawn("gossip send", move || send_loop(&shared, &*on_news))?;
+        Ok(running)
+    }
+
+    fn spawn<F>(&mut self, name: &str, run: F) -> io::Result<()>
+    where
+        F: FnOnce() + Send + 'static,
+    {
+        let builder = thread::Builder::new().name(name.into());
+        self.threads.push(builder.spawn(run)?);
+        Ok(())
+    }
+
+    /// Queues something to say.
+    pub fn say(&self, say: Say) {
+        self.shared.says.push(say, &self.shared.drops.says);
+    }
+
+    /// Totals of the gossip.
+    pub fn counts(&self) -> GossipCounts {
+        self.shared.gossip().counts()
+    }
+
+    /// What was dropped.
+    pub fn socket_counts(&self) -> SocketCounts {
+        let drops = &self.shared.drops;
+        SocketCounts {
+            dropped_says: drops.says.load(Ordering::Relaxed),
+            dropped_datagrams: drops.datagrams.load(Ordering::Relaxed),
+            failed_sends: drops.failed_sends.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Stops both threads and waits for them.
+    pub fn stop(mut self) {
+        self.stop_threads();
+    }
+
+    fn stop_threads(&mut self) {
+        self.shared.is_stopping.store(true, Ordering::Release);
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                tracing::error!("a gossip thread panicked");
+            }
+        }
+    }
+}
+
+impl Drop for GossipSocket {
+    fn drop(&mut self) {
+        self.stop_threads();
+    }
+}
+
+fn receive_loop<F>(shared: &Shared, on_news: &F)
+where
+    F: Fn(News),
+{
+    // One byte more than allowed, so that a longer datagram is seen as such.
+    let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+    while !shared.is_stopping() {
+        match shared.socket.recv_from(&mut buffer) {
+            Ok((length, from)) => take_datagram(shared, from, &buffer[..length], on_news),
+            Err(error) if is_timeout(&error) => {}
+            Err(error) => {
+                // An ICMP error for an earlier datagram also surfaces here.
+                tracing::debug!(%error, "could not receive a datagram");
+            }
+        }
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted
+    )
+}
+
+fn take_datagram<F>(shared: &Shared, from: SocketAddr, bytes: &[u8], on_news: &F)
+where
+    F: Fn(News),
+{
+    let mut news = Vec::new();
+    let mut out = Vec::new();
+    let now_ms = wall_clock_ms();
+    let result = shared
+        .gossip()
+        .receive(now_ms, from, bytes, &mut news, &mut out);
+    if let Err(error) = result {
+        tracing::debug!(%error, %from, "refused a datagram");
+    }
+    for reply in out {
+        shared.replies.push(reply, &shared.drops.datagrams);
+    }
+    news.into_iter().for_each(on_news);
+}
+
+fn send_loop<F>(shared: &Shared, on_news: &F)
+where
+    F: Fn(News),
+{
+    while !shared.is_stopping() {
+        let mut out = Vec::new();
+        shared.gossip().poll(wall_clock_ms(), &mut out);
+        for datagram in &out {
+            send(shared, datagram);
+        }
+        wait(shared, on_news);
+    }
+    // What was said last, such as that this host is leaving, still goes out.
+    while let Ok(say) = shared.says.receiver.try_recv() {
+        apply_say(shared, say, on_news);
+    }
+    let mut out = Vec::new();
+    shared.gossip().poll(wall_clock_ms(), &mut out);
+    out.iter().for_each(|datagram| send(shared, datagram));
+}
+
+/// Handles replies and things to say until the next round is due.
+fn wait<F>(shared: &Shared, on_news: &F)
+where
+    F: Fn(News),
+{
+    let next_ms = shared.gossip().next_round_ms();
+    let wait_ms = (next_ms - wall_clock_ms()).0;
+    let timeout = Duration::from_millis(wait_ms).min(MAX_WAIT);
+    let received = crossbeam::channel::select! {
+        recv(shared.replies.receiver) -> reply => reply.map(|reply| send(shared, &reply)).ok(),
+        recv(shared.says.receiver) -> say => say.map(|say| apply_say(shared, say, on_news)).ok(),
+        default(timeout) => None,
+    };
+    if received.is_none() && wait_ms == 0 {
+        // A round that has nobody to write to must not spin.
+        match shared
+            .replies
+            .receiver
+            .recv_timeout(Duration::from_millis(1))
+        {
+            Ok(reply) => send(shared, &reply),
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {}
+        }
+    }
+}
+
+fn apply_say<F>(shared: &Shared, say: Say, on_news: &F)
+where
+    F: Fn(News),
+{
+    let now_ms = wall_clock_ms();
+    let mut news = Vec::new();
+    {
+        let mut gossip = shared.gossip();
+        match say {
+            Say::Heartbeat(heartbeat) => gossip.put_heartbeat(now_ms, heartbeat),
+            Say::Report(report) => gossip.put_report(now_ms, report, &mut news),
+            Say::Summary(summary) => gossip.put_summary(now_ms, summary),
+            Say::Seeds(addresses) => gossip.add_seeds(&addresses),
+        }
+    }
+    news.into_iter().for_each(on_news);
+}
+
+fn send(shared: &Shared, datagram: &Outgoing) {
+    if let Err(error) = shared.socket.send_to(&datagram.bytes, datagram.to) {
+        shared.drops.failed_sends.fetch_add(1, Ordering::Relaxed);
+        tracing::debug!(%error, to = %datagram.to, "could not send a datagram");
+    }
+}
--- a/tests/peer_gossip.rs
+++ b/tests/peer_gossip.rs
@@ -3,7 +3,12 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr, //
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::mpsc,
+    time::Duration, //
 };
 
 use cardamombridge::{
@@ -21,6 +26,10 @@
             Outgoing,
             measure, //
         },
+        socket::{
+            GossipSocket,
+            Say, //
+        },
         wire::ClusterKey, //
     },
     types::{
@@ -416,3 +425,43 @@
         }
     }
 }
+
+#[test]
+fn hosts_hear_each_other_over_real_sockets() {
+    let key = ClusterKey::new(b"test");
+    let sockets: Vec<UdpSocket> = (0..3)
+        .map(|_| UdpSocket::bind("127.0.0.1:0").expect("bound"))
+        .collect();
+    let addresses: Vec<SocketAddr> = sockets
+        .iter()
+        .map(|socket| socket.local_addr().expect("bound"))
+        .collect();
+    let (sender, receiver) = mpsc::channel();
+    let mut running = Vec::new();
+    for (index, socket) in sockets.into_iter().enumerate() {
+        let mut own = heartbeat(index, region("stred"));
+        own.peer_address = addresses[index];
+        let config = GossipConfig::new(own.host.clone(), own.incarnation, own.region.clone())
+            .with_seeds(vec![addresses[0]]);
+        let sender = sender.clone();
+        let host = own.host.clone();
+        let started = GossipSocket::start(socket, config, &key, move |news| {
+            let _ = sender.send((host.clone(), news));
+        });
+        let started = started.expect("started");
+        started.say(Say::Heartbeat(own));
+        running.push(started);
+    }
+
+    let mut heard = std::collections::BTreeSet::new();
+    while heard.len() < 6 {
+        let (by, news) = receiver
+            .recv_timeout(Duration::from_secs(5))
+            .expect("six pairs within 5 s of silence");
+        if let News::Heartbeat(heartbeat) = news {
+            heard.insert((by, heartbeat.host));
+        }
+    }
+
+    running.into_iter().for_each(GossipSocket::stop);
+}
