--- /dev/null
+++ b/src/announce.rs
@@ -0,0 +1,94 @@
+//! The thread that tells the other hosts about this host and its region.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use crate::{
+    clock,
+    config::Config,
+    decider::DeciderHandle,
+    decision::{
+        event::Event,
+        view::Heartbeat, //
+    },
+    in_force::InForceCell,
+    peer::socket::{
+        GossipSocket,
+        Say, //
+    },
+    types::Incarnation,
+    watch::StopFlag, //
+};
+
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a heartbeat is made of.
+pub struct Announcer {
+    /// Settings of this host.
+    pub config: Config,
+    /// Its current run.
+    pub incarnation: Incarnation,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Configuration in force.
+    pub in_force: InForceCell,
+    /// Set when this host takes no new work.
+    pub is_leaving: Arc<AtomicBool>,
+    /// Requests that are being answered.
+    pub open_requests: Arc<AtomicUsize>,
+}
+
+impl Announcer {
+    /// Announces until stopped.
+    pub fn run(&self, gossip: &GossipSocket, decider: &DeciderHandle, stop: &StopFlag) {
+        let mut sequence = 0;
+        while !stop.is_set() {
+            sequence += 1;
+            self.announce(sequence, gossip, decider);
+            thread::sleep(INTERVAL);
+        }
+    }
+
+    fn announce(&self, sequence: u64, gossip: &GossipSocket, decider: &DeciderHandle) {
+        let heartbeat = self.heartbeat(sequence);
+        gossip.say(Say::Heartbeat(heartbeat.clone()));
+        // The next heartbeat follows soon if the ring is full.
+        let _ = decider.report(Event::Heartbeat(heartbeat));
+        let now_ms = clock::now();
+        let summary = decider.query(move |gateway| gateway.region_summary(now_ms));
+        if let Ok(Some(summary)) = summary {
+            gossip.say(Say::Summary(summary));
+        }
+    }
+
+    fn heartbeat(&self, sequence: u64) -> Heartbeat {
+        let is_leaving = self.is_leaving.load(Ordering::Acquire);
+        let revision = self.in_force.revision();
+        let open_requests = self.open_requests.load(Ordering::Relaxed);
+        Heartbeat {
+            host: self.config.host.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            region: self.config.region.clone(),
+            data_centre: self.config.data_centre.clone(),
+            peer_address: self.config.peer_address_for_others(),
+            caller_address: self.caller_address,
+            is_leaving,
+            is_ready: !is_leaving && self.in_force.get().is_some(),
+            revision,
+            open_requests: u32::try_from(open_requests).unwrap_or(u32::MAX),
+        }
+    }
+}
+
