--- a/src/intent.rs
+++ b/src/intent.rs
@@ -15,6 +15,7 @@
     Deserialize,
     Serialize, //
 };
+use thiserror::Error;
 
 use crate::types::{
     CallerId,
@@ -208,3 +209,123 @@
             })
     }
 }
+
+/// Identifies a change: the SHA-256 of the plan that it was confirmed from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "CompactString", into = "CompactString")]
+pub struct ChangeId([u8; 32]);
+
+impl ChangeId {
+    /// The id with this digest.
+    pub fn new(digest: [u8; 32]) -> Self {
+        Self(digest)
+    }
+}
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for ChangeId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let error = || ParseError::new("change id", text, "64 hexadecimal digits");
+        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(error());
+        }
+        let mut digest = [0; 32];
+        for (byte, at) in digest.iter_mut().zip((0..64).step_by(2)) {
+            *byte = u8::from_str_radix(&text[at..at + 2], 16).map_err(|_| error())?;
+        }
+        Ok(Self(digest))
+    }
+}
+
+impl TryFrom<CompactString> for ChangeId {
+    type Error = ParseError;
+
+    fn try_from(text: CompactString) -> Result<Self, ParseError> {
+        text.parse()
+    }
+}
+
+impl From<ChangeId> for CompactString {
+    fn from(id: ChangeId) -> Self {
+        compact_str::format_compact!("{id}")
+    }
+}
+
+/// What one object becomes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectChange {
+    /// The object.
+    pub name: ObjectName,
+    /// Its new body; none removes it.
+    pub object: Option<Object>,
+}
+
+/// An accepted change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Identifies the change.
+    pub id: ChangeId,
+    /// Revision that it made.
+    pub revision: Revision,
+    /// When it was accepted, by the clock of the accepting host.
+    pub accepted_ms: Millis,
+    /// Objects that it replaces or removes.
+    pub objects: Vec<ObjectChange>,
+}
+
+/// A change that does not follow the revision in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("change has revision {change}, expected {in_force} + 1")]
+pub struct RevisionGap {
+    /// Revision in force.
+    pub in_force: Revision,
+    /// Revision of the change.
+    pub change: Revision,
+}
+
+impl Intents {
+    /// Applies the next change; returns `false` if it is already in force.
+    pub fn apply(&mut self, change: &Change) -> Result<bool, RevisionGap> {
+        if change.revision <= self.revision {
+            return Ok(false);
+        }
+        if change.revision != self.revision.next() {
+            return Err(RevisionGap {
+                in_force: self.revision,
+                change: change.revision,
+            });
+        }
+        self.revision = change.revision;
+        self.replace(change.revision, &change.objects);
+        Ok(true)
+    }
+
+    /// The same configuration with objects replaced or removed as in a change
+    /// that has not been accepted.
+    pub fn with_changes(mut self, changes: &[ObjectChange]) -> Self {
+        let revision = self.revision.next();
+        self.replace(revision, changes);
+        self
+    }
+
+    fn replace(&mut self, revision: Revision, changes: &[ObjectChange]) {
+        for ObjectChange { name, object } in changes {
+            match object.clone() {
+                Some(object) => {
+                    let versioned = Versioned { revision, object };
+                    self.objects.insert(name.clone(), versioned);
+                }
+                None => {
+                    self.objects.remove(name);
+                }
+            }
+        }
+    }
+}
