--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod cli;
 pub mod decision;
+pub mod grant;
 pub mod http;
 pub mod intent;
 pub mod intent_file;
 pub mod outcome;
 pub mod plan;
 pub mod platform;
+pub mod rollout;
 pub mod standin;
 pub mod types;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -332,7 +332,8 @@
         .get("X-Consul-Index")
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok());
-    Index(number.unwrap_or(0))
+    // The published interface asks clients to treat an index of 0 as 1.
+    Index(number.unwrap_or(0).max(1))
 }
 
 fn read_body(mut body: Body, max_bytes: u64, deadline: Instant) -> io::Result<Vec<u8>> {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -125,11 +125,25 @@
 struct Faults {
     is_down: bool,
     delay: Duration,
+    answers_to_keep: u64,
     answers_to_lose: u64,
     writes_before_down: Option<u64>,
     list_lag: Duration,
 }
 
+impl Faults {
+    /// Counts one write and tells whether its answer is lost.
+    fn loses_answer(&mut self) -> bool {
+        if self.answers_to_keep > 0 {
+            self.answers_to_keep -= 1;
+            return false;
+        }
+        let is_lost = self.answers_to_lose > 0;
+        self.answers_to_lose = self.answers_to_lose.saturating_sub(1);
+        is_lost
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     index: u64,
@@ -203,7 +217,15 @@
 
     /// Drops the connections of the next `count` writes after they took effect.
     pub fn lose_write_answers(&self, count: u64) {
-        self.shared.lock().faults.answers_to_lose = count;
+        self.lose_write_answers_after(0, count);
+    }
+
+    /// Answers the next `kept` writes and drops the connections of `count` after
+    /// them once they took effect.
+    pub fn lose_write_answers_after(&self, kept: u64, count: u64) {
+        let mut state = self.shared.lock();
+        state.faults.answers_to_keep = kept;
+        state.faults.answers_to_lose = count;
     }
 
     /// Makes list reads show the state of `lag` ago, at most two minutes.
@@ -425,11 +447,7 @@
         let mut state = self.lock();
         state.counts.writes += 1;
         let answer = state.write(call);
-        let mut loses_answer = false;
-        if state.faults.answers_to_lose > 0 {
-            state.faults.answers_to_lose -= 1;
-            loses_answer = true;
-        }
+        let loses_answer = state.faults.loses_answer();
         if let Some(left) = state.faults.writes_before_down {
             let left = left.saturating_sub(1);
             state.faults.writes_before_down = (left > 0).then_some(left);
