--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! modules, the state and its owners, the messages, and what happens when each
 //! part fails.
 
+pub mod announce;
 pub mod auth;
 pub mod caller;
 pub mod cli;
@@ -12,16 +13,20 @@
 pub mod decider;
 pub mod decision;
 pub mod experiment;
+pub mod grant;
 pub mod host;
 pub mod http;
 pub mod in_force;
 pub mod ini_file;
 pub mod intent;
+pub mod intent_file;
 pub mod openai;
 pub mod outcome;
 pub mod peer;
+pub mod plan;
 pub mod platform;
 pub mod relay;
+pub mod rollout;
 pub mod serve;
 pub mod settings;
 pub mod sink;
