--- a/src/announce.rs
+++ b/src/announce.rs
@@ -91,4 +91,3 @@
         }
     }
 }
-
--- a/src/host.rs
+++ b/src/host.rs
@@ -4,7 +4,8 @@
     io,
     net::{
         SocketAddr,
-        TcpListener, //
+        TcpListener,
+        UdpSocket, //
     },
     sync::{
         Arc,
@@ -28,6 +29,7 @@
 use thiserror::Error;
 
 use crate::{
+    announce::Announcer,
     auth::KeyDigest,
     caller::{
         self,
@@ -61,8 +63,23 @@
         RunState,
         Unsent, //
     },
-    platform::ServiceList,
+    peer::{
+        gossip::{
+            GossipConfig,
+            News, //
+        },
+        socket::GossipSocket,
+        wire::ClusterKey, //
+    },
+    platform::{
+        KeyValue,
+        ServiceList, //
+    },
     sink::AnswerSink,
+    spending::{
+        self,
+        Asks, //
+    },
     types::{
         Incarnation,
         Millis,
@@ -70,6 +87,7 @@
     },
     watch::{
         self,
+        Configuration,
         StopFlag, //
     }, //
 };
@@ -124,9 +142,11 @@
 /// A running host.
 pub struct Host {
     config: Config,
+    incarnation: Incarnation,
     caller_address: SocketAddr,
     acceptor: Acceptor,
     decider: DeciderHandle,
+    gossip: Arc<GossipSocket>,
     is_leaving: Arc<AtomicBool>,
     open_requests: Arc<AtomicUsize>,
     in_force: InForceCell,
@@ -136,31 +156,37 @@
 
 impl Host {
     /// Binds the addresses and starts the threads.
-    pub fn start(config: Config, _keys: HostKeys) -> Result<Self, StartError> {
-        let listener = listen(config.caller_address, "callers")?;
-        let caller_address = listener.local_addr().unwrap_or(config.caller_address);
+    pub fn start(config: Config, keys: &HostKeys) -> Result<Self, StartError> {
+        let callers = listen(config.caller_address, "callers")?;
+        let caller_address = callers.local_addr().unwrap_or(config.caller_address);
+        let incarnation = Incarnation(rand::rng().random());
+        let (ask_ring, asks) = spending::ring();
         let gateway = Gateway::new(GatewayConfig {
             host: config.host.clone(),
-            incarnation: Incarnation(rand::rng().random()),
+            incarnation,
             region: config.region.clone(),
             links: config.links.clone(),
             seed: rand::rng().random(),
         });
-        let (decider, decider_thread) = decider::start(gateway, |_action| {});
-        let is_stopping = Arc::new(AtomicBool::new(false));
+        let (decider, decider_thread) =
+            decider::start(gateway, move |action| ask_ring.take(action));
+        let gossip = start_gossip(&config, incarnation, keys, &decider)?;
         let mut host = Self {
-            acceptor: Acceptor::new(config.max_connections, is_stopping),
+            acceptor: Acceptor::new(config.max_connections, Arc::default()),
+            incarnation,
             caller_address,
             decider,
-            is_leaving: Arc::new(AtomicBool::new(false)),
-            open_requests: Arc::new(AtomicUsize::new(0)),
+            gossip: Arc::new(gossip),
+            is_leaving: Arc::default(),
+            open_requests: Arc::default(),
             in_force: InForceCell::new(),
             stop: StopFlag::new(),
             threads: vec![decider_thread],
             config,
         };
-        host.start_acceptor(listener)?;
-        host.start_list()?;
+        host.start_platform(asks)?;
+        host.start_announcer()?;
+        host.start_acceptor(callers)?;
         Ok(host)
     }
 
@@ -169,6 +195,11 @@
         self.caller_address
     }
 
+    /// Whether a configuration is in force here.
+    pub fn is_ready(&self) -> bool {
+        self.in_force.get().is_some()
+    }
+
     /// Requests that are being answered.
     pub fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Acquire)
@@ -199,13 +230,10 @@
     pub fn stop(self) {
         self.stop.set();
         self.acceptor.stop(self.caller_address);
-        let Self {
-            threads, decider, ..
-        } = self;
-        drop(decider);
-        for thread in threads {
-            // The decider ends when the last connection has gone.
-            if thread.thread().name() != Some("decider") && thread.join().is_err() {
+        for thread in self.threads {
+            // These end when the last caller connection has gone.
+            let waits_for_callers = matches!(thread.thread().name(), Some("decider" | "spending"));
+            if !waits_for_callers && thread.join().is_err() {
                 tracing::error!("a thread panicked");
             }
         }
@@ -229,11 +257,45 @@
         })
     }
 
-    fn start_list(&mut self) -> Result<(), StartError> {
-        let list = ServiceList::new(self.config.platform_address);
+    fn start_announcer(&mut self) -> Result<(), StartError> {
+        let announcer = Announcer {
+            config: self.config.clone(),
+            incarnation: self.incarnation,
+            caller_address: self.caller_address,
+            in_force: self.in_force.clone(),
+            is_leaving: Arc::clone(&self.is_leaving),
+            open_requests: Arc::clone(&self.open_requests),
+        };
+        let gossip = Arc::clone(&self.gossip);
         let decider = self.decider.clone();
         let stop = self.stop.clone();
-        self.spawn("list", move || watch::follow_list(&list, &decider, &stop))
+        self.spawn("announcer", move || announcer.run(&gossip, &decider, &stop))
+    }
+
+    fn start_platform(&mut self, asks: Asks) -> Result<(), StartError> {
+        let list = ServiceList::new(self.config.platform_address);
+        let kv = KeyValue::new(self.config.platform_address);
+        let configuration = self.configuration();
+        let (decider, stop) = (self.decider.clone(), self.stop.clone());
+        self.spawn("list", move || watch::follow_list(&list, &decider, &stop))?;
+
+        let (watch_kv, stop) = (kv.clone(), self.stop.clone());
+        self.spawn("configuration", move || {
+            configuration.follow(&watch_kv, || true, &stop);
+        })?;
+
+        let (in_force, decider) = (self.in_force.clone(), self.decider.clone());
+        let incarnation = self.incarnation;
+        self.spawn("spending", move || {
+            spending::run(&asks, incarnation, &kv, &in_force, &decider);
+        })
+    }
+
+    fn configuration(&self) -> Configuration {
+        Configuration {
+            in_force: self.in_force.clone(),
+            decider: self.decider.clone(),
+        }
     }
 
     fn spawn<F>(&mut self, name: &'static str, run: F) -> Result<(), StartError>
@@ -249,6 +311,34 @@
     }
 }
 
+fn start_gossip(
+    config: &Config,
+    incarnation: Incarnation,
+    keys: &HostKeys,
+    decider: &DeciderHandle,
+) -> Result<GossipSocket, StartError> {
+    let fail = |source| StartError::Listen {
+        address: config.peer_address,
+        purpose: "gossip",
+        source,
+    };
+    let socket = UdpSocket::bind(config.peer_address).map_err(fail)?;
+    let gossip = GossipConfig::new(config.host.clone(), incarnation, config.region.clone())
+        .with_seeds(config.seeds.clone());
+    let decider = decider.clone();
+    let on_news = move |news| {
+        let event = match news {
+            News::Heartbeat(heartbeat) => Event::Heartbeat(heartbeat),
+            News::Report(report) => Event::Report(report),
+            News::Summary(summary) => Event::Summary(summary),
+            News::HigherRevision(_) => return,
+        };
+        // News comes again, so a full ring may drop it.
+        let _ = decider.report(event);
+    };
+    GossipSocket::start(socket, gossip, &ClusterKey::new(&keys.cluster_key), on_news).map_err(fail)
+}
+
 fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).map_err(|source| StartError::Listen {
         address,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod serve;
 pub mod settings;
 pub mod sink;
+pub mod spending;
 pub mod standin;
 pub mod ticket;
 pub mod types;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -41,7 +41,7 @@
     let keys = HostKeys::load(&config)?;
     let signals = count_signals().context("could not install the signal handlers")?;
     let name = config.host.clone();
-    let host = Host::start(config, keys)?;
+    let host = Host::start(config, &keys)?;
     tracing::info!(host = %name, address = %host.caller_address(), "serving callers");
 
     while signals.load(Ordering::Relaxed) == 0 {
--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -44,6 +44,7 @@
 };
 use crate::{
     auth,
+    clock,
     config::{
         Config,
         LogFormat, //
@@ -53,10 +54,26 @@
         view::EndpointInfo, //
     },
     host::HostKeys,
+    intent_file::{
+        self,
+        IntentFileError, //
+    },
+    plan::{
+        Plan,
+        PlanRules,
+        Refused, //
+    },
     platform::{
+        KeyValue,
         PlatformError,
         ServiceList, //
     },
+    rollout::{
+        self,
+        Accepted,
+        Acceptor,
+        RolloutError, //
+    },
     types::{
         DataCentreId,
         EndpointId,
@@ -105,6 +122,20 @@
     Name(#[from] ParseError),
 }
 
+/// Why an intent was not accepted.
+#[derive(Debug, Error)]
+pub enum AcceptError {
+    /// The file is not valid.
+    #[error(transparent)]
+    File(#[from] IntentFileError),
+    /// The plan is refused.
+    #[error(transparent)]
+    Plan(#[from] Refused),
+    /// The change was not accepted.
+    #[error(transparent)]
+    Rollout(#[from] RolloutError),
+}
+
 /// Size and speed of a testbed.
 #[derive(Debug, Clone)]
 pub struct TestbedOptions {
@@ -243,18 +274,18 @@
                  regions = {regions}\n\
                  targets = model/{MODEL}, service/{SERVICE}\n\
                  tier = priority\n\
-                 first_token = 1600ms\n\
-                 deadline = 10000ms\n\
-                 objective = 950\n\
-                 budget = 1000000000u\n\
-                 period = 3600000ms\n\n",
+                 first_token_ms = 1600ms\n\
+                 deadline_ms = 10000ms\n\
+                 objective_permille = 950\n\
+                 budget_micros = 1000000000u\n\
+                 period_ms = 3600000ms\n\n",
                 auth::digest_hex(key.as_bytes())
             )
         };
         format!(
             "{}{}[model/{MODEL}]\nversion = {MODEL_VERSION}\n\
-             prefill_per_ktok = 200u\ndecode_per_ktok = 800u\n\n\
-             [service/{SERVICE}]\nrepeatable_methods = GET, HEAD\ncall = 50u\n",
+             prefill_micros_per_ktok = 200u\ndecode_micros_per_ktok = 800u\n\n\
+             [service/{SERVICE}]\nrepeatable_methods = GET, HEAD\ncall_micros = 50u\n",
             caller("drevoton", CALLER_KEY, &all),
             caller("bound", BOUND_CALLER_KEY, first),
         )
@@ -422,6 +453,16 @@
         Ok(())
     }
 
+    /// Accepts an intent file as an operator would.
+    pub fn accept(&self, text: &str) -> Result<Accepted, AcceptError> {
+        let kv = KeyValue::new(self.platform.address());
+        let intents = rollout::load(&kv)?;
+        let wanted = intent_file::parse("intent.ini", text)?;
+        let plan = Plan::new(&intents, wanted, &PlanRules::default())?;
+        let acceptor = Acceptor::new(kv);
+        Ok(acceptor.accept(&plan, intents.revision, clock::now())?)
+    }
+
     /// The platform's list, to change what it shows.
     pub fn list(&self) -> ServiceList {
         ServiceList::new(self.platform.address()).with_timeout(Duration::from_secs(5))
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -9,7 +9,10 @@
         }, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use rand::RngExt;
@@ -17,15 +20,26 @@
 use crate::{
     decider::DeciderHandle,
     decision::event::Event,
+    in_force::InForceCell,
     platform::{
         Index,
+        KeyValue,
         PlatformError,
         ServiceList, //
+    },
+    rollout::{
+        ChangeSet,
+        HeadWatch, //
     }, //
 };
 
 /// Longest blocking read; a stop waits for it at most this long.
 const BLOCKING_WAIT: Duration = Duration::from_secs(1);
+/// How often a host that does not watch looks whether it should.
+const ROLE_POLL: Duration = Duration::from_millis(100);
+/// How often a host that does not watch reads the head all the same.
+const UNWATCHED_READ_INTERVAL: Duration = Duration::from_secs(30);
+const RING_PAUSE: Duration = Duration::from_millis(5);
 /// Shortest and longest pause after a failure.
 const FAILURE_PAUSE_MS: std::ops::Range<u64> = 200..600;
 
@@ -80,6 +94,62 @@
     Ok((endpoints.index, event))
 }
 
+/// Brings the configuration up to date from the platform and from peers.
+#[derive(Clone)]
+pub struct Configuration {
+    /// Configuration in force at this host.
+    pub in_force: InForceCell,
+    /// Leads to the decisions.
+    pub decider: DeciderHandle,
+}
+
+impl Configuration {
+    /// Puts changes in force.
+    pub fn apply(&self, set: ChangeSet) {
+        let Some(intents) = self.in_force.apply(set) else {
+            return;
+        };
+        tracing::info!(revision = %intents.revision, "configuration in force");
+        // The decisions must not miss a revision, so wait for room in the ring.
+        while self
+            .decider
+            .report(Event::InForce(Arc::clone(&intents)))
+            .is_err()
+        {
+            thread::sleep(RING_PAUSE);
+        }
+    }
+
+    /// Follows the head of the configuration until stopped.
+    ///
+    /// Only hosts for which `is_watcher` is true wait for changes; the others
+    /// hear of them from peers and read the head now and then.
+    pub fn follow<W>(&self, kv: &KeyValue, is_watcher: W, stop: &StopFlag)
+    where
+        W: Fn() -> bool,
+    {
+        let mut head = HeadWatch::new();
+        let mut next_read = Instant::now();
+        while !stop.is_set() {
+            let has_none = self.in_force.get().is_none();
+            if !is_watcher() && !has_none && Instant::now() < next_read {
+                thread::sleep(ROLE_POLL);
+                continue;
+            }
+            next_read = Instant::now() + UNWATCHED_READ_INTERVAL;
+            match head.next(kv, BLOCKING_WAIT, self.in_force.revision()) {
+                Ok(Some(set)) => self.apply(set),
+                Ok(None) if has_none => thread::sleep(ROLE_POLL),
+                Ok(None) => {}
+                Err(error) => {
+                    tracing::warn!(%error, "could not read the configuration");
+                    pause_after_failure();
+                }
+            }
+        }
+    }
+}
+
 /// Waits a random time, so that hosts do not return to a failed service together.
 pub fn pause_after_failure() {
     let pause_ms = rand::rng().random_range(FAILURE_PAUSE_MS);
--- a/tests/peer_gossip.rs
+++ b/tests/peer_gossip.rs
@@ -232,6 +232,7 @@
             let hosts = own.clone().map(|h| ForwardHost {
                 host: h.host.clone(),
                 peer_address: h.peer_address,
+                caller_address: h.caller_address,
             });
             let summary = RegionSummary {
                 region: node.heartbeat.region.clone(),
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -152,7 +152,10 @@
     /// Starts the surroundings and all hosts, and waits until they are ready.
     pub fn start(options: &TestbedOptions) -> Self {
         let mut env = Self::prepare(options);
-        env.accept_intents(&Testbed::intent_text(options));
+        let intents = Testbed::intent_text(options);
+        env.testbed
+            .accept(&intents)
+            .expect("the intents must be accepted");
         for host in &mut env.hosts {
             host.start();
         }
