Add authenticated exchanges between hosts over TCP

A forwarded request must end in a whole answer, in a true 'not run', or in 'unknown', whatever happens to the connection.

The connection and the handshake come before the request, and a pooled connection is checked for an end or for unread bytes right before use, so failures there hand the Unsent request back. A failed first write is 'not sent' only if the kernel took no byte of it. Sending the request with the handshake was ruled out: it saves a round trip but makes every failed handshake 'unknown'.

Each frame's tag covers its direction, number and content under a session key bound to both nonces and hosts. Frames name their exchange; one with another number closes the connection, and only a final frame returns it to the pool. A cancellation closes it too, since answers may be on their way.

--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,380 @@
+//! Exchanges that this host starts with others, over pooled connections.
+//!
+//! Connecting and the handshake come before an exchange, so that a failure
+//! there provably sends nothing of the request. A connection goes back to the
+//! pool only after the final frame of its exchange.
+
+use std::{
+    collections::HashMap,
+    net::{
+        Shutdown,
+        SocketAddr,
+        TcpStream, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use thiserror::Error;
+
+use super::{
+    frame::{
+        Frame,
+        MAX_BODY_BYTES,
+        MAX_PIECE_BYTES,
+        Message, //
+    },
+    link::{
+        HANDSHAKE_TIMEOUT,
+        Link,
+        LinkError,
+        PeerIdentity,
+        remaining, //
+    },
+    wire::ClusterKey, //
+};
+use crate::{
+    outcome::{
+        Sent,
+        Unsent, //
+    },
+    types::HostId, //
+};
+
+/// Most connections to one host, in use or idle.
+pub const MAX_CONNECTIONS_PER_HOST: usize = 64;
+/// Idle connections are closed after this time. The server keeps them longer,
+/// so that it does not close one that is about to be used.
+pub const CLIENT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for the frame that tells the other host to stop.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A request that could not be sent whole.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// No byte of it was sent.
+    #[error("nothing was sent: {error}")]
+    NotSent {
+        /// The request may be sent elsewhere.
+        unsent: Unsent,
+        /// Why.
+        #[source]
+        error: LinkError,
+    },
+    /// Part of it may have arrived.
+    #[error("the request was sent in part: {error}")]
+    Sent {
+        /// The request may have run.
+        sent: Sent,
+        /// Why.
+        #[source]
+        error: LinkError,
+    },
+}
+
+#[derive(Debug, Default)]
+struct HostPool {
+    idle: Vec<(Link, Instant)>,
+    in_use: usize,
+}
+
+#[derive(Debug)]
+struct Pools {
+    by_address: Mutex<HashMap<SocketAddr, HostPool>>,
+}
+
+impl Pools {
+    /// A panic while the lock was held leaves at worst a wrong count.
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, HostPool>> {
+        self.by_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts one connection in use until it is dropped.
+#[derive(Debug)]
+struct Slot {
+    pools: Arc<Pools>,
+    address: SocketAddr,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut pools = self.pools.lock();
+        let Some(pool) = pools.get_mut(&self.address) else {
+            return;
+        };
+        pool.in_use = pool.in_use.saturating_sub(1);
+        if pool.in_use == 0 && pool.idle.is_empty() {
+            pools.remove(&self.address);
+        }
+    }
+}
+
+/// Starts exchanges with other hosts.
+#[derive(Debug, Clone)]
+pub struct PeerClient {
+    key: ClusterKey,
+    own: PeerIdentity,
+    max_connections: usize,
+    pools: Arc<Pools>,
+}
+
+impl PeerClient {
+    /// No connections yet.
+    pub fn new(key: ClusterKey, own: PeerIdentity) -> Self {
+        Self {
+            key,
+            own,
+            max_connections: MAX_CONNECTIONS_PER_HOST,
+            pools: Arc::new(Pools {
+                by_address: Mutex::new(HashMap::new()),
+            }),
+        }
+    }
+
+    /// The same with another limit of connections to one host.
+    pub fn with_max_connections(mut self, max_connections: usize) -> Self {
+        self.max_connections = max_connections;
+        self
+    }
+
+    /// Idle connections to one address.
+    pub fn idle_connections(&self, address: SocketAddr) -> usize {
+        self.pools.lock().get(&address).map_or(0, |p| p.idle.len())
+    }
+
+    /// Gets a live connection without sending any part of a request.
+    ///
+    /// With `host`, a connection to any other host is refused.
+    pub fn prepare(
+        &self,
+        host: Option<&HostId>,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<Ready, LinkError> {
+        let slot = self.take_slot(address)?;
+        while let Some(link) = self.take_idle(address) {
+            if link.is_idle() && check_host(&link, host).is_ok() {
+                return Ok(Ready { link, slot });
+            }
+        }
+        let deadline = deadline.min(Instant::now() + HANDSHAKE_TIMEOUT);
+        let stream = TcpStream::connect_timeout(&address, remaining(deadline)?)?;
+        let link = Link::connect(stream, &self.key, &self.own, deadline)?;
+        check_host(&link, host)?;
+        Ok(Ready { link, slot })
+    }
+
+    fn take_slot(&self, address: SocketAddr) -> Result<Slot, LinkError> {
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(address).or_default();
+        if pool.in_use >= self.max_connections {
+            return Err(LinkError::TooManyConnections {
+                limit: self.max_connections,
+            });
+        }
+        pool.in_use += 1;
+        Ok(Slot {
+            pools: Arc::clone(&self.pools),
+            address,
+        })
+    }
+
+    /// The connection used last, which is the least likely to have been closed.
+    fn take_idle(&self, address: SocketAddr) -> Option<Link> {
+        let mut pools = self.pools.lock();
+        let pool = pools.get_mut(&address)?;
+        pool.idle
+            .retain(|(_, since)| since.elapsed() < CLIENT_IDLE_TIMEOUT);
+        pool.idle.pop().map(|(link, _)| link)
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn close_idle(&self) {
+        let mut pools = self.pools.lock();
+        for pool in pools.values_mut() {
+            pool.idle
+                .retain(|(_, since)| since.elapsed() < CLIENT_IDLE_TIMEOUT);
+        }
+        pools.retain(|_, pool| pool.in_use > 0 || !pool.idle.is_empty());
+    }
+}
+
+fn check_host(link: &Link, host: Option<&HostId>) -> Result<(), LinkError> {
+    let found = &link.peer().host;
+    match host.filter(|expected| *expected != found) {
+        None => Ok(()),
+        Some(expected) => Err(LinkError::WrongHost {
+            expected: expected.clone(),
+            found: found.clone(),
+        }),
+    }
+}
+
+/// A live connection on which nothing of a request was sent.
+#[derive(Debug)]
+pub struct Ready {
+    link: Link,
+    slot: Slot,
+}
+
+impl Ready {
+    /// The host at the other end.
+    pub fn peer(&self) -> &PeerIdentity {
+        self.link.peer()
+    }
+
+    /// Sends a request frame and its body.
+    ///
+    /// The body must have the length that the frame announces.
+    pub fn start(
+        mut self,
+        unsent: Unsent,
+        request: &Frame,
+        body: &[u8],
+        deadline: Instant,
+    ) -> Result<Exchange, StartError> {
+        if let Err(error) = self.check(request, body) {
+            return Err(StartError::NotSent { unsent, error });
+        }
+        self.link.exchange += 1;
+        if let Err(failed) = self.link.write_frame(request, &[], deadline) {
+            let error = failed.error;
+            return Err(match failed.written {
+                0 => StartError::NotSent { unsent, error },
+                _ => StartError::Sent {
+                    sent: unsent.mark_sent(),
+                    error,
+                },
+            });
+        }
+        let sent = unsent.mark_sent();
+        for piece in body.chunks(MAX_PIECE_BYTES) {
+            if let Err(failed) = self.link.write_frame(&Frame::Body, piece, deadline) {
+                let error = failed.error;
+                return Err(StartError::Sent { sent, error });
+            }
+        }
+        Ok(Exchange {
+            link: Some(self.link),
+            slot: self.slot,
+            sent,
+        })
+    }
+
+    fn check(&self, request: &Frame, body: &[u8]) -> Result<(), LinkError> {
+        if !request.is_request() {
+            return Err(LinkError::Unexpected(
+                "the frame does not start an exchange",
+            ));
+        }
+        if request.body().0 != body.len() as u64 {
+            return Err(LinkError::Unexpected("the body has another length"));
+        }
+        if body.len() > MAX_BODY_BYTES {
+            return Err(LinkError::TooLong {
+                bytes: body.len(),
+                limit_bytes: MAX_BODY_BYTES,
+            });
+        }
+        if !self.link.is_idle() {
+            return Err(LinkError::Closed);
+        }
+        Ok(())
+    }
+}
+
+/// A request that was sent and whose answer is being read.
+///
+/// Dropping it before its final frame closes the connection, which the other
+/// host takes as a cancellation.
+#[derive(Debug)]
+pub struct Exchange {
+    link: Option<Link>,
+    slot: Slot,
+    sent: Sent,
+}
+
+impl Exchange {
+    /// Reads the next answer frame; after a final one the connection returns to
+    /// the pool. A read that timed out may be repeated, other errors are final.
+    pub fn next(&mut self, deadline: Instant) -> Result<Message, LinkError> {
+        let link = self.link.as_mut().ok_or(LinkError::Closed)?;
+        let message = match link.read_frame(deadline) {
+            Err(LinkError::TimedOut) => return Err(LinkError::TimedOut),
+            Err(error) => {
+                self.link = None;
+                return Err(error);
+            }
+            Ok(message) => message,
+        };
+        let is_answer = matches!(message.frame, Frame::Head { .. } | Frame::Piece);
+        if message.frame.is_final() {
+            self.return_link();
+        } else if !is_answer {
+            self.link = None;
+            return Err(LinkError::Unexpected("the frame is not part of an answer"));
+        }
+        Ok(message)
+    }
+
+    /// Reads until the final frame and joins the bytes beside the frames, up to
+    /// `limit_bytes`.
+    pub fn collect(&mut self, limit_bytes: usize, deadline: Instant) -> Result<Message, LinkError> {
+        let mut bytes = Vec::new();
+        loop {
+            let message = self.next(deadline)?;
+            bytes.extend_from_slice(&message.bytes);
+            if bytes.len() > limit_bytes {
+                self.link = None;
+                return Err(LinkError::TooLong {
+                    bytes: bytes.len(),
+                    limit_bytes,
+                });
+            }
+            if message.frame.is_final() {
+                let frame = message.frame;
+                return Ok(Message { frame, bytes });
+            }
+        }
+    }
+
+    /// Tells the other host to stop and closes the connection.
+    pub fn cancel(mut self) -> Sent {
+        if let Some(mut link) = self.link.take() {
+            let deadline = Instant::now() + CANCEL_TIMEOUT;
+            if let Err(error) = link.write_frame(&Frame::Cancel, &[], deadline) {
+                tracing::debug!(%error, "could not send a cancellation");
+            }
+            let _ = link.stream().shutdown(Shutdown::Both);
+        }
+        self.sent
+    }
+
+    /// Ends the use of the exchange; closes the connection unless its final
+    /// frame was read.
+    pub fn finish(self) -> Sent {
+        self.sent
+    }
+
+    fn return_link(&mut self) {
+        let Some(link) = self.link.take() else {
+            return;
+        };
+        let mut pools = self.slot.pools.lock();
+        let pool = pools.entry(self.slot.address).or_default();
+        if pool.idle.len() < MAX_CONNECTIONS_PER_HOST {
+            pool.idle.push((link, Instant::now()));
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,537 @@
+//! One authenticated TCP connection between two hosts.
+//!
+//! Both sides send a random nonce and prove that they hold the cluster key. The
+//! session key covers both nonces, hosts and incarnations. Each frame carries a
+//! tag over its direction, its number in that direction and its content, so
+//! that frames cannot be forged, repeated, reordered or moved between
+//! connections.
+//!
+//! A frame is a 4-byte length, the `postcard` envelope, the bytes beside it and
+//! the tag. A read that times out can be repeated without loss.
+
+use std::{
+    io::{
+        self,
+        Read,
+        Write, //
+    },
+    net::TcpStream,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use thiserror::Error;
+
+use super::{
+    frame::{
+        Frame,
+        MAX_PIECE_BYTES,
+        Message, //
+    },
+    wire::{
+        ClusterKey,
+        TAG_BYTES,
+        Tag, //
+    }, //
+};
+use crate::types::{
+    HostId,
+    Incarnation, //
+};
+
+/// Version of the frame format.
+pub const LINK_VERSION: u8 = 1;
+/// Time for the handshake, including the connection.
+pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Room for an envelope next to a full piece: a forwarded head with 4,096
+/// prefix hashes and 16 KiB of header fields fits.
+const MAX_ENVELOPE_BYTES: usize = 64 * 1024;
+const MAX_FRAME_BYTES: usize = MAX_PIECE_BYTES + MAX_ENVELOPE_BYTES + TAG_BYTES;
+const MAX_HANDSHAKE_BYTES: usize = 512;
+const LENGTH_BYTES: usize = 4;
+const READ_BYTES: usize = 64 * 1024;
+/// The kernel rejects a timeout of zero.
+const MIN_TIMEOUT: Duration = Duration::from_millis(1);
+
+/// Why an exchange with another host failed.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The socket failed.
+    #[error("socket error: {0}")]
+    Io(#[from] io::Error),
+    /// The deadline passed.
+    #[error("timed out waiting for the other host")]
+    TimedOut,
+    /// The other host closed the connection.
+    #[error("connection closed by the other host")]
+    Closed,
+    /// A frame is longer than accepted.
+    #[error("frame of {bytes} bytes is too long: expected at most {limit_bytes}")]
+    TooLong {
+        /// Its length.
+        bytes: usize,
+        /// The limit.
+        limit_bytes: usize,
+    },
+    /// A tag does not match the session key.
+    #[error("frame tag does not match the session key")]
+    BadTag,
+    /// The bytes are authentic but not a valid frame.
+    #[error("frame is malformed")]
+    Malformed,
+    /// The other host speaks another version.
+    #[error("link version {version} is not supported: expected {LINK_VERSION}")]
+    BadVersion {
+        /// Its version.
+        version: u8,
+    },
+    /// The other host does not hold the same cluster key.
+    #[error("the other host does not prove that it holds the cluster key")]
+    WrongKey,
+    /// Another host answers at the address.
+    #[error("host {found} answers: expected host {expected}")]
+    WrongHost {
+        /// The host that was meant.
+        expected: HostId,
+        /// The host that answers.
+        found: HostId,
+    },
+    /// A frame belongs to another exchange.
+    #[error("frame belongs to exchange {found}: expected exchange {expected}")]
+    WrongExchange {
+        /// Number of the current exchange.
+        expected: u64,
+        /// Number in the frame.
+        found: u64,
+    },
+    /// The frame has no place at this point of an exchange.
+    #[error("frame is not expected at this point: {0}")]
+    Unexpected(&'static str),
+    /// All connections to the host are in use.
+    #[error("all {limit} connections to the host are in use")]
+    TooManyConnections {
+        /// The limit.
+        limit: usize,
+    },
+}
+
+impl LinkError {
+    fn from_io(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Self::TimedOut,
+            io::ErrorKind::UnexpectedEof
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::BrokenPipe => Self::Closed,
+            _ => Self::Io(error),
+        }
+    }
+}
+
+/// A frame that could not be written whole.
+#[derive(Debug, Error)]
+#[error("could not write the frame after {written} bytes: {error}")]
+pub struct WriteError {
+    /// Bytes that the kernel took.
+    pub written: usize,
+    /// Why the rest was not written.
+    #[source]
+    pub error: LinkError,
+}
+
+/// A host and its current run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerIdentity {
+    /// The host.
+    pub host: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Hello {
+    version: u8,
+    identity: PeerIdentity,
+    nonce: [u8; 32],
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Welcome {
+    hello: Hello,
+    proof: Tag,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    Client,
+    Server,
+}
+
+impl Side {
+    /// Marks the direction of frames that this side writes.
+    fn direction(self) -> &'static [u8] {
+        match self {
+            Self::Client => b"c",
+            Self::Server => b"s",
+        }
+    }
+
+    fn other(self) -> Self {
+        match self {
+            Self::Client => Self::Server,
+            Self::Server => Self::Client,
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Envelope {
+    exchange: u64,
+    frame: Frame,
+}
+
+#[derive(Serialize)]
+struct EnvelopeRef<'a> {
+    exchange: u64,
+    frame: &'a Frame,
+}
+
+/// A connection after its handshake.
+#[derive(Debug)]
+pub struct Link {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    session: ClusterKey,
+    side: Side,
+    peer: PeerIdentity,
+    frames_written: u64,
+    frames_read: u64,
+    /// Number of the latest exchange; the client counts from 1.
+    pub(super) exchange: u64,
+}
+
+impl Link {
+    /// Proves both sides to each other as the connecting side.
+    pub fn connect(
+        stream: TcpStream,
+        key: &ClusterKey,
+        own: &PeerIdentity,
+        deadline: Instant,
+    ) -> Result<Self, LinkError> {
+        stream.set_nodelay(true)?;
+        let mut buffer = Vec::new();
+        let client_hello = encode(&hello(own))?;
+        write_plain(&stream, &client_hello, deadline)?;
+        let welcome: Welcome = decode(&read_plain(&stream, &mut buffer, deadline)?)?;
+        check_version(&welcome.hello)?;
+        let server_hello = encode(&welcome.hello)?;
+        let keys = HandshakeKeys::new(key, &client_hello, &server_hello);
+        if !keys.server.is_valid_tag(&[], &welcome.proof) {
+            return Err(LinkError::WrongKey);
+        }
+        write_plain(&stream, &keys.client.tag(&[]), deadline)?;
+        let peer = welcome.hello.identity;
+        Ok(Self::new(stream, buffer, keys.session, Side::Client, peer))
+    }
+
+    /// Proves both sides to each other as the accepting side.
+    pub fn accept(
+        stream: TcpStream,
+        key: &ClusterKey,
+        own: &PeerIdentity,
+        deadline: Instant,
+    ) -> Result<Self, LinkError> {
+        stream.set_nodelay(true)?;
+        let mut buffer = Vec::new();
+        let client_hello = read_plain(&stream, &mut buffer, deadline)?;
+        let client: Hello = decode(&client_hello)?;
+        check_version(&client)?;
+        let hello = hello(own);
+        let keys = HandshakeKeys::new(key, &client_hello, &encode(&hello)?);
+        let proof = keys.server.tag(&[]);
+        write_plain(&stream, &encode(&Welcome { hello, proof })?, deadline)?;
+        let proof = read_plain(&stream, &mut buffer, deadline)?;
+        if !keys.client.is_valid_tag(&[], &proof) {
+            return Err(LinkError::WrongKey);
+        }
+        let peer = client.identity;
+        Ok(Self::new(stream, buffer, keys.session, Side::Server, peer))
+    }
+
+    fn new(
+        stream: TcpStream,
+        buffer: Vec<u8>,
+        session: ClusterKey,
+        side: Side,
+        peer: PeerIdentity,
+    ) -> Self {
+        Self {
+            stream,
+            buffer,
+            session,
+            side,
+            peer,
+            frames_written: 0,
+            frames_read: 0,
+            exchange: 0,
+        }
+    }
+
+    /// The host at the other end.
+    pub fn peer(&self) -> &PeerIdentity {
+        &self.peer
+    }
+
+    /// The socket.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Writes one frame of the current exchange.
+    pub fn write_frame(
+        &mut self,
+        frame: &Frame,
+        bytes: &[u8],
+        deadline: Instant,
+    ) -> Result<(), WriteError> {
+        self.write_exchange_frame(self.exchange, frame, bytes, deadline)
+    }
+
+    /// Writes one frame of any exchange.
+    pub fn write_exchange_frame(
+        &mut self,
+        exchange: u64,
+        frame: &Frame,
+        bytes: &[u8],
+        deadline: Instant,
+    ) -> Result<(), WriteError> {
+        let not_written = |error| WriteError { written: 0, error };
+        let encoded = self
+            .encode_frame(exchange, frame, bytes)
+            .map_err(not_written)?;
+        write_all(&self.stream, &encoded, deadline)?;
+        self.frames_written += 1;
+        Ok(())
+    }
+
+    fn encode_frame(
+        &self,
+        exchange: u64,
+        frame: &Frame,
+        bytes: &[u8],
+    ) -> Result<Vec<u8>, LinkError> {
+        let envelope = EnvelopeRef { exchange, frame };
+        let encoded = postcard::to_extend(&envelope, vec![0; LENGTH_BYTES]);
+        let mut encoded = encoded.map_err(|_| LinkError::Malformed)?;
+        encoded.extend_from_slice(bytes);
+        let content = &encoded[LENGTH_BYTES..];
+        let number = self.frames_written.to_be_bytes();
+        let tag = self.session.tag(&[self.side.direction(), &number, content]);
+        encoded.extend_from_slice(&tag);
+        let length = encoded.len() - LENGTH_BYTES;
+        if length > MAX_FRAME_BYTES {
+            return Err(LinkError::TooLong {
+                bytes: length,
+                limit_bytes: MAX_FRAME_BYTES,
+            });
+        }
+        encoded[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
+        Ok(encoded)
+    }
+
+    /// Reads one frame of the current exchange.
+    pub fn read_frame(&mut self, deadline: Instant) -> Result<Message, LinkError> {
+        let (exchange, message) = self.read_exchange_frame(deadline)?;
+        if exchange != self.exchange {
+            return Err(LinkError::WrongExchange {
+                expected: self.exchange,
+                found: exchange,
+            });
+        }
+        Ok(message)
+    }
+
+    /// Reads one frame of any exchange, with the number of its exchange.
+    pub fn read_exchange_frame(&mut self, deadline: Instant) -> Result<(u64, Message), LinkError> {
+        loop {
+            if let Some(content) = take_frame(&mut self.buffer, MAX_FRAME_BYTES)? {
+                return self.open_frame(&content);
+            }
+            fill(&self.stream, &mut self.buffer, deadline)?;
+        }
+    }
+
+    fn open_frame(&mut self, content: &[u8]) -> Result<(u64, Message), LinkError> {
+        let (content, tag) = content
+            .split_last_chunk::<TAG_BYTES>()
+            .ok_or(LinkError::Malformed)?;
+        let number = self.frames_read.to_be_bytes();
+        let direction = self.side.other().direction();
+        if !self
+            .session
+            .is_valid_tag(&[direction, &number, content], tag)
+        {
+            return Err(LinkError::BadTag);
+        }
+        self.frames_read += 1;
+        let (envelope, bytes) =
+            postcard::take_from_bytes::<Envelope>(content).map_err(|_| LinkError::Malformed)?;
+        let message = Message {
+            frame: envelope.frame,
+            bytes: bytes.to_vec(),
+        };
+        Ok((envelope.exchange, message))
+    }
+
+    /// Whether part of a frame has been read.
+    pub fn has_partial_frame(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Whether the other side is silent and has not closed the connection.
+    pub fn is_idle(&self) -> bool {
+        if !self.buffer.is_empty() || self.stream.set_nonblocking(true).is_err() {
+            return false;
+        }
+        let peeked = self.stream.peek(&mut [0]);
+        let is_silent = matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).is_ok() && is_silent
+    }
+}
+
+/// Keys of one handshake, bound to both hellos.
+struct HandshakeKeys {
+    client: ClusterKey,
+    server: ClusterKey,
+    session: ClusterKey,
+}
+
+impl HandshakeKeys {
+    fn new(key: &ClusterKey, client_hello: &[u8], server_hello: &[u8]) -> Self {
+        let derive = |purpose| key.derive(purpose, &[client_hello, server_hello]);
+        Self {
+            client: derive("cardamombridge link client proof"),
+            server: derive("cardamombridge link server proof"),
+            session: derive("cardamombridge link session"),
+        }
+    }
+}
+
+fn hello(own: &PeerIdentity) -> Hello {
+    Hello {
+        version: LINK_VERSION,
+        identity: own.clone(),
+        nonce: rand::random(),
+    }
+}
+
+fn check_version(hello: &Hello) -> Result<(), LinkError> {
+    if hello.version == LINK_VERSION {
+        return Ok(());
+    }
+    Err(LinkError::BadVersion {
+        version: hello.version,
+    })
+}
+
+fn encode<T>(value: &T) -> Result<Vec<u8>, LinkError>
+where
+    T: Serialize,
+{
+    postcard::to_allocvec(value).map_err(|_| LinkError::Malformed)
+}
+
+fn decode<T>(bytes: &[u8]) -> Result<T, LinkError>
+where
+    T: for<'de> Deserialize<'de>,
+{
+    match postcard::take_from_bytes(bytes) {
+        Ok((value, [])) => Ok(value),
+        _ => Err(LinkError::Malformed),
+    }
+}
+
+fn write_plain(stream: &TcpStream, content: &[u8], deadline: Instant) -> Result<(), LinkError> {
+    let mut bytes = (content.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(content);
+    write_all(stream, &bytes, deadline).map_err(|failed| failed.error)
+}
+
+fn read_plain(
+    stream: &TcpStream,
+    buffer: &mut Vec<u8>,
+    deadline: Instant,
+) -> Result<Vec<u8>, LinkError> {
+    loop {
+        if let Some(content) = take_frame(buffer, MAX_HANDSHAKE_BYTES)? {
+            return Ok(content);
+        }
+        fill(stream, buffer, deadline)?;
+    }
+}
+
+/// Removes one whole frame from the front of `buffer`, without its length.
+fn take_frame(buffer: &mut Vec<u8>, limit_bytes: usize) -> Result<Option<Vec<u8>>, LinkError> {
+    let Some(length) = buffer.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let bytes = u32::from_be_bytes(*length) as usize;
+    if bytes > limit_bytes {
+        return Err(LinkError::TooLong { bytes, limit_bytes });
+    }
+    if buffer.len() < LENGTH_BYTES + bytes {
+        return Ok(None);
+    }
+    let rest = buffer.split_off(LENGTH_BYTES + bytes);
+    let mut frame = std::mem::replace(buffer, rest);
+    frame.drain(..LENGTH_BYTES);
+    Ok(Some(frame))
+}
+
+fn fill(mut stream: &TcpStream, buffer: &mut Vec<u8>, deadline: Instant) -> Result<(), LinkError> {
+    stream.set_read_timeout(Some(remaining(deadline)?))?;
+    let old_length = buffer.len();
+    buffer.resize(old_length + READ_BYTES, 0);
+    let result = stream.read(&mut buffer[old_length..]);
+    buffer.truncate(old_length + result.as_ref().copied().unwrap_or(0));
+    match result {
+        Ok(0) => Err(LinkError::Closed),
+        Ok(_) => Ok(()),
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(()),
+        Err(error) => Err(LinkError::from_io(error)),
+    }
+}
+
+fn write_all(mut stream: &TcpStream, bytes: &[u8], deadline: Instant) -> Result<(), WriteError> {
+    let mut written = 0;
+    while written < bytes.len() {
+        let result = remaining(deadline).and_then(|timeout| {
+            stream.set_write_timeout(Some(timeout))?;
+            match stream.write(&bytes[written..]) {
+                Ok(0) => Err(LinkError::Closed),
+                Ok(count) => Ok(count),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(0),
+                Err(error) => Err(LinkError::from_io(error)),
+            }
+        });
+        match result {
+            Ok(count) => written += count,
+            Err(error) => return Err(WriteError { written, error }),
+        }
+    }
+    Ok(())
+}
+
+/// Time left until `deadline`.
+pub(super) fn remaining(deadline: Instant) -> Result<Duration, LinkError> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(LinkError::TimedOut);
+    }
+    Ok(left.max(MIN_TIMEOUT))
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,10 +3,16 @@
 //! Both are authenticated under one cluster key. `wire` holds the key and the
 //! datagram format, `store` the newest facts of each source, `gossip` decides
 //! which facts go to whom, `socket` runs it on a UDP socket and `measure` runs
-//! many of them in memory to find their cost.
+//! many of them in memory to find their cost. `frame` holds what hosts say over
+//! TCP, `link` is one authenticated connection, `client` starts exchanges and
+//! `server` serves them.
 
+pub mod client;
+pub mod frame;
 pub mod gossip;
+pub mod link;
 pub mod measure;
+pub mod server;
 pub mod socket;
 pub mod store;
 pub mod wire;
