--- a/src/experiment/customer.rs
+++ b/src/experiment/customer.rs
@@ -175,7 +175,7 @@
         caller_latency: Duration::from_millis(1),
         link: MbitPerSecond(140),
         work: WorkPlan {
-            requests_per_s: 14.0,
+            requests_per_s: 11.0,
             swing: 0.6,
             callers: 60,
             skew: 0.9,
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -14,9 +14,11 @@
 
 use std::{
     io::Write,
+    str::FromStr,
     time::Duration, //
 };
 
+use anyhow::Context as _;
 use clap::{
     Args,
     ValueEnum, //
@@ -69,11 +71,48 @@
     /// Length of the day in virtual seconds.
     #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u64).range(1..=86_400))]
     pub seconds: u64,
+    /// Parameter of the policy to change, such as `away_margin_ms=300`.
+    #[arg(long = "set", value_name = "NAME=VALUE")]
+    pub changes: Vec<PolicyChange>,
     /// Print one JSON object for each policy instead of a table.
     #[arg(long)]
     pub json: bool,
 }
 
+/// A parameter of the policy with another value.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PolicyChange {
+    /// Name of the field.
+    pub name: String,
+    /// Its value.
+    pub value: serde_json::Value,
+}
+
+impl FromStr for PolicyChange {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> anyhow::Result<Self> {
+        let (name, value) = text
+            .split_once('=')
+            .with_context(|| format!("{text:?} is not a parameter: expected NAME=VALUE"))?;
+        let value = serde_json::from_str(value)
+            .with_context(|| format!("{value:?} is not a value for {name}: expected JSON"))?;
+        Ok(Self {
+            name: name.to_owned(),
+            value,
+        })
+    }
+}
+
+fn changed_policy(changes: &[PolicyChange]) -> anyhow::Result<Policy> {
+    let mut fields = serde_json::to_value(Policy::default())?;
+    for change in changes {
+        // A name that the policy does not have is reported by the next step.
+        fields[&change.name] = change.value.clone();
+    }
+    serde_json::from_value(fields).context("invalid parameter of the policy")
+}
+
 /// The result of one policy.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct PolicyResult {
@@ -111,6 +150,7 @@
         Choice::Both => &[CustomerName::Drevoton, CustomerName::Consorcio],
     };
     let length = Duration::from_secs(args.seconds);
+    let policy = changed_policy(&args.changes)?;
     for name in customers {
         if !args.json {
             write_header(*name, args, out)?;
@@ -118,7 +158,7 @@
         for routing in ROUTINGS {
             let policy = Policy {
                 routing,
-                ..Policy::default()
+                ..policy.clone()
             };
             let result = replay(*name, &policy, args.seed, length);
             if args.json {
