Add paired load through a host and directly to an endpoint

Host and direct requests are interleaved in one run, so that a busy machine slows down both. The run is open: a request that starts late, because all connections are in use, counts that wait as latency; a closed loop would hide it. Time, requests and connections are bounded.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,9 +10,15 @@
     Subcommand, //
 };
 
-use crate::experiment::{
-    self,
-    ExperimentArgs, //
+use crate::{
+    experiment::{
+        self,
+        ExperimentArgs, //
+    },
+    load::{
+        self,
+        LoadArgs, //
+    }, //
 };
 
 /// Multi-region inference gateway.
@@ -27,12 +33,15 @@
 enum Command {
     /// Compare policies on a seeded workload in virtual time.
     Experiment(ExperimentArgs),
+    /// Measure the latency that a host adds to requests.
+    Load(LoadArgs),
 }
 
 /// Runs the command and returns the exit code of the process.
 pub fn run(cli: Cli) -> anyhow::Result<ExitCode> {
     match cli.command {
         Command::Experiment(args) => experiment::run(&args, &mut stdout().lock())?,
+        Command::Load(args) => load::run(&args, &mut stdout().lock())?,
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod experiment;
 pub mod http;
 pub mod intent;
+pub mod load;
 pub mod outcome;
 pub mod standin;
 pub mod types;
