--- a/src/decision/endpoint.rs
+++ b/src/decision/endpoint.rs
@@ -75,7 +75,8 @@
 
 /// Endpoints of a region that could serve a request now.
 ///
-/// Those that have failed it are left out if there are others.
+/// Those that have failed it, or any request lately, are left out if there are
+/// others.
 pub fn candidates(context: &Context<'_>, demand: &Demand<'_>) -> Vec<Candidate> {
     let (now_ms, policy) = (context.now_ms, context.policy);
     let view = context.view;
@@ -83,10 +84,8 @@
     let states: Vec<&EndpointState> = serving.collect();
     let hosts = context.host_count();
     let prior = prior_ratio(&states, now_ms, policy);
-    let has_untried = states.iter().any(|state| !is_tried(state, demand));
-    states
+    preferred(states, now_ms, demand)
         .into_iter()
-        .filter(|state| !has_untried || !is_tried(state, demand))
         .map(|state| {
             let prior = prior * f64::from(state.info.slots);
             let load = state.load(now_ms, prior, hosts, policy);
@@ -95,6 +94,19 @@
         .collect()
 }
 
+/// Endpoints that have not failed this request, if any, and of these the ones
+/// that have not failed lately, if any.
+fn preferred<'a>(
+    states: Vec<&'a EndpointState>,
+    now_ms: Millis,
+    demand: &Demand<'_>,
+) -> Vec<&'a EndpointState> {
+    let rank = |state: &EndpointState| (is_tried(state, demand), state.is_avoided(now_ms));
+    let best = states.iter().map(|state| rank(state)).min();
+    let is_best = |state: &&EndpointState| Some(rank(state)) == best;
+    states.into_iter().filter(is_best).collect()
+}
+
 /// Mean reported load of endpoints for each slot, weighted by report age.
 pub(super) fn prior_ratio(states: &[&EndpointState], now_ms: Millis, policy: &Policy) -> f64 {
     let mut load = 0.0;
@@ -208,10 +220,10 @@
     let holders = near.iter().filter(|one| one.cached_blocks > 0);
     let most_blocks = holders.clone().map(|one| one.cached_blocks).max();
     let holder = holders
-        .filter(|one| Some(one.cached_blocks) == most_blocks && is_within(one, bound))
+        .filter(|one| Some(one.cached_blocks) == most_blocks && is_within(one, bound, policy))
         .max_by_key(|one| rank(one));
     holder.copied().or_else(|| {
-        let within = open.iter().filter(|one| is_within(one, bound));
+        let within = open.iter().filter(|one| is_within(one, bound, policy));
         within.max_by_key(|one| rank(one)).copied()
     })
 }
@@ -223,9 +235,8 @@
     load / slots.max(1.0) * share(policy.bounded_load_permille)
 }
 
-fn is_within(one: &Candidate, bound: f64) -> bool {
-    // One request beyond the bound, or an idle region would have no affinity.
-    one.load <= bound * one.slots + 1.0
+fn is_within(one: &Candidate, bound: f64, policy: &Policy) -> bool {
+    one.load <= bound * one.slots + f64::from(policy.affinity_slack)
 }
 
 fn less_loaded_of_two<'a, R>(near: &[&'a Candidate], rng: &mut R) -> Option<&'a Candidate>
