--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,10 @@
         self,
         ExperimentArgs, //
     },
+    load::{
+        self,
+        LoadArgs, //
+    },
     serve,
     settings, //
 };
@@ -38,6 +42,8 @@
     Settings(SettingsCommand),
     /// Compare policies on a seeded workload in virtual time.
     Experiment(ExperimentArgs),
+    /// Measure the latency that a host adds to requests.
+    Load(LoadArgs),
 }
 
 #[derive(Debug, Subcommand)]
@@ -65,5 +71,9 @@
             experiment::run(&args, &mut stdout().lock())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Load(args) => {
+            load::run(&args, &mut stdout().lock())?;
+            Ok(ExitCode::SUCCESS)
+        }
     }
 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -6,7 +6,9 @@
 
 use std::{
     collections::HashMap,
+    io,
     net::{
+        IpAddr,
         Shutdown,
         SocketAddr,
         TcpStream, //
@@ -23,6 +25,11 @@
     }, //
 };
 
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
 use thiserror::Error;
 
 use super::{
@@ -125,6 +132,7 @@
 pub struct PeerClient {
     key: ClusterKey,
     own: PeerIdentity,
+    source: Option<IpAddr>,
     max_connections: usize,
     pools: Arc<Pools>,
 }
@@ -135,6 +143,7 @@
         Self {
             key,
             own,
+            source: None,
             max_connections: MAX_CONNECTIONS_PER_HOST,
             pools: Arc::new(Pools {
                 by_address: Mutex::new(HashMap::new()),
@@ -148,6 +157,13 @@
         self
     }
 
+    /// The same with connections that come from `source`, for a host with several
+    /// addresses.
+    pub fn with_source(mut self, source: IpAddr) -> Self {
+        self.source = Some(source);
+        self
+    }
+
     /// Idle connections to one address.
     pub fn idle_connections(&self, address: SocketAddr) -> usize {
         self.pools.lock().get(&address).map_or(0, |p| p.idle.len())
@@ -169,12 +185,21 @@
             }
         }
         let deadline = deadline.min(Instant::now() + HANDSHAKE_TIMEOUT);
-        let stream = TcpStream::connect_timeout(&address, remaining(deadline)?)?;
+        let stream = self.connect(address, remaining(deadline)?)?;
         let link = Link::connect(stream, &self.key, &self.own, deadline)?;
         check_host(&link, host)?;
         Ok(Ready { link, slot })
     }
 
+    fn connect(&self, address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        if let Some(source) = self.source {
+            socket.bind(&SocketAddr::new(source, 0).into())?;
+        }
+        socket.connect_timeout(&address.into(), timeout)?;
+        Ok(socket.into())
+    }
+
     fn take_slot(&self, address: SocketAddr) -> Result<Slot, LinkError> {
         let mut pools = self.pools.lock();
         let pool = pools.entry(address).or_default();
