Forward requests between hosts and fetch changes from peers

A request that another region serves travels over an authenticated link and is final there. Hosts that are behind fetch the configuration from a host that has announced a higher revision.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -22,7 +22,6 @@
 use crate::{
     auth,
     clock,
-    decider::DeciderHandle,
     decision::event::{
         Arrival,
         Origin,
@@ -57,14 +56,14 @@
     relay::{
         self,
         Exchange,
-        Payload, //
+        Payload,
+        RelayContext, //
     },
     sink::AnswerSink,
     types::{
         Bytes,
         CallerId,
         Millis,
-        RegionId,
         RequestId,
         ServiceId,
         Target,
@@ -83,10 +82,8 @@
 /// What every caller connection needs.
 #[derive(Clone)]
 pub struct CallerContext {
-    /// Region of this host.
-    pub region: RegionId,
-    /// Leads to the decisions.
-    pub decider: DeciderHandle,
+    /// What requests need on their way.
+    pub relay: RelayContext,
     /// Configuration in force.
     pub in_force: InForceCell,
     /// Set when this host takes no new work.
@@ -136,10 +133,11 @@
 }
 
 /// Counts a request that is being answered until it is dropped.
-struct OpenRequest(Arc<AtomicUsize>);
+pub struct OpenRequest(Arc<AtomicUsize>);
 
 impl OpenRequest {
-    fn new(count: &Arc<AtomicUsize>) -> Self {
+    /// Counts one more.
+    pub fn new(count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::AcqRel);
         Self(Arc::clone(count))
     }
@@ -174,7 +172,7 @@
     match prepare(context, &mut connection, id, head) {
         Ok(Prepared::Exchange(exchange)) => {
             let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
-            relay::run(&context.decider, *exchange, &mut sink);
+            relay::run(&context.relay, *exchange, &mut sink);
             sink.into_connection()
         }
         Ok(Prepared::Answer { status, body }) => {
@@ -262,7 +260,7 @@
 
 /// Refuses before the body is read, so that no data enters a forbidden region.
 fn check_residency(context: &CallerContext, intent: &CallerIntent) -> Result<(), Rejection> {
-    if intent.regions.contains(&context.region) {
+    if intent.regions.contains(&context.relay.region) {
         return Ok(());
     }
     Err(refused(Refusal::new(RefusalReason::WrongRegion)))
@@ -305,12 +303,14 @@
     let body = read_body(connection, &request.head)?;
     let chat = ChatRequest::parse(&body)
         .map_err(|error| not_run(400, "invalid_request", &error.to_string()))?;
+    // Tiers order from the most urgent, so the later one is the lower class.
+    let tier = chat.tier.max(intent.tier);
+    let chat = chat.with_tier(tier);
     let arrival = Arrival {
         request: request.id,
         caller: request.caller.clone(),
         target: Target::Model(chat.model.clone()),
-        // Tiers order from the most urgent, so the caller's limit is the minimum.
-        tier: chat.tier.max(intent.tier),
+        tier,
         prompt: chat.prompt,
         max_output: chat.max_output,
         prefix_hashes: chat.prefix_hashes.clone(),
--- a/src/host.rs
+++ b/src/host.rs
@@ -35,6 +35,11 @@
         self,
         CallerContext, //
     },
+    catch_up::{
+        self,
+        SourceRing,
+        Sources, //
+    },
     config::{
         self,
         Config,
@@ -64,17 +69,25 @@
         Unsent, //
     },
     peer::{
+        client::PeerClient,
         gossip::{
             GossipConfig,
             News, //
         },
+        link::PeerIdentity,
+        server::PeerServer,
         socket::GossipSocket,
         wire::ClusterKey, //
     },
+    peer_requests::{
+        self,
+        PeerContext, //
+    },
     platform::{
         KeyValue,
         ServiceList, //
     },
+    relay::RelayContext,
     sink::AnswerSink,
     spending::{
         self,
@@ -147,6 +160,8 @@
     acceptor: Acceptor,
     decider: DeciderHandle,
     gossip: Arc<GossipSocket>,
+    peers: PeerClient,
+    peer_server: Arc<PeerServer>,
     is_leaving: Arc<AtomicBool>,
     open_requests: Arc<AtomicUsize>,
     in_force: InForceCell,
@@ -170,13 +185,23 @@
         });
         let (decider, decider_thread) =
             decider::start(gateway, move |action| ask_ring.take(action));
-        let gossip = start_gossip(&config, incarnation, keys, &decider)?;
+        let peer_listener = listen(config.peer_address, "hosts")?;
+        let (source_ring, sources) = catch_up::ring();
+        let gossip = start_gossip(&config, incarnation, keys, &decider, source_ring)?;
+        let key = ClusterKey::new(&keys.cluster_key);
+        let identity = PeerIdentity {
+            host: config.host.clone(),
+            incarnation,
+        };
         let mut host = Self {
             acceptor: Acceptor::new(config.max_connections, Arc::default()),
             incarnation,
             caller_address,
             decider,
             gossip: Arc::new(gossip),
+            peers: PeerClient::new(key.clone(), identity.clone())
+                .with_source(config.peer_address.ip()),
+            peer_server: Arc::new(PeerServer::new(key, identity)),
             is_leaving: Arc::default(),
             open_requests: Arc::default(),
             in_force: InForceCell::new(),
@@ -185,6 +210,8 @@
             config,
         };
         host.start_platform(asks)?;
+        host.start_catch_up(sources)?;
+        host.start_peer_server(peer_listener)?;
         host.start_announcer()?;
         host.start_acceptor(callers)?;
         Ok(host)
@@ -230,9 +257,13 @@
     pub fn stop(self) {
         self.stop.set();
         self.acceptor.stop(self.caller_address);
+        self.peer_server.stop(self.config.peer_address);
         for thread in self.threads {
             // These end when the last caller connection has gone.
-            let waits_for_callers = matches!(thread.thread().name(), Some("decider" | "spending"));
+            let waits_for_callers = matches!(
+                thread.thread().name(),
+                Some("decider" | "spending" | "catch-up")
+            );
             if !waits_for_callers && thread.join().is_err() {
                 tracing::error!("a thread panicked");
             }
@@ -241,8 +272,7 @@
 
     fn start_acceptor(&mut self, listener: TcpListener) -> Result<(), StartError> {
         let context = CallerContext {
-            region: self.config.region.clone(),
-            decider: self.decider.clone(),
+            relay: self.relay_context(),
             in_force: self.in_force.clone(),
             is_leaving: Arc::clone(&self.is_leaving),
             open_requests: Arc::clone(&self.open_requests),
@@ -257,6 +287,37 @@
         })
     }
 
+    fn relay_context(&self) -> RelayContext {
+        RelayContext {
+            decider: self.decider.clone(),
+            peers: self.peers.clone(),
+            host: self.config.host.clone(),
+            region: self.config.region.clone(),
+        }
+    }
+
+    fn start_peer_server(&mut self, listener: TcpListener) -> Result<(), StartError> {
+        let context = PeerContext {
+            relay: self.relay_context(),
+            in_force: self.in_force.clone(),
+            open_requests: Arc::clone(&self.open_requests),
+        };
+        let server = Arc::clone(&self.peer_server);
+        self.spawn("peer-acceptor", move || {
+            server.run(&listener, move |exchange| {
+                peer_requests::serve(&context, exchange)
+            });
+        })
+    }
+
+    fn start_catch_up(&mut self, sources: Sources) -> Result<(), StartError> {
+        let peers = self.peers.clone();
+        let configuration = self.configuration();
+        self.spawn("catch-up", move || {
+            catch_up::run(&sources, &peers, &configuration);
+        })
+    }
+
     fn start_announcer(&mut self) -> Result<(), StartError> {
         let announcer = Announcer {
             config: self.config.clone(),
@@ -316,6 +377,7 @@
     incarnation: Incarnation,
     keys: &HostKeys,
     decider: &DeciderHandle,
+    sources: SourceRing,
 ) -> Result<GossipSocket, StartError> {
     let fail = |source| StartError::Listen {
         address: config.peer_address,
@@ -331,7 +393,7 @@
             News::Heartbeat(heartbeat) => Event::Heartbeat(heartbeat),
             News::Report(report) => Event::Report(report),
             News::Summary(summary) => Event::Summary(summary),
-            News::HigherRevision(_) => return,
+            News::HigherRevision(source) => return sources.note(source),
         };
         // News comes again, so a full ring may drop it.
         let _ = decider.report(event);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod announce;
 pub mod auth;
 pub mod caller;
+pub mod catch_up;
 pub mod cli;
 pub mod clock;
 pub mod config;
@@ -24,6 +25,7 @@
 pub mod openai;
 pub mod outcome;
 pub mod peer;
+pub mod peer_requests;
 pub mod plan;
 pub mod platform;
 pub mod relay;
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -111,6 +111,18 @@
         })
     }
 
+    /// The same request with or without a stream as its answer.
+    pub fn with_stream(mut self, is_stream: bool) -> Self {
+        self.is_stream = is_stream;
+        self
+    }
+
+    /// The same request in another scheduling class.
+    pub fn with_tier(mut self, tier: Tier) -> Self {
+        self.tier = tier;
+        self
+    }
+
     /// The body that goes to an endpoint.
     pub fn engine_body(&self) -> Vec<u8> {
         let mut body = self.body.clone();
@@ -133,8 +145,16 @@
             let left = self.max_output.saturating_sub(delivered_tokens);
             fields.insert("max_tokens".into(), json!(left.0));
         }
+        // A request that continues a message itself is continued in the same one.
+        let continues = self.body["continue_final_message"] == json!(true);
         if let Some(messages) = body["messages"].as_array_mut() {
-            messages.push(json!({"role": "assistant", "content": delivered}));
+            let partial = messages.last().filter(|_| continues);
+            let begun = partial.and_then(|message| message["content"].as_str());
+            let content = format!("{}{delivered}", begun.unwrap_or_default());
+            if continues {
+                messages.pop();
+            }
+            messages.push(json!({"role": "assistant", "content": content}));
         }
         body.to_string().into_bytes()
     }
--- /dev/null
+++ b/src/peer_requests.rs
@@ -0,0 +1,175 @@
+//! Serves what other hosts ask of this one.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::AtomicUsize, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use crate::{
+    caller::OpenRequest,
+    decision::event::{
+        Arrival,
+        Origin,
+        Refusal,
+        RefusalReason, //
+    },
+    http::client::Call,
+    in_force::InForceCell,
+    openai::ChatRequest,
+    outcome::{
+        RunState,
+        RunStateWord,
+        Unsent, //
+    },
+    peer::{
+        frame::{
+            ForwardHead,
+            Frame, //
+        },
+        link::LinkError,
+        server::ServerExchange, //
+    },
+    relay::{
+        self,
+        Exchange,
+        Payload,
+        RelayContext,
+        Settlement, //
+    },
+    sink::AnswerSink,
+    types::{
+        Revision,
+        Target,
+        Tokens, //
+    },
+    upstream, //
+};
+
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the requests of other hosts need.
+#[derive(Clone)]
+pub struct PeerContext {
+    /// What requests need on their way.
+    pub relay: RelayContext,
+    /// Configuration in force.
+    pub in_force: InForceCell,
+    /// Requests that are being answered.
+    pub open_requests: Arc<AtomicUsize>,
+}
+
+/// Serves one exchange.
+pub fn serve(context: &PeerContext, exchange: &mut ServerExchange<'_>) -> Result<(), LinkError> {
+    match exchange.request().clone() {
+        Frame::Forward(head) => forwarded(context, exchange, head),
+        Frame::ChangesSince { revision } => changes(context, exchange, revision),
+        _ => Err(LinkError::Unexpected("the request is not supported")),
+    }
+}
+
+fn changes(
+    context: &PeerContext,
+    exchange: &mut ServerExchange<'_>,
+    revision: Revision,
+) -> Result<(), LinkError> {
+    let set = context.in_force.changes_since(revision);
+    let bytes = postcard::to_allocvec(&set).map_err(|_| LinkError::Malformed)?;
+    exchange.finish(&Frame::Changes, &bytes, answer_deadline())
+}
+
+/// Serves a request that another host accepted; it goes no further than here.
+fn forwarded(
+    context: &PeerContext,
+    exchange: &mut ServerExchange<'_>,
+    head: ForwardHead,
+) -> Result<(), LinkError> {
+    let _open = OpenRequest::new(&context.open_requests);
+    let unsent = Unsent::new();
+    // A region that the sender does not allow must not even see the body.
+    if !head.allowed.contains(&context.relay.region) {
+        let refusal = Refusal::new(RefusalReason::WrongRegion);
+        return refuse(exchange, refusal, RunState::NotRun(unsent.give_up()));
+    }
+    let body = exchange.read_body(Instant::now() + BODY_TIMEOUT)?;
+    let request = head.request;
+    let Some(work) = prepare(head, body) else {
+        let refusal = Refusal::new(RefusalReason::UnknownTarget);
+        return refuse(exchange, refusal, RunState::NotRun(unsent.give_up()));
+    };
+    let mut sink = AnswerSink::to_host(exchange, request);
+    let settlement = relay::carry(&context.relay, work, unsent, &mut sink);
+    match settlement {
+        Settlement::Answered(_) => Ok(()),
+        Settlement::CallerGone => Err(LinkError::Closed),
+        Settlement::GivenUp {
+            refusal,
+            claim,
+            has_delivered,
+        } => {
+            let state = claim.into_state(has_delivered);
+            tracing::info!(%request, reason = ?refusal.reason, run_state = %state, "forwarded request given up");
+            refuse(exchange, refusal, state)
+        }
+    }
+}
+
+fn refuse(
+    exchange: &mut ServerExchange<'_>,
+    refusal: Refusal,
+    state: RunState,
+) -> Result<(), LinkError> {
+    let run_state = state.word();
+    let frame = match run_state {
+        RunStateWord::Partial => Frame::Broken {
+            run_state,
+            delivered: Tokens(0),
+        },
+        RunStateWord::NotRun | RunStateWord::Unknown => Frame::Refused { refusal, run_state },
+    };
+    exchange.finish(&frame, &[], answer_deadline())
+}
+
+fn prepare(head: ForwardHead, body: Vec<u8>) -> Option<Exchange> {
+    let payload = match &head.target {
+        Target::Model(_) => {
+            let chat = ChatRequest::parse(&body).ok()?;
+            let chat = chat.with_stream(head.is_stream).with_tier(head.tier);
+            Payload::Chat(Box::new(chat))
+        }
+        Target::Service(_) => Payload::Service(Call {
+            method: head.method,
+            path: head.path,
+            headers: upstream::from_fields(&head.headers),
+            body,
+        }),
+    };
+    let arrival = Arrival {
+        request: head.request,
+        caller: head.caller,
+        target: head.target,
+        tier: head.tier,
+        prompt: head.prompt,
+        max_output: head.max_output,
+        prefix_hashes: head.prefix_hashes,
+        body: head.body,
+        deadline_ms: head.deadline_ms,
+        is_repeatable: head.is_repeatable,
+        origin: Origin::Host {
+            region: head.origin_region,
+            host: head.origin_host,
+            allowed: head.allowed,
+        },
+    };
+    Some(Exchange { arrival, payload })
+}
+
+fn answer_deadline() -> Instant {
+    Instant::now() + ANSWER_TIMEOUT
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -21,25 +21,20 @@
 use crate::{
     clock,
     decider::DeciderHandle,
-    decision::event::{
-        Action,
-        Arrival,
-        AttemptOutcome,
-        Event,
-        Refusal,
-        RefusalReason, //
+    decision::{
+        event::{
+            Action,
+            Arrival,
+            AttemptOutcome,
+            Event,
+            Refusal,
+            RefusalReason, //
+        },
+        residency::AllowedRegions, //
     },
     http::{
-        client::{
-            self,
-            Answer,
-            Call, //
-        },
-        message::{
-            Framing,
-            Headers,
-            MessageError, //
-        }, //
+        client::Call,
+        message::Headers, //
     },
     openai::{
         self,
@@ -50,22 +45,42 @@
     },
     outcome::{
         RunState,
+        RunStateWord,
         Sent,
         Unsent, //
     },
+    peer::{
+        client::{
+            PeerClient,
+            StartError, //
+        },
+        frame::{
+            ForwardHead,
+            Frame, //
+        }, //
+    },
     sink::AnswerSink,
     types::{
         Attempt,
+        Bytes,
+        HostId,
         Millis,
+        RegionId,
         RequestId,
         Target,
         Tokens, //
+    },
+    upstream::{
+        self,
+        AnswerHead,
+        HostReply,
+        ReadError,
+        Upstream, //
     }, //
 };
 
 /// How often a waiting exchange checks that its caller is still there.
 const CALLER_POLL: Duration = Duration::from_millis(50);
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest silence between two tokens of a stream.
 const STALL_LIMIT: Duration = Duration::from_secs(5);
 /// Time past the deadline in which the decider gives the final answer.
@@ -74,6 +89,8 @@
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Largest single event of a stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Longest wait for the end frame of a host whose stream has ended.
+const END_FRAME_TIMEOUT: Duration = Duration::from_millis(200);
 /// When to come back after the event ring was full.
 const SHED_RETRY_AFTER_MS: Millis = Millis(1_000);
 
@@ -86,6 +103,19 @@
     Service(Call),
 }
 
+/// What the relay needs besides the request.
+#[derive(Clone)]
+pub struct RelayContext {
+    /// Leads to the decisions.
+    pub decider: DeciderHandle,
+    /// Starts exchanges with other hosts.
+    pub peers: PeerClient,
+    /// This host.
+    pub host: HostId,
+    /// Its region.
+    pub region: RegionId,
+}
+
 /// One request on its way.
 #[derive(Debug)]
 pub struct Exchange {
@@ -150,9 +180,9 @@
 }
 
 /// Serves one request and gives the caller its final answer.
-pub fn run(decider: &DeciderHandle, exchange: Exchange, sink: &mut AnswerSink) {
+pub fn run(context: &RelayContext, exchange: Exchange, sink: &mut AnswerSink<'_, '_>) {
     let request = exchange.arrival.request;
-    let settlement = carry(decider, exchange, Unsent::new(), sink);
+    let settlement = carry(context, exchange, Unsent::new(), sink);
     if let Settlement::GivenUp {
         refusal,
         claim,
@@ -179,25 +209,24 @@
 
 /// Carries one request until it is settled; writes no error answer.
 pub fn carry(
-    decider: &DeciderHandle,
+    context: &RelayContext,
     exchange: Exchange,
     unsent: Unsent,
-    sink: &mut AnswerSink,
+    sink: &mut AnswerSink<'_, '_>,
 ) -> Settlement {
     let mut relay = Relay {
-        decider,
-        request: exchange.arrival.request,
-        target: exchange.arrival.target.clone(),
+        context,
         deadline: clock::instant_of(exchange.arrival.deadline_ms),
+        arrival: exchange.arrival.clone(),
         payload: exchange.payload,
         sink,
         claim: Claim::Unsent(unsent),
         stream: StreamProgress::default(),
     };
-    match decider.submit(exchange.arrival) {
+    match context.decider.submit(exchange.arrival) {
         Ok(actions) => relay.follow(&actions),
         Err(error) => {
-            tracing::warn!(request = %relay.request, %error, "request shed");
+            tracing::warn!(request = %relay.arrival.request, %error, "request shed");
             let refusal =
                 Refusal::new(RefusalReason::Overloaded).with_retry_after(SHED_RETRY_AFTER_MS);
             relay.give_up(refusal)
@@ -205,17 +234,23 @@
     }
 }
 
-struct Relay<'a> {
-    decider: &'a DeciderHandle,
-    request: RequestId,
-    target: Target,
+struct Relay<'a, 'b, 'c> {
+    context: &'a RelayContext,
+    arrival: Arrival,
     deadline: Instant,
     payload: Payload,
-    sink: &'a mut AnswerSink,
+    sink: &'a mut AnswerSink<'b, 'c>,
     claim: Claim,
     stream: StreamProgress,
 }
 
+/// State of one upstream stream.
+struct StreamReader {
+    is_continued: bool,
+    is_finished: bool,
+    splitter: EventSplitter,
+}
+
 /// Why an attempt has no whole answer.
 enum Broken {
     /// The upstream connection failed or its answer was not whole.
@@ -224,35 +259,61 @@
     Caller,
 }
 
-impl Relay<'_> {
+/// Where an attempt goes.
+enum Destination {
+    Endpoint(SocketAddr),
+    Host {
+        host: HostId,
+        address: SocketAddr,
+        allowed: AllowedRegions,
+    },
+}
+
+impl Relay<'_, '_, '_> {
     fn follow(&mut self, actions: &Receiver<Action>) -> Settlement {
-        let mut attempt = Attempt::default();
+        let mut last_attempt = Attempt::default();
         loop {
-            match self.next_action(actions) {
+            let (attempt, destination) = match self.next_action(actions) {
                 Some(Action::Send {
-                    attempt: number,
+                    attempt, address, ..
+                }) => (attempt, Destination::Endpoint(address)),
+                Some(Action::Forward {
+                    attempt,
+                    host,
                     address,
+                    allowed,
                     ..
                 }) => {
-                    attempt = number;
-                    let outcome = self.attempt(attempt, address);
-                    let settled = self.settled_by(&outcome);
-                    self.decider.ended(self.request, attempt, outcome);
-                    if let Some(settlement) = settled {
-                        return settlement;
-                    }
+                    let destination = Destination::Host {
+                        host,
+                        address,
+                        allowed,
+                    };
+                    (attempt, destination)
                 }
                 Some(Action::Refuse { refusal, .. }) => return self.give_up(refusal),
-                Some(_) => {}
+                Some(_) => continue,
                 None => {
                     let outcome = self.caller_gone();
-                    self.decider.ended(self.request, attempt, outcome);
+                    self.report_end(last_attempt, outcome);
                     return Settlement::CallerGone;
                 }
+            };
+            last_attempt = attempt;
+            let outcome = self.attempt(attempt, destination);
+            let settled = self.settled_by(&outcome);
+            self.report_end(attempt, outcome);
+            if let Some(settlement) = settled {
+                return settlement;
             }
         }
     }
 
+    fn report_end(&self, attempt: Attempt, outcome: AttemptOutcome) {
+        let request = self.arrival.request;
+        self.context.decider.ended(request, attempt, outcome);
+    }
+
     fn settled_by(&mut self, outcome: &AttemptOutcome) -> Option<Settlement> {
         match outcome {
             AttemptOutcome::Complete { .. } | AttemptOutcome::Failed { .. } => {
@@ -278,7 +339,7 @@
                     if Instant::now() < self.deadline + DECISION_GRACE => {}
                 Err(_) => {
                     return Some(Action::Refuse {
-                        request: self.request,
+                        request: self.arrival.request,
                         refusal: Refusal::new(RefusalReason::DeadlinePassed),
                     });
                 }
@@ -294,57 +355,137 @@
         }
     }
 
-    fn attempt(&mut self, attempt: Attempt, address: SocketAddr) -> AttemptOutcome {
-        let mut connection = match client::connect(address, self.connect_timeout()) {
-            Ok(connection) => connection,
-            Err(error) => {
-                tracing::debug!(request = %self.request, %address, %error, "could not connect");
-                return AttemptOutcome::NotSent;
-            }
+    fn attempt(&mut self, attempt: Attempt, destination: Destination) -> AttemptOutcome {
+        let was_unsent = matches!(self.claim, Claim::Unsent(_));
+        let sent = match destination {
+            Destination::Endpoint(address) => self.send_to_endpoint(address),
+            Destination::Host {
+                host,
+                address,
+                allowed,
+            } => self.send_to_host(&host, address, allowed),
         };
-        let is_first_send = self.mark_sent();
-        let call = self.call();
-        let sent = client::send(&mut connection, &call, self.deadline);
-        let answer = match sent.map(|()| self.wait_for_head(connection)) {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(Broken::Caller)) => return self.caller_gone(),
-            Ok(Err(Broken::Upstream)) => return self.interrupted(),
-            Err(error) => {
-                tracing::debug!(request = %self.request, %address, %error, "could not send");
-                return self.interrupted();
-            }
+        let mut upstream = match sent {
+            Ok(upstream) => upstream,
+            Err(outcome) => return outcome,
         };
-        if self.is_rejection(&answer) {
-            if is_first_send {
-                self.restore_unsent();
+        let reply = match self.wait_for_head(&mut upstream) {
+            Ok(reply) => reply,
+            Err(Broken::Caller) => return self.caller_gone(),
+            Err(Broken::Upstream) => return self.interrupted(),
+        };
+        match reply {
+            HostReply::Refused { refusal, run_state } => {
+                if run_state != RunStateWord::NotRun {
+                    return self.interrupted();
+                }
+                self.restore_unsent(was_unsent);
+                AttemptOutcome::Rejected {
+                    retry_after_ms: refusal.retry_after_ms,
+                    is_leaving: refusal.reason == RefusalReason::Leaving,
+                }
+            }
+            HostReply::Answer(head) if self.is_rejection(&upstream, &head) => {
+                self.restore_unsent(was_unsent);
+                rejection(&head)
             }
-            return rejection(&answer);
+            HostReply::Answer(head) => self.pass_on(attempt, upstream, &head),
         }
-        self.pass_on(attempt, answer)
     }
 
-    fn connect_timeout(&self) -> Duration {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        left.clamp(Duration::from_millis(1), CONNECT_TIMEOUT)
+    fn send_to_endpoint(&mut self, address: SocketAddr) -> Result<Upstream, AttemptOutcome> {
+        let request = self.arrival.request;
+        let connection = upstream::connect(address, self.deadline).map_err(|error| {
+            tracing::debug!(%request, %address, %error, "could not connect");
+            AttemptOutcome::NotSent
+        })?;
+        self.mark_sent();
+        Upstream::send(connection, &self.call(), self.deadline).map_err(|error| {
+            tracing::debug!(%request, %address, %error, "could not send");
+            self.interrupted()
+        })
     }
 
-    /// Records that bytes leave now; returns whether they are the first ones.
-    fn mark_sent(&mut self) -> bool {
-        let (claim, is_first) = match self.claim.take() {
-            Claim::Unsent(unsent) => (Claim::Sent(unsent.mark_sent()), true),
-            other => (other, false),
+    fn send_to_host(
+        &mut self,
+        host: &HostId,
+        address: SocketAddr,
+        allowed: AllowedRegions,
+    ) -> Result<Upstream, AttemptOutcome> {
+        let request = self.arrival.request;
+        let peers = &self.context.peers;
+        let ready = peers
+            .prepare(Some(host), address, self.deadline)
+            .map_err(|error| {
+                tracing::debug!(%request, %host, %error, "could not reach the host");
+                AttemptOutcome::NotSent
+            })?;
+        let call = self.call();
+        let frame = Frame::Forward(self.forward_head(&call, allowed));
+        // A claim that is already spent stays so, whatever this attempt does.
+        let (unsent, spent) = match self.claim.take() {
+            Claim::Unsent(unsent) => (unsent, None),
+            other => (Unsent::new(), Some(other)),
         };
-        self.claim = claim;
-        is_first
+        let (claim, result) = match ready.start(unsent, &frame, &call.body, self.deadline) {
+            Ok(exchange) => (Claim::Sent(Unsent::new().mark_sent()), Ok(exchange)),
+            Err(StartError::NotSent { unsent, error }) => {
+                tracing::debug!(%request, %host, %error, "could not send");
+                (Claim::Unsent(unsent), Err(AttemptOutcome::NotSent))
+            }
+            Err(StartError::Sent { sent, error }) => {
+                tracing::debug!(%request, %host, %error, "could not send all");
+                (Claim::Sent(sent), Err(self.interrupted()))
+            }
+        };
+        self.claim = spent.unwrap_or(claim);
+        result.map(Upstream::from_exchange)
     }
 
-    fn restore_unsent(&mut self) {
+    fn forward_head(&self, call: &Call, allowed: AllowedRegions) -> ForwardHead {
+        let arrival = &self.arrival;
+        ForwardHead {
+            request: arrival.request,
+            caller: arrival.caller.clone(),
+            target: arrival.target.clone(),
+            tier: arrival.tier,
+            prompt: arrival.prompt,
+            max_output: arrival.max_output,
+            prefix_hashes: arrival.prefix_hashes.clone(),
+            deadline_ms: arrival.deadline_ms,
+            is_repeatable: arrival.is_repeatable,
+            origin_region: self.context.region.clone(),
+            origin_host: self.context.host.clone(),
+            allowed,
+            method: call.method.clone(),
+            path: call.path.clone(),
+            headers: upstream::to_fields(&call.headers),
+            is_stream: self.is_stream(),
+            body: Bytes(call.body.len() as u64),
+        }
+    }
+
+    /// Records that bytes leave now.
+    fn mark_sent(&mut self) {
         self.claim = match self.claim.take() {
-            Claim::Sent(sent) => Claim::Unsent(sent.refused_by_executor()),
+            Claim::Unsent(unsent) => Claim::Sent(unsent.mark_sent()),
             other => other,
         };
     }
 
+    /// Takes the executor's word that it did not run the request; an earlier
+    /// attempt may have run all the same.
+    fn restore_unsent(&mut self, was_unsent: bool) {
+        self.claim = match self.claim.take() {
+            Claim::Sent(sent) if was_unsent => Claim::Unsent(sent.refused_by_executor()),
+            other => other,
+        };
+    }
+
+    fn is_stream(&self) -> bool {
+        matches!(&self.payload, Payload::Chat(chat) if chat.is_stream)
+    }
+
     fn call(&self) -> Call {
         match &self.payload {
             Payload::Service(call) => call.clone(),
@@ -353,7 +494,7 @@
                 path: "/v1/chat/completions".into(),
                 headers: Headers::new()
                     .with_field("content-type", "application/json")
-                    .with_field("x-request-id", &self.request.to_string()),
+                    .with_field("x-request-id", &self.arrival.request.to_string()),
                 body: if self.stream.tokens == Tokens(0) {
                     chat.engine_body()
                 } else {
@@ -364,31 +505,18 @@
     }
 
     /// Waits until the answer starts, while the caller is there.
-    fn wait_for_head(
-        &mut self,
-        mut connection: crate::http::connection::Connection,
-    ) -> Result<Answer, Broken> {
+    fn wait_for_head(&mut self, upstream: &mut Upstream) -> Result<HostReply, Broken> {
         loop {
             let until = self.deadline.min(Instant::now() + CALLER_POLL);
-            match connection.read_response_head(until) {
-                Ok(head) => {
-                    let framing = head.framing().map_err(|_| Broken::Upstream)?;
-                    return Ok(Answer {
-                        body: crate::http::connection::BodyReader::new(framing),
-                        head,
-                        connection,
-                    });
-                }
-                Err(MessageError::TimedOut) => self.check_waiting(None)?,
-                Err(error) => {
-                    tracing::debug!(request = %self.request, %error, "no answer");
-                    return Err(Broken::Upstream);
-                }
+            match upstream.read_head(until) {
+                Ok(reply) => return Ok(reply),
+                Err(ReadError::TimedOut) => self.check_waiting(None)?,
+                Err(ReadError::Broken) => return Err(Broken::Upstream),
             }
         }
     }
 
-    fn check_waiting(&self, last_byte: Option<Instant>) -> Result<(), Broken> {
+    fn check_waiting(&mut self, last_byte: Option<Instant>) -> Result<(), Broken> {
         if self.sink.is_gone() {
             return Err(Broken::Caller);
         }
@@ -402,17 +530,22 @@
 
     // Only an engine is known to refuse with these before it runs a request; a
     // plain service may answer 503 after it has done part of the work.
-    fn is_rejection(&self, answer: &Answer) -> bool {
-        matches!(self.target, Target::Model(_)) && matches!(answer.head.status, 429 | 503)
+    fn is_rejection(&self, upstream: &Upstream, head: &AnswerHead) -> bool {
+        matches!(self.arrival.target, Target::Model(_))
+            && matches!(upstream, Upstream::Endpoint { .. })
+            && matches!(head.status, 429 | 503)
     }
 
-    fn pass_on(&mut self, attempt: Attempt, answer: Answer) -> AttemptOutcome {
-        let is_stream = matches!(&self.payload, Payload::Chat(chat) if chat.is_stream)
-            && answer.head.status == 200;
-        let result = if is_stream {
-            self.pass_stream(attempt, answer)
+    fn pass_on(
+        &mut self,
+        attempt: Attempt,
+        upstream: Upstream,
+        head: &AnswerHead,
+    ) -> AttemptOutcome {
+        let result = if self.is_stream() && head.status == 200 {
+            self.pass_stream(attempt, upstream)
         } else {
-            self.pass_whole(attempt, answer)
+            self.pass_whole(attempt, upstream, head)
         };
         match result {
             Ok(outcome) => outcome,
@@ -421,38 +554,46 @@
         }
     }
 
+    /// Reads the next piece; false at the proper end of the body.
+    fn read_piece(
+        &mut self,
+        upstream: &mut Upstream,
+        piece: &mut Vec<u8>,
+        last_byte: &mut Option<Instant>,
+    ) -> Result<bool, Broken> {
+        loop {
+            let until = self.deadline.min(Instant::now() + CALLER_POLL);
+            match upstream.read_piece(piece, until) {
+                Ok(has_more) => {
+                    *last_byte = Some(Instant::now());
+                    return Ok(has_more);
+                }
+                Err(ReadError::TimedOut) => self.check_waiting(*last_byte)?,
+                Err(ReadError::Broken) => return Err(Broken::Upstream),
+            }
+        }
+    }
+
     fn pass_whole(
         &mut self,
         attempt: Attempt,
-        mut answer: Answer,
+        mut upstream: Upstream,
+        head: &AnswerHead,
     ) -> Result<AttemptOutcome, Broken> {
-        // Without a length or chunks, a cut looks like the end.
-        if answer.head.framing().ok() == Some(Framing::UntilClose) {
-            return Err(Broken::Upstream);
-        }
         let mut body = Vec::new();
-        let mut last_byte = Instant::now();
-        while !answer.body.is_complete() {
-            let until = self.deadline.min(Instant::now() + CALLER_POLL);
-            match answer
-                .body
-                .read_piece(&mut answer.connection, &mut body, until)
-            {
-                Ok(_) => last_byte = Instant::now(),
-                Err(MessageError::TimedOut) => self.check_waiting(Some(last_byte))?,
-                Err(_) => return Err(Broken::Upstream),
-            }
+        let mut last_byte = Some(Instant::now());
+        while self.read_piece(&mut upstream, &mut body, &mut last_byte)? {
             if body.len() > MAX_ANSWER_BYTES {
                 return Err(Broken::Upstream);
             }
         }
-        let status = answer.head.status;
+        let status = head.status;
         let is_chat = matches!(self.payload, Payload::Chat(_));
         if is_chat && status == 200 && !openai::is_whole_answer(&body) {
             return Err(Broken::Upstream);
         }
         self.report_first_token(attempt);
-        let headers = passed_headers(&answer.head.headers);
+        let headers = passed_headers(&head.headers);
         self.sink
             .whole(status, headers, &body)
             .map_err(|_| Broken::Caller)?;
@@ -469,57 +610,69 @@
     fn pass_stream(
         &mut self,
         attempt: Attempt,
-        mut answer: Answer,
+        mut upstream: Upstream,
     ) -> Result<AttemptOutcome, Broken> {
-        let is_continued = self.stream.tokens > Tokens(0);
-        let mut splitter = EventSplitter::new();
+        let mut reader = StreamReader {
+            is_continued: self.stream.tokens > Tokens(0),
+            is_finished: false,
+            splitter: EventSplitter::new(),
+        };
         let mut piece = Vec::new();
         let mut last_byte = None;
-        let mut is_finished = false;
         loop {
             piece.clear();
-            let until = self.deadline.min(Instant::now() + CALLER_POLL);
-            match answer
-                .body
-                .read_piece(&mut answer.connection, &mut piece, until)
-            {
-                Ok(0) => return Err(Broken::Upstream),
-                Ok(_) => last_byte = Some(Instant::now()),
-                Err(MessageError::TimedOut) => {
-                    self.check_waiting(last_byte)?;
-                    continue;
-                }
-                Err(_) => return Err(Broken::Upstream),
+            if !self.read_piece(&mut upstream, &mut piece, &mut last_byte)? {
+                return Err(Broken::Upstream);
             }
-            splitter.push(&piece);
-            while let Some(event) = splitter.next_event() {
+            reader.splitter.push(&piece);
+            while let Some(event) = reader.splitter.next_event() {
                 let text = std::str::from_utf8(&event).map_err(|_| Broken::Upstream)?;
-                match StreamEvent::parse(text).map_err(|_| Broken::Upstream)? {
-                    StreamEvent::Done if is_finished => return self.finish_stream(&event),
-                    StreamEvent::Done | StreamEvent::Error => return Err(Broken::Upstream),
-                    StreamEvent::Other => {
-                        self.note_usage(text);
-                        if !is_continued || is_finished {
-                            self.pass_event(text, is_continued)?;
-                        }
-                    }
-                    StreamEvent::Delta { content, is_finish } => {
-                        self.note_usage(text);
-                        self.pass_event(text, is_continued)?;
-                        if self.stream.tokens == Tokens(0) {
-                            self.report_first_token(attempt);
-                        }
-                        self.note_delta(&content);
-                        is_finished |= is_finish;
-                    }
+                if self.pass_stream_event(attempt, &mut reader, text)? {
+                    upstream.finish(Instant::now() + END_FRAME_TIMEOUT);
+                    return self.finish_stream();
                 }
             }
-            if splitter.pending_bytes() > MAX_EVENT_BYTES {
+            if reader.splitter.pending_bytes() > MAX_EVENT_BYTES {
                 return Err(Broken::Upstream);
             }
         }
     }
 
+    /// Passes on one event; returns whether it was the proper end.
+    fn pass_stream_event(
+        &mut self,
+        attempt: Attempt,
+        reader: &mut StreamReader,
+        text: &str,
+    ) -> Result<bool, Broken> {
+        let event = StreamEvent::parse(text).map_err(|_| Broken::Upstream)?;
+        self.note_usage(text);
+        match event {
+            StreamEvent::Done if reader.is_finished => {
+                self.sink
+                    .piece(text.as_bytes())
+                    .map_err(|_| Broken::Caller)?;
+                return Ok(true);
+            }
+            StreamEvent::Done | StreamEvent::Error => return Err(Broken::Upstream),
+            StreamEvent::Other => {
+                // A continued answer starts with the role once more.
+                if !reader.is_continued || reader.is_finished {
+                    self.pass_event(text, reader.is_continued)?;
+                }
+            }
+            StreamEvent::Delta { content, is_finish } => {
+                self.pass_event(text, reader.is_continued)?;
+                if self.stream.tokens == Tokens(0) {
+                    self.report_first_token(attempt);
+                }
+                self.note_delta(&content);
+                reader.is_finished |= is_finish;
+            }
+        }
+        Ok(false)
+    }
+
     fn note_usage(&mut self, event: &str) {
         if let Some(usage) = openai::event_usage(event) {
             self.stream.usage = usage;
@@ -554,8 +707,7 @@
             .map_err(|_| Broken::Caller)
     }
 
-    fn finish_stream(&mut self, done: &[u8]) -> Result<AttemptOutcome, Broken> {
-        self.sink.piece(done).map_err(|_| Broken::Caller)?;
+    fn finish_stream(&mut self) -> Result<AttemptOutcome, Broken> {
         self.sink.end_stream().map_err(|_| Broken::Caller)?;
         Ok(AttemptOutcome::Complete {
             output: self.stream.tokens,
@@ -565,11 +717,11 @@
 
     fn report_first_token(&self, attempt: Attempt) {
         let event = Event::FirstToken {
-            request: self.request,
+            request: self.arrival.request,
             attempt,
         };
         // The decisions do without this event when the ring is full.
-        let _ = self.decider.report(event);
+        let _ = self.context.decider.report(event);
     }
 
     fn interrupted(&self) -> AttemptOutcome {
@@ -585,15 +737,14 @@
     }
 }
 
-fn rejection(answer: &Answer) -> AttemptOutcome {
-    let retry_after_s = answer
-        .head
+fn rejection(head: &AnswerHead) -> AttemptOutcome {
+    let retry_after_s = head
         .headers
         .get("retry-after")
         .and_then(|text| text.parse::<u64>().ok());
     AttemptOutcome::Rejected {
         retry_after_ms: retry_after_s.map(|seconds| Millis(seconds.saturating_mul(1_000))),
-        is_leaving: answer.head.headers.has_token("x-endpoint-state", "leaving"),
+        is_leaving: head.headers.has_token("x-endpoint-state", "leaving"),
     }
 }
 
--- a/src/sink.rs
+++ b/src/sink.rs
@@ -15,7 +15,15 @@
         server, //
     },
     openai::ErrorAnswer,
-    types::RequestId, //
+    peer::{
+        frame::Frame,
+        server::ServerExchange, //
+    },
+    types::{
+        RequestId,
+        Tokens, //
+    },
+    upstream, //
 };
 
 /// Longest wait for a caller that does not read.
@@ -44,32 +52,38 @@
 }
 
 #[derive(Debug)]
-enum Output {
+enum Output<'a, 'b> {
     Caller(Connection),
+    Host(HostOutput<'a, 'b>),
     Capture(Option<CapturedAnswer>),
 }
 
 /// The caller's side of one exchange.
 #[derive(Debug)]
-pub struct AnswerSink {
-    output: Output,
+pub struct AnswerSink<'a, 'b> {
+    output: Output<'a, 'b>,
     request: RequestId,
     is_closing: bool,
     progress: Progress,
 }
 
-impl AnswerSink {
+impl<'a, 'b> AnswerSink<'a, 'b> {
     /// A sink that writes to a caller's connection.
     pub fn new(connection: Connection, request: RequestId) -> Self {
         Self::with_output(Output::Caller(connection), request)
     }
 
+    /// A sink that answers the host that forwarded the request.
+    pub fn to_host(exchange: &'a mut ServerExchange<'b>, request: RequestId) -> Self {
+        Self::with_output(Output::Host(HostOutput::new(exchange)), request)
+    }
+
     /// A sink that keeps a whole answer; nobody waits at its other side.
     pub fn capture(request: RequestId) -> Self {
         Self::with_output(Output::Capture(None), request)
     }
 
-    fn with_output(output: Output, request: RequestId) -> Self {
+    fn with_output(output: Output<'a, 'b>, request: RequestId) -> Self {
         Self {
             output,
             request,
@@ -97,14 +111,15 @@
     pub fn into_captured(self) -> Option<CapturedAnswer> {
         match self.output {
             Output::Capture(answer) => answer,
-            Output::Caller(_) => None,
+            Output::Caller(_) | Output::Host(_) => None,
         }
     }
 
     /// Whether the caller has closed its end.
-    pub fn is_gone(&self) -> bool {
-        match &self.output {
+    pub fn is_gone(&mut self) -> bool {
+        match &mut self.output {
             Output::Caller(connection) => connection.is_closed_by_peer(),
+            Output::Host(host) => host.is_gone(),
             Output::Capture(_) => false,
         }
     }
@@ -121,6 +136,7 @@
             Output::Caller(connection) => {
                 server::respond(connection, status, common, body, deadline())
             }
+            Output::Host(host) => host.whole(status, &headers, body),
             Output::Capture(answer) => {
                 *answer = Some(CapturedAnswer {
                     status,
@@ -140,6 +156,7 @@
             Output::Caller(connection) => {
                 server::start_chunked(connection, 200, headers, deadline())
             }
+            Output::Host(host) => host.head(200, &headers),
             Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
         };
         self.note(result, Progress::Streaming)
@@ -149,6 +166,7 @@
     pub fn piece(&mut self, bytes: &[u8]) -> Result<(), MessageError> {
         let result = match &mut self.output {
             Output::Caller(connection) => server::write_chunk(connection, bytes, deadline()),
+            Output::Host(host) => host.piece(bytes),
             Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
         };
         self.note(result, Progress::Streaming)
@@ -158,6 +176,7 @@
     pub fn end_stream(&mut self) -> Result<(), MessageError> {
         let result = match &mut self.output {
             Output::Caller(connection) => server::end_chunked(connection, deadline()),
+            Output::Host(host) => host.end(),
             Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
         };
         self.note(result, Progress::Ended)
@@ -212,6 +231,55 @@
     }
 }
 
+/// The host that forwarded a request.
+#[derive(Debug)]
+struct HostOutput<'a, 'b> {
+    exchange: &'a mut ServerExchange<'b>,
+}
+
+impl<'a, 'b> HostOutput<'a, 'b> {
+    fn new(exchange: &'a mut ServerExchange<'b>) -> Self {
+        Self { exchange }
+    }
+
+    fn is_gone(&mut self) -> bool {
+        self.exchange.is_cancelled()
+    }
+
+    fn head(&mut self, status: u16, headers: &Headers) -> Result<(), MessageError> {
+        let headers = upstream::to_fields(headers);
+        let frame = Frame::Head { status, headers };
+        self.exchange
+            .send(&frame, &[], deadline())
+            .map_err(|_| MessageError::Closed)
+    }
+
+    fn piece(&mut self, bytes: &[u8]) -> Result<(), MessageError> {
+        self.exchange
+            .send(&Frame::Piece, bytes, deadline())
+            .map_err(|_| MessageError::Closed)
+    }
+
+    fn end(&mut self) -> Result<(), MessageError> {
+        // The host that asked counts the tokens itself.
+        let frame = Frame::End {
+            output: Tokens(0),
+            cached: Tokens(0),
+        };
+        self.exchange
+            .finish(&frame, &[], deadline())
+            .map_err(|_| MessageError::Closed)
+    }
+
+    fn whole(&mut self, status: u16, headers: &Headers, body: &[u8]) -> Result<(), MessageError> {
+        self.head(status, headers)?;
+        if !body.is_empty() {
+            self.piece(body)?;
+        }
+        self.end()
+    }
+}
+
 fn deadline() -> Instant {
     Instant::now() + WRITE_TIMEOUT
 }
