--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod intent;
 pub mod outcome;
 pub mod peer;
+pub mod poller;
 pub mod types;
