--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peer_requests;
 pub mod plan;
 pub mod platform;
+pub mod poller;
 pub mod relay;
 pub mod rollout;
 pub mod serve;
