Add the operators' interface and its commands

Operators plan, confirm and look at the system through any host. `confirm` waits up to 4 s and reports each region as in force, behind or not reachable. What it shows of its host comes in as closures, so it holds no lock of another thread.

A plan is made against the service's newest revision, and against the one in force at the host while the service is down; confirming it needs the service either way.

clap exits with 2 on a usage error, which here means a refused plan, so main maps usage errors to 1. History shows ages instead of dates, because no date library is among the dependencies.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,24 +1,225 @@
 //! The command line.
 
-use std::process::ExitCode;
+use std::{
+    fmt,
+    fs,
+    io::{
+        self,
+        Write, //
+    },
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode, //
+};
 
+use anyhow::Context;
 use clap::{
+    Args,
+    CommandFactory,
     Parser,
     Subcommand, //
 };
+use clap_complete::Shell;
+use serde::Serialize;
+
+use crate::{
+    admin::{
+        HistoryText,
+        unix_now, //
+    },
+    admin_client::{
+        AdminClient,
+        AdminClientError, //
+    },
+    intent_file,
+    plan::Plan, //
+};
+
+/// Exit code when a plan is refused or conflicts with another change.
+const EXIT_REFUSED: u8 = 2;
 
 /// Multi-region inference gateway.
 #[derive(Debug, Parser)]
 #[command(name = "cardamombridge", version, about)]
+#[command(after_help = "Exit codes: 0 success, 1 error, 2 plan refused or in conflict.")]
 pub struct Cli {
     #[command(subcommand)]
     command: Command,
 }
 
 #[derive(Debug, Subcommand)]
-enum Command {}
+enum Command {
+    /// Plan and confirm changes of the configuration.
+    Intent {
+        #[command(subcommand)]
+        command: IntentCommand,
+    },
+    /// Show the state of a host and of what it knows.
+    #[command(after_help = "Example:\n  \
+        cardamombridge status --admin 127.0.0.1:7400 --key-file operator.key")]
+    Status {
+        #[command(flatten)]
+        admin: AdminArgs,
+    },
+    /// Show how fast callers use up their allowed misses.
+    #[command(after_help = "Example:\n  \
+        cardamombridge burn --admin 127.0.0.1:7400 --key-file operator.key --json")]
+    Burn {
+        #[command(flatten)]
+        admin: AdminArgs,
+    },
+    /// Print a completion script for a shell.
+    #[command(after_help = "Example:\n  \
+        cardamombridge completions bash > cardamombridge.bash")]
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum IntentCommand {
+    /// Show what an intent file would change, without changing anything.
+    #[command(after_help = "Examples:\n  \
+        cardamombridge intent plan callers.ini --out callers.plan \\\n    \
+        --admin 127.0.0.1:7400 --key-file operator.key\n\n\
+        An intent file states whole objects; others stay as they are:\n  \
+        [model/stain-advice]\n  version = 2.1\n  prefill_micros_per_ktok = 300u\n  \
+        decode_micros_per_ktok = 900u\n\n  [service/old-orders]\n  remove = true")]
+    Plan {
+        /// Intent file.
+        file: PathBuf,
+        /// Write the plan to this file, for `intent confirm`.
+        #[arg(long, value_name = "PLAN")]
+        out: Option<PathBuf>,
+        #[command(flatten)]
+        admin: AdminArgs,
+    },
+    /// Put a plan into force and report region by region.
+    #[command(after_help = "Example:\n  \
+        cardamombridge intent confirm callers.plan \\\n    \
+        --admin 127.0.0.1:7400 --key-file operator.key\n\n\
+        Confirming the same plan again is harmless and reports the same revision.")]
+    Confirm {
+        /// Plan written by `intent plan --out`.
+        plan: PathBuf,
+        #[command(flatten)]
+        admin: AdminArgs,
+    },
+    /// Show the last accepted changes, newest first.
+    #[command(after_help = "Example:\n  \
+        cardamombridge intent history --admin 127.0.0.1:7400 --key-file operator.key")]
+    History {
+        #[command(flatten)]
+        admin: AdminArgs,
+    },
+}
+
+#[derive(Debug, Args)]
+struct AdminArgs {
+    /// Address of a host's operators' interface.
+    #[arg(long, value_name = "ADDRESS")]
+    admin: SocketAddr,
+    /// File with the operator key.
+    #[arg(long, value_name = "FILE")]
+    key_file: PathBuf,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+impl AdminArgs {
+    fn client(&self) -> Result<AdminClient, AdminClientError> {
+        AdminClient::from_key_file(self.admin, &self.key_file)
+    }
+
+    /// Prints an answer as JSON or as text, which ends in a line break of its own.
+    fn print<Value, Text>(&self, value: &Value, text: &Text) -> anyhow::Result<()>
+    where
+        Value: Serialize,
+        Text: fmt::Display,
+    {
+        let mut stdout = io::stdout().lock();
+        if self.json {
+            serde_json::to_writer_pretty(&mut stdout, value)?;
+            writeln!(stdout)?;
+        } else {
+            write!(stdout, "{text}")?;
+        }
+        stdout.flush()?;
+        Ok(())
+    }
+}
 
 /// Runs the command and returns the exit code of the process.
 pub fn run(cli: Cli) -> anyhow::Result<ExitCode> {
-    match cli.command {}
+    let result = match cli.command {
+        Command::Intent { command } => run_intent(&command),
+        Command::Status { admin } => run_status(&admin),
+        Command::Burn { admin } => run_burn(&admin),
+        Command::Completions { shell } => {
+            print_completions(shell);
+            Ok(())
+        }
+    };
+    match result {
+        Ok(()) => Ok(ExitCode::SUCCESS),
+        Err(error) if is_refusal(&error) => {
+            eprintln!("cardamombridge: {error:#}");
+            Ok(ExitCode::from(EXIT_REFUSED))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn is_refusal(error: &anyhow::Error) -> bool {
+    error
+        .downcast_ref::<AdminClientError>()
+        .is_some_and(AdminClientError::is_refusal)
+}
+
+fn run_intent(command: &IntentCommand) -> anyhow::Result<()> {
+    match command {
+        IntentCommand::Plan { file, out, admin } => {
+            let text = fs::read_to_string(file)
+                .with_context(|| format!("intent file {} cannot be read", file.display()))?;
+            // Parsing here first names the file in errors.
+            intent_file::parse(&file.display().to_string(), &text)?;
+            let answer = admin.client()?.plan(&text)?;
+            if let Some(out) = out {
+                let plan = serde_json::to_vec_pretty(&answer.plan)?;
+                fs::write(out, plan)
+                    .with_context(|| format!("plan {} cannot be written", out.display()))?;
+            }
+            admin.print(&answer.plan, &answer.text)
+        }
+        IntentCommand::Confirm { plan, admin } => {
+            let text = fs::read_to_string(plan)
+                .with_context(|| format!("plan {} cannot be read", plan.display()))?;
+            let plan: Plan = serde_json::from_str(&text)
+                .with_context(|| format!("{} is not a plan", plan.display()))?;
+            let confirmed = admin.client()?.confirm(&plan)?;
+            admin.print(&confirmed, &confirmed)
+        }
+        IntentCommand::History { admin } => {
+            let changes = admin.client()?.history()?;
+            admin.print(&changes, &HistoryText::new(&changes, unix_now()))
+        }
+    }
+}
+
+fn run_status(admin: &AdminArgs) -> anyhow::Result<()> {
+    let status = admin.client()?.status()?;
+    admin.print(&status, &status)
+}
+
+fn run_burn(admin: &AdminArgs) -> anyhow::Result<()> {
+    let report = admin.client()?.burn()?;
+    admin.print(&report, &report)
+}
+
+fn print_completions(shell: Shell) {
+    let mut command = Cli::command();
+    let name = command.get_name().to_owned();
+    clap_complete::generate(shell, &mut command, name, &mut io::stdout());
 }
--- a/src/intent.rs
+++ b/src/intent.rs
@@ -210,6 +210,18 @@
     }
 }
 
+/// Parses a SHA-256 digest of 64 hexadecimal digits.
+pub fn parse_sha256(text: &str) -> Option<[u8; 32]> {
+    if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut digest = [0; 32];
+    for (byte, at) in digest.iter_mut().zip((0..64).step_by(2)) {
+        *byte = u8::from_str_radix(&text[at..at + 2], 16).ok()?;
+    }
+    Some(digest)
+}
+
 /// Identifies a change: the SHA-256 of the plan that it was confirmed from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "CompactString", into = "CompactString")]
@@ -232,15 +244,9 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let error = || ParseError::new("change id", text, "64 hexadecimal digits");
-        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
-            return Err(error());
-        }
-        let mut digest = [0; 32];
-        for (byte, at) in digest.iter_mut().zip((0..64).step_by(2)) {
-            *byte = u8::from_str_radix(&text[at..at + 2], 16).map_err(|_| error())?;
-        }
-        Ok(Self(digest))
+        parse_sha256(text)
+            .map(Self)
+            .ok_or_else(|| ParseError::new("change id", text, "64 hexadecimal digits"))
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! modules, the state and its owners, the messages, and what happens when each
 //! part fails.
 
+pub mod admin;
+pub mod admin_client;
 pub mod cli;
 pub mod decision;
 pub mod grant;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,11 @@
 use clap::Parser;
 
 fn main() -> ExitCode {
-    match cli::run(cli::Cli::parse()) {
+    let cli = match cli::Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(error) => return usage(&error),
+    };
+    match cli::run(cli) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("cardamombridge: {error:#}");
@@ -14,3 +18,12 @@
         }
     }
 }
+
+/// Prints help or a usage error; clap's own exit code 2 means a refused plan here.
+fn usage(error: &clap::Error) -> ExitCode {
+    let printed = error.print();
+    if error.use_stderr() || printed.is_err() {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
