--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,16 +1,21 @@
 //! The command line.
 
 use std::{
-    io::stdout,
+    io::{
+        self,
+        stdout, //
+    },
     path::PathBuf,
     process::ExitCode, //
 };
 
 use clap::{
     Args,
+    CommandFactory,
     Parser,
     Subcommand, //
 };
+use clap_complete::Shell;
 
 use crate::{
     experiment::{
@@ -21,6 +26,10 @@
         self,
         LoadArgs, //
     },
+    operator::{
+        self,
+        OperatorCommand, //
+    },
     serve,
     settings, //
 };
@@ -28,6 +37,10 @@
 /// Multi-region inference gateway.
 #[derive(Debug, Parser)]
 #[command(name = "cardamombridge", version, about)]
+#[command(
+    after_help = "Exit codes: 0 success, 1 error, 2 plan refused or in conflict, \
+        3 requests were cut off at shutdown."
+)]
 pub struct Cli {
     #[command(subcommand)]
     command: Command,
@@ -40,10 +53,19 @@
     /// Check or print settings.
     #[command(subcommand)]
     Settings(SettingsCommand),
+    #[command(flatten)]
+    Operator(OperatorCommand),
     /// Compare policies on a seeded workload in virtual time.
     Experiment(ExperimentArgs),
     /// Measure the latency that a host adds to requests.
     Load(LoadArgs),
+    /// Print a completion script for a shell.
+    #[command(after_help = "Example:\n  \
+        cardamombridge completions bash > cardamombridge.bash")]
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
 }
 
 #[derive(Debug, Subcommand)]
@@ -67,6 +89,7 @@
         Command::Serve(file) => serve::run(&file.path),
         Command::Settings(SettingsCommand::Check(file)) => settings::check(&file.path),
         Command::Settings(SettingsCommand::Show(file)) => settings::show(&file.path),
+        Command::Operator(command) => operator::run(&command),
         Command::Experiment(args) => {
             experiment::run(&args, &mut stdout().lock())?;
             Ok(ExitCode::SUCCESS)
@@ -75,5 +98,15 @@
             load::run(&args, &mut stdout().lock())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Completions { shell } => {
+            print_completions(shell);
+            Ok(ExitCode::SUCCESS)
+        }
     }
 }
+
+fn print_completions(shell: Shell) {
+    let mut command = Cli::command();
+    let name = command.get_name().to_owned();
+    clap_complete::generate(shell, &mut command, name, &mut io::stdout());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! modules, the state and its owners, the messages, and what happens when each
 //! part fails.
 
+pub mod admin;
+pub mod admin_client;
 pub mod announce;
 pub mod auth;
 pub mod caller;
@@ -23,6 +25,7 @@
 pub mod intent_file;
 pub mod load;
 pub mod openai;
+pub mod operator;
 pub mod outcome;
 pub mod peer;
 pub mod peer_requests;
