--- a/src/admin.rs
+++ b/src/admin.rs
@@ -438,8 +438,8 @@
     pub accepted: Arc<dyn Fn(Revision) + Send + Sync>,
     /// All regions, this one included.
     pub regions: Source<Vec<RegionState>>,
-    /// State of this host.
-    pub status: Source<Status>,
+    /// State of this host; none while it is too busy to tell.
+    pub status: Source<Option<Status>>,
     /// Service-level burn.
     pub burn: Source<BurnReport>,
 }
@@ -473,7 +473,7 @@
             "/admin/v1/plan" if is_post => self.plan(&read_text(request)?),
             "/admin/v1/confirm" if is_post => self.confirm(&read_text(request)?),
             "/admin/v1/history" if is_get => json(&rollout::history(&self.kv)?),
-            "/admin/v1/status" if is_get => json(&(self.status)()),
+            "/admin/v1/status" if is_get => json(&self.status()?),
             "/admin/v1/burn" if is_get => json(&(self.burn)()),
             "/admin/v1/plan" | "/admin/v1/confirm" => Err(wrong_method("POST")),
             "/admin/v1/history" | "/admin/v1/status" | "/admin/v1/burn" => Err(wrong_method("GET")),
@@ -499,6 +499,15 @@
         ))
     }
 
+    fn status(&self) -> Result<Status, AdminError> {
+        (self.status)().ok_or_else(|| {
+            AdminError::new(
+                AdminErrorKind::Unavailable,
+                "host is too busy to show its state".to_owned(),
+            )
+        })
+    }
+
     fn plan(&self, text: &str) -> Answer {
         let wanted = intent_file::parse("intent file", text)?;
         let plan = Plan::new(self.newest()?.as_ref(), wanted, &self.rules)?;
--- a/src/announce.rs
+++ b/src/announce.rs
@@ -19,15 +19,26 @@
     config::Config,
     decider::DeciderHandle,
     decision::{
+        Gateway,
         event::Event,
-        view::Heartbeat, //
+        view::{
+            EndpointInfo,
+            Heartbeat, //
+        }, //
     },
     in_force::InForceCell,
     peer::socket::{
         GossipSocket,
         Say, //
     },
-    types::Incarnation,
+    poller::{
+        self,
+        Poller, //
+    },
+    types::{
+        HostId,
+        Incarnation, //
+    },
     watch::StopFlag, //
 };
 
@@ -50,12 +61,21 @@
 }
 
 impl Announcer {
-    /// Announces until stopped.
-    pub fn run(&self, gossip: &GossipSocket, decider: &DeciderHandle, stop: &StopFlag) {
+    /// Announces until stopped, and gives the poller its share of endpoints.
+    pub fn run(
+        &self,
+        gossip: &GossipSocket,
+        poller: &Poller,
+        decider: &DeciderHandle,
+        stop: &StopFlag,
+    ) {
         let mut sequence = 0;
         while !stop.is_set() {
             sequence += 1;
             self.announce(sequence, gossip, decider);
+            if let Ok(targets) = decider.query(poll_targets) {
+                poller.set_targets(targets);
+            }
             thread::sleep(INTERVAL);
         }
     }
@@ -91,3 +111,25 @@
         }
     }
 }
+
+/// The endpoints of this region that this host polls.
+fn poll_targets(gateway: &Gateway) -> Vec<EndpointInfo> {
+    let (config, view) = (gateway.config(), gateway.view());
+    let now_ms = clock::now();
+    let mut live: Vec<HostId> = view
+        .ready_hosts(now_ms, &config.region, gateway.policy())
+        .map(|state| state.heartbeat.host.clone())
+        .collect();
+    // A host that has just started may not have heard itself yet.
+    if !live.contains(&config.host) {
+        live.push(config.host.clone());
+    }
+    let endpoints: Vec<EndpointInfo> = view
+        .endpoints
+        .values()
+        .filter(|state| state.info.region == config.region)
+        .map(|state| state.info.clone())
+        .collect();
+    let assigned = poller::assigned(&config.host, &live, &endpoints);
+    assigned.into_iter().cloned().collect()
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -25,12 +25,18 @@
     }, //
 };
 
+use oxhttp::ListeningServer;
 use rand::RngExt;
 use thiserror::Error;
 
 use crate::{
+    admin::{
+        Admin,
+        BurnReport,
+        IN_FORCE_WAIT,
+        OperatorKey, //
+    },
     announce::Announcer,
-    auth::KeyDigest,
     caller::{
         self,
         CallerContext, //
@@ -40,6 +46,7 @@
         SourceRing,
         Sources, //
     },
+    clock,
     config::{
         self,
         Config,
@@ -76,26 +83,36 @@
         },
         link::PeerIdentity,
         server::PeerServer,
-        socket::GossipSocket,
+        socket::{
+            GossipSocket,
+            Say, //
+        },
         wire::ClusterKey, //
     },
     peer_requests::{
         self,
         PeerContext, //
     },
+    plan::PlanRules,
     platform::{
         KeyValue,
         ServiceList, //
     },
+    poller::{
+        Poller,
+        PollerConfig, //
+    },
     relay::RelayContext,
     sink::AnswerSink,
     spending::{
         self,
         Asks, //
     },
+    status,
     types::{
         Incarnation,
         Millis,
+        RegionId,
         RequestId, //
     },
     watch::{
@@ -114,8 +131,8 @@
 pub struct HostKeys {
     /// The key that all hosts share.
     pub cluster_key: Vec<u8>,
-    /// Digest of the operators' key.
-    pub operator_key_digest: KeyDigest,
+    /// The operators' key.
+    pub operator_key: OperatorKey,
 }
 
 impl HostKeys {
@@ -124,7 +141,7 @@
         let operator_key = config::read_key(&config.operator_key_file)?;
         Ok(Self {
             cluster_key: config::read_key(&config.cluster_key_file)?,
-            operator_key_digest: crate::auth::digest(&operator_key),
+            operator_key: OperatorKey::new(&operator_key),
         })
     }
 }
@@ -159,6 +176,7 @@
     caller_address: SocketAddr,
     acceptor: Acceptor,
     decider: DeciderHandle,
+    admin: Option<ListeningServer>,
     gossip: Arc<GossipSocket>,
     peers: PeerClient,
     peer_server: Arc<PeerServer>,
@@ -198,6 +216,7 @@
             incarnation,
             caller_address,
             decider,
+            admin: None,
             gossip: Arc::new(gossip),
             peers: PeerClient::new(key.clone(), identity.clone())
                 .with_source(config.peer_address.ip()),
@@ -213,6 +232,7 @@
         host.start_catch_up(sources)?;
         host.start_peer_server(peer_listener)?;
         host.start_announcer()?;
+        host.start_admin(keys)?;
         host.start_acceptor(callers)?;
         Ok(host)
     }
@@ -327,10 +347,68 @@
             is_leaving: Arc::clone(&self.is_leaving),
             open_requests: Arc::clone(&self.open_requests),
         };
+        let poller = self.start_poller()?;
         let gossip = Arc::clone(&self.gossip);
         let decider = self.decider.clone();
         let stop = self.stop.clone();
-        self.spawn("announcer", move || announcer.run(&gossip, &decider, &stop))
+        self.spawn("announcer", move || {
+            announcer.run(&gossip, &poller, &decider, &stop);
+        })
+    }
+
+    /// Starts the poller, whose reports go to gossip; what is news comes back
+    /// from there and reaches the decisions.
+    fn start_poller(&self) -> Result<Poller, StartError> {
+        let gossip = Arc::clone(&self.gossip);
+        Poller::start(PollerConfig::new(), move |report| {
+            gossip.say(Say::Report(report));
+        })
+        .map_err(|source| StartError::Thread {
+            name: "poller",
+            source,
+        })
+    }
+
+    fn start_admin(&mut self, keys: &HostKeys) -> Result<(), StartError> {
+        let in_force = self.in_force.clone();
+        let (for_regions, for_status) = (self.decider.clone(), self.decider.clone());
+        let admin = Admin {
+            operator_key: keys.operator_key,
+            kv: KeyValue::new(self.config.platform_address),
+            rules: PlanRules {
+                regions: self.all_regions(),
+            },
+            in_force_wait: IN_FORCE_WAIT,
+            in_force: Arc::new(move || {
+                let current = in_force.get();
+                current.map_or_else(Arc::default, |current| Arc::clone(&current.intents))
+            }),
+            accepted: Arc::new(|_revision| {}),
+            regions: Arc::new(move || {
+                let regions = for_regions.query(|gateway| status::regions(gateway, clock::now()));
+                regions.unwrap_or_default()
+            }),
+            status: Arc::new(move || {
+                let shown = for_status.query(|gateway| status::status(gateway, clock::now()));
+                shown.ok()
+            }),
+            burn: Arc::new(BurnReport::default),
+        };
+        let address = self.config.admin_address;
+        let server = admin.serve(address).map_err(|source| StartError::Listen {
+            address,
+            purpose: "operators",
+            source,
+        })?;
+        self.admin = Some(server);
+        Ok(())
+    }
+
+    fn all_regions(&self) -> Vec<RegionId> {
+        let others = self.config.links.iter().map(|link| link.region.clone());
+        std::iter::once(self.config.region.clone())
+            .chain(others)
+            .collect()
     }
 
     fn start_platform(&mut self, asks: Asks) -> Result<(), StartError> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod sink;
 pub mod spending;
 pub mod standin;
+pub mod status;
 pub mod ticket;
 pub mod types;
 pub mod upstream;
--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -43,6 +43,7 @@
     wire::Wire, //
 };
 use crate::{
+    admin::OperatorKey,
     auth,
     clock,
     config::{
@@ -258,7 +259,7 @@
     pub fn keys() -> HostKeys {
         HostKeys {
             cluster_key: CLUSTER_KEY.into(),
-            operator_key_digest: auth::digest(OPERATOR_KEY.as_bytes()),
+            operator_key: OperatorKey::new(OPERATOR_KEY.as_bytes()),
         }
     }
 
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -125,7 +125,7 @@
             in_force: Arc::new(Default::default),
             accepted: Arc::new(|_| ()),
             regions: Arc::new(move || known.lock().expect("no panic").clone()),
-            status: Arc::new(status),
+            status: Arc::new(|| Some(status())),
             burn: Arc::new(burn),
         };
         admin.serve(address).expect("the interface starts");
