Keep deadlines after a first token and while waiting for grants

The properties found two faults with more cases. An attempt that had passed on a token and was then repeated kept its mark, so its request got no answer when the deadline passed during the delay. And a request whose deadline passed in the same tick in which another one of its caller gave up waiting for a grant was still sent by the baselines.

--- a/src/decision/place.rs
+++ b/src/decision/place.rs
@@ -86,6 +86,9 @@
     }
 
     fn decide(&mut self, now_ms: Millis, open: &OpenRequest, ahead: usize) -> Decision {
+        if open.left_ms(now_ms) == Millis(0) {
+            return Decision::Refuse(Refusal::new(RefusalReason::DeadlinePassed));
+        }
         let Some(version) = self.known.version(&open.arrival.target) else {
             return Decision::Refuse(Refusal::new(RefusalReason::UnknownTarget));
         };
--- a/src/decision/tick.rs
+++ b/src/decision/tick.rs
@@ -79,7 +79,7 @@
         let Some(open) = self.open.get_mut(&request) else {
             return;
         };
-        if open.has_first_token {
+        if open.is_running() && open.has_first_token {
             return;
         }
         if !open.is_running() {
--- a/tests/decision_choices.rs
+++ b/tests/decision_choices.rs
@@ -41,6 +41,7 @@
         RequestId,
         Revision,
         Target,
+        Tier,
         Tokens, //
     }, //
 };
@@ -236,6 +237,92 @@
     assert_eq!([before, loaded, after, idle], [false, true, true, false]);
 }
 
+fn count_forwards(gateway: &mut Gateway, ms: u64) -> usize {
+    let numbers = 1_000 * ms as u128..1_000 * ms as u128 + 20;
+    numbers
+        .filter(|number| forwards(gateway, ms, *number))
+        .count()
+}
+
+/// Guards against all hosts filling another region's free slots between two of
+/// its summaries, and against requests to a host that was not reached.
+#[test]
+fn region_without_endpoints_uses_part_of_the_free_slots() {
+    let mut gateway = ready(1, Policy::default(), Vec::new());
+    summed_up(&mut gateway, 0, 90);
+    let event = Event::Arrived(arrival(1, "wide", at(30_000)));
+    let actions = run(&mut gateway, at(0), event);
+    let Some(Action::Forward { host: silent, .. }) = actions.first() else {
+        panic!("expected a forward, got {actions:?}");
+    };
+    run(&mut gateway, at(0), ended(1, 0, AttemptOutcome::NotSent));
+
+    let first = count_forwards(&mut gateway, 1);
+    summed_up(&mut gateway, 500, 94);
+    let second = count_forwards(&mut gateway, 501);
+
+    assert_eq!((first, second), (5, 3));
+    for number in 1_000..1_020 {
+        let end = ended(number, 0, complete());
+        run(&mut gateway, at(600), end);
+    }
+    summed_up(&mut gateway, 1_000, 0);
+    let mut hosts = Vec::new();
+    for number in 2..=20 {
+        let event = Event::Arrived(arrival(number, "wide", at(30_000)));
+        let actions = run(&mut gateway, at(1_000), event);
+        hosts.extend(actions.into_iter().filter_map(|action| match action {
+            Action::Forward { host, .. } => Some(host),
+            _ => None,
+        }));
+    }
+    assert_eq!(hosts.len(), 19);
+    assert!(!hosts.contains(silent));
+}
+
+/// Guards against a region that was not heard for a while getting all that home
+/// would rather not do.
+#[test]
+fn region_heard_again_is_ramped_up() {
+    let sent_after = |gap_ms| {
+        let policy = Policy {
+            away_cap_permille: 1_000,
+            ..Policy::default()
+        };
+        let mut gateway = ready(1, policy, vec![endpoint("e1", 64)]);
+        summed_up(&mut gateway, 0, 60);
+        let full = Event::Report(report("e1", at(gap_ms), 64));
+        run(&mut gateway, at(gap_ms), full);
+        summed_up(&mut gateway, gap_ms, 60);
+        count_forwards(&mut gateway, gap_ms)
+    };
+
+    assert_eq!(sent_after(2_000), 20);
+    assert_eq!(sent_after(4_000), 2);
+}
+
+/// Guards against background work in the queue keeping out urgent work, and
+/// against callers with a tier that their intent does not allow.
+#[test]
+fn urgent_work_is_admitted_ahead_of_background_work() {
+    let ask = |number, caller, tier| {
+        let mut arrival = arrival(number, caller, at(12_000));
+        arrival.tier = tier;
+        Event::Arrived(arrival)
+    };
+    let is_admitted = |caller, tier| {
+        let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 1)]);
+        for number in 1..=20 {
+            run(&mut gateway, at(0), ask(number, "wide", Tier::Default));
+        }
+        run(&mut gateway, at(1), ask(21, caller, tier)).is_empty()
+    };
+
+    assert!(is_admitted("bound", Tier::Priority));
+    assert!(!is_admitted("bound", Tier::Default));
+    assert!(!is_admitted("wide", Tier::Priority));
+}
+
 /// Guards against large bodies crossing a link that they would fill.
 #[test]
 fn large_body_stays_home() {
