Count service-level burn by caller and objective

Operators need to see how fast each caller's error budget is used up, over all hosts and without a store.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! modules, the state and its owners, the messages, and what happens when each
 //! part fails.
 
+pub mod burn;
 pub mod cli;
 pub mod decision;
 pub mod http;
