--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod decision;
 pub mod http;
 pub mod intent;
+pub mod logs;
+pub mod metrics;
 pub mod outcome;
 pub mod peer;
 pub mod poller;
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,83 @@
+//! Log output through `tracing`.
+
+use std::{
+    fmt,
+    io,
+    str::FromStr, //
+};
+
+use thiserror::Error;
+use tracing_subscriber::{
+    EnvFilter,
+    fmt::format::FmtSpan, //
+};
+
+use crate::types::ParseError;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LogFormat {
+    /// One line of text for each event.
+    #[default]
+    Text,
+    /// One JSON object for each event.
+    Json,
+}
+
+impl fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        })
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(ParseError::new("log format", text, "text or json")),
+        }
+    }
+}
+
+/// Why logs could not be set up.
+#[derive(Debug, Error)]
+pub enum LogError {
+    /// The filter is invalid.
+    #[error("log filter {filter:?} is invalid: {error}")]
+    Filter {
+        /// The filter.
+        filter: String,
+        /// What is wrong.
+        #[source]
+        error: tracing_subscriber::filter::ParseError,
+    },
+    /// Logs were set up before.
+    #[error("logs are already set up")]
+    AlreadySet,
+}
+
+/// Writes logs of this process to standard error.
+///
+/// `filter` has the syntax of `tracing-subscriber`, such as `info` or
+/// `warn,cardamombridge::peer=debug`.
+pub fn init(format: LogFormat, filter: &str) -> Result<(), LogError> {
+    let parsed = EnvFilter::try_new(filter).map_err(|error| LogError::Filter {
+        filter: filter.into(),
+        error,
+    })?;
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(parsed)
+        .with_writer(io::stderr)
+        .with_span_events(FmtSpan::NONE);
+    let result = match format {
+        LogFormat::Text => builder.with_ansi(false).try_init(),
+        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+    };
+    result.map_err(|_| LogError::AlreadySet)
+}
