Run calls that must not be repeated under tickets

A call with an unsafe method needs a ticket, which names the one run of a host that may start it. Any host forwards the call there. A leaving host hands its table to one successor, and heartbeats name the runs whose tickets a host decides.

--- a/src/announce.rs
+++ b/src/announce.rs
@@ -35,6 +35,7 @@
         self,
         Poller, //
     },
+    tickets::TicketContext,
     types::{
         HostId,
         Incarnation, //
@@ -58,6 +59,8 @@
     pub is_leaving: Arc<AtomicBool>,
     /// Requests that are being answered.
     pub open_requests: Arc<AtomicUsize>,
+    /// The ticket table.
+    pub tickets: TicketContext,
 }
 
 impl Announcer {
@@ -108,6 +111,7 @@
             is_ready: !is_leaving && self.in_force.get().is_some(),
             revision,
             open_requests: u32::try_from(open_requests).unwrap_or(u32::MAX),
+            held_runs: self.tickets.held_runs(),
         }
     }
 }
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -22,11 +22,14 @@
 use crate::{
     auth,
     clock,
-    decision::event::{
-        Arrival,
-        Origin,
-        Refusal,
-        RefusalReason, //
+    decision::{
+        event::{
+            Arrival,
+            Origin,
+            Refusal,
+            RefusalReason, //
+        },
+        residency::AllowedRegions, //
     },
     http::{
         client::Call,
@@ -60,6 +63,14 @@
         RelayContext, //
     },
     sink::AnswerSink,
+    ticket::call::CallDigest,
+    tickets::{
+        PlainAnswer,
+        TICKET_FIELD,
+        TicketCaller,
+        TicketContext,
+        TicketRequest, //
+    },
     types::{
         Bytes,
         CallerId,
@@ -78,12 +89,15 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 const NOT_READY_RETRY_AFTER_MS: Millis = Millis(2_000);
 const SERVICE_PREFIX: &str = "/v1/services/";
+const TICKET_PREFIX: &str = "/v1/tickets/";
 
 /// What every caller connection needs.
 #[derive(Clone)]
 pub struct CallerContext {
     /// What requests need on their way.
     pub relay: RelayContext,
+    /// What ticketed calls need.
+    pub tickets: TicketContext,
     /// Configuration in force.
     pub in_force: InForceCell,
     /// Set when this host takes no new work.
@@ -175,11 +189,16 @@
             relay::run(&context.relay, *exchange, &mut sink);
             sink.into_connection()
         }
-        Ok(Prepared::Answer { status, body }) => {
+        Ok(Prepared::Answer(answer)) => {
             let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
-            let headers = Headers::new().with_field("content-type", "application/json");
             // A caller that does not take its answer has closed the connection.
-            let _ = sink.whole(status, headers, &body);
+            let _ = sink.whole(answer.status, answer.to_headers(), &answer.body);
+            sink.into_connection()
+        }
+        Ok(Prepared::Ticketed(call)) => {
+            let answer = call.run(&context.tickets);
+            let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
+            let _ = sink.whole(answer.status, answer.to_headers(), &answer.body);
             sink.into_connection()
         }
         Err(answer) => {
@@ -193,7 +212,27 @@
 
 enum Prepared {
     Exchange(Box<Exchange>),
-    Answer { status: u16, body: Vec<u8> },
+    Ticketed(Box<TicketedRequest>),
+    Answer(PlainAnswer),
+}
+
+/// What a caller asks of a ticket.
+struct TicketedRequest {
+    ticket: CompactString,
+    from: TicketCaller,
+    service: Option<ServiceId>,
+    request: TicketRequest,
+}
+
+impl TicketedRequest {
+    fn run(self, tickets: &TicketContext) -> PlainAnswer {
+        tickets.serve(
+            &self.ticket,
+            &self.from,
+            self.service.as_ref(),
+            self.request,
+        )
+    }
 }
 
 fn prepare(
@@ -214,8 +253,10 @@
     match (request.head.method.as_str(), path) {
         ("POST", "/v1/chat/completions") => chat(context, connection, &request),
         ("GET", "/v1/models") => models(&request),
+        ("GET", "/v1/entry") => entry(context, &request),
+        ("GET" | "DELETE", path) if path.starts_with(TICKET_PREFIX) => ticket(&request),
         (_, path) if path.starts_with(SERVICE_PREFIX) => service(context, connection, &request),
-        (_, "/v1/chat/completions" | "/v1/models") => Err(not_run(
+        (_, "/v1/chat/completions" | "/v1/models" | "/v1/entry") => Err(not_run(
             405,
             "method_not_allowed",
             "the path exists but not with this method",
@@ -341,18 +382,18 @@
         refused(refusal)
     })?;
     let is_repeatable = service.repeatable_methods.contains(&request.head.method);
-    if !is_repeatable {
-        return Err(not_run(
-            428,
-            "ticket_required",
-            "this call must not be repeated and needs a ticket",
-        ));
-    }
+    let ticket = request.head.headers.get(TICKET_FIELD);
     let body = read_body(connection, &request.head)?;
+    if !is_repeatable && ticket.is_none() {
+        let required = context
+            .tickets
+            .ticket_required(&ticket_caller(request, intent), &id);
+        return Ok(Prepared::Answer(required));
+    }
     let arrival = Arrival {
         request: request.id,
         caller: request.caller.clone(),
-        target: Target::Service(id),
+        target: Target::Service(id.clone()),
         tier: Tier::Default.max(intent.tier),
         prompt: Tokens(0),
         max_output: Tokens(0),
@@ -362,18 +403,79 @@
         is_repeatable,
         origin: Origin::Caller,
     };
+    let digest = CallDigest::new(&request.head.method, &request.head.path, &body);
     let call = Call {
         method: request.head.method.clone(),
         path,
         headers: forwarded_headers(&request.head.headers, request.id),
         body,
     };
-    Ok(Prepared::Exchange(Box::new(Exchange {
+    let exchange = Box::new(Exchange {
         arrival,
         payload: Payload::Service(call),
+    });
+    match ticket {
+        Some(ticket) if !is_repeatable => Ok(Prepared::Ticketed(Box::new(TicketedRequest {
+            ticket: ticket.into(),
+            from: ticket_caller(request, intent),
+            service: Some(id),
+            request: TicketRequest::Call(exchange, digest),
+        }))),
+        _ => Ok(Prepared::Exchange(exchange)),
+    }
+}
+
+fn ticket_caller(request: &Request, intent: &CallerIntent) -> TicketCaller {
+    TicketCaller {
+        caller: request.caller.clone(),
+        allowed: AllowedRegions::new(intent),
+    }
+}
+
+/// `GET` tells the state of a ticket, `DELETE` closes it unless it has started.
+fn ticket(request: &Request) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    let text = request.head.path.strip_prefix(TICKET_PREFIX);
+    let asked = match request.head.method.as_str() {
+        "DELETE" => TicketRequest::Void,
+        _ => TicketRequest::State,
+    };
+    Ok(Prepared::Ticketed(Box::new(TicketedRequest {
+        ticket: text.unwrap_or_default().into(),
+        from: ticket_caller(request, intent),
+        service: None,
+        request: asked,
     })))
 }
 
+/// Entry hosts for the caller, with a ticket if the query names a service.
+fn entry(context: &CallerContext, request: &Request) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    let (caller, now_ms) = (request.caller.clone(), clock::now());
+    let list = context
+        .relay
+        .decider
+        .query(move |gateway| gateway.entry_list(now_ms, &caller));
+    let list = list.ok().flatten().ok_or_else(not_ready)?;
+    let mut body = json!({"hosts": list.hosts, "use_ms": list.use_ms});
+    if let Some(service) = asked_service(&request.head.path, intent) {
+        let from = ticket_caller(request, intent);
+        // A host that cannot issue one now says so when the call comes.
+        body["ticket"] = json!(context.tickets.issue(&from, &service).ok());
+    }
+    Ok(json_answer(&body))
+}
+
+/// The service in `?service=NAME`, if the caller may use it.
+fn asked_service(path: &str, intent: &CallerIntent) -> Option<ServiceId> {
+    let (_, query) = path.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, name) = pairs.find(|(key, _)| *key == "service")?;
+    let service: ServiceId = name.parse().ok()?;
+    let is_allowed = intent.targets.contains(&Target::Service(service.clone()));
+    is_allowed.then_some(service)
+}
+
 /// Splits `/v1/services/SERVICE/REST` into the service and `/REST`.
 fn service_path(path: &str) -> Result<(ServiceId, CompactString), Rejection> {
     let rest = path.strip_prefix(SERVICE_PREFIX).unwrap_or_default();
@@ -430,10 +532,7 @@
 }
 
 fn json_answer(value: &serde_json::Value) -> Prepared {
-    Prepared::Answer {
-        status: 200,
-        body: value.to_string().into_bytes(),
-    }
+    Prepared::Answer(PlainAnswer::json(200, value))
 }
 
 fn not_ready() -> Rejection {
--- a/src/decision/view.rs
+++ b/src/decision/view.rs
@@ -23,15 +23,18 @@
     Policy,
     share, //
 };
-use crate::types::{
-    DataCentreId,
-    EndpointId,
-    HostId,
-    Incarnation,
-    Millis,
-    RegionId,
-    Revision,
-    Target, //
+use crate::{
+    ticket::token::HostRun,
+    types::{
+        DataCentreId,
+        EndpointId,
+        HostId,
+        Incarnation,
+        Millis,
+        RegionId,
+        Revision,
+        Target, //
+    }, //
 };
 
 /// An endpoint as the platform's list shows it.
@@ -93,6 +96,9 @@
     pub revision: Revision,
     /// Requests in progress.
     pub open_requests: u32,
+    /// Runs whose tickets it decides; its own one is among them until it has
+    /// handed them over.
+    pub held_runs: Vec<HostRun>,
 }
 
 /// What an endpoint says of its load.
@@ -161,6 +167,8 @@
     pub heartbeat: Heartbeat,
     /// When it arrived here.
     pub heard_ms: Millis,
+    /// When its current run was first heard.
+    pub run_since_ms: Millis,
     /// Whether it has said in its current run, or the list, that it leaves.
     pub is_leaving: bool,
     /// Whether callers should rather use other hosts.
@@ -174,6 +182,7 @@
             is_leaving: heartbeat.is_leaving,
             heartbeat,
             heard_ms: now_ms,
+            run_since_ms: now_ms,
             is_overloaded: false,
             past: Vec::new(),
         }
@@ -201,6 +210,7 @@
             self.is_leaving |= heartbeat.is_leaving;
         } else {
             self.is_leaving = heartbeat.is_leaving;
+            self.run_since_ms = now_ms;
             self.past.push(self.heartbeat.incarnation);
         }
         if self.past.len() > PAST_INCARNATIONS {
@@ -409,6 +419,21 @@
         })
     }
 
+    /// The run that decides the tickets of `run`: itself, or the one that has
+    /// announced that it took them over.
+    pub fn holder_of(&self, run: &HostRun) -> HostRun {
+        let is_successor = |state: &&HostState| {
+            state.heartbeat.host != run.host && state.heartbeat.held_runs.contains(run)
+        };
+        match self.hosts.values().find(is_successor) {
+            Some(state) => HostRun {
+                host: state.heartbeat.host.clone(),
+                incarnation: state.heartbeat.incarnation,
+            },
+            None => run.clone(),
+        }
+    }
+
     /// Number of hosts that share the work of a region, at least one.
     pub fn host_count(&self, now_ms: Millis, region: &RegionId, policy: &Policy) -> usize {
         self.ready_hosts(now_ms, region, policy).count().max(1)
--- a/src/host.rs
+++ b/src/host.rs
@@ -70,6 +70,7 @@
         server::Acceptor, //
     },
     in_force::InForceCell,
+    leave::Handover,
     openai::ErrorAnswer,
     outcome::{
         RunState,
@@ -109,6 +110,19 @@
         Asks, //
     },
     status,
+    ticket::{
+        table::TicketTable,
+        token::{
+            HostRun,
+            KeyError,
+            Owner,
+            TicketSigner, //
+        }, //
+    },
+    tickets::{
+        TableHandle,
+        TicketContext, //
+    },
     types::{
         Incarnation,
         Millis,
@@ -159,6 +173,9 @@
         /// What the system reported.
         source: io::Error,
     },
+    /// The cluster key cannot be used.
+    #[error(transparent)]
+    Key(#[from] KeyError),
     /// A thread could not be started.
     #[error("could not start thread {name:?}: {source}")]
     Thread {
@@ -176,9 +193,11 @@
     caller_address: SocketAddr,
     acceptor: Acceptor,
     decider: DeciderHandle,
+    tickets: TicketContext,
     admin: Option<ListeningServer>,
     gossip: Arc<GossipSocket>,
     peers: PeerClient,
+    relay: RelayContext,
     peer_server: Arc<PeerServer>,
     is_leaving: Arc<AtomicBool>,
     open_requests: Arc<AtomicUsize>,
@@ -211,6 +230,15 @@
             host: config.host.clone(),
             incarnation,
         };
+        let peers =
+            PeerClient::new(key.clone(), identity.clone()).with_source(config.peer_address.ip());
+        let relay = RelayContext {
+            decider: decider.clone(),
+            peers: peers.clone(),
+            host: config.host.clone(),
+            region: config.region.clone(),
+        };
+        let (tickets, ticket_thread) = start_tickets(&config, incarnation, keys, relay.clone())?;
         let mut host = Self {
             acceptor: Acceptor::new(config.max_connections, Arc::default()),
             incarnation,
@@ -218,14 +246,15 @@
             decider,
             admin: None,
             gossip: Arc::new(gossip),
-            peers: PeerClient::new(key.clone(), identity.clone())
-                .with_source(config.peer_address.ip()),
+            peers,
+            relay,
+            tickets,
             peer_server: Arc::new(PeerServer::new(key, identity)),
             is_leaving: Arc::default(),
             open_requests: Arc::default(),
             in_force: InForceCell::new(),
             stop: StopFlag::new(),
-            threads: vec![decider_thread],
+            threads: vec![decider_thread, ticket_thread],
             config,
         };
         host.start_platform(asks)?;
@@ -260,17 +289,33 @@
         }
     }
 
-    /// Waits for the requests in progress; returns how many are left.
+    /// Waits for the requests in progress and hands the ticket table over;
+    /// returns how many requests are left.
     pub fn drain<F>(&self, is_cut_short: F) -> usize
     where
         F: Fn() -> bool,
     {
+        let handover = Handover {
+            tickets: &self.tickets,
+            peers: &self.peers,
+            in_force: &self.in_force,
+        };
+        let successor = handover.start();
         let limit = Duration::from_millis(self.config.drain_limit_ms.0);
         let deadline = Instant::now() + limit;
-        while self.open_requests() > 0 && Instant::now() < deadline && !is_cut_short() {
+        let is_over = || Instant::now() >= deadline || is_cut_short();
+        while self.open_requests() > 0 && !is_over() {
             thread::sleep(DRAIN_POLL);
         }
-        self.open_requests()
+        let left = self.open_requests();
+        if let Some(successor) = successor.filter(|_| !is_cut_short()) {
+            let host = &successor.run.host;
+            match handover.finish(&successor) {
+                true => tracing::info!(%host, "handed the ticket table over"),
+                false => tracing::warn!(%host, "the ticket table was not handed over"),
+            }
+        }
+        left
     }
 
     /// Ends the threads.
@@ -282,7 +327,7 @@
             // These end when the last caller connection has gone.
             let waits_for_callers = matches!(
                 thread.thread().name(),
-                Some("decider" | "spending" | "catch-up")
+                Some("decider" | "spending" | "catch-up" | "tickets")
             );
             if !waits_for_callers && thread.join().is_err() {
                 tracing::error!("a thread panicked");
@@ -292,7 +337,8 @@
 
     fn start_acceptor(&mut self, listener: TcpListener) -> Result<(), StartError> {
         let context = CallerContext {
-            relay: self.relay_context(),
+            relay: self.relay.clone(),
+            tickets: self.tickets.clone(),
             in_force: self.in_force.clone(),
             is_leaving: Arc::clone(&self.is_leaving),
             open_requests: Arc::clone(&self.open_requests),
@@ -307,18 +353,10 @@
         })
     }
 
-    fn relay_context(&self) -> RelayContext {
-        RelayContext {
-            decider: self.decider.clone(),
-            peers: self.peers.clone(),
-            host: self.config.host.clone(),
-            region: self.config.region.clone(),
-        }
-    }
-
     fn start_peer_server(&mut self, listener: TcpListener) -> Result<(), StartError> {
         let context = PeerContext {
-            relay: self.relay_context(),
+            relay: self.relay.clone(),
+            tickets: self.tickets.clone(),
             in_force: self.in_force.clone(),
             open_requests: Arc::clone(&self.open_requests),
         };
@@ -346,6 +384,7 @@
             in_force: self.in_force.clone(),
             is_leaving: Arc::clone(&self.is_leaving),
             open_requests: Arc::clone(&self.open_requests),
+            tickets: self.tickets.clone(),
         };
         let poller = self.start_poller()?;
         let gossip = Arc::clone(&self.gossip);
@@ -450,6 +489,37 @@
     }
 }
 
+fn start_tickets(
+    config: &Config,
+    incarnation: Incarnation,
+    keys: &HostKeys,
+    relay: RelayContext,
+) -> Result<(TicketContext, JoinHandle<()>), StartError> {
+    let me = Owner {
+        run: HostRun {
+            host: config.host.clone(),
+            incarnation,
+        },
+        region: config.region.clone(),
+        peer_address: config.peer_address_for_others(),
+    };
+    let signer = TicketSigner::new(&keys.cluster_key)?;
+    let started_ms = clock::now();
+    let table = TicketTable::new(me.clone(), started_ms);
+    let (table, thread) = TableHandle::start(table).map_err(|source| StartError::Thread {
+        name: "tickets",
+        source,
+    })?;
+    let context = TicketContext {
+        table,
+        signer,
+        me,
+        started_ms,
+        relay,
+    };
+    Ok((context, thread))
+}
+
 fn start_gossip(
     config: &Config,
     incarnation: Incarnation,
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -100,11 +100,15 @@
     TicketState {
         /// The ticket.
         ticket: CompactString,
+        /// The caller that presented it.
+        caller: CallerId,
     },
     /// Request: void a ticket that has not started.
     TicketVoid {
         /// The ticket.
         ticket: CompactString,
+        /// The caller that presented it.
+        caller: CallerId,
     },
     /// Request: take over the ticket table of a leaving host.
     TicketHandover {
--- a/src/peer/measure.rs
+++ b/src/peer/measure.rs
@@ -159,6 +159,7 @@
         is_ready: true,
         revision: Revision(52_000),
         open_requests: 40,
+        held_runs: Vec::new(),
     }
 }
 
--- a/src/peer_requests.rs
+++ b/src/peer_requests.rs
@@ -11,13 +11,18 @@
     }, //
 };
 
+use compact_str::format_compact;
+
 use crate::{
     caller::OpenRequest,
-    decision::event::{
-        Arrival,
-        Origin,
-        Refusal,
-        RefusalReason, //
+    decision::{
+        event::{
+            Arrival,
+            Origin,
+            Refusal,
+            RefusalReason, //
+        },
+        residency::AllowedRegions, //
     },
     http::client::Call,
     in_force::InForceCell,
@@ -43,7 +48,15 @@
         Settlement, //
     },
     sink::AnswerSink,
+    ticket::call::CallDigest,
+    tickets::{
+        PlainAnswer,
+        TicketCaller,
+        TicketContext,
+        TicketRequest, //
+    },
     types::{
+        CallerId,
         Revision,
         Target,
         Tokens, //
@@ -59,6 +72,8 @@
 pub struct PeerContext {
     /// What requests need on their way.
     pub relay: RelayContext,
+    /// What ticketed calls need.
+    pub tickets: TicketContext,
     /// Configuration in force.
     pub in_force: InForceCell,
     /// Requests that are being answered.
@@ -70,6 +85,14 @@
     match exchange.request().clone() {
         Frame::Forward(head) => forwarded(context, exchange, head),
         Frame::ChangesSince { revision } => changes(context, exchange, revision),
+        Frame::TicketCall { ticket, head } => ticket_call(context, exchange, &ticket, head),
+        Frame::TicketState { ticket, caller } => {
+            ticket_request(context, exchange, &ticket, &caller, TicketRequest::State)
+        }
+        Frame::TicketVoid { ticket, caller } => {
+            ticket_request(context, exchange, &ticket, &caller, TicketRequest::Void)
+        }
+        Frame::TicketHandover { .. } => handover(context, exchange),
         _ => Err(LinkError::Unexpected("the request is not supported")),
     }
 }
@@ -120,6 +143,80 @@
     }
 }
 
+fn ticket_call(
+    context: &PeerContext,
+    exchange: &mut ServerExchange<'_>,
+    ticket: &str,
+    head: ForwardHead,
+) -> Result<(), LinkError> {
+    let _open = OpenRequest::new(&context.open_requests);
+    let Some(from) = ticket_caller(context, &head.caller, Some(&head.allowed)) else {
+        return Err(LinkError::Unexpected("the caller is not known here"));
+    };
+    let body = exchange.read_body(Instant::now() + BODY_TIMEOUT)?;
+    let path = format_compact!("/v1/services/{}{}", service_name(&head.target), head.path);
+    let digest = CallDigest::new(&head.method, &path, &body);
+    let Some(mut work) = prepare(head, body) else {
+        return Err(LinkError::Unexpected("the call is not valid"));
+    };
+    // The owner of the ticket pays for the call that it runs.
+    work.arrival.origin = Origin::Caller;
+    let request = TicketRequest::Call(Box::new(work), digest);
+    let answer = context.tickets.serve_forwarded(ticket, &from, request);
+    finish_ticket(exchange, &answer)
+}
+
+fn service_name(target: &Target) -> &str {
+    match target {
+        Target::Service(id) => id.as_str(),
+        Target::Model(id) => id.as_str(),
+    }
+}
+
+fn ticket_request(
+    context: &PeerContext,
+    exchange: &mut ServerExchange<'_>,
+    ticket: &str,
+    caller: &CallerId,
+    request: TicketRequest,
+) -> Result<(), LinkError> {
+    let Some(from) = ticket_caller(context, caller, None) else {
+        return Err(LinkError::Unexpected("the caller is not known here"));
+    };
+    let answer = context.tickets.serve_forwarded(ticket, &from, request);
+    finish_ticket(exchange, &answer)
+}
+
+/// The caller with the regions that this host and the other one allow.
+fn ticket_caller(
+    context: &PeerContext,
+    caller: &CallerId,
+    other: Option<&AllowedRegions>,
+) -> Option<TicketCaller> {
+    let current = context.in_force.get()?;
+    let own = AllowedRegions::new(current.intents.caller(caller)?);
+    let allowed = other.map_or(own.clone(), |other| own.intersect(other));
+    Some(TicketCaller {
+        caller: caller.clone(),
+        allowed,
+    })
+}
+
+fn finish_ticket(exchange: &mut ServerExchange<'_>, answer: &PlainAnswer) -> Result<(), LinkError> {
+    let bytes = postcard::to_allocvec(answer).map_err(|_| LinkError::Malformed)?;
+    exchange.finish(&Frame::TicketStatus, &bytes, answer_deadline())
+}
+
+/// Takes over the tickets of a leaving host; without an acknowledgement it asks
+/// again.
+fn handover(context: &PeerContext, exchange: &mut ServerExchange<'_>) -> Result<(), LinkError> {
+    let body = exchange.read_body(Instant::now() + BODY_TIMEOUT)?;
+    if !context.tickets.import(&body) {
+        return Err(LinkError::Unexpected("the ticket table is not taken over"));
+    }
+    exchange.finish(&Frame::Ack, &[], answer_deadline())
+}
+
 fn refuse(
     exchange: &mut ServerExchange<'_>,
     refusal: Refusal,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -421,7 +421,9 @@
                 AttemptOutcome::NotSent
             })?;
         let call = self.call();
-        let frame = Frame::Forward(self.forward_head(&call, allowed));
+        let is_stream = self.is_stream();
+        let head = forward_head(self.context, &self.arrival, &call, allowed, is_stream);
+        let frame = Frame::Forward(head);
         // A claim that is already spent stays so, whatever this attempt does.
         let (unsent, spent) = match self.claim.take() {
             Claim::Unsent(unsent) => (unsent, None),
@@ -442,29 +444,6 @@
         result.map(Upstream::from_exchange)
     }
 
-    fn forward_head(&self, call: &Call, allowed: AllowedRegions) -> ForwardHead {
-        let arrival = &self.arrival;
-        ForwardHead {
-            request: arrival.request,
-            caller: arrival.caller.clone(),
-            target: arrival.target.clone(),
-            tier: arrival.tier,
-            prompt: arrival.prompt,
-            max_output: arrival.max_output,
-            prefix_hashes: arrival.prefix_hashes.clone(),
-            deadline_ms: arrival.deadline_ms,
-            is_repeatable: arrival.is_repeatable,
-            origin_region: self.context.region.clone(),
-            origin_host: self.context.host.clone(),
-            allowed,
-            method: call.method.clone(),
-            path: call.path.clone(),
-            headers: upstream::to_fields(&call.headers),
-            is_stream: self.is_stream(),
-            body: Bytes(call.body.len() as u64),
-        }
-    }
-
     /// Records that bytes leave now.
     fn mark_sent(&mut self) {
         self.claim = match self.claim.take() {
@@ -489,18 +468,13 @@
     fn call(&self) -> Call {
         match &self.payload {
             Payload::Service(call) => call.clone(),
-            Payload::Chat(chat) => Call {
-                method: "POST".into(),
-                path: "/v1/chat/completions".into(),
-                headers: Headers::new()
-                    .with_field("content-type", "application/json")
-                    .with_field("x-request-id", &self.arrival.request.to_string()),
-                body: if self.stream.tokens == Tokens(0) {
-                    chat.engine_body()
-                } else {
-                    chat.continuation_body(&self.stream.text, self.stream.tokens)
-                },
-            },
+            Payload::Chat(chat) if self.stream.tokens == Tokens(0) => {
+                chat_call(self.arrival.request, chat.engine_body())
+            }
+            Payload::Chat(chat) => {
+                let body = chat.continuation_body(&self.stream.text, self.stream.tokens);
+                chat_call(self.arrival.request, body)
+            }
         }
     }
 
@@ -766,3 +740,59 @@
     }
     passed
 }
+
+fn chat_call(request: RequestId, body: Vec<u8>) -> Call {
+    Call {
+        method: "POST".into(),
+        path: "/v1/chat/completions".into(),
+        headers: Headers::new()
+            .with_field("content-type", "application/json")
+            .with_field("x-request-id", &request.to_string()),
+        body,
+    }
+}
+
+/// Head and body of a request for another host.
+pub fn forward_of(
+    context: &RelayContext,
+    exchange: &Exchange,
+    allowed: AllowedRegions,
+) -> (ForwardHead, Vec<u8>) {
+    let (call, is_stream) = match &exchange.payload {
+        Payload::Service(call) => (call.clone(), false),
+        Payload::Chat(chat) => {
+            let call = chat_call(exchange.arrival.request, chat.engine_body());
+            (call, chat.is_stream)
+        }
+    };
+    let head = forward_head(context, &exchange.arrival, &call, allowed, is_stream);
+    (head, call.body)
+}
+
+fn forward_head(
+    context: &RelayContext,
+    arrival: &Arrival,
+    call: &Call,
+    allowed: AllowedRegions,
+    is_stream: bool,
+) -> ForwardHead {
+    ForwardHead {
+        request: arrival.request,
+        caller: arrival.caller.clone(),
+        target: arrival.target.clone(),
+        tier: arrival.tier,
+        prompt: arrival.prompt,
+        max_output: arrival.max_output,
+        prefix_hashes: arrival.prefix_hashes.clone(),
+        deadline_ms: arrival.deadline_ms,
+        is_repeatable: arrival.is_repeatable,
+        origin_region: context.region.clone(),
+        origin_host: context.host.clone(),
+        allowed,
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers: upstream::to_fields(&call.headers),
+        is_stream,
+        body: Bytes(call.body.len() as u64),
+    }
+}
--- a/tests/decision_fixture/mod.rs
+++ b/tests/decision_fixture/mod.rs
@@ -181,6 +181,7 @@
         is_ready: true,
         revision: Revision(5),
         open_requests,
+        held_runs: Vec::new(),
     }
 }
 
