--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,10 @@
 use clap_complete::Shell;
 
 use crate::{
+    demo::{
+        self,
+        DemoArgs, //
+    },
     experiment::{
         self,
         ExperimentArgs, //
@@ -50,6 +54,8 @@
 enum Command {
     /// Run one entry host until SIGTERM or SIGINT.
     Serve(SettingsFile),
+    /// Run three regions with stand-ins on loopback and a fixed script.
+    Demo(DemoArgs),
     /// Check or print settings.
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -87,6 +93,7 @@
 pub fn run(cli: Cli) -> anyhow::Result<ExitCode> {
     match cli.command {
         Command::Serve(file) => serve::run(&file.path),
+        Command::Demo(args) => demo::run(&args),
         Command::Settings(SettingsCommand::Check(file)) => settings::check(&file.path),
         Command::Settings(SettingsCommand::Show(file)) => settings::show(&file.path),
         Command::Operator(command) => operator::run(&command),
--- a/src/config.rs
+++ b/src/config.rs
@@ -24,6 +24,8 @@
         IniFile,
         Section, //
     },
+    logs::LogFormat,
+    ticket::token::MIN_KEY_BYTES,
     types::{
         DataCentreId,
         HostId,
@@ -36,7 +38,6 @@
 const LINK_SECTION_PREFIX: &str = "link.";
 const DEFAULT_MAX_CONNECTIONS: usize = 2_048;
 const DEFAULT_DRAIN_LIMIT_MS: Millis = Millis(60_000);
-const MIN_KEY_BYTES: usize = 16;
 
 /// Why the settings cannot be used.
 #[derive(Debug, Error)]
@@ -62,36 +63,6 @@
     },
 }
 
-/// How log lines are written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LogFormat {
-    /// For people.
-    Text,
-    /// One JSON object a line.
-    Json,
-}
-
-impl std::str::FromStr for LogFormat {
-    type Err = crate::types::ParseError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "text" => Ok(Self::Text),
-            "json" => Ok(Self::Json),
-            _ => Err(Self::Err::new("log format", text, "text or json")),
-        }
-    }
-}
-
-impl std::fmt::Display for LogFormat {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::Text => "text",
-            Self::Json => "json",
-        })
-    }
-}
-
 /// Settings of one host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Config {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod config;
 pub mod decider;
 pub mod decision;
+pub mod demo;
 pub mod experiment;
 pub mod grant;
 pub mod host;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -28,7 +28,8 @@
     host::{
         Host,
         HostKeys, //
-    }, //
+    },
+    logs, //
 };
 
 const SIGNAL_POLL: Duration = Duration::from_millis(20);
@@ -39,6 +40,7 @@
 pub fn run(path: &Path) -> anyhow::Result<ExitCode> {
     let config = Config::load(path)?;
     let keys = HostKeys::load(&config)?;
+    logs::init(config.log_format, &config.log_filter)?;
     let signals = count_signals().context("could not install the signal handlers")?;
     let name = config.host.clone();
     let host = Host::start(config, &keys)?;
--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -46,10 +46,7 @@
     admin::OperatorKey,
     auth,
     clock,
-    config::{
-        Config,
-        LogFormat, //
-    },
+    config::Config,
     decision::{
         RegionLink,
         view::EndpointInfo, //
@@ -59,6 +56,7 @@
         self,
         IntentFileError, //
     },
+    logs::LogFormat,
     plan::{
         Plan,
         PlanRules,
@@ -98,9 +96,9 @@
 /// Key of the caller whose data may live only in the first region.
 pub const BOUND_CALLER_KEY: &str = "sk-testbed-bound-0123456789";
 /// Key of the operators.
-pub const OPERATOR_KEY: &str = "op-testbed-0123456789";
+pub const OPERATOR_KEY: &str = "operator-key-of-the-testbed-0123456789";
 /// Key that the hosts share.
-pub const CLUSTER_KEY: &str = "cluster-testbed-0123456789";
+pub const CLUSTER_KEY: &str = "cluster-key-of-the-testbed-0123456789";
 
 const CALLER_PORT: u16 = 8080;
 const PEER_PORT: u16 = 7400;
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -128,9 +128,12 @@
     }
 
     pub fn wait_ready(&self) {
-        wait_for(READY_TIMEOUT, &format!("{} is ready", self.name), || {
-            self.is_ready()
-        });
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while !self.is_ready() {
+            let is_late = Instant::now() >= deadline;
+            assert!(!is_late, "{} is not ready:\n{}", self.name, self.log());
+            thread::sleep(POLL);
+        }
     }
 }
 
