Test money, waste, time limits and region summaries

Trial changes to the grant size, the period, the cost of cached prompts, the counters of waste, the bound on deadlines, the refusal of requests behind a stuck queue, the ramp of a home that returns and the contents of summaries had gone unnoticed by the tests. Each now has a test that sees it.

--- /dev/null
+++ b/tests/decision_accounts.rs
@@ -0,0 +1,266 @@
+//! Money, waste, time limits and what a region says of itself.
+
+mod decision_fixture;
+
+use std::sync::Arc;
+
+use cardamombridge::{
+    decision::{
+        Gateway,
+        budget::{
+            Budget,
+            Waste, //
+        },
+        event::{
+            Action,
+            AttemptOutcome,
+            Event,
+            RefusalReason, //
+        },
+        policy::Policy,
+        view::HostInfo, //
+    },
+    intent::Intents,
+    types::{
+        Bytes,
+        CallerId,
+        CostMicros,
+        Millis,
+        RequestId,
+        Revision,
+        Tier,
+        Tokens, //
+    }, //
+};
+use decision_fixture::*;
+
+fn spent(gateway: &Gateway) -> CostMicros {
+    let ledger = gateway.budget().ledger(&id("wide"), START);
+    ledger.unwrap_or_default().spent
+}
+
+/// Spends an amount each second for ten minutes and returns the last request
+/// for a grant.
+fn last_ask(each_second: u64) -> CostMicros {
+    let (intents, policy) = (intents(), Policy::default());
+    let caller: CallerId = id("wide");
+    let intent = intents.caller(&caller).expect("caller");
+    let mut budget = Budget::new();
+    let mut last = CostMicros(0);
+    budget.granted(&caller, START, CostMicros(1));
+    for second in 0..600 {
+        let now_ms = at(second * 1_000);
+        let amount = CostMicros(each_second);
+        if let Ok(mut reservation) = budget.reserve(now_ms, &caller, intent, amount, &policy) {
+            budget.charge(now_ms, &mut reservation, amount, &policy);
+            budget.release(reservation);
+        }
+        if let Some(asked) = budget.take_ask(now_ms, &caller, intent, &policy) {
+            budget.granted(&caller, START, asked);
+            last = asked;
+        }
+    }
+    last
+}
+
+/// Guards against grants that lock up the budget in one host, and against so
+/// small ones that the platform's service is asked all the time.
+#[test]
+fn grants_cover_about_five_minutes() {
+    let steady = last_ask(1_000);
+
+    assert!((200_000..=300_000).contains(&steady.0), "asked {steady}");
+    assert_eq!(last_ask(10), Policy::default().grant_min);
+    assert_eq!(last_ask(50_000), CostMicros(500_000));
+}
+
+/// Guards against a share of one period being spent in the next.
+#[test]
+fn shares_expire_with_their_period() {
+    let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 8)]);
+    let event = Event::Arrived(arrival(1, "wide", at(1_030_000)));
+
+    let actions = run(&mut gateway, at(1_000_000), event);
+
+    assert!(
+        matches!(actions[..], [Action::AskGrant { .. }]),
+        "{actions:?}"
+    );
+}
+
+/// Guards against money and waste that do not match what was done.
+#[test]
+fn costs_and_waste_are_counted() {
+    let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 8)]);
+    let ask = |number| Event::Arrived(arrival(number, "wide", at(30_000)));
+    let cached = AttemptOutcome::Complete {
+        output: Tokens(100),
+        cached: Tokens(512),
+    };
+    let gone = AttemptOutcome::CallerGone { wasted: Tokens(30) };
+
+    run(&mut gateway, at(0), ask(1));
+    run(&mut gateway, at(10), ended(1, 0, cached));
+    // 100 tokens at 1,000 for a thousand; the prompt was cached.
+    assert_eq!(spent(&gateway), CostMicros(100));
+    run(&mut gateway, at(20), ask(2));
+    run(&mut gateway, at(30), ended(2, 0, gone));
+    // 512 prompt tokens at 100 for a thousand and 30 tokens, rounded up.
+    assert_eq!(spent(&gateway), CostMicros(182));
+    run(
+        &mut gateway,
+        at(40),
+        Event::Summary(summary("zapad", at(40), 100, 0)),
+    );
+    run(&mut gateway, at(40), listed(Vec::new()));
+    run(&mut gateway, at(50), ask(3));
+    run(&mut gateway, at(900), ended(3, 0, complete()));
+
+    let waste = Waste {
+        retries: 0,
+        cancelled: Tokens(30),
+        away: Bytes(2_048 + 100 * 200),
+    };
+    assert_eq!(gateway.waste(), waste);
+}
+
+/// Guards against requests that outlive the longest deadline of their caller.
+#[test]
+fn deadline_is_bounded_by_the_intent() {
+    let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 8)]);
+    let event = Event::Arrived(arrival(1, "wide", at(900_000)));
+    run(&mut gateway, at(0), event);
+
+    let early = run(&mut gateway, at(59_999), Event::Tick);
+    let due = run(&mut gateway, at(60_000), Event::Tick);
+
+    assert!(early.is_empty(), "{early:?}");
+    assert!(matches!(
+        due[..],
+        [Action::Cancel { .. }, Action::Refuse { .. }]
+    ));
+}
+
+/// Guards against a request being held until its deadline when the queue before
+/// it has stopped moving.
+#[test]
+fn stuck_queue_refuses_what_cannot_finish() {
+    let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 1)]);
+    for (number, tier, deadline_ms) in [
+        (1, Tier::Default, 60_000),
+        (2, Tier::Priority, 60_000),
+        (3, Tier::Default, 12_000),
+    ] {
+        let mut arrival = arrival(number, "bound", at(deadline_ms));
+        arrival.tier = tier;
+        run(&mut gateway, at(0), Event::Arrived(arrival));
+    }
+
+    let refused = (0..9_000).step_by(50).find_map(|ms| {
+        let actions = run(&mut gateway, at(ms), Event::Tick);
+        actions.into_iter().next()
+    });
+
+    let Some(Action::Refuse { request, refusal }) = refused else {
+        panic!("expected a refusal, got {refused:?}");
+    };
+    assert_eq!(request, RequestId(3));
+    assert_eq!(refusal.reason, RefusalReason::Overloaded);
+}
+
+/// Guards against an older configuration replacing a newer one.
+#[test]
+fn older_configuration_is_ignored() {
+    let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 8)]);
+
+    run(
+        &mut gateway,
+        at(0),
+        Event::InForce(Arc::new(Intents::new())),
+    );
+
+    let known = gateway.intents().expect("configuration");
+    assert_eq!(known.revision, Revision(5));
+}
+
+/// Guards against a home that returns with cold caches taking all at once.
+#[test]
+fn returning_home_shares_its_work() {
+    let sent_away = |is_returning| {
+        let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 64)]);
+        run(&mut gateway, at(0), Event::Tick);
+        if is_returning {
+            run(&mut gateway, at(10), listed(Vec::new()));
+            run(&mut gateway, at(20), Event::Tick);
+            run(&mut gateway, at(30), listed(vec![endpoint("e1", 64)]));
+            run(&mut gateway, at(40), Event::Tick);
+        }
+        run(
+            &mut gateway,
+            at(50),
+            Event::Report(report("e1", at(50), 10)),
+        );
+        run(
+            &mut gateway,
+            at(50),
+            Event::Summary(summary("zapad", at(50), 100, 0)),
+        );
+        let event = Event::Arrived(arrival(1, "wide", at(30_000)));
+        let actions = run(&mut gateway, at(50), event);
+        matches!(actions[..], [Action::Forward { .. }])
+    };
+
+    assert!(sent_away(true));
+    assert!(!sent_away(false));
+}
+
+/// Guards against other regions being told of hosts and capacity that they
+/// cannot use, or of a revision that not all hosts have.
+#[test]
+fn summary_shows_what_others_can_use() {
+    let mut old = endpoint("e2", 100);
+    old.version = "v1".into();
+    let mut leaving = endpoint("e3", 100);
+    leaving.is_leaving = true;
+    let endpoints = vec![endpoint("e1", 8), old, leaving];
+    let mut gateway = ready(1, Policy::default(), endpoints.clone());
+    let mut behind = heartbeat("h2", 1, 3);
+    behind.revision = Revision(4);
+    let mut starting = heartbeat("h3", 1, 0);
+    starting.is_ready = false;
+    for beat in [
+        heartbeat("h1", 1, 9),
+        behind,
+        starting,
+        heartbeat("h4", 1, 1),
+    ] {
+        run(&mut gateway, START, Event::Heartbeat(beat));
+    }
+    let hosts = vec![HostInfo {
+        id: id("h4"),
+        region: id("stred"),
+        peer_address: heartbeat("h4", 1, 0).peer_address,
+        is_leaving: true,
+    }];
+    run(&mut gateway, START, Event::Listed { endpoints, hosts });
+    run(&mut gateway, START, Event::Report(report("e1", START, 3)));
+
+    let summary = gateway.region_summary(START).expect("configuration");
+
+    let names: Vec<&str> = summary
+        .hosts
+        .iter()
+        .map(|host| host.host.as_str())
+        .collect();
+    assert_eq!(names, ["h2", "h1"]);
+    assert_eq!(summary.lowest_revision, Revision(4));
+    let capacity: Vec<_> = summary
+        .capacity
+        .iter()
+        .map(|one| (one.slots, one.busy))
+        .collect();
+    assert_eq!(capacity, [(8, 3)]);
+    let entry = gateway.entry_list(START, &id("wide")).expect("caller");
+    assert_eq!(entry.hosts.len(), 2);
+    assert_eq!(entry.use_ms, Millis(30_000));
+}
