Resume interrupted streams only where the engine continues them

A stream that broke was repeated at any endpoint, also for requests whose partial answer cannot be continued from its text. The list now says which endpoints continue a partial answer, and a request that cannot be continued ends as partial at once. A stream that has started is no longer cut at its deadline: a late whole answer is worth more than a part of it.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -358,6 +358,7 @@
         body: Bytes(body.len() as u64),
         deadline_ms: deadline(&request.head, intent)?,
         is_repeatable: true,
+        needs_continuation: chat.needs_continuation(),
         origin: Origin::Caller,
     };
     Ok(Prepared::Exchange(Box::new(Exchange {
@@ -401,6 +402,7 @@
         body: Bytes(body.len() as u64),
         deadline_ms: deadline(&request.head, intent)?,
         is_repeatable,
+        needs_continuation: false,
         origin: Origin::Caller,
     };
     let digest = CallDigest::new(&request.head.method, &request.head.path, &body);
--- a/src/decider.rs
+++ b/src/decider.rs
@@ -199,6 +199,7 @@
             request, outcome, ..
         } => match outcome {
             AttemptOutcome::Complete { .. }
+            | AttemptOutcome::Broken { .. }
             | AttemptOutcome::Failed { .. }
             | AttemptOutcome::CallerGone { .. } => Some(*request),
             AttemptOutcome::NotSent
--- a/src/decision/endpoint.rs
+++ b/src/decision/endpoint.rs
@@ -44,6 +44,8 @@
     pub work: Work,
     /// Hashes of the prompt's leading blocks.
     pub prefix_hashes: &'a [u64],
+    /// Whether the endpoint must continue a partial answer.
+    pub needs_continuation: bool,
     /// Endpoints that have already failed it.
     pub tried: &'a [EndpointId],
 }
@@ -81,7 +83,9 @@
     let (now_ms, policy) = (context.now_ms, context.policy);
     let view = context.view;
     let serving = view.serving(context.region, demand.target, demand.version);
-    let states: Vec<&EndpointState> = serving.collect();
+    let states: Vec<&EndpointState> = serving
+        .filter(|state| state.info.can_continue || !demand.needs_continuation)
+        .collect();
     let hosts = context.host_count();
     let prior = prior_ratio(&states, now_ms, policy);
     preferred(states, now_ms, demand)
--- a/src/decision/event.rs
+++ b/src/decision/event.rs
@@ -78,6 +78,8 @@
     pub deadline_ms: Millis,
     /// Whether the call may run more than once.
     pub is_repeatable: bool,
+    /// Whether only an endpoint that continues a partial answer can serve it.
+    pub needs_continuation: bool,
     /// Where it came from.
     pub origin: Origin,
 }
@@ -107,6 +109,11 @@
         /// Tokens that the caller has already received.
         delivered: Tokens,
     },
+    /// The exchange broke after part of an answer that cannot be continued.
+    Broken {
+        /// Tokens that the caller has already received.
+        delivered: Tokens,
+    },
     /// The endpoint answered with an error, which was passed on.
     Failed {
         /// HTTP status of the answer.
--- a/src/decision/finish.rs
+++ b/src/decision/finish.rs
@@ -23,7 +23,8 @@
     Attempt,
     Bytes,
     Millis,
-    RequestId, //
+    RequestId,
+    Tokens, //
 };
 
 impl Gateway {
@@ -85,6 +86,9 @@
         self.note_trouble(now_ms, &mut open, outcome);
         self.charge(now_ms, &mut open, outcome);
         let is_answered = open.answered_ms.is_some();
+        if let AttemptOutcome::Interrupted { delivered } = outcome {
+            open.arrival.needs_continuation |= *delivered > Tokens(0);
+        }
         if !is_answered && may_repeat(outcome, open.arrival.is_repeatable) {
             self.retry(now_ms, request, open, outcome, actions);
         } else if !is_answered && matches!(outcome, AttemptOutcome::Interrupted { .. }) {
@@ -196,7 +200,11 @@
         let has_attempts = open.attempt.0 + 1 < self.known.policy.max_attempts;
         if !is_in_time || !has_attempts || !self.retries.spend() {
             let wait_ms = hint_ms.unwrap_or(self.known.policy.retry_after_ms);
-            let refusal = Refusal::new(RefusalReason::RetriesExhausted).with_retry_after(wait_ms);
+            let reason = match now_ms < open.arrival.deadline_ms {
+                true => RefusalReason::RetriesExhausted,
+                false => RefusalReason::DeadlinePassed,
+            };
+            let refusal = Refusal::new(reason).with_retry_after(wait_ms);
             return self.refuse(request, open, refusal, actions);
         }
         if !self.top_up(now_ms, &mut open, actions) {
@@ -270,7 +278,8 @@
         } => state.mark_leaving(),
         AttemptOutcome::NotSent
         | AttemptOutcome::Rejected { .. }
-        | AttemptOutcome::Interrupted { .. } => state.note_failure(now_ms, policy),
+        | AttemptOutcome::Interrupted { .. }
+        | AttemptOutcome::Broken { .. } => state.note_failure(now_ms, policy),
         AttemptOutcome::Complete { .. } => state.note_success(),
         AttemptOutcome::Failed { .. } | AttemptOutcome::CallerGone { .. } => {}
     }
--- a/src/decision/request.rs
+++ b/src/decision/request.rs
@@ -134,7 +134,9 @@
                 self.price.cost(prompt - *cached, *output)
             }
             AttemptOutcome::NotSent | AttemptOutcome::Rejected { .. } => CostMicros(0),
-            AttemptOutcome::Interrupted { delivered } => self.price.cost(prompt, *delivered),
+            AttemptOutcome::Interrupted { delivered } | AttemptOutcome::Broken { delivered } => {
+                self.price.cost(prompt, *delivered)
+            }
             AttemptOutcome::CallerGone { wasted } => self.price.cost(prompt, *wasted),
             AttemptOutcome::Failed { status } => self.failure_cost(*status),
         }
@@ -155,6 +157,7 @@
             version,
             work: self.work(),
             prefix_hashes: &self.arrival.prefix_hashes,
+            needs_continuation: self.arrival.needs_continuation,
             tried: &self.tried,
         }
     }
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -68,6 +68,7 @@
         AttemptOutcome::NotSent | AttemptOutcome::Rejected { .. } => true,
         AttemptOutcome::Interrupted { .. } => is_repeatable,
         AttemptOutcome::Complete { .. }
+        | AttemptOutcome::Broken { .. }
         | AttemptOutcome::Failed { .. }
         | AttemptOutcome::CallerGone { .. } => false,
     }
--- a/src/decision/view.rs
+++ b/src/decision/view.rs
@@ -54,6 +54,8 @@
     pub version: CompactString,
     /// Requests that it runs at the same time.
     pub slots: u32,
+    /// Whether it continues a partial answer without repeating it.
+    pub can_continue: bool,
     /// Whether the list shows it as leaving.
     pub is_leaving: bool,
 }
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -355,6 +355,7 @@
                 target: engine.target(),
                 version: CompactString::from(if engine.is_service { "" } else { VERSION }),
                 slots: engine.slots(),
+                can_continue: true,
                 is_leaving: false,
             })
             .collect()
--- a/src/experiment/world.rs
+++ b/src/experiment/world.rs
@@ -436,6 +436,7 @@
             body: job.body,
             deadline_ms: EPOCH + Millis((sent + job.patience).as_millis() as u64),
             is_repeatable: !job.is_order,
+            needs_continuation: false,
             origin,
         }
     }
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -123,6 +123,11 @@
         self
     }
 
+    /// Whether the request continues a partial answer.
+    pub fn needs_continuation(&self) -> bool {
+        self.body["continue_final_message"] == json!(true)
+    }
+
     /// The body that goes to an endpoint.
     pub fn engine_body(&self) -> Vec<u8> {
         let mut body = self.body.clone();
@@ -146,7 +151,7 @@
             fields.insert("max_tokens".into(), json!(left.0));
         }
         // A request that continues a message itself is continued in the same one.
-        let continues = self.body["continue_final_message"] == json!(true);
+        let continues = self.needs_continuation();
         if let Some(messages) = body["messages"].as_array_mut() {
             let partial = messages.last().filter(|_| continues);
             let begun = partial.and_then(|message| message["content"].as_str());
--- a/src/peer_requests.rs
+++ b/src/peer_requests.rs
@@ -234,10 +234,12 @@
 }
 
 fn prepare(head: ForwardHead, body: Vec<u8>) -> Option<Exchange> {
+    let mut needs_continuation = false;
     let payload = match &head.target {
         Target::Model(_) => {
             let chat = ChatRequest::parse(&body).ok()?;
             let chat = chat.with_stream(head.is_stream).with_tier(head.tier);
+            needs_continuation = chat.needs_continuation();
             Payload::Chat(Box::new(chat))
         }
         Target::Service(_) => Payload::Service(Call {
@@ -258,6 +260,7 @@
         body: head.body,
         deadline_ms: head.deadline_ms,
         is_repeatable: head.is_repeatable,
+        needs_continuation,
         origin: Origin::Host {
             region: head.origin_region,
             host: head.origin_host,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -616,6 +616,7 @@
             slots: slots
                 .parse()
                 .map_err(|_| ParseError::new("number of slots", slots, "a whole number"))?,
+            can_continue: self.meta("can_continue") == "true",
             is_leaving: self.is_leaving(),
         })
     }
@@ -702,6 +703,7 @@
             ("target", format_compact!("{}", info.target)),
             ("version", info.version.clone()),
             ("slots", format_compact!("{}", info.slots)),
+            ("can_continue", format_compact!("{}", info.can_continue)),
         ]);
         self.register(RegisterRequest {
             id: CompactString::from(info.id.as_str()),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -323,6 +323,10 @@
                 }
             }
             AttemptOutcome::CallerGone { .. } => Some(Settlement::CallerGone),
+            AttemptOutcome::Broken { .. } => {
+                let refusal = Refusal::new(RefusalReason::RetriesExhausted);
+                Some(self.give_up(refusal))
+            }
             AttemptOutcome::NotSent
             | AttemptOutcome::Rejected { .. }
             | AttemptOutcome::Interrupted { .. } => None,
@@ -481,7 +485,7 @@
     /// Waits until the answer starts, while the caller is there.
     fn wait_for_head(&mut self, upstream: &mut Upstream) -> Result<HostReply, Broken> {
         loop {
-            let until = self.deadline.min(Instant::now() + CALLER_POLL);
+            let until = Instant::now() + CALLER_POLL;
             match upstream.read_head(until) {
                 Ok(reply) => return Ok(reply),
                 Err(ReadError::TimedOut) => self.check_waiting(None)?,
@@ -496,7 +500,9 @@
         }
         let now = Instant::now();
         let is_stalled = last_byte.is_some_and(|last| now >= last + STALL_LIMIT);
-        if now >= self.deadline || is_stalled {
+        // A late whole answer is worth more to the caller than a part of it.
+        let is_late = now >= self.deadline && !self.stream.is_started;
+        if is_late || is_stalled {
             return Err(Broken::Upstream);
         }
         Ok(())
@@ -536,7 +542,7 @@
         last_byte: &mut Option<Instant>,
     ) -> Result<bool, Broken> {
         loop {
-            let until = self.deadline.min(Instant::now() + CALLER_POLL);
+            let until = Instant::now() + CALLER_POLL;
             match upstream.read_piece(piece, until) {
                 Ok(has_more) => {
                     *last_byte = Some(Instant::now());
@@ -699,9 +705,12 @@
     }
 
     fn interrupted(&self) -> AttemptOutcome {
-        AttemptOutcome::Interrupted {
-            delivered: self.stream.tokens,
+        let delivered = self.stream.tokens;
+        let can_resume = matches!(&self.payload, Payload::Chat(chat) if chat.is_resumable);
+        if self.stream.is_started && !can_resume {
+            return AttemptOutcome::Broken { delivered };
         }
+        AttemptOutcome::Interrupted { delivered }
     }
 
     fn caller_gone(&self) -> AttemptOutcome {
--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -427,6 +427,7 @@
             id: format!("engine-{region}-{number}").parse()?,
             version: MODEL_VERSION.into(),
             slots,
+            can_continue: true,
             ..endpoint(region, &standin.address(), Target::Model(MODEL.parse()?))?
         };
         self.list().register_endpoint(&info)?;
@@ -482,6 +483,7 @@
         target,
         version: CompactString::default(),
         slots: 1,
+        can_continue: false,
         is_leaving: false,
     })
 }
--- a/tests/decision_fixture/mod.rs
+++ b/tests/decision_fixture/mod.rs
@@ -142,6 +142,7 @@
         target: id("model/stain"),
         version: "v2".into(),
         slots,
+        can_continue: true,
         is_leaving: false,
     }
 }
@@ -218,6 +219,7 @@
         body: Bytes(2_048),
         deadline_ms,
         is_repeatable: true,
+        needs_continuation: false,
         origin: Origin::Caller,
     }
 }
--- a/tests/peer_poller.rs
+++ b/tests/peer_poller.rs
@@ -73,6 +73,7 @@
         target: "model/stain-advice".parse().expect("valid target"),
         version: "v2".into(),
         slots: 8,
+        can_continue: true,
         is_leaving: false,
     }
 }
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -52,6 +52,7 @@
         target: target.parse().expect("valid target"),
         version: "2.1".into(),
         slots: 8,
+        can_continue: true,
         is_leaving: false,
     }
 }
