Let a repeated attempt wait for its money

A retry whose money was not at hand was refused as over budget although a grant was on its way. Each attempt now sets its money aside when it starts, and waits for a grant like a new request. Setting it aside before the retry delay was ruled out, since it would lie idle for that time.

New tests cover the payment for each attempt, a grant whose answer is lost, the bounds of the queue and of the prefix memory.

--- a/src/decision/arrive.rs
+++ b/src/decision/arrive.rs
@@ -77,9 +77,24 @@
             let target = &open.arrival.target;
             self.regions
                 .note_request(now_ms, target, &self.known.policy);
+        }
+        self.start(now_ms, request, open, actions);
+    }
+
+    /// Starts an attempt, for which this host pays if the caller is its own.
+    ///
+    /// For a forwarded request, the host that sent it has set the money aside.
+    pub(super) fn start(
+        &mut self,
+        now_ms: Millis,
+        request: RequestId,
+        mut open: OpenRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        if open.is_own() {
+            open.place = Place::Granting { since_ms: now_ms };
             self.fund(now_ms, request, open, actions);
         } else {
-            // The host that forwarded it has reserved the money.
             self.place(now_ms, request, open, actions);
         }
     }
@@ -109,7 +124,7 @@
     }
 
     /// Sets money aside, and asks for a grant if the share is running low.
-    pub(super) fn reserve(
+    fn reserve(
         &mut self,
         now_ms: Millis,
         caller: &CallerId,
--- a/src/decision/finish.rs
+++ b/src/decision/finish.rs
@@ -199,9 +199,9 @@
             let refusal = Refusal::new(RefusalReason::RetriesExhausted).with_retry_after(wait_ms);
             return self.refuse(request, open, refusal, actions);
         }
-        if !self.top_up(now_ms, &mut open, actions) {
-            let refusal = self.later(RefusalReason::OverBudget);
-            return self.refuse(request, open, refusal, actions);
+        // The next attempt may cost as much as the first one again.
+        if let Some(left) = open.reservation.take() {
+            self.budget.release(left);
         }
         self.waste.retries += 1;
         open.attempt = Attempt(open.attempt.0 + 1);
@@ -223,23 +223,6 @@
         }
     }
 
-    /// Sets money aside for one more whole attempt.
-    fn top_up(
-        &mut self,
-        now_ms: Millis,
-        open: &mut OpenRequest,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        let Some(left) = open.reservation.take() else {
-            return true;
-        };
-        self.budget.release(left);
-        let caller = open.arrival.caller.clone();
-        let reserved = self.reserve(now_ms, &caller, open.most_cost(), actions);
-        open.reservation = reserved.unwrap_or(None);
-        open.reservation.is_some()
-    }
-
     fn send_after(
         &mut self,
         now_ms: Millis,
@@ -249,7 +232,7 @@
         actions: &mut Vec<Action>,
     ) {
         if delay_ms <= self.known.policy.retry_now_ms {
-            return self.place(now_ms, request, open, actions);
+            return self.start(now_ms, request, open, actions);
         }
         let until_ms = now_ms + delay_ms;
         open.place = Place::Delayed { until_ms };
--- a/src/decision/tick.rs
+++ b/src/decision/tick.rs
@@ -58,7 +58,7 @@
         match open.place {
             Place::Delayed { until_ms } if until_ms <= now_ms => {
                 if let Some(open) = self.open.remove(&request) {
-                    self.place(now_ms, request, open, actions);
+                    self.start(now_ms, request, open, actions);
                 }
             }
             Place::Granting { since_ms } if since_ms + policy.grant_wait_ms <= now_ms => {
--- a/tests/decision_accounts.rs
+++ b/tests/decision_accounts.rs
@@ -124,6 +124,78 @@
     assert_eq!(gateway.waste(), waste);
 }
 
+/// Guards against an interrupted request spending what was not set aside.
+#[test]
+fn each_attempt_is_paid_for() {
+    let mut gateway = gateway(1, Policy::default());
+    run(&mut gateway, START, Event::InForce(intents()));
+    run(&mut gateway, START, listed(vec![endpoint("e1", 8)]));
+    // One whole attempt costs 452.
+    run(&mut gateway, START, granted("wide", 500));
+    let broken = AttemptOutcome::Interrupted {
+        delivered: Tokens(400),
+    };
+
+    let event = Event::Arrived(arrival(1, "wide", at(30_000)));
+    run(&mut gateway, START, event);
+    let mut actions = run(&mut gateway, at(10), ended(1, 0, broken));
+    actions.extend(run(&mut gateway, at(200), Event::Tick));
+    let paid = run(&mut gateway, at(300), granted("wide", 500));
+
+    assert!(!actions.iter().any(|one| matches!(one, Action::Send { .. })));
+    assert!(matches!(paid[..], [.., Action::Send { .. }]), "{paid:?}");
+}
+
+/// Guards against requests waiting until their deadline for a grant whose answer
+/// was lost.
+#[test]
+fn lost_grant_is_not_waited_for() {
+    let mut gateway = gateway(1, Policy::default());
+    run(&mut gateway, START, Event::InForce(intents()));
+    run(&mut gateway, START, listed(vec![endpoint("e1", 8)]));
+    let event = Event::Arrived(arrival(1, "wide", at(30_000)));
+    run(&mut gateway, START, event);
+
+    let early = run(&mut gateway, at(1_999), Event::Tick);
+    let due = run(&mut gateway, at(2_000), Event::Tick);
+
+    assert!(early.is_empty(), "{early:?}");
+    assert!(matches!(due[..], [Action::Send { .. }]), "{due:?}");
+}
+
+/// Guards against an unbounded queue, and against a request under an id in use
+/// disturbing the first one.
+#[test]
+fn queue_is_bounded() {
+    let admitted = |policy| {
+        let mut gateway = ready(1, policy, vec![endpoint("e1", 1)]);
+        for number in (1..=60).chain(1..=60) {
+            let event = Event::Arrived(arrival(number, "bound", at(60_000)));
+            run(&mut gateway, at(0), event);
+        }
+        assert_eq!(gateway.waiting_requests() + 1, gateway.open_requests());
+        gateway.waiting_requests()
+    };
+    let policy = Policy::default;
+
+    // One leaves every 2.4 s, and runs 2.1 s before its deadline in 60 s.
+    assert_eq!(admitted(policy()), 12);
+    assert_eq!(
+        admitted(Policy {
+            max_queue_wait_ms: Millis(90_000),
+            ..policy()
+        }),
+        24
+    );
+    assert_eq!(
+        admitted(Policy {
+            max_queue_len: 7,
+            ..policy()
+        }),
+        7
+    );
+}
+
 /// Guards against requests that outlive the longest deadline of their caller.
 #[test]
 fn deadline_is_bounded_by_the_intent() {
--- a/tests/decision_choices.rs
+++ b/tests/decision_choices.rs
@@ -24,6 +24,7 @@
             Predictor,
             Work, //
         },
+        prefix::PrefixMemory,
         ramp::Ramps,
         residency::AllowedRegions,
         view::{
@@ -141,6 +142,31 @@
     assert_eq!(elsewhere, first);
 }
 
+/// Guards against a memory of prefixes that grows for ever, or that outlives the
+/// cache that it stands for.
+#[test]
+fn prefixes_are_forgotten() {
+    let mut memory = PrefixMemory::new();
+    memory.note(&[1, 2, 3], 4);
+    memory.note(&[1, 2, 4], 4);
+    assert_eq!(memory.known_blocks(&[1, 2, 3, 9]), 3);
+    memory.note(&[1, 5], 4);
+    assert_eq!(memory.known_blocks(&[1, 2, 3]), 2);
+
+    let mut gateway = ready(1, Policy::default(), endpoints(1, 8));
+    run(&mut gateway, at(0), Event::Report(report("e1", at(0), 0)));
+    send(&mut gateway, 0, 1, &[7]);
+    let known = |gateway: &Gateway| {
+        let state = &gateway.view().endpoints[&id("e1")];
+        state.prefixes.known_blocks(&[7])
+    };
+    assert_eq!(known(&gateway), 1);
+    let mut restarted = report("e1", at(10), 0);
+    restarted.incarnation = Incarnation(2);
+    run(&mut gateway, at(10), Event::Report(restarted));
+    assert_eq!(known(&gateway), 0);
+}
+
 /// Guards against a silent endpoint looking idle, and against one full report
 /// keeping an endpoint out for ever.
 #[test]
--- a/tests/decision_golden.rs
+++ b/tests/decision_golden.rs
@@ -208,6 +208,7 @@
         "late end of its first attempt",
         ended(3, 0, complete()),
     );
+    assert_eq!(session.gateway.open_requests(), 1);
     session.step(520, "complete 3", ended(3, 1, complete()));
 
     check(&session, expect_file!["golden/retries.txt"]);
