Count one break of an endpoint once, and a refusal not as a break

An endpoint that breaks ends all its requests at once, and each counted as a failure in a row, so one break kept it out for 32 s. Failures while it is avoided no longer count. A refusal by a busy endpoint avoids it for one second and never doubles.

--- a/src/decision/finish.rs
+++ b/src/decision/finish.rs
@@ -251,9 +251,10 @@
         AttemptOutcome::Rejected {
             is_leaving: true, ..
         } => state.mark_leaving(),
-        AttemptOutcome::NotSent
-        | AttemptOutcome::Rejected { .. }
-        | AttemptOutcome::Interrupted { .. } => state.note_failure(now_ms, policy),
+        AttemptOutcome::Rejected { .. } => state.note_rejection(now_ms, policy),
+        AttemptOutcome::NotSent | AttemptOutcome::Interrupted { .. } => {
+            state.note_failure(now_ms, policy);
+        }
         AttemptOutcome::Complete { .. } => state.note_success(),
         AttemptOutcome::Failed { .. } | AttemptOutcome::CallerGone { .. } => {}
     }
--- a/src/decision/load.rs
+++ b/src/decision/load.rs
@@ -199,14 +199,25 @@
     /// Avoids it for a while that doubles with each failure in a row.
     ///
     /// An endpoint that has crashed shows no load, and would otherwise attract
-    /// requests until the list drops it.
+    /// requests until the list drops it. Attempts that fail while it is avoided
+    /// were sent before and say nothing new.
     pub fn note_failure(&mut self, now_ms: Millis, policy: &Policy) {
+        if self.is_avoided(now_ms) {
+            return;
+        }
         let doublings = self.failures.min(MAX_DOUBLINGS);
         let wait_ms = policy.endpoint_avoid_ms.0.saturating_mul(1 << doublings);
         self.avoid_until_ms = now_ms + Millis(wait_ms);
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Avoids it for a short while after it refused a request; it is busy, and
+    /// not broken.
+    pub fn note_rejection(&mut self, now_ms: Millis, policy: &Policy) {
+        let until_ms = now_ms + policy.endpoint_avoid_ms;
+        self.avoid_until_ms = self.avoid_until_ms.max(until_ms);
+    }
+
     /// Ends the avoidance.
     pub fn note_success(&mut self) {
         self.failures = 0;
--- a/src/decision/policy.rs
+++ b/src/decision/policy.rs
@@ -83,8 +83,8 @@
     /// Requests beyond that bound up to which affinity holds, without which an
     /// idle region would have none.
     pub affinity_slack: u16,
-    /// How long an endpoint that has failed is chosen last; doubles with each
-    /// failure in a row.
+    /// How long an endpoint that has failed or refused a request is chosen last;
+    /// doubles with each failure in a row.
     pub endpoint_avoid_ms: Millis,
     /// How long an endpoint without requests is kept after it left the list.
     /// Covers a list that shows old states out of order.
--- a/tests/decision_accounts.rs
+++ b/tests/decision_accounts.rs
@@ -163,13 +163,25 @@
     assert!(matches!(due[..], [Action::Send { .. }]), "{due:?}");
 }
 
-/// Guards against an unbounded queue, and against a request under an id in use
-/// disturbing the first one.
+/// Guards against a request under an id in use disturbing the first one.
+#[test]
+fn id_in_use_is_ignored() {
+    let mut gateway = ready(1, Policy::default(), vec![endpoint("e1", 8)]);
+    let event = Event::Arrived(arrival(1, "wide", at(30_000)));
+    run(&mut gateway, at(0), event.clone());
+
+    let again = run(&mut gateway, at(10), event);
+
+    assert!(again.is_empty(), "{again:?}");
+    assert_eq!(gateway.open_requests(), 1);
+}
+
+/// Guards against an unbounded queue.
 #[test]
 fn queue_is_bounded() {
     let admitted = |policy| {
         let mut gateway = ready(1, policy, vec![endpoint("e1", 1)]);
-        for number in (1..=60).chain(1..=60) {
+        for number in 1..=60 {
             let event = Event::Arrived(arrival(number, "bound", at(60_000)));
             run(&mut gateway, at(0), event);
         }
--- a/tests/decision_choices.rs
+++ b/tests/decision_choices.rs
@@ -29,6 +29,7 @@
         residency::AllowedRegions,
         view::{
             EndpointInfo,
+            HostInfo,
             View, //
         }, //
     },
@@ -211,6 +212,30 @@
     assert!(!next.contains(&failed));
 }
 
+/// Guards against a broken endpoint being tried every second, and against one
+/// break of many requests counting as many failures.
+#[test]
+fn failures_in_a_row_double_the_wait() {
+    let mut gateway = ready(1, Policy::default(), endpoints(1, 8));
+    let mut fail_both = |ms, number| {
+        send(&mut gateway, ms, number, &[]);
+        send(&mut gateway, ms, number + 1, &[]);
+        for number in [number, number + 1] {
+            run(
+                &mut gateway,
+                at(ms),
+                ended(number, 0, AttemptOutcome::NotSent),
+            );
+        }
+        let state = &gateway.view().endpoints[&id("e1")];
+        (1..10).find(|wait| !state.is_avoided(at(ms + wait * 1_000)))
+    };
+
+    let waits = [fail_both(0, 1), fail_both(10_000, 3), fail_both(20_000, 5)];
+
+    assert_eq!(waits, [Some(1), Some(2), Some(4)]);
+}
+
 /// Guards against a list that drops an endpoint losing its requests, and
 /// against dropped endpoints being kept for ever.
 #[test]
@@ -391,6 +416,10 @@
     assert_eq!(factor(2_000), 0.1);
     assert!((factor(32_000) - 0.55).abs() < 0.001);
     assert_eq!(factor(62_000), 1.0);
+    ramps.observe(at(70_000), &region, &slots(40), None);
+    ramps.observe(at(70_000), &region, &slots(100), None);
+    let factor = ramps.factor(at(70_000), &region, &target, &policy);
+    assert_eq!(factor, 0.4, "the slots that stayed are warm");
 }
 
 /// Guards against forwards to hosts that are silent, leaving, or in a region
@@ -413,6 +442,16 @@
     view.apply_heartbeat(at(0), moved);
     assert_eq!(names(&view, 1_999), ["zapad-1", "zapad-2"]);
     assert_eq!(names(&view, 2_000), ["zapad-2"], "zapad-1 is silent");
+    let leaving = |is_leaving| HostInfo {
+        id: id("zapad-2"),
+        region: id("zapad"),
+        peer_address: heartbeat("h1", 1, 0).peer_address,
+        is_leaving,
+    };
+    view.apply_list(at(2_000), Vec::new(), &[leaving(true)]);
+    assert!(names(&view, 2_000).is_empty(), "zapad-2 is leaving");
+    view.apply_list(at(2_000), Vec::new(), &[leaving(false)]);
+    assert_eq!(names(&view, 2_000), ["zapad-2"]);
     view.avoid_host(id("zapad-2"), at(2_500));
     assert!(names(&view, 2_000).is_empty(), "zapad-2 is avoided");
     assert!(names(&view, 3_000).is_empty(), "the summary is too old");
