Let the baselines do what their names say

Round robin used one counter for regions and endpoints, so with two regions and two endpoints every request at home went to the same one. It now counts them apart: 100 requests went 25, 25 and 50 instead of to one endpoint of each region. Least reported load compared this host's estimate for home with reports from elsewhere, and always took the first of equals. It now uses reports alone and draws among equals. A baseline that is weaker than its name would flatter the adaptive policy.

--- a/src/decision/endpoint.rs
+++ b/src/decision/endpoint.rs
@@ -177,10 +177,25 @@
         Routing::Adaptive | Routing::HomeOnly => adaptive(candidates, demand, policy, rng),
         Routing::Random => candidates.get(rng.random_range(0..candidates.len())),
         Routing::RoundRobin => candidates.get(turn % candidates.len()),
-        Routing::LeastReported => candidates.iter().min_by_key(|one| one.reported),
+        Routing::LeastReported => least_reported(candidates, rng),
     }
 }
 
+fn least_reported<'a, R>(candidates: &'a [Candidate], rng: &mut R) -> Option<&'a Candidate>
+where
+    R: Rng,
+{
+    let ratio = |one: &Candidate| f64::from(one.reported) / one.slots;
+    let least = candidates.iter().map(ratio).min_by(f64::total_cmp)?;
+    let equals: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|one| ratio(one) <= least)
+        .collect();
+    equals
+        .get(rng.random_range(0..equals.len().max(1)))
+        .copied()
+}
+
 fn adaptive<'a, R>(
     candidates: &'a [Candidate],
     demand: &Demand<'_>,
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -166,8 +166,10 @@
     granting: BTreeMap<CallerId, Vec<RequestId>>,
     waste: Waste,
     is_leaving: bool,
-    /// Counts choices, for the baseline that takes turns.
-    turn: usize,
+    /// Counts choices of a region, for the baseline that takes turns.
+    region_turn: usize,
+    /// Counts choices of an endpoint, for the same.
+    endpoint_turn: usize,
     rng: Pcg64Mcg,
 }
 
@@ -194,7 +196,8 @@
             granting: BTreeMap::new(),
             waste: Waste::default(),
             is_leaving: false,
-            turn: 0,
+            region_turn: 0,
+            endpoint_turn: 0,
         }
     }
 
--- a/src/decision/place.rs
+++ b/src/decision/place.rs
@@ -94,7 +94,6 @@
         };
         let demand = open.demand(version.as_deref());
         let candidates = endpoint::candidates(&self.known.context(now_ms), &demand);
-        self.turn = self.turn.wrapping_add(1);
         if let Some((region, host)) = self.choose_away(now_ms, open, &candidates, ahead) {
             return Decision::Forward(region, host);
         }
@@ -117,11 +116,13 @@
         if !open.may_leave() {
             return None;
         }
+        self.region_turn = self.region_turn.wrapping_add(1);
+        let turn = self.region_turn;
         let context = self.known.context(now_ms);
         let home = outlook(&context, &open.arrival.target, candidates, ahead);
         let trip = open.trip(now_ms);
         self.regions
-            .choose(&context, &trip, home, self.turn, &mut self.rng)
+            .choose(&context, &trip, home, turn, &mut self.rng)
     }
 
     /// An endpoint that has room and finishes in time.
@@ -138,9 +139,11 @@
         if is_predictive && ahead > 0 {
             return None;
         }
+        self.endpoint_turn = self.endpoint_turn.wrapping_add(1);
+        let turn = self.endpoint_turn;
         let left_ms = open.left_ms(now_ms).0 as f64;
         let is_late = |one: &Candidate| one.prediction.finish_ms() > left_ms;
-        let chosen = endpoint::choose(candidates, demand, policy, self.turn, &mut self.rng)?;
+        let chosen = endpoint::choose(candidates, demand, policy, turn, &mut self.rng)?;
         if !is_predictive || !is_late(chosen) {
             return Some(chosen.endpoint.clone());
         }
@@ -299,6 +302,8 @@
 ) -> HomeOutlook {
     let slots: f64 = candidates.iter().map(|one| one.slots).sum();
     let load: f64 = candidates.iter().map(|one| one.load).sum();
+    let reported: f64 = candidates.iter().map(|one| f64::from(one.reported)).sum();
+    let per_slot = |requests: f64| if slots > 0.0 { requests / slots } else { 0.0 };
     let open = candidates.iter().filter(|one| !one.is_full());
     let soonest = open
         .map(|one| one.prediction.finish_ms())
@@ -308,7 +313,8 @@
     let queued = run_ms.map(|run_ms| run_ms + drain(context, target, candidates).wait_ms(ahead));
     HomeOutlook {
         finish_ms: soonest.filter(|_| ahead == 0).or(queued),
-        ratio: if slots > 0.0 { load / slots } else { 0.0 },
+        ratio: per_slot(load),
+        reported_ratio: per_slot(reported),
         slots,
         endpoint_slots: match candidates.len() {
             0 => f64::from(context.policy.default_slots),
--- a/src/decision/region.rs
+++ b/src/decision/region.rs
@@ -65,8 +65,10 @@
 pub struct HomeOutlook {
     /// Predicted completion, or `None` without an endpoint.
     pub finish_ms: Option<f64>,
-    /// Requests in progress for each slot.
+    /// Requests in progress for each slot, as estimated.
     pub ratio: f64,
+    /// The same as the newest reports show it.
+    pub reported_ratio: f64,
     /// Slots of all endpoints.
     pub slots: f64,
     /// Slots of a typical endpoint.
@@ -348,6 +350,6 @@
 
 fn least_reported(home: HomeOutlook, remotes: &[Remote]) -> Option<RegionId> {
     let least = remotes.iter().min_by(|a, b| a.ratio.total_cmp(&b.ratio))?;
-    let is_less = home.slots <= 0.0 || least.ratio < home.ratio;
+    let is_less = home.slots <= 0.0 || least.ratio < home.reported_ratio;
     is_less.then(|| least.region.clone())
 }
--- a/tests/decision_choices.rs
+++ b/tests/decision_choices.rs
@@ -581,7 +581,7 @@
 /// Guards against baselines that do not do what their names say.
 #[test]
 fn baselines_route_as_named() {
-    let tally = |routing| {
+    let tally = |routing, busy| {
         let policy = Policy {
             routing,
             ..Policy::default()
@@ -589,7 +589,7 @@
         let mut gateway = ready(1, policy, endpoints(2, 50));
         run(&mut gateway, START, Event::Report(report("e1", START, 40)));
         run(&mut gateway, START, Event::Report(report("e2", START, 30)));
-        summed_up(&mut gateway, 0, 50);
+        summed_up(&mut gateway, 0, busy);
         let mut tally: BTreeMap<String, usize> = BTreeMap::new();
         for number in 1..=100 {
             let event = Event::Arrived(arrival(number, "wide", at(30_000)));
@@ -603,9 +603,10 @@
         ["e1", "e2", "zapad"].map(|place| tally.get(place).copied().unwrap_or(0))
     };
 
-    assert_eq!(tally(Routing::HomeOnly)[2], 0);
-    assert_eq!(tally(Routing::LeastReported), [0, 0, 100]);
-    assert_eq!(tally(Routing::RoundRobin)[2], 50);
-    let random = tally(Routing::Random);
+    assert_eq!(tally(Routing::HomeOnly, 0)[2], 0);
+    assert_eq!(tally(Routing::LeastReported, 50), [0, 0, 100]);
+    assert_eq!(tally(Routing::LeastReported, 90), [0, 100, 0]);
+    assert_eq!(tally(Routing::RoundRobin, 50), [25, 25, 50]);
+    let random = tally(Routing::Random, 50);
     assert!(random.iter().all(|count| *count > 10), "{random:?}");
 }
