--- a/tests/decision_choices.rs
+++ b/tests/decision_choices.rs
@@ -24,10 +24,12 @@
             Predictor,
             Work, //
         },
+        prefix::PrefixMemory,
         ramp::Ramps,
         residency::AllowedRegions,
         view::{
             EndpointInfo,
+            HostInfo,
             View, //
         }, //
     },
@@ -141,6 +143,31 @@
     assert_eq!(elsewhere, first);
 }
 
+/// Guards against a memory of prefixes that grows for ever, or that outlives the
+/// cache that it stands for.
+#[test]
+fn prefixes_are_forgotten() {
+    let mut memory = PrefixMemory::new();
+    memory.note(&[1, 2, 3], 4);
+    memory.note(&[1, 2, 4], 4);
+    assert_eq!(memory.known_blocks(&[1, 2, 3, 9]), 3);
+    memory.note(&[1, 5], 4);
+    assert_eq!(memory.known_blocks(&[1, 2, 3]), 2);
+
+    let mut gateway = ready(1, Policy::default(), endpoints(1, 8));
+    run(&mut gateway, at(0), Event::Report(report("e1", at(0), 0)));
+    send(&mut gateway, 0, 1, &[7]);
+    let known = |gateway: &Gateway| {
+        let state = &gateway.view().endpoints[&id("e1")];
+        state.prefixes.known_blocks(&[7])
+    };
+    assert_eq!(known(&gateway), 1);
+    let mut restarted = report("e1", at(10), 0);
+    restarted.incarnation = Incarnation(2);
+    run(&mut gateway, at(10), Event::Report(restarted));
+    assert_eq!(known(&gateway), 0);
+}
+
 /// Guards against a silent endpoint looking idle, and against one full report
 /// keeping an endpoint out for ever.
 #[test]
@@ -185,6 +212,30 @@
     assert!(!next.contains(&failed));
 }
 
+/// Guards against a broken endpoint being tried every second, and against one
+/// break of many requests counting as many failures.
+#[test]
+fn failures_in_a_row_double_the_wait() {
+    let mut gateway = ready(1, Policy::default(), endpoints(1, 8));
+    let mut fail_both = |ms, number| {
+        send(&mut gateway, ms, number, &[]);
+        send(&mut gateway, ms, number + 1, &[]);
+        for number in [number, number + 1] {
+            run(
+                &mut gateway,
+                at(ms),
+                ended(number, 0, AttemptOutcome::NotSent),
+            );
+        }
+        let state = &gateway.view().endpoints[&id("e1")];
+        (1..10).find(|wait| !state.is_avoided(at(ms + wait * 1_000)))
+    };
+
+    let waits = [fail_both(0, 1), fail_both(10_000, 3), fail_both(20_000, 5)];
+
+    assert_eq!(waits, [Some(1), Some(2), Some(4)]);
+}
+
 /// Guards against a list that drops an endpoint losing its requests, and
 /// against dropped endpoints being kept for ever.
 #[test]
@@ -365,6 +416,10 @@
     assert_eq!(factor(2_000), 0.1);
     assert!((factor(32_000) - 0.55).abs() < 0.001);
     assert_eq!(factor(62_000), 1.0);
+    ramps.observe(at(70_000), &region, &slots(40), None);
+    ramps.observe(at(70_000), &region, &slots(100), None);
+    let factor = ramps.factor(at(70_000), &region, &target, &policy);
+    assert_eq!(factor, 0.4, "the slots that stayed are warm");
 }
 
 /// Guards against forwards to hosts that are silent, leaving, or in a region
@@ -387,6 +442,16 @@
     view.apply_heartbeat(at(0), moved);
     assert_eq!(names(&view, 1_999), ["zapad-1", "zapad-2"]);
     assert_eq!(names(&view, 2_000), ["zapad-2"], "zapad-1 is silent");
+    let leaving = |is_leaving| HostInfo {
+        id: id("zapad-2"),
+        region: id("zapad"),
+        peer_address: heartbeat("h1", 1, 0).peer_address,
+        is_leaving,
+    };
+    view.apply_list(at(2_000), Vec::new(), &[leaving(true)]);
+    assert!(names(&view, 2_000).is_empty(), "zapad-2 is leaving");
+    view.apply_list(at(2_000), Vec::new(), &[leaving(false)]);
+    assert_eq!(names(&view, 2_000), ["zapad-2"]);
     view.avoid_host(id("zapad-2"), at(2_500));
     assert!(names(&view, 2_000).is_empty(), "zapad-2 is avoided");
     assert!(names(&view, 3_000).is_empty(), "the summary is too old");
@@ -516,7 +581,7 @@
 /// Guards against baselines that do not do what their names say.
 #[test]
 fn baselines_route_as_named() {
-    let tally = |routing| {
+    let tally = |routing, busy| {
         let policy = Policy {
             routing,
             ..Policy::default()
@@ -524,7 +589,7 @@
         let mut gateway = ready(1, policy, endpoints(2, 50));
         run(&mut gateway, START, Event::Report(report("e1", START, 40)));
         run(&mut gateway, START, Event::Report(report("e2", START, 30)));
-        summed_up(&mut gateway, 0, 50);
+        summed_up(&mut gateway, 0, busy);
         let mut tally: BTreeMap<String, usize> = BTreeMap::new();
         for number in 1..=100 {
             let event = Event::Arrived(arrival(number, "wide", at(30_000)));
@@ -538,9 +603,10 @@
         ["e1", "e2", "zapad"].map(|place| tally.get(place).copied().unwrap_or(0))
     };
 
-    assert_eq!(tally(Routing::HomeOnly)[2], 0);
-    assert_eq!(tally(Routing::LeastReported), [0, 0, 100]);
-    assert_eq!(tally(Routing::RoundRobin)[2], 50);
-    let random = tally(Routing::Random);
+    assert_eq!(tally(Routing::HomeOnly, 0)[2], 0);
+    assert_eq!(tally(Routing::LeastReported, 50), [0, 0, 100]);
+    assert_eq!(tally(Routing::LeastReported, 90), [0, 100, 0]);
+    assert_eq!(tally(Routing::RoundRobin, 50), [25, 25, 50]);
+    let random = tally(Routing::Random, 50);
     assert!(random.iter().all(|count| *count > 10), "{random:?}");
 }
