Replay the experiment also without its faults

The requests of a region whose engines are gone cost a cold prefill elsewhere; the baseline that stays home refuses them and looks cheaper. Leaving out the faults separates this from the cost of sending work away at peaks.

--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -32,7 +32,10 @@
     },
     measure::Measures,
     workload::Workload,
-    world::World, //
+    world::{
+        FaultPlan,
+        World, //
+    }, //
 };
 use crate::decision::policy::{
     Policy,
@@ -71,6 +74,9 @@
     /// Length of the day in virtual seconds.
     #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u64).range(1..=86_400))]
     pub seconds: u64,
+    /// Leave out the region that returns cold and the one that is cut off.
+    #[arg(long)]
+    pub without_faults: bool,
     /// Parameter of the policy to change, such as `away_margin_ms=300`.
     #[arg(long = "set", value_name = "NAME=VALUE")]
     pub changes: Vec<PolicyChange>,
@@ -127,10 +133,16 @@
 }
 
 /// Replays the day of a customer under one policy.
-pub fn replay(name: CustomerName, policy: &Policy, seed: u64, length: Duration) -> PolicyResult {
+pub fn replay(
+    name: CustomerName,
+    policy: &Policy,
+    seed: u64,
+    length: Duration,
+    faults: Option<FaultPlan>,
+) -> PolicyResult {
     let customer = Customer::new(name);
     let workload = Workload::new(&customer, seed, length);
-    let replay = World::new(&customer, &workload, policy, seed, length).run();
+    let replay = World::new(&customer, &workload, policy, seed, length, faults).run();
     PolicyResult {
         customer: label(name),
         routing: policy.routing,
@@ -151,6 +163,7 @@
     };
     let length = Duration::from_secs(args.seconds);
     let policy = changed_policy(&args.changes)?;
+    let faults = (!args.without_faults).then(FaultPlan::default);
     for name in customers {
         if !args.json {
             write_header(*name, args, out)?;
@@ -160,7 +173,7 @@
                 routing,
                 ..policy.clone()
             };
-            let result = replay(*name, &policy, args.seed, length);
+            let result = replay(*name, &policy, args.seed, length, faults);
             if args.json {
                 writeln!(out, "{}", serde_json::to_string(&result)?)?;
             } else {
--- a/src/experiment/world.rs
+++ b/src/experiment/world.rs
@@ -85,6 +85,8 @@
 const GRANT_DELAY: Duration = Duration::from_millis(10);
 /// How long a host tries to connect over a link that is cut.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The hosts know each other before the first request comes.
+const WARM_UP: Duration = Duration::from_secs(2);
 /// Extra time after the last arrival in which everything must end.
 const DRAIN_TIME: Duration = Duration::from_secs(600);
 /// Tries of a caller that is refused.
@@ -255,6 +257,7 @@
         policy: &Policy,
         seed: u64,
         length: Duration,
+        faults: Option<FaultPlan>,
     ) -> Self {
         let fleet = Fleet::new(customer, seed);
         let hosts = fleet.gateways(customer, policy, seed);
@@ -278,11 +281,11 @@
             digest: Xxh3::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
         };
-        world.prepare(workload, length);
+        world.prepare(workload, length, faults);
         world
     }
 
-    fn prepare(&mut self, workload: &Workload, length: Duration) {
+    fn prepare(&mut self, workload: &Workload, length: Duration, faults: Option<FaultPlan>) {
         let intents = Arc::new(self.fleet.intents(self.customer, workload));
         for host in 0..self.hosts.len() {
             self.deliver(host, Duration::ZERO, Event::InForce(Arc::clone(&intents)));
@@ -296,22 +299,24 @@
         ] {
             self.at(Duration::ZERO, what);
         }
-        let faults = FaultPlan::default();
+        if let Some(faults) = faults {
+            self.plan_faults(faults, length);
+        }
+        for (index, job) in workload.jobs.iter().enumerate() {
+            self.at(WARM_UP + job.at, Happening::Arrive(index));
+        }
+        self.end += WARM_UP;
+    }
+
+    fn plan_faults(&mut self, faults: FaultPlan, length: Duration) {
         for (part, is_up) in [(faults.cold.0, false), (faults.cold.1, true)] {
-            self.at(
-                length.mul_f64(part),
-                Happening::Engines { region: 2, is_up },
-            );
+            let at = WARM_UP + length.mul_f64(part);
+            self.at(at, Happening::Engines { region: 2, is_up });
         }
         for (part, is_up) in [(faults.lost.0, false), (faults.lost.1, true)] {
-            self.at(length.mul_f64(part), Happening::Link { region: 1, is_up });
-        }
-        // The hosts know each other before the first request comes.
-        let warm_up = Duration::from_secs(2);
-        for (index, job) in workload.jobs.iter().enumerate() {
-            self.at(warm_up + job.at, Happening::Arrive(index));
+            let at = WARM_UP + length.mul_f64(part);
+            self.at(at, Happening::Link { region: 1, is_up });
         }
-        self.end += warm_up;
     }
 
     /// Runs until every request has ended.
@@ -424,7 +429,7 @@
 
     fn arrival(&self, index: usize, origin: Origin) -> Arrival {
         let job = &self.jobs[index];
-        let sent = job.at + Duration::from_secs(2);
+        let sent = job.at + WARM_UP;
         Arrival {
             request: RequestId(index as u128),
             caller: Fleet::caller_id(job.caller),
@@ -442,7 +447,7 @@
 
     fn refuse_caller(&mut self, index: usize, refusal: Refusal) {
         let job = &self.jobs[index];
-        let sent = job.at + Duration::from_secs(2);
+        let sent = job.at + WARM_UP;
         let progress = &self.progress[index];
         let wait = refusal.retry_after_ms.map(|ms| Duration::from_millis(ms.0));
         let again = wait.map(|wait| self.now + wait + self.customer.caller_latency * 2);
@@ -657,7 +662,7 @@
             None => {
                 let job = &self.jobs[index];
                 let end = self.now + self.customer.caller_latency;
-                let since = |at: Duration| at.saturating_sub(job.at + Duration::from_secs(2));
+                let since = |at: Duration| at.saturating_sub(job.at + WARM_UP);
                 let first = self.progress[index].first_token.unwrap_or(end);
                 let fate = Fate::Answered {
                     first_token: since(first),
--- a/tests/experiment.rs
+++ b/tests/experiment.rs
@@ -21,6 +21,7 @@
         replay,
         workload::Workload,
         world::{
+            FaultPlan,
             Replay,
             World, //
         }, //
@@ -40,10 +41,14 @@
     }
 }
 
+fn faults() -> Option<FaultPlan> {
+    Some(FaultPlan::default())
+}
+
 fn run(name: CustomerName, routing: Routing) -> (Workload, Replay) {
     let customer = Customer::new(name);
     let workload = Workload::new(&customer, 5, DAY);
-    let replay = World::new(&customer, &workload, &policy(routing), 5, DAY).run();
+    let replay = World::new(&customer, &workload, &policy(routing), 5, DAY, faults()).run();
     (workload, replay)
 }
 
@@ -51,7 +56,15 @@
 #[test]
 fn the_same_seed_gives_the_same_actions_and_another_seed_others() {
     for routing in ROUTINGS {
-        let result = |seed| replay(CustomerName::Consorcio, &policy(routing), seed, DAY);
+        let result = |seed| {
+            replay(
+                CustomerName::Consorcio,
+                &policy(routing),
+                seed,
+                DAY,
+                faults(),
+            )
+        };
 
         let (first, again, other) = (result(3), result(3), result(4));
 
@@ -64,7 +77,7 @@
 #[test]
 fn every_policy_decides_differently() {
     let digest = |routing| {
-        let result = replay(CustomerName::Consorcio, &policy(routing), 3, DAY);
+        let result = replay(CustomerName::Consorcio, &policy(routing), 3, DAY, faults());
         result.measures.digest
     };
 
