--- a/src/experiment/world.rs
+++ b/src/experiment/world.rs
@@ -10,7 +10,8 @@
     collections::{
         BTreeMap,
         BinaryHeap,
-        HashMap, //
+        HashMap,
+        HashSet, //
     },
     net::SocketAddr,
     sync::Arc,
@@ -85,6 +86,8 @@
 const GRANT_DELAY: Duration = Duration::from_millis(10);
 /// How long a host tries to connect over a link that is cut.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The hosts know each other before the first request comes.
+const WARM_UP: Duration = Duration::from_secs(2);
 /// Extra time after the last arrival in which everything must end.
 const DRAIN_TIME: Duration = Duration::from_secs(600);
 /// Tries of a caller that is refused.
@@ -231,6 +234,8 @@
     legs: HashMap<(usize, RequestId), Leg>,
     /// Where each attempt runs; attempts at endpoints and at other hosts.
     places: HashMap<AttemptKey, Place>,
+    /// Attempts whose host has not heard of an end.
+    unended: HashSet<AttemptKey>,
     progress: Vec<Progress>,
     links: BTreeMap<(usize, usize), Duration>,
     cut: Option<usize>,
@@ -255,6 +260,7 @@
         policy: &Policy,
         seed: u64,
         length: Duration,
+        faults: Option<FaultPlan>,
     ) -> Self {
         let fleet = Fleet::new(customer, seed);
         let hosts = fleet.gateways(customer, policy, seed);
@@ -271,6 +277,7 @@
             open: workload.jobs.len(),
             legs: HashMap::new(),
             places: HashMap::new(),
+            unended: HashSet::new(),
             progress: workload.jobs.iter().map(|_| Progress::default()).collect(),
             links: BTreeMap::new(),
             cut: None,
@@ -278,11 +285,11 @@
             digest: Xxh3::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
         };
-        world.prepare(workload, length);
+        world.prepare(workload, length, faults);
         world
     }
 
-    fn prepare(&mut self, workload: &Workload, length: Duration) {
+    fn prepare(&mut self, workload: &Workload, length: Duration, faults: Option<FaultPlan>) {
         let intents = Arc::new(self.fleet.intents(self.customer, workload));
         for host in 0..self.hosts.len() {
             self.deliver(host, Duration::ZERO, Event::InForce(Arc::clone(&intents)));
@@ -296,22 +303,24 @@
         ] {
             self.at(Duration::ZERO, what);
         }
-        let faults = FaultPlan::default();
+        if let Some(faults) = faults {
+            self.plan_faults(faults, length);
+        }
+        for (index, job) in workload.jobs.iter().enumerate() {
+            self.at(WARM_UP + job.at, Happening::Arrive(index));
+        }
+        self.end += WARM_UP;
+    }
+
+    fn plan_faults(&mut self, faults: FaultPlan, length: Duration) {
         for (part, is_up) in [(faults.cold.0, false), (faults.cold.1, true)] {
-            self.at(
-                length.mul_f64(part),
-                Happening::Engines { region: 2, is_up },
-            );
+            let at = WARM_UP + length.mul_f64(part);
+            self.at(at, Happening::Engines { region: 2, is_up });
         }
         for (part, is_up) in [(faults.lost.0, false), (faults.lost.1, true)] {
-            self.at(length.mul_f64(part), Happening::Link { region: 1, is_up });
-        }
-        // The hosts know each other before the first request comes.
-        let warm_up = Duration::from_secs(2);
-        for (index, job) in workload.jobs.iter().enumerate() {
-            self.at(warm_up + job.at, Happening::Arrive(index));
+            let at = WARM_UP + length.mul_f64(part);
+            self.at(at, Happening::Link { region: 1, is_up });
         }
-        self.end += warm_up;
     }
 
     /// Runs until every request has ended.
@@ -424,7 +433,7 @@
 
     fn arrival(&self, index: usize, origin: Origin) -> Arrival {
         let job = &self.jobs[index];
-        let sent = job.at + Duration::from_secs(2);
+        let sent = job.at + WARM_UP;
         Arrival {
             request: RequestId(index as u128),
             caller: Fleet::caller_id(job.caller),
@@ -443,7 +452,7 @@
 
     fn refuse_caller(&mut self, index: usize, refusal: Refusal) {
         let job = &self.jobs[index];
-        let sent = job.at + Duration::from_secs(2);
+        let sent = job.at + WARM_UP;
         let progress = &self.progress[index];
         let wait = refusal.retry_after_ms.map(|ms| Duration::from_millis(ms.0));
         let again = wait.map(|wait| self.now + wait + self.customer.caller_latency * 2);
@@ -501,6 +510,7 @@
 
     fn start_attempt(&mut self, key: AttemptKey, place: Place) {
         self.totals.attempts += 1;
+        self.unended.insert(key);
         self.places.insert(key, place);
         if let Some(leg) = self.legs.get_mut(&(key.0, key.1)) {
             leg.current = Some(key.2);
@@ -592,9 +602,11 @@
         let Some(run) = self.fleet.engines[endpoint].runs.get(&token.work).copied() else {
             return;
         };
-        let progress = &mut self.progress[run.job];
-        progress.delivered += 1;
         let (host, request, attempt) = run.key;
+        let leg = self.legs.get(&(host, request));
+        if leg.is_some_and(|leg| leg.current == Some(attempt)) {
+            self.progress[run.job].delivered += 1;
+        }
         let near = self.customer.data_centre_latency;
         if token.index == 0 {
             self.first_token(run.key, run.job);
@@ -626,6 +638,10 @@
 
     fn attempt_ended(&mut self, key: AttemptKey, outcome: AttemptOutcome) {
         let (host, request, attempt) = key;
+        // What was under way when an exchange broke is lost with it.
+        if !self.unended.remove(&key) {
+            return;
+        }
         self.places.remove(&key);
         let is_complete = matches!(outcome, AttemptOutcome::Complete { .. });
         let leg = self.legs.get(&(host, request));
@@ -658,7 +674,7 @@
             None => {
                 let job = &self.jobs[index];
                 let end = self.now + self.customer.caller_latency;
-                let since = |at: Duration| at.saturating_sub(job.at + Duration::from_secs(2));
+                let since = |at: Duration| at.saturating_sub(job.at + WARM_UP);
                 let first = self.progress[index].first_token.unwrap_or(end);
                 let fate = Fate::Answered {
                     first_token: since(first),
@@ -725,8 +741,17 @@
         let Some(leg) = self.legs.remove(&(host, request)) else {
             return;
         };
-        if let Some(attempt) = leg.current {
-            self.cancel((host, request, attempt));
+        match leg.current {
+            Some(attempt) => self.cancel((host, request, attempt)),
+            // It waits there, and would be sent once there is room.
+            None => self.give(
+                host,
+                Event::Ended {
+                    request,
+                    attempt: Attempt(0),
+                    outcome: AttemptOutcome::CallerGone { wasted: Tokens(0) },
+                },
+            ),
         }
     }
 
