Check tickets over all interleavings of a small model

The promises of a ticket hold only if they hold in every order of events, including a lost, repeated or late handover, a crash, a restart and a host that acts on an old clock. The check replays the real table breadth-first from the start, because a table with its proofs cannot be cloned.

The check found two faults in the route, both fixed here: - A forwarder called a ticket unknown for good because it had last heard of an earlier run of the host than the one that issued the ticket. Incarnations have no order, so the ticket now carries its issue time, and the news must be younger than that; otherwise the host is asked. - A host that had exported its table answered as if it were a later run and called its tickets unknown for good while the successor held them.

Eight faults put into the model are all found.

Ruled out: more steps of time and news that any host may hear early.

--- a/src/ticket/route.rs
+++ b/src/ticket/route.rs
@@ -37,6 +37,8 @@
     pub incarnation: Incarnation,
     /// Instant at which this host first heard of that run.
     pub first_seen_ms: Millis,
+    /// Instant at which this host last heard from that run.
+    pub last_heard_ms: Millis,
     /// Its region.
     pub region: RegionId,
     /// Its address for other hosts.
@@ -80,17 +82,25 @@
 
 /// Decides where a ticket is decided. It never says `not_run`.
 pub fn route(ticket: &Ticket, view: &RouteView<'_>) -> Route {
-    if view.is_held_here || view.is_forwarded {
+    if view.is_held_here {
         return Route::Local;
     }
+    if *view.holder == view.me.run {
+        // The table has been exported and its successor is not known here yet.
+        return Route::Refused(TicketRefusal::leaving());
+    }
     if view.holder.host == view.me.run.host {
-        return Route::Refused(superseded(view.started_ms, view.now_ms));
+        return Route::Refused(earlier_run(view.started_ms, view.now_ms));
+    }
+    if view.is_forwarded {
+        // A forwarded call goes no further, even if the holder is known here.
+        return Route::Refused(TicketRefusal::unreachable());
     }
     let Some(sighting) = view.sighting else {
         return route_unseen(ticket, view.holder);
     };
-    if sighting.incarnation != view.holder.incarnation {
-        return Route::Refused(superseded(sighting.first_seen_ms, view.now_ms));
+    if is_superseded(ticket, sighting, view) {
+        return Route::Refused(TicketRefusal::new(TicketRefusalReason::Unknown));
     }
     if !sighting.is_reachable {
         return Route::Refused(TicketRefusal::unreachable());
@@ -114,10 +124,23 @@
     Route::Refused(TicketRefusal::unreachable())
 }
 
-/// The holder's host has a newer run, so its table is gone or handed over.
-fn superseded(first_seen_ms: Millis, now_ms: Millis) -> TicketRefusal {
+/// Whether the holder's host certainly has a newer run, so that the holder's
+/// table is gone and no successor will turn up any more.
+///
+/// Incarnations have no order, and the news may be older than the ticket: a
+/// ticket of a run that this host has not heard of yet must not be called
+/// unknown. In doubt the host itself is asked.
+fn is_superseded(ticket: &Ticket, sighting: &Sighting, view: &RouteView<'_>) -> bool {
+    let is_other_run = sighting.incarnation != view.holder.incarnation;
+    let is_newer = sighting.last_heard_ms >= ticket.body().issued_ms + OWNER_SETTLE_MS;
+    let is_settled = view.now_ms >= sighting.first_seen_ms + OWNER_SETTLE_MS;
+    is_other_run && is_newer && is_settled
+}
+
+/// Answer of a host for a ticket of its own earlier run.
+fn earlier_run(started_ms: Millis, now_ms: Millis) -> TicketRefusal {
     let unknown = TicketRefusal::new(TicketRefusalReason::Unknown);
-    if now_ms < first_seen_ms + OWNER_SETTLE_MS {
+    if now_ms < started_ms + OWNER_SETTLE_MS {
         return unknown.with_retry_after(UNREACHABLE_RETRY_MS);
     }
     unknown
--- a/src/ticket/table.rs
+++ b/src/ticket/table.rs
@@ -352,6 +352,7 @@
             owner: self.me.clone(),
             caller: issue_for.caller.clone(),
             service: issue_for.service.clone(),
+            issued_ms: self.now_ms,
             expires_ms: self.now_ms + self.limits.lifetime_ms,
         };
         self.insert(Entry {
--- a/src/ticket/token.rs
+++ b/src/ticket/token.rs
@@ -98,6 +98,8 @@
     pub caller: CallerId,
     /// The service that it may call.
     pub service: ServiceId,
+    /// When it was issued, by the owner's clock.
+    pub issued_ms: Millis,
     /// Instant from which the call can no longer start, by the owner's clock.
     pub expires_ms: Millis,
 }
--- /dev/null
+++ b/tests/ticket_interleavings.rs
@@ -0,0 +1,961 @@
+//! Explores every interleaving of a small model around the real ticket table.
+//!
+//! Three hosts share one or two tickets: the owner, its successor and a third
+//! host that forwards. Tables cannot be cloned, so each state is rebuilt by
+//! replaying the events that lead to it. Guards against a call that runs twice,
+//! a `not_run` that is told for a call that ran or can still run, and a final
+//! `unknown` that turns into `not_run`.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashSet, //
+    },
+    fmt::Write as _,
+    hash::Hasher as _,
+    sync::Arc, //
+};
+
+use cardamombridge::{
+    decision::residency::AllowedRegions,
+    outcome::{
+        RunState,
+        Sent,
+        Unsent, //
+    },
+    ticket::{
+        call::{
+            CallDigest,
+            KeptAnswer, //
+        },
+        handover::{
+            HandedState,
+            Handover, //
+        },
+        refusal::{
+            TicketRefusal,
+            TicketRefusalReason, //
+        },
+        route::{
+            Route,
+            RouteView,
+            Sighting,
+            route, //
+        },
+        table::{
+            Begin,
+            IssueFor,
+            Permit,
+            TicketLimits,
+            TicketState,
+            TicketTable, //
+        },
+        token::{
+            HostRun,
+            Owner,
+            Ticket,
+            TicketId, //
+        }, //
+    },
+    types::{
+        Incarnation,
+        Millis,
+        RequestId, //
+    }, //
+};
+use xxhash_rust::xxh3::Xxh3;
+
+const OWNER: usize = 0;
+const SUCCESSOR: usize = 1;
+const THIRD: usize = 2;
+const HOSTS: [usize; 3] = [OWNER, SUCCESSOR, THIRD];
+const HOST_NAMES: [&str; 3] = ["owner", "successor", "third"];
+
+/// Start; handovers of the start are late and restarts have settled; tickets
+/// of the start have expired; they are forgotten.
+const TIMES_MS: [u64; 4] = [0, 21_500, 61_000, 700_000];
+/// Bounds the memory of the check if the model grows by mistake.
+const MAX_STATES: usize = 2_000_000;
+const LIFETIME_MS: Millis = Millis(60_000);
+
+/// A fault that is put into the model to show that the check finds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// The third host imports a handover that is addressed to the successor.
+    ImportsForeignHandover,
+    /// The owner keeps its tickets when it exports them.
+    ForgetsExport,
+    /// The start of a call is recorded when it ends.
+    RecordsStartLate,
+    /// A call without an answer is taken back as if it had not been sent.
+    ReleasesSentCall,
+    /// A forwarder that cannot reach the owner says `not_run`.
+    ForwarderSaysNotRun,
+    /// A caller is told `not_run` when its call is released.
+    ReleaseSaysNotRun,
+    /// A restarted host says `not_run` for tickets that it does not know.
+    RestartSaysNotRun,
+    /// A ticket is voided although its call has started.
+    VoidsStarted,
+}
+
+const RAN_TWICE: &str = "a call ran twice";
+const RAN_AFTER_NOT_RUN: &str = "a call ran after `not_run` was told";
+const NOT_RUN_AFTER_SEND: &str = "`not_run` was told for a call that was sent";
+const NOT_RUN_AFTER_UNKNOWN: &str = "a final `unknown` turned into `not_run`";
+
+/// Every fault with the violations that it must lead to.
+const FAULTS: [(Fault, &[&str]); 8] = [
+    (Fault::ImportsForeignHandover, &[RAN_TWICE]),
+    (Fault::ForgetsExport, &[RAN_TWICE]),
+    (Fault::RecordsStartLate, &[RAN_TWICE, RAN_AFTER_NOT_RUN]),
+    (Fault::ReleasesSentCall, &[RAN_TWICE, NOT_RUN_AFTER_SEND]),
+    (
+        Fault::ForwarderSaysNotRun,
+        &[NOT_RUN_AFTER_SEND, RAN_AFTER_NOT_RUN],
+    ),
+    (Fault::ReleaseSaysNotRun, &[RAN_AFTER_NOT_RUN]),
+    (
+        Fault::RestartSaysNotRun,
+        &[NOT_RUN_AFTER_SEND, NOT_RUN_AFTER_UNKNOWN],
+    ),
+    (Fault::VoidsStarted, &[NOT_RUN_AFTER_SEND]),
+];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Event {
+    Issue(usize),
+    Begin(usize, usize),
+    BeginOtherCall(usize, usize),
+    Send(usize, usize),
+    Release(usize, usize),
+    GiveUp(usize, usize),
+    EndpointRuns(usize),
+    FinishOk(usize, usize),
+    FinishUnknown(usize, usize),
+    Void(usize, usize),
+    Ask(usize, usize),
+    AskThroughThird(usize),
+    StartHandover,
+    Export,
+    Deliver(usize),
+    Crash(usize),
+    Restart(usize),
+    /// Fixes the time that the host's next action sees, however late it is.
+    Freeze(usize),
+    Hear(usize),
+    Tick,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Model {
+    tickets: usize,
+    /// Instants of [`TIMES_MS`] that are reached.
+    times: usize,
+    /// Starts of one ticket in one history: calls that are taken back could
+    /// start again without end.
+    max_starts: u32,
+    has_restart: bool,
+    has_freeze: bool,
+    has_successor_crash: bool,
+    fault: Option<Fault>,
+}
+
+impl Model {
+    fn events(&self) -> Vec<Event> {
+        let mut events = vec![Event::StartHandover, Event::Export, Event::Tick];
+        events.push(Event::Hear(THIRD));
+        events.push(Event::Crash(OWNER));
+        if self.has_restart {
+            events.push(Event::Restart(OWNER));
+        }
+        if self.has_successor_crash {
+            events.extend([Event::Crash(SUCCESSOR), Event::Restart(SUCCESSOR)]);
+        }
+        for host in HOSTS {
+            events.push(Event::Deliver(host));
+        }
+        if self.has_freeze {
+            events.extend([Event::Freeze(OWNER), Event::Freeze(SUCCESSOR)]);
+        }
+        for ticket in 0..self.tickets {
+            events.extend([Event::Issue(ticket), Event::EndpointRuns(ticket)]);
+            events.push(Event::AskThroughThird(ticket));
+            for host in HOSTS {
+                events.extend([
+                    Event::Begin(host, ticket),
+                    Event::BeginOtherCall(host, ticket),
+                    Event::Send(host, ticket),
+                    Event::Release(host, ticket),
+                    Event::GiveUp(host, ticket),
+                    Event::FinishOk(host, ticket),
+                    Event::FinishUnknown(host, ticket),
+                    Event::Void(host, ticket),
+                    Event::Ask(host, ticket),
+                ]);
+            }
+        }
+        events
+    }
+}
+
+#[derive(Debug)]
+enum Proof {
+    Unsent(Unsent),
+    Sent(Sent),
+}
+
+/// A call that a host is making; without a permit if its start is not recorded.
+#[derive(Debug)]
+struct Flight {
+    ticket: usize,
+    permit: Option<Permit>,
+    proof: Proof,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Seen {
+    incarnation: u64,
+    first_ms: u64,
+    last_ms: u64,
+}
+
+#[derive(Debug)]
+struct Host {
+    is_up: bool,
+    incarnation: u64,
+    started_ms: u64,
+    table: TicketTable,
+    flights: Vec<Flight>,
+    stale_ms: Option<u64>,
+    seen: [Seen; 3],
+    /// Whether the host has heard that the successor holds the owner's tickets.
+    knows_successor: bool,
+}
+
+impl Host {
+    fn new(index: usize, incarnation: u64, now_ms: u64) -> Self {
+        let limits = TicketLimits {
+            lifetime_ms: LIFETIME_MS,
+            ..TicketLimits::default()
+        };
+        let seen = Seen {
+            incarnation: 1,
+            first_ms: now_ms,
+            last_ms: now_ms,
+        };
+        Self {
+            is_up: true,
+            incarnation,
+            started_ms: now_ms,
+            table: TicketTable::new(owner(index, incarnation), Millis(now_ms)).with_limits(limits),
+            flights: Vec::new(),
+            stale_ms: None,
+            seen: [seen.clone(), seen.clone(), seen],
+            knows_successor: false,
+        }
+    }
+
+    fn take_flight(&mut self, ticket: usize, is_sent: bool) -> Option<Flight> {
+        let position = self.flights.iter().position(|flight| {
+            flight.ticket == ticket && matches!(flight.proof, Proof::Sent(_)) == is_sent
+        })?;
+        Some(self.flights.remove(position))
+    }
+}
+
+/// What happened at the endpoint to the call of one ticket and what was told.
+#[derive(Debug, Default)]
+struct Told {
+    issued_ms: u64,
+    /// Times that a host got the right to send the call.
+    starts: u32,
+    on_the_way: u32,
+    runs: u32,
+    not_run: bool,
+    unknown_for_good: bool,
+}
+
+#[derive(Debug)]
+struct World {
+    model: Model,
+    time: usize,
+    hosts: [Host; 3],
+    tickets: Vec<Option<Ticket>>,
+    told: Vec<Told>,
+    handover: Option<Arc<Handover>>,
+}
+
+/// What an invariant says when it is broken.
+type Violation = &'static str;
+/// Whether the event was possible.
+type Step = Result<bool, Violation>;
+
+fn run_of(index: usize, incarnation: u64) -> HostRun {
+    HostRun {
+        host: HOST_NAMES[index].parse().expect("host"),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn owner(index: usize, incarnation: u64) -> Owner {
+    Owner {
+        run: run_of(index, incarnation),
+        region: "stred".parse().expect("region"),
+        peer_address: ([127, 0, 0, 1], 7000 + index as u16).into(),
+    }
+}
+
+fn allowed() -> AllowedRegions {
+    serde_json::from_str(r#"["stred"]"#).expect("regions")
+}
+
+fn digest(body: &[u8]) -> CallDigest {
+    CallDigest::new("POST", "/orders", body)
+}
+
+impl World {
+    fn new(model: Model) -> Self {
+        Self {
+            model,
+            time: 0,
+            hosts: HOSTS.map(|index| Host::new(index, 1, 0)),
+            tickets: (0..model.tickets).map(|_| None).collect(),
+            told: (0..model.tickets).map(|_| Told::default()).collect(),
+            handover: None,
+        }
+    }
+
+    fn has(&self, fault: Fault) -> bool {
+        self.model.fault == Some(fault)
+    }
+
+    fn now_ms(&self) -> u64 {
+        TIMES_MS[self.time]
+    }
+
+    /// Time that the host's next action sees.
+    fn clock(&mut self, host: usize) -> Millis {
+        let now_ms = self.now_ms();
+        Millis(self.hosts[host].stale_ms.take().unwrap_or(now_ms))
+    }
+
+    fn fingerprint(&self) -> u128 {
+        struct Sink(Xxh3);
+        impl std::fmt::Write for Sink {
+            fn write_str(&mut self, text: &str) -> std::fmt::Result {
+                self.0.write(text.as_bytes());
+                Ok(())
+            }
+        }
+        let mut sink = Sink(Xxh3::new());
+        write!(sink, "{self:?}").expect("sink");
+        sink.0.digest128()
+    }
+
+    /// Applies an event; `Ok(false)` if it is not possible in this state.
+    fn apply(&mut self, event: Event) -> Step {
+        match event {
+            Event::Issue(ticket) => self.issue(ticket),
+            Event::Begin(host, ticket) => self.begin(host, ticket, digest(b"order")),
+            Event::BeginOtherCall(host, ticket) => self.begin(host, ticket, digest(b"other")),
+            Event::Send(host, ticket) => self.send(host, ticket),
+            Event::Release(host, ticket) => self.release(host, ticket),
+            Event::GiveUp(host, ticket) => self.give_up(host, ticket),
+            Event::EndpointRuns(ticket) => self.endpoint_runs(ticket),
+            Event::FinishOk(host, ticket) => self.finish_ok(host, ticket),
+            Event::FinishUnknown(host, ticket) => self.finish_unknown(host, ticket),
+            Event::Void(host, ticket) => self.void(host, ticket),
+            Event::Ask(host, ticket) => self.ask(host, ticket, true),
+            Event::AskThroughThird(ticket) => self.ask(THIRD, ticket, false),
+            Event::StartHandover => self.start_handover(),
+            Event::Export => self.export(),
+            Event::Deliver(host) => self.deliver(host),
+            Event::Crash(host) => Ok(self.crash(host)),
+            Event::Restart(host) => Ok(self.restart(host)),
+            Event::Freeze(host) => Ok(self.freeze(host)),
+            Event::Hear(host) => Ok(self.hear(host)),
+            Event::Tick => Ok(self.tick()),
+        }
+    }
+
+    fn issue(&mut self, ticket: usize) -> Step {
+        if self.tickets[ticket].is_some() || !self.hosts[OWNER].is_up {
+            return Ok(false);
+        }
+        let now_ms = self.clock(OWNER);
+        self.told[ticket].issued_ms = now_ms.0;
+        self.tickets[ticket] = issue_at(&mut self.hosts[OWNER].table, ticket, now_ms);
+        Ok(self.tickets[ticket].is_some())
+    }
+
+    /// The ticket as a call that arrives at `host` presents it, if the host
+    /// asks its own table; what the host says otherwise is told.
+    fn arrive(&mut self, host: usize, ticket: usize) -> Result<Option<Ticket>, Violation> {
+        let Some(presented) = self.tickets[ticket].clone() else {
+            return Ok(None);
+        };
+        if !self.hosts[host].is_up {
+            return Ok(None);
+        }
+        match self.route(host, &presented, true) {
+            Route::Local => Ok(Some(presented)),
+            Route::Forward(_) => Err("a forwarded call was forwarded again"),
+            Route::Refused(refusal) => {
+                self.tell_refusal(ticket, &refusal)?;
+                Ok(None)
+            }
+        }
+    }
+
+    fn route(&self, host: usize, ticket: &Ticket, is_forwarded: bool) -> Route {
+        let asked = &self.hosts[host];
+        let issuer = ticket.body().owner.run.clone();
+        let holder_index = if asked.knows_successor && issuer == run_of(OWNER, 1) {
+            SUCCESSOR
+        } else {
+            OWNER
+        };
+        let holder = match holder_index {
+            SUCCESSOR => run_of(SUCCESSOR, 1),
+            _ => issuer,
+        };
+        let seen = &asked.seen[holder_index];
+        let sighting = Sighting {
+            incarnation: Incarnation(seen.incarnation),
+            first_seen_ms: Millis(seen.first_ms),
+            last_heard_ms: Millis(seen.last_ms),
+            region: "stred".parse().expect("region"),
+            peer_address: owner(holder_index, 1).peer_address,
+            is_reachable: self.hosts[holder_index].is_up,
+        };
+        let view = RouteView {
+            me: asked.table.me(),
+            started_ms: Millis(asked.started_ms),
+            is_held_here: asked.table.holds(ticket),
+            is_forwarded,
+            holder: &holder,
+            sighting: Some(&sighting),
+            allowed: &allowed(),
+            now_ms: Millis(self.now_ms()),
+        };
+        route(ticket, &view)
+    }
+
+    fn begin(&mut self, host: usize, ticket: usize, digest: CallDigest) -> Step {
+        if self.told[ticket].starts == self.model.max_starts {
+            return Ok(false);
+        }
+        let Some(presented) = self.arrive(host, ticket)? else {
+            return Ok(self.hosts[host].is_up);
+        };
+        let now_ms = self.clock(host);
+        let table = &mut self.hosts[host].table;
+        if self.model.fault == Some(Fault::RecordsStartLate)
+            && table.state(&presented, now_ms) == Ok(TicketState::Issued)
+        {
+            self.fly(host, ticket, None, Unsent::new());
+            return Ok(true);
+        }
+        match table.begin(&presented, digest, Unsent::new(), now_ms) {
+            Begin::Started { permit, unsent } => self.fly(host, ticket, Some(permit), unsent),
+            Begin::Replay(_) => self.check_ran(ticket)?,
+            Begin::Refused(refusal) => self.tell_refusal(ticket, &refusal)?,
+        }
+        Ok(true)
+    }
+
+    fn fly(&mut self, host: usize, ticket: usize, permit: Option<Permit>, unsent: Unsent) {
+        let proof = Proof::Unsent(unsent);
+        let flight = Flight {
+            ticket,
+            permit,
+            proof,
+        };
+        self.told[ticket].starts += 1;
+        self.hosts[host].flights.push(flight);
+    }
+
+    fn send(&mut self, host: usize, ticket: usize) -> Step {
+        let Some(mut flight) = self.hosts[host].take_flight(ticket, false) else {
+            return Ok(false);
+        };
+        if let Proof::Unsent(unsent) = flight.proof {
+            flight.proof = Proof::Sent(unsent.mark_sent());
+        }
+        self.hosts[host].flights.push(flight);
+        self.told[ticket].on_the_way += 1;
+        Ok(true)
+    }
+
+    fn release(&mut self, host: usize, ticket: usize) -> Step {
+        let Some(flight) = self.hosts[host].take_flight(ticket, false) else {
+            return Ok(false);
+        };
+        let now_ms = self.clock(host);
+        if let (Some(permit), Proof::Unsent(unsent)) = (flight.permit, flight.proof) {
+            let _stale = self.hosts[host].table.release(permit, unsent, now_ms);
+        }
+        if self.has(Fault::ReleaseSaysNotRun) {
+            self.tell_not_run(ticket)?;
+        }
+        Ok(true)
+    }
+
+    fn give_up(&mut self, host: usize, ticket: usize) -> Step {
+        let Some(flight) = self.hosts[host].take_flight(ticket, false) else {
+            return Ok(false);
+        };
+        let now_ms = self.clock(host);
+        if let (Some(permit), Proof::Unsent(unsent)) = (flight.permit, flight.proof)
+            && self.hosts[host]
+                .table
+                .give_up(permit, unsent, now_ms)
+                .is_ok()
+        {
+            self.tell_not_run(ticket)?;
+        }
+        Ok(true)
+    }
+
+    fn endpoint_runs(&mut self, ticket: usize) -> Step {
+        let told = &mut self.told[ticket];
+        if told.on_the_way == 0 {
+            return Ok(false);
+        }
+        told.on_the_way -= 1;
+        told.runs += 1;
+        if told.runs > 1 {
+            return Err(RAN_TWICE);
+        }
+        if told.not_run {
+            return Err(RAN_AFTER_NOT_RUN);
+        }
+        Ok(true)
+    }
+
+    fn finish_ok(&mut self, host: usize, ticket: usize) -> Step {
+        if self.told[ticket].runs == 0 {
+            return Ok(false);
+        }
+        let Some(flight) = self.hosts[host].take_flight(ticket, true) else {
+            return Ok(false);
+        };
+        let now_ms = self.clock(host);
+        let answer = KeptAnswer::new(200, b"ok".to_vec());
+        if let (Some(permit), Proof::Sent(sent)) = (flight.permit, flight.proof) {
+            let _stale = self.hosts[host].table.finish(permit, sent, answer, now_ms);
+        }
+        Ok(true)
+    }
+
+    fn finish_unknown(&mut self, host: usize, ticket: usize) -> Step {
+        let Some(flight) = self.hosts[host].take_flight(ticket, true) else {
+            return Ok(false);
+        };
+        let now_ms = self.clock(host);
+        let releases = self.has(Fault::ReleasesSentCall);
+        let table = &mut self.hosts[host].table;
+        if let Some(permit) = flight.permit {
+            let _stale = if releases {
+                table.release(permit, Unsent::new(), now_ms)
+            } else {
+                table.finish_unknown(permit, now_ms)
+            };
+        }
+        Ok(true)
+    }
+
+    fn void(&mut self, host: usize, ticket: usize) -> Step {
+        let Some(presented) = self.arrive(host, ticket)? else {
+            return Ok(self.hosts[host].is_up);
+        };
+        let now_ms = self.clock(host);
+        let result = self.hosts[host].table.void(&presented, now_ms);
+        match result {
+            Ok(_) => self.tell_not_run(ticket)?,
+            Err(refusal) if refusal.reason == TicketRefusalReason::InProgress => {
+                if self.has(Fault::VoidsStarted) {
+                    self.tell_not_run(ticket)?;
+                }
+            }
+            Err(refusal) => self.tell_refusal(ticket, &refusal)?,
+        }
+        Ok(true)
+    }
+
+    fn ask(&mut self, host: usize, ticket: usize, is_forwarded: bool) -> Step {
+        let Some(presented) = self.tickets[ticket].clone() else {
+            return Ok(false);
+        };
+        if !self.hosts[host].is_up {
+            return Ok(false);
+        }
+        match self.route(host, &presented, is_forwarded) {
+            Route::Local => self.ask_table(host, ticket, &presented)?,
+            Route::Forward(to) => {
+                let position = HOST_NAMES
+                    .iter()
+                    .position(|name| *name == to.run.host.as_str());
+                let index = position.expect("a host of the model");
+                if self.hosts[index].is_up {
+                    return self.ask(index, ticket, true);
+                }
+                self.tell_refusal(ticket, &TicketRefusal::unreachable())?;
+            }
+            Route::Refused(refusal) => self.tell_refusal(ticket, &refusal)?,
+        }
+        Ok(true)
+    }
+
+    fn ask_table(
+        &mut self,
+        host: usize,
+        ticket: usize,
+        presented: &Ticket,
+    ) -> Result<(), Violation> {
+        let now_ms = self.clock(host);
+        match self.hosts[host].table.state(presented, now_ms) {
+            Ok(TicketState::Issued | TicketState::Started) => Ok(()),
+            Ok(TicketState::Finished(_)) => self.check_ran(ticket),
+            Ok(TicketState::Closed(_)) => self.tell_not_run(ticket),
+            Ok(TicketState::Unknown) => {
+                self.told[ticket].unknown_for_good = true;
+                Ok(())
+            }
+            Err(refusal) => self.tell_refusal(ticket, &refusal),
+        }
+    }
+
+    fn check_ran(&self, ticket: usize) -> Result<(), Violation> {
+        match self.told[ticket].runs {
+            0 => Err("a call that did not run was reported as finished"),
+            _ => Ok(()),
+        }
+    }
+
+    fn tell_not_run(&mut self, ticket: usize) -> Result<(), Violation> {
+        let told = &mut self.told[ticket];
+        told.not_run = true;
+        if told.runs + told.on_the_way > 0 {
+            return Err(NOT_RUN_AFTER_SEND);
+        }
+        if told.unknown_for_good {
+            return Err(NOT_RUN_AFTER_UNKNOWN);
+        }
+        Ok(())
+    }
+
+    fn tell_refusal(&mut self, ticket: usize, refusal: &TicketRefusal) -> Result<(), Violation> {
+        let is_unknown = refusal.reason == TicketRefusalReason::Unknown;
+        let is_unreachable = refusal.reason == TicketRefusalReason::Unreachable;
+        let says_not_run = matches!(refusal.run_state(), RunState::NotRun(_))
+            || (is_unreachable && self.has(Fault::ForwarderSaysNotRun))
+            || (is_unknown && self.has(Fault::RestartSaysNotRun));
+        if says_not_run {
+            return self.tell_not_run(ticket);
+        }
+        self.told[ticket].unknown_for_good |= is_unknown && refusal.retry_after_ms.is_none();
+        Ok(())
+    }
+
+    fn start_handover(&mut self) -> Step {
+        let owner = &mut self.hosts[OWNER];
+        if !owner.is_up || owner.incarnation != 1 {
+            return Ok(false);
+        }
+        Ok(owner.table.start_handover(run_of(SUCCESSOR, 1)).is_ok())
+    }
+
+    fn export(&mut self) -> Step {
+        if !self.hosts[OWNER].is_up || self.handover.is_some() {
+            return Ok(false);
+        }
+        let now_ms = self.clock(OWNER);
+        let Ok(handover) = self.hosts[OWNER].table.export(|_| true, now_ms) else {
+            return Ok(false);
+        };
+        if self.has(Fault::ForgetsExport) {
+            self.hosts[OWNER].table = Host::new(OWNER, 1, 0).table;
+            for handed in &handover.tickets {
+                let ticket = handed.body.id.0.0 as usize;
+                if handed.state == HandedState::Issued {
+                    let issued_ms = Millis(self.told[ticket].issued_ms);
+                    let table = &mut self.hosts[OWNER].table;
+                    self.tickets[ticket] = issue_at(table, ticket, issued_ms);
+                }
+            }
+        }
+        self.handover = Some(handover);
+        Ok(true)
+    }
+
+    /// The message stays on the way, so that it can arrive again, late or never.
+    fn deliver(&mut self, host: usize) -> Step {
+        let Some(mut handover) = self.handover.as_deref().cloned() else {
+            return Ok(false);
+        };
+        let now_ms = Millis(self.now_ms());
+        let receiver = &mut self.hosts[host];
+        if !receiver.is_up {
+            return Ok(false);
+        }
+        if self.model.fault == Some(Fault::ImportsForeignHandover) {
+            handover.to = receiver.table.me().run.clone();
+        }
+        Ok(receiver.table.import(&handover, now_ms).is_ok())
+    }
+
+    fn crash(&mut self, host: usize) -> bool {
+        let was_up = std::mem::replace(&mut self.hosts[host].is_up, false);
+        if was_up {
+            let incarnation = self.hosts[host].incarnation;
+            self.hosts[host] = Host::new(host, incarnation, 0);
+            self.hosts[host].is_up = false;
+        }
+        was_up
+    }
+
+    fn restart(&mut self, host: usize) -> bool {
+        let is_down = !self.hosts[host].is_up && self.hosts[host].incarnation == 1;
+        if is_down {
+            self.hosts[host] = Host::new(host, 2, self.now_ms());
+            self.hosts[host].seen[host].incarnation = 2;
+        }
+        is_down
+    }
+
+    fn freeze(&mut self, host: usize) -> bool {
+        let now_ms = self.now_ms();
+        let frozen = &mut self.hosts[host];
+        let can_freeze = frozen.is_up && frozen.stale_ms.is_none();
+        if can_freeze {
+            frozen.stale_ms = Some(now_ms);
+        }
+        can_freeze
+    }
+
+    fn hear(&mut self, host: usize) -> bool {
+        let now_ms = self.now_ms();
+        let successor_holds = self.hosts[SUCCESSOR].is_up
+            && self.hosts[SUCCESSOR]
+                .table
+                .held()
+                .contains(&run_of(OWNER, 1));
+        let incarnations = HOSTS.map(|other| self.hosts[other].incarnation);
+        let is_up = HOSTS.map(|other| self.hosts[other].is_up);
+        let hearer = &mut self.hosts[host];
+        if !hearer.is_up {
+            return false;
+        }
+        hearer.knows_successor |= successor_holds;
+        for other in HOSTS {
+            let seen = &mut hearer.seen[other];
+            if is_up[other] && seen.incarnation != incarnations[other] {
+                seen.first_ms = now_ms;
+            }
+            if is_up[other] {
+                seen.incarnation = incarnations[other];
+                seen.last_ms = now_ms;
+            }
+        }
+        true
+    }
+
+    /// Gossip crosses and tables are swept in every step of time.
+    fn tick(&mut self) -> bool {
+        if self.time + 1 == self.model.times {
+            return false;
+        }
+        for host in HOSTS {
+            self.hear(host);
+        }
+        self.time += 1;
+        let now_ms = Millis(self.now_ms());
+        for host in &mut self.hosts {
+            if host.is_up && host.stale_ms.is_none() {
+                host.table.sweep(now_ms);
+            }
+        }
+        true
+    }
+}
+
+fn issue_at(table: &mut TicketTable, ticket: usize, now_ms: Millis) -> Option<Ticket> {
+    let issue_for = IssueFor {
+        caller: &"drevoton".parse().expect("caller"),
+        service: &"orders".parse().expect("service"),
+        allowed: &allowed(),
+    };
+    let id = TicketId(RequestId(ticket as u128));
+    table.issue(id, &issue_for, now_ms).ok()
+}
+
+/// A state to expand: the events that lead to it.
+type Path = Vec<u8>;
+
+/// What one event leads to.
+type Found = (Path, Result<u128, Violation>);
+
+fn replay(model: Model, events: &[Event], path: &[u8]) -> World {
+    let mut world = World::new(model);
+    for step in path {
+        let step = world.apply(events[*step as usize]);
+        step.expect("a path without violation");
+    }
+    world
+}
+
+/// The states and violations behind one state.
+fn expand(model: Model, events: &[Event], path: &[u8]) -> Vec<Found> {
+    let mut found = Vec::new();
+    for (index, event) in events.iter().enumerate() {
+        let mut world = replay(model, events, path);
+        let outcome = world.apply(*event);
+        if outcome != Ok(false) {
+            let mut next = path.to_vec();
+            next.push(index as u8);
+            found.push((next, outcome.map(|_| world.fingerprint())));
+        }
+    }
+    found
+}
+
+fn expand_all(model: Model, events: &[Event], frontier: &[Path]) -> Vec<Found> {
+    const THREADS: usize = 4;
+    let share = frontier.len().div_ceil(THREADS);
+    let expand_share = |paths: &[Path]| -> Vec<Found> {
+        let found = paths.iter().flat_map(|path| expand(model, events, path));
+        found.collect()
+    };
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = frontier
+            .chunks(share)
+            .map(|paths| scope.spawn(move || expand_share(paths)))
+            .collect();
+        let joined = workers.into_iter().map(|worker| worker.join());
+        joined.flat_map(|found| found.expect("worker")).collect()
+    })
+}
+
+#[derive(Debug, Default)]
+struct Report {
+    states: usize,
+    depth: usize,
+    /// Shortest history to each kind of violation.
+    violations: BTreeMap<Violation, Vec<Event>>,
+}
+
+/// Visits all reachable states, or those up to the first of each `wanted`
+/// violation if there are any. A violation ends its history.
+fn explore(model: Model, wanted: &[Violation]) -> Report {
+    let events = model.events();
+    let mut report = Report::default();
+    let mut known = HashSet::from([World::new(model).fingerprint()]);
+    let mut frontier: Vec<Path> = vec![Vec::new()];
+    let is_found = |report: &Report| {
+        let is_found = |violation| report.violations.contains_key(violation);
+        !wanted.is_empty() && wanted.iter().all(is_found)
+    };
+    while !frontier.is_empty() && !is_found(&report) {
+        let found = expand_all(model, &events, &frontier);
+        frontier.clear();
+        for (path, outcome) in found {
+            match outcome {
+                Ok(fingerprint) if known.insert(fingerprint) => frontier.push(path),
+                Ok(_) => {}
+                Err(violation) => {
+                    let history = path.iter().map(|index| events[*index as usize]);
+                    let history = history.collect();
+                    report.violations.entry(violation).or_insert(history);
+                }
+            }
+        }
+        report.depth += 1;
+        assert!(known.len() <= MAX_STATES, "more than {MAX_STATES} states");
+    }
+    report.states = known.len();
+    report
+}
+
+const ONE_TICKET: Model = Model {
+    tickets: 1,
+    times: TIMES_MS.len(),
+    max_starts: 2,
+    has_restart: true,
+    has_freeze: false,
+    has_successor_crash: false,
+    fault: None,
+};
+
+/// Explores a model without a fault; `min_states` keeps it from becoming empty.
+fn check(model: Model, min_states: usize) {
+    let report = explore(model, &[]);
+    println!(
+        "{model:?}: {} states, depth {}",
+        report.states, report.depth
+    );
+    assert_eq!(report.violations, BTreeMap::new());
+    assert!(report.states >= min_states, "{} states", report.states);
+}
+
+#[test]
+fn one_ticket_in_every_interleaving() {
+    check(ONE_TICKET, 100_000);
+}
+
+#[test]
+fn one_ticket_with_frozen_hosts() {
+    let model = Model {
+        max_starts: 1,
+        has_restart: false,
+        has_freeze: true,
+        ..ONE_TICKET
+    };
+
+    check(model, 100_000);
+}
+
+#[test]
+fn one_ticket_with_a_crashing_successor() {
+    let model = Model {
+        times: 3,
+        max_starts: 1,
+        has_restart: false,
+        has_successor_crash: true,
+        ..ONE_TICKET
+    };
+
+    check(model, 45_000);
+}
+
+#[test]
+fn two_tickets_in_one_handover() {
+    let model = Model {
+        tickets: 2,
+        times: 1,
+        max_starts: 1,
+        has_restart: false,
+        ..ONE_TICKET
+    };
+
+    check(model, 15_000);
+}
+
+#[test]
+fn the_check_finds_every_fault() {
+    for (fault, wanted) in FAULTS {
+        let model = Model {
+            fault: Some(fault),
+            ..ONE_TICKET
+        };
+
+        let report = explore(model, wanted);
+
+        for violation in wanted {
+            let history = report.violations.get(violation);
+            println!("{fault:?}: {violation}: {history:?}");
+            assert!(history.is_some(), "{fault:?} never led to: {violation}");
+        }
+    }
+}
