--- a/src/ticket/mod.rs
+++ b/src/ticket/mod.rs
@@ -1,4 +1,130 @@
-//! Tickets for calls that must not be repeated.
+//! Tickets: at-most-once execution of calls that must not be repeated.
+//!
+//! A ticket names the one host run that may run a call. That run's
+//! [`TicketTable`](table::TicketTable) is the only place where the ticket
+//! changes its state, so a call can start once whatever messages are lost,
+//! repeated or late. Nothing in here opens a socket, starts a thread or reads a
+//! clock. At-most-once and `not_run` do not depend on clocks. Clocks only decide
+//! when a ticket expires, when a state is forgotten, and when a forwarder may
+//! call a ticket unknown for good.
+//!
+//! # States
+//!
+//! ```text
+//! issued --begin--> started --finish---------> finished (answer kept)
+//!   |  ^               | |----finish_unknown-> unknown
+//!   |  '---release-----' '----give_up--------> closed (given up)
+//!   |----void--------------------------------> closed (voided)
+//!   '----expiry------------------------------> closed (expired)
+//! ```
+//!
+//! Only a closed ticket is `not_run`. An issued ticket is not: a repeat that is
+//! still on its way could start it after the caller has acted on the answer. A
+//! finished answer is kept until the ticket expires, every state until
+//! [`STATE_RETENTION_MS`] later. A ticket that the table has forgotten, or that
+//! an earlier run of the host issued, is unknown.
+//!
+//! # Use by the data path
+//!
+//! At the host that a caller talks to, for a method that needs a ticket:
+//!
+//! 1. Authenticate the caller, compute its [`AllowedRegions`], and read the
+//!    whole request, because the ticket is bound to the digest of its body.
+//! 2. Without a ticket, [`issue`] one and answer
+//!    [`TicketRefusal::ticket_required`] with it in the field
+//!    `Idempotency-Key` and in the body, or [`TicketRefusal::cannot_issue`].
+//! 3. With one, [`open`] it; on failure answer [`TicketError::status`] and
+//!    [`TicketError::run_state`]. A key that is no ticket is 428 as well and
+//!    gets a fresh ticket.
+//! 4. Ask [`route`]. It forwards to the run that holds the ticket or says why
+//!    not. A forwarder answers with what the holder answers. If the holder's
+//!    answer is missing or incomplete the forwarder answers
+//!    [`TicketRefusal::unreachable`], also if it could not connect: an earlier
+//!    copy of the call may have arrived. It must never turn its own
+//!    [`Unsent`] into `not_run`.
+//!
+//! At the holder, `route` is asked again with `is_forwarded`, and then:
+//!
+//! 1. [`begin`] before admission, so that a repeat of a queued call is found.
+//! 2. On [`Begin::Started`], keep the permit, and run admission and the choice
+//!    of an endpoint with the `Unsent`. While no byte has been sent, another
+//!    endpoint may be tried with the same permit.
+//! 3. Call [`Unsent::mark_sent`] before the first byte is written.
+//! 4. When the answer has ended properly, call [`finish`], whatever its status,
+//!    before its last byte is relayed, so that a repeat finds it.
+//! 5. When it has not, call [`finish_unknown`]; the caller gets 502 `unknown`.
+//! 6. When no byte was sent and the call is refused (admission, deadline, no
+//!    endpoint), call [`give_up`]; the caller gets 503 `not_run`, `Retry-After`
+//!    and a fresh ticket. If nobody is told anything, because the caller has
+//!    gone, call [`release`] instead: the caller may repeat with this ticket.
+//!
+//! A permit that is lost with its thread leaves the ticket started, which is
+//! safe. A [`StalePermit`](table::StalePermit) means that the table was handed
+//! over; relay the answer, but say `unknown` instead of `not_run`.
+//!
+//! # Answers
+//!
+//! Status, run state and `Retry-After` come from [`TicketRefusal`]:
+//!
+//! | state of the ticket | status | `run_state` | `Retry-After` |
+//! |---|---|---|---|
+//! | no ticket on the call | 428 with a fresh ticket | `not_run` | |
+//! | key that is no ticket | 428 with a fresh ticket | `not_run` | |
+//! | forged, of another caller or service | 403 | `unknown` | |
+//! | owner outside residency | 421 | `unknown` | |
+//! | no ticket, none can be issued | 503 | `not_run` | until one is forgotten |
+//! | no ticket, host outside residency | 421 | `not_run` | |
+//! | started | 409 | `unknown` | 1 s |
+//! | finished, answer kept | as kept, `Idempotent-Replayed: true` | | |
+//! | finished, answer not kept | 409 | `unknown` | |
+//! | closed: voided, expired or given up | 410 with a fresh ticket | `not_run` | |
+//! | unknown | 409 | `unknown` | |
+//! | bound to a call with another digest | 409 | `unknown` | |
+//! | issued, host is leaving | 503 | `unknown` | 3 s, same ticket |
+//! | issued, no room for an answer | 503 | `unknown` | until room is freed |
+//! | holder not reachable | 502 | `unknown` | 2 s |
+//! | earlier run, successor may turn up | 409 | `unknown` | 2 s |
+//!
+//! The call with another digest is not run, yet it is not called `not_run`: a
+//! caller that writes its body anew for a repeat would take that for the fate
+//! of its first call. `GET /v1/tickets/TICKET` answers 200 with
+//! [`TicketState::word`](table::TicketState::word), `DELETE` answers 200
+//! `not_run` if [`void`] succeeds.
+//!
+//! # Leaving
+//!
+//! [`start_handover`] names the successor and stops issuing and starting. When
+//! [`started_count`] is zero or the drain limit is reached, [`export`] makes the
+//! message; from there on this run decides nothing. It may be sent any number
+//! of times, and `AlreadyImported` in return counts as success. The successor
+//! announces [`held`] with its heartbeats. If the message is lost, or arrives
+//! later than [`HANDOVER_VALID_MS`](handover::HANDOVER_VALID_MS), its tickets
+//! are unknown. The message must be authenticated, because an import trusts
+//! that the exporter has given up its tickets.
+//!
+//! [`AllowedRegions`]: crate::decision::residency::AllowedRegions
+//! [`Begin::Started`]: table::Begin::Started
+//! [`TicketError::run_state`]: token::TicketError::run_state
+//! [`TicketError::status`]: token::TicketError::status
+//! [`TicketRefusal::cannot_issue`]: refusal::TicketRefusal::cannot_issue
+//! [`TicketRefusal::ticket_required`]: refusal::TicketRefusal::ticket_required
+//! [`TicketRefusal::unreachable`]: refusal::TicketRefusal::unreachable
+//! [`TicketRefusal`]: refusal::TicketRefusal
+//! [`Unsent::mark_sent`]: crate::outcome::Unsent::mark_sent
+//! [`Unsent`]: crate::outcome::Unsent
+//! [`begin`]: table::TicketTable::begin
+//! [`export`]: table::TicketTable::export
+//! [`finish_unknown`]: table::TicketTable::finish_unknown
+//! [`finish`]: table::TicketTable::finish
+//! [`give_up`]: table::TicketTable::give_up
+//! [`held`]: table::TicketTable::held
+//! [`issue`]: table::TicketTable::issue
+//! [`open`]: token::TicketSigner::open
+//! [`release`]: table::TicketTable::release
+//! [`route`]: route::route
+//! [`start_handover`]: table::TicketTable::start_handover
+//! [`started_count`]: table::TicketTable::started_count
+//! [`void`]: table::TicketTable::void
 
 pub mod call;
 pub mod handover;
--- a/src/ticket/token.rs
+++ b/src/ticket/token.rs
@@ -1,8 +1,10 @@
 //! The ticket itself: what it names and how it is written and verified.
 //!
-//! A ticket carries ids only, no request data. Its text is `postcard` and a
-//! truncated HMAC-SHA256 in URL-safe base64, so every host with the cluster key
-//! can verify it without asking its owner.
+//! A ticket carries ids only, no request data. Its text is a prefix, then
+//! `postcard` and a truncated HMAC-SHA256 in URL-safe base64, so every host with
+//! the cluster key can verify it without asking its owner. The prefix tells
+//! tickets from the keys that HTTP libraries make up for `Idempotency-Key`,
+//! such as UUIDs, which are valid base64 as well.
 
 use std::{
     fmt,
@@ -29,6 +31,10 @@
 use super::STATE_RETENTION_MS;
 use crate::{
     decision::residency::AllowedRegions,
+    outcome::{
+        RunState,
+        Unsent, //
+    },
     types::{
         CallerId,
         HostId,
@@ -40,7 +46,9 @@
     }, //
 };
 
-/// Longest text of a ticket, in bytes; four ids of 64 bytes give about 480.
+/// Start of the text of every ticket; the number changes with the format.
+pub const TEXT_PREFIX: &str = "t1.";
+/// Longest text of a ticket, in bytes; four ids of 64 bytes give about 470.
 pub const MAX_TICKET_TEXT_BYTES: usize = 512;
 /// Shortest cluster key, in bytes.
 pub const MIN_KEY_BYTES: usize = 32;
@@ -133,13 +141,13 @@
     pub now_ms: Millis,
 }
 
-/// Why a ticket is not accepted. None of these says that a call did not run.
+/// Why a ticket is not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum TicketError {
-    /// The text is not a ticket.
-    #[error("ticket is malformed: expected the text of a ticket issued by this gateway")]
+    /// The text does not look like a ticket; nothing ever runs under it.
+    #[error("key is not a ticket: expected a text that starts with {TEXT_PREFIX:?}")]
     Malformed,
-    /// The tag does not match.
+    /// The ticket is damaged, or its tag does not match.
     #[error("ticket is not authentic")]
     Forged,
     /// The ticket is so old that no host keeps its state.
@@ -160,12 +168,23 @@
     /// HTTP status of the refusal.
     pub fn status(self) -> u16 {
         match self {
-            Self::Malformed => 400,
+            Self::Malformed => 428,
             Self::Forged | Self::WrongCaller | Self::WrongService => 403,
             Self::Expired => 410,
             Self::OutsideResidency => 421,
         }
     }
+
+    /// What is known about the call, given that this request was not sent.
+    ///
+    /// Only a text that never was a ticket is `not_run`. A tag can also fail
+    /// because the cluster key was replaced after the call had run.
+    pub fn run_state(self, request: Unsent) -> RunState {
+        match self {
+            Self::Malformed => RunState::NotRun(request.give_up()),
+            _ => RunState::Unknown,
+        }
+    }
 }
 
 /// Why a key cannot sign tickets.
@@ -204,7 +223,9 @@
         let mut bytes = postcard::to_allocvec(ticket.body())?;
         let tag = self.tag(&bytes);
         bytes.extend_from_slice(&tag);
-        Ok(URL_SAFE_NO_PAD.encode(bytes))
+        let mut text = String::from(TEXT_PREFIX);
+        URL_SAFE_NO_PAD.encode_string(bytes, &mut text);
+        Ok(text)
     }
 
     /// Verifies a text and that the caller may use it as presented.
@@ -230,23 +251,26 @@
     }
 
     fn authenticate(&self, text: &str) -> Result<Ticket, TicketError> {
+        let encoded = text
+            .strip_prefix(TEXT_PREFIX)
+            .ok_or(TicketError::Malformed)?;
         if text.len() > MAX_TICKET_TEXT_BYTES {
-            return Err(TicketError::Malformed);
+            return Err(TicketError::Forged);
         }
         let bytes = URL_SAFE_NO_PAD
-            .decode(text)
-            .map_err(|_| TicketError::Malformed)?;
+            .decode(encoded)
+            .map_err(|_| TicketError::Forged)?;
         let (message, tag) = bytes
             .split_last_chunk::<TAG_BYTES>()
-            .ok_or(TicketError::Malformed)?;
+            .ok_or(TicketError::Forged)?;
         let is_authentic = bool::from(self.tag(message).ct_eq(tag));
         if !is_authentic {
             return Err(TicketError::Forged);
         }
         let (body, rest) =
-            postcard::take_from_bytes::<TicketBody>(message).map_err(|_| TicketError::Malformed)?;
+            postcard::take_from_bytes::<TicketBody>(message).map_err(|_| TicketError::Forged)?;
         if !rest.is_empty() {
-            return Err(TicketError::Malformed);
+            return Err(TicketError::Forged);
         }
         Ok(Ticket(body))
     }
--- a/tests/ticket_interleavings.rs
+++ b/tests/ticket_interleavings.rs
@@ -93,8 +93,8 @@
     ForwarderSaysNotRun,
     /// A caller is told `not_run` when its call is released.
     ReleaseSaysNotRun,
-    /// A restarted host says `not_run` for tickets that it does not know.
-    RestartSaysNotRun,
+    /// A table says `not_run` where it does not know whether the call ran.
+    UnknownSaysNotRun,
     /// A ticket is voided although its call has started.
     VoidsStarted,
 }
@@ -116,7 +116,7 @@
     ),
     (Fault::ReleaseSaysNotRun, &[RAN_AFTER_NOT_RUN]),
     (
-        Fault::RestartSaysNotRun,
+        Fault::UnknownSaysNotRun,
         &[NOT_RUN_AFTER_SEND, NOT_RUN_AFTER_UNKNOWN],
     ),
     (Fault::VoidsStarted, &[NOT_RUN_AFTER_SEND]),
@@ -651,7 +651,7 @@
         let is_unreachable = refusal.reason == TicketRefusalReason::Unreachable;
         let says_not_run = matches!(refusal.run_state(), RunState::NotRun(_))
             || (is_unreachable && self.has(Fault::ForwarderSaysNotRun))
-            || (is_unknown && self.has(Fault::RestartSaysNotRun));
+            || (is_unknown && self.has(Fault::UnknownSaysNotRun));
         if says_not_run {
             return self.tell_not_run(ticket);
         }
--- a/tests/ticket_token.rs
+++ b/tests/ticket_token.rs
@@ -3,6 +3,11 @@
 
 use cardamombridge::{
     decision::residency::AllowedRegions,
+    outcome::{
+        RunState,
+        RunStateWord,
+        Unsent, //
+    },
     ticket::{
         STATE_RETENTION_MS,
         table::{
@@ -149,6 +154,19 @@
     assert_eq!(expired, Err(TicketError::Expired));
 }
 
+#[test]
+fn a_key_of_the_caller_is_no_ticket_and_nothing_ran_under_it() {
+    let uuid = "6f1c0b9e-4d1f-4e0a-9a55-0c1de1b2a3f4";
+
+    let error = Holder::new().open(uuid).expect_err("no ticket");
+    let damaged = Holder::new().open(&text()[..40]).expect_err("damaged");
+
+    assert_eq!((error, error.status()), (TicketError::Malformed, 428));
+    assert_eq!(error.run_state(Unsent::new()).word(), RunStateWord::NotRun);
+    assert_eq!(damaged, TicketError::Forged);
+    assert_eq!(damaged.run_state(Unsent::new()), RunState::Unknown);
+}
+
 #[test]
 fn another_key_and_a_short_key_are_refused() {
     let other = TicketSigner::new(&[8; MIN_KEY_BYTES]).expect("key");
