Check tickets over long random histories

The exhaustive check is limited to two tickets and few starts. Random histories play the same model with six tickets, up to eight starts each, and all failures. Counters of runs, `not_run`, final `unknown` and imports keep the histories from becoming empty, and each fault of the exhaustive check must be found by them as well.

--- a/tests/ticket_interleavings.rs
+++ b/tests/ticket_interleavings.rs
@@ -7,6 +7,7 @@
 //! `unknown` that turns into `not_run`.
 
 use std::{
+    cell::RefCell,
     collections::{
         BTreeMap,
         HashSet, //
@@ -63,6 +64,14 @@
         RequestId, //
     }, //
 };
+use proptest::{
+    prelude::*,
+    sample::select,
+    test_runner::{
+        Config,
+        TestRunner, //
+    }, //
+};
 use xxhash_rust::xxh3::Xxh3;
 
 const OWNER: usize = 0;
@@ -163,6 +172,12 @@
 
 impl Model {
     fn events(&self) -> Vec<Event> {
+        let mut events = self.host_events();
+        events.extend((0..self.tickets).flat_map(ticket_events));
+        events
+    }
+
+    fn host_events(&self) -> Vec<Event> {
         let mut events = vec![Event::StartHandover, Event::Export, Event::Tick];
         events.push(Event::Hear(THIRD));
         events.push(Event::Crash(OWNER));
@@ -178,27 +193,29 @@
         if self.has_freeze {
             events.extend([Event::Freeze(OWNER), Event::Freeze(SUCCESSOR)]);
         }
-        for ticket in 0..self.tickets {
-            events.extend([Event::Issue(ticket), Event::EndpointRuns(ticket)]);
-            events.push(Event::AskThroughThird(ticket));
-            for host in HOSTS {
-                events.extend([
-                    Event::Begin(host, ticket),
-                    Event::BeginOtherCall(host, ticket),
-                    Event::Send(host, ticket),
-                    Event::Release(host, ticket),
-                    Event::GiveUp(host, ticket),
-                    Event::FinishOk(host, ticket),
-                    Event::FinishUnknown(host, ticket),
-                    Event::Void(host, ticket),
-                    Event::Ask(host, ticket),
-                ]);
-            }
-        }
         events
     }
 }
 
+fn ticket_events(ticket: usize) -> Vec<Event> {
+    let mut events = vec![Event::Issue(ticket), Event::EndpointRuns(ticket)];
+    events.push(Event::AskThroughThird(ticket));
+    for host in HOSTS {
+        events.extend([
+            Event::Begin(host, ticket),
+            Event::BeginOtherCall(host, ticket),
+            Event::Send(host, ticket),
+            Event::Release(host, ticket),
+            Event::GiveUp(host, ticket),
+            Event::FinishOk(host, ticket),
+            Event::FinishUnknown(host, ticket),
+            Event::Void(host, ticket),
+            Event::Ask(host, ticket),
+        ]);
+    }
+    events
+}
+
 #[derive(Debug)]
 enum Proof {
     Unsent(Unsent),
@@ -959,3 +976,113 @@
         }
     }
 }
+
+/// Tickets, starts and failures beyond what can be visited exhaustively.
+const MANY_TICKETS: Model = Model {
+    tickets: 6,
+    times: TIMES_MS.len(),
+    max_starts: 8,
+    has_restart: true,
+    has_freeze: true,
+    has_successor_crash: true,
+    fault: None,
+};
+
+/// Histories in which every host event is followed by many ticket events.
+fn histories(model: Model) -> impl Strategy<Value = Vec<Event>> {
+    let handover = [
+        Event::StartHandover,
+        Event::Export,
+        Event::Deliver(SUCCESSOR),
+    ];
+    let ticket_events: Vec<Event> = (0..model.tickets).flat_map(ticket_events).collect();
+    // Most histories would lose all tickets in a crash before a handover.
+    let host_event = prop_oneof![select(handover.to_vec()), select(model.host_events())];
+    let phase = (
+        host_event,
+        prop::collection::vec(select(ticket_events), 0..120),
+    );
+    prop::collection::vec(phase, 1..12).prop_map(|phases| {
+        let flatten = |(host_event, mut events): (Event, Vec<Event>)| {
+            events.push(host_event);
+            events
+        };
+        phases.into_iter().flat_map(flatten).collect()
+    })
+}
+
+/// Plays a history to its end or to its first violation.
+fn play(model: Model, history: &[Event]) -> Result<World, Violation> {
+    let mut world = World::new(model);
+    for event in history {
+        world.apply(*event)?;
+    }
+    Ok(world)
+}
+
+/// A failing history is printed, so no file is written.
+fn random_config(cases: u32) -> Config {
+    Config {
+        failure_persistence: None,
+        ..Config::with_cases(cases)
+    }
+}
+
+/// What a number of random histories contained.
+#[derive(Debug, Default)]
+struct Coverage {
+    runs: u32,
+    not_run: u32,
+    unknown_for_good: u32,
+    imports: u32,
+}
+
+/// Guards against violations that need several tickets or a long history.
+#[test]
+fn long_random_histories_of_many_tickets() {
+    let coverage = RefCell::new(Coverage::default());
+    let mut runner = TestRunner::new(random_config(10_000));
+
+    let result = runner.run(&histories(MANY_TICKETS), |history| {
+        let world = play(MANY_TICKETS, &history).map_err(TestCaseError::fail)?;
+        let mut coverage = coverage.borrow_mut();
+        for told in &world.told {
+            coverage.runs += told.runs;
+            coverage.not_run += u32::from(told.not_run);
+            coverage.unknown_for_good += u32::from(told.unknown_for_good);
+        }
+        let is_imported = world.hosts[SUCCESSOR].table.held().len() > 1;
+        coverage.imports += u32::from(is_imported);
+        Ok(())
+    });
+
+    println!("{:?}", coverage.borrow());
+    result.expect("no violation");
+    let coverage = coverage.into_inner();
+    assert!(coverage.runs > 1_000, "{coverage:?}");
+    assert!(coverage.not_run > 1_000, "{coverage:?}");
+    assert!(coverage.unknown_for_good > 1_000, "{coverage:?}");
+    assert!(coverage.imports > 100, "{coverage:?}");
+}
+
+/// Guards against random histories that are too tame to break anything.
+#[test]
+fn random_histories_find_faults() {
+    for (fault, _) in FAULTS {
+        let model = Model {
+            fault: Some(fault),
+            ..MANY_TICKETS
+        };
+        let config = Config {
+            max_shrink_iters: 0,
+            ..random_config(10_000)
+        };
+
+        let result = TestRunner::new(config).run(&histories(model), |history| {
+            play(model, &history).map_err(TestCaseError::fail)?;
+            Ok(())
+        });
+
+        assert!(result.is_err(), "{fault:?} was not found");
+    }
+}
