--- a/src/peer/measure.rs
+++ b/src/peer/measure.rs
@@ -309,6 +309,7 @@
             let forward = |index: usize| ForwardHost {
                 host: self.heartbeats[index].host.clone(),
                 peer_address: address(index),
+                caller_address: address(index),
             };
             let lowest = self.heartbeats[first..last].iter().map(|h| h.revision);
             let busy = self.rng.random_range(0..2_000);
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -397,6 +397,7 @@
             let sighting = state.map(|state| Sighting {
                 incarnation: state.heartbeat.incarnation,
                 first_seen_ms: state.run_since_ms,
+                last_heard_ms: state.heard_ms,
                 region: state.heartbeat.region.clone(),
                 peer_address: state.heartbeat.peer_address,
                 is_reachable: state.is_live(now_ms, gateway.policy()),
