Count finished requests and merge the burn of all hosts

A recorder thread feeds the service-level burn and the metrics from a bounded ring. GET /admin/v1/burn asks the hosts in reach and names those that did not answer.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -6,7 +6,7 @@
 //! | `POST /admin/v1/confirm` | [`Plan`] as JSON | [`Confirmed`] |
 //! | `GET /admin/v1/history` | | the last [`Change`]s, newest first |
 //! | `GET /admin/v1/status` | | [`Status`] |
-//! | `GET /admin/v1/burn` | | [`BurnReport`] |
+//! | `GET /admin/v1/burn` | | [`BurnAnswer`] |
 //!
 //! Every call needs the operator key as a bearer token. Errors have the body
 //! [`AdminError`]. What the interface shows of its host comes in as closures, so
@@ -59,6 +59,7 @@
 use thiserror::Error;
 
 use crate::{
+    burn::BurnReport,
     intent::{
         Change,
         ChangeId,
@@ -87,7 +88,6 @@
         RolloutError, //
     },
     types::{
-        CallerId,
         HostId,
         Incarnation,
         Millis,
@@ -221,35 +221,13 @@
     pub targets: Vec<TargetStatus>,
 }
 
-/// Objectives that one caller's requests missed within a window.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CallerBurn {
-    /// The caller.
-    pub caller: CallerId,
-    /// Length of the window.
-    pub window_ms: Millis,
-    /// Requests that ended in it.
-    pub requests: u64,
-    /// Requests among them that missed an objective.
-    pub missed: u64,
-    /// Share of requests that must meet the objectives, in thousandths.
-    pub objective_permille: u16,
-}
-
-impl CallerBurn {
-    /// Speed at which the allowed misses are used up; 1,000 uses them up exactly.
-    pub fn burn_permille(&self) -> u64 {
-        let allowed_permille = 1_000_u64.saturating_sub(u64::from(self.objective_permille));
-        let scaled = self.missed.saturating_mul(1_000_000);
-        scaled / (self.requests.max(1) * allowed_permille.max(1))
-    }
-}
-
-/// Service-level burn of all callers.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct BurnReport {
-    /// One entry for each caller and window.
-    pub callers: Vec<CallerBurn>,
+/// Answer of `GET /admin/v1/burn`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BurnAnswer {
+    /// Service-level burn of all callers, merged from all hosts in reach.
+    pub report: serde_json::Value,
+    /// The report as a table.
+    pub table: String,
 }
 
 /// Answer of `POST /admin/v1/plan`.
@@ -474,7 +452,13 @@
             "/admin/v1/confirm" if is_post => self.confirm(&read_text(request)?),
             "/admin/v1/history" if is_get => json(&rollout::history(&self.kv)?),
             "/admin/v1/status" if is_get => json(&self.status()?),
-            "/admin/v1/burn" if is_get => json(&(self.burn)()),
+            "/admin/v1/burn" if is_get => {
+                let report = (self.burn)();
+                json(&BurnAnswer {
+                    report: report.to_json(),
+                    table: report.to_table(),
+                })
+            }
             "/admin/v1/plan" | "/admin/v1/confirm" => Err(wrong_method("POST")),
             "/admin/v1/history" | "/admin/v1/status" | "/admin/v1/burn" => Err(wrong_method("GET")),
             path => Err(AdminError::new(
@@ -762,26 +746,3 @@
         })
     }
 }
-
-impl fmt::Display for BurnReport {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if self.callers.is_empty() {
-            return writeln!(f, "no requests");
-        }
-        self.callers.iter().try_for_each(|burn| {
-            let rate = burn.burn_permille();
-            writeln!(
-                f,
-                "{} over {}: {} of {} requests missed, objective {}.{} %, burn rate {}.{:03}",
-                burn.caller,
-                burn.window_ms,
-                burn.missed,
-                burn.requests,
-                burn.objective_permille / 10,
-                burn.objective_permille % 10,
-                rate / 1_000,
-                rate % 1_000
-            )
-        })
-    }
-}
--- a/src/admin_client.rs
+++ b/src/admin_client.rs
@@ -31,7 +31,7 @@
     admin::{
         AdminError,
         AdminErrorKind,
-        BurnReport,
+        BurnAnswer,
         Confirmed,
         PlanAnswer,
         Status, //
@@ -151,7 +151,7 @@
     }
 
     /// Service-level burn.
-    pub fn burn(&self) -> Result<BurnReport, AdminClientError> {
+    pub fn burn(&self) -> Result<BurnAnswer, AdminClientError> {
         self.call(Method::GET, "burn", String::new())
     }
 
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     auth,
+    burn::Promise,
     clock,
     decision::{
         event::{
@@ -56,6 +57,10 @@
         RunState,
         Unsent, //
     },
+    recorder::{
+        Record,
+        RecorderHandle, //
+    },
     relay::{
         self,
         Exchange,
@@ -98,6 +103,8 @@
     pub relay: RelayContext,
     /// What ticketed calls need.
     pub tickets: TicketContext,
+    /// Counts finished requests.
+    pub recorder: RecorderHandle,
     /// Configuration in force.
     pub in_force: InForceCell,
     /// Set when this host takes no new work.
@@ -181,12 +188,24 @@
     mut connection: Connection,
     head: RequestHead,
 ) -> Option<Connection> {
+    let started = Instant::now();
     let id = new_request_id();
     let is_closing = !head.keeps_alive() || context.is_leaving.load(Ordering::Acquire);
     match prepare(context, &mut connection, id, head) {
-        Ok(Prepared::Exchange(exchange)) => {
+        Ok(Prepared::Exchange(exchange, promise)) => {
             let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
-            relay::run(&context.relay, *exchange, &mut sink);
+            let caller = exchange.arrival.caller.clone();
+            let (ending, delivered) = relay::run(&context.relay, *exchange, &mut sink);
+            let first_token = delivered.first_token_at;
+            context.recorder.record(Record {
+                caller,
+                promise,
+                ending,
+                first_token: first_token.map(|at| at.saturating_duration_since(started)),
+                whole: started.elapsed(),
+                output: delivered.output,
+                cached: delivered.cached,
+            });
             sink.into_connection()
         }
         Ok(Prepared::Answer(answer)) => {
@@ -196,7 +215,20 @@
             sink.into_connection()
         }
         Ok(Prepared::Ticketed(call)) => {
+            let caller = call.from.caller.clone();
+            let promise = call.promise;
             let answer = call.run(&context.tickets);
+            if let Some(promise) = promise {
+                context.recorder.record(Record {
+                    caller,
+                    promise,
+                    ending: answer.ending(),
+                    first_token: None,
+                    whole: started.elapsed(),
+                    output: Tokens(0),
+                    cached: Tokens(0),
+                });
+            }
             let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
             let _ = sink.whole(answer.status, answer.to_headers(), &answer.body);
             sink.into_connection()
@@ -211,7 +243,7 @@
 }
 
 enum Prepared {
-    Exchange(Box<Exchange>),
+    Exchange(Box<Exchange>, Promise),
     Ticketed(Box<TicketedRequest>),
     Answer(PlainAnswer),
 }
@@ -221,6 +253,8 @@
     ticket: CompactString,
     from: TicketCaller,
     service: Option<ServiceId>,
+    /// What was promised, if the call itself is asked for.
+    promise: Option<Promise>,
     request: TicketRequest,
 }
 
@@ -361,10 +395,10 @@
         needs_continuation: chat.needs_continuation(),
         origin: Origin::Caller,
     };
-    Ok(Prepared::Exchange(Box::new(Exchange {
-        arrival,
-        payload: Payload::Chat(Box::new(chat)),
-    })))
+    let promise = promise(&arrival, intent);
+    let payload = Payload::Chat(Box::new(chat));
+    let exchange = Box::new(Exchange { arrival, payload });
+    Ok(Prepared::Exchange(exchange, promise))
 }
 
 fn service(
@@ -421,9 +455,23 @@
             ticket: ticket.into(),
             from: ticket_caller(request, intent),
             service: Some(id),
+            promise: Some(promise(&exchange.arrival, intent)),
             request: TicketRequest::Call(exchange, digest),
         }))),
-        _ => Ok(Prepared::Exchange(exchange)),
+        _ => {
+            let promise = promise(&exchange.arrival, intent);
+            Ok(Prepared::Exchange(exchange, promise))
+        }
+    }
+}
+
+/// What the caller's intent promises for a request.
+fn promise(arrival: &Arrival, intent: &CallerIntent) -> Promise {
+    let is_chat = matches!(arrival.target, Target::Model(_));
+    Promise {
+        first_token_ms: is_chat.then_some(intent.first_token_ms),
+        whole_ms: arrival.deadline_ms - clock::now(),
+        objective_permille: intent.objective_permille,
     }
 }
 
@@ -446,6 +494,7 @@
         ticket: text.unwrap_or_default().into(),
         from: ticket_caller(request, intent),
         service: None,
+        promise: None,
         request: asked,
     })))
 }
--- a/src/decider.rs
+++ b/src/decider.rs
@@ -2,6 +2,13 @@
 
 use std::{
     collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
     thread::{
         self,
         JoinHandle, //
@@ -59,6 +66,7 @@
 #[derive(Clone)]
 pub struct DeciderHandle {
     ring: Sender<Message>,
+    dropped: Arc<AtomicU64>,
 }
 
 impl DeciderHandle {
@@ -87,6 +95,11 @@
         }
     }
 
+    /// Events that were refused because the ring was full.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
     /// Runs `query` on the decisions and returns its result.
     pub fn query<F, T>(&self, query: F) -> Result<T, RingFull>
     where
@@ -103,7 +116,10 @@
 
     fn try_send(&self, message: Message) -> Result<(), RingFull> {
         self.ring.try_send(message).map_err(|error| match error {
-            TrySendError::Full(_) | TrySendError::Disconnected(_) => RingFull,
+            TrySendError::Full(_) | TrySendError::Disconnected(_) => {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+                RingFull
+            }
         })
     }
 }
@@ -125,7 +141,8 @@
         .name("decider".into())
         .spawn(move || decider.run(&events))
         .expect("the decider thread must start");
-    (DeciderHandle { ring }, thread)
+    let dropped = Arc::new(AtomicU64::new(0));
+    (DeciderHandle { ring, dropped }, thread)
 }
 
 struct Decider<F> {
--- a/src/host.rs
+++ b/src/host.rs
@@ -32,11 +32,12 @@
 use crate::{
     admin::{
         Admin,
-        BurnReport,
         IN_FORCE_WAIT,
         OperatorKey, //
     },
     announce::Announcer,
+    burn::Burn,
+    burn_collector::BurnCollector,
     caller::{
         self,
         CallerContext, //
@@ -71,6 +72,10 @@
     },
     in_force::InForceCell,
     leave::Handover,
+    metrics::{
+        Metrics,
+        MetricsSetupError, //
+    },
     openai::ErrorAnswer,
     outcome::{
         RunState,
@@ -103,7 +108,12 @@
         Poller,
         PollerConfig, //
     },
+    recorder::{
+        self,
+        RecorderHandle, //
+    },
     relay::RelayContext,
+    sample::Sampler,
     sink::AnswerSink,
     spending::{
         self,
@@ -176,6 +186,9 @@
     /// The cluster key cannot be used.
     #[error(transparent)]
     Key(#[from] KeyError),
+    /// Metrics cannot be sent.
+    #[error(transparent)]
+    Metrics(#[from] MetricsSetupError),
     /// A thread could not be started.
     #[error("could not start thread {name:?}: {source}")]
     Thread {
@@ -194,6 +207,8 @@
     acceptor: Acceptor,
     decider: DeciderHandle,
     tickets: TicketContext,
+    recorder: RecorderHandle,
+    poller: Arc<Poller>,
     admin: Option<ListeningServer>,
     gossip: Arc<GossipSocket>,
     peers: PeerClient,
@@ -239,22 +254,36 @@
             region: config.region.clone(),
         };
         let (tickets, ticket_thread) = start_tickets(&config, incarnation, keys, relay.clone())?;
+        let gossip = Arc::new(gossip);
+        let poller = Arc::new(start_poller(&gossip)?);
+        let in_force = InForceCell::new();
+        let peer_server = Arc::new(PeerServer::new(key, identity));
+        let sampler = Sampler::new(
+            decider.clone(),
+            in_force.clone(),
+            Arc::clone(&gossip),
+            Arc::clone(&peer_server),
+            Arc::clone(&poller),
+        );
+        let (recorder, recorder_thread) = start_recorder(&config, sampler)?;
         let mut host = Self {
             acceptor: Acceptor::new(config.max_connections, Arc::default()),
             incarnation,
             caller_address,
             decider,
             admin: None,
-            gossip: Arc::new(gossip),
+            gossip,
             peers,
             relay,
             tickets,
-            peer_server: Arc::new(PeerServer::new(key, identity)),
+            peer_server,
+            recorder,
+            poller,
             is_leaving: Arc::default(),
             open_requests: Arc::default(),
-            in_force: InForceCell::new(),
+            in_force,
             stop: StopFlag::new(),
-            threads: vec![decider_thread, ticket_thread],
+            threads: vec![decider_thread, ticket_thread, recorder_thread],
             config,
         };
         host.start_platform(asks)?;
@@ -327,7 +356,7 @@
             // These end when the last caller connection has gone.
             let waits_for_callers = matches!(
                 thread.thread().name(),
-                Some("decider" | "spending" | "catch-up" | "tickets")
+                Some("decider" | "spending" | "catch-up" | "tickets" | "recorder")
             );
             if !waits_for_callers && thread.join().is_err() {
                 tracing::error!("a thread panicked");
@@ -339,6 +368,7 @@
         let context = CallerContext {
             relay: self.relay.clone(),
             tickets: self.tickets.clone(),
+            recorder: self.recorder.clone(),
             in_force: self.in_force.clone(),
             is_leaving: Arc::clone(&self.is_leaving),
             open_requests: Arc::clone(&self.open_requests),
@@ -357,6 +387,7 @@
         let context = PeerContext {
             relay: self.relay.clone(),
             tickets: self.tickets.clone(),
+            recorder: self.recorder.clone(),
             in_force: self.in_force.clone(),
             open_requests: Arc::clone(&self.open_requests),
         };
@@ -386,7 +417,7 @@
             open_requests: Arc::clone(&self.open_requests),
             tickets: self.tickets.clone(),
         };
-        let poller = self.start_poller()?;
+        let poller = Arc::clone(&self.poller);
         let gossip = Arc::clone(&self.gossip);
         let decider = self.decider.clone();
         let stop = self.stop.clone();
@@ -395,22 +426,14 @@
         })
     }
 
-    /// Starts the poller, whose reports go to gossip; what is news comes back
-    /// from there and reaches the decisions.
-    fn start_poller(&self) -> Result<Poller, StartError> {
-        let gossip = Arc::clone(&self.gossip);
-        Poller::start(PollerConfig::new(), move |report| {
-            gossip.say(Say::Report(report));
-        })
-        .map_err(|source| StartError::Thread {
-            name: "poller",
-            source,
-        })
-    }
-
     fn start_admin(&mut self, keys: &HostKeys) -> Result<(), StartError> {
         let in_force = self.in_force.clone();
         let (for_regions, for_status) = (self.decider.clone(), self.decider.clone());
+        let burn = BurnCollector {
+            recorder: self.recorder.clone(),
+            decider: self.decider.clone(),
+            peers: self.peers.clone(),
+        };
         let admin = Admin {
             operator_key: keys.operator_key,
             kv: KeyValue::new(self.config.platform_address),
@@ -431,7 +454,7 @@
                 let shown = for_status.query(|gateway| status::status(gateway, clock::now()));
                 shown.ok()
             }),
-            burn: Arc::new(BurnReport::default),
+            burn: Arc::new(move || burn.collect()),
         };
         let address = self.config.admin_address;
         let server = admin.serve(address).map_err(|source| StartError::Listen {
@@ -489,6 +512,36 @@
     }
 }
 
+/// Starts the poller, whose reports go to gossip; what is news comes back from
+/// there and reaches the decisions.
+fn start_poller(gossip: &Arc<GossipSocket>) -> Result<Poller, StartError> {
+    let gossip = Arc::clone(gossip);
+    Poller::start(PollerConfig::new(), move |report| {
+        gossip.say(Say::Report(report));
+    })
+    .map_err(|source| StartError::Thread {
+        name: "poller",
+        source,
+    })
+}
+
+fn start_recorder(
+    config: &Config,
+    mut sampler: Sampler,
+) -> Result<(RecorderHandle, JoinHandle<()>), StartError> {
+    let metrics = match config.statsd_address {
+        Some(address) => Metrics::udp(address, &config.region, &config.host)?,
+        None => Metrics::none(),
+    };
+    let burn = Burn::new(config.host.clone());
+    recorder::start(burn, metrics, move |metrics| sampler.sample(metrics)).map_err(|source| {
+        StartError::Thread {
+            name: "recorder",
+            source,
+        }
+    })
+}
+
 fn start_tickets(
     config: &Config,
     incarnation: Incarnation,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -134,10 +134,8 @@
     RequestsUnknown => "requests.unknown", Counter, One;
     /// Requests whose answer broke off.
     RequestsPartial => "requests.partial", Counter, One;
-    /// Requests sent to another region.
-    RequestsForwarded => "requests.forwarded", Counter, One;
-    /// Requests taken from another host.
-    RequestsReceived => "requests.received", Counter, One;
+    /// Bytes of requests and answers sent to other regions.
+    AwayBytes => "away", Counter, Bytes;
     /// Attempts after the first.
     Retries => "retries", Counter, One;
     /// Requests in progress.
@@ -148,16 +146,12 @@
     FirstToken => "first_token", Timer, Millis;
     /// Time to the whole answer.
     WholeAnswer => "whole_answer", Timer, Millis;
-    /// Time that the gateway added to an answer.
-    AddedLatency => "added_latency", Timer, Millis;
     /// Tokens that reached callers.
     OutputTokens => "tokens.output", Counter, Tokens;
     /// Prompt tokens that endpoints had cached.
     CachedTokens => "tokens.cached", Counter, Tokens;
     /// Tokens that were generated for nothing.
     WastedTokens => "tokens.wasted", Counter, Tokens;
-    /// Amount spent.
-    Spent => "spent", Counter, CostMicros;
     /// Gossip bytes sent, with IP and UDP headers.
     GossipSent => "gossip.sent", Counter, Bytes;
     /// Gossip bytes received, with IP and UDP headers.
@@ -166,6 +160,8 @@
     GossipRefused => "gossip.refused", Counter, One;
     /// Datagrams and facts that were dropped because a ring was full.
     GossipDropped => "gossip.dropped", Counter, One;
+    /// Exchanges that other hosts started and that ended properly.
+    PeerExchanges => "peer.exchanges", Counter, One;
     /// Exchanges with other hosts that broke.
     PeerBroken => "peer.broken", Counter, One;
     /// Events that were dropped because a ring was full.
@@ -174,8 +170,6 @@
     PollFailures => "poll.failures", Counter, One;
     /// Revision in force.
     Revision => "revision", Gauge, One;
-    /// Calls of the platform's service.
-    PlatformCalls => "platform.calls", Counter, One;
 }
 
 /// Records metrics of this host.
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -200,6 +200,6 @@
 }
 
 fn run_burn(admin: &AdminArgs) -> anyhow::Result<()> {
-    let report = admin.client()?.burn()?;
-    admin.print(&report, &report)
+    let answer = admin.client()?.burn()?;
+    admin.print(&answer.report, &answer.table)
 }
--- a/src/peer_requests.rs
+++ b/src/peer_requests.rs
@@ -40,6 +40,7 @@
         link::LinkError,
         server::ServerExchange, //
     },
+    recorder::RecorderHandle,
     relay::{
         self,
         Exchange,
@@ -74,6 +75,8 @@
     pub relay: RelayContext,
     /// What ticketed calls need.
     pub tickets: TicketContext,
+    /// Counts finished requests.
+    pub recorder: RecorderHandle,
     /// Configuration in force.
     pub in_force: InForceCell,
     /// Requests that are being answered.
@@ -93,10 +96,18 @@
             ticket_request(context, exchange, &ticket, &caller, TicketRequest::Void)
         }
         Frame::TicketHandover { .. } => handover(context, exchange),
+        Frame::Burn => burn(context, exchange),
         _ => Err(LinkError::Unexpected("the request is not supported")),
     }
 }
 
+fn burn(context: &PeerContext, exchange: &mut ServerExchange<'_>) -> Result<(), LinkError> {
+    let report = context.recorder.report();
+    let report = report.ok_or(LinkError::Unexpected("the recorder is too busy"))?;
+    let bytes = report.encode().map_err(|_| LinkError::Malformed)?;
+    exchange.finish(&Frame::BurnReport, &bytes, answer_deadline())
+}
+
 fn changes(
     context: &PeerContext,
     exchange: &mut ServerExchange<'_>,
@@ -127,7 +138,7 @@
         return refuse(exchange, refusal, RunState::NotRun(unsent.give_up()));
     };
     let mut sink = AnswerSink::to_host(exchange, request);
-    let settlement = relay::carry(&context.relay, work, unsent, &mut sink);
+    let (settlement, _) = relay::carry(&context.relay, work, unsent, &mut sink);
     match settlement {
         Settlement::Answered(_) => Ok(()),
         Settlement::CallerGone => Err(LinkError::Closed),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -59,6 +59,7 @@
             Frame, //
         }, //
     },
+    recorder::Ending,
     sink::AnswerSink,
     types::{
         Attempt,
@@ -179,21 +180,41 @@
     CallerGone,
 }
 
+/// What the caller has received.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Delivered {
+    /// When the first token was passed on.
+    pub first_token_at: Option<Instant>,
+    /// Generated tokens.
+    pub output: Tokens,
+    /// Prompt tokens that the endpoint had cached.
+    pub cached: Tokens,
+}
+
 /// Serves one request and gives the caller its final answer.
-pub fn run(context: &RelayContext, exchange: Exchange, sink: &mut AnswerSink<'_, '_>) {
+pub fn run(
+    context: &RelayContext,
+    exchange: Exchange,
+    sink: &mut AnswerSink<'_, '_>,
+) -> (Ending, Delivered) {
     let request = exchange.arrival.request;
-    let settlement = carry(context, exchange, Unsent::new(), sink);
-    if let Settlement::GivenUp {
-        refusal,
-        claim,
-        has_delivered,
-    } = settlement
-    {
-        let state = claim.into_state(has_delivered);
-        let answer = ErrorAnswer::from_refusal(refusal, state);
-        log_given_up(request, &answer);
-        sink.give_up(&answer);
-    }
+    let (settlement, delivered) = carry(context, exchange, Unsent::new(), sink);
+    let ending = match settlement {
+        Settlement::Answered(_) => Ending::Whole,
+        Settlement::CallerGone => Ending::CallerGone,
+        Settlement::GivenUp {
+            refusal,
+            claim,
+            has_delivered,
+        } => {
+            let state = claim.into_state(has_delivered);
+            let answer = ErrorAnswer::from_refusal(refusal, state);
+            log_given_up(request, &answer);
+            sink.give_up(&answer);
+            Ending::GivenUp(state.word())
+        }
+    };
+    (ending, delivered)
 }
 
 /// Logs the final answer of a request without a result.
@@ -213,7 +234,7 @@
     exchange: Exchange,
     unsent: Unsent,
     sink: &mut AnswerSink<'_, '_>,
-) -> Settlement {
+) -> (Settlement, Delivered) {
     let mut relay = Relay {
         context,
         deadline: clock::instant_of(exchange.arrival.deadline_ms),
@@ -222,8 +243,9 @@
         sink,
         claim: Claim::Unsent(unsent),
         stream: StreamProgress::default(),
+        delivered: Delivered::default(),
     };
-    match context.decider.submit(exchange.arrival) {
+    let settlement = match context.decider.submit(exchange.arrival) {
         Ok(actions) => relay.follow(&actions),
         Err(error) => {
             tracing::warn!(request = %relay.arrival.request, %error, "request shed");
@@ -231,7 +253,8 @@
                 Refusal::new(RefusalReason::Overloaded).with_retry_after(SHED_RETRY_AFTER_MS);
             relay.give_up(refusal)
         }
-    }
+    };
+    (settlement, relay.delivered)
 }
 
 struct Relay<'a, 'b, 'c> {
@@ -242,6 +265,7 @@
     sink: &'a mut AnswerSink<'b, 'c>,
     claim: Claim,
     stream: StreamProgress,
+    delivered: Delivered,
 }
 
 /// State of one upstream stream.
@@ -581,10 +605,7 @@
             return Ok(AttemptOutcome::Failed { status });
         }
         let usage = openai::usage(&body);
-        Ok(AttemptOutcome::Complete {
-            output: usage.output,
-            cached: usage.cached,
-        })
+        Ok(self.complete(usage.output, usage.cached))
     }
 
     fn pass_stream(
@@ -689,13 +710,17 @@
 
     fn finish_stream(&mut self) -> Result<AttemptOutcome, Broken> {
         self.sink.end_stream().map_err(|_| Broken::Caller)?;
-        Ok(AttemptOutcome::Complete {
-            output: self.stream.tokens,
-            cached: self.stream.usage.cached,
-        })
+        Ok(self.complete(self.stream.tokens, self.stream.usage.cached))
+    }
+
+    fn complete(&mut self, output: Tokens, cached: Tokens) -> AttemptOutcome {
+        self.delivered.output = output;
+        self.delivered.cached = cached;
+        AttemptOutcome::Complete { output, cached }
     }
 
-    fn report_first_token(&self, attempt: Attempt) {
+    fn report_first_token(&mut self, attempt: Attempt) {
+        self.delivered.first_token_at = Some(Instant::now());
         let event = Event::FirstToken {
             request: self.arrival.request,
             attempt,
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -49,12 +49,14 @@
     openai::ErrorAnswer,
     outcome::{
         RunState,
+        RunStateWord,
         Unsent, //
     },
     peer::frame::{
         Field,
         Frame, //
     },
+    recorder::Ending,
     relay::{
         self,
         Claim,
@@ -274,6 +276,16 @@
         Self::json(refusal.status(), &json!(error.body)).with_retry_after(refusal.retry_after_s())
     }
 
+    /// How the answer counts as the end of a request.
+    pub fn ending(&self) -> Ending {
+        let body: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        match body["error"]["run_state"].as_str() {
+            Some("not_run") => Ending::GivenUp(RunStateWord::NotRun),
+            Some("unknown") => Ending::GivenUp(RunStateWord::Unknown),
+            _ => Ending::Whole,
+        }
+    }
+
     /// Header fields for the caller.
     pub fn to_headers(&self) -> Headers {
         upstream::from_fields(&self.headers)
@@ -445,7 +457,7 @@
     fn run_call(&self, exchange: Exchange, permit: Permit, unsent: Unsent) -> PlainAnswer {
         let request = exchange.arrival.request;
         let mut sink = AnswerSink::capture(request);
-        let settlement = relay::carry(&self.relay, exchange, unsent, &mut sink);
+        let (settlement, _) = relay::carry(&self.relay, exchange, unsent, &mut sink);
         let (refusal, claim) = match settlement {
             Settlement::Answered(sent) => {
                 let Some(answer) = sink.into_captured() else {
