Count markers that pass through a wire

A test of residency has to show that the data of a request never reached a host. Byte counts cannot tell a request from gossip, so a wire can now count how often a given text passes along its connections.

--- a/src/standin/wire.rs
+++ b/src/standin/wire.rs
@@ -123,6 +123,7 @@
     connections: u64,
     streams: HashMap<u64, Ends>,
     blocked: Vec<IpAddr>,
+    sightings: HashMap<Vec<u8>, u64>,
 }
 
 impl State {
@@ -145,6 +146,13 @@
         *counter = *counter + Bytes(length as u64);
     }
 
+    fn look_for_markers(&mut self, bytes: &[u8]) {
+        for (marker, count) in &mut self.sightings {
+            let seen = bytes.windows(marker.len()).filter(|part| part == marker);
+            *count += seen.count() as u64;
+        }
+    }
+
     fn happens(&mut self, permille: u16) -> bool {
         permille > 0 && self.rng.random_range(0..1_000) < permille
     }
@@ -255,6 +263,7 @@
                 connections: 0,
                 streams: HashMap::new(),
                 blocked: Vec::new(),
+                sightings: HashMap::new(),
             }),
             changed: Condvar::new(),
         });
@@ -353,6 +362,22 @@
         lock(&self.shared.state).connections
     }
 
+    /// Counts from now on how often `marker` passes whole in one piece of a
+    /// connection; data to be found should repeat it.
+    pub fn watch_for(&self, marker: &str) {
+        let bytes = marker.as_bytes().to_vec();
+        self.shared.change(|state| {
+            state.sightings.insert(bytes, 0);
+        });
+    }
+
+    /// How often `marker` has passed in either direction since it is watched for.
+    pub fn sightings(&self, marker: &str) -> u64 {
+        let state = lock(&self.shared.state);
+        let count = state.sightings.get(marker.as_bytes());
+        count.copied().unwrap_or_default()
+    }
+
     /// Stops listening and breaks all connections.
     pub fn stop(&mut self) {
         self.shared.change(|state| {
@@ -532,7 +557,11 @@
             }
             // Counted before it is written, so that whoever has received a
             // byte finds it counted.
-            lock(&self.shared.state).count(self.direction, piece.bytes.len());
+            {
+                let mut state = lock(&self.shared.state);
+                state.count(self.direction, piece.bytes.len());
+                state.look_for_markers(&piece.bytes);
+            }
             if sink.write_all(&piece.bytes).is_err() {
                 self.ends.close();
                 return;
