Refuse a forward that this host's intent forbids before its body

Cause: a host that takes a forwarded request checked only the regions that the sender allows before it read the body. If the sender held an older intent, the body was read here first and refused afterwards by the decisions, which use both intents.

Ruled out: the decisions themselves, which refused with wrong_region once the body was in; the check at the caller interface, which does refuse before the body.

Before: a forward of the bound caller to zapad from a sender that allows all regions, with a body that never comes, got no answer within 2 s. After: it is refused at once with wrong_region and not_run.

Conclusion: the regions that both hosts allow are now computed before the body is read. Covered by tests/residency.rs.

--- a/src/peer_requests.rs
+++ b/src/peer_requests.rs
@@ -115,8 +115,11 @@
 ) -> Result<(), LinkError> {
     let _open = OpenRequest::new(&context.open_requests);
     let unsent = Unsent::new();
-    // A region that the sender does not allow must not even see the body.
-    if !head.allowed.contains(&context.relay.region) {
+    // A region that the sender or this host does not allow must not even see
+    // the body; either may have the older intent.
+    let from = ticket_caller(context, &head.caller, Some(&head.allowed));
+    let allowed = from.map_or(head.allowed.clone(), |from| from.allowed);
+    if !allowed.contains(&context.relay.region) {
         let refusal = Refusal::new(RefusalReason::WrongRegion);
         return refuse(exchange, refusal, RunState::NotRun(unsent.give_up()));
     }
