--- /dev/null
+++ b/src/caller.rs
@@ -0,0 +1,559 @@
+//! The caller interface: parses, authenticates and routes requests.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use compact_str::CompactString;
+use rand::RngExt;
+use serde_json::json;
+
+use crate::{
+    auth,
+    clock,
+    decision::{
+        event::{
+            Arrival,
+            Origin,
+            Refusal,
+            RefusalReason, //
+        },
+        residency::AllowedRegions, //
+    },
+    http::{
+        client::Call,
+        connection::{
+            BodyReader,
+            Connection, //
+        },
+        message::{
+            Headers,
+            MessageError,
+            RequestHead, //
+        }, //
+    },
+    in_force::{
+        InForce,
+        InForceCell, //
+    },
+    intent::CallerIntent,
+    openai::{
+        ChatRequest,
+        ErrorAnswer, //
+    },
+    outcome::{
+        RunState,
+        Unsent, //
+    },
+    relay::{
+        self,
+        Exchange,
+        Payload,
+        RelayContext, //
+    },
+    sink::AnswerSink,
+    ticket::call::CallDigest,
+    tickets::{
+        PlainAnswer,
+        TICKET_FIELD,
+        TicketCaller,
+        TicketContext,
+        TicketRequest, //
+    },
+    types::{
+        Bytes,
+        CallerId,
+        Millis,
+        RequestId,
+        ServiceId,
+        Target,
+        Tier,
+        Tokens, //
+    }, //
+};
+
+/// Largest request body.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const NOT_READY_RETRY_AFTER_MS: Millis = Millis(2_000);
+const SERVICE_PREFIX: &str = "/v1/services/";
+const TICKET_PREFIX: &str = "/v1/tickets/";
+
+/// What every caller connection needs.
+#[derive(Clone)]
+pub struct CallerContext {
+    /// What requests need on their way.
+    pub relay: RelayContext,
+    /// What ticketed calls need.
+    pub tickets: TicketContext,
+    /// Configuration in force.
+    pub in_force: InForceCell,
+    /// Set when this host takes no new work.
+    pub is_leaving: Arc<AtomicBool>,
+    /// Requests that are being answered.
+    pub open_requests: Arc<AtomicUsize>,
+}
+
+/// An error to be written as the final answer.
+type Rejection = Box<ErrorAnswer>;
+
+/// A request with its caller.
+struct Request {
+    id: RequestId,
+    head: RequestHead,
+    caller: CallerId,
+    in_force: Arc<InForce>,
+}
+
+impl Request {
+    fn intent(&self) -> Result<&CallerIntent, Rejection> {
+        self.in_force
+            .intents
+            .caller(&self.caller)
+            .ok_or_else(|| not_run(401, "invalid_api_key", "the key is not known"))
+    }
+}
+
+/// Serves the requests of one connection until it closes.
+pub fn serve(context: &CallerContext, connection: Connection) {
+    let mut connection = connection;
+    loop {
+        let head = match connection.read_request_head(Instant::now() + HEAD_TIMEOUT) {
+            Ok(Some(head)) => head,
+            Ok(None) => return,
+            Err(error) => {
+                refuse_unreadable(connection, &error);
+                return;
+            }
+        };
+        let _open = OpenRequest::new(&context.open_requests);
+        match serve_request(context, connection, head) {
+            Some(next) => connection = next,
+            None => return,
+        }
+    }
+}
+
+/// Counts a request that is being answered until it is dropped.
+pub struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequest {
+    /// Counts one more.
+    pub fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn refuse_unreadable(connection: Connection, error: &MessageError) {
+    let (status, code) = match error {
+        MessageError::TooLarge { .. } => (431, "head_too_large"),
+        MessageError::Malformed(_) => (400, "malformed_request"),
+        MessageError::TimedOut => (408, "request_timeout"),
+        MessageError::Closed | MessageError::Io(_) => return,
+    };
+    let answer = not_run(status, code, &error.to_string());
+    let mut sink = AnswerSink::new(connection, new_request_id()).with_closing(true);
+    sink.give_up(&answer);
+}
+
+/// Serves one request; returns the connection if another one may follow.
+fn serve_request(
+    context: &CallerContext,
+    mut connection: Connection,
+    head: RequestHead,
+) -> Option<Connection> {
+    let id = new_request_id();
+    let is_closing = !head.keeps_alive() || context.is_leaving.load(Ordering::Acquire);
+    match prepare(context, &mut connection, id, head) {
+        Ok(Prepared::Exchange(exchange)) => {
+            let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
+            relay::run(&context.relay, *exchange, &mut sink);
+            sink.into_connection()
+        }
+        Ok(Prepared::Answer(answer)) => {
+            let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
+            // A caller that does not take its answer has closed the connection.
+            let _ = sink.whole(answer.status, answer.to_headers(), &answer.body);
+            sink.into_connection()
+        }
+        Ok(Prepared::Ticketed(call)) => {
+            let answer = call.run(&context.tickets);
+            let mut sink = AnswerSink::new(connection, id).with_closing(is_closing);
+            let _ = sink.whole(answer.status, answer.to_headers(), &answer.body);
+            sink.into_connection()
+        }
+        Err(answer) => {
+            // The body may be unread, so no other request can follow.
+            let mut sink = AnswerSink::new(connection, id).with_closing(true);
+            sink.give_up(&answer);
+            None
+        }
+    }
+}
+
+enum Prepared {
+    Exchange(Box<Exchange>),
+    Ticketed(Box<TicketedRequest>),
+    Answer(PlainAnswer),
+}
+
+/// What a caller asks of a ticket.
+struct TicketedRequest {
+    ticket: CompactString,
+    from: TicketCaller,
+    service: Option<ServiceId>,
+    request: TicketRequest,
+}
+
+impl TicketedRequest {
+    fn run(self, tickets: &TicketContext) -> PlainAnswer {
+        tickets.serve(
+            &self.ticket,
+            &self.from,
+            self.service.as_ref(),
+            self.request,
+        )
+    }
+}
+
+fn prepare(
+    context: &CallerContext,
+    connection: &mut Connection,
+    id: RequestId,
+    head: RequestHead,
+) -> Result<Prepared, Rejection> {
+    let path = head.path.split('?').next().unwrap_or_default();
+    match (head.method.as_str(), path) {
+        ("GET", "/healthz") => return Ok(json_answer(&json!({"status": "ok"}))),
+        ("GET", "/readyz") => return readiness(context),
+        _ => {}
+    }
+    let request = authenticate(context, id, head)?;
+    let path = request.head.path.clone();
+    let path = path.split('?').next().unwrap_or_default();
+    match (request.head.method.as_str(), path) {
+        ("POST", "/v1/chat/completions") => chat(context, connection, &request),
+        ("GET", "/v1/models") => models(&request),
+        ("GET", "/v1/entry") => entry(context, &request),
+        ("GET" | "DELETE", path) if path.starts_with(TICKET_PREFIX) => ticket(&request),
+        (_, path) if path.starts_with(SERVICE_PREFIX) => service(context, connection, &request),
+        (_, "/v1/chat/completions" | "/v1/models" | "/v1/entry") => Err(not_run(
+            405,
+            "method_not_allowed",
+            "the path exists but not with this method",
+        )),
+        _ => Err(not_run(404, "not_found", "the path does not exist")),
+    }
+}
+
+fn readiness(context: &CallerContext) -> Result<Prepared, Rejection> {
+    if context.is_leaving.load(Ordering::Acquire) {
+        return Err(refused(Refusal::new(RefusalReason::Leaving)));
+    }
+    if context.in_force.get().is_none() {
+        return Err(not_ready());
+    }
+    let revision = context.in_force.revision();
+    Ok(json_answer(
+        &json!({"status": "ready", "revision": revision}),
+    ))
+}
+
+fn authenticate(
+    context: &CallerContext,
+    id: RequestId,
+    head: RequestHead,
+) -> Result<Request, Rejection> {
+    let in_force = context.in_force.get().ok_or_else(not_ready)?;
+    let key = auth::bearer(head.headers.get("authorization"))
+        .ok_or_else(|| not_run(401, "missing_api_key", "a bearer key is required"))?;
+    let caller = in_force
+        .keys
+        .find(key)
+        .cloned()
+        .ok_or_else(|| not_run(401, "invalid_api_key", "the key is not known"))?;
+    Ok(Request {
+        id,
+        head,
+        caller,
+        in_force,
+    })
+}
+
+/// Refuses before the body is read, so that no data enters a forbidden region.
+fn check_residency(context: &CallerContext, intent: &CallerIntent) -> Result<(), Rejection> {
+    if intent.regions.contains(&context.relay.region) {
+        return Ok(());
+    }
+    Err(refused(Refusal::new(RefusalReason::WrongRegion)))
+}
+
+fn check_new_work(context: &CallerContext) -> Result<(), Rejection> {
+    if context.is_leaving.load(Ordering::Acquire) {
+        let refusal = Refusal::new(RefusalReason::Leaving).with_retry_after(Millis(1_000));
+        return Err(refused(refusal));
+    }
+    Ok(())
+}
+
+fn models(request: &Request) -> Result<Prepared, Rejection> {
+    let data: Vec<_> = request
+        .intent()?
+        .targets
+        .iter()
+        .filter_map(|target| match target {
+            Target::Model(id) => Some(json!({
+                "id": id,
+                "object": "model",
+                "created": 0,
+                "owned_by": "cardamombridge",
+            })),
+            Target::Service(_) => None,
+        })
+        .collect();
+    Ok(json_answer(&json!({"object": "list", "data": data})))
+}
+
+fn chat(
+    context: &CallerContext,
+    connection: &mut Connection,
+    request: &Request,
+) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    check_residency(context, intent)?;
+    check_new_work(context)?;
+    let body = read_body(connection, &request.head)?;
+    let chat = ChatRequest::parse(&body)
+        .map_err(|error| not_run(400, "invalid_request", &error.to_string()))?;
+    // Tiers order from the most urgent, so the later one is the lower class.
+    let tier = chat.tier.max(intent.tier);
+    let chat = chat.with_tier(tier);
+    let arrival = Arrival {
+        request: request.id,
+        caller: request.caller.clone(),
+        target: Target::Model(chat.model.clone()),
+        tier,
+        prompt: chat.prompt,
+        max_output: chat.max_output,
+        prefix_hashes: chat.prefix_hashes.clone(),
+        body: Bytes(body.len() as u64),
+        deadline_ms: deadline(&request.head, intent)?,
+        is_repeatable: true,
+        needs_continuation: chat.needs_continuation(),
+        origin: Origin::Caller,
+    };
+    Ok(Prepared::Exchange(Box::new(Exchange {
+        arrival,
+        payload: Payload::Chat(Box::new(chat)),
+    })))
+}
+
+fn service(
+    context: &CallerContext,
+    connection: &mut Connection,
+    request: &Request,
+) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    check_residency(context, intent)?;
+    check_new_work(context)?;
+    let (id, path) = service_path(&request.head.path)?;
+    let known = request.in_force.intents.service(&id);
+    let is_allowed = intent.targets.contains(&Target::Service(id.clone()));
+    let service = known.filter(|_| is_allowed).ok_or_else(|| {
+        let refusal = Refusal::new(RefusalReason::UnknownTarget);
+        refused(refusal)
+    })?;
+    let is_repeatable = service.repeatable_methods.contains(&request.head.method);
+    let ticket = request.head.headers.get(TICKET_FIELD);
+    let body = read_body(connection, &request.head)?;
+    if !is_repeatable && ticket.is_none() {
+        let required = context
+            .tickets
+            .ticket_required(&ticket_caller(request, intent), &id);
+        return Ok(Prepared::Answer(required));
+    }
+    let arrival = Arrival {
+        request: request.id,
+        caller: request.caller.clone(),
+        target: Target::Service(id.clone()),
+        tier: Tier::Default.max(intent.tier),
+        prompt: Tokens(0),
+        max_output: Tokens(0),
+        prefix_hashes: Vec::new(),
+        body: Bytes(body.len() as u64),
+        deadline_ms: deadline(&request.head, intent)?,
+        is_repeatable,
+        needs_continuation: false,
+        origin: Origin::Caller,
+    };
+    let digest = CallDigest::new(&request.head.method, &request.head.path, &body);
+    let call = Call {
+        method: request.head.method.clone(),
+        path,
+        headers: forwarded_headers(&request.head.headers, request.id),
+        body,
+    };
+    let exchange = Box::new(Exchange {
+        arrival,
+        payload: Payload::Service(call),
+    });
+    match ticket {
+        Some(ticket) if !is_repeatable => Ok(Prepared::Ticketed(Box::new(TicketedRequest {
+            ticket: ticket.into(),
+            from: ticket_caller(request, intent),
+            service: Some(id),
+            request: TicketRequest::Call(exchange, digest),
+        }))),
+        _ => Ok(Prepared::Exchange(exchange)),
+    }
+}
+
+fn ticket_caller(request: &Request, intent: &CallerIntent) -> TicketCaller {
+    TicketCaller {
+        caller: request.caller.clone(),
+        allowed: AllowedRegions::new(intent),
+    }
+}
+
+/// `GET` tells the state of a ticket, `DELETE` closes it unless it has started.
+fn ticket(request: &Request) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    let text = request.head.path.strip_prefix(TICKET_PREFIX);
+    let asked = match request.head.method.as_str() {
+        "DELETE" => TicketRequest::Void,
+        _ => TicketRequest::State,
+    };
+    Ok(Prepared::Ticketed(Box::new(TicketedRequest {
+        ticket: text.unwrap_or_default().into(),
+        from: ticket_caller(request, intent),
+        service: None,
+        request: asked,
+    })))
+}
+
+/// Entry hosts for the caller, with a ticket if the query names a service.
+fn entry(context: &CallerContext, request: &Request) -> Result<Prepared, Rejection> {
+    let intent = request.intent()?;
+    let (caller, now_ms) = (request.caller.clone(), clock::now());
+    let list = context
+        .relay
+        .decider
+        .query(move |gateway| gateway.entry_list(now_ms, &caller));
+    let list = list.ok().flatten().ok_or_else(not_ready)?;
+    let mut body = json!({"hosts": list.hosts, "use_ms": list.use_ms});
+    if let Some(service) = asked_service(&request.head.path, intent) {
+        let from = ticket_caller(request, intent);
+        // A host that cannot issue one now says so when the call comes.
+        body["ticket"] = json!(context.tickets.issue(&from, &service).ok());
+    }
+    Ok(json_answer(&body))
+}
+
+/// The service in `?service=NAME`, if the caller may use it.
+fn asked_service(path: &str, intent: &CallerIntent) -> Option<ServiceId> {
+    let (_, query) = path.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, name) = pairs.find(|(key, _)| *key == "service")?;
+    let service: ServiceId = name.parse().ok()?;
+    let is_allowed = intent.targets.contains(&Target::Service(service.clone()));
+    is_allowed.then_some(service)
+}
+
+/// Splits `/v1/services/SERVICE/REST` into the service and `/REST`.
+fn service_path(path: &str) -> Result<(ServiceId, CompactString), Rejection> {
+    let rest = path.strip_prefix(SERVICE_PREFIX).unwrap_or_default();
+    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let id = name
+        .parse()
+        .map_err(|_| refused(Refusal::new(RefusalReason::UnknownTarget)))?;
+    Ok((id, compact_str::format_compact!("/{rest}")))
+}
+
+/// Fields of the caller that a service gets; marks for hosts never pass.
+fn forwarded_headers(headers: &Headers, id: RequestId) -> Headers {
+    const PASSED: [&str; 4] = ["content-type", "accept", "accept-language", "if-none-match"];
+    let mut forwarded = Headers::new().with_field("x-request-id", &id.to_string());
+    for field in headers.iter() {
+        if PASSED.contains(&field.name.as_str()) {
+            forwarded.push(&field.name, &field.value);
+        }
+    }
+    forwarded
+}
+
+fn read_body(connection: &mut Connection, head: &RequestHead) -> Result<Vec<u8>, Rejection> {
+    let unreadable = |error: MessageError| match error {
+        MessageError::TooLarge { .. } => not_run(413, "body_too_large", &error.to_string()),
+        MessageError::TimedOut => not_run(408, "request_timeout", &error.to_string()),
+        _ => not_run(400, "malformed_request", &error.to_string()),
+    };
+    let framing = head.framing().map_err(unreadable)?;
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    if head.headers.has_token("expect", "100-continue") {
+        connection
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
+            .map_err(unreadable)?;
+    }
+    BodyReader::new(framing)
+        .read_to_end(connection, MAX_BODY_BYTES, deadline)
+        .map_err(unreadable)
+}
+
+/// The instant by which the answer is due, at most the intent's deadline ahead.
+fn deadline(head: &RequestHead, intent: &CallerIntent) -> Result<Millis, Rejection> {
+    let asked_ms = match head.headers.get("x-deadline-ms") {
+        None => intent.deadline_ms,
+        Some(text) => text.parse().map(Millis).map_err(|_| {
+            not_run(
+                400,
+                "invalid_request",
+                "X-Deadline-Ms must be a whole number of milliseconds",
+            )
+        })?,
+    };
+    Ok(clock::now() + asked_ms.min(intent.deadline_ms))
+}
+
+fn json_answer(value: &serde_json::Value) -> Prepared {
+    Prepared::Answer(PlainAnswer::json(200, value))
+}
+
+fn not_ready() -> Rejection {
+    refused(Refusal::new(RefusalReason::NotReady).with_retry_after(NOT_READY_RETRY_AFTER_MS))
+}
+
+fn refused(refusal: Refusal) -> Rejection {
+    Box::new(ErrorAnswer::from_refusal(refusal, not_run_state()))
+}
+
+fn not_run(status: u16, code: &str, message: &str) -> Rejection {
+    Box::new(ErrorAnswer::new(status, code, message, not_run_state()))
+}
+
+/// The state of a request that was never given to the relay.
+fn not_run_state() -> RunState {
+    RunState::NotRun(Unsent::new().give_up())
+}
+
+fn new_request_id() -> RequestId {
+    RequestId(rand::rng().random())
+}
--- a/src/decision/finish.rs
+++ b/src/decision/finish.rs
@@ -23,7 +23,8 @@
     Attempt,
     Bytes,
     Millis,
-    RequestId, //
+    RequestId,
+    Tokens, //
 };
 
 impl Gateway {
@@ -85,6 +86,9 @@
         self.note_trouble(now_ms, &mut open, outcome);
         self.charge(now_ms, &mut open, outcome);
         let is_answered = open.answered_ms.is_some();
+        if let AttemptOutcome::Interrupted { delivered } = outcome {
+            open.arrival.needs_continuation |= *delivered > Tokens(0);
+        }
         if !is_answered && may_repeat(outcome, open.arrival.is_repeatable) {
             self.retry(now_ms, request, open, outcome, actions);
         } else if !is_answered && matches!(outcome, AttemptOutcome::Interrupted { .. }) {
@@ -196,7 +200,11 @@
         let has_attempts = open.attempt.0 + 1 < self.known.policy.max_attempts;
         if !is_in_time || !has_attempts || !self.retries.spend() {
             let wait_ms = hint_ms.unwrap_or(self.known.policy.retry_after_ms);
-            let refusal = Refusal::new(RefusalReason::RetriesExhausted).with_retry_after(wait_ms);
+            let reason = match now_ms < open.arrival.deadline_ms {
+                true => RefusalReason::RetriesExhausted,
+                false => RefusalReason::DeadlinePassed,
+            };
+            let refusal = Refusal::new(reason).with_retry_after(wait_ms);
             return self.refuse(request, open, refusal, actions);
         }
         // The next attempt may cost as much as the first one again.
@@ -252,7 +260,9 @@
             is_leaving: true, ..
         } => state.mark_leaving(),
         AttemptOutcome::Rejected { .. } => state.note_rejection(now_ms, policy),
-        AttemptOutcome::NotSent | AttemptOutcome::Interrupted { .. } => {
+        AttemptOutcome::NotSent
+        | AttemptOutcome::Interrupted { .. }
+        | AttemptOutcome::Broken { .. } => {
             state.note_failure(now_ms, policy);
         }
         AttemptOutcome::Complete { .. } => state.note_success(),
--- a/src/experiment/fleet.rs
+++ b/src/experiment/fleet.rs
@@ -355,6 +355,7 @@
                 target: engine.target(),
                 version: CompactString::from(if engine.is_service { "" } else { VERSION }),
                 slots: engine.slots(),
+                can_continue: true,
                 is_leaving: false,
             })
             .collect()
@@ -390,6 +391,7 @@
             is_ready: true,
             revision: Revision(1),
             open_requests,
+            held_runs: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,568 @@
+//! One entry host: its threads and the rings between them.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        TcpListener,
+        UdpSocket, //
+    },
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use oxhttp::ListeningServer;
+use rand::RngExt;
+use thiserror::Error;
+
+use crate::{
+    admin::{
+        Admin,
+        BurnReport,
+        IN_FORCE_WAIT,
+        OperatorKey, //
+    },
+    announce::Announcer,
+    caller::{
+        self,
+        CallerContext, //
+    },
+    catch_up::{
+        self,
+        SourceRing,
+        Sources, //
+    },
+    clock,
+    config::{
+        self,
+        Config,
+        ConfigError, //
+    },
+    decider::{
+        self,
+        DeciderHandle, //
+    },
+    decision::{
+        Gateway,
+        GatewayConfig,
+        event::{
+            Event,
+            Refusal,
+            RefusalReason, //
+        }, //
+    },
+    http::{
+        connection::Connection,
+        server::Acceptor, //
+    },
+    in_force::InForceCell,
+    leave::Handover,
+    openai::ErrorAnswer,
+    outcome::{
+        RunState,
+        Unsent, //
+    },
+    peer::{
+        client::PeerClient,
+        gossip::{
+            GossipConfig,
+            News, //
+        },
+        link::PeerIdentity,
+        server::PeerServer,
+        socket::{
+            GossipSocket,
+            Say, //
+        },
+        wire::ClusterKey, //
+    },
+    peer_requests::{
+        self,
+        PeerContext, //
+    },
+    plan::PlanRules,
+    platform::{
+        KeyValue,
+        ServiceList, //
+    },
+    poller::{
+        Poller,
+        PollerConfig, //
+    },
+    relay::RelayContext,
+    sink::AnswerSink,
+    spending::{
+        self,
+        Asks, //
+    },
+    status,
+    ticket::{
+        table::TicketTable,
+        token::{
+            HostRun,
+            KeyError,
+            Owner,
+            TicketSigner, //
+        }, //
+    },
+    tickets::{
+        TableHandle,
+        TicketContext, //
+    },
+    types::{
+        Incarnation,
+        Millis,
+        RegionId,
+        RequestId, //
+    },
+    watch::{
+        self,
+        Configuration,
+        StopFlag, //
+    }, //
+};
+
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// When to come back after the connection limit was reached.
+const OVERLOAD_RETRY_AFTER_MS: Millis = Millis(1_000);
+
+/// Keys of one host, read from files.
+#[derive(Clone)]
+pub struct HostKeys {
+    /// The key that all hosts share.
+    pub cluster_key: Vec<u8>,
+    /// The operators' key.
+    pub operator_key: OperatorKey,
+}
+
+impl HostKeys {
+    /// Reads the key files that the settings name.
+    pub fn load(config: &Config) -> Result<Self, ConfigError> {
+        let operator_key = config::read_key(&config.operator_key_file)?;
+        Ok(Self {
+            cluster_key: config::read_key(&config.cluster_key_file)?,
+            operator_key: OperatorKey::new(&operator_key),
+        })
+    }
+}
+
+/// Why a host could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("could not listen on {address} for {purpose}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Who was to connect there.
+        purpose: &'static str,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The cluster key cannot be used.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+    /// A thread could not be started.
+    #[error("could not start thread {name:?}: {source}")]
+    Thread {
+        /// The thread.
+        name: &'static str,
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+/// A running host.
+pub struct Host {
+    config: Config,
+    incarnation: Incarnation,
+    caller_address: SocketAddr,
+    acceptor: Acceptor,
+    decider: DeciderHandle,
+    tickets: TicketContext,
+    admin: Option<ListeningServer>,
+    gossip: Arc<GossipSocket>,
+    peers: PeerClient,
+    relay: RelayContext,
+    peer_server: Arc<PeerServer>,
+    is_leaving: Arc<AtomicBool>,
+    open_requests: Arc<AtomicUsize>,
+    in_force: InForceCell,
+    stop: StopFlag,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Host {
+    /// Binds the addresses and starts the threads.
+    pub fn start(config: Config, keys: &HostKeys) -> Result<Self, StartError> {
+        let callers = listen(config.caller_address, "callers")?;
+        let caller_address = callers.local_addr().unwrap_or(config.caller_address);
+        let incarnation = Incarnation(rand::rng().random());
+        let (ask_ring, asks) = spending::ring();
+        let gateway = Gateway::new(GatewayConfig {
+            host: config.host.clone(),
+            incarnation,
+            region: config.region.clone(),
+            links: config.links.clone(),
+            seed: rand::rng().random(),
+        });
+        let (decider, decider_thread) =
+            decider::start(gateway, move |action| ask_ring.take(action));
+        let peer_listener = listen(config.peer_address, "hosts")?;
+        let (source_ring, sources) = catch_up::ring();
+        let gossip = start_gossip(&config, incarnation, keys, &decider, source_ring)?;
+        let key = ClusterKey::new(&keys.cluster_key);
+        let identity = PeerIdentity {
+            host: config.host.clone(),
+            incarnation,
+        };
+        let peers =
+            PeerClient::new(key.clone(), identity.clone()).with_source(config.peer_address.ip());
+        let relay = RelayContext {
+            decider: decider.clone(),
+            peers: peers.clone(),
+            host: config.host.clone(),
+            region: config.region.clone(),
+        };
+        let (tickets, ticket_thread) = start_tickets(&config, incarnation, keys, relay.clone())?;
+        let mut host = Self {
+            acceptor: Acceptor::new(config.max_connections, Arc::default()),
+            incarnation,
+            caller_address,
+            decider,
+            admin: None,
+            gossip: Arc::new(gossip),
+            peers,
+            relay,
+            tickets,
+            peer_server: Arc::new(PeerServer::new(key, identity)),
+            is_leaving: Arc::default(),
+            open_requests: Arc::default(),
+            in_force: InForceCell::new(),
+            stop: StopFlag::new(),
+            threads: vec![decider_thread, ticket_thread],
+            config,
+        };
+        host.start_platform(asks)?;
+        host.start_catch_up(sources)?;
+        host.start_peer_server(peer_listener)?;
+        host.start_announcer()?;
+        host.start_admin(keys)?;
+        host.start_acceptor(callers)?;
+        Ok(host)
+    }
+
+    /// Where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Whether a configuration is in force here.
+    pub fn is_ready(&self) -> bool {
+        self.in_force.get().is_some()
+    }
+
+    /// Requests that are being answered.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Acquire)
+    }
+
+    /// Takes no new work from now on; requests in progress go on.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+        if self.decider.report(Event::Leaving).is_err() {
+            tracing::warn!("could not tell the decider that this host is leaving");
+        }
+    }
+
+    /// Waits for the requests in progress and hands the ticket table over;
+    /// returns how many requests are left.
+    pub fn drain<F>(&self, is_cut_short: F) -> usize
+    where
+        F: Fn() -> bool,
+    {
+        let handover = Handover {
+            tickets: &self.tickets,
+            peers: &self.peers,
+            in_force: &self.in_force,
+        };
+        let successor = handover.start();
+        let limit = Duration::from_millis(self.config.drain_limit_ms.0);
+        let deadline = Instant::now() + limit;
+        let is_over = || Instant::now() >= deadline || is_cut_short();
+        while self.open_requests() > 0 && !is_over() {
+            thread::sleep(DRAIN_POLL);
+        }
+        let left = self.open_requests();
+        if let Some(successor) = successor.filter(|_| !is_cut_short()) {
+            let host = &successor.run.host;
+            match handover.finish(&successor) {
+                true => tracing::info!(%host, "handed the ticket table over"),
+                false => tracing::warn!(%host, "the ticket table was not handed over"),
+            }
+        }
+        left
+    }
+
+    /// Ends the threads.
+    pub fn stop(self) {
+        self.stop.set();
+        self.acceptor.stop(self.caller_address);
+        self.peer_server.stop(self.config.peer_address);
+        for thread in self.threads {
+            // These end when the last caller connection has gone.
+            let waits_for_callers = matches!(
+                thread.thread().name(),
+                Some("decider" | "spending" | "catch-up" | "tickets")
+            );
+            if !waits_for_callers && thread.join().is_err() {
+                tracing::error!("a thread panicked");
+            }
+        }
+    }
+
+    fn start_acceptor(&mut self, listener: TcpListener) -> Result<(), StartError> {
+        let context = CallerContext {
+            relay: self.relay.clone(),
+            tickets: self.tickets.clone(),
+            in_force: self.in_force.clone(),
+            is_leaving: Arc::clone(&self.is_leaving),
+            open_requests: Arc::clone(&self.open_requests),
+        };
+        let acceptor = self.acceptor.clone();
+        self.spawn("caller-acceptor", move || {
+            acceptor.run(
+                listener,
+                move |connection, _peer| caller::serve(&context, connection),
+                refuse_connection,
+            );
+        })
+    }
+
+    fn start_peer_server(&mut self, listener: TcpListener) -> Result<(), StartError> {
+        let context = PeerContext {
+            relay: self.relay.clone(),
+            tickets: self.tickets.clone(),
+            in_force: self.in_force.clone(),
+            open_requests: Arc::clone(&self.open_requests),
+        };
+        let server = Arc::clone(&self.peer_server);
+        self.spawn("peer-acceptor", move || {
+            server.run(&listener, move |exchange| {
+                peer_requests::serve(&context, exchange)
+            });
+        })
+    }
+
+    fn start_catch_up(&mut self, sources: Sources) -> Result<(), StartError> {
+        let peers = self.peers.clone();
+        let configuration = self.configuration();
+        self.spawn("catch-up", move || {
+            catch_up::run(&sources, &peers, &configuration);
+        })
+    }
+
+    fn start_announcer(&mut self) -> Result<(), StartError> {
+        let announcer = Announcer {
+            config: self.config.clone(),
+            incarnation: self.incarnation,
+            caller_address: self.caller_address,
+            in_force: self.in_force.clone(),
+            is_leaving: Arc::clone(&self.is_leaving),
+            open_requests: Arc::clone(&self.open_requests),
+            tickets: self.tickets.clone(),
+        };
+        let poller = self.start_poller()?;
+        let gossip = Arc::clone(&self.gossip);
+        let decider = self.decider.clone();
+        let stop = self.stop.clone();
+        self.spawn("announcer", move || {
+            announcer.run(&gossip, &poller, &decider, &stop);
+        })
+    }
+
+    /// Starts the poller, whose reports go to gossip; what is news comes back
+    /// from there and reaches the decisions.
+    fn start_poller(&self) -> Result<Poller, StartError> {
+        let gossip = Arc::clone(&self.gossip);
+        Poller::start(PollerConfig::new(), move |report| {
+            gossip.say(Say::Report(report));
+        })
+        .map_err(|source| StartError::Thread {
+            name: "poller",
+            source,
+        })
+    }
+
+    fn start_admin(&mut self, keys: &HostKeys) -> Result<(), StartError> {
+        let in_force = self.in_force.clone();
+        let (for_regions, for_status) = (self.decider.clone(), self.decider.clone());
+        let admin = Admin {
+            operator_key: keys.operator_key,
+            kv: KeyValue::new(self.config.platform_address),
+            rules: PlanRules {
+                regions: self.all_regions(),
+            },
+            in_force_wait: IN_FORCE_WAIT,
+            in_force: Arc::new(move || {
+                let current = in_force.get();
+                current.map_or_else(Arc::default, |current| Arc::clone(&current.intents))
+            }),
+            accepted: Arc::new(|_revision| {}),
+            regions: Arc::new(move || {
+                let regions = for_regions.query(|gateway| status::regions(gateway, clock::now()));
+                regions.unwrap_or_default()
+            }),
+            status: Arc::new(move || {
+                let shown = for_status.query(|gateway| status::status(gateway, clock::now()));
+                shown.ok()
+            }),
+            burn: Arc::new(BurnReport::default),
+        };
+        let address = self.config.admin_address;
+        let server = admin.serve(address).map_err(|source| StartError::Listen {
+            address,
+            purpose: "operators",
+            source,
+        })?;
+        self.admin = Some(server);
+        Ok(())
+    }
+
+    fn all_regions(&self) -> Vec<RegionId> {
+        let others = self.config.links.iter().map(|link| link.region.clone());
+        std::iter::once(self.config.region.clone())
+            .chain(others)
+            .collect()
+    }
+
+    fn start_platform(&mut self, asks: Asks) -> Result<(), StartError> {
+        let list = ServiceList::new(self.config.platform_address);
+        let kv = KeyValue::new(self.config.platform_address);
+        let configuration = self.configuration();
+        let (decider, stop) = (self.decider.clone(), self.stop.clone());
+        self.spawn("list", move || watch::follow_list(&list, &decider, &stop))?;
+
+        let (watch_kv, stop) = (kv.clone(), self.stop.clone());
+        self.spawn("configuration", move || {
+            configuration.follow(&watch_kv, || true, &stop);
+        })?;
+
+        let (in_force, decider) = (self.in_force.clone(), self.decider.clone());
+        let incarnation = self.incarnation;
+        self.spawn("spending", move || {
+            spending::run(&asks, incarnation, &kv, &in_force, &decider);
+        })
+    }
+
+    fn configuration(&self) -> Configuration {
+        Configuration {
+            in_force: self.in_force.clone(),
+            decider: self.decider.clone(),
+        }
+    }
+
+    fn spawn<F>(&mut self, name: &'static str, run: F) -> Result<(), StartError>
+    where
+        F: FnOnce() + Send + 'static,
+    {
+        let thread = thread::Builder::new()
+            .name(name.into())
+            .spawn(run)
+            .map_err(|source| StartError::Thread { name, source })?;
+        self.threads.push(thread);
+        Ok(())
+    }
+}
+
+fn start_tickets(
+    config: &Config,
+    incarnation: Incarnation,
+    keys: &HostKeys,
+    relay: RelayContext,
+) -> Result<(TicketContext, JoinHandle<()>), StartError> {
+    let me = Owner {
+        run: HostRun {
+            host: config.host.clone(),
+            incarnation,
+        },
+        region: config.region.clone(),
+        peer_address: config.peer_address_for_others(),
+    };
+    let signer = TicketSigner::new(&keys.cluster_key)?;
+    let started_ms = clock::now();
+    let table = TicketTable::new(me.clone(), started_ms);
+    let (table, thread) = TableHandle::start(table).map_err(|source| StartError::Thread {
+        name: "tickets",
+        source,
+    })?;
+    let context = TicketContext {
+        table,
+        signer,
+        me,
+        started_ms,
+        relay,
+    };
+    Ok((context, thread))
+}
+
+fn start_gossip(
+    config: &Config,
+    incarnation: Incarnation,
+    keys: &HostKeys,
+    decider: &DeciderHandle,
+    sources: SourceRing,
+) -> Result<GossipSocket, StartError> {
+    let fail = |source| StartError::Listen {
+        address: config.peer_address,
+        purpose: "gossip",
+        source,
+    };
+    let socket = UdpSocket::bind(config.peer_address).map_err(fail)?;
+    let gossip = GossipConfig::new(config.host.clone(), incarnation, config.region.clone())
+        .with_seeds(config.seeds.clone());
+    let decider = decider.clone();
+    let on_news = move |news| {
+        let event = match news {
+            News::Heartbeat(heartbeat) => Event::Heartbeat(heartbeat),
+            News::Report(report) => Event::Report(report),
+            News::Summary(summary) => Event::Summary(summary),
+            News::HigherRevision(source) => return sources.note(source),
+        };
+        // News comes again, so a full ring may drop it.
+        let _ = decider.report(event);
+    };
+    GossipSocket::start(socket, gossip, &ClusterKey::new(&keys.cluster_key), on_news).map_err(fail)
+}
+
+fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(|source| StartError::Listen {
+        address,
+        purpose,
+        source,
+    })
+}
+
+/// Answers a connection over the limit.
+fn refuse_connection(connection: Connection) {
+    let state = RunState::NotRun(Unsent::new().give_up());
+    let refusal = Refusal::new(RefusalReason::Overloaded).with_retry_after(OVERLOAD_RETRY_AFTER_MS);
+    let answer = ErrorAnswer::from_refusal(refusal, state);
+    AnswerSink::new(connection, RequestId::default())
+        .with_closing(true)
+        .give_up(&answer);
+}
--- /dev/null
+++ b/src/sink.rs
@@ -0,0 +1,285 @@
+//! Where the answer to one request goes.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use crate::{
+    http::{
+        connection::Connection,
+        message::{
+            Headers,
+            MessageError, //
+        },
+        server, //
+    },
+    openai::ErrorAnswer,
+    peer::{
+        frame::Frame,
+        server::ServerExchange, //
+    },
+    types::{
+        RequestId,
+        Tokens, //
+    },
+    upstream, //
+};
+
+/// Longest wait for a caller that does not read.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+const NOT_A_STREAM: &str = "an answer that is kept cannot be a stream";
+
+/// How far the answer has been written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Nothing,
+    Streaming,
+    Ended,
+    Broken,
+}
+
+/// An answer that is kept instead of written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CapturedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Fields of the endpoint's answer.
+    pub headers: Headers,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug)]
+enum Output<'a, 'b> {
+    Caller(Connection),
+    Host(HostOutput<'a, 'b>),
+    Capture(Option<CapturedAnswer>),
+}
+
+/// The caller's side of one exchange.
+#[derive(Debug)]
+pub struct AnswerSink<'a, 'b> {
+    output: Output<'a, 'b>,
+    request: RequestId,
+    is_closing: bool,
+    progress: Progress,
+}
+
+impl<'a, 'b> AnswerSink<'a, 'b> {
+    /// A sink that writes to a caller's connection.
+    pub fn new(connection: Connection, request: RequestId) -> Self {
+        Self::with_output(Output::Caller(connection), request)
+    }
+
+    /// A sink that answers the host that forwarded the request.
+    pub fn to_host(exchange: &'a mut ServerExchange<'b>, request: RequestId) -> Self {
+        Self::with_output(Output::Host(HostOutput::new(exchange)), request)
+    }
+
+    /// A sink that keeps a whole answer; nobody waits at its other side.
+    pub fn capture(request: RequestId) -> Self {
+        Self::with_output(Output::Capture(None), request)
+    }
+
+    fn with_output(output: Output<'a, 'b>, request: RequestId) -> Self {
+        Self {
+            output,
+            request,
+            is_closing: false,
+            progress: Progress::Nothing,
+        }
+    }
+
+    /// The same sink; the answer tells the caller that the connection closes.
+    pub fn with_closing(mut self, is_closing: bool) -> Self {
+        self.is_closing = is_closing;
+        self
+    }
+
+    /// The connection, if another request may follow on it.
+    pub fn into_connection(self) -> Option<Connection> {
+        let is_reusable = self.progress == Progress::Ended && !self.is_closing;
+        match self.output {
+            Output::Caller(connection) if is_reusable => Some(connection),
+            _ => None,
+        }
+    }
+
+    /// The answer that was kept.
+    pub fn into_captured(self) -> Option<CapturedAnswer> {
+        match self.output {
+            Output::Capture(answer) => answer,
+            Output::Caller(_) | Output::Host(_) => None,
+        }
+    }
+
+    /// Whether the caller has closed its end.
+    pub fn is_gone(&mut self) -> bool {
+        match &mut self.output {
+            Output::Caller(connection) => connection.is_closed_by_peer(),
+            Output::Host(host) => host.is_gone(),
+            Output::Capture(_) => false,
+        }
+    }
+
+    /// Writes a whole answer.
+    pub fn whole(
+        &mut self,
+        status: u16,
+        headers: Headers,
+        body: &[u8],
+    ) -> Result<(), MessageError> {
+        let common = self.with_common(headers.clone());
+        let result = match &mut self.output {
+            Output::Caller(connection) => {
+                server::respond(connection, status, common, body, deadline())
+            }
+            Output::Host(host) => host.whole(status, &headers, body),
+            Output::Capture(answer) => {
+                *answer = Some(CapturedAnswer {
+                    status,
+                    headers,
+                    body: body.to_vec(),
+                });
+                Ok(())
+            }
+        };
+        self.note(result, Progress::Ended)
+    }
+
+    /// Writes the head of a stream.
+    pub fn start_stream(&mut self, headers: Headers) -> Result<(), MessageError> {
+        let headers = self.with_common(headers);
+        let result = match &mut self.output {
+            Output::Caller(connection) => {
+                server::start_chunked(connection, 200, headers, deadline())
+            }
+            Output::Host(host) => host.head(200, &headers),
+            Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
+        };
+        self.note(result, Progress::Streaming)
+    }
+
+    /// Writes a piece of a stream at once.
+    pub fn piece(&mut self, bytes: &[u8]) -> Result<(), MessageError> {
+        let result = match &mut self.output {
+            Output::Caller(connection) => server::write_chunk(connection, bytes, deadline()),
+            Output::Host(host) => host.piece(bytes),
+            Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
+        };
+        self.note(result, Progress::Streaming)
+    }
+
+    /// Writes the proper end of a stream.
+    pub fn end_stream(&mut self) -> Result<(), MessageError> {
+        let result = match &mut self.output {
+            Output::Caller(connection) => server::end_chunked(connection, deadline()),
+            Output::Host(host) => host.end(),
+            Output::Capture(_) => Err(MessageError::Malformed(NOT_A_STREAM)),
+        };
+        self.note(result, Progress::Ended)
+    }
+
+    /// Writes a final answer without a result.
+    ///
+    /// A stream that has started gets an error event and no proper end.
+    pub fn give_up(&mut self, answer: &ErrorAnswer) {
+        let body = answer.to_json();
+        let result = match self.progress {
+            Progress::Nothing => {
+                let mut headers = Headers::new().with_field("content-type", "application/json");
+                if let Some(seconds) = answer.retry_after_s() {
+                    headers.push("retry-after", &seconds.to_string());
+                }
+                self.whole(answer.status, headers, &body)
+            }
+            Progress::Streaming => {
+                let event = [b"data: ", body.as_slice(), b"\n\n"].concat();
+                let result = self.piece(&event);
+                self.progress = Progress::Broken;
+                result
+            }
+            Progress::Ended | Progress::Broken => Ok(()),
+        };
+        if let Err(error) = result {
+            tracing::debug!(request = %self.request, %error, "caller did not take the final answer");
+        }
+    }
+
+    fn with_common(&self, headers: Headers) -> Headers {
+        let headers = headers.with_field("x-request-id", &self.request.to_string());
+        if self.is_closing {
+            headers.with_field("connection", "close")
+        } else {
+            headers
+        }
+    }
+
+    fn note(
+        &mut self,
+        result: Result<(), MessageError>,
+        next: Progress,
+    ) -> Result<(), MessageError> {
+        self.progress = if result.is_ok() {
+            next
+        } else {
+            Progress::Broken
+        };
+        result
+    }
+}
+
+/// The host that forwarded a request.
+#[derive(Debug)]
+struct HostOutput<'a, 'b> {
+    exchange: &'a mut ServerExchange<'b>,
+}
+
+impl<'a, 'b> HostOutput<'a, 'b> {
+    fn new(exchange: &'a mut ServerExchange<'b>) -> Self {
+        Self { exchange }
+    }
+
+    fn is_gone(&mut self) -> bool {
+        self.exchange.is_cancelled()
+    }
+
+    fn head(&mut self, status: u16, headers: &Headers) -> Result<(), MessageError> {
+        let headers = upstream::to_fields(headers);
+        let frame = Frame::Head { status, headers };
+        self.exchange
+            .send(&frame, &[], deadline())
+            .map_err(|_| MessageError::Closed)
+    }
+
+    fn piece(&mut self, bytes: &[u8]) -> Result<(), MessageError> {
+        self.exchange
+            .send(&Frame::Piece, bytes, deadline())
+            .map_err(|_| MessageError::Closed)
+    }
+
+    fn end(&mut self) -> Result<(), MessageError> {
+        // The host that asked counts the tokens itself.
+        let frame = Frame::End {
+            output: Tokens(0),
+            cached: Tokens(0),
+        };
+        self.exchange
+            .finish(&frame, &[], deadline())
+            .map_err(|_| MessageError::Closed)
+    }
+
+    fn whole(&mut self, status: u16, headers: &Headers, body: &[u8]) -> Result<(), MessageError> {
+        self.head(status, headers)?;
+        if !body.is_empty() {
+            self.piece(body)?;
+        }
+        self.end()
+    }
+}
+
+fn deadline() -> Instant {
+    Instant::now() + WRITE_TIMEOUT
+}
--- a/tests/decision_fixture/mod.rs
+++ b/tests/decision_fixture/mod.rs
@@ -142,6 +142,7 @@
         target: id("model/stain"),
         version: "v2".into(),
         slots,
+        can_continue: true,
         is_leaving: false,
     }
 }
@@ -181,6 +182,7 @@
         is_ready: true,
         revision: Revision(5),
         open_requests,
+        held_runs: Vec::new(),
     }
 }
 
@@ -217,6 +219,7 @@
         body: Bytes(2_048),
         deadline_ms,
         is_repeatable: true,
+        needs_continuation: false,
         origin: Origin::Caller,
     }
 }
