--- a/src/host.rs
+++ b/src/host.rs
@@ -481,8 +481,10 @@
         self.spawn("list", move || watch::follow_list(&list, &decider, &stop))?;
 
         let (watch_kv, stop) = (kv.clone(), self.stop.clone());
+        let decider = self.decider.clone();
+        let is_watcher = move || decider.query(watch::is_watcher).unwrap_or(false);
         self.spawn("configuration", move || {
-            configuration.follow(&watch_kv, || true, &stop);
+            configuration.follow(&watch_kv, is_watcher, &stop);
         })?;
 
         let (in_force, decider) = (self.in_force.clone(), self.decider.clone());
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -18,9 +18,14 @@
 use rand::RngExt;
 
 use crate::{
+    clock,
     decider::DeciderHandle,
-    decision::event::Event,
+    decision::{
+        Gateway,
+        event::Event, //
+    },
     in_force::InForceCell,
+    peer::rendezvous_rank,
     platform::{
         Index,
         KeyValue,
@@ -29,12 +34,16 @@
     },
     rollout::{
         ChangeSet,
+        HEAD_KEY,
         HeadWatch, //
-    }, //
+    },
+    types::HostId, //
 };
 
 /// Longest blocking read; a stop waits for it at most this long.
 const BLOCKING_WAIT: Duration = Duration::from_secs(1);
+/// Hosts of one region that wait for changes; the second covers the first.
+const WATCHERS_PER_REGION: usize = 2;
 /// How often a host that does not watch looks whether it should.
 const ROLE_POLL: Duration = Duration::from_millis(100);
 /// How often a host that does not watch reads the head all the same.
@@ -94,6 +103,22 @@
     Ok((endpoints.index, event))
 }
 
+/// Whether this host is one of the few of its region that wait for changes.
+///
+/// Hosts whose views differ for a moment give one watcher more or less; the
+/// others read the head now and then all the same.
+pub fn is_watcher(gateway: &Gateway) -> bool {
+    let config = gateway.config();
+    let rank = |host: &HostId| rendezvous_rank(HEAD_KEY, host.as_str());
+    let own_rank = rank(&config.host);
+    let ahead = gateway
+        .view()
+        .ready_hosts(clock::now(), &config.region, gateway.policy())
+        .filter(|state| state.heartbeat.host != config.host)
+        .filter(|state| rank(&state.heartbeat.host) > own_rank);
+    ahead.count() < WATCHERS_PER_REGION
+}
+
 /// Brings the configuration up to date from the platform and from peers.
 #[derive(Clone)]
 pub struct Configuration {
