Name gossip events and local updates by the usual terms

GossipEvent and LocalUpdate replace News and Say, and the comments follow. No behaviour changes; the gossip and poller tests pass as before.

--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -9,7 +9,8 @@
 //! leaving, and a higher revision, goes out at once and is passed on at once.
 //!
 //! Sent and received bytes draw on one budget, and the next round waits until it
-//! has credit. More hosts and endpoints therefore make news older, not dearer.
+//! has credit. More hosts and endpoints therefore make facts older but do not
+//! cost more bytes.
 
 use std::{
     cmp::Reverse,
@@ -38,7 +39,7 @@
     measure_regions, //
 };
 pub use super::store::{
-    News,
+    GossipEvent,
     RevisionSource, //
 };
 use super::{
@@ -92,7 +93,7 @@
 const DELEGATES: usize = 3;
 /// Time between rounds while the budget allows it.
 const ROUND_MS: Millis = Millis(200);
-/// Time until the next look when this host has nothing to say of itself yet.
+/// Time until the next look when this host has no heartbeat yet.
 const WITHOUT_HEARTBEAT_MS: Millis = Millis(20);
 /// A round happens at least this often, with one datagram if need be.
 const MAX_ROUND_MS: Millis = Millis(1_000);
@@ -103,7 +104,7 @@
 /// Signs of life older than this are not passed on.
 const BEAT_RELAY_MS: Millis = Millis(5_000);
 /// Part of a datagram that changed facts may take, in percent.
-const NEWS_ROOM_PERCENT: usize = 60;
+const CHANGED_ROOM_PERCENT: usize = 60;
 /// Part of a datagram that signs of life may take, in percent. With 70 the 99th
 /// percentile of the age of loads rose from 4.6 s to 7.3 s.
 const BEAT_ROOM_PERCENT: usize = 50;
@@ -460,12 +461,17 @@
             self.urgent.insert(Fact::Host(self.config.host.clone()));
         }
         self.is_revision_urgent |= is_revision_new;
-        self.hurry_if(now_ms, is_revision_new || (is_changed && is_leaving));
+        self.schedule_now_if(now_ms, is_revision_new || (is_changed && is_leaving));
     }
 
     /// Takes over a report that this host measured.
-    pub fn put_report(&mut self, now_ms: Millis, report: EndpointReport, news: &mut Vec<News>) {
-        self.apply_report(now_ms, &report, news);
+    pub fn put_report(
+        &mut self,
+        now_ms: Millis,
+        report: EndpointReport,
+        events: &mut Vec<GossipEvent>,
+    ) {
+        self.apply_report(now_ms, &report, events);
     }
 
     /// Sets the summary of this host's region.
@@ -484,7 +490,7 @@
         now_ms: Millis,
         from: SocketAddr,
         bytes: &[u8],
-        news: &mut Vec<News>,
+        events: &mut Vec<GossipEvent>,
         out: &mut Vec<Outgoing>,
     ) -> Result<(), WireError> {
         self.budget.refill(now_ms);
@@ -495,8 +501,8 @@
         self.mark_heard(now_ms, from);
         let sender = datagram.header.sender.clone();
         let is_new_sender = self.needs_greeting(now_ms, &sender);
-        let missing = self.apply(now_ms, &datagram, news);
-        self.note_revisions(now_ms, &datagram, news);
+        let missing = self.apply(now_ms, &datagram, events);
+        self.note_revisions(now_ms, &datagram, events);
         self.answer_wanted(now_ms, from, &datagram.body.wanted, out);
         self.ask_missing(now_ms, from, missing, out);
         if is_new_sender && self.budget.allows_reply() {
@@ -571,9 +577,14 @@
         })
     }
 
-    fn apply(&mut self, now_ms: Millis, datagram: &Datagram, news: &mut Vec<News>) -> Vec<ShortId> {
+    fn apply(
+        &mut self,
+        now_ms: Millis,
+        datagram: &Datagram,
+        events: &mut Vec<GossipEvent>,
+    ) -> Vec<ShortId> {
         for item in &datagram.body.items {
-            self.apply_item(now_ms, item, news);
+            self.apply_item(now_ms, item, events);
         }
         let sent_ms = datagram.header.sent_ms;
         let mut missing = BTreeSet::new();
@@ -586,14 +597,14 @@
             let revision = Revision(datagram.body.revision.0.saturating_add_signed(behind));
             let known = self
                 .store
-                .apply_beat(now_ms, beat, sequence, revision, news);
+                .apply_beat(now_ms, beat, sequence, revision, events);
             if known == Known::No {
                 missing.insert(beat.id);
             }
         }
         for load in &datagram.body.loads {
             let measured_ms = ticks_before(sent_ms, load.behind_ticks);
-            if self.store.apply_load(now_ms, load, measured_ms, news) == Known::No {
+            if self.store.apply_load(now_ms, load, measured_ms, events) == Known::No {
                 missing.insert(load.id);
             }
         }
@@ -606,7 +617,7 @@
             }
             let known = self
                 .store
-                .apply_region_beat(now_ms, beat, made_ms, lowest, news);
+                .apply_region_beat(now_ms, beat, made_ms, lowest, events);
             if known == Known::No {
                 missing.insert(beat.id);
             }
@@ -624,33 +635,40 @@
         own.is_some_and(|own| own.id == id)
     }
 
-    fn apply_item(&mut self, now_ms: Millis, item: &Item, news: &mut Vec<News>) {
+    fn apply_item(&mut self, now_ms: Millis, item: &Item, events: &mut Vec<GossipEvent>) {
         match item {
             Item::Heartbeat(heartbeat) if heartbeat.host == self.config.host => {}
             Item::Heartbeat(heartbeat) => {
-                let is_new = self.store.apply_heartbeat(now_ms, heartbeat.clone(), news);
+                let is_new = self
+                    .store
+                    .apply_heartbeat(now_ms, heartbeat.clone(), events);
                 let is_own_region = heartbeat.region == self.config.region;
                 if is_new && is_own_region && heartbeat.is_leaving {
                     self.urgent.insert(Fact::Host(heartbeat.host.clone()));
-                    self.hurry_if(now_ms, true);
+                    self.schedule_now_if(now_ms, true);
                 }
             }
-            Item::Report(report) => self.apply_report(now_ms, report, news),
+            Item::Report(report) => self.apply_report(now_ms, report, events),
             Item::Summary(summary) if summary.region == self.config.region => {}
-            Item::Summary(summary) => self.store.apply_summary(now_ms, summary.clone(), news),
+            Item::Summary(summary) => self.store.apply_summary(now_ms, summary.clone(), events),
         }
     }
 
-    fn apply_report(&mut self, now_ms: Millis, report: &EndpointReport, news: &mut Vec<News>) {
-        let is_new = self.store.apply_report(now_ms, report.clone(), news);
+    fn apply_report(
+        &mut self,
+        now_ms: Millis,
+        report: &EndpointReport,
+        events: &mut Vec<GossipEvent>,
+    ) {
+        let is_new = self.store.apply_report(now_ms, report.clone(), events);
         if is_new && report.is_leaving {
             self.urgent.insert(Fact::Endpoint(report.endpoint.clone()));
-            self.hurry_if(now_ms, true);
+            self.schedule_now_if(now_ms, true);
         }
     }
 
     /// Passes on at once that something is leaving.
-    fn hurry_if(&mut self, now_ms: Millis, is_urgent: bool) {
+    fn schedule_now_if(&mut self, now_ms: Millis, is_urgent: bool) {
         if is_urgent {
             self.next_round_ms = self.next_round_ms.min(now_ms);
         }
@@ -661,7 +679,12 @@
         own.map_or(Revision(0), |own| own.heartbeat.revision)
     }
 
-    fn note_revisions(&mut self, now_ms: Millis, datagram: &Datagram, news: &mut Vec<News>) {
+    fn note_revisions(
+        &mut self,
+        now_ms: Millis,
+        datagram: &Datagram,
+        events: &mut Vec<GossipEvent>,
+    ) {
         let sender = self.store.hosts.get(&datagram.header.sender);
         let direct = sender.map(|record| RevisionSource {
             host: record.heartbeat.host.clone(),
@@ -685,11 +708,16 @@
             }));
         }
         for source in sources {
-            self.note_revision(now_ms, source, news);
+            self.note_revision(now_ms, source, events);
         }
     }
 
-    fn note_revision(&mut self, now_ms: Millis, source: RevisionSource, news: &mut Vec<News>) {
+    fn note_revision(
+        &mut self,
+        now_ms: Millis,
+        source: RevisionSource,
+        events: &mut Vec<GossipEvent>,
+    ) {
         if source.revision <= self.own_revision() || source.host == self.config.host {
             return;
         }
@@ -701,7 +729,7 @@
             self.revision_notes.clear();
         }
         self.revision_notes.insert(source.host.clone(), now_ms);
-        news.push(News::HigherRevision(source));
+        events.push(GossipEvent::HigherRevision(source));
     }
 
     fn answer_wanted(
@@ -944,7 +972,7 @@
     fn add_facts(&mut self, now_ms: Millis, builder: &mut BodyBuilder) {
         let mut candidates = self.candidates(now_ms);
         candidates.sort_unstable();
-        let reserved = builder.room_bytes * (100 - NEWS_ROOM_PERCENT) / 100;
+        let reserved = builder.room_bytes * (100 - CHANGED_ROOM_PERCENT) / 100;
         for candidate in candidates {
             if builder.room_bytes <= reserved {
                 return;
--- a/src/peer/measure.rs
+++ b/src/peer/measure.rs
@@ -24,7 +24,7 @@
     gossip::{
         Gossip,
         GossipConfig,
-        News,
+        GossipEvent,
         Outgoing, //
     },
     wire::ClusterKey, //
@@ -61,7 +61,7 @@
 /// the datagrams of 66 hosts still carried descriptions in place of loads.
 const WARM_UP_MS: Millis = Millis(60_000);
 
-/// What gossip costs one host of a region, and how old its news are.
+/// What gossip costs one host of a region, and how old its facts are.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct GossipCost {
     /// Hosts in the region.
@@ -328,9 +328,9 @@
     }
 
     /// A host that is told of a higher revision has it after one round trip.
-    fn fetch(&mut self, index: usize, news: Vec<News>) {
-        for item in news {
-            if let News::HigherRevision(source) = item {
+    fn fetch(&mut self, index: usize, events: Vec<GossipEvent>) {
+        for item in events {
+            if let GossipEvent::HigherRevision(source) = item {
                 let from = index_of(source.peer_address);
                 let due_ms =
                     self.now_ms + self.latency_ms(index, from) + self.latency_ms(from, index);
@@ -416,11 +416,11 @@
         for (from, datagram) in due.into_values().flatten() {
             let index = index_of(datagram.to);
             let mut out = Vec::new();
-            let mut news = Vec::new();
+            let mut events = Vec::new();
             let gossip = &mut self.hosts[index];
-            let result = gossip.receive(self.now_ms, from, &datagram.bytes, &mut news, &mut out);
+            let result = gossip.receive(self.now_ms, from, &datagram.bytes, &mut events, &mut out);
             debug_assert!(result.is_ok(), "{result:?}");
-            self.fetch(index, news);
+            self.fetch(index, events);
             self.post(index, out);
         }
     }
--- a/src/peer/socket.rs
+++ b/src/peer/socket.rs
@@ -1,8 +1,8 @@
 //! Runs gossip on a UDP socket with one thread to receive and one to send.
 //!
-//! The receive thread checks and applies datagrams and hands the news to a
-//! closure. The send thread runs the rounds, takes what this host has to say
-//! from a bounded ring and writes to the socket.
+//! The receive thread checks and applies datagrams and hands the events to a
+//! closure. The send thread runs the rounds, takes the updates of this
+//! host from a bounded ring and writes to the socket.
 
 use std::{
     io,
@@ -45,7 +45,7 @@
         Gossip,
         GossipConfig,
         GossipCounts,
-        News,
+        GossipEvent,
         Outgoing, //
     },
     wire::{
@@ -73,9 +73,9 @@
     Millis(since_epoch.map_or(0, |passed| passed.as_millis() as u64))
 }
 
-/// Something that this host has to say.
+/// A fact that this host is the source of.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Say {
+pub enum LocalUpdate {
     /// What it says of itself.
     Heartbeat(Heartbeat),
     /// What it measured at an endpoint.
@@ -89,8 +89,8 @@
 /// What was dropped because a ring was full or the socket refused it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct SocketCounts {
-    /// Things to say that were dropped, oldest first.
-    pub dropped_says: u64,
+    /// Local updates that were dropped, oldest first.
+    pub dropped_updates: u64,
     /// Datagrams to send that were dropped, oldest first.
     pub dropped_datagrams: u64,
     /// Datagrams that the socket did not take.
@@ -99,7 +99,7 @@
 
 #[derive(Debug, Default)]
 struct Drops {
-    says: AtomicU64,
+    updates: AtomicU64,
     datagrams: AtomicU64,
     failed_sends: AtomicU64,
 }
@@ -132,7 +132,7 @@
 struct Shared {
     gossip: Mutex<Gossip>,
     socket: UdpSocket,
-    says: Ring<Say>,
+    updates: Ring<LocalUpdate>,
     replies: Ring<Outgoing>,
     drops: Drops,
     is_stopping: AtomicBool,
@@ -157,36 +157,36 @@
 }
 
 impl GossipSocket {
-    /// Starts the threads on a bound socket; `on_news` runs on the receive
-    /// thread for others' news and on the send thread for this host's reports.
+    /// Starts the threads on a bound socket; `on_event` runs on the receive
+    /// thread for others' events and on the send thread for this host's reports.
     ///
     /// Fails if the socket cannot be configured or a thread cannot be started.
     pub fn start<F>(
         socket: UdpSocket,
         config: GossipConfig,
         key: &ClusterKey,
-        on_news: F,
+        on_event: F,
     ) -> io::Result<Self>
     where
-        F: Fn(News) + Send + Sync + 'static,
+        F: Fn(GossipEvent) + Send + Sync + 'static,
     {
         socket.set_read_timeout(Some(MAX_WAIT))?;
         let shared = Arc::new(Shared {
             gossip: Mutex::new(Gossip::new(config, key)),
             socket,
-            says: Ring::new(SEND_RING),
+            updates: Ring::new(SEND_RING),
             replies: Ring::new(SEND_RING),
             drops: Drops::default(),
             is_stopping: AtomicBool::new(false),
         });
-        let on_news = Arc::new(on_news);
+        let on_event = Arc::new(on_event);
         let mut running = Self {
             shared: Arc::clone(&shared),
             threads: Vec::new(),
         };
-        let (receiver, news) = (Arc::clone(&shared), Arc::clone(&on_news));
-        running.spawn("gossip receive", move || receive_loop(&receiver, &*news))?;
-        running.spawn("gossip send", move || send_loop(&shared, &*on_news))?;
+        let (receiver, events) = (Arc::clone(&shared), Arc::clone(&on_event));
+        running.spawn("gossip receive", move || receive_loop(&receiver, &*events))?;
+        running.spawn("gossip send", move || send_loop(&shared, &*on_event))?;
         Ok(running)
     }
 
@@ -199,9 +199,9 @@
         Ok(())
     }
 
-    /// Queues something to say.
-    pub fn say(&self, say: Say) {
-        self.shared.says.push(say, &self.shared.drops.says);
+    /// Queues a fact to be spread.
+    pub fn publish(&self, update: LocalUpdate) {
+        self.shared.updates.push(update, &self.shared.drops.updates);
     }
 
     /// Totals of the gossip.
@@ -213,7 +213,7 @@
     pub fn socket_counts(&self) -> SocketCounts {
         let drops = &self.shared.drops;
         SocketCounts {
-            dropped_says: drops.says.load(Ordering::Relaxed),
+            dropped_updates: drops.updates.load(Ordering::Relaxed),
             dropped_datagrams: drops.datagrams.load(Ordering::Relaxed),
             failed_sends: drops.failed_sends.load(Ordering::Relaxed),
         }
@@ -240,15 +240,15 @@
     }
 }
 
-fn receive_loop<F>(shared: &Shared, on_news: &F)
+fn receive_loop<F>(shared: &Shared, on_event: &F)
 where
-    F: Fn(News),
+    F: Fn(GossipEvent),
 {
     // One byte more than allowed, so that a longer datagram is seen as such.
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
     while !shared.is_stopping() {
         match shared.socket.recv_from(&mut buffer) {
-            Ok((length, from)) => take_datagram(shared, from, &buffer[..length], on_news),
+            Ok((length, from)) => take_datagram(shared, from, &buffer[..length], on_event),
             Err(error) if is_timeout(&error) => {}
             Err(error) => {
                 // An ICMP error for an earlier datagram also surfaces here.
@@ -265,28 +265,28 @@
     )
 }
 
-fn take_datagram<F>(shared: &Shared, from: SocketAddr, bytes: &[u8], on_news: &F)
+fn take_datagram<F>(shared: &Shared, from: SocketAddr, bytes: &[u8], on_event: &F)
 where
-    F: Fn(News),
+    F: Fn(GossipEvent),
 {
-    let mut news = Vec::new();
+    let mut events = Vec::new();
     let mut out = Vec::new();
     let now_ms = wall_clock_ms();
     let result = shared
         .gossip()
-        .receive(now_ms, from, bytes, &mut news, &mut out);
+        .receive(now_ms, from, bytes, &mut events, &mut out);
     if let Err(error) = result {
         tracing::debug!(%error, %from, "refused a datagram");
     }
     for reply in out {
         shared.replies.push(reply, &shared.drops.datagrams);
     }
-    news.into_iter().for_each(on_news);
+    events.into_iter().for_each(on_event);
 }
 
-fn send_loop<F>(shared: &Shared, on_news: &F)
+fn send_loop<F>(shared: &Shared, on_event: &F)
 where
-    F: Fn(News),
+    F: Fn(GossipEvent),
 {
     while !shared.is_stopping() {
         let mut out = Vec::new();
@@ -294,28 +294,28 @@
         for datagram in &out {
             send(shared, datagram);
         }
-        wait(shared, on_news);
+        wait(shared, on_event);
     }
-    // What was said last, such as that this host is leaving, still goes out.
-    while let Ok(say) = shared.says.receiver.try_recv() {
-        apply_say(shared, say, on_news);
+    // What was published last, such as that this host is leaving, still goes out.
+    while let Ok(update) = shared.updates.receiver.try_recv() {
+        apply_update(shared, update, on_event);
     }
     let mut out = Vec::new();
     shared.gossip().poll(wall_clock_ms(), &mut out);
     out.iter().for_each(|datagram| send(shared, datagram));
 }
 
-/// Handles replies and things to say until the next round is due.
-fn wait<F>(shared: &Shared, on_news: &F)
+/// Handles replies and local updates until the next round is due.
+fn wait<F>(shared: &Shared, on_event: &F)
 where
-    F: Fn(News),
+    F: Fn(GossipEvent),
 {
     let next_ms = shared.gossip().next_round_ms();
     let wait_ms = (next_ms - wall_clock_ms()).0;
     let timeout = Duration::from_millis(wait_ms).min(MAX_WAIT);
     let received = crossbeam::channel::select! {
         recv(shared.replies.receiver) -> reply => reply.map(|reply| send(shared, &reply)).ok(),
-        recv(shared.says.receiver) -> say => say.map(|say| apply_say(shared, say, on_news)).ok(),
+        recv(shared.updates.receiver) -> update => update.map(|update| apply_update(shared, update, on_event)).ok(),
         default(timeout) => None,
     };
     if received.is_none() && wait_ms == 0 {
@@ -331,22 +331,22 @@
     }
 }
 
-fn apply_say<F>(shared: &Shared, say: Say, on_news: &F)
+fn apply_update<F>(shared: &Shared, update: LocalUpdate, on_event: &F)
 where
-    F: Fn(News),
+    F: Fn(GossipEvent),
 {
     let now_ms = wall_clock_ms();
-    let mut news = Vec::new();
+    let mut events = Vec::new();
     {
         let mut gossip = shared.gossip();
-        match say {
-            Say::Heartbeat(heartbeat) => gossip.put_heartbeat(now_ms, heartbeat),
-            Say::Report(report) => gossip.put_report(now_ms, report, &mut news),
-            Say::Summary(summary) => gossip.put_summary(now_ms, summary),
-            Say::Seeds(addresses) => gossip.add_seeds(&addresses),
+        match update {
+            LocalUpdate::Heartbeat(heartbeat) => gossip.put_heartbeat(now_ms, heartbeat),
+            LocalUpdate::Report(report) => gossip.put_report(now_ms, report, &mut events),
+            LocalUpdate::Summary(summary) => gossip.put_summary(now_ms, summary),
+            LocalUpdate::Seeds(addresses) => gossip.add_seeds(&addresses),
         }
     }
-    news.into_iter().for_each(on_news);
+    events.into_iter().for_each(on_event);
 }
 
 fn send(shared: &Shared, datagram: &Outgoing) {
--- a/src/peer/store.rs
+++ b/src/peer/store.rs
@@ -39,14 +39,14 @@
 
 /// A host not heard from for this long is not counted as live.
 pub const HOST_FORGET_MS: Millis = Millis(10_000);
-/// Silent hosts are remembered this long, so that late news does not revive them.
+/// Silent hosts are remembered this long, so that late datagrams do not revive them.
 const HOST_KEEP_MS: Millis = Millis(120_000);
 /// Endpoints without a report for this long are dropped.
 const ENDPOINT_KEEP_MS: Millis = Millis(60_000);
 /// Summaries of a region that is cut off are kept for its hosts' addresses.
 const SUMMARY_KEEP_MS: Millis = Millis(3_600_000);
 /// Signs of life alone are passed on to the decisions at most this often.
-const BEAT_NEWS_MS: Millis = Millis(200);
+const BEAT_EVENT_MS: Millis = Millis(200);
 /// How often each host sends a changed fact in full.
 const CHANGED_SENDS: u8 = 4;
 /// How often each host sends the fact that a host or an endpoint is leaving.
@@ -54,7 +54,7 @@
 
 /// Something that gossip learned.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum News {
+pub enum GossipEvent {
     /// A host lives, or its description changed.
     Heartbeat(Heartbeat),
     /// An endpoint has a newer report.
@@ -89,9 +89,9 @@
     pub heard_ms: Millis,
     /// How often `beat` was sent.
     pub beat_sends: u32,
-    /// When the host was last mentioned to the decisions.
-    told_ms: Millis,
-    told_sequence: u64,
+    /// When an event of the host was last passed on to the decisions.
+    emitted_ms: Millis,
+    emitted_sequence: u64,
     /// How often the full fact is still sent with priority.
     pub sends_left: u8,
     /// When the full fact was last sent.
@@ -105,8 +105,8 @@
             beat: heartbeat.sequence,
             heard_ms: now_ms,
             beat_sends: 0,
-            told_ms: now_ms,
-            told_sequence: heartbeat.sequence,
+            emitted_ms: now_ms,
+            emitted_sequence: heartbeat.sequence,
             sends_left: heartbeat_sends(&heartbeat),
             full_sent_ms: Millis(0),
             heartbeat,
@@ -118,13 +118,13 @@
         now_ms - self.heard_ms < HOST_FORGET_MS
     }
 
-    /// The heartbeat as news, numbered so that it replaces earlier news.
-    fn tell(&mut self, now_ms: Millis) -> News {
-        self.told_ms = now_ms;
-        self.told_sequence = self.beat.max(self.told_sequence + 1);
+    /// The heartbeat as an event, numbered so that it replaces earlier ones.
+    fn next_event(&mut self, now_ms: Millis) -> GossipEvent {
+        self.emitted_ms = now_ms;
+        self.emitted_sequence = self.beat.max(self.emitted_sequence + 1);
         let mut heartbeat = self.heartbeat.clone();
-        heartbeat.sequence = self.told_sequence;
-        News::Heartbeat(heartbeat)
+        heartbeat.sequence = self.emitted_sequence;
+        GossipEvent::Heartbeat(heartbeat)
     }
 }
 
@@ -201,10 +201,10 @@
         &mut self,
         now_ms: Millis,
         heartbeat: Heartbeat,
-        news: &mut Vec<News>,
+        events: &mut Vec<GossipEvent>,
     ) -> bool {
         let Some(known) = self.hosts.get_mut(&heartbeat.host) else {
-            self.insert_host(HostRecord::new(heartbeat, now_ms), now_ms, news);
+            self.insert_host(HostRecord::new(heartbeat, now_ms), now_ms, events);
             return true;
         };
         if known.heartbeat.incarnation != heartbeat.incarnation {
@@ -213,9 +213,9 @@
             }
             let old_id = known.id;
             let mut record = HostRecord::new(heartbeat, now_ms);
-            record.told_sequence = known.told_sequence;
+            record.emitted_sequence = known.emitted_sequence;
             self.subjects.remove(&old_id);
-            self.insert_host(record, now_ms, news);
+            self.insert_host(record, now_ms, events);
             return true;
         }
         if heartbeat.sequence <= known.heartbeat.sequence {
@@ -235,13 +235,18 @@
         known.heartbeat = heartbeat;
         known.heartbeat.revision = revision;
         if is_sign_of_life || is_changed {
-            news.push(known.tell(now_ms));
+            events.push(known.next_event(now_ms));
         }
         is_changed
     }
 
-    fn insert_host(&mut self, mut record: HostRecord, now_ms: Millis, news: &mut Vec<News>) {
-        news.push(record.tell(now_ms));
+    fn insert_host(
+        &mut self,
+        mut record: HostRecord,
+        now_ms: Millis,
+        events: &mut Vec<GossipEvent>,
+    ) {
+        events.push(record.next_event(now_ms));
         let host = record.heartbeat.host.clone();
         self.subjects.insert(record.id, Subject::Host(host.clone()));
         self.hosts.insert(host, record);
@@ -254,7 +259,7 @@
         beat: &Beat,
         sequence: u64,
         revision: Revision,
-        news: &mut Vec<News>,
+        events: &mut Vec<GossipEvent>,
     ) -> Known {
         let Some(Subject::Host(host)) = self.subjects.get(&beat.id) else {
             return Known::No;
@@ -271,8 +276,8 @@
         known.heard_ms = now_ms;
         known.heartbeat.revision = revision.max(known.heartbeat.revision);
         known.heartbeat.open_requests = beat.open_requests;
-        if is_changed || now_ms - known.told_ms >= BEAT_NEWS_MS {
-            news.push(known.tell(now_ms));
+        if is_changed || now_ms - known.emitted_ms >= BEAT_EVENT_MS {
+            events.push(known.next_event(now_ms));
         }
         Known::Yes
     }
@@ -282,7 +287,7 @@
         &mut self,
         now_ms: Millis,
         mut report: EndpointReport,
-        news: &mut Vec<News>,
+        events: &mut Vec<GossipEvent>,
     ) -> bool {
         let known = self.endpoints.get(&report.endpoint);
         if known.is_some_and(|known| known.report.measured_ms >= report.measured_ms) {
@@ -313,7 +318,7 @@
         self.subjects
             .insert(id, Subject::Endpoint(endpoint.clone()));
         self.endpoints.insert(endpoint, record);
-        news.push(News::Report(report));
+        events.push(GossipEvent::Report(report));
         is_changed
     }
 
@@ -323,7 +328,7 @@
         now_ms: Millis,
         load: &Load,
         measured_ms: Millis,
-        news: &mut Vec<News>,
+        events: &mut Vec<GossipEvent>,
     ) -> Known {
         let Some(Subject::Endpoint(endpoint)) = self.subjects.get(&load.id) else {
             return Known::No;
@@ -340,12 +345,17 @@
         known.report.cache_permille = load.cache_permille;
         known.heard_ms = now_ms;
         known.load_sends = 0;
-        news.push(News::Report(known.report.clone()));
+        events.push(GossipEvent::Report(known.report.clone()));
         Known::Yes
     }
 
     /// Takes over a full summary unless a newer one is known.
-    pub fn apply_summary(&mut self, now_ms: Millis, summary: RegionSummary, news: &mut Vec<News>) {
+    pub fn apply_summary(
+        &mut self,
+        now_ms: Millis,
+        summary: RegionSummary,
+        events: &mut Vec<GossipEvent>,
+    ) {
         let known = self.summaries.get(&summary.region);
         if known.is_some_and(|known| known.summary.made_ms >= summary.made_ms) {
             return;
@@ -366,7 +376,7 @@
         let region = summary.region.clone();
         self.subjects.insert(id, Subject::Region(region.clone()));
         self.summaries.insert(region, record);
-        news.push(News::Summary(summary));
+        events.push(GossipEvent::Summary(summary));
     }
 
     /// Takes over the state of a region.
@@ -376,7 +386,7 @@
         beat: &RegionBeat,
         made_ms: Millis,
         lowest_revision: Revision,
-        news: &mut Vec<News>,
+        events: &mut Vec<GossipEvent>,
     ) -> Known {
         let Some(Subject::Region(region)) = self.subjects.get(&beat.id) else {
             return Known::No;
@@ -395,7 +405,7 @@
         }
         known.heard_ms = now_ms;
         known.beat_sends = 0;
-        news.push(News::Summary(summary.clone()));
+        events.push(GossipEvent::Summary(summary.clone()));
         Known::Yes
     }
 
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -1,7 +1,7 @@
 //! Reads load and health of endpoints.
 //!
 //! Each endpoint of a region is polled by the first two live hosts by
-//! rendezvous hashing, so that a lost host delays no news and the work is
+//! rendezvous hashing, so that a lost host delays no report and the work is
 //! spread without any agreement. A poll reads `GET /metrics` for the load and
 //! `GET /health` for whether the endpoint is leaving; each on a connection of
 //! its own, with a short deadline.
--- a/tests/peer_gossip.rs
+++ b/tests/peer_gossip.rs
@@ -1,5 +1,5 @@
-//! Guards against news that does not reach every host, or costs more bytes
-//! than the control budget, when datagrams are lost, repeated or reordered.
+//! Guards against facts that do not reach every host, or cost more bytes than
+//! the control budget, when datagrams are lost, repeated or reordered.
 
 use std::{
     collections::BTreeMap,
@@ -22,7 +22,7 @@
         gossip::{
             Gossip,
             GossipConfig,
-            News,
+            GossipEvent,
             Outgoing,
             measure,
             measure_regions, //
@@ -30,7 +30,7 @@
         rendezvous_rank,
         socket::{
             GossipSocket,
-            Say, //
+            LocalUpdate, //
         },
         wire::ClusterKey, //
     },
@@ -54,7 +54,7 @@
 struct Node {
     gossip: Gossip,
     heartbeat: Heartbeat,
-    news: Vec<News>,
+    events: Vec<GossipEvent>,
     is_running: bool,
 }
 
@@ -124,7 +124,7 @@
             Node {
                 gossip,
                 heartbeat: own,
-                news: Vec::new(),
+                events: Vec::new(),
                 is_running: true,
             }
         };
@@ -191,7 +191,7 @@
                 self.now_ms,
                 address(from),
                 &datagram.bytes,
-                &mut node.news,
+                &mut node.events,
                 &mut out,
             );
             self.post(to, out);
@@ -328,16 +328,16 @@
     let late_view = report("e", START_MS + Millis(500));
     let mut next_run = report("e", START_MS + Millis(900));
     next_run.incarnation = Incarnation(2);
-    let mut news = Vec::new();
+    let mut events = Vec::new();
 
     for report in [leaving, late_view, next_run] {
-        gossip.put_report(START_MS, report, &mut news);
+        gossip.put_report(START_MS, report, &mut events);
     }
 
-    let is_leaving: Vec<bool> = news
+    let is_leaving: Vec<bool> = events
         .iter()
-        .filter_map(|news| match news {
-            News::Report(report) => Some(report.is_leaving),
+        .filter_map(|events| match events {
+            GossipEvent::Report(report) => Some(report.is_leaving),
             _ => None,
         })
         .collect();
@@ -345,21 +345,21 @@
 }
 
 #[test]
-fn a_stopped_host_is_not_revived_by_late_news() {
+fn a_stopped_host_is_not_revived_by_late_datagrams() {
     let mut net = Net::new(&["stred"], 12, 3).with_faults(5, 20, 200);
     net.run(8_000);
     net.nodes[5].is_running = false;
     let stopped = net.nodes[5].heartbeat.host.clone();
     net.run(4_000);
     for node in &mut net.nodes {
-        node.news.clear();
+        node.events.clear();
     }
 
     net.run(30_000);
 
-    let mentions = net.nodes.iter().flat_map(|node| &node.news);
+    let mentions = net.nodes.iter().flat_map(|node| &node.events);
     let revived = mentions
-        .filter(|news| matches!(news, News::Heartbeat(h) if h.host == stopped))
+        .filter(|events| matches!(events, GossipEvent::Heartbeat(h) if h.host == stopped))
         .count();
     assert_eq!(revived, 0);
 }
@@ -471,16 +471,16 @@
     net.set_revision(0, 6);
     let start_ms = net.now_ms;
     for node in &mut net.nodes {
-        node.news.clear();
+        node.events.clear();
     }
 
     while net.nodes.iter().any(|n| n.heartbeat.revision < Revision(6)) {
         net.put_summaries();
         net.run(100);
         for index in 0..net.nodes.len() {
-            let news = std::mem::take(&mut net.nodes[index].news);
-            for item in news {
-                let News::HigherRevision(source) = item else {
+            let events = std::mem::take(&mut net.nodes[index].events);
+            for item in events {
+                let GossipEvent::HigherRevision(source) = item else {
                     continue;
                 };
                 let from = usize::from(source.peer_address.port() - 7_000);
@@ -529,7 +529,7 @@
 }
 
 #[test]
-fn hosts_hear_each_other_and_a_last_word_over_real_sockets() {
+fn hosts_hear_each_other_and_a_final_heartbeat_over_real_sockets() {
     let key = ClusterKey::new(b"test");
     let sockets: Vec<UdpSocket> = (0..3)
         .map(|_| UdpSocket::bind("127.0.0.1:0").expect("bound"))
@@ -547,35 +547,35 @@
             .with_seeds(vec![addresses[0]]);
         let sender = sender.clone();
         let host = own.host.clone();
-        let started = GossipSocket::start(socket, config, &key, move |news| {
-            let _ = sender.send((host.clone(), news));
+        let started = GossipSocket::start(socket, config, &key, move |events| {
+            let _ = sender.send((host.clone(), events));
         });
         let started = started.expect("started");
-        started.say(Say::Heartbeat(own.clone()));
+        started.publish(LocalUpdate::Heartbeat(own.clone()));
         running.push((started, own));
     }
 
     let mut heard = std::collections::BTreeSet::new();
     while heard.len() < 6 {
-        let (by, news) = receiver
+        let (by, events) = receiver
             .recv_timeout(Duration::from_secs(5))
             .expect("six pairs within 5 s of silence");
-        if let News::Heartbeat(heartbeat) = news {
+        if let GossipEvent::Heartbeat(heartbeat) = events {
             heard.insert((by, heartbeat.host));
         }
     }
 
     let (stopping, mut own) = running.remove(2);
     own.is_leaving = true;
-    stopping.say(Say::Heartbeat(own.clone()));
+    stopping.publish(LocalUpdate::Heartbeat(own.clone()));
     stopping.stop();
 
     let mut told = std::collections::BTreeSet::new();
     while told.len() < 2 {
-        let (by, news) = receiver
+        let (by, events) = receiver
             .recv_timeout(Duration::from_secs(5))
             .expect("two hosts hear of it");
-        if matches!(news, News::Heartbeat(h) if h.host == own.host && h.is_leaving) {
+        if matches!(events, GossipEvent::Heartbeat(h) if h.host == own.host && h.is_leaving) {
             told.insert(by);
         }
     }
