Start the tests of tickets when the hosts know each other

TestEnv::wait_settled waits, through the status interface, until every host knows its neighbours, the other regions and all endpoints.

The tests fail without the mechanism.

--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -65,11 +65,17 @@
 const RANDOM_CLIENTS_PER_TICKET: usize = 2;
 
 fn env() -> TestEnv {
-    TestEnv::start(&TestbedOptions::new())
+    start(&TestbedOptions::new())
 }
 
 fn env_with_successors() -> TestEnv {
-    TestEnv::start(&TestbedOptions::new().with_hosts_per_region(2))
+    start(&TestbedOptions::new().with_hosts_per_region(2))
+}
+
+fn start(options: &TestbedOptions) -> TestEnv {
+    let env = TestEnv::start(options);
+    env.wait_settled();
+    env
 }
 
 /// A ticket that the first host of `region` owns.
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -24,6 +24,7 @@
 };
 
 use cardamombridge::{
+    admin_client::AdminClient,
     http::{
         client::{
             self,
@@ -198,6 +199,40 @@
         }
     }
 
+    /// Waits until every host knows all hosts of its region, the summaries of
+    /// the other regions and all endpoints.
+    ///
+    /// A host is ready before that; without it, a leaving host may have no
+    /// successor and a request may find no endpoint.
+    pub fn wait_settled(&self) {
+        for host in &self.hosts {
+            wait_for(READY_TIMEOUT, "the hosts know each other", || {
+                self.is_settled(host)
+            });
+        }
+    }
+
+    fn is_settled(&self, host: &HostProcess) -> bool {
+        let client = AdminClient::new(host.admin_address, testbed::OPERATOR_KEY.into());
+        let Ok(status) = client.status() else {
+            return false;
+        };
+        let own_region = self.hosts.iter().filter(|own| own.region == host.region);
+        let knows_hosts = own_region.clone().all(|own| {
+            status
+                .hosts
+                .iter()
+                .any(|known| known.host.as_str() == own.name)
+        });
+        let knows_regions = status
+            .regions
+            .iter()
+            .all(|region| region.lowest_revision.is_some());
+        let live: u32 = status.targets.iter().map(|target| target.live).sum();
+        let listed = self.testbed.engines.len() + self.testbed.services.len();
+        knows_hosts && knows_regions && live as usize == listed
+    }
+
     /// The first host of a region.
     pub fn host(&self, region: &str) -> &HostProcess {
         let mut hosts = self.hosts.iter().filter(|host| host.region == region);
