Report unknown when a host refuses a call of a ticket it does not own

Cause: a host that was leaving, had no configuration, did not know the key or could not read the body refused every request with not_run, including calls with a ticket and questions about one. The call of that ticket may have run through another host, and only the owner of the ticket knows. A caller that believes not_run confirms its order again under a new ticket.

Ruled out: the owner's table and the forwarding of tickets, which were not reached; the refusal was written before the ticket was read.

Before: after a call had run, the same ticket at a leaving host gave 503 with run_state not_run, and so did GET /v1/tickets/TICKET. After: 503 with run_state unknown and Retry-After.

Conclusion: a refusal before a ticket is read says nothing about its call. Connections above max_connections still get not_run, because they are refused before any byte is read.

--- a/src/caller.rs
+++ b/src/caller.rs
@@ -182,6 +182,7 @@
     head: RequestHead,
 ) -> Option<Connection> {
     let id = new_request_id();
+    let has_ticket = names_ticket(&head);
     let is_closing = !head.keeps_alive() || context.is_leaving.load(Ordering::Acquire);
     match prepare(context, &mut connection, id, head) {
         Ok(Prepared::Exchange(exchange)) => {
@@ -201,6 +202,13 @@
             let _ = sink.whole(answer.status, answer.to_headers(), &answer.body);
             sink.into_connection()
         }
+        Err(answer) if has_ticket => {
+            // An earlier request with the ticket may have run its call, and only
+            // the owner of the ticket knows.
+            let mut sink = AnswerSink::new(connection, id).with_closing(true);
+            sink.give_up(&answer.with_run_state(RunState::Unknown));
+            None
+        }
         Err(answer) => {
             // The body may be unread, so no other request can follow.
             let mut sink = AnswerSink::new(connection, id).with_closing(true);
@@ -210,6 +218,13 @@
     }
 }
 
+/// Whether the request is about the call of a ticket.
+fn names_ticket(head: &RequestHead) -> bool {
+    let path = head.path.as_str();
+    let is_call = path.starts_with(SERVICE_PREFIX) && head.headers.get(TICKET_FIELD).is_some();
+    is_call || path.starts_with(TICKET_PREFIX)
+}
+
 enum Prepared {
     Exchange(Box<Exchange>),
     Ticketed(Box<TicketedRequest>),
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -475,6 +475,12 @@
         self
     }
 
+    /// The same answer with another run state.
+    pub fn with_run_state(mut self, state: RunState) -> Self {
+        self.body.error.run_state = state.to_compact_string();
+        self
+    }
+
     /// Value of the `Retry-After` field, in whole seconds.
     pub fn retry_after_s(&self) -> Option<u64> {
         self.retry_after_ms
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -504,6 +504,50 @@
     assert_eq!(own.status, 200, "{own:?}");
 }
 
+/// Guards against a host that is leaving or has no configuration and tells a
+/// caller `not_run` about a ticket whose call has run elsewhere.
+#[test]
+fn only_the_owner_says_not_run_about_a_ticket() {
+    let mut env = env();
+    let ticket = ticket(&env, "stred");
+    assert_eq!(confirm(&env.caller("stred"), &ticket, "ran").status, 200);
+    set_delay(&env, SLOW_CALL);
+    let second = ticket_of(&env.caller("zapad"));
+    let caller = env.caller("zapad");
+
+    // A call in progress keeps the leaving host up.
+    let (call, state) = thread::scope(|scope| {
+        scope.spawn(|| confirm(&caller, &second, "open"));
+        wait_for(SOON, "the call reaches a service", || calls_seen(&env) == 2);
+        env.host("zapad").signal(Signal::SIGTERM);
+        let leaves = || !env.host("zapad").is_ready();
+        wait_for(SOON, "the host leaves", leaves);
+        (
+            confirm(&caller, &ticket, "ran"),
+            ticket_state(&caller, &ticket),
+        )
+    });
+    let sever = env.host_mut("sever");
+    sever.kill();
+    env.testbed.set_platform_cut("sever", true);
+    for (left, right) in [("sever", "stred"), ("sever", "zapad")] {
+        env.testbed.set_cut_between(left, right, true);
+    }
+    env.host_mut("sever").start();
+    let starting = env.caller("sever");
+    let answers = || try_confirm(&starting, &ticket, "ran").is_some();
+    wait_for(SOON, "the host listens", answers);
+    let not_ready = confirm(&starting, &ticket, "ran");
+
+    for answer in [&call, &not_ready] {
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert_unknown(answer, &env);
+        assert!(has_retry_after(answer), "{answer:?}");
+    }
+    assert_ne!(state.json()["run_state"], "not_run");
+    assert_eq!(runs(&env, "ran"), 1);
+}
+
 /// What the clients of the random test learned about the tickets.
 #[derive(Debug, Default)]
 struct Learned {
