Give test processes loopback networks of their own

Two test processes whose ids are equal modulo 128 used the same loopback networks: the hosts of one could not listen, and its callers spoke to the hosts of the other. In one of 13 runs of tests/not_run.rs, four of them in parallel, four tests timed out while they waited for the right number of endpoints, which such a mix gives; the logs of that run were not kept, so the collision is inferred, not observed.

--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -12,13 +12,18 @@
     net::{
         IpAddr,
         Ipv4Addr,
-        SocketAddr, //
+        SocketAddr,
+        TcpListener, //
     },
+    ops::Range,
     path::PathBuf,
     process,
-    sync::atomic::{
-        AtomicU8,
-        Ordering, //
+    sync::{
+        Mutex,
+        atomic::{
+            AtomicU8,
+            Ordering, //
+        }, //
     },
     time::Duration, //
 };
@@ -34,6 +39,7 @@
         EngineOptions,
         EngineStandin, //
     },
+    listener::lock,
     model::ModelOptions,
     platform::PlatformStandin,
     service::{
@@ -105,7 +111,42 @@
 const ADMIN_PORT: u16 = 9400;
 const DRAIN_LIMIT_MS: Millis = Millis(20_000);
 
+/// Second octets of the loopback networks that processes share out.
+const NETWORKS: Range<u8> = 64..192;
+/// Port whose listener marks the networks of an octet as taken.
+const CLAIM_PORT: u16 = 7399;
+
 static NEXT_NETWORK: AtomicU8 = AtomicU8::new(0);
+static CLAIM: Mutex<Option<Claim>> = Mutex::new(None);
+
+/// Loopback networks of this process, until it ends.
+struct Claim {
+    octet: u8,
+    _listener: TcpListener,
+}
+
+/// Second octet of networks that no other process uses.
+///
+/// The process id does not do: with two ids that are equal modulo the number of
+/// octets, the hosts of one testbed could not listen and its callers spoke to
+/// the hosts of the other.
+fn claim_networks() -> io::Result<u8> {
+    let mut claim = lock(&CLAIM);
+    if let Some(claim) = claim.as_ref() {
+        return Ok(claim.octet);
+    }
+    let start = (process::id() % u32::from(NETWORKS.end - NETWORKS.start)) as usize;
+    for octet in NETWORKS.cycle().skip(start).take(NETWORKS.len()) {
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::new(127, octet, 255, 1), CLAIM_PORT)) {
+            *claim = Some(Claim {
+                octet,
+                _listener: listener,
+            });
+            return Ok(octet);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
 
 /// Why a testbed could not be set up.
 #[derive(Debug, Error)]
@@ -352,8 +393,7 @@
 
     fn add_seats(&mut self, options: &TestbedOptions) -> Result<(), TestbedError> {
         let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
-        // Processes that run side by side use networks of their own.
-        let process = 64 + (process::id() % 128) as u8;
+        let process = claim_networks()?;
         for (index, region) in options.regions.iter().enumerate() {
             for number in 1..=options.hosts_per_region {
                 let last = 10 * (index as u8 + 1) + number as u8;
