Let an installation weigh cost or latency

Cause: requests that another region would only finish earlier start there with a cold cache. Ruled out: a higher margin (away_margin_ms 1000 and 3000), which cost both more.

Settings now say what is weighed: with cost, a request leaves only if home cannot serve it in time.

--- a/src/announce.rs
+++ b/src/announce.rs
@@ -29,7 +29,7 @@
     in_force::InForceCell,
     peer::socket::{
         GossipSocket,
-        Say, //
+        LocalUpdate, //
     },
     poller::{
         self,
@@ -85,13 +85,13 @@
 
     fn announce(&self, sequence: u64, gossip: &GossipSocket, decider: &DeciderHandle) {
         let heartbeat = self.heartbeat(sequence);
-        gossip.say(Say::Heartbeat(heartbeat.clone()));
+        gossip.publish(LocalUpdate::Heartbeat(heartbeat.clone()));
         // The next heartbeat follows soon if the ring is full.
         let _ = decider.report(Event::Heartbeat(heartbeat));
         let now_ms = clock::now();
         let summary = decider.query(move |gateway| gateway.region_summary(now_ms));
         if let Ok(Some(summary)) = summary {
-            gossip.say(Say::Summary(summary));
+            gossip.publish(LocalUpdate::Summary(summary));
         }
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -17,7 +17,10 @@
 use thiserror::Error;
 
 use crate::{
-    decision::RegionLink,
+    decision::{
+        RegionLink,
+        policy::Weight, //
+    },
     ini_file::{
         self,
         IniError,
@@ -94,6 +97,8 @@
     pub max_connections: usize,
     /// Longest wait for requests in progress at shutdown.
     pub drain_limit_ms: Millis,
+    /// What the decisions weigh most.
+    pub weight: Weight,
     /// How log lines are written.
     pub log_format: LogFormat,
     /// Filter for log lines, as `tracing` reads it.
@@ -118,7 +123,7 @@
         file.reject_unknown_sections(|name| {
             matches!(
                 name,
-                "host" | "platform" | "keys" | "peers" | "limits" | "logs" | "metrics"
+                "host" | "platform" | "keys" | "peers" | "limits" | "policy" | "logs" | "metrics"
             ) || name.starts_with(LINK_SECTION_PREFIX)
         })?;
         let host = known_section(
@@ -138,6 +143,7 @@
         let keys = known_section(&file, "keys", &["cluster_key_file", "operator_key_file"])?;
         let peers = optional_section(&file, "peers", &["seeds"])?;
         let limits = optional_section(&file, "limits", &["max_connections", "drain_limit"])?;
+        let policy = optional_section(&file, "policy", &["weigh"])?;
         let logs = optional_section(&file, "logs", &["format", "filter"])?;
         let metrics = optional_section(&file, "metrics", &["statsd_address"])?;
 
@@ -160,6 +166,7 @@
             links: read_links(&file)?,
             max_connections: max_connections.unwrap_or(DEFAULT_MAX_CONNECTIONS),
             drain_limit_ms: drain_limit_ms.unwrap_or(DEFAULT_DRAIN_LIMIT_MS),
+            weight: file.optional(&policy, "weigh")?.unwrap_or_default(),
             log_format: log_format.unwrap_or(LogFormat::Text),
             log_filter: log_filter.unwrap_or_else(|| "info".into()),
             statsd_address: file.optional(&metrics, "statsd_address")?,
@@ -209,6 +216,7 @@
                     ("drain_limit", text(&self.drain_limit_ms)),
                 ],
             ),
+            ("policy", vec![("weigh", text(&self.weight))]),
             (
                 "logs",
                 vec![
--- a/src/decision/policy.rs
+++ b/src/decision/policy.rs
@@ -4,6 +4,11 @@
 //! be right relative to each other: the queue wait is learned from attempts
 //! that have ended, see [`Predictor`](super::predict::Predictor).
 
+use std::{
+    fmt,
+    str::FromStr, //
+};
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -12,6 +17,7 @@
 use crate::types::{
     CostMicros,
     Millis,
+    ParseError,
     Tokens, //
 };
 
@@ -40,6 +46,39 @@
     }
 }
 
+/// What an installation weighs most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Weight {
+    /// A request goes to another region only if home cannot serve it in time,
+    /// since it starts there with a cold cache.
+    Cost,
+    /// A request also goes to another region that finishes it earlier.
+    #[default]
+    Latency,
+}
+
+impl fmt::Display for Weight {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Cost => "cost",
+            Self::Latency => "latency",
+        })
+    }
+}
+
+impl FromStr for Weight {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text {
+            "cost" => Ok(Self::Cost),
+            "latency" => Ok(Self::Latency),
+            _ => Err(ParseError::new("weight", text, "cost or latency")),
+        }
+    }
+}
+
 /// Parameters of all decisions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -175,6 +214,20 @@
     pub entry_short_use_ms: Millis,
 }
 
+impl Policy {
+    /// The parameters for an installation.
+    pub fn new(weight: Weight) -> Self {
+        let policy = Self::default();
+        match weight {
+            Weight::Latency => policy,
+            Weight::Cost => Self {
+                away_cap_permille: 0,
+                ..policy
+            },
+        }
+    }
+}
+
 impl Default for Policy {
     fn default() -> Self {
         Self {
--- a/src/experiment/customer.rs
+++ b/src/experiment/customer.rs
@@ -5,6 +5,7 @@
 use clap::ValueEnum;
 
 use crate::{
+    decision::policy::Weight,
     standin::model::ModelOptions,
     types::{
         MbitPerSecond,
@@ -28,6 +29,16 @@
     Consorcio,
 }
 
+impl CustomerName {
+    /// What the customer weighs most.
+    pub fn weight(self) -> Weight {
+        match self {
+            Self::Drevoton => Weight::Cost,
+            Self::Consorcio => Weight::Latency,
+        }
+    }
+}
+
 /// One region of a customer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RegionPlan {
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -110,8 +110,9 @@
     }
 }
 
-fn changed_policy(changes: &[PolicyChange]) -> anyhow::Result<Policy> {
-    let mut fields = serde_json::to_value(Policy::default())?;
+/// The customer's policy with the changes of the command line.
+fn changed_policy(name: CustomerName, changes: &[PolicyChange]) -> anyhow::Result<Policy> {
+    let mut fields = serde_json::to_value(Policy::new(name.weight()))?;
     for change in changes {
         // A name that the policy does not have is reported by the next step.
         fields[&change.name] = change.value.clone();
@@ -162,9 +163,9 @@
         Choice::Both => &[CustomerName::Drevoton, CustomerName::Consorcio],
     };
     let length = Duration::from_secs(args.seconds);
-    let policy = changed_policy(&args.changes)?;
     let faults = (!args.without_faults).then(FaultPlan::default);
     for name in customers {
+        let policy = changed_policy(*name, &args.changes)?;
         if !args.json {
             write_header(*name, args, out)?;
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -64,7 +64,8 @@
             Event,
             Refusal,
             RefusalReason, //
-        }, //
+        },
+        policy::Policy, //
     },
     http::{
         connection::Connection,
@@ -85,13 +86,13 @@
         client::PeerClient,
         gossip::{
             GossipConfig,
-            News, //
+            GossipEvent, //
         },
         link::PeerIdentity,
         server::PeerServer,
         socket::{
             GossipSocket,
-            Say, //
+            LocalUpdate, //
         },
         wire::ClusterKey, //
     },
@@ -234,7 +235,8 @@
             region: config.region.clone(),
             links: config.links.clone(),
             seed: rand::rng().random(),
-        });
+        })
+        .with_policy(Policy::new(config.weight));
         let (decider, decider_thread) =
             decider::start(gateway, move |action| ask_ring.take(action));
         let peer_listener = listen(config.peer_address, "hosts")?;
@@ -519,7 +521,7 @@
 fn start_poller(gossip: &Arc<GossipSocket>) -> Result<Poller, StartError> {
     let gossip = Arc::clone(gossip);
     Poller::start(PollerConfig::new(), move |report| {
-        gossip.say(Say::Report(report));
+        gossip.publish(LocalUpdate::Report(report));
     })
     .map_err(|source| StartError::Thread {
         name: "poller",
@@ -591,17 +593,23 @@
     let gossip = GossipConfig::new(config.host.clone(), incarnation, config.region.clone())
         .with_seeds(config.seeds.clone());
     let decider = decider.clone();
-    let on_news = move |news| {
-        let event = match news {
-            News::Heartbeat(heartbeat) => Event::Heartbeat(heartbeat),
-            News::Report(report) => Event::Report(report),
-            News::Summary(summary) => Event::Summary(summary),
-            News::HigherRevision(source) => return sources.note(source),
+    let on_event = move |event| {
+        let event = match event {
+            GossipEvent::Heartbeat(heartbeat) => Event::Heartbeat(heartbeat),
+            GossipEvent::Report(report) => Event::Report(report),
+            GossipEvent::Summary(summary) => Event::Summary(summary),
+            GossipEvent::HigherRevision(source) => return sources.note(source),
         };
-        // News comes again, so a full ring may drop it.
+        // GossipEvent comes again, so a full ring may drop it.
         let _ = decider.report(event);
     };
-    GossipSocket::start(socket, gossip, &ClusterKey::new(&keys.cluster_key), on_news).map_err(fail)
+    GossipSocket::start(
+        socket,
+        gossip,
+        &ClusterKey::new(&keys.cluster_key),
+        on_event,
+    )
+    .map_err(fail)
 }
 
 fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, StartError> {
--- a/src/sample.rs
+++ b/src/sample.rs
@@ -93,7 +93,7 @@
     fn sample_peers(&mut self, metrics: &Metrics) {
         let gossip = self.gossip.counts();
         let socket = self.gossip.socket_counts();
-        let dropped = socket.dropped_says + socket.dropped_datagrams + socket.failed_sends;
+        let dropped = socket.dropped_updates + socket.dropped_datagrams + socket.failed_sends;
         let server = self.peer_server.counts();
         self.gossip_sent
             .count(metrics, Metric::GossipSent, gossip.sent_bytes);
--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -55,6 +55,7 @@
     config::Config,
     decision::{
         RegionLink,
+        policy::Weight,
         view::EndpointInfo, //
     },
     host::HostKeys,
@@ -443,6 +444,7 @@
             links,
             max_connections: 256,
             drain_limit_ms: DRAIN_LIMIT_MS,
+            weight: Weight::Latency,
             log_format: LogFormat::Text,
             log_filter: "info".into(),
             statsd_address: None,
