--- a/src/host.rs
+++ b/src/host.rs
@@ -264,6 +264,7 @@
             decider.clone(),
             in_force.clone(),
             Arc::clone(&gossip),
+            peers.clone(),
             Arc::clone(&peer_server),
             Arc::clone(&poller),
         );
@@ -480,7 +481,15 @@
         let kv = KeyValue::new(self.config.platform_address);
         let configuration = self.configuration();
         let (decider, stop) = (self.decider.clone(), self.stop.clone());
-        self.spawn("list", move || watch::follow_list(&list, &decider, &stop))?;
+        let gossip = Arc::clone(&self.gossip);
+        let own_address = self.config.peer_address_for_others();
+        self.spawn("list", move || {
+            let on_hosts = |mut addresses: Vec<SocketAddr>| {
+                addresses.retain(|address| *address != own_address);
+                gossip.publish(LocalUpdate::Seeds(addresses));
+            };
+            watch::follow_list(&list, &decider, on_hosts, &stop);
+        })?;
 
         let (watch_kv, stop) = (kv.clone(), self.stop.clone());
         let decider = self.decider.clone();
--- a/src/sample.rs
+++ b/src/sample.rs
@@ -11,6 +11,7 @@
         Metrics, //
     },
     peer::{
+        client::PeerClient,
         server::PeerServer,
         socket::GossipSocket, //
     },
@@ -36,6 +37,7 @@
     decider: DeciderHandle,
     in_force: InForceCell,
     gossip: Arc<GossipSocket>,
+    peers: PeerClient,
     peer_server: Arc<PeerServer>,
     poller: Arc<Poller>,
     gossip_sent: Total,
@@ -57,6 +59,7 @@
         decider: DeciderHandle,
         in_force: InForceCell,
         gossip: Arc<GossipSocket>,
+        peers: PeerClient,
         peer_server: Arc<PeerServer>,
         poller: Arc<Poller>,
     ) -> Self {
@@ -64,6 +67,7 @@
             decider,
             in_force,
             gossip,
+            peers,
             peer_server,
             poller,
             gossip_sent: Total::default(),
@@ -80,8 +84,9 @@
         }
     }
 
-    /// Records what has changed.
+    /// Records what has changed, and closes connections that nobody uses.
     pub fn sample(&mut self, metrics: &Metrics) {
+        self.peers.close_idle();
         self.sample_peers(metrics);
         self.sample_decisions(metrics);
         let failures = self.poller.counts().failures;
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -1,6 +1,7 @@
 //! Threads that follow the platform's list and the configuration.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{
@@ -73,15 +74,20 @@
     }
 }
 
-/// Follows the list of endpoints and hosts until stopped.
-pub fn follow_list(list: &ServiceList, decider: &DeciderHandle, stop: &StopFlag) {
+/// Follows the list of endpoints and hosts until stopped; `on_hosts` takes the
+/// addresses of the hosts in it.
+pub fn follow_list<F>(list: &ServiceList, decider: &DeciderHandle, on_hosts: F, stop: &StopFlag)
+where
+    F: Fn(Vec<SocketAddr>),
+{
     let mut index = Index::default();
     while !stop.is_set() {
         match read_list(list, index) {
-            Ok((next, event)) => {
-                index = next;
+            Ok(list) => {
+                index = list.index;
+                on_hosts(list.host_addresses);
                 // The next read brings the list again if the ring is full.
-                if decider.report(event).is_err() {
+                if decider.report(list.event).is_err() {
                     index = Index::default();
                 }
             }
@@ -93,14 +99,27 @@
     }
 }
 
-fn read_list(list: &ServiceList, index: Index) -> Result<(Index, Event), PlatformError> {
+/// What one read of the list has brought.
+struct ListRead {
+    index: Index,
+    host_addresses: Vec<SocketAddr>,
+    event: Event,
+}
+
+fn read_list(list: &ServiceList, index: Index) -> Result<ListRead, PlatformError> {
     let endpoints = list.list_endpoints(index, BLOCKING_WAIT)?;
     let hosts = list.list_hosts(Index::default(), Duration::ZERO)?;
+    let addresses = hosts.entries.iter().map(|host| host.peer_address);
+    let host_addresses = addresses.collect();
     let event = Event::Listed {
         endpoints: endpoints.entries,
         hosts: hosts.entries,
     };
-    Ok((endpoints.index, event))
+    Ok(ListRead {
+        index: endpoints.index,
+        host_addresses,
+        event,
+    })
 }
 
 /// Whether this host is one of the few of its region that wait for changes.
