--- a/src/admin.rs
+++ b/src/admin.rs
@@ -24,9 +24,7 @@
     thread,
     time::{
         Duration,
-        Instant,
-        SystemTime,
-        UNIX_EPOCH, //
+        Instant, //
     }, //
 };
 
@@ -60,6 +58,7 @@
 
 use crate::{
     burn::BurnReport,
+    clock,
     intent::{
         Change,
         ChangeId,
@@ -518,7 +517,7 @@
         })?;
         let in_force = (self.in_force)().revision;
         let acceptor = Acceptor::new(self.kv.clone()).with_rules(self.rules.clone());
-        let accepted = acceptor.accept(&plan, in_force, unix_now())?;
+        let accepted = acceptor.accept(&plan, in_force, clock::now())?;
         tracing::info!(change = %plan.id, revision = %accepted.revision, "change accepted");
         (self.accepted)(accepted.revision);
         thread::spawn(move || {
@@ -624,12 +623,6 @@
         .unwrap_or_else(|_| Response::new(Body::empty()))
 }
 
-/// The time of day.
-pub(crate) fn unix_now() -> Millis {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    millis(elapsed.unwrap_or_default())
-}
-
 fn millis(duration: Duration) -> Millis {
     Millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -20,14 +20,12 @@
 use serde::Serialize;
 
 use crate::{
-    admin::{
-        HistoryText,
-        unix_now, //
-    },
+    admin::HistoryText,
     admin_client::{
         AdminClient,
         AdminClientError, //
     },
+    clock,
     intent_file,
     plan::Plan, //
 };
@@ -189,7 +187,7 @@
         }
         IntentCommand::History { admin } => {
             let changes = admin.client()?.history()?;
-            admin.print(&changes, &HistoryText::new(&changes, unix_now()))
+            admin.print(&changes, &HistoryText::new(&changes, clock::now()))
         }
     }
 }
--- a/src/peer/socket.rs
+++ b/src/peer/socket.rs
@@ -25,11 +25,7 @@
         self,
         JoinHandle, //
     },
-    time::{
-        Duration,
-        SystemTime,
-        UNIX_EPOCH, //
-    }, //
+    time::Duration, //
 };
 
 use crossbeam::channel::{
@@ -54,12 +50,12 @@
     }, //
 };
 use crate::{
+    clock,
     decision::view::{
         EndpointReport,
         Heartbeat,
         RegionSummary, //
     },
-    types::Millis, //
 };
 
 /// Datagrams and facts that wait to be sent; the oldest is dropped when full.
@@ -67,12 +63,6 @@
 /// Longest wait of either thread before it looks at the stop signal.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
-/// The clock of gossip: milliseconds since the Unix epoch.
-pub fn wall_clock_ms() -> Millis {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    Millis(since_epoch.map_or(0, |passed| passed.as_millis() as u64))
-}
-
 /// A fact that this host is the source of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LocalUpdate {
@@ -271,7 +261,7 @@
 {
     let mut events = Vec::new();
     let mut out = Vec::new();
-    let now_ms = wall_clock_ms();
+    let now_ms = clock::now();
     let result = shared
         .gossip()
         .receive(now_ms, from, bytes, &mut events, &mut out);
@@ -290,7 +280,7 @@
 {
     while !shared.is_stopping() {
         let mut out = Vec::new();
-        shared.gossip().poll(wall_clock_ms(), &mut out);
+        shared.gossip().poll(clock::now(), &mut out);
         for datagram in &out {
             send(shared, datagram);
         }
@@ -301,7 +291,7 @@
         apply_update(shared, update, on_event);
     }
     let mut out = Vec::new();
-    shared.gossip().poll(wall_clock_ms(), &mut out);
+    shared.gossip().poll(clock::now(), &mut out);
     out.iter().for_each(|datagram| send(shared, datagram));
 }
 
@@ -311,7 +301,7 @@
     F: Fn(GossipEvent),
 {
     let next_ms = shared.gossip().next_round_ms();
-    let wait_ms = (next_ms - wall_clock_ms()).0;
+    let wait_ms = (next_ms - clock::now()).0;
     let timeout = Duration::from_millis(wait_ms).min(MAX_WAIT);
     let received = crossbeam::channel::select! {
         recv(shared.replies.receiver) -> reply => reply.map(|reply| send(shared, &reply)).ok(),
@@ -335,7 +325,7 @@
 where
     F: Fn(GossipEvent),
 {
-    let now_ms = wall_clock_ms();
+    let now_ms = clock::now();
     let mut events = Vec::new();
     {
         let mut gossip = shared.gossip();
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -34,6 +34,7 @@
 use thiserror::Error;
 
 use crate::{
+    clock,
     decision::view::{
         EndpointInfo,
         EndpointReport, //
@@ -48,10 +49,7 @@
             MessageError, //
         }, //
     },
-    peer::{
-        rendezvous_rank,
-        socket::wall_clock_ms, //
-    },
+    peer::rendezvous_rank,
     types::{
         EndpointId,
         HostId,
@@ -258,7 +256,7 @@
         Ok(load) => Ok(EndpointReport {
             endpoint: info.id.clone(),
             incarnation: load.incarnation,
-            measured_ms: wall_clock_ms(),
+            measured_ms: clock::now(),
             running: load.running,
             waiting: load.waiting,
             cache_permille: load.cache_permille,
@@ -267,7 +265,7 @@
         Err(error) => {
             let known = known.filter(|_| is_leaving).ok_or(error)?;
             Ok(EndpointReport {
-                measured_ms: wall_clock_ms(),
+                measured_ms: clock::now(),
                 is_leaving,
                 ..known.clone()
             })
