--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -24,6 +24,7 @@
 };
 
 use cardamombridge::{
+    admin::Status,
     admin_client::AdminClient,
     http::{
         client::{
@@ -205,16 +206,29 @@
     /// A host is ready before that; without it, a leaving host may have no
     /// successor and a request may find no endpoint.
     pub fn wait_settled(&self) {
+        self.wait_live(self.testbed.engines.len() + self.testbed.services.len());
+    }
+
+    /// Does the same when the list shows `endpoints` endpoints.
+    pub fn wait_live(&self, endpoints: usize) {
+        let deadline = Instant::now() + READY_TIMEOUT;
         for host in &self.hosts {
-            wait_for(READY_TIMEOUT, "the hosts know each other", || {
-                self.is_settled(host)
-            });
+            while !self.is_settled(host, endpoints) {
+                let is_late = Instant::now() >= deadline;
+                let status = self.status(host);
+                assert!(!is_late, "not settled: {status:?}\n{}", self.logs());
+                thread::sleep(POLL);
+            }
         }
     }
 
-    fn is_settled(&self, host: &HostProcess) -> bool {
+    fn status(&self, host: &HostProcess) -> Option<Status> {
         let client = AdminClient::new(host.admin_address, testbed::OPERATOR_KEY.into());
-        let Ok(status) = client.status() else {
+        client.status().ok()
+    }
+
+    fn is_settled(&self, host: &HostProcess, endpoints: usize) -> bool {
+        let Some(status) = self.status(host) else {
             return false;
         };
         let own_region = self.hosts.iter().filter(|own| own.region == host.region);
@@ -229,8 +243,7 @@
             .iter()
             .all(|region| region.lowest_revision.is_some());
         let live: u32 = status.targets.iter().map(|target| target.live).sum();
-        let listed = self.testbed.engines.len() + self.testbed.services.len();
-        knows_hosts && knows_regions && live as usize == listed
+        knows_hosts && knows_regions && live as usize == endpoints
     }
 
     /// The first host of a region.
