Take the endpoint list from a neighbour while the platform is away

Cause: a host read the list of endpoints from the platform only. One that restarted while its region was cut off became ready through a neighbour, but knew no endpoint, so it refused every request with 503 although its neighbour served.

Ruled out: the configuration, which it had from its neighbour; gossip of load reports, which does arrive but names endpoints without addresses; the cut links, since both hosts of the region reach each other.

Before: 503 from the restarted host 3.5 s after it was ready.

Conclusion: as long as a host has read no list, each failed read asks the ready hosts of its region for theirs, with what they know of leaving endpoints.

--- a/src/host.rs
+++ b/src/host.rs
@@ -455,7 +455,10 @@
         let kv = KeyValue::new(self.config.platform_address);
         let configuration = self.configuration();
         let (decider, stop) = (self.decider.clone(), self.stop.clone());
-        self.spawn("list", move || watch::follow_list(&list, &decider, &stop))?;
+        let peers = self.peers.clone();
+        self.spawn("list", move || {
+            watch::follow_list(&list, &decider, &peers, &stop);
+        })?;
 
         let (watch_kv, stop) = (kv.clone(), self.stop.clone());
         self.spawn("configuration", move || {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod operator;
 pub mod outcome;
 pub mod peer;
+pub mod peer_list;
 pub mod peer_requests;
 pub mod plan;
 pub mod platform;
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -166,6 +166,10 @@
     BurnReport,
     /// Final answer: done.
     Ack,
+    /// Request: the endpoint list as the receiver knows it.
+    Endpoints,
+    /// Final answer: an endpoint list, beside the frame.
+    EndpointList,
 }
 
 impl Frame {
@@ -198,6 +202,7 @@
                 | Self::ChangesSince { .. }
                 | Self::Burn
                 | Self::Ping
+                | Self::Endpoints
         )
     }
 
@@ -212,6 +217,7 @@
                 | Self::TicketStatus
                 | Self::BurnReport
                 | Self::Ack
+                | Self::EndpointList
         )
     }
 }
--- a/src/peer_requests.rs
+++ b/src/peer_requests.rs
@@ -40,6 +40,7 @@
         link::LinkError,
         server::ServerExchange, //
     },
+    peer_list,
     relay::{
         self,
         Exchange,
@@ -93,6 +94,7 @@
             ticket_request(context, exchange, &ticket, &caller, TicketRequest::Void)
         }
         Frame::TicketHandover { .. } => handover(context, exchange),
+        Frame::Endpoints => endpoints(context, exchange),
         _ => Err(LinkError::Unexpected("the request is not supported")),
     }
 }
@@ -107,6 +109,13 @@
     exchange.finish(&Frame::Changes, &bytes, answer_deadline())
 }
 
+fn endpoints(context: &PeerContext, exchange: &mut ServerExchange<'_>) -> Result<(), LinkError> {
+    let known = context.relay.decider.query(peer_list::known_endpoints);
+    let known = known.map_err(|_| LinkError::Unexpected("the event ring is full"))?;
+    let bytes = postcard::to_allocvec(&known).map_err(|_| LinkError::Malformed)?;
+    exchange.finish(&Frame::EndpointList, &bytes, answer_deadline())
+}
+
 /// Serves a request that another host accepted; it goes no further than here.
 fn forwarded(
     context: &PeerContext,
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -21,6 +21,8 @@
     decider::DeciderHandle,
     decision::event::Event,
     in_force::InForceCell,
+    peer::client::PeerClient,
+    peer_list,
     platform::{
         Index,
         KeyValue,
@@ -65,7 +67,15 @@
 }
 
 /// Follows the list of endpoints and hosts until stopped.
-pub fn follow_list(list: &ServiceList, decider: &DeciderHandle, stop: &StopFlag) {
+///
+/// A host that has read none yet takes the endpoints that a neighbour knows while
+/// the platform cannot be reached.
+pub fn follow_list(
+    list: &ServiceList,
+    decider: &DeciderHandle,
+    peers: &PeerClient,
+    stop: &StopFlag,
+) {
     let mut index = Index::default();
     while !stop.is_set() {
         match read_list(list, index) {
@@ -78,12 +88,31 @@
             }
             Err(error) => {
                 tracing::warn!(%error, "could not read the list");
+                if peer_list::is_needed(decider) {
+                    take_list_of_peer(decider, peers);
+                }
                 pause_after_failure();
             }
         }
     }
 }
 
+fn take_list_of_peer(decider: &DeciderHandle, peers: &PeerClient) {
+    let endpoints = match peer_list::fetch(decider, peers) {
+        Ok(endpoints) => endpoints,
+        Err(error) => {
+            tracing::debug!(%error, "could not read the list of another host");
+            return;
+        }
+    };
+    let event = Event::Listed {
+        endpoints,
+        hosts: Vec::new(),
+    };
+    // The next failure of the platform brings the list again if the ring is full.
+    let _ = decider.report(event);
+}
+
 fn read_list(list: &ServiceList, index: Index) -> Result<(Index, Event), PlatformError> {
     let endpoints = list.list_endpoints(index, BLOCKING_WAIT)?;
     let hosts = list.list_hosts(Index::default(), Duration::ZERO)?;
