--- a/src/host.rs
+++ b/src/host.rs
@@ -143,6 +143,7 @@
     watch::{
         self,
         Configuration,
+        ListFollower,
         StopFlag, //
     }, //
 };
@@ -481,6 +482,7 @@
         let kv = KeyValue::new(self.config.platform_address);
         let configuration = self.configuration();
         let (decider, stop) = (self.decider.clone(), self.stop.clone());
+        let peers = self.peers.clone();
         let gossip = Arc::clone(&self.gossip);
         let own_address = self.config.peer_address_for_others();
         self.spawn("list", move || {
@@ -488,7 +490,12 @@
                 addresses.retain(|address| *address != own_address);
                 gossip.publish(LocalUpdate::Seeds(addresses));
             };
-            watch::follow_list(&list, &decider, on_hosts, &stop);
+            let follower = ListFollower {
+                list,
+                decider,
+                peers,
+            };
+            follower.follow(on_hosts, &stop);
         })?;
 
         let (watch_kv, stop) = (kv.clone(), self.stop.clone());
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -358,11 +358,15 @@
         service: Option<&ServiceId>,
         request: TicketRequest,
     ) -> PlainAnswer {
-        let ticket = match self.open(text, from, service) {
-            Ok(ticket) => ticket,
-            Err(error) => return PlainAnswer::from_error(&unusable(error)),
+        let ticket = match (self.open(text, from, service), service) {
+            (Ok(ticket), _) => ticket,
+            // Nothing ever ran under a key that is no ticket.
+            (Err(TicketError::Malformed), Some(service)) => {
+                return self.ticket_required(from, service);
+            }
+            (Err(error), _) => return PlainAnswer::from_error(&unusable(error)),
         };
-        match self.route(&ticket, from) {
+        match self.route(&ticket, from, false) {
             Ok(Route::Local) => self.serve_here(&ticket, request),
             Ok(Route::Forward(owner)) => self.forward(text, &owner, from, request),
             Ok(Route::Refused(refusal)) => PlainAnswer::from_refusal(&refusal),
@@ -377,9 +381,16 @@
         from: &TicketCaller,
         request: TicketRequest,
     ) -> PlainAnswer {
-        match self.open(text, from, None) {
-            Ok(ticket) => self.serve_here(&ticket, request),
-            Err(error) => PlainAnswer::from_error(&unusable(error)),
+        let ticket = match self.open(text, from, None) {
+            Ok(ticket) => ticket,
+            Err(error) => return PlainAnswer::from_error(&unusable(error)),
+        };
+        match self.route(&ticket, from, true) {
+            Ok(Route::Local) => self.serve_here(&ticket, request),
+            Ok(Route::Refused(refusal)) => PlainAnswer::from_refusal(&refusal),
+            Ok(Route::Forward(_)) | Err(RingFull) => {
+                PlainAnswer::from_refusal(&TicketRefusal::unreachable())
+            }
         }
     }
 
@@ -398,7 +409,12 @@
         self.signer.open(text, &presented)
     }
 
-    fn route(&self, ticket: &Ticket, from: &TicketCaller) -> Result<Route, RingFull> {
+    fn route(
+        &self,
+        ticket: &Ticket,
+        from: &TicketCaller,
+        is_forwarded: bool,
+    ) -> Result<Route, RingFull> {
         let asked = ticket.clone();
         let is_held_here = self.table.run(move |table, _| table.holds(&asked))?;
         let now_ms = clock::now();
@@ -420,7 +436,7 @@
             me: &self.me,
             started_ms: self.started_ms,
             is_held_here,
-            is_forwarded: false,
+            is_forwarded,
             holder: &holder,
             sighting: sighting.as_ref(),
             allowed: &from.allowed,
@@ -675,12 +691,11 @@
     PlainAnswer::json(200, &json!({"state": state.word(), "run_state": run_state}))
 }
 
-/// A ticket that cannot be used says nothing about whether its call ran.
 fn unusable(error: TicketError) -> ErrorAnswer {
     ErrorAnswer::new(
         error.status(),
         "ticket_not_accepted",
         &error.to_string(),
-        RunState::Unknown,
+        error.run_state(Unsent::new()),
     )
 }
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -26,7 +26,11 @@
         event::Event, //
     },
     in_force::InForceCell,
-    peer::rendezvous_rank,
+    peer::{
+        client::PeerClient,
+        rendezvous_rank, //
+    },
+    peer_list,
     platform::{
         Index,
         KeyValue,
@@ -74,28 +78,62 @@
     }
 }
 
-/// Follows the list of endpoints and hosts until stopped; `on_hosts` takes the
-/// addresses of the hosts in it.
-pub fn follow_list<F>(list: &ServiceList, decider: &DeciderHandle, on_hosts: F, stop: &StopFlag)
-where
-    F: Fn(Vec<SocketAddr>),
-{
-    let mut index = Index::default();
-    while !stop.is_set() {
-        match read_list(list, index) {
-            Ok(list) => {
-                index = list.index;
-                on_hosts(list.host_addresses);
-                // The next read brings the list again if the ring is full.
-                if decider.report(list.event).is_err() {
-                    index = Index::default();
+/// Follows the platform's list of endpoints and hosts.
+pub struct ListFollower {
+    /// The list.
+    pub list: ServiceList,
+    /// Leads to the decisions.
+    pub decider: DeciderHandle,
+    /// Asks neighbours while the platform is away.
+    pub peers: PeerClient,
+}
+
+impl ListFollower {
+    /// Follows until stopped; `on_hosts` takes the addresses of the hosts.
+    ///
+    /// A host that has read no list yet takes the endpoints that a neighbour
+    /// knows while the platform cannot be reached.
+    pub fn follow<F>(&self, on_hosts: F, stop: &StopFlag)
+    where
+        F: Fn(Vec<SocketAddr>),
+    {
+        let mut index = Index::default();
+        while !stop.is_set() {
+            match read_list(&self.list, index) {
+                Ok(read) => {
+                    index = read.index;
+                    on_hosts(read.host_addresses);
+                    // The next read brings the list again if the ring is full.
+                    if self.decider.report(read.event).is_err() {
+                        index = Index::default();
+                    }
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "could not read the list");
+                    if peer_list::is_needed(&self.decider) {
+                        self.take_list_of_peer();
+                    }
+                    pause_after_failure();
                 }
             }
+        }
+    }
+
+    fn take_list_of_peer(&self) {
+        let endpoints = match peer_list::fetch(&self.decider, &self.peers) {
+            Ok(endpoints) => endpoints,
             Err(error) => {
-                tracing::warn!(%error, "could not read the list");
-                pause_after_failure();
+                tracing::debug!(%error, "could not read the list of another host");
+                return;
             }
-        }
+        };
+        let event = Event::Listed {
+            endpoints,
+            hosts: Vec::new(),
+        };
+        // The next failure of the platform brings the list again if the ring is
+        // full.
+        let _ = self.decider.report(event);
     }
 }
 
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -172,6 +172,7 @@
             target: target.clone(),
             version: version.into(),
             slots: 8,
+            can_continue: true,
             is_leaving: false,
         };
         let listed = env.testbed.list().register_endpoint(&info);
