Let a request wait for the endpoint that has its prompt cached

Cause: in a full region a waiting request took whichever slot became free first, prefilled its whole prompt there and evicted other prefixes, and the lost time kept the region full.

--- a/src/decision/endpoint.rs
+++ b/src/decision/endpoint.rs
@@ -48,6 +48,8 @@
     pub needs_continuation: bool,
     /// Endpoints that have already failed it.
     pub tried: &'a [EndpointId],
+    /// Whether it may wait for an endpoint that has its prefix cached.
+    pub may_wait: bool,
 }
 
 /// An endpoint that could serve a request.
@@ -210,6 +212,9 @@
     R: Rng,
 {
     let open: Vec<&Candidate> = candidates.iter().filter(|one| !one.is_full()).collect();
+    if demand.may_wait && is_worth_waiting(candidates, &open, policy) {
+        return None;
+    }
     let near = near_equals(&open, policy);
     if let Some(home) = affine(&open, &near, demand, policy) {
         return Some(home);
@@ -217,6 +222,17 @@
     less_loaded_of_two(&near, rng)
 }
 
+/// Whether a full endpoint has much more of the prompt cached than all others.
+///
+/// In a full region every slot that becomes free is somewhere else. Taking the
+/// first one would prefill the whole prompt again and evict other prefixes, and
+/// the lost time keeps the region full.
+fn is_worth_waiting(candidates: &[Candidate], open: &[&Candidate], policy: &Policy) -> bool {
+    let most = candidates.iter().map(|one| one.cached_blocks).max();
+    let most_open = open.iter().map(|one| one.cached_blocks).max();
+    most.unwrap_or(0) >= most_open.unwrap_or(0) + policy.affinity_wait_blocks
+}
+
 fn near_equals<'a>(open: &[&'a Candidate], policy: &Policy) -> Vec<&'a Candidate> {
     let finishes = open.iter().map(|one| one.prediction.finish_ms());
     let best = finishes.fold(f64::INFINITY, f64::min);
--- a/src/decision/place.rs
+++ b/src/decision/place.rs
@@ -52,21 +52,31 @@
     ) {
         let ahead = self.ahead(&open);
         match self.decide(now_ms, &open, ahead) {
-            Decision::Wait => self.wait(request, open),
+            Decision::Wait => {
+                let target = open.arrival.target.clone();
+                self.wait(request, open);
+                // Those ahead may wait for an endpoint that this one does not
+                // need.
+                self.release(now_ms, &target, actions);
+            }
             decision => self.carry_out(now_ms, request, open, decision, actions),
         }
     }
 
-    /// Sends waiting requests of a target while endpoints have room.
+    /// Sends the first waiting requests of a target that find room.
+    ///
+    /// One that waits for an endpoint with its prefix does not hold up those
+    /// behind it.
     pub(super) fn release(&mut self, now_ms: Millis, target: &Target, actions: &mut Vec<Action>) {
-        while let Some(request) = self.queue.first(target) {
+        let waiting = self.queue.in_order(target);
+        for request in waiting.into_iter().take(self.known.policy.release_scan) {
             let Some(open) = self.open.remove(&request) else {
-                return;
+                continue;
             };
             let decision = self.decide(now_ms, &open, 0);
             if let Decision::Wait = decision {
                 self.open.insert(request, open);
-                return;
+                continue;
             }
             self.queue.remove(target, open.arrival.tier, request);
             self.carry_out(now_ms, request, open, decision, actions);
@@ -92,7 +102,7 @@
         let Some(version) = self.known.version(&open.arrival.target) else {
             return Decision::Refuse(Refusal::new(RefusalReason::UnknownTarget));
         };
-        let demand = open.demand(version.as_deref());
+        let demand = open.demand(now_ms, version.as_deref(), &self.known.policy);
         let candidates = endpoint::candidates(&self.known.context(now_ms), &demand);
         if let Some((region, host)) = self.choose_away(now_ms, open, &candidates, ahead) {
             return Decision::Forward(region, host);
--- a/src/decision/policy.rs
+++ b/src/decision/policy.rs
@@ -105,6 +105,10 @@
     /// Leading blocks that decide the endpoint of a prompt nobody has cached.
     /// Turns of a conversation share these; deeper blocks differ by turn.
     pub affinity_blocks: usize,
+    /// Longest wait for a full endpoint that has the prompt cached.
+    pub affinity_wait_ms: Millis,
+    /// Cached blocks that it must have beyond all endpoints with room.
+    pub affinity_wait_blocks: usize,
 
     /// Age at which a load report has lost all weight.
     pub report_max_age_ms: Millis,
@@ -165,6 +169,8 @@
     /// Bytes between regions for each token of an answer: one server-sent event.
     pub answer_bytes_per_token: u32,
 
+    /// Waiting requests that are tried when an endpoint may have room.
+    pub release_scan: usize,
     /// Most requests that wait at this host.
     pub max_queue_len: usize,
     /// Longest predicted wait with which a request is queued.
@@ -222,6 +228,7 @@
             Weight::Latency => policy,
             Weight::Cost => Self {
                 away_cap_permille: 0,
+                affinity_slack: 4,
                 ..policy
             },
         }
@@ -241,6 +248,8 @@
             prefix_block: Tokens(256),
             prefix_memory: 512,
             affinity_blocks: 2,
+            affinity_wait_ms: Millis(3_000),
+            affinity_wait_blocks: 4,
             report_max_age_ms: Millis(5_000),
             peer_send_permille: 150,
             near_equal_permille: 100,
@@ -264,6 +273,7 @@
             ramp_ms: Millis(60_000),
             ramp_start_permille: 100,
             answer_bytes_per_token: 200,
+            release_scan: 16,
             max_queue_len: 1_024,
             max_queue_wait_ms: Millis(30_000),
             retry_after_ms: Millis(1_000),
--- a/src/decision/request.rs
+++ b/src/decision/request.rs
@@ -11,6 +11,7 @@
         AttemptOutcome,
         Origin, //
     },
+    policy::Policy,
     predict::Work,
     region::Trip,
     residency::AllowedRegions, //
@@ -151,7 +152,12 @@
     }
 
     /// What it asks of an endpoint.
-    pub fn demand<'a>(&'a self, version: Option<&'a str>) -> Demand<'a> {
+    pub fn demand<'a>(
+        &'a self,
+        now_ms: Millis,
+        version: Option<&'a str>,
+        policy: &Policy,
+    ) -> Demand<'a> {
         Demand {
             target: &self.arrival.target,
             version,
@@ -159,9 +165,21 @@
             prefix_hashes: &self.arrival.prefix_hashes,
             needs_continuation: self.arrival.needs_continuation,
             tried: &self.tried,
+            may_wait: self.may_wait(now_ms, policy),
         }
     }
 
+    /// Whether it may wait for an endpoint that has its prefix cached.
+    ///
+    /// A first attempt has been sent nowhere since it arrived. A caller whose
+    /// answer broke, or whose deadline is near, should not wait again.
+    fn may_wait(&self, now_ms: Millis, policy: &Policy) -> bool {
+        let limit_ms = policy.affinity_wait_ms;
+        let has_time = self.left_ms(now_ms) > limit_ms + limit_ms;
+        let is_first = self.attempt == Attempt(0) && !self.arrival.needs_continuation;
+        is_first && now_ms - self.sent_ms < limit_ms && has_time
+    }
+
     /// What it asks of another region.
     pub fn trip(&self, now_ms: Millis) -> Trip<'_> {
         Trip {
