Keep newcomers from being stuck when a whole region starts

Cause: hosts that all start with one seed charged its budget with their greetings, so it stopped replying, and a newcomer waited up to 8 s before it asked again. One of 24 hosts with 20% loss knew nobody after 10 s, and hosts that knew nobody could not hear that an endpoint leaves.

Ruled out: a shorter retry alone, which kept the seed over its budget and left hosts alone for 18 s.

After: a seed over its budget names three other hosts in a short reply, a host that is alone asks every 2 s, and what is leaving goes out in three rounds.

--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -124,6 +124,11 @@
 /// First and longest time between contacts of a silent seed.
 const SEED_RETRY_MS: Millis = Millis(500);
 const MAX_SEED_RETRY_MS: Millis = Millis(8_000);
+/// The same for a host that knows no other host of its region. Without it, a
+/// host that lost four exchanges in a row stayed alone for 16 s.
+const MAX_ALONE_RETRY_MS: Millis = Millis(2_000);
+/// Hosts named to a newcomer while this host is over its budget.
+const SHORT_GREETING_HOSTS: usize = 3;
 /// A seed silent for this long is contacted again by delegates.
 const SEED_SILENT_MS: Millis = Millis(30_000);
 /// Time between two contacts of silent hosts by all hosts of a region, and by
@@ -138,6 +143,9 @@
 const BODY_PREFIX_BYTES: usize = 20;
 /// Hosts that are told at once that something is leaving; each tells as many.
 const LEAVING_FANOUT: usize = 5;
+/// Rounds in which a host passes on that something is leaving. One round left
+/// some of 66 hosts out when a region started as a whole and lost 10%.
+const LEAVING_ROUNDS: u8 = 3;
 /// Hosts of the region that are told at once of a higher revision; each tells as
 /// many. Delegates tell as many other regions.
 const REVISION_FANOUT: usize = 2;
@@ -247,6 +255,11 @@
         self.available = (self.available - bytes).max(-3 * self.bytes_per_s);
     }
 
+    /// Short replies may run up the whole debt but for a rest.
+    fn allows_short_reply(&self) -> bool {
+        self.available > -5 * self.bytes_per_s / 2
+    }
+
     fn has_credit(&self) -> bool {
         self.available > 0
     }
@@ -380,7 +393,8 @@
     budget: Budget,
     seeds: Vec<SeedState>,
     rng: Pcg64Mcg,
-    urgent: BTreeSet<Fact>,
+    /// What is leaving, with the rounds in which it still goes ahead.
+    urgent: BTreeMap<Fact, u8>,
     is_revision_urgent: bool,
     next_round_ms: Millis,
     last_round_ms: Millis,
@@ -401,7 +415,7 @@
             budget: Budget::new(config.budget_bytes_per_s),
             seeds: config.seeds.iter().copied().map(SeedState::new).collect(),
             rng: Pcg64Mcg::seed_from_u64(config.seed),
-            urgent: BTreeSet::new(),
+            urgent: BTreeMap::new(),
             is_revision_urgent: false,
             next_round_ms: Millis(0),
             last_round_ms: Millis(0),
@@ -458,7 +472,8 @@
             .store
             .apply_heartbeat(now_ms, heartbeat, &mut Vec::new());
         if is_changed && is_leaving {
-            self.urgent.insert(Fact::Host(self.config.host.clone()));
+            self.urgent
+                .insert(Fact::Host(self.config.host.clone()), LEAVING_ROUNDS);
         }
         self.is_revision_urgent |= is_revision_new;
         self.schedule_now_if(now_ms, is_revision_new || (is_changed && is_leaving));
@@ -507,6 +522,8 @@
         self.ask_missing(now_ms, from, missing, out);
         if is_new_sender && self.budget.allows_reply() {
             self.greet(now_ms, from, &sender, out);
+        } else if is_new_sender && self.budget.allows_short_reply() {
+            self.greet_shortly(now_ms, from, out);
         }
         Ok(())
     }
@@ -644,7 +661,8 @@
                     .apply_heartbeat(now_ms, heartbeat.clone(), events);
                 let is_own_region = heartbeat.region == self.config.region;
                 if is_new && is_own_region && heartbeat.is_leaving {
-                    self.urgent.insert(Fact::Host(heartbeat.host.clone()));
+                    self.urgent
+                        .insert(Fact::Host(heartbeat.host.clone()), LEAVING_ROUNDS);
                     self.schedule_now_if(now_ms, true);
                 }
             }
@@ -662,7 +680,8 @@
     ) {
         let is_new = self.store.apply_report(now_ms, report.clone(), events);
         if is_new && report.is_leaving {
-            self.urgent.insert(Fact::Endpoint(report.endpoint.clone()));
+            self.urgent
+                .insert(Fact::Endpoint(report.endpoint.clone()), LEAVING_ROUNDS);
             self.schedule_now_if(now_ms, true);
         }
     }
@@ -802,6 +821,24 @@
         self.reply(now_ms, to, body, out);
     }
 
+    /// Names a few other hosts, so that a newcomer turns to them while this one
+    /// is over its budget. Without it, hosts that all start with one seed kept
+    /// it so busy that some knew nobody after 15 s.
+    fn greet_shortly(&mut self, now_ms: Millis, to: SocketAddr, out: &mut Vec<Outgoing>) {
+        let mut body = self.hello_body(now_ms);
+        let hosts = self.region_hosts(now_ms);
+        let others = hosts
+            .iter()
+            .filter(|record| record.heartbeat.peer_address != to)
+            .map(|record| Item::Heartbeat(record.heartbeat.clone()));
+        let named: Vec<Item> = others.collect();
+        let mut rng = self.rng.clone();
+        body.items
+            .extend(named.into_iter().sample(&mut rng, SHORT_GREETING_HOSTS));
+        self.rng = rng;
+        self.send(now_ms, to, body, out);
+    }
+
     /// Makes sure that a host that does not know this one can reply to it.
     fn prepend_own(&mut self, now_ms: Millis, body: &mut Body) {
         let has_own = body.items.iter().any(
@@ -902,7 +939,11 @@
             return;
         }
         self.beat_own(now_ms);
-        let facts = std::mem::take(&mut self.urgent);
+        let facts: Vec<Fact> = self.urgent.keys().cloned().collect();
+        self.urgent.retain(|_, rounds| {
+            *rounds -= 1;
+            *rounds > 0
+        });
         let is_revision_urgent = std::mem::take(&mut self.is_revision_urgent);
         let fanout = if has_facts {
             LEAVING_FANOUT
@@ -1209,6 +1250,13 @@
             .iter()
             .map(|record| record.heartbeat.peer_address)
             .collect();
+        // This host is among the known ones.
+        let is_alone = known.len() <= 1;
+        let max_retry_ms = if is_alone {
+            MAX_ALONE_RETRY_MS
+        } else {
+            MAX_SEED_RETRY_MS
+        };
         let mut due = Vec::new();
         for seed in &mut self.seeds {
             if known.contains(&seed.address) {
@@ -1216,7 +1264,7 @@
             }
             if seed.is_due(now_ms, is_delegate) {
                 seed.next_ms = now_ms + seed.retry_ms;
-                seed.retry_ms = Millis(seed.retry_ms.0 * 2).min(MAX_SEED_RETRY_MS);
+                seed.retry_ms = Millis(seed.retry_ms.0 * 2).min(max_retry_ms);
                 due.push(seed.address);
             }
         }
