Never write a second answer into a stream that has started

Cause: when an interrupted stream was continued at another engine and that engine answered with a status other than 200, the relay passed the answer on as a whole one. It wrote a second head and body into the chunked body of the stream and took the request as answered.

Ruled out: the engines, which report the failure properly, and the decider, which would have refused or retried after an interruption.

Before: after three tokens and a 500 of the next engine, the caller read a malformed chunk and no error event; found by a_stream_that_no_engine_ends_is_told_as_partial in tests/whole_answer.rs, case "failure". After: the attempt counts as interrupted. It is retried within the budget, and otherwise the stream ends with an error event and run_state partial, without a proper end.

Conclusion: once a stream has started, only a stream can follow.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -518,6 +518,10 @@
     ) -> AttemptOutcome {
         let result = if self.is_stream() && head.status == 200 {
             self.pass_stream(attempt, upstream)
+        } else if self.stream.is_started {
+            // The caller is in the middle of a stream, where no other head and
+            // body can follow.
+            Err(Broken::Upstream)
         } else {
             self.pass_whole(attempt, upstream, head)
         };
