--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -457,3 +457,42 @@
     };
     expected_answer(&[ChatMessage::new("user", prompt)], max_tokens).concat()
 }
+
+/// Revision in force at a host; 0 while it is not ready.
+pub fn revision_at(address: SocketAddr) -> u64 {
+    let answer = Caller::new(address).get("/readyz");
+    let value = answer.map(|answer| answer.json()).unwrap_or_default();
+    value["revision"].as_u64().unwrap_or_default()
+}
+
+/// Names of the entry hosts that a host tells the caller of all regions.
+pub fn entry_hosts(address: SocketAddr) -> Vec<String> {
+    let answer = Caller::new(address).with_key(CALLER_KEY).get("/v1/entry");
+    let value = answer.map(|answer| answer.json()).unwrap_or_default();
+    let hosts = value["hosts"].as_array().cloned().unwrap_or_default();
+    let names = hosts.iter().filter_map(|host| host["host"].as_str());
+    names.map(str::to_string).collect()
+}
+
+/// Repeats a call that is refused with 503, for at most [`TAKEN_TIMEOUT`], since
+/// a host sends only a part of its requests to another region at once; returns
+/// how long the last call took.
+pub fn until_taken<F, S, A>(call: F, status: S) -> (Result<A, MessageError>, Duration)
+where
+    F: Fn() -> Result<A, MessageError>,
+    S: Fn(&A) -> u16,
+{
+    let first = Instant::now();
+    loop {
+        let started = Instant::now();
+        let answer = call();
+        let is_refused = matches!(&answer, Ok(answer) if status(answer) == 503);
+        if !is_refused || first.elapsed() > TAKEN_TIMEOUT {
+            return (answer, started.elapsed());
+        }
+        thread::sleep(TAKEN_PAUSE);
+    }
+}
+
+const TAKEN_TIMEOUT: Duration = Duration::from_secs(3);
+const TAKEN_PAUSE: Duration = Duration::from_millis(50);
