Measure what each role of a host costs as its load grows

The calculations for the size to design for need slopes, and so far only gossip could be measured. The subcommand `capacity` measures gossip, the decision library, the configuration, spending, tickets, burn and endpoint polling at four or more sizes each and fits a line by least squares, with its relative residual.

Times come from the thread's processor clock through nix, which was in the lock file already as a test dependency: wall time of a loop on a busy machine counts the work of others. The gossip measurement now uses the same clock. Memory is the growth of the resident set over copies that are kept; freeing them was ruled out, because a quick trial then showed less memory for larger sizes.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,10 @@
 use clap_complete::Shell;
 
 use crate::{
+    capacity::{
+        self,
+        CapacityArgs, //
+    },
     demo::{
         self,
         DemoArgs, //
@@ -65,6 +69,8 @@
     Experiment(ExperimentArgs),
     /// Measure the latency that a host adds to requests.
     Load(LoadArgs),
+    /// Measure what each role of a host costs as its load grows.
+    Capacity(CapacityArgs),
     /// Print a completion script for a shell.
     #[command(after_help = "Example:\n  \
         cardamombridge completions bash > cardamombridge.bash")]
@@ -105,6 +111,10 @@
             load::run(&args, &mut stdout().lock())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Capacity(args) => {
+            capacity::run(&args, &mut stdout().lock())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Completions { shell } => {
             print_completions(shell);
             Ok(ExitCode::SUCCESS)
--- a/src/peer/measure.rs
+++ b/src/peer/measure.rs
@@ -9,8 +9,7 @@
     net::{
         Ipv4Addr,
         SocketAddr, //
-    },
-    time::Instant, //
+    }, //
 };
 
 use rand::{
@@ -30,6 +29,7 @@
     wire::ClusterKey, //
 };
 use crate::{
+    cpu_clock::CpuTimer,
     decision::view::{
         EndpointReport,
         ForwardHost,
@@ -74,7 +74,8 @@
     pub mean_bytes_per_s: f64,
     /// Sent and received bytes per second of the busiest host.
     pub max_bytes_per_s: f64,
-    /// Processor time per second of one host, in microseconds.
+    /// Processor time per second of one host, in microseconds, its share of the
+    /// simulated network included.
     pub cpu_micros_per_s: f64,
     /// Median age of an endpoint's load at a host.
     pub report_age_p50_ms: u64,
@@ -95,9 +96,9 @@
     region.run(WARM_UP_MS);
     let before = region.total_bytes();
     region.ages = Ages::default();
-    let started = Instant::now();
+    let timer = CpuTimer::start();
     region.run(Millis(seconds.max(1) * 1_000));
-    let cpu_micros = started.elapsed().as_micros() as f64;
+    let cpu_micros = timer.elapsed().as_micros() as f64;
     let seconds = seconds.max(1);
     let used: Vec<u64> = region
         .total_bytes()
@@ -134,6 +135,9 @@
     pub mean_bytes_per_s: f64,
     /// Sent and received bytes per second of the busiest host.
     pub max_bytes_per_s: f64,
+    /// Processor time per second of one host, in microseconds, its share of the
+    /// simulated network included.
+    pub cpu_micros_per_s: f64,
     /// Median age of another region's summary at a host.
     pub summary_age_p50_ms: u64,
     /// 99th percentile of that age.
@@ -156,7 +160,9 @@
     cluster.run(WARM_UP_MS);
     let before = cluster.total_bytes();
     cluster.ages = Ages::default();
+    let timer = CpuTimer::start();
     cluster.run(Millis(seconds * 1_000));
+    let cpu_micros = timer.elapsed().as_micros() as f64;
     let after = cluster.total_bytes();
     let used: Vec<u64> = after.iter().zip(&before).map(|(a, b)| a - b).collect();
     let known = cluster.ages.summaries.len() as f64;
@@ -169,6 +175,7 @@
         seconds,
         mean_bytes_per_s: per_second(used.iter().sum()) / hosts,
         max_bytes_per_s: per_second(used.iter().copied().max().unwrap_or(0)),
+        cpu_micros_per_s: cpu_micros / (seconds as f64 * hosts),
         summary_age_p50_ms: percentile(&mut cluster.ages.summaries, 50),
         summary_age_p99_ms: percentile(&mut cluster.ages.summaries, 99),
         mean_summaries: known / (hosts * seconds as f64),
