Print an engine's address in the held demo

The command `load` compares a host with an endpoint, and the held demo printed only the host. It now prints the address of one engine too, which is enough to run both without a look into the code.

--- a/src/demo.rs
+++ b/src/demo.rs
@@ -351,6 +351,9 @@
         println!("base_url=http://{}/v1", self.host("stred"));
         println!("api_key={CALLER_KEY}");
         println!("model={MODEL}");
+        for engine in self.testbed.engines.iter().take(1) {
+            println!("engine={}", engine.info.address);
+        }
         std::io::stdout().flush()?;
         loop {
             thread::park();
