Refuse settings that cannot work, and say what was expected

Tests that give the real binary malformed settings found these faults: - a line without a separator was joined to the next one, so that the error named the wrong line; - a key above all sections was reported as an unknown section []; - text after the bracket of a section was ignored; - unknown and repeated keys were reported without their value and without what was expected; - an invalid log filter passed `settings check` and ended `serve` with an error that did not name the file; - max_connections = 0, a link rate of 0, two listeners on one address and a peer address that others cannot reach were accepted.

Each line is now checked by itself before the library parses the text, and each message names file, line, key, value and what was expected.

The capacity measurement also covers reads of the platform's list.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -17,7 +17,10 @@
     str::FromStr,
     sync::Arc,
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use anyhow::{
@@ -72,6 +75,13 @@
         GrantOutcome,
         GrantRequest, //
     },
+    http::{
+        client::{
+            self,
+            Call, //
+        },
+        message::Headers, //
+    },
     intent::{
         CallerIntent,
         Intents,
@@ -87,7 +97,12 @@
         Plan,
         PlanRules, //
     },
-    platform::KeyValue,
+    platform::{
+        ENDPOINT_SERVICE,
+        Index,
+        KeyValue,
+        ServiceList, //
+    },
     poller::{
         self,
         EngineLoad, //
@@ -285,6 +300,7 @@
     measure_tickets(&sizes, &mut report)?;
     measure_burn(&sizes, &mut report)?;
     measure_polls(&sizes, &mut report)?;
+    measure_list(&sizes, &mut report)?;
     report.series.sort_by_key(|series| role_rank(series.role));
     Ok(CapacityReport {
         clock: cpu_clock::CLOCK,
@@ -293,7 +309,7 @@
     })
 }
 
-const ROLES: [&str; 7] = [
+const ROLES: [&str; 8] = [
     "gossip",
     "decisions",
     "configuration",
@@ -301,6 +317,7 @@
     "tickets",
     "burn",
     "polling",
+    "list",
 ];
 
 fn role_rank(role: &str) -> usize {
@@ -1371,6 +1388,56 @@
     )
 }
 
+/// What one read of the platform's list costs; every host reads it itself.
+fn measure_list(sizes: &Sizes, report: &mut Collected) -> anyhow::Result<()> {
+    const READS: u32 = 5;
+    let standin = PlatformStandin::start(address(0))?;
+    let list = ServiceList::new(standin.address()).with_timeout(Duration::from_secs(20));
+    let mut registered = 0;
+    let mut bytes = Vec::new();
+    let mut cpu = Vec::new();
+    for &endpoints in &sizes.endpoints {
+        for number in registered..endpoints {
+            list.register_endpoint(&endpoint(number))?;
+        }
+        registered = endpoints;
+        bytes.push(point(endpoints, list_bytes(standin.address())?));
+        let timer = CpuTimer::start();
+        for _ in 0..READS {
+            let listed = list.list_endpoints(Index::default(), Duration::ZERO)?;
+            ensure!(listed.entries.len() == endpoints, "the list is incomplete");
+        }
+        cpu.push(point(endpoints, micros(timer.elapsed() / READS)));
+    }
+    report.add(
+        "list",
+        "endpoints",
+        "B/read",
+        "body of the stand-in's answer",
+        bytes,
+    )?;
+    report.add("list", "endpoints", "cpu us/read", "read and decoded", cpu)
+}
+
+fn list_bytes(platform: SocketAddr) -> anyhow::Result<f64> {
+    const TIMEOUT: Duration = Duration::from_secs(20);
+    const MAX_BYTES: usize = 16 * 1024 * 1024;
+    let deadline = Instant::now() + TIMEOUT;
+    let mut connection = client::connect(platform, TIMEOUT)?;
+    let call = Call {
+        method: "GET".into(),
+        path: format!("/v1/health/service/{ENDPOINT_SERVICE}").into(),
+        headers: Headers::new(),
+        body: Vec::new(),
+    };
+    client::send(&mut connection, &call, deadline)?;
+    let mut answer = client::receive(connection, deadline)?;
+    let body = answer
+        .body
+        .read_to_end(&mut answer.connection, MAX_BYTES, deadline)?;
+    Ok(body.len() as f64)
+}
+
 /// Measures and prints a table or JSON.
 pub fn run<W>(args: &CapacityArgs, out: &mut W) -> anyhow::Result<()>
 where
--- a/src/config.rs
+++ b/src/config.rs
@@ -24,7 +24,10 @@
         IniFile,
         Section, //
     },
-    logs::LogFormat,
+    logs::{
+        self,
+        LogFormat, //
+    },
     ticket::token::MIN_KEY_BYTES,
     types::{
         DataCentreId,
@@ -35,7 +38,11 @@
     }, //
 };
 
+const SECTIONS: &[&str] = &[
+    "host", "platform", "keys", "peers", "limits", "logs", "metrics",
+];
 const LINK_SECTION_PREFIX: &str = "link.";
+const FILTER_EXPECTED: &str = "directives such as info or warn,cardamombridge::peer=debug";
 const DEFAULT_MAX_CONNECTIONS: usize = 2_048;
 const DEFAULT_DRAIN_LIMIT_MS: Millis = Millis(60_000);
 
@@ -115,12 +122,10 @@
     /// Checks settings that were read from `path`.
     pub fn parse(path: &Path, text: &str) -> Result<Self, IniError> {
         let file = IniFile::parse(path, text)?;
-        file.reject_unknown_sections(|name| {
-            matches!(
-                name,
-                "host" | "platform" | "keys" | "peers" | "limits" | "logs" | "metrics"
-            ) || name.starts_with(LINK_SECTION_PREFIX)
-        })?;
+        file.reject_unknown_sections(
+            |name| SECTIONS.contains(&name) || name.starts_with(LINK_SECTION_PREFIX),
+            &format_compact!("one of {} and link.REGION", SECTIONS.join(", ")),
+        )?;
         let host = known_section(
             &file,
             "host",
@@ -142,9 +147,20 @@
         let metrics = optional_section(&file, "metrics", &["statsd_address"])?;
 
         let max_connections = file.optional(&limits, "max_connections")?;
+        check(&file, &limits, "max_connections", "a number from 1", |_| {
+            max_connections != Some(0)
+        })?;
         let drain_limit_ms = file.optional(&limits, "drain_limit")?;
         let log_format = file.optional(&logs, "format")?;
         let log_filter = file.optional(&logs, "filter")?;
+        check(
+            &file,
+            &logs,
+            "filter",
+            FILTER_EXPECTED,
+            logs::is_valid_filter,
+        )?;
+        check_listeners(&file, host)?;
         Ok(Self {
             host: file.value(host, "name")?,
             region: file.value(host, "region")?,
@@ -273,6 +289,43 @@
     })
 }
 
+/// Refuses a value that has the right type but cannot work.
+fn check<F>(
+    file: &IniFile,
+    section: &Section,
+    key: &str,
+    expected: &str,
+    is_valid: F,
+) -> Result<(), IniError>
+where
+    F: Fn(&str) -> bool,
+{
+    match section.entry(key) {
+        Some(entry) if !is_valid(&entry.value) => Err(file.bad_value(section, entry, expected)),
+        _ => Ok(()),
+    }
+}
+
+/// Two TCP listeners cannot share an address, unless the system picks the port.
+fn check_listeners(file: &IniFile, host: &Section) -> Result<(), IniError> {
+    const KEYS: [&str; 3] = ["caller_address", "peer_address", "admin_address"];
+    let mut taken: Vec<SocketAddr> = Vec::new();
+    for key in KEYS {
+        let address: SocketAddr = file.value(host, key)?;
+        let is_free = address.port() == 0 || !taken.contains(&address);
+        check(file, host, key, "an address that no other key has", |_| {
+            is_free
+        })?;
+        taken.push(address);
+    }
+    let is_advertised = host.entry("advertised_peer_address").is_some();
+    let expected = "an address that others can reach, or advertised_peer_address as well";
+    check(file, host, "peer_address", expected, |text| {
+        let address: Result<SocketAddr, _> = text.parse();
+        is_advertised || address.is_ok_and(|address| !address.ip().is_unspecified())
+    })
+}
+
 fn read_links(file: &IniFile) -> Result<Vec<RegionLink>, IniError> {
     let mut links = Vec::new();
     for section in &file.sections {
@@ -283,11 +336,17 @@
         let region: RegionId = region.parse().map_err(|_| {
             file.error(
                 section.line,
-                ini_file::IniProblem::UnknownSection(section.name.clone()),
+                ini_file::IniProblem::UnknownSection {
+                    section: section.name.clone(),
+                    expected: "a region after the dot".into(),
+                },
             )
         })?;
         let latency_ms: Millis = file.value(section, "latency")?;
         let rate: MbitPerSecond = file.value(section, "rate")?;
+        check(file, section, "rate", "a rate above 0Mbit/s", |_| {
+            rate.0 > 0
+        })?;
         links.push(RegionLink {
             region,
             latency_ms,
--- a/src/ini_file.rs
+++ b/src/ini_file.rs
@@ -43,32 +43,54 @@
     #[error("not valid INI: {0}")]
     Syntax(CompactString),
     /// The same section appears again.
-    #[error("section [{0}] appears twice")]
+    #[error("section [{0}] appears twice: expected each section once")]
     DuplicateSection(CompactString),
     /// The same key appears again in one section.
-    #[error("key {key:?} appears twice in [{section}]")]
+    #[error("key {key:?} in [{section}] has value {value:?}: expected each key once")]
     DuplicateKey {
         /// Section.
         section: CompactString,
         /// Key.
         key: CompactString,
+        /// The value of the second one.
+        value: CompactString,
+    },
+    /// A line is neither a section nor a key.
+    #[error("line has value {0:?}: expected [SECTION] or KEY = VALUE")]
+    BadLine(CompactString),
+    /// A key stands above all sections.
+    #[error("key {key:?} has value {value:?}: expected a section before the first key")]
+    KeyOutsideSection {
+        /// Key.
+        key: CompactString,
+        /// Value.
+        value: CompactString,
     },
     /// The section has no meaning.
-    #[error("unknown section [{0}]")]
-    UnknownSection(CompactString),
+    #[error("unknown section [{section}]: expected {expected}")]
+    UnknownSection {
+        /// Section.
+        section: CompactString,
+        /// What would have been accepted.
+        expected: CompactString,
+    },
     /// The key has no meaning in its section.
-    #[error("unknown key {key:?} in [{section}]")]
+    #[error("unknown key {key:?} in [{section}] has value {value:?}: expected one of {expected}")]
     UnknownKey {
         /// Section.
         section: CompactString,
         /// Key.
         key: CompactString,
+        /// The value in the file.
+        value: CompactString,
+        /// Keys that would have been accepted.
+        expected: CompactString,
     },
     /// A required section is absent.
-    #[error("missing section [{0}]")]
+    #[error("missing section: expected [{0}]")]
     MissingSection(CompactString),
     /// A required key is absent.
-    #[error("missing key {key:?} in [{section}]")]
+    #[error("missing key in [{section}]: expected {key:?} with a value")]
     MissingKey {
         /// Section.
         section: CompactString,
@@ -133,10 +155,10 @@
             enabled_escape: false,
             ..ParseOption::default()
         };
+        let lines = scan_lines(text).map_err(|(line, problem)| fail(line, problem))?;
         let parsed = Ini::load_from_str_opt(text, options)
             .map_err(|error| fail(error.line, IniProblem::Syntax(error.msg.as_ref().into())))?;
 
-        let lines = scan_lines(text);
         let mut sections = Vec::new();
         let mut names = HashSet::new();
         for (name, properties) in &parsed {
@@ -180,14 +202,17 @@
     }
 
     /// An error for the first section for which `is_known` is false.
-    pub fn reject_unknown_sections<F>(&self, is_known: F) -> Result<(), IniError>
+    pub fn reject_unknown_sections<F>(&self, is_known: F, expected: &str) -> Result<(), IniError>
     where
         F: Fn(&str) -> bool,
     {
         match self.sections.iter().find(|found| !is_known(&found.name)) {
             Some(section) => Err(self.error(
                 section.line,
-                IniProblem::UnknownSection(section.name.clone()),
+                IniProblem::UnknownSection {
+                    section: section.name.clone(),
+                    expected: expected.into(),
+                },
             )),
             None => Ok(()),
         }
@@ -205,6 +230,8 @@
                 IniProblem::UnknownKey {
                     section: section.name.clone(),
                     key: entry.key.clone(),
+                    value: entry.value.clone(),
+                    expected: known.join(", ").into(),
                 },
             )),
             None => Ok(()),
@@ -328,23 +355,33 @@
     Key(usize, &'a str),
 }
 
-fn scan_lines(text: &str) -> Vec<Line<'_>> {
+/// Checks each line by itself: the library joins a line without a separator to
+/// the next one and ignores text after the brackets of a section.
+fn scan_lines(text: &str) -> Result<Vec<Line<'_>>, (usize, IniProblem)> {
     let mut found = Vec::new();
     for (index, line) in text.lines().enumerate() {
+        let number = index + 1;
         let line = line.trim();
-        if line.starts_with(['#', ';']) {
+        if line.is_empty() || line.starts_with(['#', ';']) {
+            continue;
+        }
+        let bad_line = || (number, IniProblem::BadLine(line.into()));
+        if let Some(rest) = line.strip_prefix('[') {
+            let name = rest.strip_suffix(']').ok_or_else(bad_line)?;
+            found.push(Line::Section(number, name.trim()));
             continue;
         }
-        if let Some(name) = line
-            .strip_prefix('[')
-            .and_then(|rest| rest.split(']').next())
-        {
-            found.push(Line::Section(index + 1, name.trim()));
-        } else if let Some((key, _)) = line.split_once(['=', ':']) {
-            found.push(Line::Key(index + 1, key.trim()));
+        let (key, value) = line.split_once(['=', ':']).ok_or_else(bad_line)?;
+        if found.is_empty() {
+            let problem = IniProblem::KeyOutsideSection {
+                key: key.trim().into(),
+                value: value.trim().into(),
+            };
+            return Err((number, problem));
         }
+        found.push(Line::Key(number, key.trim()));
     }
-    found
+    Ok(found)
 }
 
 fn section_line(lines: &[Line<'_>], name: &str, skip: usize) -> usize {
@@ -380,6 +417,7 @@
             let problem = IniProblem::DuplicateKey {
                 section: name,
                 key: key.into(),
+                value: value.trim().into(),
             };
             return Err((key_line(lines, line, key, 1), problem));
         }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -45,6 +45,11 @@
     }
 }
 
+/// Whether [`init`] accepts a filter.
+pub fn is_valid_filter(filter: &str) -> bool {
+    EnvFilter::try_new(filter).is_ok()
+}
+
 /// Why logs could not be set up.
 #[derive(Debug, Error)]
 pub enum LogError {
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -78,6 +78,7 @@
         "tickets",
         "burn",
         "polling",
+        "list",
     ] {
         assert!(all.iter().any(|one| one["role"] == role), "no {role}");
     }
