--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -9,7 +9,11 @@
         TcpListener, //
     },
     path::PathBuf,
-    process::Command, //
+    process::Command,
+    sync::atomic::{
+        AtomicU16,
+        Ordering, //
+    }, //
 };
 
 use expect_test::{
@@ -34,9 +38,14 @@
     stderr: String,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+/// An address that no other test or process is given: the last two bytes count,
+/// and the second one comes from the process.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    const PORT: u16 = 18_080;
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = 160 + (std::process::id() % 90) as u8;
+    SocketAddr::from((Ipv4Addr::new(127, process, high, low), PORT))
 }
 
 impl Fixture {
@@ -47,7 +56,7 @@
             let path = directory.path().join(key);
             fs::write(path, "a key of thirty-two bytes or more").expect("key written");
         }
-        let caller_address = free_address();
+        let caller_address = own_address();
         let text = format!(
             "[host]\n\
              name = stred-1\n\
@@ -68,8 +77,8 @@
              [link.zapad]\n\
              latency = 80ms\n\
              rate = 2000Mbit/s\n",
-            free_address(),
-            free_address(),
+            own_address(),
+            own_address(),
             directory.path().join("cluster.key").display(),
             directory.path().join("operator.key").display(),
         );
