Give the administration tests an address of their own

One run of the suite failed with "address in use": the fixture bound a free port, gave it back and let the interface bind it again, and another test took it in between. The fixture now uses a loopback address that depends on the process and a counter. What the tests check is unchanged.

--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -4,13 +4,16 @@
     fs,
     net::{
         Ipv4Addr,
-        SocketAddr,
-        TcpListener, //
+        SocketAddr, //
     },
     process::Command,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        atomic::{
+            AtomicU16,
+            Ordering, //
+        }, //
     },
     time::Duration, //
 };
@@ -107,14 +110,22 @@
     }
 }
 
+/// An address that no other test or process is given: a free port that was bound
+/// and given back was sometimes taken before the interface bound it again.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    const PORT: u16 = 18_081;
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = 160 + (std::process::id() % 90) as u8;
+    SocketAddr::from((Ipv4Addr::new(127, process, high, low), PORT))
+}
+
 impl Fixture {
     fn new() -> Self {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let standin = PlatformStandin::start(any).expect("the stand-in starts");
         let kv = KeyValue::new(standin.address());
-        let listener = TcpListener::bind(any).expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        drop(listener);
+        let address = own_address();
         let regions = Arc::new(Mutex::new(Vec::new()));
         let known = Arc::clone(&regions);
         let admin = Admin {
