Send a request to another region at most once

Cause: a request that one region had refused, or whose answer broke there, was forwarded again to a third region. The design allows one crossing.

Ruled out: the host where a request lands; it never forwards.

After: a request that has been in another region stays at home; one of which no byte was sent may still leave. The list of tried regions is gone with it.

--- a/src/decision/finish.rs
+++ b/src/decision/finish.rs
@@ -148,14 +148,12 @@
                 }
                 open.tried.push(id.clone());
             }
-            Place::Away { region, host } => {
+            Place::Away { host, .. } => {
                 if is_leaving || is_unreachable {
-                    // Other hosts of that region may still take it.
                     let until_ms = now_ms + policy.host_avoid_ms;
                     view.avoid_host(host.clone(), until_ms);
-                } else {
-                    open.tried_regions.push(region.clone());
                 }
+                open.has_left |= !is_unreachable;
             }
             Place::Granting { .. } | Place::Queued | Place::Delayed { .. } => {}
         }
--- a/src/decision/region.rs
+++ b/src/decision/region.rs
@@ -56,8 +56,6 @@
     pub allowed: &'a AllowedRegions,
     /// Time left until its deadline.
     pub left_ms: Millis,
-    /// Regions that have already failed it.
-    pub tried: &'a [RegionId],
 }
 
 /// What home can do for a request.
@@ -258,7 +256,7 @@
         home: HomeOutlook,
     ) -> Vec<Remote> {
         let regions = trip.allowed.iter().filter(|region| {
-            let is_other = *region != context.region && !trip.tried.contains(region);
+            let is_other = *region != context.region;
             is_other && !context.forward_hosts(region).is_empty()
         });
         regions
--- a/src/decision/request.rs
+++ b/src/decision/request.rs
@@ -60,8 +60,8 @@
     pub place: Place,
     /// Endpoints that have failed it.
     pub tried: Vec<EndpointId>,
-    /// Regions that have failed it.
-    pub tried_regions: Vec<RegionId>,
+    /// Whether it has been in another region.
+    pub has_left: bool,
     /// Money set aside; none for a request paid for by another host.
     pub reservation: Option<Reservation>,
     /// When its attempt was sent.
@@ -82,7 +82,7 @@
             attempt: Attempt(0),
             place: Place::Granting { since_ms: now_ms },
             tried: Vec::new(),
-            tried_regions: Vec::new(),
+            has_left: false,
             reservation: None,
             sent_ms: now_ms,
             has_first_token: false,
@@ -103,9 +103,10 @@
     /// Whether it may go to another region.
     ///
     /// A forwarded request is final here. One that must not be repeated is
-    /// final at the owner of its ticket.
+    /// final at the owner of its ticket. One that has been in another region
+    /// goes to no second one, whatever became of it there.
     pub fn may_leave(&self) -> bool {
-        self.is_own() && self.arrival.is_repeatable
+        self.is_own() && self.arrival.is_repeatable && !self.has_left
     }
 
     /// Time left until its deadline.
@@ -188,7 +189,6 @@
             body: self.arrival.body,
             allowed: &self.allowed,
             left_ms: self.left_ms(now_ms),
-            tried: &self.tried_regions,
         }
     }
 }
