Add a test of a stream continued by an engine that starts again

An engine that ignores continue_final_message answers the continuation from the start. The caller then gets the first tokens of one answer, tokens of another and [DONE]. Nothing in the list or the intents tells the gateway whether an engine supports the field, so the relay cannot know; the fix needs a property of the endpoint.

--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -16,6 +16,7 @@
 };
 
 use cardamombridge::{
+    decision::view::EndpointInfo,
     http::{
         client::{
             self,
@@ -26,11 +27,15 @@
     standin::{
         engine::{
             EngineFault,
+            EngineOptions,
+            EngineStandin,
             SeenRequest, //
         },
         model::ModelOptions,
         testbed::{
             CALLER_KEY,
+            Engine,
+            MODEL,
             TestbedOptions, //
         },
         wire::{
@@ -243,6 +248,43 @@
     }
 }
 
+/// Guards against a continued stream whose second engine ignores the
+/// continuation and answers from the start.
+#[test]
+fn a_stream_is_not_continued_by_an_engine_that_starts_again() {
+    let env = env();
+    let engines: Vec<EngineStandin> = env
+        .testbed
+        .engines_in("stred")
+        .map(|listed| replace_without_continuation(&env, listed))
+        .collect();
+    let caller = env.caller("stred");
+    let is_listed = || {
+        let answer = caller.chat("probe", 1);
+        answer.is_ok() && engines.iter().any(|engine| !engine.seen().is_empty())
+    };
+    wait_for(SOON, "the hosts read the list", is_listed);
+    for engine in &engines {
+        engine.fail_next(EngineFault::CutAfter(5));
+    }
+
+    let answer = stream(&caller, "continued");
+
+    assert_honest(&answer, "continued");
+}
+
+fn replace_without_continuation(env: &TestEnv, listed: &Engine) -> EngineStandin {
+    let options = EngineOptions::new(MODEL).without_continuation();
+    let engine = EngineStandin::start(options).expect("the engine must start");
+    let info = EndpointInfo {
+        address: engine.address(),
+        ..listed.info.clone()
+    };
+    let registered = env.testbed.list().register_endpoint(&info);
+    registered.expect("the engine must be listed");
+    engine
+}
+
 /// Guards against crossed answers and answers that look complete without being
 /// whole, under load with faults at the engines and between the hosts.
 #[test]
