--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -67,6 +67,7 @@
     Caller,
     CallerAnswer,
     TestEnv,
+    revision_at,
     wait_for, //
 };
 
@@ -305,12 +306,6 @@
     assert_eq!(run_state, RunStateWord::NotRun);
 }
 
-fn revision_at(address: SocketAddr) -> u64 {
-    let answer = Caller::new(address).get("/readyz");
-    let value = answer.map(|answer| answer.json()).unwrap_or_default();
-    value["revision"].as_u64().unwrap_or_default()
-}
-
 /// Guards against requests sent to a region that a newer intent forbids while a
 /// host there has not heard of it, and against that host staying behind.
 #[test]
