Test that a graceful shutdown cuts no request in progress

Real hosts get SIGTERM with plain answers, streams, a started ticketed call and forwarded requests in progress, at their origin and where they landed. New callers are refused with shutting_down, other hosts stop forwarding within 2 s and listing within 3 s, and a second signal or the drain limit ends the host with a non-zero exit code.

--- /dev/null
+++ b/tests/graceful_shutdown.rs
@@ -0,0 +1,340 @@
+//! Promise `graceful_shutdown`: a graceful shutdown interrupts no request in
+//! progress.
+
+mod testenv;
+
+use std::{
+    fs,
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use cardamombridge::standin::{
+    model::ModelOptions,
+    testbed::{
+        CALLER_KEY,
+        SERVICE,
+        Testbed,
+        TestbedOptions, //
+    }, //
+};
+use nix::sys::signal::Signal;
+use serde_json::json;
+use testenv::{
+    Caller,
+    CallerAnswer,
+    StreamAnswer,
+    TestEnv,
+    entry_hosts,
+    expected_text,
+    until_taken,
+    wait_for, //
+};
+
+const TOKENS: u64 = 150;
+const PER_KIND: usize = 3;
+const KNOWN: Duration = Duration::from_secs(5);
+/// Target for a leaving endpoint to get no new work.
+const LEAVING_KNOWN: Duration = Duration::from_secs(3);
+/// Target for other hosts to stop forwarding to a leaving host.
+const NOT_FORWARDED: Duration = Duration::from_secs(2);
+/// Target for other hosts to list a leaving host no longer.
+const NOT_LISTED: Duration = Duration::from_secs(3);
+/// The longest request, then the handover of the tickets.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(15);
+/// For a process that ends without waiting for its requests, which take longer.
+const AT_ONCE: Duration = Duration::from_secs(1);
+const SERVICE_DELAY: Duration = Duration::from_secs(2);
+
+/// Engines that take three seconds for the answers of these tests.
+fn options() -> TestbedOptions {
+    let speed = ModelOptions {
+        step: Duration::from_millis(20),
+        ..ModelOptions::default()
+    };
+    TestbedOptions::new().with_speed(speed)
+}
+
+fn start(hosts_per_region: usize) -> TestEnv {
+    let env = TestEnv::start(&options().with_hosts_per_region(hosts_per_region));
+    for host in &env.hosts {
+        wait_for(KNOWN, "entry hosts of all regions", || {
+            entry_hosts(host.address).len() >= env.hosts.len()
+        });
+    }
+    env
+}
+
+/// Requests in progress through one host.
+struct InProgress {
+    chats: Vec<(String, JoinHandle<CallerAnswer>)>,
+    streams: Vec<(String, JoinHandle<StreamAnswer>)>,
+}
+
+impl InProgress {
+    fn start(caller: &Caller) -> Self {
+        let prompts = |kind: &str| -> Vec<String> {
+            let numbers = 0..PER_KIND;
+            numbers.map(|number| format!("{kind} {number}")).collect()
+        };
+        let chat = |prompt: String| {
+            let (caller, sent) = (caller.clone(), prompt.clone());
+            let call = move || until_taken(|| caller.chat(&sent, TOKENS), |answer| answer.status);
+            let call = move || call().0.expect("the host must answer");
+            (prompt, thread::spawn(call))
+        };
+        let stream = |prompt: String| {
+            let (caller, sent) = (caller.clone(), prompt.clone());
+            let call = move || until_taken(|| caller.stream(&sent, TOKENS), |stream| stream.status);
+            let call = move || call().0.expect("the host must answer");
+            (prompt, thread::spawn(call))
+        };
+        Self {
+            chats: prompts("chat").into_iter().map(chat).collect(),
+            streams: prompts("stream").into_iter().map(stream).collect(),
+        }
+    }
+
+    fn assert_whole(self, env: &TestEnv) {
+        for (prompt, chat) in self.chats {
+            let answer = chat.join().expect("a caller must not panic");
+            assert_eq!(answer.status, 200, "{:?}\n{}", answer.json(), env.logs());
+            assert_eq!(answer.text(), expected_text(&prompt, TOKENS as usize));
+        }
+        for (prompt, stream) in self.streams {
+            let stream = stream.join().expect("a caller must not panic");
+            assert!(stream.has_done && stream.has_proper_end, "{stream:?}");
+            assert_eq!(stream.text, expected_text(&prompt, TOKENS as usize));
+        }
+    }
+}
+
+/// Requests that run at the engines of some regions.
+fn running(env: &TestEnv, regions: &[&str]) -> usize {
+    let engines = regions.iter().flat_map(|r| env.testbed.engines_in(r));
+    engines.map(|e| e.standin.load().running as usize).sum()
+}
+
+fn wait_until_running(env: &TestEnv, regions: &[&str]) {
+    wait_for(KNOWN, "requests at the engines", || {
+        running(env, regions) >= 2 * PER_KIND
+    });
+}
+
+/// Leaves the home region without engines, so that its requests are forwarded.
+fn drain_home(env: &TestEnv) {
+    for engine in env.testbed.engines_in("stred") {
+        engine.standin.set_leaving(true);
+    }
+    thread::sleep(LEAVING_KNOWN);
+}
+
+fn assert_exits_cleanly(env: &mut TestEnv, region: &str) {
+    let host = env.host_mut(region);
+    let status = host.wait(EXIT_TIMEOUT);
+    let code = status.and_then(|status| status.code());
+    assert_eq!(code, Some(0), "{}", host.log());
+}
+
+/// Guards against plain answers, streams and ticketed calls that a shutdown cuts.
+#[test]
+fn a_signal_cuts_no_request_in_progress() {
+    let mut env = start(2);
+    let caller = env.caller("stred");
+    for service in &env.testbed.services {
+        service.standin.set_delay(SERVICE_DELAY);
+    }
+    let entry = caller.get(&format!("/v1/entry?service={SERVICE}"));
+    let entry = entry.expect("the host must answer").json();
+    let ticket = entry["ticket"].as_str().expect("a ticket").to_string();
+    let in_progress = InProgress::start(&caller);
+    let ordering = caller.clone().with_header("idempotency-key", &ticket);
+    let order = thread::spawn(move || {
+        let body = json!({"key": "order-1"}).to_string().into_bytes();
+        ordering.call("POST", &format!("/v1/services/{SERVICE}/orders"), body)
+    });
+    wait_until_running(&env, &["stred", "zapad", "sever"]);
+    wait_for(KNOWN, "the call at the service", || {
+        let mut services = env.testbed.services.iter();
+        services.any(|service| !service.standin.seen().is_empty())
+    });
+
+    env.host("stred").signal(Signal::SIGTERM);
+
+    in_progress.assert_whole(&env);
+    let order = order.join().expect("a caller must not panic");
+    assert_eq!(order.expect("the host must answer").status, 200);
+    let runs = env
+        .testbed
+        .services
+        .iter()
+        .map(|s| s.standin.runs("order-1"));
+    assert_eq!(runs.sum::<u32>(), 1);
+    assert_exits_cleanly(&mut env, "stred");
+}
+
+/// Guards against forwarded requests that are cut when their origin leaves.
+#[test]
+fn a_signal_at_the_origin_cuts_no_forwarded_request() {
+    let mut env = start(1);
+    drain_home(&env);
+    let in_progress = InProgress::start(&env.caller("stred"));
+    wait_until_running(&env, &["zapad", "sever"]);
+
+    env.host("stred").signal(Signal::SIGTERM);
+
+    in_progress.assert_whole(&env);
+    assert_exits_cleanly(&mut env, "stred");
+}
+
+/// Guards against forwarded requests that are cut, or sent anew, when the hosts
+/// where they landed leave.
+#[test]
+fn a_signal_at_the_landing_hosts_cuts_no_forwarded_request() {
+    let mut env = start(1);
+    drain_home(&env);
+    let in_progress = InProgress::start(&env.caller("stred"));
+    wait_until_running(&env, &["zapad", "sever"]);
+
+    for region in ["zapad", "sever"] {
+        env.host(region).signal(Signal::SIGTERM);
+    }
+
+    in_progress.assert_whole(&env);
+    let engines = env.testbed.engines.iter();
+    let runs = engines.flat_map(|engine| engine.standin.seen());
+    assert_eq!(runs.filter(|seen| seen.has_run).count(), 2 * PER_KIND);
+    for region in ["zapad", "sever"] {
+        assert_exits_cleanly(&mut env, region);
+    }
+}
+
+/// Guards against callers and hosts that go on using a leaving host.
+#[test]
+fn a_leaving_host_sends_callers_elsewhere_and_is_used_no_more() {
+    let env = start(1);
+    let in_progress = InProgress::start(&env.caller("zapad"));
+    wait_until_running(&env, &["stred", "zapad", "sever"]);
+
+    env.host("zapad").signal(Signal::SIGTERM);
+
+    let signalled = Instant::now();
+    wait_for(AT_ONCE, "a leaving host", || !env.host("zapad").is_ready());
+    let refused = env.caller("zapad").chat("new work", 4);
+    let refused = refused.expect("the host must answer");
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.run_state(), "not_run");
+    assert_eq!(refused.json()["error"]["code"], "shutting_down");
+    assert_eq!(refused.headers.get("connection"), Some("close"));
+    for region in ["stred", "sever"] {
+        let left = NOT_LISTED.saturating_sub(signalled.elapsed());
+        wait_for(left, "the leaving host off the lists", || {
+            !entry_hosts(env.host(region).address).contains(&"zapad-1".to_string())
+        });
+    }
+    in_progress.assert_whole(&env);
+}
+
+/// Guards against forwards to a host that is leaving.
+#[test]
+fn other_hosts_stop_forwarding_to_a_leaving_host() {
+    let env = start(2);
+    // Only zapad can serve, so that everything else is forwarded there.
+    for engine in env.testbed.engines_in("sever") {
+        engine.standin.set_leaving(true);
+    }
+    drain_home(&env);
+    let in_progress = InProgress::start(&env.caller("zapad"));
+    wait_until_running(&env, &["zapad"]);
+    env.host("zapad").signal(Signal::SIGTERM);
+    thread::sleep(NOT_FORWARDED);
+    for seat in env.testbed.seats_in("zapad") {
+        seat.peer_wire.watch_for("forwarded-marker");
+    }
+
+    for number in 0..20 {
+        let prompt = format!("{number} forwarded-marker");
+        let answer = env.caller("stred").chat(&prompt, 1);
+        answer.expect("the host must answer");
+    }
+
+    let forwarded: Vec<u64> = env
+        .testbed
+        .seats_in("zapad")
+        .map(|seat| seat.peer_wire.sightings("forwarded-marker"))
+        .collect();
+    assert_eq!(forwarded[0], 0, "the leaving host got {forwarded:?}");
+    assert!(forwarded[1] > 0, "nothing was forwarded at all");
+    in_progress.assert_whole(&env);
+}
+
+fn long_stream(env: &TestEnv) -> JoinHandle<StreamAnswer> {
+    let caller = env.caller("stred");
+    // Eight seconds, within the deadline of ten.
+    let call = move || caller.stream("long", 400).unwrap_or_default();
+    let stream = thread::spawn(call);
+    wait_for(KNOWN, "a stream at an engine", || {
+        running(env, &["stred", "zapad", "sever"]) > 0
+    });
+    stream
+}
+
+/// Guards against an operator who cannot end a host that drains for too long.
+#[test]
+fn a_second_signal_ends_the_host_at_once() {
+    let mut env = start(1);
+    let stream = long_stream(&env);
+    env.host("stred").signal(Signal::SIGTERM);
+    thread::sleep(AT_ONCE);
+    assert!(env.host_mut("stred").wait(AT_ONCE).is_none());
+
+    env.host("stred").signal(Signal::SIGTERM);
+
+    let status = env.host_mut("stred").wait(AT_ONCE).expect("it must end");
+    assert!(status.code().is_some_and(|code| code != 0), "{status}");
+    let stream = stream.join().expect("a caller must not panic");
+    assert!(!stream.has_done && !stream.has_proper_end);
+}
+
+/// Guards against a host that drains longer than its settings allow.
+#[test]
+fn the_drain_limit_ends_the_host() {
+    let limit = Duration::from_secs(2);
+    let options = options();
+    let mut env = TestEnv::prepare(&options);
+    let settings = env.dir.path().join("stred-1.ini");
+    let text = fs::read_to_string(&settings).expect("the settings were written");
+    let lines = text
+        .lines()
+        .map(|line| match line.starts_with("drain_limit") {
+            true => "drain_limit = 2000ms",
+            false => line,
+        });
+    let text = lines.collect::<Vec<_>>().join("\n");
+    fs::write(&settings, text).expect("the settings can be changed");
+    let intents = Testbed::intent_text(&options);
+    env.testbed.accept(&intents).expect("valid intents");
+    env.hosts[0].start();
+    env.hosts[0].wait_ready();
+    wait_for(KNOWN, "a served request", || {
+        let answer = Caller::new(env.hosts[0].address).with_key(CALLER_KEY);
+        answer
+            .chat("warm", 1)
+            .is_ok_and(|answer| answer.status == 200)
+    });
+    let _stream = long_stream(&env);
+
+    let signalled = Instant::now();
+    env.host("stred").signal(Signal::SIGTERM);
+
+    let status = env.host_mut("stred").wait(limit + AT_ONCE);
+    let status = status.expect("it must end");
+    assert!(signalled.elapsed() >= limit, "it did not drain");
+    assert!(status.code().is_some_and(|code| code != 0), "{status}");
+}
