Be ready only with a list of endpoints; measure load without a target

A host said it was ready once it had a configuration, and refused requests for want of an endpoint until it had read the list; a refused call closed its ticket for good. It is now ready only when the list has been read, from the platform or from a neighbour. status shows when the platform last responded. load starts a host and an engine of its own if no target is given.

--- a/src/announce.rs
+++ b/src/announce.rs
@@ -17,6 +17,7 @@
 use crate::{
     clock,
     config::Config,
+    contact::PlatformContact,
     decider::DeciderHandle,
     decision::{
         Gateway,
@@ -55,6 +56,8 @@
     pub caller_address: SocketAddr,
     /// Configuration in force.
     pub in_force: InForceCell,
+    /// What the platform has told.
+    pub contact: PlatformContact,
     /// Set when this host takes no new work.
     pub is_leaving: Arc<AtomicBool>,
     /// Requests that are being answered.
@@ -108,7 +111,7 @@
             peer_address: self.config.peer_address_for_others(),
             caller_address: self.caller_address,
             is_leaving,
-            is_ready: !is_leaving && self.in_force.get().is_some(),
+            is_ready: !is_leaving && self.in_force.get().is_some() && self.contact.has_list(),
             revision,
             open_requests: u32::try_from(open_requests).unwrap_or(u32::MAX),
             held_runs: self.tickets.held_runs(),
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -23,6 +23,7 @@
     auth,
     burn::Promise,
     clock,
+    contact::PlatformContact,
     decision::{
         event::{
             Arrival,
@@ -107,6 +108,8 @@
     pub recorder: RecorderHandle,
     /// Configuration in force.
     pub in_force: InForceCell,
+    /// What the platform has told.
+    pub contact: PlatformContact,
     /// Set when this host takes no new work.
     pub is_leaving: Arc<AtomicBool>,
     /// Requests that are being answered.
@@ -318,7 +321,7 @@
     if context.is_leaving.load(Ordering::Acquire) {
         return Err(refused(Refusal::new(RefusalReason::Leaving)));
     }
-    if context.in_force.get().is_none() {
+    if context.in_force.get().is_none() || !context.contact.has_list() {
         return Err(not_ready());
     }
     let revision = context.in_force.revision();
@@ -357,6 +360,9 @@
 }
 
 fn check_new_work(context: &CallerContext) -> Result<(), Rejection> {
+    if !context.contact.has_list() {
+        return Err(not_ready());
+    }
     if context.is_leaving.load(Ordering::Acquire) {
         let refusal = Refusal::new(RefusalReason::Leaving).with_retry_after(Millis(1_000));
         return Err(refused(refusal));
--- a/src/host.rs
+++ b/src/host.rs
@@ -33,7 +33,8 @@
     admin::{
         Admin,
         IN_FORCE_WAIT,
-        OperatorKey, //
+        OperatorKey,
+        Status, //
     },
     announce::Announcer,
     burn::Burn,
@@ -53,6 +54,7 @@
         Config,
         ConfigError, //
     },
+    contact::PlatformContact,
     decider::{
         self,
         DeciderHandle, //
@@ -219,6 +221,7 @@
     is_leaving: Arc<AtomicBool>,
     open_requests: Arc<AtomicUsize>,
     in_force: InForceCell,
+    contact: PlatformContact,
     stop: StopFlag,
     threads: Vec<JoinHandle<()>>,
 }
@@ -286,6 +289,7 @@
             is_leaving: Arc::default(),
             open_requests: Arc::default(),
             in_force,
+            contact: PlatformContact::new(),
             stop: StopFlag::new(),
             threads: vec![decider_thread, ticket_thread, recorder_thread],
             config,
@@ -304,9 +308,9 @@
         self.caller_address
     }
 
-    /// Whether a configuration is in force here.
+    /// Whether a configuration is in force here and the endpoints are known.
     pub fn is_ready(&self) -> bool {
-        self.in_force.get().is_some()
+        self.in_force.get().is_some() && self.contact.has_list()
     }
 
     /// Requests that are being answered.
@@ -374,6 +378,7 @@
             tickets: self.tickets.clone(),
             recorder: self.recorder.clone(),
             in_force: self.in_force.clone(),
+            contact: self.contact.clone(),
             is_leaving: Arc::clone(&self.is_leaving),
             open_requests: Arc::clone(&self.open_requests),
         };
@@ -417,6 +422,7 @@
             incarnation: self.incarnation,
             caller_address: self.caller_address,
             in_force: self.in_force.clone(),
+            contact: self.contact.clone(),
             is_leaving: Arc::clone(&self.is_leaving),
             open_requests: Arc::clone(&self.open_requests),
             tickets: self.tickets.clone(),
@@ -433,6 +439,7 @@
     fn start_admin(&mut self, keys: &HostKeys) -> Result<(), StartError> {
         let in_force = self.in_force.clone();
         let (for_regions, for_status) = (self.decider.clone(), self.decider.clone());
+        let contact = self.contact.clone();
         let burn = BurnCollector {
             recorder: self.recorder.clone(),
             decider: self.decider.clone(),
@@ -456,7 +463,12 @@
             }),
             status: Arc::new(move || {
                 let shown = for_status.query(|gateway| status::status(gateway, clock::now()));
-                shown.ok()
+                let platform_ago_ms = contact.response_age_ms();
+                shown.ok().map(|status| Status {
+                    is_ready: status.is_ready && contact.has_list(),
+                    platform_ago_ms,
+                    ..status
+                })
             }),
             burn: Arc::new(move || burn.collect()),
         };
@@ -485,6 +497,7 @@
         let peers = self.peers.clone();
         let gossip = Arc::clone(&self.gossip);
         let own_address = self.config.peer_address_for_others();
+        let contact = self.contact.clone();
         self.spawn("list", move || {
             let on_hosts = |mut addresses: Vec<SocketAddr>| {
                 addresses.retain(|address| *address != own_address);
@@ -494,6 +507,7 @@
                 list,
                 decider,
                 peers,
+                contact,
             };
             follower.follow(on_hosts, &stop);
         })?;
@@ -516,6 +530,7 @@
         Configuration {
             in_force: self.in_force.clone(),
             decider: self.decider.clone(),
+            contact: self.contact.clone(),
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod contact;
 pub mod cpu_clock;
 pub mod decider;
 pub mod decision;
--- a/src/load.rs
+++ b/src/load.rs
@@ -25,6 +25,7 @@
 
 use anyhow::{
     Context as _,
+    bail,
     ensure, //
 };
 use clap::Args;
@@ -39,14 +40,26 @@
 };
 use thiserror::Error;
 
-use crate::http::{
-    client::{
-        self,
-        Call, //
+use crate::{
+    host::Host,
+    http::{
+        client::{
+            self,
+            Call, //
+        },
+        message::{
+            Headers,
+            MessageError, //
+        }, //
     },
-    message::{
-        Headers,
-        MessageError, //
+    standin::{
+        model::ModelOptions,
+        testbed::{
+            CALLER_KEY,
+            MODEL,
+            Testbed,
+            TestbedOptions, //
+        }, //
     }, //
 };
 
@@ -61,11 +74,15 @@
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time that is told apart, in microseconds.
 const MAX_TIME_US: u64 = 120_000_000;
+const OWN_ENGINE_SLOTS: u32 = 4_096;
+const OWN_MAX_CONNECTIONS: usize = 4_096;
+const OWN_START_TIMEOUT: Duration = Duration::from_secs(10);
+const OWN_START_POLL: Duration = Duration::from_millis(20);
 const SIGNIFICANT_DIGITS: u8 = 3;
 
-/// Options of a load run.
+/// Whom a load run asks.
 #[derive(Debug, Clone, Args)]
-pub struct LoadArgs {
+pub struct LoadTarget {
     /// Address for callers of the host under test.
     #[arg(long)]
     pub host: SocketAddr,
@@ -78,6 +95,18 @@
     /// Model to ask for.
     #[arg(long)]
     pub model: String,
+}
+
+/// Options of a load run.
+#[derive(Debug, Clone, Args)]
+#[command(after_help = "Examples:\n  \
+    cardamombridge load --rate 400    # starts a host and an engine of its own\n  \
+    cardamombridge load --host 127.0.0.1:8080 --direct 127.0.0.1:8000 \\\n    \
+    --key sk-example --model stain-advice")]
+pub struct LoadArgs {
+    /// Whom to ask; without it, a host and an engine are started.
+    #[command(flatten)]
+    pub target: Option<LoadTarget>,
     /// Requests a second, half of them direct.
     #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=100_000))]
     pub rate: u64,
@@ -92,6 +121,60 @@
     pub max_tokens: u32,
 }
 
+/// What every request of a run has in common.
+#[derive(Debug, Clone)]
+struct Question {
+    target: LoadTarget,
+    max_tokens: u32,
+}
+
+/// A host and an engine in this process.
+struct OwnInstallation {
+    target: LoadTarget,
+    _host: Host,
+    _testbed: Testbed,
+}
+
+impl OwnInstallation {
+    fn start() -> anyhow::Result<Self> {
+        let speed = ModelOptions {
+            slots: OWN_ENGINE_SLOTS,
+            max_waiting: OWN_ENGINE_SLOTS,
+            // A full batch must not slow the engine down, or its delay hides the
+            // delay of the host.
+            step_per_sequence: Duration::ZERO,
+            ..ModelOptions::default()
+        };
+        let options = TestbedOptions {
+            regions: vec!["stred".into()],
+            ..TestbedOptions::new()
+        }
+        .with_engines_per_region(1)
+        .with_speed(speed);
+        let testbed = Testbed::start(&options)?;
+        testbed.accept(&Testbed::intent_text(&options))?;
+        let mut config = testbed.seats[0].config.clone();
+        config.max_connections = OWN_MAX_CONNECTIONS;
+        let host = Host::start(config, &Testbed::keys())?;
+        let deadline = Instant::now() + OWN_START_TIMEOUT;
+        while !host.is_ready() {
+            ensure!(Instant::now() < deadline, "the host is not ready in time");
+            thread::sleep(OWN_START_POLL);
+        }
+        let target = LoadTarget {
+            host: host.caller_address(),
+            direct: testbed.engines[0].standin.address(),
+            key: CALLER_KEY.to_owned(),
+            model: MODEL.to_owned(),
+        };
+        Ok(Self {
+            target,
+            _host: host,
+            _testbed: testbed,
+        })
+    }
+}
+
 /// Which way a request takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
@@ -214,7 +297,7 @@
 }
 
 /// Runs the load and returns what was measured.
-pub fn measure(args: &LoadArgs) -> anyhow::Result<LoadReport> {
+pub fn measure(target: &LoadTarget, args: &LoadArgs) -> anyhow::Result<LoadReport> {
     let count = args.rate * args.seconds;
     ensure!(
         count <= MAX_REQUESTS,
@@ -225,9 +308,13 @@
         direct: WayTimes::new(),
         elapsed: Duration::ZERO,
     }));
+    let question = Question {
+        target: target.clone(),
+        max_tokens: args.max_tokens,
+    };
     let (sender, receiver) = bounded(args.connections as usize);
     let workers = (0..args.connections)
-        .map(|_| start_worker(args, &receiver, &report))
+        .map(|_| start_worker(&question, &receiver, &report))
         .collect::<Result<Vec<_>, _>>()
         .context("could not start the threads of the load")?;
     drop(receiver);
@@ -254,16 +341,16 @@
 }
 
 fn start_worker(
-    args: &LoadArgs,
+    question: &Question,
     planned: &Receiver<Planned>,
     report: &Arc<Mutex<LoadReport>>,
 ) -> std::io::Result<thread::JoinHandle<()>> {
-    let args = args.clone();
+    let question = question.clone();
     let planned = planned.clone();
     let report = Arc::clone(report);
     thread::Builder::new().name("load".into()).spawn(move || {
         for one in planned {
-            let result = exchange(&args, one);
+            let result = exchange(&question, one);
             let mut report = locked(&report);
             match one.way() {
                 Way::Host => report.host.note(&result),
@@ -273,14 +360,14 @@
     })
 }
 
-fn exchange(args: &LoadArgs, one: Planned) -> Result<Timing, LoadError> {
+fn exchange(question: &Question, one: Planned) -> Result<Timing, LoadError> {
     let address = match one.way() {
-        Way::Host => args.host,
-        Way::Direct => args.direct,
+        Way::Host => question.target.host,
+        Way::Direct => question.target.direct,
     };
     let deadline = Instant::now() + REQUEST_TIMEOUT;
     let mut connection = client::connect(address, CONNECT_TIMEOUT)?;
-    client::send(&mut connection, &call(args, one), deadline)?;
+    client::send(&mut connection, &call(question, one), deadline)?;
     let mut answer = client::receive(connection, deadline)?;
     if answer.head.status != 200 {
         return Err(LoadError::Status(answer.head.status));
@@ -348,13 +435,14 @@
     text.is_some_and(|text| !text.is_empty())
 }
 
-fn call(args: &LoadArgs, one: Planned) -> Call {
+fn call(question: &Question, one: Planned) -> Call {
+    let target = &question.target;
     // Pairs of one host request and one direct request ask the same question.
-    let question = format!("load question {}", one.number / 2);
+    let prompt = format!("load question {}", one.number / 2);
     let body = json!({
-        "model": args.model,
-        "messages": [{ "role": "user", "content": question }],
-        "max_tokens": args.max_tokens,
+        "model": target.model,
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": question.max_tokens,
         "stream": one.is_stream(),
     });
     Call {
@@ -362,7 +450,7 @@
         path: "/v1/chat/completions".into(),
         headers: Headers::new()
             .with_field("content-type", "application/json")
-            .with_field("authorization", &format!("Bearer {}", args.key)),
+            .with_field("authorization", &format!("Bearer {}", target.key)),
         body: body.to_string().into_bytes(),
     }
 }
@@ -426,7 +514,15 @@
 where
     W: Write,
 {
-    let report = measure(args)?;
+    let own = match args.target {
+        Some(_) => None,
+        None => Some(OwnInstallation::start()?),
+    };
+    let target = own.as_ref().map(|own| &own.target);
+    let Some(target) = target.or(args.target.as_ref()) else {
+        bail!("a load run needs a target");
+    };
+    let report = measure(target, args)?;
     write!(out, "{report}")?;
     let failures = report.host.failures + report.direct.failures;
     ensure!(failures == 0, "{failures} requests have no whole answer");
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     clock,
+    contact::PlatformContact,
     decider::DeciderHandle,
     decision::{
         Gateway,
@@ -86,6 +87,8 @@
     pub decider: DeciderHandle,
     /// Asks neighbours while the platform is away.
     pub peers: PeerClient,
+    /// Notes what was read.
+    pub contact: PlatformContact,
 }
 
 impl ListFollower {
@@ -104,8 +107,10 @@
                     index = read.index;
                     on_hosts(read.host_addresses);
                     // The next read brings the list again if the ring is full.
-                    if self.decider.report(read.event).is_err() {
-                        index = Index::default();
+                    self.contact.note_response();
+                    match self.decider.report(read.event) {
+                        Ok(()) => self.contact.note_list(),
+                        Err(_) => index = Index::default(),
                     }
                 }
                 Err(error) => {
@@ -133,7 +138,9 @@
         };
         // The next failure of the platform brings the list again if the ring is
         // full.
-        let _ = self.decider.report(event);
+        if self.decider.report(event).is_ok() {
+            self.contact.note_list();
+        }
     }
 }
 
@@ -183,6 +190,8 @@
     pub in_force: InForceCell,
     /// Leads to the decisions.
     pub decider: DeciderHandle,
+    /// Notes what was read.
+    pub contact: PlatformContact,
 }
 
 impl Configuration {
@@ -220,9 +229,14 @@
             }
             next_read = Instant::now() + UNWATCHED_READ_INTERVAL;
             match head.next(kv, BLOCKING_WAIT, self.in_force.revision()) {
-                Ok(Some(set)) => self.apply(set),
-                Ok(None) if has_none => thread::sleep(ROLE_POLL),
-                Ok(None) => {}
+                Ok(news) => {
+                    self.contact.note_response();
+                    match news {
+                        Some(set) => self.apply(set),
+                        None if has_none => thread::sleep(ROLE_POLL),
+                        None => {}
+                    }
+                }
                 Err(error) => {
                     tracing::warn!(%error, "could not read the configuration");
                     pause_after_failure();
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -5,6 +5,7 @@
 use cardamombridge::{
     load::{
         LoadArgs,
+        LoadTarget,
         measure, //
     },
     standin::{
@@ -17,12 +18,18 @@
     }, //
 };
 
-fn args(engine: &EngineStandin, wire: &Wire) -> LoadArgs {
-    LoadArgs {
+fn target(engine: &EngineStandin, wire: &Wire) -> LoadTarget {
+    LoadTarget {
         host: wire.address(),
         direct: engine.address(),
         key: "key".to_owned(),
         model: "stain".to_owned(),
+    }
+}
+
+fn args() -> LoadArgs {
+    LoadArgs {
+        target: None,
         rate: 40,
         seconds: 1,
         connections: 16,
@@ -37,7 +44,7 @@
     let wire = Wire::start(engine.address(), 1).expect("wire starts");
     wire.set_delay(Duration::from_millis(40));
 
-    let report = measure(&args(&engine, &wire)).expect("load runs");
+    let report = measure(&target(&engine, &wire), &args()).expect("load runs");
 
     assert_eq!((report.host.answered(), report.direct.answered()), (20, 20));
     assert_eq!(report.host.failures + report.direct.failures, 0);
@@ -60,7 +67,7 @@
     let wire = Wire::start(engine.address(), 1).expect("wire starts");
     engine.set_fault(Some(EngineFault::NoDone));
 
-    let report = measure(&args(&engine, &wire)).expect("load runs");
+    let report = measure(&target(&engine, &wire), &args()).expect("load runs");
 
     assert_eq!((report.host.failures, report.direct.failures), (10, 10));
     assert_eq!((report.host.answered(), report.direct.answered()), (10, 10));
