Read intent files through the one INI reader

Settings and intent files had a scan each for line numbers and duplicate keys. The messages of intent files now have the form of those of settings; the rejected cases are the same. /v1/entry answers 503 while it has no host to name.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -59,6 +59,7 @@
 use crate::{
     burn::BurnReport,
     clock,
+    ini_file::IniError,
     intent::{
         Change,
         ChangeId,
@@ -66,10 +67,7 @@
         ObjectName,
         parse_sha256, //
     },
-    intent_file::{
-        self,
-        IntentFileError, //
-    },
+    intent_file,
     plan::{
         Plan,
         PlanRules,
@@ -349,8 +347,8 @@
     }
 }
 
-impl From<IntentFileError> for AdminError {
-    fn from(error: IntentFileError) -> Self {
+impl From<IniError> for AdminError {
+    fn from(error: IniError) -> Self {
         Self::new(AdminErrorKind::InvalidBody, error.to_string())
     }
 }
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -528,7 +528,12 @@
         .relay
         .decider
         .query(move |gateway| gateway.entry_list(now_ms, &caller));
-    let list = list.ok().flatten().ok_or_else(not_ready)?;
+    // A host that has just started does not know even itself yet.
+    let list = list
+        .ok()
+        .flatten()
+        .filter(|list| !list.hosts.is_empty())
+        .ok_or_else(not_ready)?;
     let mut body = json!({"hosts": list.hosts, "use_ms": list.use_ms});
     if let Some(service) = asked_service(&request.head.path, intent) {
         let from = ticket_caller(request, intent);
