--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -60,6 +60,52 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NotRun(());
 
+/// Whether any byte of the request has left this host so far.
+#[derive(Debug)]
+pub enum Claim {
+    /// None has.
+    Unsent(Unsent),
+    /// Some may have.
+    Sent(Sent),
+    /// The final answer has been given.
+    Settled,
+}
+
+impl Claim {
+    /// Leaves [`Claim::Settled`] behind.
+    pub fn take(&mut self) -> Self {
+        std::mem::replace(self, Self::Settled)
+    }
+
+    /// Records that bytes leave now.
+    pub fn mark_sent(&mut self) {
+        *self = match self.take() {
+            Self::Unsent(unsent) => Self::Sent(unsent.mark_sent()),
+            other => other,
+        };
+    }
+
+    /// Takes the word of the executor that it did not run the request.
+    ///
+    /// See [`Sent::refused_by_executor`]; without an earlier attempt that may
+    /// have run, the request is unsent again.
+    pub fn refused_by_executor(&mut self) {
+        *self = match self.take() {
+            Self::Sent(sent) => Self::Unsent(sent.refused_by_executor()),
+            other => other,
+        };
+    }
+
+    /// What the caller is told.
+    pub fn into_state(self, has_delivered: bool) -> RunState {
+        match self {
+            _ if has_delivered => RunState::Partial,
+            Self::Unsent(unsent) => RunState::NotRun(unsent.give_up()),
+            Self::Sent(_) | Self::Settled => RunState::Unknown,
+        }
+    }
+}
+
 /// What a caller is told about a request that has no whole answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -48,6 +48,7 @@
     intent::Intents,
     openai::ErrorAnswer,
     outcome::{
+        Claim,
         RunState,
         RunStateWord,
         Unsent, //
@@ -59,7 +60,6 @@
     recorder::Ending,
     relay::{
         self,
-        Claim,
         Exchange,
         RelayContext,
         Settlement, //
