--- a/src/caller.rs
+++ b/src/caller.rs
@@ -58,6 +58,7 @@
         RunState,
         Unsent, //
     },
+    plain_answer::PlainAnswer,
     recorder::{
         Record,
         RecorderHandle, //
@@ -71,7 +72,6 @@
     sink::AnswerSink,
     ticket::call::CallDigest,
     tickets::{
-        PlainAnswer,
         TICKET_FIELD,
         TicketCaller,
         TicketContext,
--- a/src/host.rs
+++ b/src/host.rs
@@ -132,10 +132,8 @@
             TicketSigner, //
         }, //
     },
-    tickets::{
-        TableHandle,
-        TicketContext, //
-    },
+    ticket_thread::TableHandle,
+    tickets::TicketContext,
     types::{
         Incarnation,
         Millis,
--- a/src/peer_requests.rs
+++ b/src/peer_requests.rs
@@ -41,6 +41,7 @@
         server::ServerExchange, //
     },
     peer_list,
+    plain_answer::PlainAnswer,
     recorder::RecorderHandle,
     relay::{
         self,
@@ -52,7 +53,6 @@
     sink::AnswerSink,
     ticket::call::CallDigest,
     tickets::{
-        PlainAnswer,
         TicketCaller,
         TicketContext,
         TicketRequest, //
--- /dev/null
+++ b/src/ticket_thread.rs
@@ -0,0 +1,96 @@
+//! The thread that owns the ticket table, and the ring that leads to it.
+
+use std::{
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration, //
+};
+
+use crossbeam::channel::{
+    Receiver,
+    RecvTimeoutError,
+    Sender,
+    TrySendError,
+    bounded, //
+};
+
+use crate::{
+    clock,
+    decider::RingFull,
+    ticket::table::TicketTable,
+    types::Millis, //
+};
+
+const RING_JOBS: usize = 1_024;
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
+type Job = Box<dyn FnOnce(&mut TicketTable, Millis) + Send>;
+
+/// Leads jobs to the thread that owns the ticket table.
+#[derive(Clone)]
+pub struct TableHandle {
+    ring: Sender<Job>,
+}
+
+impl TableHandle {
+    /// Starts the thread; it ends when the last handle is dropped.
+    pub fn start(table: TicketTable) -> std::io::Result<(Self, JoinHandle<()>)> {
+        let (ring, jobs) = bounded(RING_JOBS);
+        let thread = thread::Builder::new()
+            .name("tickets".into())
+            .spawn(move || run_table(table, &jobs))?;
+        Ok((Self { ring }, thread))
+    }
+
+    /// Runs `job` on the table, unless the ring is full.
+    pub fn run<F, T>(&self, job: F) -> Result<T, RingFull>
+    where
+        F: FnOnce(&mut TicketTable, Millis) -> T + Send + 'static,
+        T: Send + 'static,
+    {
+        let (job, answer) = with_answer(job);
+        self.ring.try_send(job).map_err(|error| match error {
+            TrySendError::Full(_) | TrySendError::Disconnected(_) => RingFull,
+        })?;
+        answer.recv().map_err(|_| RingFull)
+    }
+
+    /// Runs `job` on the table and waits for room; for ends of calls, which must
+    /// not be lost.
+    pub fn run_surely<F, T>(&self, job: F) -> Result<T, RingFull>
+    where
+        F: FnOnce(&mut TicketTable, Millis) -> T + Send + 'static,
+        T: Send + 'static,
+    {
+        let (job, answer) = with_answer(job);
+        self.ring.send(job).map_err(|_| RingFull)?;
+        answer.recv().map_err(|_| RingFull)
+    }
+}
+
+fn with_answer<F, T>(job: F) -> (Job, Receiver<T>)
+where
+    F: FnOnce(&mut TicketTable, Millis) -> T + Send + 'static,
+    T: Send + 'static,
+{
+    let (sender, receiver) = bounded(1);
+    let job: Job = Box::new(move |table, now_ms| {
+        // The asking thread may have ended with its connection.
+        let _ = sender.send(job(table, now_ms));
+    });
+    (job, receiver)
+}
+
+fn run_table(mut table: TicketTable, jobs: &Receiver<Job>) {
+    loop {
+        match jobs.recv_timeout(SWEEP_INTERVAL) {
+            Ok(job) => job(&mut table, clock::now()),
+            Err(RecvTimeoutError::Timeout) => {
+                table.sweep(clock::now());
+            }
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -7,32 +7,14 @@
 
 use std::{
     sync::Arc,
-    thread::{
-        self,
-        JoinHandle, //
-    },
     time::{
         Duration,
         Instant, //
     }, //
 };
 
-use crossbeam::channel::{
-    Receiver,
-    RecvTimeoutError,
-    Sender,
-    TrySendError,
-    bounded, //
-};
 use rand::RngExt;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
-use serde_json::{
-    Value,
-    json, //
-};
+use serde_json::json;
 
 use crate::{
     clock,
@@ -44,20 +26,18 @@
         },
         residency::AllowedRegions, //
     },
-    http::message::Headers,
     intent::Intents,
     openai::ErrorAnswer,
     outcome::{
         Claim,
         RunState,
-        RunStateWord,
         Unsent, //
     },
-    peer::frame::{
-        Field,
-        Frame, //
+    peer::frame::Frame,
+    plain_answer::{
+        self,
+        PlainAnswer, //
     },
-    recorder::Ending,
     relay::{
         self,
         Exchange,
@@ -86,8 +66,7 @@
             IssueError,
             IssueFor,
             Permit,
-            TicketState,
-            TicketTable, //
+            TicketState, //
         },
         token::{
             HostRun,
@@ -99,94 +78,23 @@
             TicketSigner, //
         }, //
     },
+    ticket_thread::TableHandle,
     types::{
         CallerId,
         Millis,
         RegionId,
         RequestId,
         ServiceId, //
-    },
-    upstream, //
+    }, //
 };
 
 /// Header field that carries a ticket.
 pub const TICKET_FIELD: &str = "idempotency-key";
-const RING_JOBS: usize = 1_024;
-const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(60);
 const MAX_ANSWER_BYTES: usize = 17 * 1024 * 1024;
 /// When to come back after the ring of the table was full.
 const SHED_RETRY_AFTER_MS: Millis = Millis(1_000);
 
-type Job = Box<dyn FnOnce(&mut TicketTable, Millis) + Send>;
-
-/// Leads jobs to the thread that owns the ticket table.
-#[derive(Clone)]
-pub struct TableHandle {
-    ring: Sender<Job>,
-}
-
-impl TableHandle {
-    /// Starts the thread; it ends when the last handle is dropped.
-    pub fn start(table: TicketTable) -> std::io::Result<(Self, JoinHandle<()>)> {
-        let (ring, jobs) = bounded(RING_JOBS);
-        let thread = thread::Builder::new()
-            .name("tickets".into())
-            .spawn(move || run_table(table, &jobs))?;
-        Ok((Self { ring }, thread))
-    }
-
-    /// Runs `job` on the table, unless the ring is full.
-    pub fn run<F, T>(&self, job: F) -> Result<T, RingFull>
-    where
-        F: FnOnce(&mut TicketTable, Millis) -> T + Send + 'static,
-        T: Send + 'static,
-    {
-        let (job, answer) = with_answer(job);
-        self.ring.try_send(job).map_err(|error| match error {
-            TrySendError::Full(_) | TrySendError::Disconnected(_) => RingFull,
-        })?;
-        answer.recv().map_err(|_| RingFull)
-    }
-
-    /// Runs `job` on the table and waits for room; for ends of calls, which must
-    /// not be lost.
-    pub fn run_surely<F, T>(&self, job: F) -> Result<T, RingFull>
-    where
-        F: FnOnce(&mut TicketTable, Millis) -> T + Send + 'static,
-        T: Send + 'static,
-    {
-        let (job, answer) = with_answer(job);
-        self.ring.send(job).map_err(|_| RingFull)?;
-        answer.recv().map_err(|_| RingFull)
-    }
-}
-
-fn with_answer<F, T>(job: F) -> (Job, Receiver<T>)
-where
-    F: FnOnce(&mut TicketTable, Millis) -> T + Send + 'static,
-    T: Send + 'static,
-{
-    let (sender, receiver) = bounded(1);
-    let job: Job = Box::new(move |table, now_ms| {
-        // The asking thread may have ended with its connection.
-        let _ = sender.send(job(table, now_ms));
-    });
-    (job, receiver)
-}
-
-fn run_table(mut table: TicketTable, jobs: &Receiver<Job>) {
-    loop {
-        match jobs.recv_timeout(SWEEP_INTERVAL) {
-            Ok(job) => job(&mut table, clock::now()),
-            Err(RecvTimeoutError::Timeout) => {
-                table.sweep(clock::now());
-            }
-            Err(RecvTimeoutError::Disconnected) => return,
-        }
-    }
-}
-
 /// What ticketed calls need.
 #[derive(Clone)]
 pub struct TicketContext {
@@ -211,100 +119,6 @@
     pub allowed: AllowedRegions,
 }
 
-/// An answer in the form in which it also travels between hosts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlainAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Header fields.
-    pub headers: Vec<Field>,
-    /// Whole body.
-    pub body: Vec<u8>,
-}
-
-impl PlainAnswer {
-    /// A JSON value.
-    pub fn json(status: u16, value: &Value) -> Self {
-        Self {
-            status,
-            headers: Vec::new(),
-            body: value.to_string().into_bytes(),
-        }
-        .with_field("content-type", "application/json")
-    }
-
-    fn with_field(mut self, name: &str, value: &str) -> Self {
-        self.headers.push(Field {
-            name: name.into(),
-            value: value.into(),
-        });
-        self
-    }
-
-    fn with_retry_after(self, seconds: Option<u64>) -> Self {
-        match seconds {
-            Some(seconds) => self.with_field("retry-after", &seconds.to_string()),
-            None => self,
-        }
-    }
-
-    /// The error answer in the form of the caller interface.
-    pub fn from_error(answer: &ErrorAnswer) -> Self {
-        Self {
-            status: answer.status,
-            headers: Vec::new(),
-            body: answer.to_json(),
-        }
-        .with_field("content-type", "application/json")
-        .with_retry_after(answer.retry_after_s())
-    }
-
-    fn from_kept(kept: &KeptAnswer) -> Self {
-        let fields = kept.fields.iter().map(|field| Field {
-            name: field.name.clone(),
-            value: field.value.clone(),
-        });
-        Self {
-            status: kept.status,
-            headers: fields.collect(),
-            body: kept.body.clone(),
-        }
-    }
-
-    fn from_refusal(refusal: &TicketRefusal) -> Self {
-        let error = error_of(refusal);
-        Self::json(refusal.status(), &json!(error.body)).with_retry_after(refusal.retry_after_s())
-    }
-
-    /// How the answer counts as the end of a request.
-    pub fn ending(&self) -> Ending {
-        let body: Value = serde_json::from_slice(&self.body).unwrap_or_default();
-        match body["error"]["run_state"].as_str() {
-            Some("not_run") => Ending::GivenUp(RunStateWord::NotRun),
-            Some("unknown") => Ending::GivenUp(RunStateWord::Unknown),
-            _ => Ending::Whole,
-        }
-    }
-
-    /// Header fields for the caller.
-    pub fn to_headers(&self) -> Headers {
-        upstream::from_fields(&self.headers)
-    }
-}
-
-fn error_of(refusal: &TicketRefusal) -> ErrorAnswer {
-    let message = format!(
-        "the call of this ticket was not started: {}",
-        refusal.code()
-    );
-    ErrorAnswer::new(
-        refusal.status(),
-        refusal.code(),
-        &message,
-        refusal.run_state(),
-    )
-}
-
 /// What is asked of a ticket.
 #[derive(Debug)]
 pub enum TicketRequest {
@@ -340,7 +154,7 @@
     pub fn ticket_required(&self, to: &TicketCaller, service: &ServiceId) -> PlainAnswer {
         match self.issue(to, service) {
             Ok(text) => {
-                let error = error_of(&TicketRefusal::ticket_required(Unsent::new()));
+                let error = plain_answer::error_of(&TicketRefusal::ticket_required(Unsent::new()));
                 let body = json!({"error": error.body.error, "ticket": text});
                 PlainAnswer::json(error.status, &body).with_field(TICKET_FIELD, &text)
             }
