--- a/src/caller.rs
+++ b/src/caller/mod.rs
@@ -1,5 +1,7 @@
 //! The caller interface: parses, authenticates and routes requests.
 
+mod routes;
+
 use std::{
     sync::{
         Arc,
@@ -22,25 +24,17 @@
 use crate::{
     auth,
     burn::Promise,
-    clock,
     contact::PlatformContact,
-    decision::{
-        event::{
-            Arrival,
-            Origin,
-            Refusal,
-            RefusalReason, //
-        },
-        residency::AllowedRegions, //
+    decision::event::{
+        Refusal,
+        RefusalReason, //
     },
     http::{
-        client::Call,
         connection::{
             BodyReader,
             Connection, //
         },
         message::{
-            Headers,
             MessageError,
             RequestHead, //
         }, //
@@ -50,10 +44,7 @@
         InForceCell, //
     },
     intent::CallerIntent,
-    openai::{
-        ChatRequest,
-        ErrorAnswer, //
-    },
+    openai::ErrorAnswer,
     outcome::{
         RunState,
         Unsent, //
@@ -66,11 +57,9 @@
     relay::{
         self,
         Exchange,
-        Payload,
         RelayContext, //
     },
     sink::AnswerSink,
-    ticket::call::CallDigest,
     tickets::{
         TICKET_FIELD,
         TicketCaller,
@@ -78,13 +67,10 @@
         TicketRequest, //
     },
     types::{
-        Bytes,
         CallerId,
         Millis,
         RequestId,
         ServiceId,
-        Target,
-        Tier,
         Tokens, //
     }, //
 };
@@ -303,11 +289,13 @@
     let path = request.head.path.clone();
     let path = path.split('?').next().unwrap_or_default();
     match (request.head.method.as_str(), path) {
-        ("POST", "/v1/chat/completions") => chat(context, connection, &request),
-        ("GET", "/v1/models") => models(&request),
-        ("GET", "/v1/entry") => entry(context, &request),
-        ("GET" | "DELETE", path) if path.starts_with(TICKET_PREFIX) => ticket(&request),
-        (_, path) if path.starts_with(SERVICE_PREFIX) => service(context, connection, &request),
+        ("POST", "/v1/chat/completions") => routes::chat(context, connection, &request),
+        ("GET", "/v1/models") => routes::models(&request),
+        ("GET", "/v1/entry") => routes::entry(context, &request),
+        ("GET" | "DELETE", path) if path.starts_with(TICKET_PREFIX) => routes::ticket(&request),
+        (_, path) if path.starts_with(SERVICE_PREFIX) => {
+            routes::service(context, connection, &request)
+        }
         (_, "/v1/chat/completions" | "/v1/models" | "/v1/entry") => Err(not_run(
             405,
             "method_not_allowed",
@@ -370,211 +358,6 @@
     Ok(())
 }
 
-fn models(request: &Request) -> Result<Prepared, Rejection> {
-    let data: Vec<_> = request
-        .intent()?
-        .targets
-        .iter()
-        .filter_map(|target| match target {
-            Target::Model(id) => Some(json!({
-                "id": id,
-                "object": "model",
-                "created": 0,
-                "owned_by": "cardamombridge",
-            })),
-            Target::Service(_) => None,
-        })
-        .collect();
-    Ok(json_answer(&json!({"object": "list", "data": data})))
-}
-
-fn chat(
-    context: &CallerContext,
-    connection: &mut Connection,
-    request: &Request,
-) -> Result<Prepared, Rejection> {
-    let intent = request.intent()?;
-    check_residency(context, intent)?;
-    check_new_work(context)?;
-    let body = read_body(connection, &request.head)?;
-    let chat = ChatRequest::parse(&body)
-        .map_err(|error| not_run(400, "invalid_request", &error.to_string()))?;
-    // Tiers order from the most urgent, so the later one is the lower class.
-    let tier = chat.tier.max(intent.tier);
-    let chat = chat.with_tier(tier);
-    let arrival = Arrival {
-        request: request.id,
-        caller: request.caller.clone(),
-        target: Target::Model(chat.model.clone()),
-        tier,
-        prompt: chat.prompt,
-        max_output: chat.max_output,
-        prefix_hashes: chat.prefix_hashes.clone(),
-        body: Bytes(body.len() as u64),
-        deadline_ms: deadline(&request.head, intent)?,
-        is_repeatable: true,
-        needs_continuation: chat.needs_continuation(),
-        origin: Origin::Caller,
-    };
-    let promise = promise(&arrival, intent);
-    let payload = Payload::Chat(Box::new(chat));
-    let exchange = Box::new(Exchange { arrival, payload });
-    Ok(Prepared::Exchange(exchange, promise))
-}
-
-fn service(
-    context: &CallerContext,
-    connection: &mut Connection,
-    request: &Request,
-) -> Result<Prepared, Rejection> {
-    let intent = request.intent()?;
-    check_residency(context, intent)?;
-    check_new_work(context)?;
-    let (id, path) = service_path(&request.head.path)?;
-    let known = request.in_force.intents.service(&id);
-    let is_allowed = intent.targets.contains(&Target::Service(id.clone()));
-    let service = known.filter(|_| is_allowed).ok_or_else(|| {
-        let refusal = Refusal::new(RefusalReason::UnknownTarget);
-        refused(refusal)
-    })?;
-    let is_repeatable = service.repeatable_methods.contains(&request.head.method);
-    let ticket = request.head.headers.get(TICKET_FIELD);
-    let body = read_body(connection, &request.head)?;
-    if !is_repeatable && ticket.is_none() {
-        let required = context
-            .tickets
-            .ticket_required(&ticket_caller(request, intent), &id);
-        return Ok(Prepared::Answer(required));
-    }
-    let arrival = Arrival {
-        request: request.id,
-        caller: request.caller.clone(),
-        target: Target::Service(id.clone()),
-        tier: Tier::Default.max(intent.tier),
-        prompt: Tokens(0),
-        max_output: Tokens(0),
-        prefix_hashes: Vec::new(),
-        body: Bytes(body.len() as u64),
-        deadline_ms: deadline(&request.head, intent)?,
-        is_repeatable,
-        needs_continuation: false,
-        origin: Origin::Caller,
-    };
-    let digest = CallDigest::new(&request.head.method, &request.head.path, &body);
-    let call = Call {
-        method: request.head.method.clone(),
-        path,
-        headers: forwarded_headers(&request.head.headers, request.id),
-        body,
-    };
-    let exchange = Box::new(Exchange {
-        arrival,
-        payload: Payload::Service(call),
-    });
-    match ticket {
-        Some(ticket) if !is_repeatable => Ok(Prepared::Ticketed(Box::new(TicketedRequest {
-            ticket: ticket.into(),
-            from: ticket_caller(request, intent),
-            service: Some(id),
-            promise: Some(promise(&exchange.arrival, intent)),
-            request: TicketRequest::Call(exchange, digest),
-        }))),
-        _ => {
-            let promise = promise(&exchange.arrival, intent);
-            Ok(Prepared::Exchange(exchange, promise))
-        }
-    }
-}
-
-/// What the caller's intent promises for a request.
-fn promise(arrival: &Arrival, intent: &CallerIntent) -> Promise {
-    let is_chat = matches!(arrival.target, Target::Model(_));
-    Promise {
-        first_token_ms: is_chat.then_some(intent.first_token_ms),
-        whole_ms: arrival.deadline_ms - clock::now(),
-        objective_permille: intent.objective_permille,
-    }
-}
-
-fn ticket_caller(request: &Request, intent: &CallerIntent) -> TicketCaller {
-    TicketCaller {
-        caller: request.caller.clone(),
-        allowed: AllowedRegions::new(intent),
-    }
-}
-
-/// `GET` tells the state of a ticket, `DELETE` closes it unless it has started.
-fn ticket(request: &Request) -> Result<Prepared, Rejection> {
-    let intent = request.intent()?;
-    let text = request.head.path.strip_prefix(TICKET_PREFIX);
-    let asked = match request.head.method.as_str() {
-        "DELETE" => TicketRequest::Void,
-        _ => TicketRequest::State,
-    };
-    Ok(Prepared::Ticketed(Box::new(TicketedRequest {
-        ticket: text.unwrap_or_default().into(),
-        from: ticket_caller(request, intent),
-        service: None,
-        promise: None,
-        request: asked,
-    })))
-}
-
-/// Entry hosts for the caller, with a ticket if the query names a service.
-fn entry(context: &CallerContext, request: &Request) -> Result<Prepared, Rejection> {
-    let intent = request.intent()?;
-    let (caller, now_ms) = (request.caller.clone(), clock::now());
-    let list = context
-        .relay
-        .decider
-        .query(move |gateway| gateway.entry_list(now_ms, &caller));
-    // A host that has just started does not know even itself yet.
-    let list = list
-        .ok()
-        .flatten()
-        .filter(|list| !list.hosts.is_empty())
-        .ok_or_else(not_ready)?;
-    let mut body = json!({"hosts": list.hosts, "use_ms": list.use_ms});
-    if let Some(service) = asked_service(&request.head.path, intent) {
-        let from = ticket_caller(request, intent);
-        // A host that cannot issue one now says so when the call comes.
-        body["ticket"] = json!(context.tickets.issue(&from, &service).ok());
-    }
-    Ok(json_answer(&body))
-}
-
-/// The service in `?service=NAME`, if the caller may use it.
-fn asked_service(path: &str, intent: &CallerIntent) -> Option<ServiceId> {
-    let (_, query) = path.split_once('?')?;
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let (_, name) = pairs.find(|(key, _)| *key == "service")?;
-    let service: ServiceId = name.parse().ok()?;
-    let is_allowed = intent.targets.contains(&Target::Service(service.clone()));
-    is_allowed.then_some(service)
-}
-
-/// Splits `/v1/services/SERVICE/REST` into the service and `/REST`.
-fn service_path(path: &str) -> Result<(ServiceId, CompactString), Rejection> {
-    let rest = path.strip_prefix(SERVICE_PREFIX).unwrap_or_default();
-    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
-    let id = name
-        .parse()
-        .map_err(|_| refused(Refusal::new(RefusalReason::UnknownTarget)))?;
-    Ok((id, compact_str::format_compact!("/{rest}")))
-}
-
-/// Fields of the caller that a service gets; marks for hosts never pass.
-fn forwarded_headers(headers: &Headers, id: RequestId) -> Headers {
-    const PASSED: [&str; 4] = ["content-type", "accept", "accept-language", "if-none-match"];
-    let mut forwarded = Headers::new().with_field("x-request-id", &id.to_string());
-    for field in headers.iter() {
-        if PASSED.contains(&field.name.as_str()) {
-            forwarded.push(&field.name, &field.value);
-        }
-    }
-    forwarded
-}
-
 fn read_body(connection: &mut Connection, head: &RequestHead) -> Result<Vec<u8>, Rejection> {
     let unreadable = |error: MessageError| match error {
         MessageError::TooLarge { .. } => not_run(413, "body_too_large", &error.to_string()),
@@ -593,21 +376,6 @@
         .map_err(unreadable)
 }
 
-/// The instant by which the answer is due, at most the intent's deadline ahead.
-fn deadline(head: &RequestHead, intent: &CallerIntent) -> Result<Millis, Rejection> {
-    let asked_ms = match head.headers.get("x-deadline-ms") {
-        None => intent.deadline_ms,
-        Some(text) => text.parse().map(Millis).map_err(|_| {
-            not_run(
-                400,
-                "invalid_request",
-                "X-Deadline-Ms must be a whole number of milliseconds",
-            )
-        })?,
-    };
-    Ok(clock::now() + asked_ms.min(intent.deadline_ms))
-}
-
 fn json_answer(value: &serde_json::Value) -> Prepared {
     Prepared::Answer(PlainAnswer::json(200, value))
 }
