--- a/src/load.rs
+++ b/src/load.rs
@@ -84,16 +84,16 @@
 #[derive(Debug, Clone, Args)]
 pub struct LoadTarget {
     /// Address for callers of the host under test.
-    #[arg(long)]
+    #[arg(long, required = false, requires_all = ["direct", "key", "model"])]
     pub host: SocketAddr,
     /// Address of an endpoint for the direct requests.
-    #[arg(long)]
+    #[arg(long, required = false, requires_all = ["host", "key", "model"])]
     pub direct: SocketAddr,
     /// Bearer key for the host.
-    #[arg(long)]
+    #[arg(long, required = false, requires_all = ["host", "direct", "model"])]
     pub key: String,
     /// Model to ask for.
-    #[arg(long)]
+    #[arg(long, required = false, requires_all = ["host", "direct", "key"])]
     pub model: String,
 }
 
