--- a/src/burn_collector.rs
+++ b/src/burn_collector.rs
@@ -14,9 +14,11 @@
     clock,
     decider::DeciderHandle,
     decision::Gateway,
-    outcome::Unsent,
     peer::{
-        client::PeerClient,
+        client::{
+            PeerClient,
+            Question, //
+        },
         frame::Frame, //
     },
     recorder::RecorderHandle,
@@ -53,12 +55,15 @@
     }
 
     fn ask(&self, host: &HostId, address: SocketAddr) -> Option<BurnReport> {
-        let deadline = Instant::now() + ASK_TIMEOUT;
-        let ready = self.peers.prepare(Some(host), address, deadline).ok()?;
-        let mut exchange = ready
-            .start(Unsent::new(), &Frame::Burn, &[], deadline)
-            .ok()?;
-        let answer = exchange.collect(MAX_REPORT_BYTES, deadline).ok()?;
+        let question = Question {
+            host,
+            address,
+            request: &Frame::Burn,
+            body: &[],
+            limit_bytes: MAX_REPORT_BYTES,
+            deadline: Instant::now() + ASK_TIMEOUT,
+        };
+        let answer = self.peers.ask(&question).ok()?;
         if answer.frame != Frame::BurnReport {
             return None;
         }
--- a/src/catch_up.rs
+++ b/src/catch_up.rs
@@ -13,15 +13,14 @@
 use thiserror::Error;
 
 use crate::{
-    outcome::Unsent,
     peer::{
         client::{
+            AskError,
             PeerClient,
-            StartError, //
+            Question, //
         },
         frame::Frame,
-        gossip::RevisionSource,
-        link::LinkError, //
+        gossip::RevisionSource, //
     },
     rollout::ChangeSet,
     watch::Configuration, //
@@ -35,12 +34,9 @@
 /// Why changes could not be fetched.
 #[derive(Debug, Error)]
 pub enum FetchError {
-    /// The other host could not be used.
+    /// The other host did not answer.
     #[error(transparent)]
-    Link(#[from] LinkError),
-    /// The request could not be sent.
-    #[error(transparent)]
-    Start(#[from] StartError),
+    Ask(#[from] AskError),
     /// The answer is not a set of changes.
     #[error("the answer is not a set of changes: {0}")]
     Content(#[from] postcard::Error),
@@ -91,13 +87,17 @@
     peers: &PeerClient,
     configuration: &Configuration,
 ) -> Result<ChangeSet, FetchError> {
-    let deadline = Instant::now() + FETCH_TIMEOUT;
-    let ready = peers.prepare(Some(&source.host), source.peer_address, deadline)?;
     let request = Frame::ChangesSince {
         revision: configuration.in_force.revision(),
     };
-    let mut exchange = ready.start(Unsent::new(), &request, &[], deadline)?;
-    let answer = exchange.collect(MAX_CHANGES_BYTES, deadline)?;
+    let answer = peers.ask(&Question {
+        host: &source.host,
+        address: source.peer_address,
+        request: &request,
+        body: &[],
+        limit_bytes: MAX_CHANGES_BYTES,
+        deadline: Instant::now() + FETCH_TIMEOUT,
+    })?;
     if answer.frame != Frame::Changes {
         return Err(FetchError::NoChanges);
     }
--- a/src/contact.rs
+++ b/src/contact.rs
@@ -42,7 +42,7 @@
         (heard_ms > 0).then(|| clock::now() - Millis(heard_ms))
     }
 
-    /// Notes that the list of endpoints has been read, here or by a neighbour.
+    /// Notes that the list of endpoints has been read, here or by another host of the region.
     pub fn note_list(&self) {
         self.0.has_list.store(true, Ordering::Release);
     }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -248,7 +248,7 @@
         self.waste
     }
 
-    /// What this region tells the others, or `None` without a configuration.
+    /// The summary of this region for the others, or `None` without a configuration.
     ///
     /// This host is part of it if its own heartbeats are fed to it as events.
     pub fn region_summary(&self, now_ms: Millis) -> Option<RegionSummary> {
--- a/src/decision/summary.rs
+++ b/src/decision/summary.rs
@@ -1,4 +1,4 @@
-//! What this region tells the others of itself.
+//! The summary of this region for the others.
 
 use std::collections::BTreeMap;
 
--- a/src/decision/view.rs
+++ b/src/decision/view.rs
@@ -73,7 +73,7 @@
     pub is_leaving: bool,
 }
 
-/// What a host says of itself.
+/// What a host reports about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The host.
@@ -103,7 +103,7 @@
     pub held_runs: Vec<HostRun>,
 }
 
-/// What an endpoint says of its load.
+/// Load that an endpoint reports.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointReport {
     /// The endpoint.
@@ -144,7 +144,7 @@
     pub caller_address: SocketAddr,
 }
 
-/// What a region says of itself.
+/// Capacity and revision of one region.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegionSummary {
     /// The region.
--- a/src/leave.rs
+++ b/src/leave.rs
@@ -13,9 +13,11 @@
     clock,
     decision::Gateway,
     in_force::InForceCell,
-    outcome::Unsent,
     peer::{
-        client::PeerClient,
+        client::{
+            PeerClient,
+            Question, //
+        },
         frame::Frame, //
     },
     ticket::{
@@ -80,21 +82,17 @@
     }
 
     fn send(&self, successor: &Owner, table: &[u8]) -> bool {
-        let deadline = Instant::now() + SEND_TIMEOUT;
-        let host = &successor.run.host;
         let request = Frame::TicketHandover {
             body: Bytes(table.len() as u64),
         };
-        let Ok(ready) = self
-            .peers
-            .prepare(Some(host), successor.peer_address, deadline)
-        else {
-            return false;
-        };
-        let Ok(mut exchange) = ready.start(Unsent::new(), &request, table, deadline) else {
-            return false;
-        };
-        let answer = exchange.collect(0, deadline);
+        let answer = self.peers.ask(&Question {
+            host: &successor.run.host,
+            address: successor.peer_address,
+            request: &request,
+            body: table,
+            limit_bytes: 0,
+            deadline: Instant::now() + SEND_TIMEOUT,
+        });
         answer.is_ok_and(|answer| answer.frame == Frame::Ack)
     }
 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -87,6 +87,34 @@
     },
 }
 
+/// Why a question to another host has no answer.
+#[derive(Debug, Error)]
+pub enum AskError {
+    /// The other host could not be used.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// The question could not be sent.
+    #[error(transparent)]
+    Start(#[from] StartError),
+}
+
+/// A question that another host answers as a whole.
+#[derive(Debug)]
+pub struct Question<'a> {
+    /// The host.
+    pub host: &'a HostId,
+    /// Its address for other hosts.
+    pub address: SocketAddr,
+    /// The request.
+    pub request: &'a Frame,
+    /// Body of the request.
+    pub body: &'a [u8],
+    /// Longest answer that is accepted.
+    pub limit_bytes: usize,
+    /// When the answer is of no use any more.
+    pub deadline: Instant,
+}
+
 #[derive(Debug, Default)]
 struct HostPool {
     idle: Vec<(Link, Instant)>,
@@ -169,6 +197,17 @@
         self.pools.lock().get(&address).map_or(0, |p| p.idle.len())
     }
 
+    /// Asks a question and reads the whole answer.
+    ///
+    /// For questions that may be repeated, or whose asker takes any failure as an
+    /// unknown outcome.
+    pub fn ask(&self, question: &Question<'_>) -> Result<Message, AskError> {
+        let deadline = question.deadline;
+        let ready = self.prepare(Some(question.host), question.address, deadline)?;
+        let mut exchange = ready.start(Unsent::new(), question.request, question.body, deadline)?;
+        Ok(exchange.collect(question.limit_bytes, deadline)?)
+    }
+
     /// Gets a live connection without sending any part of a request.
     ///
     /// With `host`, a connection to any other host is refused.
--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -1,7 +1,7 @@
 //! Decides which facts go to which hosts, as a plain struct with explicit time.
 //!
 //! In each round a host writes to a few random hosts of its region: facts that
-//! changed, then signs of life of the hosts heard last, states of other regions
+//! changed, then short heartbeats of the hosts heard last, states of other regions
 //! and the newest loads. Descriptions that do not change go in full only now and
 //! then; a host that meets a short name it does not know asks the sender for the
 //! rest. The first three hosts of a region by rendezvous hashing also write the
@@ -101,11 +101,11 @@
 const FANOUT: usize = 2;
 /// Other regions that a delegate writes to in one round.
 const CROSS_FANOUT: usize = 2;
-/// Signs of life older than this are not passed on.
+/// Short heartbeats older than this are not passed on.
 const BEAT_RELAY_MS: Millis = Millis(5_000);
 /// Part of a datagram that changed facts may take, in percent.
 const CHANGED_ROOM_PERCENT: usize = 60;
-/// Part of a datagram that signs of life may take, in percent. With 70 the 99th
+/// Part of a datagram that short heartbeats may take, in percent. With 70 the 99th
 /// percentile of the age of loads rose from 4.6 s to 7.3 s.
 const BEAT_ROOM_PERCENT: usize = 50;
 /// Part of the rest that states of other regions may take, in percent.
@@ -115,7 +115,7 @@
 /// Extra sends of a load before others go first. None instead of one made
 /// the median age of loads 1.5 s instead of 1.3 s in the full-size measurement.
 const EXTRA_LOAD_SENDS: u32 = 1;
-/// The same for signs of life.
+/// The same for short heartbeats.
 const EXTRA_BEAT_SENDS: u32 = 1;
 /// Time between two unchanged facts that are sent in full anyway.
 const REFRESH_MS: Millis = Millis(1_000);
@@ -150,7 +150,7 @@
 /// many. Delegates tell as many other regions.
 const REVISION_FANOUT: usize = 2;
 /// Length of a regular datagram within the region. In the full-size measurement
-/// the 99th percentile of the age of signs of life was 3.2 s with full-length
+/// the 99th percentile of the age of short heartbeats was 3.2 s with full-length
 /// datagrams, 2.1 s with 760 bytes and 1.8 s with 640 bytes.
 const REGION_DATAGRAM_BYTES: usize = 640;
 
@@ -460,7 +460,7 @@
         }
     }
 
-    /// Sets what this host says of itself; the sequence is filled in here.
+    /// Sets the heartbeat of this host; the sequence is filled in here.
     pub fn put_heartbeat(&mut self, now_ms: Millis, mut heartbeat: Heartbeat) {
         let tick_ms = tick_floor(now_ms);
         let known = self.store.hosts.get(&self.config.host);
@@ -1074,7 +1074,7 @@
         Some(self.beat(now_ms, own))
     }
 
-    /// Adds signs of life that were sent least often, newest first.
+    /// Adds short heartbeats that were sent least often, newest first.
     ///
     /// Newest first alone would never pass on a host that writes seldom because
     /// it is over its budget.
@@ -1220,7 +1220,7 @@
         }
     }
 
-    /// Asks a silent host of the region for a sign of life, so that two halves
+    /// Asks a silent host of the region for a short heartbeat, so that two halves
     /// that have forgotten each other find together again.
     ///
     /// The hosts of a region together ask four times a second, however many
--- a/src/peer/measure.rs
+++ b/src/peer/measure.rs
@@ -81,7 +81,7 @@
     pub report_age_p50_ms: u64,
     /// 99th percentile of that age.
     pub report_age_p99_ms: u64,
-    /// Median age of the newest sign of life of a host at another.
+    /// Median age of the newest short heartbeat of a host at another.
     pub beat_age_p50_ms: u64,
     /// 99th percentile of that age.
     pub beat_age_p99_ms: u64,
--- a/src/peer/socket.rs
+++ b/src/peer/socket.rs
@@ -66,11 +66,11 @@
 /// A fact that this host is the source of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LocalUpdate {
-    /// What it says of itself.
+    /// Its own heartbeat.
     Heartbeat(Heartbeat),
     /// What it measured at an endpoint.
     Report(EndpointReport),
-    /// What it says of its region.
+    /// The summary of its region.
     Summary(RegionSummary),
     /// Addresses of hosts to contact.
     Seeds(Vec<SocketAddr>),
--- a/src/peer/store.rs
+++ b/src/peer/store.rs
@@ -45,7 +45,7 @@
 const ENDPOINT_KEEP_MS: Millis = Millis(60_000);
 /// Summaries of a region that is cut off are kept for its hosts' addresses.
 const SUMMARY_KEEP_MS: Millis = Millis(3_600_000);
-/// Signs of life alone are passed on to the decisions at most this often.
+/// Short heartbeats alone are passed on to the decisions at most this often.
 const BEAT_EVENT_MS: Millis = Millis(200);
 /// How often each host sends a changed fact in full.
 const CHANGED_SENDS: u8 = 4;
@@ -252,7 +252,7 @@
         self.hosts.insert(host, record);
     }
 
-    /// Takes over a sign of life.
+    /// Takes over a short heartbeat.
     pub fn apply_beat(
         &mut self,
         now_ms: Millis,
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -174,11 +174,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Item {
-    /// What a host says of itself.
+    /// What a host reports about itself.
     Heartbeat(Heartbeat),
-    /// What an endpoint says of itself.
+    /// Report of an endpoint.
     Report(EndpointReport),
-    /// What a region says of itself.
+    /// Capacity and revision of one region.
     Summary(RegionSummary),
 }
 
@@ -208,7 +208,7 @@
     Millis(tick.saturating_mul(TICK_MS.0))
 }
 
-/// Newest sign of life of a host, without its unchanged description.
+/// Newest short heartbeat of a host, without its unchanged description.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
     /// The host's run.
@@ -256,7 +256,7 @@
     pub revision: Revision,
     /// Facts in full.
     pub items: Vec<Item>,
-    /// Signs of life of hosts in the sender's region.
+    /// Short heartbeats of hosts in the sender's region.
     pub beats: Vec<Beat>,
     /// Loads of endpoints in the sender's region.
     pub loads: Vec<Load>,
--- a/src/peer_list.rs
+++ b/src/peer_list.rs
@@ -1,7 +1,7 @@
 //! Reads the endpoint list from another host of the region.
 //!
 //! A host that starts while the platform cannot be reached would otherwise know
-//! no endpoint, although its neighbours still serve.
+//! no endpoint, although the others still serve.
 
 use std::time::{
     Duration,
@@ -20,14 +20,13 @@
             HostState, //
         }, //
     },
-    outcome::Unsent,
     peer::{
         client::{
+            AskError,
             PeerClient,
-            StartError, //
+            Question, //
         },
-        frame::Frame,
-        link::LinkError, //
+        frame::Frame, //
     },
     types::HostId, //
 };
@@ -41,12 +40,9 @@
     /// No other host of this region is ready.
     #[error("no other host of this region is ready")]
     NoHost,
-    /// The other host could not be used.
+    /// The other host did not answer.
     #[error(transparent)]
-    Link(#[from] LinkError),
-    /// The request could not be sent.
-    #[error(transparent)]
-    Start(#[from] StartError),
+    Ask(#[from] AskError),
     /// The answer is not a list.
     #[error("the answer is not a list of endpoints: {0}")]
     Content(#[from] postcard::Error),
@@ -77,10 +73,10 @@
     decider: &DeciderHandle,
     peers: &PeerClient,
 ) -> Result<Vec<EndpointInfo>, PeerListError> {
-    let neighbours = decider.query(neighbours).unwrap_or_default();
+    let hosts = decider.query(other_hosts).unwrap_or_default();
     let mut result = Err(PeerListError::NoHost);
-    for neighbour in &neighbours {
-        result = fetch_from(neighbour, peers);
+    for host in &hosts {
+        result = fetch_from(host, peers);
         if matches!(&result, Ok(list) if !list.is_empty()) {
             break;
         }
@@ -88,7 +84,8 @@
     result
 }
 
-fn neighbours(gateway: &Gateway) -> Vec<HostState> {
+/// The other hosts of this region that are ready.
+fn other_hosts(gateway: &Gateway) -> Vec<HostState> {
     let own: &HostId = &gateway.config().host;
     let region = &gateway.config().region;
     let ready = gateway
@@ -100,15 +97,15 @@
         .collect()
 }
 
-fn fetch_from(
-    neighbour: &HostState,
-    peers: &PeerClient,
-) -> Result<Vec<EndpointInfo>, PeerListError> {
-    let deadline = Instant::now() + FETCH_TIMEOUT;
-    let heartbeat = &neighbour.heartbeat;
-    let ready = peers.prepare(Some(&heartbeat.host), heartbeat.peer_address, deadline)?;
-    let mut exchange = ready.start(Unsent::new(), &Frame::Endpoints, &[], deadline)?;
-    let answer = exchange.collect(MAX_LIST_BYTES, deadline)?;
+fn fetch_from(host: &HostState, peers: &PeerClient) -> Result<Vec<EndpointInfo>, PeerListError> {
+    let answer = peers.ask(&Question {
+        host: &host.heartbeat.host,
+        address: host.heartbeat.peer_address,
+        request: &Frame::Endpoints,
+        body: &[],
+        limit_bytes: MAX_LIST_BYTES,
+        deadline: Instant::now() + FETCH_TIMEOUT,
+    })?;
     if answer.frame != Frame::EndpointList {
         return Err(PeerListError::NoList);
     }
--- a/src/tickets.rs
+++ b/src/tickets.rs
@@ -33,7 +33,10 @@
         RunState,
         Unsent, //
     },
-    peer::frame::Frame,
+    peer::{
+        client::Question,
+        frame::Frame, //
+    },
     plain_answer::{
         self,
         PlainAnswer, //
@@ -415,20 +418,21 @@
         body: &[u8],
         deadline: Instant,
     ) -> Option<PlainAnswer> {
-        let host = &owner.run.host;
-        let ready = self
+        let question = Question {
+            host: &owner.run.host,
+            address: owner.peer_address,
+            request: frame,
+            body,
+            limit_bytes: MAX_ANSWER_BYTES,
+            deadline,
+        };
+        let answer = self
             .relay
             .peers
-            .prepare(Some(host), owner.peer_address, deadline)
-            .inspect_err(|error| tracing::debug!(%host, %error, "could not reach the owner"))
-            .ok()?;
-        let mut exchange = ready
-            .start(Unsent::new(), frame, body, deadline)
-            .inspect_err(|error| tracing::debug!(%host, %error, "could not ask the owner"))
-            .ok()?;
-        let answer = exchange
-            .collect(MAX_ANSWER_BYTES, deadline)
-            .inspect_err(|error| tracing::debug!(%host, %error, "the owner did not answer"))
+            .ask(&question)
+            .inspect_err(|error| {
+                tracing::debug!(host = %owner.run.host, %error, "the owner did not answer");
+            })
             .ok()?;
         if answer.frame != Frame::TicketStatus {
             return None;
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -85,7 +85,7 @@
     pub list: ServiceList,
     /// Leads to the decisions.
     pub decider: DeciderHandle,
-    /// Asks neighbours while the platform is away.
+    /// Asks hosts of the region while the platform is away.
     pub peers: PeerClient,
     /// Notes what was read.
     pub contact: PlatformContact,
@@ -94,7 +94,7 @@
 impl ListFollower {
     /// Follows until stopped; `on_hosts` takes the addresses of the hosts.
     ///
-    /// A host that has read no list yet takes the endpoints that a neighbour
+    /// A host that has read no list yet takes the endpoints that another host of the region
     /// knows while the platform cannot be reached.
     pub fn follow<F>(&self, on_hosts: F, stop: &StopFlag)
     where
