--- a/src/host.rs
+++ b/src/host/mod.rs
@@ -1,11 +1,12 @@
 //! One entry host: its threads and the rings between them.
 
+mod parts;
+
 use std::{
     io,
     net::{
         SocketAddr,
-        TcpListener,
-        UdpSocket, //
+        TcpListener, //
     },
     sync::{
         Arc,
@@ -29,6 +30,14 @@
 use rand::RngExt;
 use thiserror::Error;
 
+use self::parts::{
+    listen,
+    refuse_connection,
+    start_gossip,
+    start_poller,
+    start_recorder,
+    start_tickets, //
+};
 use crate::{
     admin::{
         Admin,
@@ -37,7 +46,6 @@
         Status, //
     },
     announce::Announcer,
-    burn::Burn,
     burn_collector::BurnCollector,
     caller::{
         self,
@@ -45,7 +53,6 @@
     },
     catch_up::{
         self,
-        SourceRing,
         Sources, //
     },
     clock,
@@ -62,34 +69,15 @@
     decision::{
         Gateway,
         GatewayConfig,
-        event::{
-            Event,
-            Refusal,
-            RefusalReason, //
-        },
+        event::Event,
         policy::Policy, //
     },
-    http::{
-        connection::Connection,
-        server::Acceptor, //
-    },
+    http::server::Acceptor,
     in_force::InForceCell,
     leave::Handover,
-    metrics::{
-        Metrics,
-        MetricsSetupError, //
-    },
-    openai::ErrorAnswer,
-    outcome::{
-        RunState,
-        Unsent, //
-    },
+    metrics::MetricsSetupError,
     peer::{
         client::PeerClient,
-        gossip::{
-            GossipConfig,
-            GossipEvent, //
-        },
         link::PeerIdentity,
         server::PeerServer,
         socket::{
@@ -107,38 +95,20 @@
         KeyValue,
         ServiceList, //
     },
-    poller::{
-        Poller,
-        PollerConfig, //
-    },
-    recorder::{
-        self,
-        RecorderHandle, //
-    },
+    poller::Poller,
+    recorder::RecorderHandle,
     relay::RelayContext,
     sample::Sampler,
-    sink::AnswerSink,
     spending::{
         self,
         Asks, //
     },
     status,
-    ticket::{
-        table::TicketTable,
-        token::{
-            HostRun,
-            KeyError,
-            Owner,
-            TicketSigner, //
-        }, //
-    },
-    ticket_thread::TableHandle,
+    ticket::token::KeyError,
     tickets::TicketContext,
     types::{
         Incarnation,
-        Millis,
-        RegionId,
-        RequestId, //
+        RegionId, //
     },
     watch::{
         self,
@@ -149,8 +119,6 @@
 };
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// When to come back after the connection limit was reached.
-const OVERLOAD_RETRY_AFTER_MS: Millis = Millis(1_000);
 
 /// Keys of one host, read from files.
 #[derive(Clone)]
@@ -544,117 +512,3 @@
         Ok(())
     }
 }
-
-/// Starts the poller, whose reports go to gossip; what is news comes back from
-/// there and reaches the decisions.
-fn start_poller(gossip: &Arc<GossipSocket>) -> Result<Poller, StartError> {
-    let gossip = Arc::clone(gossip);
-    Poller::start(PollerConfig::new(), move |report| {
-        gossip.publish(LocalUpdate::Report(report));
-    })
-    .map_err(|source| StartError::Thread {
-        name: "poller",
-        source,
-    })
-}
-
-fn start_recorder(
-    config: &Config,
-    mut sampler: Sampler,
-) -> Result<(RecorderHandle, JoinHandle<()>), StartError> {
-    let metrics = match config.statsd_address {
-        Some(address) => Metrics::udp(address, &config.region, &config.host)?,
-        None => Metrics::none(),
-    };
-    let burn = Burn::new(config.host.clone());
-    recorder::start(burn, metrics, move |metrics| sampler.sample(metrics)).map_err(|source| {
-        StartError::Thread {
-            name: "recorder",
-            source,
-        }
-    })
-}
-
-fn start_tickets(
-    config: &Config,
-    incarnation: Incarnation,
-    keys: &HostKeys,
-    relay: RelayContext,
-) -> Result<(TicketContext, JoinHandle<()>), StartError> {
-    let me = Owner {
-        run: HostRun {
-            host: config.host.clone(),
-            incarnation,
-        },
-        region: config.region.clone(),
-        peer_address: config.peer_address_for_others(),
-    };
-    let signer = TicketSigner::new(&keys.cluster_key)?;
-    let started_ms = clock::now();
-    let table = TicketTable::new(me.clone(), started_ms);
-    let (table, thread) = TableHandle::start(table).map_err(|source| StartError::Thread {
-        name: "tickets",
-        source,
-    })?;
-    let context = TicketContext {
-        table,
-        signer,
-        me,
-        started_ms,
-        relay,
-    };
-    Ok((context, thread))
-}
-
-fn start_gossip(
-    config: &Config,
-    incarnation: Incarnation,
-    keys: &HostKeys,
-    decider: &DeciderHandle,
-    sources: SourceRing,
-) -> Result<GossipSocket, StartError> {
-    let fail = |source| StartError::Listen {
-        address: config.peer_address,
-        purpose: "gossip",
-        source,
-    };
-    let socket = UdpSocket::bind(config.peer_address).map_err(fail)?;
-    let gossip = GossipConfig::new(config.host.clone(), incarnation, config.region.clone())
-        .with_seeds(config.seeds.clone());
-    let decider = decider.clone();
-    let on_event = move |event| {
-        let event = match event {
-            GossipEvent::Heartbeat(heartbeat) => Event::Heartbeat(heartbeat),
-            GossipEvent::Report(report) => Event::Report(report),
-            GossipEvent::Summary(summary) => Event::Summary(summary),
-            GossipEvent::HigherRevision(source) => return sources.note(source),
-        };
-        // GossipEvent comes again, so a full ring may drop it.
-        let _ = decider.report(event);
-    };
-    GossipSocket::start(
-        socket,
-        gossip,
-        &ClusterKey::new(&keys.cluster_key),
-        on_event,
-    )
-    .map_err(fail)
-}
-
-fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).map_err(|source| StartError::Listen {
-        address,
-        purpose,
-        source,
-    })
-}
-
-/// Answers a connection over the limit.
-fn refuse_connection(connection: Connection) {
-    let state = RunState::NotRun(Unsent::new().give_up());
-    let refusal = Refusal::new(RefusalReason::Overloaded).with_retry_after(OVERLOAD_RETRY_AFTER_MS);
-    let answer = ErrorAnswer::from_refusal(refusal, state);
-    AnswerSink::new(connection, RequestId::default())
-        .with_closing(true)
-        .give_up(&answer);
-}
