--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -230,7 +230,7 @@
 fn an_unknown_section_is_refused() {
     let fixture = Fixture::new().with_line("[limits]", "[limit]");
     fixture.refused(expect![[r#"
-        cardamombridge: host.ini:13: unknown section [limit]: expected one of host, platform, keys, peers, limits, logs, metrics and link.REGION
+        cardamombridge: host.ini:13: unknown section [limit]: expected one of host, platform, keys, peers, limits, policy, logs, metrics and link.REGION
     "#]]);
 }
 
