--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -329,10 +329,7 @@
 
     fn interrupted(&self) -> AttemptOutcome {
         let delivered = self.stream.tokens;
-        // With no token left to generate, an engine could only add one too many.
-        let has_more = delivered < self.arrival.max_output;
-        let can_resume =
-            has_more && matches!(&self.payload, Payload::Chat(chat) if chat.is_resumable);
+        let can_resume = matches!(&self.payload, Payload::Chat(chat) if chat.is_resumable);
         if self.stream.is_started && !can_resume {
             return AttemptOutcome::Broken { delivered };
         }
