--- a/src/admin.rs
+++ b/src/admin.rs
@@ -59,6 +59,10 @@
 use crate::{
     burn::BurnReport,
     clock,
+    consul::{
+        KeyValue,
+        PlatformError, //
+    },
     ini_file::IniError,
     intent::{
         Change,
@@ -74,10 +78,6 @@
         Refused,
         Violation, //
     },
-    platform::{
-        KeyValue,
-        PlatformError, //
-    },
     rollout::{
         self,
         Accepted,
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -41,6 +41,12 @@
         Delivery,
         Promise, //
     },
+    consul::{
+        ENDPOINT_SERVICE,
+        Index,
+        KeyValue,
+        ServiceList, //
+    },
     cpu_clock::{
         self,
         CpuTimer, //
@@ -97,12 +103,6 @@
         Plan,
         PlanRules, //
     },
-    platform::{
-        ENDPOINT_SERVICE,
-        Index,
-        KeyValue,
-        ServiceList, //
-    },
     poller::{
         self,
         EngineLoad, //
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -30,6 +30,7 @@
         self,
         ExperimentArgs, //
     },
+    gateway,
     load::{
         self,
         LoadArgs, //
@@ -58,6 +59,8 @@
 enum Command {
     /// Run one entry host until SIGTERM or SIGINT.
     Serve(SettingsFile),
+    /// Run one host of the gateway for the platform until SIGTERM or SIGINT.
+    Gateway(GatewayFile),
     /// Run three regions with stand-ins on loopback and a fixed script.
     Demo(DemoArgs),
     /// Check or print settings.
@@ -95,10 +98,18 @@
     path: PathBuf,
 }
 
+#[derive(Debug, Args)]
+struct GatewayFile {
+    /// Settings of the host, in INI.
+    #[arg(value_name = "SETTINGS.ini", env = "CARDAMOMBRIDGE_CONFIG")]
+    path: PathBuf,
+}
+
 /// Runs the command and returns the exit code of the process.
 pub fn run(cli: Cli) -> anyhow::Result<ExitCode> {
     match cli.command {
         Command::Serve(file) => serve::run(&file.path),
+        Command::Gateway(file) => gateway::start::run(&file.path),
         Command::Demo(args) => demo::run(&args),
         Command::Settings(SettingsCommand::Check(file)) => settings::check(&file.path),
         Command::Settings(SettingsCommand::Show(file)) => settings::show(&file.path),
--- a/src/platform.rs
+++ b/src/consul.rs
@@ -1,6 +1,6 @@
-//! Client of the platform's key-value service and list.
+//! Client of a key-value service and list that speak the Consul HTTP interface.
 //!
-//! Both speak the published Consul HTTP interface. A write whose response did
+//! The interface is the published one. A write whose response did
 //! not arrive may have taken effect, so it is reported as
 //! [`CasOutcome::Unknown`]; only a refused connection and a rejection by the
 //! service itself prove that nothing was written. Nothing is retried in here.
--- /dev/null
+++ b/src/gateway/endpoint.rs
@@ -0,0 +1,351 @@
+//! One endpoint: what it announces, what it was sent, and how it answers.
+//!
+//! Load is known from this host's own requests, from what the other hosts of
+//! the region say they sent, and from the load that answers carry. Speed and
+//! health are judged by answers alone, because announcements and health checks
+//! can be wrong.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr, //
+};
+
+use compact_str::CompactString;
+
+use super::{
+    configuration::Service,
+    request::{
+        Call,
+        EndpointLoad, //
+    }, //
+};
+
+/// Weight of a new observation in a moving average.
+const LEARN_WEIGHT: f64 = 0.15;
+/// First block after a failure to reach an endpoint; doubles with each one.
+const FIRST_BLOCK_MS: u64 = 500;
+/// Longest block: one heartbeat of an endpoint's announcement is about a second,
+/// so a longer one would outlast what the announcement shows.
+const MAX_BLOCK_MS: u64 = 4_000;
+/// Failures in a row, after the connection was made, that block an endpoint.
+const FAILURES_TO_BLOCK: u32 = 3;
+/// How long a reported load is believed.
+const REPORT_LIFETIME_MS: u64 = 1_000;
+/// Parts remembered for one endpoint; older ones are forgotten first.
+const MAX_PARTS: usize = 512;
+/// Slowness is kept in this range, so that one observation cannot exclude an
+/// endpoint for good.
+const SLOWNESS_RANGE: (f64, f64) = (0.5, 12.0);
+
+/// State that an endpoint announces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It takes requests.
+    Ready,
+    /// It leaves and takes no new requests.
+    Draining,
+}
+
+/// What an endpoint announces about itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Announcement {
+    /// Its service.
+    pub service: CompactString,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: CompactString,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub stage: Stage,
+    /// How long it stays cold.
+    pub cold_left_ms: u64,
+    /// How long it exists, if it was told to leave at short notice.
+    pub remaining_ms: Option<u64>,
+    /// Unix time of its start, which tells one run from the next.
+    pub started_ms: u64,
+}
+
+/// How sure a failure is to come from the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke, or the answer was unusable.
+    Broken,
+    /// The endpoint answered with an error of its own.
+    Error,
+    /// The endpoint said that it did not run the request.
+    Shed,
+}
+
+/// What one host has at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Share {
+    /// Requests in progress.
+    pub active: u32,
+    /// Prompt tokens of requests without a first event.
+    pub backlog_tokens: u64,
+    /// Tokens of all requests in progress.
+    pub held_tokens: u64,
+}
+
+impl Share {
+    /// Adds another share.
+    pub fn add(&mut self, other: Share) {
+        self.active += other.active;
+        self.backlog_tokens += other.backlog_tokens;
+        self.held_tokens += other.held_tokens;
+    }
+}
+
+/// An endpoint and what this host knows about it.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// Identity.
+    pub id: CompactString,
+    /// Latest announcement.
+    pub announcement: Announcement,
+    /// Region of its data centre.
+    pub region: CompactString,
+    /// The announcement stands; otherwise the endpoint only finishes its work.
+    pub is_listed: bool,
+    /// What this host sent.
+    pub own: Share,
+    /// What the other hosts of the region say they sent.
+    pub others: Share,
+    cold_until_ms: u64,
+    last_cold_send_ms: Vec<u64>,
+    reported: Option<(u64, EndpointLoad)>,
+    slowness: f64,
+    error_rate: f64,
+    failures: u32,
+    blocked_until_ms: u64,
+    block_ms: u64,
+    on_trial: bool,
+    parts: HashMap<u64, u64>,
+}
+
+impl Endpoint {
+    /// An endpoint that was just announced.
+    pub fn new(
+        id: CompactString,
+        region: CompactString,
+        announcement: Announcement,
+        now_ms: u64,
+    ) -> Self {
+        Self {
+            id,
+            region,
+            cold_until_ms: now_ms + announcement.cold_left_ms,
+            announcement,
+            is_listed: true,
+            own: Share::default(),
+            others: Share::default(),
+            last_cold_send_ms: Vec::new(),
+            reported: None,
+            slowness: 1.0,
+            error_rate: 0.0,
+            failures: 0,
+            blocked_until_ms: 0,
+            block_ms: FIRST_BLOCK_MS,
+            on_trial: false,
+            parts: HashMap::new(),
+        }
+    }
+
+    /// Takes over a newer announcement.
+    ///
+    /// A restarted endpoint keeps nothing, so what was learned is dropped.
+    pub fn announce(&mut self, announcement: Announcement, now_ms: u64) {
+        let is_restarted = announcement.started_ms != self.announcement.started_ms
+            || announcement.address != self.announcement.address;
+        if is_restarted {
+            let own = self.own;
+            *self = Self::new(self.id.clone(), self.region.clone(), announcement, now_ms);
+            self.own = own;
+            return;
+        }
+        self.is_listed = true;
+        if announcement.cold_left_ms > 0 {
+            self.set_cold(announcement.cold_left_ms, now_ms);
+        }
+        self.announcement = announcement;
+    }
+
+    /// Records that the endpoint stays cold for so long.
+    pub fn set_cold(&mut self, left_ms: u64, now_ms: u64) {
+        self.cold_until_ms = self.cold_until_ms.max(now_ms + left_ms);
+    }
+
+    /// Whether the endpoint is cold.
+    pub fn is_cold(&self, now_ms: u64) -> bool {
+        now_ms < self.cold_until_ms
+    }
+
+    /// Whether new requests may go to the endpoint, its load aside.
+    pub fn is_usable(&self, now_ms: u64) -> bool {
+        self.is_listed
+            && self.announcement.stage == Stage::Ready
+            && now_ms >= self.blocked_until_ms
+            && !(self.on_trial && self.own.active > 0)
+    }
+
+    /// Whether one more request may be sent in this second to a cold endpoint.
+    pub fn has_cold_allowance(&self, per_second: u32, now_ms: u64) -> bool {
+        let recent = self
+            .last_cold_send_ms
+            .iter()
+            .filter(|sent_ms| now_ms < **sent_ms + COLD_WINDOW_MS)
+            .count();
+        recent < per_second as usize
+    }
+
+    /// Records that a request was sent.
+    pub fn start(&mut self, work: Work, now_ms: u64) {
+        self.own.active += 1;
+        self.own.backlog_tokens += work.uncached_tokens;
+        self.own.held_tokens += work.held_tokens;
+        if self.is_cold(now_ms) {
+            self.last_cold_send_ms
+                .retain(|sent_ms| now_ms < *sent_ms + COLD_WINDOW_MS);
+            self.last_cold_send_ms.push(now_ms);
+        }
+    }
+
+    /// Records that a request's prompt has been read.
+    pub fn first_event(&mut self, work: Work) {
+        self.own.backlog_tokens = self.own.backlog_tokens.saturating_sub(work.uncached_tokens);
+    }
+
+    /// Records that a request has ended.
+    pub fn finish(&mut self, work: Work, had_first_event: bool) {
+        self.own.active = self.own.active.saturating_sub(1);
+        self.own.held_tokens = self.own.held_tokens.saturating_sub(work.held_tokens);
+        if !had_first_event {
+            self.first_event(work);
+        }
+    }
+
+    /// Records a good answer that began after `actual_ms` instead of `predicted_ms`.
+    pub fn succeed(&mut self, actual_ms: f64, predicted_ms: f64) {
+        let ratio = self.slowness * actual_ms / predicted_ms.max(1.0);
+        let (low, high) = SLOWNESS_RANGE;
+        self.slowness += LEARN_WEIGHT * (ratio.clamp(low, high) - self.slowness);
+        self.error_rate -= LEARN_WEIGHT * self.error_rate;
+        self.failures = 0;
+        self.on_trial = false;
+        self.block_ms = FIRST_BLOCK_MS;
+    }
+
+    /// Records a failure; returns whether the endpoint is blocked because of it.
+    pub fn fail(&mut self, failure: Failure, now_ms: u64) -> bool {
+        if failure == Failure::Shed {
+            self.blocked_until_ms = self.blocked_until_ms.max(now_ms + SHED_PAUSE_MS);
+            return false;
+        }
+        self.error_rate += LEARN_WEIGHT * (1.0 - self.error_rate);
+        if failure == Failure::Error {
+            return false;
+        }
+        self.failures += 1;
+        let blocks =
+            failure == Failure::Unreachable || self.on_trial || self.failures >= FAILURES_TO_BLOCK;
+        if !blocks || now_ms < self.blocked_until_ms {
+            return false;
+        }
+        self.blocked_until_ms = now_ms + self.block_ms;
+        self.block_ms = (self.block_ms * 2).min(MAX_BLOCK_MS);
+        self.on_trial = true;
+        true
+    }
+
+    /// Takes over the load that an answer carries.
+    pub fn report(&mut self, load: EndpointLoad, now_ms: u64) {
+        self.reported = Some((now_ms, load));
+    }
+
+    /// Requests at the endpoint, from all that is known.
+    pub fn load(&self, now_ms: u64) -> f64 {
+        let known = f64::from(self.own.active + self.others.active);
+        match self.reported {
+            Some((at_ms, load)) if now_ms < at_ms + REPORT_LIFETIME_MS => {
+                let age = (now_ms - at_ms) as f64 / REPORT_LIFETIME_MS as f64;
+                let reported = f64::from(load.running + load.waiting);
+                known.max(reported * (1.0 - age))
+            }
+            _ => known,
+        }
+    }
+
+    /// Remembers which parts of a prompt the endpoint has read.
+    pub fn remember(&mut self, call: &Call, now_ms: u64) {
+        if self.parts.len() > MAX_PARTS {
+            let mut ages: Vec<u64> = self.parts.values().copied().collect();
+            let (_, median, _) = ages.select_nth_unstable(MAX_PARTS / 2);
+            let oldest_kept_ms = *median;
+            self.parts.retain(|_, used_ms| *used_ms > oldest_kept_ms);
+        }
+        for part in &call.parts {
+            self.parts.insert(part.id, now_ms);
+        }
+    }
+
+    /// Tokens at the start of the prompt that the endpoint has probably cached.
+    pub fn cached_tokens(&self, call: &Call) -> u64 {
+        call.parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id))
+            .map(|part| part.tokens.0)
+            .sum()
+    }
+
+    /// Factor on predicted times, learned from answers.
+    pub fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
+    /// Share of answers that failed, as a moving average.
+    pub fn error_rate(&self) -> f64 {
+        self.error_rate
+    }
+
+    /// Earliest time at which a blocked endpoint is tried again.
+    pub fn blocked_until_ms(&self) -> u64 {
+        self.blocked_until_ms
+    }
+}
+
+/// Window in which requests to a cold endpoint are counted. The platform counts
+/// whole seconds; the rest covers differences in the time on the way.
+const COLD_WINDOW_MS: u64 = 1_150;
+/// Pause after an endpoint refused a request for lack of room.
+const SHED_PAUSE_MS: u64 = 60;
+
+/// Size of a request at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Work {
+    /// Prompt tokens that the endpoint has to read.
+    pub uncached_tokens: u64,
+    /// Memory that the request takes.
+    pub held_tokens: u64,
+}
+
+impl Work {
+    /// The work of `call` at an endpoint that has cached the first tokens.
+    pub fn new(call: &Call, cached_tokens: u64) -> Self {
+        let prompt = call.prompt.0;
+        let uncached_tokens = prompt.saturating_sub(cached_tokens);
+        Self {
+            uncached_tokens,
+            held_tokens: uncached_tokens + call.max_output.0,
+        }
+    }
+}
+
+/// Requests that a service's endpoints run at once.
+pub fn slots_of(endpoint: &Endpoint, service: Option<&Service>) -> f64 {
+    let configured = service.and_then(|service| service.engine_slots);
+    f64::from(configured.unwrap_or(endpoint.announcement.slots).max(1))
+}
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,65 @@
+//! Boundaries of server-sent events.
+//!
+//! An endpoint can stop in the middle of an event. Only whole events are passed
+//! on, so that another endpoint can continue a stream after the last one.
+
+use compact_str::CompactString;
+use memchr::memmem;
+
+/// Splits a stream into whole events and remembers the id of the last one.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    partial: Vec<u8>,
+    last_id: Option<CompactString>,
+    whole_count: u64,
+}
+
+impl EventSplitter {
+    /// A splitter at the start of a stream.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes content and appends the events that it completes to `out`.
+    pub fn push(&mut self, content: &[u8], out: &mut Vec<u8>) {
+        self.partial.extend_from_slice(content);
+        let mut start = 0;
+        while let Some(found) = memmem::find(&self.partial[start..], b"\n\n") {
+            let end = start + found + 2;
+            let id = event_id(&self.partial[start..end]);
+            self.last_id = id.or(self.last_id.take());
+            self.whole_count += 1;
+            start = end;
+        }
+        out.extend(self.partial.drain(..start));
+    }
+
+    /// Drops an event that has not ended; the stream goes on after the last whole one.
+    pub fn discard_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Content after the last whole event.
+    pub fn partial(&self) -> &[u8] {
+        &self.partial
+    }
+
+    /// Id of the last whole event.
+    pub fn last_id(&self) -> Option<&CompactString> {
+        self.last_id.as_ref()
+    }
+
+    /// Number of whole events.
+    pub fn whole_count(&self) -> u64 {
+        self.whole_count
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<CompactString> {
+    event
+        .split(|byte| *byte == b'\n')
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .filter_map(|value| std::str::from_utf8(value).ok())
+        .map(|value| CompactString::from(value.trim()))
+        .next_back()
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,178 @@
+//! One request of a caller, from its arrival to the end of its answer.
+
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    configuration::{
+        Repeat,
+        Route, //
+    },
+    events::EventSplitter,
+    fleet::Choice,
+    head::RequestHead,
+    request::Call, //
+};
+
+/// What a route says about a request, as it is told to another region.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Route.
+    pub route: CompactString,
+    /// Service.
+    pub service: CompactString,
+    /// The answer is a series of events.
+    pub is_stream: bool,
+    /// The request may run again.
+    pub is_idempotent: bool,
+    /// Another endpoint may continue the stream.
+    pub is_resumable: bool,
+    /// Time within which an answer is on time.
+    pub goal_ms: u64,
+    /// Time after which the route gives up.
+    pub timeout_ms: u64,
+    /// Most endpoints that may run the request.
+    pub max_attempts: u32,
+    /// Rank, 0 first.
+    pub priority: Option<u8>,
+    /// Regions that may serve it; any region if empty.
+    pub homes: Vec<CompactString>,
+}
+
+impl Plan {
+    /// The plan for a request on `route` that goes to `service`.
+    pub fn new(route: &Route, service: CompactString) -> Self {
+        Self {
+            route: route.name.clone(),
+            service,
+            is_stream: route.is_stream,
+            is_idempotent: route.repeat == Repeat::Idempotent,
+            is_resumable: route.repeat == Repeat::Resume,
+            goal_ms: route.goal_ms,
+            timeout_ms: route.timeout_ms,
+            max_attempts: route.max_attempts,
+            priority: route.priority,
+            homes: route.homes.clone(),
+        }
+    }
+
+    /// Whether the request may run more than once.
+    pub fn may_repeat(&self) -> bool {
+        self.is_idempotent || self.is_resumable
+    }
+
+    /// Whether a region may serve the request.
+    pub fn allows_region(&self, region: &str) -> bool {
+        self.homes.is_empty() || self.homes.iter().any(|home| home == region)
+    }
+}
+
+/// A request as the caller sent it.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Head.
+    pub head: RequestHead,
+    /// What the head says about the call.
+    pub call: Call,
+    /// Body without transfer coding.
+    pub body: Vec<u8>,
+}
+
+/// Where a request was sent.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Destination {
+    /// An endpoint of this region.
+    Endpoint(Choice),
+    /// A host of another region.
+    Region {
+        /// The region.
+        region: CompactString,
+        /// The host.
+        host: CompactString,
+    },
+}
+
+/// A request at an endpoint or in another region.
+#[derive(Debug, Clone)]
+pub struct Sending {
+    /// Where it was sent.
+    pub destination: Destination,
+    /// Connection.
+    pub upstream: usize,
+    /// When it was sent.
+    pub sent_ms: u64,
+    /// The first event or the answer has begun.
+    pub has_begun: bool,
+    /// Last time at which content arrived.
+    pub progress_ms: u64,
+}
+
+/// How far the answer to the caller is.
+#[derive(Debug, Default)]
+pub enum Reply {
+    /// Nothing was written.
+    #[default]
+    None,
+    /// The head and perhaps some content were written.
+    Begun {
+        /// The content is sent in chunks.
+        is_chunked: bool,
+    },
+}
+
+/// A request of a caller.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Number that no other exchange of this process has.
+    pub serial: u64,
+    /// Connection of the caller; none if the caller has left.
+    pub client: Option<usize>,
+    /// The request was forwarded by a host of another region.
+    pub is_forwarded: bool,
+    /// The request; shared so that it can be written while the exchange changes.
+    pub request: Rc<CallerRequest>,
+    /// What its route says.
+    pub plan: Plan,
+    /// Version of the configuration that gave the plan.
+    pub configuration_version: u64,
+    /// When the request had arrived completely.
+    pub arrived_ms: u64,
+    /// When an answer is late.
+    pub goal_at_ms: u64,
+    /// When the caller or the route gives up.
+    pub deadline_ms: u64,
+    /// Endpoints that may have run the request.
+    pub run_count: u32,
+    /// Endpoints that are not tried again.
+    pub excluded: Vec<CompactString>,
+    /// Regions that are not tried again.
+    pub excluded_regions: Vec<CompactString>,
+    /// The request waits for an endpoint.
+    pub is_waiting: bool,
+    /// Where the request is.
+    pub sending: Option<Sending>,
+    /// How far the answer is.
+    pub reply: Reply,
+    /// Events passed on, for streams that another endpoint may continue.
+    pub events: EventSplitter,
+    /// Answer or part of it that has not been passed on.
+    pub held: Vec<u8>,
+}
+
+impl Exchange {
+    /// Event after which an endpoint has to go on.
+    pub fn resume_after(&self) -> Option<CompactString> {
+        let passed_on = self.events.last_id().cloned();
+        passed_on.or_else(|| self.request.call.last_event.clone())
+    }
+
+    /// Whether any of the answer reached the caller.
+    pub fn has_reply_begun(&self) -> bool {
+        matches!(self.reply, Reply::Begun { .. })
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,422 @@
+//! The endpoints that this host knows, and the choice among them.
+//!
+//! The choice answers two loads. When requests share prompt parts, a part is
+//! read once in a region rather than at every endpoint, because hosts that know
+//! nothing of each other's requests prefer the same endpoint for the same part.
+//! When one endpoint has a backlog, the prediction moves the next request to
+//! another one, even if the part has to be read again there.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    configuration::{
+        Configuration,
+        Service, //
+    },
+    endpoint::{
+        Announcement,
+        Endpoint,
+        Share,
+        Stage,
+        Work,
+        slots_of, //
+    },
+    request::Call, //
+};
+
+/// Time until a first event without any prompt to read: the shortest that a
+/// batching engine needs for a step and its set-up.
+const FIRST_EVENT_MS: f64 = 25.0;
+/// Time to read a prompt token between the steps of other requests, before the
+/// endpoint's own speed is known.
+const TOKEN_MS: f64 = 0.022;
+/// Growth of a step with each request in the batch, relative to reading alone.
+const BATCH_SLOWDOWN: f64 = 0.006;
+/// Typical time of a call to a plain service before any was seen.
+const CALL_MS: f64 = 30.0;
+/// Typical time of a generation before any was seen.
+const GENERATION_MS: f64 = 3_000.0;
+/// Share of an unknown shared part that is expected in the cache of the
+/// endpoint that all hosts prefer for it.
+const PREFERRED_CACHE: f64 = 0.7;
+/// Weight of the error rate in the choice.
+const ERROR_WEIGHT: f64 = 6.0;
+/// Share of an engine's memory beyond which requests are preempted.
+const MEMORY_SHARE: f64 = 0.85;
+
+/// The rule for requests to cold endpoints.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBounds {
+    /// Factor on the rate that a service tolerates.
+    pub factor: f64,
+    /// Requests a second on top.
+    pub slack: f64,
+}
+
+/// Hosts of the region, ranked for one cold endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdShare {
+    /// Requests a second that this host may send.
+    pub per_second: u32,
+}
+
+/// An endpoint chosen for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: CompactString,
+    /// Predicted time until the first event, or the answer of a plain service.
+    pub first_event_ms: f64,
+    /// Work at the endpoint.
+    pub work: Work,
+    /// Time that requests before this one take.
+    pub backlog_ms: f64,
+}
+
+/// All endpoints of this host's view.
+#[derive(Debug)]
+pub struct Fleet {
+    region: CompactString,
+    host: CompactString,
+    cold: ColdBounds,
+    regions: BTreeMap<CompactString, CompactString>,
+    endpoints: BTreeMap<CompactString, Endpoint>,
+    evacuated: BTreeSet<CompactString>,
+    run_ms: BTreeMap<CompactString, f64>,
+    token_ms: BTreeMap<CompactString, f64>,
+}
+
+impl Fleet {
+    /// A fleet without endpoints, for a host in `region`.
+    pub fn new(
+        host: CompactString,
+        region: CompactString,
+        regions: BTreeMap<CompactString, CompactString>,
+        cold: ColdBounds,
+    ) -> Self {
+        Self {
+            region,
+            host,
+            cold,
+            regions,
+            endpoints: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            run_ms: BTreeMap::new(),
+            token_ms: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over an announcement; false if its data centre is unknown.
+    pub fn announce(&mut self, id: &str, announcement: Announcement, now_ms: u64) -> bool {
+        let Some(region) = self.regions.get(&announcement.data_centre) else {
+            return false;
+        };
+        match self.endpoints.get_mut(id) {
+            Some(endpoint) => endpoint.announce(announcement, now_ms),
+            None => {
+                let endpoint = Endpoint::new(id.into(), region.clone(), announcement, now_ms);
+                self.endpoints.insert(id.into(), endpoint);
+            }
+        }
+        true
+    }
+
+    /// Records that an endpoint is no longer announced.
+    pub fn withdraw(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.is_listed = false;
+        }
+        self.endpoints
+            .retain(|_, endpoint| endpoint.is_listed || endpoint.own.active > 0);
+    }
+
+    /// Stops or resumes the use of a data centre's endpoints.
+    ///
+    /// Its endpoints may have gone cold in the meantime without announcing it.
+    pub fn set_evacuated(
+        &mut self,
+        data_centre: &str,
+        is_evacuated: bool,
+        configuration: &Configuration,
+        now_ms: u64,
+    ) {
+        if is_evacuated {
+            self.evacuated.insert(data_centre.into());
+            return;
+        }
+        if !self.evacuated.remove(data_centre) {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.announcement.data_centre == data_centre {
+                let service = configuration.service(&endpoint.announcement.service);
+                endpoint.set_cold(service.map_or(0, |service| service.cold_ms), now_ms);
+            }
+        }
+    }
+
+    /// One endpoint.
+    pub fn get(&self, id: &str) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// One endpoint, to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(id)
+    }
+
+    /// All endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Replaces what the other hosts of the region have at the endpoints.
+    pub fn set_others<F>(&mut self, share_at: F)
+    where
+        F: Fn(&str) -> Share,
+    {
+        for (id, endpoint) in &mut self.endpoints {
+            endpoint.others = share_at(id);
+        }
+    }
+
+    /// Learns how long requests of a service run.
+    pub fn learn_run(&mut self, service: &str, run_ms: f64) {
+        let known = self.run_ms.entry(service.into()).or_insert(run_ms);
+        *known += 0.1 * (run_ms - *known);
+    }
+
+    /// Learns how long a service's endpoints take to read a prompt token.
+    ///
+    /// Only requests that dominate their endpoint's backlog tell it.
+    pub fn learn_first_event(&mut self, service: &str, choice: &Choice, actual_ms: f64) {
+        let tokens = choice.work.uncached_tokens as f64;
+        let is_telling = tokens > 1_000.0 && choice.backlog_ms < choice.first_event_ms / 4.0;
+        if !is_telling {
+            return;
+        }
+        let observed =
+            ((actual_ms - FIRST_EVENT_MS) / tokens).clamp(TOKEN_MS / 20.0, TOKEN_MS * 20.0);
+        let known = self.token_ms.entry(service.into()).or_insert(TOKEN_MS);
+        *known += 0.03 * (observed - *known);
+    }
+
+    /// Endpoints of `service` in this region that may be used, their load and
+    /// coldness aside.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Endpoint> + 'a {
+        self.endpoints.values().filter(move |endpoint| {
+            endpoint.announcement.service == service
+                && endpoint.region == self.region
+                && endpoint.is_usable(now_ms)
+                && !self.evacuated.contains(&endpoint.announcement.data_centre)
+        })
+    }
+
+    /// Endpoints of `service` in this region that are announced as ready.
+    pub fn listed_count(&self, service: &str) -> usize {
+        self.endpoints
+            .values()
+            .filter(|endpoint| {
+                endpoint.announcement.service == service
+                    && endpoint.region == self.region
+                    && endpoint.is_listed
+                    && endpoint.announcement.stage == Stage::Ready
+            })
+            .count()
+    }
+
+    /// The best endpoint for a request, or none if none may be used now.
+    ///
+    /// `hosts` are the live hosts of the region, this one included.
+    pub fn choose(
+        &self,
+        service: &Service,
+        call: &Call,
+        excluded: &[CompactString],
+        hosts: &[CompactString],
+        now_ms: u64,
+    ) -> Option<Choice> {
+        let affinity = call.affinity();
+        let preferred = affinity.and_then(|part| self.preferred(&service.name, part, now_ms));
+        self.usable(&service.name, now_ms)
+            .filter(|endpoint| !excluded.contains(&endpoint.id))
+            .filter(|endpoint| self.may_send_cold(endpoint, service, hosts, now_ms))
+            .map(|endpoint| {
+                let is_preferred = preferred.as_ref() == Some(&endpoint.id);
+                self.predict(endpoint, service, call, is_preferred, now_ms)
+            })
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+            .map(|(choice, _)| choice)
+    }
+
+    /// The endpoint that all hosts of the region prefer for a prompt part.
+    fn preferred(&self, service: &str, part: u64, now_ms: u64) -> Option<CompactString> {
+        self.usable(service, now_ms)
+            .max_by_key(|endpoint| xxh3_64_with_seed(endpoint.id.as_bytes(), part))
+            .map(|endpoint| endpoint.id.clone())
+    }
+
+    /// Predicts the first event and gives the cost that the choice minimises.
+    fn predict(
+        &self,
+        endpoint: &Endpoint,
+        service: &Service,
+        call: &Call,
+        is_preferred: bool,
+        now_ms: u64,
+    ) -> (Choice, f64) {
+        let cached = self.expected_cached(endpoint, call, is_preferred);
+        let work = Work::new(call, cached);
+        let load = endpoint.load(now_ms);
+        let slots = slots_of(endpoint, Some(service));
+        let run_ms = self.run_ms(service);
+        let token_ms = self.token_ms(service, load);
+        let waiting = (load + 1.0 - slots).max(0.0) / slots * run_ms;
+        let backlog_tokens = endpoint.own.backlog_tokens + endpoint.others.backlog_tokens;
+        let backlog_ms = endpoint.slowness() * (backlog_tokens as f64 * token_ms + waiting)
+            + self.memory_wait_ms(endpoint, service, work, run_ms);
+        let own_ms = match service.engine_slots {
+            Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * token_ms,
+            None => run_ms,
+        };
+        let first_event_ms = backlog_ms + endpoint.slowness() * own_ms;
+        let load_ms = load / slots * run_ms * 0.05;
+        let cost = (first_event_ms + load_ms) * (1.0 + ERROR_WEIGHT * endpoint.error_rate());
+        let choice = Choice {
+            endpoint: endpoint.id.clone(),
+            first_event_ms,
+            work,
+            backlog_ms,
+        };
+        (choice, cost)
+    }
+
+    fn expected_cached(&self, endpoint: &Endpoint, call: &Call, is_preferred: bool) -> u64 {
+        let known = endpoint.cached_tokens(call);
+        if !is_preferred {
+            return known;
+        }
+        let shared = call.parts.len().saturating_sub(1);
+        let shared: u64 = call.parts[..shared].iter().map(|part| part.tokens.0).sum();
+        known.max((shared as f64 * PREFERRED_CACHE) as u64)
+    }
+
+    /// Wait until running requests free enough memory.
+    fn memory_wait_ms(
+        &self,
+        endpoint: &Endpoint,
+        service: &Service,
+        work: Work,
+        run_ms: f64,
+    ) -> f64 {
+        let Some(memory) = service.memory_tokens else {
+            return 0.0;
+        };
+        let held = endpoint.own.held_tokens + endpoint.others.held_tokens + work.held_tokens;
+        let excess = held as f64 / (memory as f64 * MEMORY_SHARE) - 1.0;
+        excess.max(0.0) * run_ms
+    }
+
+    fn token_ms(&self, service: &Service, load: f64) -> f64 {
+        let base = self
+            .token_ms
+            .get(&service.name)
+            .copied()
+            .unwrap_or(TOKEN_MS);
+        base * (1.0 + BATCH_SLOWDOWN * load)
+    }
+
+    /// Typical time that a request of the service runs.
+    pub fn run_ms(&self, service: &Service) -> f64 {
+        let initial = match service.engine_slots {
+            Some(_) => GENERATION_MS,
+            None => CALL_MS,
+        };
+        self.run_ms.get(&service.name).copied().unwrap_or(initial)
+    }
+
+    /// Whether this host may send to the endpoint if it is cold.
+    ///
+    /// The bound holds for all hosts together. Hosts agree on their shares
+    /// without talking, by the rank that a hash gives them for the endpoint.
+    fn may_send_cold(
+        &self,
+        endpoint: &Endpoint,
+        service: &Service,
+        hosts: &[CompactString],
+        now_ms: u64,
+    ) -> bool {
+        if service.cold_per_s <= 0.0 || !endpoint.is_cold(now_ms) {
+            return true;
+        }
+        let share = self.cold_share(endpoint, service, hosts);
+        endpoint.has_cold_allowance(share.per_second, now_ms)
+    }
+
+    fn cold_share(
+        &self,
+        endpoint: &Endpoint,
+        service: &Service,
+        hosts: &[CompactString],
+    ) -> ColdShare {
+        let bound = service.cold_per_s * self.cold.factor + self.cold.slack;
+        // Half of the bound, so that it holds while two views of the live
+        // hosts differ, each host counting the others as gone.
+        let total = (bound / 2.0).floor() as usize;
+        let rank_of = |host: &CompactString| {
+            xxh3_64_with_seed(
+                host.as_bytes(),
+                xxh3_64_with_seed(endpoint.id.as_bytes(), 0),
+            )
+        };
+        let own = rank_of(&self.host);
+        let before = hosts
+            .iter()
+            .filter(|host| **host != self.host && rank_of(host) > own)
+            .count();
+        let count = hosts.len().max(1);
+        let even = total / count;
+        let extra = usize::from(before < total % count);
+        ColdShare {
+            per_second: (even + extra) as u32,
+        }
+    }
+}
+
+impl Fleet {
+    /// Time until an endpoint begins with a new request.
+    pub fn backlog_ms(&self, endpoint: &Endpoint, service: &Service, now_ms: u64) -> f64 {
+        let nothing = Call::default();
+        let (choice, _) = self.predict(endpoint, service, &nothing, false, now_ms);
+        choice.backlog_ms
+    }
+
+    /// Time to read a prompt token at an endpoint with the mean load.
+    pub fn mean_token_ms(&self, service: &Service, now_ms: u64) -> f64 {
+        let mut count = 0.0;
+        let mut load = 0.0;
+        for endpoint in self.usable(&service.name, now_ms) {
+            count += 1.0;
+            load += endpoint.load(now_ms);
+        }
+        self.token_ms(service, load / f64::max(count, 1.0))
+    }
+
+    /// Time that an endpoint spends on a request before it can begin the next.
+    pub fn service_ms(&self, service: &Service, call: &Call, now_ms: u64) -> f64 {
+        match service.engine_slots {
+            Some(_) => FIRST_EVENT_MS + call.prompt.0 as f64 * self.mean_token_ms(service, now_ms),
+            None => self.run_ms(service) / 2.0,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/head.rs
@@ -0,0 +1,277 @@
+//! Heads of HTTP/1.1 messages, read strictly.
+//!
+//! `httparse` tokenises. The rules added here close the gaps through which one
+//! message can be read as two: a line feed without a carriage return, two
+//! lengths, and a length beside a transfer encoding.
+
+use compact_str::CompactString;
+use memchr::{
+    memchr_iter,
+    memmem, //
+};
+use thiserror::Error;
+
+/// Most header fields in one head.
+const MAX_HEADERS: usize = 96;
+/// Longest head of an answer; endpoints send a few hundred bytes.
+pub const MAX_ANSWER_HEAD_BYTES: usize = 16 * 1024;
+
+/// A header field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Header {
+    /// Name as sent.
+    pub name: CompactString,
+    /// Value without surrounding white space.
+    pub value: Box<[u8]>,
+}
+
+impl Header {
+    /// Whether this is the field `name`, in any case.
+    pub fn is(&self, name: &str) -> bool {
+        self.name.eq_ignore_ascii_case(name)
+    }
+
+    /// The value, if it is text.
+    pub fn text(&self) -> Option<&str> {
+        std::str::from_utf8(&self.value).ok()
+    }
+
+    /// Whether the field concerns one connection only.
+    pub fn is_hop_by_hop(&self) -> bool {
+        const NAMES: [&str; 9] = [
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "transfer-encoding",
+            "content-length",
+            "te",
+            "trailer",
+            "upgrade",
+            "expect",
+        ];
+        NAMES.iter().any(|name| self.is(name))
+    }
+}
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// The length is known; 0 if there is no body.
+    Length(u64),
+    /// Chunked transfer coding.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// Why a head is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum HeadError {
+    /// Not HTTP/1.1, or ambiguous.
+    #[error("the head is malformed")]
+    Malformed,
+    /// Longer than the limit.
+    #[error("the head is too long")]
+    TooLong,
+    /// A transfer coding other than chunked.
+    #[error("the transfer coding is not supported")]
+    Coding,
+}
+
+/// Head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: CompactString,
+    /// Path and query.
+    pub target: CompactString,
+    /// Header fields in order.
+    pub headers: Vec<Header>,
+    /// How the body ends.
+    pub framing: Framing,
+    /// The sender keeps the connection open.
+    pub keeps_open: bool,
+    /// The sender waits for permission to send the body.
+    pub expects_continue: bool,
+}
+
+/// Head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: u16,
+    /// Reason phrase.
+    pub reason: CompactString,
+    /// Header fields in order.
+    pub headers: Vec<Header>,
+    /// How the body ends.
+    pub framing: Framing,
+    /// The sender keeps the connection open.
+    pub keeps_open: bool,
+}
+
+impl RequestHead {
+    /// Value of a header field.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
+    /// Path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Query without the question mark.
+    pub fn query(&self) -> &str {
+        self.target.split_once('?').map_or("", |(_, query)| query)
+    }
+}
+
+impl ResponseHead {
+    /// Value of a header field.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+}
+
+fn find<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    headers.iter().find(|header| header.is(name))?.text()
+}
+
+/// Reads a request's head at the start of `bytes`; none if it is incomplete.
+///
+/// Returns the head and its length in bytes.
+pub fn parse_request(
+    bytes: &[u8],
+    max_bytes: usize,
+) -> Result<Option<(RequestHead, usize)>, HeadError> {
+    let Some(length) = head_length(bytes, max_bytes)? else {
+        return Ok(None);
+    };
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut fields);
+    let complete = parsed.parse(&bytes[..length]);
+    if !matches!(complete, Ok(httparse::Status::Complete(end)) if end == length) {
+        return Err(HeadError::Malformed);
+    }
+    let headers = copy_headers(parsed.headers);
+    let version = parsed.version.unwrap_or(0);
+    let head = RequestHead {
+        method: parsed.method.unwrap_or_default().into(),
+        target: parsed.path.unwrap_or_default().into(),
+        framing: body_framing(&headers)?.unwrap_or(Framing::Length(0)),
+        keeps_open: keeps_open(&headers, version),
+        expects_continue: find(&headers, "expect")
+            .is_some_and(|value| value.eq_ignore_ascii_case("100-continue")),
+        headers,
+    };
+    let hosts = head.headers.iter().filter(|header| header.is("host"));
+    if hosts.count() != 1 || !head.target.starts_with('/') {
+        return Err(HeadError::Malformed);
+    }
+    Ok(Some((head, length)))
+}
+
+/// Reads an answer's head at the start of `bytes`; none if it is incomplete.
+///
+/// `is_head_request` tells that the answer has no body whatever it declares.
+pub fn parse_response(
+    bytes: &[u8],
+    is_head_request: bool,
+) -> Result<Option<(ResponseHead, usize)>, HeadError> {
+    let Some(length) = head_length(bytes, MAX_ANSWER_HEAD_BYTES)? else {
+        return Ok(None);
+    };
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let complete = parsed.parse(&bytes[..length]);
+    if !matches!(complete, Ok(httparse::Status::Complete(end)) if end == length) {
+        return Err(HeadError::Malformed);
+    }
+    let headers = copy_headers(parsed.headers);
+    let status = parsed.code.unwrap_or(0);
+    let version = parsed.version.unwrap_or(0);
+    let declared = body_framing(&headers)?.unwrap_or(Framing::UntilClose);
+    let has_no_body = is_head_request || status < 200 || status == 204 || status == 304;
+    Ok(Some((
+        ResponseHead {
+            status,
+            reason: parsed.reason.unwrap_or_default().into(),
+            framing: if has_no_body {
+                Framing::Length(0)
+            } else {
+                declared
+            },
+            keeps_open: keeps_open(&headers, version),
+            headers,
+        },
+        length,
+    )))
+}
+
+/// Length of the head, once its end has arrived.
+fn head_length(bytes: &[u8], max_bytes: usize) -> Result<Option<usize>, HeadError> {
+    let end = memmem::find(bytes, b"\r\n\r\n").map(|at| at + 4);
+    let seen = &bytes[..end.unwrap_or(bytes.len())];
+    let has_bare_line_feed = memchr_iter(b'\n', seen).any(|at| at == 0 || seen[at - 1] != b'\r');
+    if has_bare_line_feed {
+        return Err(HeadError::Malformed);
+    }
+    if seen.len() > max_bytes {
+        return Err(HeadError::TooLong);
+    }
+    Ok(end)
+}
+
+fn copy_headers(parsed: &[httparse::Header<'_>]) -> Vec<Header> {
+    parsed
+        .iter()
+        .map(|header| Header {
+            name: header.name.into(),
+            value: header.value.into(),
+        })
+        .collect()
+}
+
+fn body_framing(headers: &[Header]) -> Result<Option<Framing>, HeadError> {
+    let mut length = None;
+    let mut is_chunked = false;
+    for header in headers {
+        if header.is("content-length") {
+            let value = header.text().ok_or(HeadError::Malformed)?;
+            let is_number = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let parsed: u64 = value.parse().map_err(|_| HeadError::Malformed)?;
+            if !is_number || length.is_some() {
+                return Err(HeadError::Malformed);
+            }
+            length = Some(parsed);
+        } else if header.is("transfer-encoding") {
+            let value = header.text().ok_or(HeadError::Malformed)?;
+            if is_chunked || !value.eq_ignore_ascii_case("chunked") {
+                return Err(HeadError::Coding);
+            }
+            is_chunked = true;
+        }
+    }
+    match (length, is_chunked) {
+        (Some(_), true) => Err(HeadError::Malformed),
+        (Some(bytes), false) => Ok(Some(Framing::Length(bytes))),
+        (None, true) => Ok(Some(Framing::Chunked)),
+        (None, false) => Ok(None),
+    }
+}
+
+fn keeps_open(headers: &[Header], version: u8) -> bool {
+    let says = |token: &str| {
+        headers
+            .iter()
+            .filter(|header| header.is("connection"))
+            .filter_map(Header::text)
+            .flat_map(|value| value.split(','))
+            .any(|word| word.trim().eq_ignore_ascii_case(token))
+    };
+    if version == 0 {
+        return says("keep-alive");
+    }
+    !says("close")
+}
--- /dev/null
+++ b/src/gateway/hosts.rs
@@ -0,0 +1,315 @@
+//! The hosts of the gateway, as the store and the hosts themselves show them.
+//!
+//! Every host writes an item under a lease. Hosts also send each other beacons,
+//! so that a host is still known while the store is away, and its end is seen
+//! although the store cannot tell.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+use compact_str::CompactString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::endpoint::Share;
+
+/// Prefix of the keys of hosts in the store.
+pub const HOST_PREFIX: &str = "cardamombridge/hosts/";
+/// Silence after which a host that sent beacons is taken as gone while the
+/// store cannot tell. Several beacons of the slowest interval fit into it.
+const SILENCE_MS: u64 = 3_000;
+/// Most addresses in an answer of the directory.
+const MAX_DIRECTORY_ADDRESSES: usize = 64;
+
+/// What a host says about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostInfo {
+    /// Name.
+    pub name: CompactString,
+    /// Region.
+    pub region: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other hosts connect, over TCP and UDP.
+    pub peer_address: SocketAddr,
+    /// Processing power relative to other hosts.
+    pub capacity: u32,
+}
+
+/// Load of one service in a region, as one of its hosts knows it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: CompactString,
+    /// Endpoints that may be used.
+    pub endpoint_count: u32,
+    /// Mean time until an endpoint begins with a new request, in milliseconds.
+    pub backlog_ms: u32,
+    /// Time to read a thousand prompt tokens, in milliseconds.
+    pub kilotoken_ms: u32,
+}
+
+/// What a host sends to other hosts several times a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beacon {
+    /// The sender.
+    pub host: HostInfo,
+    /// Unix time of the sender's start; a later run replaces an earlier one.
+    pub started_ms: u64,
+    /// Number of the beacon in this run.
+    pub sequence: u64,
+    /// The sender is shutting down.
+    pub is_leaving: bool,
+    /// Requests in progress, by a hash of the endpoint's id; to its own region.
+    pub shares: Vec<(u32, u32, u32, u32)>,
+    /// Loads of the sender's region; to other regions.
+    pub services: Vec<ServiceLoad>,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    info: HostInfo,
+    is_registered: bool,
+    is_leaving: bool,
+    run: (u64, u64),
+    heard_ms: Option<u64>,
+    shares: BTreeMap<u32, Share>,
+}
+
+#[derive(Debug, Clone)]
+struct AwayLoad {
+    at_ms: u64,
+    load: ServiceLoad,
+    sent_since: u32,
+}
+
+/// All hosts that this host knows, itself included.
+#[derive(Debug)]
+pub struct Hosts {
+    own: HostInfo,
+    is_leaving: bool,
+    is_store_reachable: bool,
+    known: BTreeMap<CompactString, Known>,
+    away: BTreeMap<(CompactString, CompactString), AwayLoad>,
+}
+
+/// A short name of an endpoint in beacons.
+pub fn endpoint_hash(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
+
+impl Hosts {
+    /// Knows only the host itself.
+    pub fn new(own: HostInfo) -> Self {
+        Self {
+            own,
+            is_leaving: false,
+            is_store_reachable: false,
+            known: BTreeMap::new(),
+            away: BTreeMap::new(),
+        }
+    }
+
+    /// This host.
+    pub fn own(&self) -> &HostInfo {
+        &self.own
+    }
+
+    /// Records that this host is shutting down.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Records whether the store answers.
+    pub fn set_store_reachable(&mut self, is_reachable: bool) {
+        self.is_store_reachable = is_reachable;
+    }
+
+    /// Takes over the item of a host in the store.
+    pub fn register(&mut self, info: HostInfo) {
+        if info.name == self.own.name {
+            return;
+        }
+        let known = self
+            .known
+            .entry(info.name.clone())
+            .or_insert_with(|| Known {
+                info: info.clone(),
+                is_registered: true,
+                is_leaving: false,
+                run: (0, 0),
+                heard_ms: None,
+                shares: BTreeMap::new(),
+            });
+        known.info = info;
+        known.is_registered = true;
+    }
+
+    /// Records that a host's item is gone from the store.
+    pub fn unregister(&mut self, name: &str) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.is_registered = false;
+        }
+    }
+
+    /// Takes over a beacon; false if it is older than one seen before.
+    pub fn hear(&mut self, beacon: Beacon, now_ms: u64) -> bool {
+        if beacon.host.name == self.own.name {
+            return false;
+        }
+        let run = (beacon.started_ms, beacon.sequence);
+        let known = self
+            .known
+            .entry(beacon.host.name.clone())
+            .or_insert_with(|| Known {
+                info: beacon.host.clone(),
+                is_registered: false,
+                is_leaving: false,
+                run: (0, 0),
+                heard_ms: None,
+                shares: BTreeMap::new(),
+            });
+        if run <= known.run {
+            return false;
+        }
+        known.run = run;
+        known.heard_ms = Some(now_ms);
+        known.is_leaving = beacon.is_leaving;
+        if beacon.host.region == self.own.region {
+            known.shares = beacon
+                .shares
+                .into_iter()
+                .map(|(id, active, backlog, held)| {
+                    let share = Share {
+                        active,
+                        backlog_tokens: u64::from(backlog),
+                        held_tokens: u64::from(held),
+                    };
+                    (id, share)
+                })
+                .collect();
+        }
+        for load in beacon.services {
+            let key = (beacon.host.region.clone(), load.service.clone());
+            let fresh = AwayLoad {
+                at_ms: now_ms,
+                load,
+                sent_since: 0,
+            };
+            self.away.insert(key, fresh);
+        }
+        true
+    }
+
+    /// What all other hosts of the region have at an endpoint.
+    pub fn shares_of_others(&self, endpoint: &str, now_ms: u64) -> Share {
+        let id = endpoint_hash(endpoint);
+        let mut total = Share::default();
+        for known in self.known.values() {
+            if !is_heard(known, now_ms) {
+                continue;
+            }
+            if let Some(share) = known.shares.get(&id) {
+                total.add(*share);
+            }
+        }
+        total
+    }
+
+    /// Load of a service in another region, with its age.
+    pub fn away_load(
+        &self,
+        region: &str,
+        service: &str,
+        now_ms: u64,
+    ) -> Option<(&ServiceLoad, u64)> {
+        let away = self.away.get(&(region.into(), service.into()))?;
+        Some((&away.load, now_ms.saturating_sub(away.at_ms)))
+    }
+
+    /// Requests sent to another region since its load was last heard.
+    pub fn away_sent(&self, region: &str, service: &str) -> u32 {
+        let away = self.away.get(&(region.into(), service.into()));
+        away.map_or(0, |away| away.sent_since)
+    }
+
+    /// Records a request sent to another region.
+    pub fn record_away(&mut self, region: &str, service: &str) {
+        if let Some(away) = self.away.get_mut(&(region.into(), service.into())) {
+            away.sent_since += 1;
+        }
+    }
+
+    /// Live hosts other than this one.
+    pub fn live(&self, now_ms: u64) -> impl Iterator<Item = &HostInfo> {
+        self.known
+            .values()
+            .filter(move |known| self.is_live(known, now_ms))
+            .map(|known| &known.info)
+    }
+
+    fn is_live(&self, known: &Known, now_ms: u64) -> bool {
+        if known.is_leaving && is_heard(known, now_ms) {
+            return false;
+        }
+        if self.is_store_reachable {
+            return known.is_registered || is_heard(known, now_ms);
+        }
+        match known.heard_ms {
+            Some(_) if known.info.region == self.own.region => is_heard(known, now_ms),
+            _ => known.is_registered,
+        }
+    }
+
+    /// Names of the live hosts of this region, this one included.
+    pub fn region_names(&self, now_ms: u64) -> Vec<CompactString> {
+        let others = self
+            .live(now_ms)
+            .filter(|host| host.region == self.own.region)
+            .map(|host| host.name.clone());
+        std::iter::once(self.own.name.clone())
+            .chain(others)
+            .collect()
+    }
+
+    /// Number of live hosts, this one included.
+    pub fn live_count(&self, now_ms: u64) -> usize {
+        1 + self.live(now_ms).count()
+    }
+
+    /// Addresses for a caller in a region and data centre, best ones only.
+    pub fn directory(&self, region: &str, data_centre: &str, now_ms: u64) -> Vec<SocketAddr> {
+        let own = (!self.is_leaving).then_some(&self.own);
+        let live: Vec<&HostInfo> = self.live(now_ms).chain(own).collect();
+        let same = |keep: &dyn Fn(&HostInfo) -> bool| -> Vec<&HostInfo> {
+            live.iter().copied().filter(|host| keep(host)).collect()
+        };
+        let near = same(&|host| host.data_centre == data_centre);
+        let in_region = same(&|host| host.region == region);
+        // Too few hosts nearby would carry the load of their lost neighbours.
+        let chosen = if !near.is_empty() && near.len() * 4 >= in_region.len() {
+            near
+        } else if !in_region.is_empty() {
+            in_region
+        } else {
+            live
+        };
+        chosen
+            .into_iter()
+            .take(MAX_DIRECTORY_ADDRESSES)
+            .map(|host| host.caller_address)
+            .collect()
+    }
+}
+
+fn is_heard(known: &Known, now_ms: u64) -> bool {
+    known
+        .heard_ms
+        .is_some_and(|heard_ms| now_ms < heard_ms + SILENCE_MS)
+}
--- /dev/null
+++ b/src/gateway/news.rs
@@ -0,0 +1,269 @@
+//! How the reactor's beliefs change: updates from the store and beacons.
+
+use std::io::ErrorKind;
+
+use compact_str::CompactString;
+
+use super::{
+    belief::Update,
+    configuration::Configuration,
+    endpoint::slots_of,
+    hosts::{
+        Beacon,
+        ServiceLoad,
+        endpoint_hash, //
+    },
+    reactor::Reactor, //
+};
+
+/// Largest beacon; it fits into one packet on common links.
+const MAX_BEACON_BYTES: usize = 1_400;
+/// Interval of beacons to each host of the region, for each of these hosts, so
+/// that a host receives about as many whatever the size of the region.
+const BEACON_INTERVAL_PER_HOST_MS: u64 = 40;
+/// Shortest interval of beacons to the region.
+const MIN_BEACON_INTERVAL_MS: u64 = 100;
+/// Longest interval; a few fit into the silence after which a host is gone.
+const MAX_BEACON_INTERVAL_MS: u64 = 900;
+/// Interval of beacons to one host of each other region.
+const AWAY_BEACON_INTERVAL_MS: u64 = 400;
+
+impl Reactor {
+    pub(super) fn apply_update(&mut self, update: Update) {
+        let now_ms = self.now_ms();
+        match update {
+            Update::Configuration(configuration) => self.configure(configuration),
+            Update::Endpoint(id, announcement) => {
+                let stage = announcement.stage;
+                let known = self
+                    .fleet
+                    .get(&id)
+                    .map(|endpoint| endpoint.announcement.stage);
+                if known != Some(stage) {
+                    tracing::info!(
+                        endpoint = %id,
+                        service = %announcement.service,
+                        address = %announcement.address,
+                        stage = ?stage,
+                        cold_left_ms = announcement.cold_left_ms,
+                        "endpoint announced"
+                    );
+                }
+                if !self.fleet.announce(&id, announcement, now_ms) {
+                    tracing::warn!(endpoint = %id, "endpoint is in an unknown data centre");
+                }
+            }
+            Update::EndpointGone(id) => {
+                tracing::info!(endpoint = %id, "endpoint is no longer announced");
+                self.fleet.withdraw(&id);
+            }
+            Update::Evacuated(data_centre, is_evacuated) => {
+                tracing::info!(%data_centre, is_evacuated, "evacuation changed");
+                let configuration = self.configuration.clone().unwrap_or_default();
+                self.fleet
+                    .set_evacuated(&data_centre, is_evacuated, &configuration, now_ms);
+            }
+            Update::Host(info) => {
+                tracing::info!(host = %info.name, "host registered");
+                self.hosts.register(info);
+            }
+            Update::HostGone(name) => {
+                tracing::info!(host = %name, "host is no longer registered");
+                self.hosts.unregister(&name);
+            }
+            Update::Store(is_reachable) => self.hosts.set_store_reachable(is_reachable),
+            Update::Synchronised => self.is_synchronised = true,
+            Update::Stop => self.leave(now_ms),
+            Update::Reload => self.reload_settings(),
+        }
+    }
+
+    fn configure(&mut self, configuration: std::sync::Arc<Configuration>) {
+        let known = self.configuration.as_ref().map(|known| known.version);
+        if known.is_some_and(|known| configuration.version <= known) {
+            tracing::info!(
+                version = configuration.version,
+                in_force = known,
+                "older configuration ignored"
+            );
+            return;
+        }
+        tracing::info!(
+            version = configuration.version,
+            before = known,
+            routes = configuration.routes.len(),
+            "configuration in force"
+        );
+        self.configuration = Some(configuration);
+    }
+
+    fn reload_settings(&mut self) {
+        let Some(settings) = self.reload.as_ref().and_then(|read| read()) else {
+            return;
+        };
+        tracing::info!(host = %settings.host.name, "settings reloaded");
+        self.settings.cold = settings.cold;
+        self.settings.shutdown_ms = settings.shutdown_ms;
+    }
+
+    fn leave(&mut self, now_ms: u64) {
+        if self.leave_started_ms.is_some() {
+            return;
+        }
+        tracing::info!(
+            requests = self.exchanges.len(),
+            limit_ms = self.settings.shutdown_ms,
+            "stopping; requests in progress are finished"
+        );
+        self.leave_started_ms = Some(now_ms);
+        self.hosts.leave();
+        self.next_beacon_ms = 0;
+        self.next_away_beacon_ms = 0;
+    }
+
+    /// Sends beacons that are due.
+    pub(super) fn send_beacons(&mut self, now_ms: u64) {
+        if now_ms >= self.next_beacon_ms {
+            let own_region = self.settings.host.region.clone();
+            let peers: Vec<std::net::SocketAddr> = self
+                .hosts
+                .live(now_ms)
+                .filter(|host| host.region == own_region)
+                .map(|host| host.peer_address)
+                .collect();
+            let interval_ms = (peers.len() as u64 * BEACON_INTERVAL_PER_HOST_MS)
+                .clamp(MIN_BEACON_INTERVAL_MS, MAX_BEACON_INTERVAL_MS);
+            self.next_beacon_ms = now_ms + interval_ms;
+            if !peers.is_empty() {
+                let beacon = self.region_beacon();
+                self.send_beacon(&beacon, &peers);
+            }
+        }
+        if now_ms >= self.next_away_beacon_ms {
+            self.next_away_beacon_ms = now_ms + AWAY_BEACON_INTERVAL_MS;
+            let peers = self.one_host_of_each_region(now_ms);
+            if !peers.is_empty() {
+                let beacon = self.away_beacon(now_ms);
+                self.send_beacon(&beacon, &peers);
+            }
+        }
+    }
+
+    fn one_host_of_each_region(&mut self, now_ms: u64) -> Vec<std::net::SocketAddr> {
+        let mut regions: Vec<CompactString> = self.settings.regions.values().cloned().collect();
+        regions.sort_unstable();
+        regions.dedup();
+        regions.retain(|region| *region != self.settings.host.region);
+        regions
+            .iter()
+            .filter_map(|region| self.random_host(region, now_ms))
+            .map(|host| host.peer_address)
+            .collect()
+    }
+
+    fn new_beacon(&mut self) -> Beacon {
+        self.beacon_sequence += 1;
+        Beacon {
+            host: self.settings.host.clone(),
+            started_ms: self.run_started_ms,
+            sequence: self.beacon_sequence,
+            is_leaving: self.leave_started_ms.is_some(),
+            shares: Vec::new(),
+            services: Vec::new(),
+        }
+    }
+
+    fn region_beacon(&mut self) -> Beacon {
+        let mut beacon = self.new_beacon();
+        beacon.shares = self
+            .fleet
+            .iter()
+            .filter(|endpoint| endpoint.own.active > 0)
+            .map(|endpoint| {
+                (
+                    endpoint_hash(&endpoint.id),
+                    endpoint.own.active,
+                    endpoint.own.backlog_tokens as u32,
+                    endpoint.own.held_tokens as u32,
+                )
+            })
+            .collect();
+        beacon
+    }
+
+    fn away_beacon(&mut self, now_ms: u64) -> Beacon {
+        let mut beacon = self.new_beacon();
+        let Some(configuration) = self.configuration.clone() else {
+            return beacon;
+        };
+        beacon.services = configuration
+            .services
+            .iter()
+            .map(|service| {
+                let queue_ms = self.queue_ms(service, None, now_ms);
+                let mut count = 0_u32;
+                let mut backlog_ms = 0.0;
+                for endpoint in self.fleet.usable(&service.name, now_ms) {
+                    if service.cold_per_s > 0.0 && endpoint.is_cold(now_ms) {
+                        continue;
+                    }
+                    count += 1;
+                    backlog_ms += self.fleet.backlog_ms(endpoint, service, now_ms);
+                    debug_assert!(slots_of(endpoint, Some(service)) > 0.0);
+                }
+                ServiceLoad {
+                    service: service.name.clone(),
+                    endpoint_count: count,
+                    backlog_ms: (backlog_ms / f64::from(count.max(1)) + queue_ms) as u32,
+                    kilotoken_ms: (self.fleet.mean_token_ms(service, now_ms) * 1_000.0) as u32,
+                }
+            })
+            .collect();
+        beacon
+    }
+
+    fn send_beacon(&mut self, beacon: &Beacon, peers: &[std::net::SocketAddr]) {
+        let bytes = match postcard::to_allocvec(beacon) {
+            Ok(bytes) if bytes.len() <= MAX_BEACON_BYTES => bytes,
+            Ok(bytes) => {
+                tracing::warn!(bytes = bytes.len(), "beacon is too long and was not sent");
+                return;
+            }
+            Err(error) => {
+                tracing::warn!(%error, "could not encode a beacon");
+                return;
+            }
+        };
+        for peer in peers {
+            // A lost beacon is replaced by the next one.
+            if let Err(error) = self.beacon_socket.send_to(&bytes, *peer) {
+                tracing::debug!(%peer, %error, "could not send a beacon");
+            }
+        }
+    }
+
+    pub(super) fn receive_beacons(&mut self) {
+        let now_ms = self.now_ms();
+        let mut buffer = [0_u8; MAX_BEACON_BYTES + 1];
+        let mut is_changed = false;
+        loop {
+            match self.beacon_socket.recv_from(&mut buffer) {
+                Ok((count, _)) => match postcard::from_bytes::<Beacon>(&buffer[..count]) {
+                    Ok(beacon) => is_changed |= self.hosts.hear(beacon, now_ms),
+                    Err(error) => tracing::debug!(%error, "unreadable beacon"),
+                },
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => {
+                    tracing::debug!(%error, "could not receive beacons");
+                    break;
+                }
+            }
+        }
+        if is_changed {
+            let hosts = &self.hosts;
+            self.fleet
+                .set_others(|id| hosts.shares_of_others(id, now_ms));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/start.rs
@@ -0,0 +1,158 @@
+//! The `gateway` command: starts the threads of a host and waits for its end.
+
+use std::{
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::ExitCode,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use anyhow::Context;
+use crossbeam::channel::{
+    Receiver,
+    bounded, //
+};
+use signal_hook::{
+    consts::{
+        SIGHUP,
+        SIGINT,
+        SIGTERM, //
+    },
+    iterator::Signals, //
+};
+
+use super::{
+    belief::{
+        Registration,
+        StoreFollower,
+        Update,
+        UpdateSender, //
+    },
+    reactor::Reactor,
+    settings::GatewaySettings,
+    telemetry::Telemetry, //
+};
+use crate::logs;
+
+/// Updates that wait for the reactor: a whole region of endpoints at once.
+const UPDATE_RING: usize = 1_024;
+/// Exit code when requests were cut off at the end.
+const EXIT_CUT_OFF: u8 = 3;
+/// Longest wait for the end of the host's lease at shutdown.
+const DEREGISTER_LIMIT: Duration = Duration::from_millis(300);
+
+/// Runs a host with the settings in `path` until it is asked to stop.
+pub fn run(path: &Path) -> anyhow::Result<ExitCode> {
+    let settings = GatewaySettings::load(path)?;
+    let (_log_thread, dropped_lines) = logs::init_json(&settings.log_filter)?;
+    let telemetry = Telemetry::new().with_log_thread(dropped_lines);
+    let (sender, updates) = bounded(UPDATE_RING);
+    let reread: PathBuf = path.to_path_buf();
+    let mut reactor = Reactor::new(settings.clone(), updates, telemetry)
+        .context("could not open the sockets")?
+        .with_reload(Box::new(move || reload(&reread)));
+    let updates = UpdateSender::new(sender, reactor.waker()?);
+    let is_stopping = Arc::new(AtomicBool::new(false));
+    tracing::info!(
+        host = %settings.host.name,
+        region = %settings.host.region,
+        data_centre = %settings.host.data_centre,
+        callers = %settings.host.caller_address,
+        store = %settings.store_address,
+        version = env!("CARGO_PKG_VERSION"),
+        "started"
+    );
+
+    let (stop, stopped) = bounded::<()>(1);
+    let deregistered = spawn_registration(&settings, stopped)?;
+    spawn_follower(&settings, updates.clone(), Arc::clone(&is_stopping))?;
+    spawn_signals(updates, stop)?;
+    let ended = reactor.run().context("the reactor failed")?;
+
+    is_stopping.store(true, Ordering::Relaxed);
+    if deregistered.recv_timeout(DEREGISTER_LIMIT).is_err() {
+        tracing::warn!("the host's lease was not ended; it lapses by itself");
+    }
+    tracing::info!(
+        host = %settings.host.name,
+        cut_off = ended.cut_off_count,
+        "stopped"
+    );
+    match ended.cut_off_count {
+        0 => Ok(ExitCode::SUCCESS),
+        _ => Ok(ExitCode::from(EXIT_CUT_OFF)),
+    }
+}
+
+fn reload(path: &Path) -> Option<GatewaySettings> {
+    match GatewaySettings::load(path) {
+        Ok(settings) => Some(settings),
+        Err(error) => {
+            tracing::error!(%error, "settings were not reloaded; the earlier ones stay in force");
+            None
+        }
+    }
+}
+
+fn spawn_registration(
+    settings: &GatewaySettings,
+    stopped: Receiver<()>,
+) -> anyhow::Result<Receiver<()>> {
+    let registration = Registration::new(
+        settings.store_address,
+        settings.host.clone(),
+        settings.min_lease_ms,
+    );
+    let (done, deregistered) = bounded(1);
+    thread::Builder::new()
+        .name("registration".into())
+        .spawn(move || {
+            registration.run(&stopped);
+            // The main thread may have stopped waiting.
+            let _ = done.send(());
+        })?;
+    Ok(deregistered)
+}
+
+fn spawn_follower(
+    settings: &GatewaySettings,
+    updates: UpdateSender,
+    is_stopping: Arc<AtomicBool>,
+) -> anyhow::Result<()> {
+    let mut follower = StoreFollower::new(settings.store_address, updates);
+    thread::Builder::new()
+        .name("store".into())
+        .spawn(move || follower.run(&is_stopping))?;
+    Ok(())
+}
+
+fn spawn_signals(
+    updates: UpdateSender,
+    stop: crossbeam::channel::Sender<()>,
+) -> anyhow::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            for signal in signals.forever() {
+                if signal == SIGHUP {
+                    updates.send(Update::Reload);
+                    continue;
+                }
+                updates.send(Update::Stop);
+                // A second signal finds the message already there.
+                let _ = stop.try_send(());
+            }
+        })?;
+    Ok(())
+}
--- /dev/null
+++ b/src/gateway/telemetry.rs
@@ -0,0 +1,235 @@
+//! Counters, latency histograms and the line that ends each request.
+//!
+//! Lines about failed requests are limited to [`FAILURE_LINES_PER_S`] and lines
+//! about answered ones to [`ROUTINE_LINES_PER_S`]; what is left out is counted.
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text::encode, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::Histogram, //
+    },
+    registry::Registry, //
+};
+
+use tracing_appender::non_blocking::ErrorCounter;
+
+use super::exchange::{
+    Destination,
+    Exchange, //
+};
+
+/// Lines a second about requests that were answered by an endpoint.
+const ROUTINE_LINES_PER_S: u32 = 10;
+/// Lines a second about all other requests.
+const FAILURE_LINES_PER_S: u32 = 50;
+/// Upper bounds of the histograms, in seconds: goals and time limits of callers
+/// lie between a tenth of a second and some tens of seconds.
+const BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// How requests ended.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+    status: u32,
+}
+
+#[derive(Debug, Default)]
+struct LineGate {
+    second: u64,
+    used: u32,
+}
+
+/// Metrics and log lines of one host.
+pub struct Telemetry {
+    registry: Registry,
+    requests: Family<OutcomeLabels, Counter>,
+    repeats: Counter,
+    connections: Counter,
+    away: Counter,
+    omitted_lines: Counter,
+    dropped_lines: Gauge,
+    log_thread: Option<ErrorCounter>,
+    first_event_s: Histogram,
+    duration_s: Histogram,
+    routine: LineGate,
+    failures: LineGate,
+}
+
+impl Telemetry {
+    /// Metrics at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("cardamombridge");
+        let telemetry = Self {
+            requests: Family::default(),
+            repeats: Counter::default(),
+            connections: Counter::default(),
+            away: Counter::default(),
+            omitted_lines: Counter::default(),
+            dropped_lines: Gauge::default(),
+            log_thread: None,
+            first_event_s: Histogram::new(BUCKETS_S),
+            duration_s: Histogram::new(BUCKETS_S),
+            routine: LineGate::default(),
+            failures: LineGate::default(),
+            registry: Registry::default(),
+        };
+        registry.register(
+            "requests",
+            "Requests by outcome",
+            telemetry.requests.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Requests sent to a second endpoint",
+            telemetry.repeats.clone(),
+        );
+        registry.register(
+            "endpoint_connections",
+            "Connections opened to endpoints and hosts",
+            telemetry.connections.clone(),
+        );
+        registry.register(
+            "away",
+            "Requests sent to another region",
+            telemetry.away.clone(),
+        );
+        registry.register(
+            "omitted_log_lines",
+            "Lines about requests that were left out",
+            telemetry.omitted_lines.clone(),
+        );
+        registry.register(
+            "dropped_log_lines",
+            "Lines that the log thread lost",
+            telemetry.dropped_lines.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time until the first event or the answer",
+            telemetry.first_event_s.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time until the end of the answer",
+            telemetry.duration_s.clone(),
+        );
+        Self {
+            registry,
+            ..telemetry
+        }
+    }
+
+    /// Reports the lines that the log thread drops.
+    pub fn with_log_thread(mut self, counter: ErrorCounter) -> Self {
+        self.log_thread = Some(counter);
+        self
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let dropped = self
+            .log_thread
+            .as_ref()
+            .map_or(0, ErrorCounter::dropped_lines);
+        self.dropped_lines
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            tracing::warn!(%error, "could not encode the metrics");
+        }
+        text
+    }
+
+    /// Counts a request that is sent to a second endpoint.
+    pub fn count_repeat(&self) {
+        self.repeats.inc();
+    }
+
+    /// Counts a connection to an endpoint or a host.
+    pub fn count_connection(&self) {
+        self.connections.inc();
+    }
+
+    /// Counts a request that is sent to another region.
+    pub fn count_away(&self) {
+        self.away.inc();
+    }
+
+    /// Records the time until the first event or the answer.
+    pub fn observe_first_event(&self, after_ms: u64) {
+        self.first_event_s.observe(after_ms as f64 / 1_000.0);
+    }
+
+    /// Records the end of a request and writes its line.
+    pub fn request_ended(
+        &mut self,
+        exchange: &Exchange,
+        outcome: &'static str,
+        status: u16,
+        total_ms: u64,
+        now_ms: u64,
+    ) {
+        self.requests
+            .get_or_create(&OutcomeLabels {
+                outcome,
+                status: u32::from(status),
+            })
+            .inc();
+        self.duration_s.observe(total_ms as f64 / 1_000.0);
+        let is_routine = (200..300).contains(&status);
+        let gate = match is_routine {
+            true => self.routine.admit(ROUTINE_LINES_PER_S, now_ms),
+            false => self.failures.admit(FAILURE_LINES_PER_S, now_ms),
+        };
+        if !gate {
+            self.omitted_lines.inc();
+            return;
+        }
+        tracing::info!(
+            request = %exchange.request.call.attempt,
+            route = %exchange.plan.route,
+            service = %exchange.plan.service,
+            configuration = exchange.configuration_version,
+            is_forwarded = exchange.is_forwarded,
+            runs = exchange.run_count,
+            tried = ?exchange.excluded,
+            events = exchange.events.whole_count(),
+            destination = ?exchange.sending.as_ref().map(|sending| name_of(&sending.destination)),
+            total_ms,
+            outcome,
+            status,
+            "request ended"
+        );
+    }
+}
+
+fn name_of(destination: &Destination) -> &str {
+    match destination {
+        Destination::Endpoint(choice) => &choice.endpoint,
+        Destination::Region { region, .. } => region,
+    }
+}
+
+impl Default for Telemetry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl LineGate {
+    fn admit(&mut self, per_second: u32, now_ms: u64) -> bool {
+        let second = now_ms / 1_000;
+        if second != self.second {
+            self.second = second;
+            self.used = 0;
+        }
+        self.used += 1;
+        self.used <= per_second
+    }
+}
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    platform::{
+    consul::{
         CasOutcome,
         KeyState,
         KeyValue,
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -61,6 +61,10 @@
         Config,
         ConfigError, //
     },
+    consul::{
+        KeyValue,
+        ServiceList, //
+    },
     contact::PlatformContact,
     decider::{
         self,
@@ -91,10 +95,6 @@
         PeerContext, //
     },
     plan::PlanRules,
-    platform::{
-        KeyValue,
-        ServiceList, //
-    },
     poller::Poller,
     recorder::RecorderHandle,
     relay::RelayContext,
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -7,6 +7,11 @@
 };
 
 use thiserror::Error;
+use tracing_appender::non_blocking::{
+    ErrorCounter,
+    NonBlockingBuilder,
+    WorkerGuard, //
+};
 use tracing_subscriber::{
     EnvFilter,
     fmt::format::FmtSpan, //
@@ -67,6 +72,34 @@
     AlreadySet,
 }
 
+/// Lines that wait for the log thread; the oldest are written first, and new
+/// ones are dropped when it is full.
+const LOG_RING_LINES: usize = 1_024;
+
+/// Writes logs to standard output, a JSON object a line, from a thread of its own.
+///
+/// A line that finds the ring full is dropped and counted. The thread ends,
+/// after the lines that wait, when the guard is dropped.
+pub fn init_json(filter: &str) -> Result<(WorkerGuard, ErrorCounter), LogError> {
+    let parsed = EnvFilter::try_new(filter).map_err(|error| LogError::Filter {
+        filter: filter.into(),
+        error,
+    })?;
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(LOG_RING_LINES)
+        .lossy(true)
+        .finish(io::stdout());
+    let counter = writer.error_counter();
+    tracing_subscriber::fmt()
+        .with_env_filter(parsed)
+        .with_writer(writer)
+        .json()
+        .flatten_event(true)
+        .try_init()
+        .map_err(|_| LogError::AlreadySet)?;
+    Ok((guard, counter))
+}
+
 /// Writes logs of this process to standard error.
 ///
 /// `filter` has the syntax of `tracing-subscriber`, such as `info` or
--- /dev/null
+++ b/src/platform/items.rs
@@ -0,0 +1,222 @@
+//! Items of the platform's store: configuration, endpoints and evacuations.
+//!
+//! The wire types are private. A field that is missing or of another type makes
+//! the whole item unusable, except where the platform allows its absence.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::gateway::{
+    configuration::{
+        CallerLimits,
+        Configuration,
+        Repeat,
+        Route,
+        RouteTarget,
+        Service, //
+    },
+    endpoint::{
+        Announcement,
+        Stage, //
+    }, //
+};
+
+/// Key of the configuration.
+pub const CONFIGURATION_KEY: &str = "op/config";
+/// Prefix of the keys of evacuated data centres.
+pub const EVACUATION_PREFIX: &str = "op/evacuate/";
+/// Prefix of the keys of endpoints.
+pub const ENDPOINT_PREFIX: &str = "servers/";
+/// Prefix of everything that operators write.
+pub const OPERATOR_PREFIX: &str = "op/";
+
+/// Why an item cannot be used.
+#[derive(Debug, Error)]
+pub enum ItemError {
+    /// The text is not the expected JSON.
+    #[error("not the expected JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A word that the platform does not define.
+    #[error("unknown {field} {value:?}")]
+    UnknownWord {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: CompactString,
+    },
+}
+
+#[derive(Deserialize)]
+struct WireConfiguration {
+    version: u64,
+    routes: Vec<WireRoute>,
+    /// Services; the platform calls them back ends, as it does endpoints.
+    backends: Vec<WireService>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+struct WireRoute {
+    name: CompactString,
+    host: CompactString,
+    prefix: CompactString,
+    kind: CompactString,
+    timeout_ms: f64,
+    goal_ms: Option<f64>,
+    max_attempts: Option<u32>,
+    prio: Option<u8>,
+    /// The one service, if the route is not split.
+    backend: Option<CompactString>,
+    #[serde(default)]
+    split: Vec<WireShare>,
+    #[serde(default)]
+    home_regions: Vec<CompactString>,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct WireShare {
+    backend: CompactString,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: CompactString,
+    max_conns: Option<u32>,
+    #[serde(default)]
+    cold_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    slots: u32,
+    kv_cap_tokens: u64,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct WireEndpoint {
+    /// Name of the service that the endpoint belongs to.
+    backend: CompactString,
+    addr: SocketAddr,
+    zone: CompactString,
+    slots: u32,
+    state: CompactString,
+    #[serde(default)]
+    cold_left_ms: f64,
+    /// Only in a notice of removal: time until the endpoint is gone.
+    remaining_ms: Option<f64>,
+    /// Unix time of the start, in milliseconds.
+    #[serde(default)]
+    born: u64,
+}
+
+/// Reads the configuration.
+pub fn decode_configuration(text: &[u8]) -> Result<Configuration, ItemError> {
+    let wire: WireConfiguration = serde_json::from_slice(text)?;
+    let routes: Result<Vec<Route>, ItemError> = wire.routes.into_iter().map(decode_route).collect();
+    Ok(Configuration {
+        version: wire.version,
+        routes: routes?,
+        services: wire.backends.into_iter().map(decode_service).collect(),
+        limits: CallerLimits {
+            max_head_bytes: wire.limits.max_header_bytes,
+            max_body_bytes: wire.limits.max_body_bytes,
+            head_timeout_ms: whole_ms(wire.limits.header_timeout_ms),
+            idle_timeout_ms: whole_ms(wire.limits.idle_timeout_ms),
+        },
+    })
+}
+
+fn decode_route(wire: WireRoute) -> Result<Route, ItemError> {
+    let repeat = match wire.kind.as_str() {
+        "idempotent" => Repeat::Idempotent,
+        "mutating" => Repeat::Never,
+        "streaming" if wire.resumable => Repeat::Resume,
+        "streaming" => Repeat::Never,
+        _ => {
+            return Err(ItemError::UnknownWord {
+                field: "kind",
+                value: wire.kind,
+            });
+        }
+    };
+    let whole = wire.backend.map(|service| RouteTarget {
+        service,
+        weight: 1.0,
+    });
+    let shares = wire.split.into_iter().map(|share| RouteTarget {
+        service: share.backend,
+        weight: share.weight,
+    });
+    let timeout_ms = whole_ms(wire.timeout_ms);
+    Ok(Route {
+        is_stream: wire.kind == "streaming",
+        name: wire.name,
+        host: wire.host,
+        prefix: wire.prefix,
+        repeat,
+        timeout_ms,
+        goal_ms: wire.goal_ms.map_or(timeout_ms, whole_ms),
+        max_attempts: wire.max_attempts.unwrap_or(1).max(1),
+        priority: wire.prio,
+        targets: whole.into_iter().chain(shares).collect(),
+        homes: wire.home_regions,
+    })
+}
+
+fn decode_service(wire: WireService) -> Service {
+    Service {
+        name: wire.name,
+        max_connections: wire.max_conns,
+        cold_ms: whole_ms(wire.cold_s * 1_000.0),
+        cold_per_s: wire.cold_per_s,
+        engine_slots: wire.engine.as_ref().map(|engine| engine.slots),
+        memory_tokens: wire.engine.as_ref().map(|engine| engine.kv_cap_tokens),
+    }
+}
+
+/// Reads the entry of an endpoint.
+pub fn decode_endpoint(text: &[u8]) -> Result<Announcement, ItemError> {
+    let wire: WireEndpoint = serde_json::from_slice(text)?;
+    let stage = match wire.state.as_str() {
+        "ready" => Stage::Ready,
+        "draining" => Stage::Draining,
+        _ => {
+            return Err(ItemError::UnknownWord {
+                field: "state",
+                value: wire.state,
+            });
+        }
+    };
+    Ok(Announcement {
+        service: wire.backend,
+        address: wire.addr,
+        data_centre: wire.zone,
+        slots: wire.slots.max(1),
+        stage,
+        cold_left_ms: whole_ms(wire.cold_left_ms),
+        remaining_ms: wire.remaining_ms.map(whole_ms),
+        started_ms: wire.born,
+    })
+}
+
+/// Rounds a duration up to whole milliseconds; negative ones count as none.
+fn whole_ms(ms: f64) -> u64 {
+    ms.ceil().max(0.0) as u64
+}
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -43,6 +43,14 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    consul::{
+        CasOutcome,
+        Index,
+        KeyState,
+        KeyValue,
+        MAX_VALUE_BYTES,
+        PlatformError, //
+    },
     intent::{
         Change,
         ChangeId,
@@ -58,14 +66,6 @@
         PlannedChange,
         Refused, //
     },
-    platform::{
-        CasOutcome,
-        Index,
-        KeyState,
-        KeyValue,
-        MAX_VALUE_BYTES,
-        PlatformError, //
-    },
     types::{
         Millis,
         Revision, //
--- a/src/spending.rs
+++ b/src/spending.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     clock,
+    consul::KeyValue,
     decider::DeciderHandle,
     decision::event::{
         Action,
@@ -21,7 +22,6 @@
         GrantRequest, //
     },
     in_force::InForceCell,
-    platform::KeyValue,
     types::{
         CallerId,
         CostMicros,
--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -53,6 +53,11 @@
     auth,
     clock,
     config::Config,
+    consul::{
+        KeyValue,
+        PlatformError,
+        ServiceList, //
+    },
     decision::{
         RegionLink,
         policy::Weight,
@@ -67,11 +72,6 @@
         PlanRules,
         Refused, //
     },
-    platform::{
-        KeyValue,
-        PlatformError,
-        ServiceList, //
-    },
     rollout::{
         self,
         Accepted,
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -20,6 +20,12 @@
 
 use crate::{
     clock,
+    consul::{
+        Index,
+        KeyValue,
+        PlatformError,
+        ServiceList, //
+    },
     contact::PlatformContact,
     decider::DeciderHandle,
     decision::{
@@ -32,12 +38,6 @@
         rendezvous_rank, //
     },
     peer_list,
-    platform::{
-        Index,
-        KeyValue,
-        PlatformError,
-        ServiceList, //
-    },
     rollout::{
         ChangeSet,
         HEAD_KEY,
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -33,8 +33,8 @@
         Delivery,
         Promise, //
     },
+    consul::KeyValue,
     plan::PlanRules,
-    platform::KeyValue,
     rollout,
     standin::platform::PlatformStandin,
     types::{
--- a/tests/config_in_force.rs
+++ b/tests/config_in_force.rs
@@ -25,7 +25,7 @@
 };
 
 use cardamombridge::{
-    platform::{
+    consul::{
         CasOutcome,
         KeyValue, //
     },
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -16,6 +16,7 @@
 
 use cardamombridge::{
     cli::Cli,
+    consul::KeyValue,
     intent::{
         Intents,
         Object,
@@ -31,7 +32,6 @@
         Plan,
         PlanRules, //
     },
-    platform::KeyValue,
     rollout::{
         self,
         Acceptor, //
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -15,8 +15,7 @@
 };
 
 use cardamombridge::{
-    decision::view::EndpointInfo,
-    platform::{
+    consul::{
         CasOutcome,
         Index,
         KeyValue,
@@ -24,6 +23,7 @@
         PlatformError,
         ServiceList, //
     },
+    decision::view::EndpointInfo,
     standin::platform::PlatformStandin, //
 };
 
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -19,6 +19,7 @@
 
 use cardamombridge::{
     clock,
+    consul::KeyValue,
     decision::{
         event::RefusalReason,
         residency::AllowedRegions, //
@@ -37,7 +38,6 @@
         },
         wire::ClusterKey, //
     },
-    platform::KeyValue,
     rollout,
     standin::{
         engine::EngineFault,
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -14,6 +14,11 @@
 };
 
 use cardamombridge::{
+    consul::{
+        Index,
+        KeyValue,
+        MAX_VALUE_BYTES, //
+    },
     grant::{
         GrantId,
         GrantOutcome,
@@ -32,11 +37,6 @@
         PlanRules,
         Violation, //
     },
-    platform::{
-        Index,
-        KeyValue,
-        MAX_VALUE_BYTES, //
-    },
     rollout::{
         self,
         Accepted,
