Cut a stream off if the endpoint that continues it fails

The gateway ended the body at the end of any answer; it now ends it only after a good one. The test fails without the change. An endpoint that failed a request is avoided, and tried again only if there is no other.

Stand-ins of the metadata store and of scripted endpoints serve the tests.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -150,6 +150,8 @@
     pub run_count: u32,
     /// Endpoints that are not tried again.
     pub excluded: Vec<CompactString>,
+    /// Endpoints that failed, and are tried again only if there is no other.
+    pub avoided: Vec<CompactString>,
     /// Regions that are not tried again.
     pub excluded_regions: Vec<CompactString>,
     /// The request waits for an endpoint.
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -28,10 +28,7 @@
         write_chunk,
         write_last_chunk, //
     },
-    configuration::{
-        Configuration,
-        Service, //
-    },
+    configuration::Service,
     connection::{
         Answering,
         UpstreamPhase, //
@@ -107,6 +104,7 @@
             plan,
             run_count: 0,
             excluded: Vec::new(),
+            avoided: Vec::new(),
             excluded_regions: Vec::new(),
             is_waiting: false,
             sending: None,
@@ -149,16 +147,13 @@
         let service = self.service(&plan.service);
         let is_home = plan.allows_region(&self.settings.host.region);
         let hosts = self.hosts.region_names(now_ms);
+        let choose = |left_out: &[CompactString]| {
+            self.fleet
+                .choose(&service, &exchange.request.call, left_out, &hosts, now_ms)
+        };
+        let unwanted = [exchange.excluded.as_slice(), exchange.avoided.as_slice()].concat();
         let here = is_home
-            .then(|| {
-                self.fleet.choose(
-                    &service,
-                    &exchange.request.call,
-                    &exchange.excluded,
-                    &hosts,
-                    now_ms,
-                )
-            })
+            .then(|| choose(&unwanted).or_else(|| choose(&exchange.excluded)))
             .flatten();
         let queue_ms = self.queue_ms(&service, Some(key), now_ms);
         let away = self.away_offer(exchange, &service, now_ms);
@@ -621,6 +616,7 @@
         };
         let is_server_error = head.status >= 500 || failure == Failure::Broken;
         if is_server_error {
+            self.avoid_destination(key);
             self.end_sending(key, Some(failure), now_ms);
             if self.repeat(key, "endpoint failed") {
                 return;
@@ -628,6 +624,9 @@
         } else {
             self.end_sending(key, None, now_ms);
         }
+        if self.exchanges[key].has_reply_begun() {
+            return self.cut_off(key, "endpoint failed during the answer");
+        }
         if failure == Failure::Broken {
             return self.fail(key, "unusable answer", OwnAnswer::plain(502));
         }
@@ -735,6 +734,9 @@
             Breakage::Broken => Failure::Broken,
         };
         match destination {
+            Some(Destination::Endpoint(choice)) if breakage == Breakage::Broken => {
+                exchange.avoided.push(choice.endpoint);
+            }
             Some(Destination::Endpoint(choice)) => exchange.excluded.push(choice.endpoint),
             Some(Destination::Region { region, .. }) => exchange.excluded_regions.push(region),
             None => {}
@@ -765,6 +767,20 @@
         }
     }
 
+    /// Prefers other endpoints for the next sending of a request.
+    fn avoid_destination(&mut self, key: usize) {
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            return;
+        };
+        if let Some(Destination::Endpoint(choice)) = exchange
+            .sending
+            .as_ref()
+            .map(|sending| &sending.destination)
+        {
+            exchange.avoided.push(choice.endpoint.clone());
+        }
+    }
+
     /// Sends a request that may have run to another endpoint, if it may run
     /// again and the budget allows it.
     fn repeat(&mut self, key: usize, cause: &str) -> bool {
@@ -973,11 +989,9 @@
             silent_ms = now_ms.saturating_sub(sending.progress_ms),
             "endpoint stalls; request repeated"
         );
-        if let Destination::Endpoint(choice) = &sending.destination {
-            exchange.excluded.push(choice.endpoint.clone());
-        }
         exchange.held.clear();
         exchange.events.discard_partial();
+        self.avoid_destination(key);
         self.end_sending(key, Some(Failure::Broken), now_ms);
         self.close_upstream(sending.upstream);
         self.telemetry.count_repeat();
@@ -1011,11 +1025,6 @@
             }
         }
     }
-
-    /// Configuration in force.
-    pub(super) fn configuration_or_default(&self) -> std::sync::Arc<Configuration> {
-        self.configuration.clone().unwrap_or_default()
-    }
 }
 
 /// Order of waiting requests: by rank, then by arrival.
--- /dev/null
+++ b/src/standin/metadata_store.rs
@@ -0,0 +1,349 @@
+//! Stand-in of the platform's metadata store.
+//!
+//! Speaks the published calls: range, watch, transactions and leases. It can be
+//! down, forget its history and lose answers, as the platform's store does.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Condvar,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use base64::{
+    Engine,
+    engine::general_purpose::STANDARD, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+use super::listener::{
+    Listener,
+    Next,
+    Request,
+    lock,
+    respond_json, //
+};
+use crate::http::{
+    connection::Connection,
+    message::{
+        Headers,
+        MessageError, //
+    }, //
+};
+
+/// Longest wait of a watch, as published.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreFault {
+    /// It does not.
+    #[default]
+    None,
+    /// It refuses all calls.
+    Busy,
+    /// It closes connections without an answer.
+    Down,
+    /// It executes calls and closes the connection instead of answering.
+    LosesAnswers,
+}
+
+#[derive(Debug, Clone)]
+struct Change {
+    key: String,
+    revision: u64,
+    value: Option<Vec<u8>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (u64, Vec<u8>, u64)>,
+    history: Vec<Change>,
+    history_start: u64,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    next_lease: u64,
+    fault: StoreFault,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// A running stand-in of the store.
+#[derive(Debug)]
+pub struct MetadataStore {
+    listener: Listener,
+    shared: Arc<Shared>,
+}
+
+impl State {
+    fn write(&mut self, key: &str, value: Option<Vec<u8>>, lease: u64) {
+        self.revision += 1;
+        match &value {
+            Some(bytes) => {
+                let item = (self.revision, bytes.clone(), lease);
+                self.items.insert(key.into(), item);
+            }
+            None => {
+                self.items.remove(key);
+            }
+        }
+        self.history.push(Change {
+            key: key.into(),
+            revision: self.revision,
+            value,
+        });
+    }
+
+    fn end_lease(&mut self, lease: u64) -> bool {
+        let existed = self.leases.remove(&lease).is_some();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.2 == lease && lease != 0)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.write(&key, None, 0);
+        }
+        existed
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (ends, _))| *ends <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn changes_after(&self, prefix: &str, revision: u64) -> Vec<Value> {
+        self.history
+            .iter()
+            .filter(|change| change.revision > revision && change.key.starts_with(prefix))
+            .map(|change| match &change.value {
+                Some(value) => json!({
+                    "key": change.key, "rev": change.revision,
+                    "created": change.revision, "lease": 0, "value": STANDARD.encode(value),
+                }),
+                None => json!({ "key": change.key, "rev": change.revision, "deleted": true }),
+            })
+            .collect()
+    }
+}
+
+impl MetadataStore {
+    /// Starts an empty store on a free port of loopback.
+    pub fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        lock(&shared.state).revision = 1;
+        let served = Arc::clone(&shared);
+        let listener = Listener::start(0, move |connection, request| {
+            serve(&served, connection, &request)
+        })?;
+        Ok(Self { listener, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Writes an item, as the operator and endpoints do.
+    pub fn put(&self, key: &str, value: &Value) {
+        lock(&self.shared.state).write(key, Some(value.to_string().into_bytes()), 0);
+        self.shared.changed.notify_all();
+    }
+
+    /// Deletes an item.
+    pub fn delete(&self, key: &str) {
+        lock(&self.shared.state).write(key, None, 0);
+        self.shared.changed.notify_all();
+    }
+
+    /// Sets how the store misbehaves.
+    pub fn set_fault(&self, fault: StoreFault) {
+        lock(&self.shared.state).fault = fault;
+        self.shared.changed.notify_all();
+    }
+
+    /// Drops all history, so that watches from earlier revisions fail.
+    pub fn drop_history(&self) {
+        let mut state = lock(&self.shared.state);
+        state.history.clear();
+        state.history_start = state.revision;
+        self.shared.changed.notify_all();
+    }
+
+    /// Keys that start with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let mut state = lock(&self.shared.state);
+        state.expire(Instant::now());
+        let keys = state.items.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+}
+
+fn serve(
+    shared: &Shared,
+    connection: &mut Connection,
+    request: &Request,
+) -> Result<Next, MessageError> {
+    let fault = lock(&shared.state).fault;
+    let refused = json!({ "error": "busy" });
+    match fault {
+        StoreFault::Down => return Ok(Next::Close),
+        StoreFault::Busy => return respond_json(connection, 503, Headers::new(), &refused),
+        StoreFault::None | StoreFault::LosesAnswers => {}
+    }
+    let (status, body) = answer(shared, request);
+    let fault = lock(&shared.state).fault;
+    if fault != StoreFault::None {
+        return Ok(Next::Close);
+    }
+    respond_json(connection, status, Headers::new(), &body)
+}
+
+fn answer(shared: &Shared, request: &Request) -> (u16, Value) {
+    let (path, query) = match request.head.path.split_once('?') {
+        Some((path, query)) => (path, query),
+        None => (&*request.head.path, ""),
+    };
+    let name = path.trim_start_matches("/cardamombridge/");
+    let (call, id) = name.split_once('/').unwrap_or((name, ""));
+    let id = id.parse().unwrap_or(0);
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+    if call == "kv-watch" {
+        return watch(shared, query);
+    }
+    let mut state = lock(&shared.state);
+    state.expire(Instant::now());
+    let answer = match call {
+        "kv-range" => range(&state, &parameter(query, "prefix")),
+        "kv-txn" => transact(&mut state, &body),
+        "kv-lease" => {
+            let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
+            state.next_lease += 1;
+            let lease = state.next_lease;
+            state.leases.insert(lease, (Instant::now() + ttl, ttl));
+            (
+                200,
+                json!({ "lease": lease, "ttl_ms": ttl.as_millis() as u64 }),
+            )
+        }
+        "kv-keep" => match state.leases.get_mut(&id) {
+            Some((ends, ttl)) => {
+                *ends = Instant::now() + *ttl;
+                (200, json!({ "ttl_ms": ttl.as_millis() as u64 }))
+            }
+            None => (404, json!({})),
+        },
+        "kv-lease-end" => match state.end_lease(id) {
+            true => (200, json!({})),
+            false => (404, json!({})),
+        },
+        _ => (400, json!({})),
+    };
+    drop(state);
+    shared.changed.notify_all();
+    answer
+}
+
+fn range(state: &State, prefix: &str) -> (u16, Value) {
+    let items: Vec<Value> = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix))
+        .map(|(key, (revision, value, lease))| {
+            json!({
+                "key": key, "rev": revision, "created": revision, "lease": lease,
+                "value": STANDARD.encode(value),
+            })
+        })
+        .collect();
+    let body = json!({ "items": items, "has_more": false, "current_rev": state.revision });
+    (200, body)
+}
+
+fn transact(state: &mut State, body: &Value) -> (u16, Value) {
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let holds = rows("precondition").iter().all(|row| {
+        let key = row["key"].as_str().unwrap_or_default();
+        let found = state.items.get(key).map_or(0, |item| item.0);
+        Some(found) == row["rev"].as_u64()
+    });
+    if !holds {
+        return (412, json!({ "items": [] }));
+    }
+    for write in rows("writes") {
+        let lease = write["lease"].as_u64().unwrap_or(0);
+        if lease != 0 && !state.leases.contains_key(&lease) {
+            return (404, json!({}));
+        }
+        let value = STANDARD
+            .decode(write["value"].as_str().unwrap_or_default())
+            .unwrap_or_default();
+        state.write(
+            write["key"].as_str().unwrap_or_default(),
+            Some(value),
+            lease,
+        );
+    }
+    for key in rows("remove") {
+        state.write(key.as_str().unwrap_or_default(), None, 0);
+    }
+    (200, json!({ "rev": state.revision }))
+}
+
+fn watch(shared: &Shared, query: &str) -> (u16, Value) {
+    let prefix = parameter(query, "prefix");
+    let after = parameter(query, "after").parse().unwrap_or(0);
+    let wait = Duration::from_millis(parameter(query, "wait_ms").parse().unwrap_or(0));
+    let deadline = Instant::now() + wait.min(MAX_WAIT);
+    let mut state = lock(&shared.state);
+    loop {
+        state.expire(Instant::now());
+        if after < state.history_start || state.fault != StoreFault::None {
+            return (410, json!({}));
+        }
+        let events = state.changes_after(&prefix, after);
+        let left = deadline.saturating_duration_since(Instant::now());
+        if !events.is_empty() || left.is_zero() {
+            let body = json!({ "events": events, "current_rev": state.revision });
+            return (200, body);
+        }
+        // Leases end without a notification.
+        let pause = left.min(Duration::from_millis(50));
+        let waited = shared.changed.wait_timeout(state, pause);
+        state = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
+    }
+}
+
+fn parameter(query: &str, name: &str) -> String {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter(|(key, _)| *key == name)
+        .map(|(_, value)| value.replace("%2F", "/"))
+        .next()
+        .unwrap_or_default()
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,8 +4,10 @@
 pub mod answer;
 pub mod engine;
 pub mod listener;
+pub mod metadata_store;
 pub mod model;
 pub mod platform;
+pub mod scripted;
 pub mod service;
 pub mod testbed;
 pub mod wire;
--- /dev/null
+++ b/src/standin/scripted.rs
@@ -0,0 +1,235 @@
+//! Stand-in of an endpoint that answers as a script says.
+//!
+//! It speaks the platform's headers, notes every request that arrives, and can
+//! break off at any point of an answer.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use super::listener::{
+    Listener,
+    Next,
+    Request,
+    lock,
+    write_deadline, //
+};
+use crate::http::{
+    connection::Connection,
+    message::{
+        Headers,
+        MessageError, //
+    },
+    server::{
+        end_chunked,
+        respond,
+        start_chunked,
+        write_chunk, //
+    }, //
+};
+
+/// What the endpoint does with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Script {
+    /// Answers with a status and a body.
+    Answer(u16, Vec<u8>),
+    /// Says that it does not run the request.
+    NotRun,
+    /// Sends events from a number on, with a pause after each.
+    Events {
+        /// First event.
+        first: u64,
+        /// One past the last event that is sent.
+        end: u64,
+        /// Pause after each event.
+        pause: Duration,
+        /// Ends the answer properly; otherwise the connection breaks.
+        is_whole: bool,
+    },
+    /// Writes these bytes and closes the connection.
+    Raw(Vec<u8>),
+    /// Writes these bytes after a whole answer, on the same connection.
+    Extra(Vec<u8>),
+    /// Runs the request and closes the connection without an answer.
+    Close,
+    /// Waits, then does something else.
+    After(Duration, Box<Script>),
+}
+
+/// A request as the endpoint saw it.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: Instant,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Header fields.
+    pub headers: Headers,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The endpoint began to work on it.
+    pub has_run: bool,
+}
+
+impl Arrival {
+    /// The attempt that the request belongs to.
+    pub fn attempt(&self) -> &str {
+        self.headers.get("x-attempt-id").unwrap_or_default()
+    }
+}
+
+/// A running endpoint.
+#[derive(Debug)]
+pub struct ScriptedEndpoint {
+    id: String,
+    listener: Listener,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+impl ScriptedEndpoint {
+    /// Starts an endpoint that does with the n-th request, from 0, what `script` says.
+    pub fn start<S>(id: &str, script: S) -> io::Result<Self>
+    where
+        S: Fn(usize, &Arrival) -> Script + Send + Sync + 'static,
+    {
+        let arrivals = Arc::new(Mutex::new(Vec::new()));
+        let noted = Arc::clone(&arrivals);
+        let own_id = id.to_owned();
+        let listener = Listener::start(0, move |connection, request| {
+            let mut arrival = arrival(&request);
+            let index = lock(&noted).len();
+            let expected = arrival.headers.get("x-expect-instance");
+            let is_misdirected = expected.is_some_and(|expected| expected != own_id);
+            let script = script(index, &arrival);
+            arrival.has_run = !is_misdirected && script != Script::NotRun;
+            lock(&noted).push(arrival.clone());
+            if is_misdirected {
+                let headers = answer_headers(&arrival, &own_id);
+                respond(connection, 421, headers, b"", write_deadline())?;
+                return Ok(Next::Keep);
+            }
+            play(connection, &arrival, &own_id, script)
+        })?;
+        Ok(Self {
+            id: id.into(),
+            listener,
+            arrivals,
+        })
+    }
+
+    /// Its identity.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Requests that arrived so far.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.arrivals).clone()
+    }
+
+    /// Requests that the endpoint began to work on.
+    pub fn runs(&self) -> Vec<Arrival> {
+        let arrivals = self.arrivals();
+        arrivals
+            .into_iter()
+            .filter(|arrival| arrival.has_run)
+            .collect()
+    }
+
+    /// Ends it as a crash would.
+    pub fn stop(&mut self) {
+        self.listener.stop();
+    }
+}
+
+fn arrival(request: &Request) -> Arrival {
+    Arrival {
+        at: Instant::now(),
+        method: request.head.method.to_string(),
+        path: request.head.path.to_string(),
+        headers: request.head.headers.clone(),
+        body: request.body.clone(),
+        has_run: false,
+    }
+}
+
+fn answer_headers(arrival: &Arrival, id: &str) -> Headers {
+    Headers::new()
+        .with_field("x-attempt-id", arrival.attempt())
+        .with_field("x-instance-id", id)
+}
+
+fn play(
+    connection: &mut Connection,
+    arrival: &Arrival,
+    id: &str,
+    script: Script,
+) -> Result<Next, MessageError> {
+    let plain = answer_headers(arrival, id);
+    let sealed = plain
+        .clone()
+        .with_field("x-server-seal", &format!("seal-{id}"));
+    match script {
+        Script::Answer(status, body) => {
+            respond(connection, status, sealed, &body, write_deadline())?;
+        }
+        Script::NotRun => {
+            let headers = plain.with_field("x-not-run", "1");
+            respond(connection, 503, headers, b"", write_deadline())?;
+        }
+        Script::Events {
+            first,
+            end,
+            pause,
+            is_whole,
+        } => {
+            let headers = sealed.with_field("content-type", "text/event-stream");
+            start_chunked(connection, 200, headers, write_deadline())?;
+            for number in first..end {
+                let event = event_text(number);
+                write_chunk(connection, event.as_bytes(), write_deadline())?;
+                thread::sleep(pause);
+            }
+            if !is_whole {
+                return Ok(Next::Close);
+            }
+            end_chunked(connection, write_deadline())?;
+        }
+        Script::Raw(bytes) => {
+            connection.write_all(&bytes, write_deadline())?;
+            return Ok(Next::Close);
+        }
+        Script::Extra(bytes) => {
+            respond(connection, 200, sealed, b"answer", write_deadline())?;
+            connection.write_all(&bytes, write_deadline())?;
+        }
+        Script::Close => return Ok(Next::Close),
+        Script::After(pause, next) => {
+            thread::sleep(pause);
+            return play(connection, arrival, id, *next);
+        }
+    }
+    Ok(Next::Keep)
+}
+
+/// Text of an event as scripted endpoints send it.
+pub fn event_text(number: u64) -> String {
+    format!("id: {number}\ndata: token {number}\n\n")
+}
--- /dev/null
+++ b/tests/gateway_truth.rs
@@ -0,0 +1,172 @@
+//! What a caller is told about its request is true, whatever endpoints do.
+
+mod gatewayenv;
+
+use std::time::Duration;
+
+use cardamombridge::standin::scripted::{
+    Script,
+    ScriptedEndpoint,
+    event_text, //
+};
+use gatewayenv::{
+    Host,
+    HostOptions,
+    Request,
+    announce,
+    store_with_configuration, //
+};
+
+const LIMIT_MS: u64 = 5_000;
+
+fn events(first: u64, end: u64, is_whole: bool) -> Script {
+    Script::Events {
+        first,
+        end,
+        pause: Duration::from_millis(20),
+        is_whole,
+    }
+}
+
+/// Guards against a stream that is ended properly although the endpoint that
+/// was to continue it answered with an error.
+#[test]
+fn stream_is_cut_off_if_it_cannot_be_continued() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
+        0 => events(0, 3, false),
+        _ => Script::Answer(500, b"failed".to_vec()),
+    })
+    .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    let answer = Request::post("/chat/1", b"hello")
+        .with_attempt("a-1", LIMIT_MS)
+        .send(host.callers);
+
+    assert_eq!(answer.status, 200);
+    assert!(!answer.is_whole, "the answer ends as if it were complete");
+    assert_eq!(answer.text(), (0..3).map(event_text).collect::<String>());
+}
+
+/// Guards against an event that is missing, comes twice or is joined from two
+/// runs when another endpoint continues a stream.
+#[test]
+fn stream_continues_after_the_last_whole_event() {
+    let store = store_with_configuration();
+    let partial = Script::Raw(
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Server-Seal: s\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
+             30\r\n{}{}id: 2\ndat",
+            event_text(0),
+            event_text(1)
+        )
+        .into_bytes(),
+    );
+    let endpoint = ScriptedEndpoint::start("e-1", move |_, arrival| {
+        match arrival.headers.get("last-event-id") {
+            None => partial.clone(),
+            Some(last) => events(last.parse::<u64>().unwrap_or(99) + 1, 5, true),
+        }
+    })
+    .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    let answer = Request::post("/chat/1", b"hello")
+        .with_attempt("a-1", LIMIT_MS)
+        .send(host.callers);
+
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), (0..5).map(event_text).collect::<String>());
+    assert_eq!(endpoint.runs().len(), 2);
+}
+
+/// Guards against a call that runs twice because its answer was lost.
+#[test]
+fn call_that_may_not_repeat_runs_once_if_its_answer_is_lost() {
+    let store = store_with_configuration();
+    let endpoint =
+        ScriptedEndpoint::start("e-1", |_, _| Script::Close).expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    let answer = Request::post("/book/1", b"parcel")
+        .with_attempt("a-1", LIMIT_MS)
+        .send(host.callers);
+
+    assert_eq!(answer.status, 502, "a status that promises nothing");
+    assert_eq!(endpoint.runs().len(), 1);
+}
+
+/// Guards against a caller that gets the answer to an earlier request, which
+/// arrives late on a kept connection.
+#[test]
+fn late_answer_to_an_earlier_request_is_dropped() {
+    let store = store_with_configuration();
+    let late = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-0\r\nX-Server-Seal: s\r\n\
+                Content-Length: 5\r\n\r\nwrong";
+    let endpoint = ScriptedEndpoint::start("e-1", move |index, _| match index {
+        0 => Script::Extra(late.as_bytes().to_vec()),
+        _ => Script::Answer(200, b"right".to_vec()),
+    })
+    .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    for attempt in 0..4 {
+        let answer = Request::post("/book/1", b"parcel")
+            .with_attempt(&format!("a-{attempt}"), LIMIT_MS)
+            .send(host.callers);
+
+        assert_eq!(answer.status, 200);
+        let expected = if attempt == 0 { "answer" } else { "right" };
+        assert_eq!(answer.text(), expected);
+    }
+}
+
+/// Guards against an error of an endpoint that is passed on although a second
+/// endpoint may run the request.
+#[test]
+fn idempotent_request_is_repeated_after_an_error() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
+        0 => Script::Answer(500, b"failed".to_vec()),
+        _ => Script::Answer(200, b"found".to_vec()),
+    })
+    .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    let answer = Request::get("/read/1")
+        .with_attempt("a-1", LIMIT_MS)
+        .send(host.callers);
+
+    assert_eq!((answer.status, answer.text().as_str()), (200, "found"));
+}
+
+/// Guards against a refusal that says "not run" about a request that ran.
+#[test]
+fn refusal_says_not_run_only_if_no_endpoint_ran_the_request() {
+    let store = store_with_configuration();
+    let endpoint =
+        ScriptedEndpoint::start("e-1", |_, _| Script::NotRun).expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    let answer = Request::post("/book/1", b"parcel")
+        .with_attempt("a-1", LIMIT_MS)
+        .send(host.callers);
+
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(endpoint.runs().is_empty());
+}
--- /dev/null
+++ b/tests/gatewayenv/mod.rs
@@ -0,0 +1,413 @@
+//! Gateway hosts as real processes, with stand-ins of the store and of endpoints.
+#![allow(
+    dead_code,
+    reason = "each test file uses the part of this module that it needs"
+)]
+
+use std::{
+    fs::File,
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use cardamombridge::standin::{
+    metadata_store::MetadataStore,
+    scripted::ScriptedEndpoint, //
+};
+use nix::{
+    sys::signal::{
+        Signal,
+        kill, //
+    },
+    unistd::Pid, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use tempfile::TempDir;
+
+/// Longest wait for something that should happen at once.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+/// Name of the host in requests.
+pub const SITE: &str = "shop.example";
+
+/// A gateway host as a process.
+pub struct Host {
+    child: Child,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where callers ask which hosts to use.
+    pub directory: SocketAddr,
+    /// Where the platform asks whether the host takes requests.
+    pub ready: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    log_path: PathBuf,
+    _directory: TempDir,
+}
+
+/// How a host is started.
+pub struct HostOptions {
+    /// Name.
+    pub name: &'static str,
+    /// Region; its data centre is the region's name with `-a`.
+    pub region: &'static str,
+    /// Time between the signal to stop and the end of the process.
+    pub shutdown_s: u64,
+    /// Address of the store, if it is not the store itself.
+    pub store: Option<SocketAddr>,
+}
+
+impl Default for HostOptions {
+    fn default() -> Self {
+        Self {
+            name: "host-1",
+            region: "north",
+            shutdown_s: 8,
+            store: None,
+        }
+    }
+}
+
+impl Host {
+    /// Starts a host and waits until it is ready.
+    pub fn start(store: &MetadataStore, options: &HostOptions) -> Self {
+        let host = Self::start_only(store, options);
+        host.wait_ready();
+        host
+    }
+
+    /// Starts a host.
+    pub fn start_only(store: &MetadataStore, options: &HostOptions) -> Self {
+        let directory = tempfile::tempdir().expect("a temporary directory");
+        let ports = free_addresses(5);
+        let region = options.region;
+        let text = format!(
+            "[host]\nname = {}\nregion = {region}\ndata_centre = {region}-a\ncapacity = 1\n\
+             caller_address = {}\nready_address = {}\ndirectory_address = {}\n\
+             peer_address = {}\nmetrics_address = {}\n\
+             [store]\naddress = {}\nmin_lease_ms = 1000\n\
+             [data_centres]\nnorth-a = north\nsouth-a = south\n\
+             [limits]\nshutdown_s = {}\nendpoint_heartbeat_ms = 1200\ncold_factor = 1.5\n\
+             cold_slack = 3\nretry_ratio = 0.2\nretry_slack = 56\nretry_window_s = 10\n\
+             [logs]\nfilter = debug\n",
+            options.name,
+            ports[0],
+            ports[1],
+            ports[2],
+            ports[3],
+            ports[4],
+            options.store.unwrap_or(store.address()),
+            options.shutdown_s,
+        );
+        let settings = directory.path().join("settings.ini");
+        std::fs::write(&settings, text).expect("settings can be written");
+        let log_path = directory.path().join("log");
+        let log = File::create(&log_path).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_cardamombridge"))
+            .arg("gateway")
+            .arg(&settings)
+            .stdout(log.try_clone().expect("a second handle"))
+            .stderr(log)
+            .spawn()
+            .expect("the host starts");
+        Self {
+            child,
+            callers: ports[0],
+            ready: ports[1],
+            directory: ports[2],
+            metrics: ports[4],
+            log_path,
+            _directory: directory,
+        }
+    }
+
+    /// Waits until the host takes requests.
+    pub fn wait_ready(&self) {
+        wait_until("the host is ready", || self.is_ready());
+    }
+
+    /// Whether the host says that it takes requests.
+    pub fn is_ready(&self) -> bool {
+        let answer = Request::get("/cardamombridge/readyz").try_send(self.ready);
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    /// What the host logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+
+    /// Waits until the log contains `text`.
+    pub fn wait_log(&self, text: &str) {
+        wait_until(text, || self.log().contains(text));
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).expect("the process takes signals");
+    }
+
+    /// Waits for the process to end and returns its exit code.
+    pub fn wait_end(&mut self, limit: Duration) -> Option<i32> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("the process can be asked") {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("log of the host:\n{}", self.log());
+        }
+    }
+}
+
+/// Addresses that nothing listens on.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address"))
+        .collect()
+}
+
+/// Waits until something holds.
+pub fn wait_until<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "timed out: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A request of a caller.
+#[derive(Clone)]
+pub struct Request {
+    method: &'static str,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+/// What a caller received.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Head as text.
+    pub head: String,
+    /// Body without transfer coding.
+    pub body: Vec<u8>,
+    /// The end of the body arrived.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// Value of a header field.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (field, value) = line.split_once(':')?;
+            field.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+impl Request {
+    /// A request without a body.
+    pub fn get(path: &str) -> Self {
+        Self {
+            method: "GET",
+            path: path.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+
+    /// A request with a body.
+    pub fn post(path: &str, body: &[u8]) -> Self {
+        Self {
+            method: "POST",
+            body: body.to_vec(),
+            ..Self::get(path)
+        }
+    }
+
+    /// Names the attempt and its time limit.
+    pub fn with_attempt(self, attempt: &str, limit_ms: u64) -> Self {
+        self.with("X-Attempt-Id", attempt)
+            .with("X-Deadline-Ms", &limit_ms.to_string())
+    }
+
+    /// Adds a header field.
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// The request as it is sent.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut text = format!("{} {} HTTP/1.1\r\nHost: {SITE}\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !self.body.is_empty() {
+            text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
+    /// Sends the request on a connection of its own and reads the answer.
+    pub fn send(&self, address: SocketAddr) -> Answer {
+        self.try_send(address).expect("an answer")
+    }
+
+    /// Like `send`, but the host may be gone.
+    pub fn try_send(&self, address: SocketAddr) -> Option<Answer> {
+        let mut stream = TcpStream::connect(address).ok()?;
+        stream.write_all(&self.bytes()).ok()?;
+        read_answer(&mut stream)
+    }
+}
+
+/// Reads one answer; none if the connection ends before its head.
+pub fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
+    stream
+        .set_read_timeout(Some(Duration::from_secs(30)))
+        .expect("a time limit");
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    let (head, length) = loop {
+        let parsed = cardamombridge::gateway::head::parse_response(&bytes, false);
+        if let Some(parsed) = parsed.expect("a proper head") {
+            break parsed;
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+        }
+    };
+    let text = String::from_utf8_lossy(&bytes[..length]).into_owned();
+    let mut input = bytes.split_off(length);
+    let mut decoder = cardamombridge::gateway::body::BodyDecoder::new(head.framing);
+    let mut body = Vec::new();
+    let is_whole = loop {
+        let used = decoder.decode(&input, &mut body).expect("a proper body");
+        input.drain(..used);
+        if decoder.is_done() {
+            break true;
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => break false,
+            Ok(count) => input.extend_from_slice(&buffer[..count]),
+        }
+    };
+    Some(Answer {
+        status: head.status,
+        head: text,
+        body,
+        is_whole,
+    })
+}
+
+/// A store with a configuration whose routes go to the service `desk`.
+///
+/// `/read/` may repeat, `/book/` may not, `/chat/` is a stream that resumes and
+/// `/draft/` one that does not.
+pub fn store_with_configuration() -> MetadataStore {
+    let store = MetadataStore::start().expect("the store starts");
+    store.put("op/config", &configuration(7));
+    store
+}
+
+/// The configuration of [`store_with_configuration`] with another version.
+pub fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "idempotent", 2, false),
+            route("book", "mutating", 1, false),
+            route("chat", "streaming", 2, true),
+            route("draft", "streaming", 1, false),
+        ],
+        "backends": [
+            { "name": "desk", "health_path": "/healthz", "max_conns": 100, "proto": "h1",
+              "tls": false, "cold_s": 0.0, "cold_per_s": 0.0 },
+        ],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 65536,
+                    "header_timeout_ms": 1000, "idle_timeout_ms": 15000 },
+    })
+}
+
+/// A route at the path of its name.
+pub fn route(name: &str, kind: &str, attempts: u32, is_resumable: bool) -> Value {
+    json!({
+        "name": name, "host": SITE, "prefix": format!("/{name}/"), "kind": kind,
+        "timeout_ms": 5000, "goal_ms": 800, "prio": 1, "backend": "desk",
+        "max_attempts": attempts, "sticky": false, "resumable": is_resumable,
+        "gap_goal_ms": 400, "home_regions": [],
+    })
+}
+
+/// Announces an endpoint of the service `desk` in a region's data centre.
+pub fn announce(store: &MetadataStore, endpoint: &ScriptedEndpoint, region: &str) {
+    announce_with(store, endpoint, region, &json!({}));
+}
+
+/// Announces an endpoint with fields that differ from the usual ones.
+pub fn announce_with(
+    store: &MetadataStore,
+    endpoint: &ScriptedEndpoint,
+    region: &str,
+    fields: &Value,
+) {
+    let mut entry = json!({
+        "backend": "desk", "addr": endpoint.address(), "zone": format!("{region}-a"),
+        "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+    });
+    for (name, value) in fields.as_object().into_iter().flatten() {
+        entry[name] = value.clone();
+    }
+    store.put(&format!("servers/{}", endpoint.id()), &entry);
+}
