--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -1,35 +1,27 @@
-//! What the store says, as changes for the reactor, and this host's item in it.
+//! What a host believes about configuration, endpoints and hosts.
 //!
-//! One thread follows the store and one keeps the host's lease, so a store that
-//! is slow or away never holds up a request. Changes pass through a bounded
-//! channel; the thread that follows waits when it is full.
-//!
-//! Entries of endpoints lapse while the store is away, although the endpoints
-//! live. An entry that is missing shortly after an outage is therefore only
-//! taken as gone when it is still missing after [`RETURN_MS`].
+//! The belief is a copy of the store's items with their revisions. It changes
+//! through [`Belief::apply`] alone, whether a change comes from the store or
+//! from another host, and an item never goes back to an earlier revision. Each
+//! change is decoded once and sent to the reactor.
 
 use std::{
     collections::BTreeMap,
     sync::{
         Arc,
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        }, //
-    },
-    thread,
-    time::{
-        Duration,
-        Instant, //
+        Mutex,
+        MutexGuard,
+        PoisonError, //
     }, //
 };
 
 use compact_str::CompactString;
-use crossbeam::channel::{
-    Receiver,
-    Sender, //
-};
+use crossbeam::channel::Sender;
 use mio::Waker;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use super::{
     configuration::Configuration,
@@ -52,27 +44,12 @@
     },
     store::{
         ItemChange,
-        LeaseId,
-        StoreClient,
-        StoreError,
         StoreRevision, //
     }, //
 };
 
-/// Longest wait of one watch. A watch whose connection went silent is noticed
-/// after this and [`ANSWER_TIMEOUT`], which has to be within the time after
-/// which a host counts as connected again.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Longest wait for an answer of the store: several times its slowest.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Pause after a failed call, so that a store that is down is not flooded.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Time in which entries that lapsed during an outage come back.
-const RETURN_MS: u64 = 2_200;
-/// Lifetime of the host's lease: two renewals may fail.
-const LEASE_TTL: Duration = Duration::from_millis(3_000);
-/// Interval of renewals.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Deleted items that are remembered, so that other hosts learn of them.
+const MAX_DELETED: usize = 1_024;
 
 /// A change of what the host believes.
 #[derive(Debug, Clone, PartialEq)]
@@ -124,161 +101,175 @@
     }
 }
 
-/// Follows the store's content and turns it into updates.
-pub struct StoreFollower {
-    quick: StoreClient,
-    patient: StoreClient,
+/// An item, or the fact that it was deleted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Key.
+    pub key: CompactString,
+    /// Revision of the last change.
+    pub revision: StoreRevision,
+    /// Value; none if it was deleted.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Changes that one host tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Revision up to which the sender knows all changes.
+    pub revision: StoreRevision,
+    /// Items changed after the revision that was asked for.
+    pub entries: Vec<Entry>,
+}
+
+#[derive(Debug, Default)]
+struct Content {
+    revision: StoreRevision,
+    entries: BTreeMap<CompactString, (StoreRevision, Option<Vec<u8>>)>,
+    is_synchronised: bool,
+}
+
+/// The belief of a host, shared by the threads that change it.
+#[derive(Clone)]
+pub struct Belief {
+    content: Arc<Mutex<Content>>,
     updates: UpdateSender,
-    items: BTreeMap<CompactString, Vec<u8>>,
-    missing: BTreeMap<CompactString, Instant>,
-    is_reachable: Option<bool>,
-    unstable_until: Option<Instant>,
 }
 
-impl StoreFollower {
-    /// A follower of the store at `address`.
-    pub fn new(address: std::net::SocketAddr, updates: UpdateSender) -> Self {
+impl Belief {
+    /// Knows nothing; sends changes through `updates`.
+    pub fn new(updates: UpdateSender) -> Self {
         Self {
-            quick: StoreClient::new(address, ANSWER_TIMEOUT),
-            patient: StoreClient::new(address, WATCH_WAIT + ANSWER_TIMEOUT),
+            content: Arc::default(),
             updates,
-            items: BTreeMap::new(),
-            missing: BTreeMap::new(),
-            is_reachable: None,
-            unstable_until: None,
         }
     }
 
-    /// Follows until the process ends.
-    pub fn run(&mut self, is_stopping: &AtomicBool) {
-        let mut revision: Option<StoreRevision> = None;
-        while !is_stopping.load(Ordering::Relaxed) {
-            let result = match revision {
-                None => self.synchronise(),
-                Some(known) => self.watch(known),
-            };
-            self.drop_missing();
-            match result {
-                Ok(next) => {
-                    self.set_reachable(true, "");
-                    revision = Some(next);
-                }
-                Err(StoreError::HistoryGone) => {
-                    tracing::info!(revision = ?revision, "store dropped its history; reading all items again");
-                    revision = None;
-                }
-                Err(error) => {
-                    self.set_reachable(false, &error.to_string());
-                    thread::sleep(RETRY_PAUSE);
-                }
-            }
-        }
+    fn lock(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn synchronise(&mut self) -> Result<StoreRevision, StoreError> {
-        let page = self.quick.range("")?;
-        let gone: Vec<CompactString> = self
-            .items
-            .keys()
-            .filter(|key| !page.changes.iter().any(|change| change.key == **key))
-            .cloned()
+    /// Revision up to which all changes are known.
+    pub fn revision(&self) -> StoreRevision {
+        self.lock().revision
+    }
+
+    /// Items changed after `revision`, for another host.
+    pub fn news_after(&self, revision: StoreRevision) -> News {
+        let content = self.lock();
+        let entries = content
+            .entries
+            .iter()
+            .filter(|(_, (changed, _))| *changed > revision)
+            .map(|(key, (changed, value))| Entry {
+                key: key.clone(),
+                revision: *changed,
+                value: value.clone(),
+            })
             .collect();
-        for change in page.changes {
-            self.apply(change);
-        }
-        for key in gone {
-            self.remove(key);
+        News {
+            revision: content.revision,
+            entries,
         }
-        self.updates.send(Update::Synchronised);
-        Ok(page.revision)
     }
 
-    fn watch(&mut self, revision: StoreRevision) -> Result<StoreRevision, StoreError> {
-        let page = self.patient.watch("", revision, WATCH_WAIT)?;
-        for change in page.changes {
-            self.apply(change);
-        }
-        Ok(page.revision.max(revision))
+    /// Keys that exist and are not among `present`.
+    pub fn keys_besides(&self, present: &[ItemChange]) -> Vec<CompactString> {
+        let content = self.lock();
+        content
+            .entries
+            .iter()
+            .filter(|(_, (_, value))| value.is_some())
+            .map(|(key, _)| key)
+            .filter(|key| !present.iter().any(|change| change.key == **key))
+            .cloned()
+            .collect()
     }
 
-    fn apply(&mut self, change: ItemChange) {
-        let Some(value) = change.value else {
-            self.remove(change.key);
-            return;
-        };
-        self.missing.remove(&change.key);
-        if self.items.get(&change.key) == Some(&value) {
-            return;
-        }
-        if let Some(update) = decode(&change.key, &value, change.revision) {
-            self.updates.send(update);
-        }
-        self.items.insert(change.key, value);
+    /// Whether an item is the announcement of an endpoint that takes requests.
+    pub fn is_ready_endpoint(&self, key: &str) -> bool {
+        let content = self.lock();
+        let value = content
+            .entries
+            .get(key)
+            .and_then(|(_, value)| value.as_ref());
+        key.starts_with(ENDPOINT_PREFIX)
+            && value
+                .and_then(|value| decode_endpoint(value).ok())
+                .is_some_and(|announced| announced.stage == Stage::Ready)
     }
 
-    /// Takes an item as gone, or waits whether it returns after an outage.
-    fn remove(&mut self, key: CompactString) {
-        let may_return = self
-            .unstable_until
-            .is_some_and(|until| Instant::now() < until)
-            && key.starts_with(ENDPOINT_PREFIX)
-            && self.items.get(&key).is_some_and(|value| is_ready(value));
-        if may_return {
-            let until = Instant::now() + Duration::from_millis(RETURN_MS);
-            self.missing.entry(key).or_insert(until);
-            return;
-        }
-        self.forget(&key);
+    /// Hosts that are registered.
+    pub fn hosts(&self) -> Vec<HostInfo> {
+        let content = self.lock();
+        content
+            .entries
+            .iter()
+            .filter(|(key, _)| key.starts_with(HOST_PREFIX))
+            .filter_map(|(_, (_, value))| serde_json::from_slice(value.as_ref()?).ok())
+            .collect()
     }
 
-    fn forget(&mut self, key: &str) {
-        if self.items.remove(key).is_none() {
-            return;
+    /// Takes over changes; those older than what is known are ignored.
+    pub fn apply(&self, changes: Vec<ItemChange>, revision: StoreRevision) {
+        let mut content = self.lock();
+        for change in changes {
+            let known = content.entries.get(&change.key);
+            if known.is_some_and(|(changed, _)| *changed >= change.revision) {
+                continue;
+            }
+            let before = known.and_then(|(_, value)| value.clone());
+            let is_new = before != change.value;
+            let update = match &change.value {
+                Some(value) if is_new => decode(&change.key, value, change.revision),
+                None if is_new => deletion(&change.key),
+                _ => None,
+            };
+            content
+                .entries
+                .insert(change.key, (change.revision, change.value));
+            if let Some(update) = update {
+                // The lock is held, so that updates arrive in the order of changes.
+                self.updates.send(update);
+            }
         }
-        if let Some(id) = key.strip_prefix(ENDPOINT_PREFIX) {
-            self.updates.send(Update::EndpointGone(id.into()));
-        } else if let Some(name) = key.strip_prefix(EVACUATION_PREFIX) {
-            self.updates.send(Update::Evacuated(name.into(), false));
-        } else if let Some(name) = key.strip_prefix(HOST_PREFIX) {
-            self.updates.send(Update::HostGone(name.into()));
+        forget_deleted(&mut content.entries);
+        content.revision = content.revision.max(revision);
+        if !content.is_synchronised {
+            content.is_synchronised = true;
+            self.updates.send(Update::Synchronised);
         }
     }
 
-    fn drop_missing(&mut self) {
-        let now = Instant::now();
-        let due: Vec<CompactString> = self
-            .missing
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in due {
-            self.missing.remove(&key);
-            self.forget(&key);
-        }
+    /// Tells the reactor whether the store answers.
+    pub fn report_store(&self, is_reachable: bool) {
+        self.updates.send(Update::Store(is_reachable));
     }
+}
 
-    fn set_reachable(&mut self, is_reachable: bool, cause: &str) {
-        let window = Duration::from_millis(RETURN_MS);
-        if !is_reachable {
-            // Refreshed at each failure, so it counts from the end of an outage.
-            self.unstable_until = Some(Instant::now() + window + WATCH_WAIT);
-        }
-        if self.is_reachable == Some(is_reachable) {
-            return;
-        }
-        if is_reachable {
-            tracing::info!(dependency = "store", "dependency regained");
-        } else {
-            tracing::warn!(dependency = "store", cause, "dependency lost");
-        }
-        self.is_reachable = Some(is_reachable);
-        self.updates.send(Update::Store(is_reachable));
+/// Drops the oldest deletions beyond the limit.
+fn forget_deleted(entries: &mut BTreeMap<CompactString, (StoreRevision, Option<Vec<u8>>)>) {
+    let mut deleted: Vec<StoreRevision> = entries
+        .values()
+        .filter(|(_, value)| value.is_none())
+        .map(|(changed, _)| *changed)
+        .collect();
+    if deleted.len() <= MAX_DELETED {
+        return;
     }
+    deleted.sort_unstable();
+    let limit = deleted[deleted.len() - MAX_DELETED];
+    entries.retain(|_, (changed, value)| value.is_some() || *changed >= limit);
 }
 
-fn is_ready(value: &[u8]) -> bool {
-    decode_endpoint(value).is_ok_and(|announced| announced.stage == Stage::Ready)
+fn deletion(key: &str) -> Option<Update> {
+    if let Some(id) = key.strip_prefix(ENDPOINT_PREFIX) {
+        return Some(Update::EndpointGone(id.into()));
+    }
+    if let Some(name) = key.strip_prefix(EVACUATION_PREFIX) {
+        return Some(Update::Evacuated(name.into(), false));
+    }
+    let name = key.strip_prefix(HOST_PREFIX)?;
+    Some(Update::HostGone(name.into()))
 }
 
 fn decode(key: &str, value: &[u8], revision: StoreRevision) -> Option<Update> {
@@ -312,63 +303,3 @@
         }
     }
 }
-
-/// Keeps the host's item in the store until `stop` says otherwise.
-pub struct Registration {
-    client: StoreClient,
-    info: HostInfo,
-    ttl: Duration,
-}
-
-impl Registration {
-    /// Registers `info` at the store at `address`.
-    pub fn new(address: std::net::SocketAddr, info: HostInfo, min_lease_ms: u64) -> Self {
-        Self {
-            client: StoreClient::new(address, ANSWER_TIMEOUT),
-            info,
-            ttl: LEASE_TTL.max(Duration::from_millis(min_lease_ms)),
-        }
-    }
-
-    /// Registers, renews until `stop` is closed, and ends the lease.
-    pub fn run(&self, stop: &Receiver<()>) {
-        let mut lease: Option<LeaseId> = None;
-        loop {
-            let pause = match self.step(lease) {
-                Ok(held) => {
-                    lease = Some(held);
-                    RENEW_INTERVAL
-                }
-                Err(StoreError::LeaseEnded) => {
-                    tracing::warn!("lease of this host ended; registering again");
-                    lease = None;
-                    Duration::ZERO
-                }
-                Err(error) => {
-                    tracing::debug!(%error, "could not renew the registration");
-                    RETRY_PAUSE
-                }
-            };
-            if stop.recv_timeout(pause) != Err(crossbeam::channel::RecvTimeoutError::Timeout) {
-                break;
-            }
-        }
-        if let Some(held) = lease {
-            if let Err(error) = self.client.end_lease(held) {
-                tracing::warn!(%error, "could not end the lease; it lapses by itself");
-            }
-        }
-    }
-
-    fn step(&self, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
-        if let Some(held) = lease {
-            self.client.renew_lease(held)?;
-            return Ok(held);
-        }
-        let granted = self.client.grant_lease(self.ttl)?;
-        let key = format!("{HOST_PREFIX}{}", self.info.name);
-        self.client
-            .put(&key, &serde_json::to_vec(&self.info)?, granted)?;
-        Ok(granted)
-    }
-}
--- /dev/null
+++ b/src/gateway/follower.rs
@@ -0,0 +1,211 @@
+//! Threads that follow the store, and other hosts that know more.
+//!
+//! A store that is slow or away never holds up a request: the reactor only sees
+//! the changes. A host that the store turns away, or that is cut off from it,
+//! learns from hosts whose revision is higher.
+//!
+//! Entries of endpoints lapse while the store is away, although the endpoints
+//! live. An entry that is missing shortly after an outage is therefore only
+//! taken as gone when it is still missing after [`RETURN_MS`].
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::atomic::{
+        AtomicBool,
+        Ordering, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use compact_str::CompactString;
+use crossbeam::channel::Receiver;
+
+use super::{
+    belief::Belief,
+    peer_news::fetch_news, //
+};
+use crate::platform::store::{
+    ItemChange,
+    StoreClient,
+    StoreError,
+    StoreRevision, //
+};
+
+/// Longest wait of one watch. A watch whose connection went silent is noticed
+/// after this and [`ANSWER_TIMEOUT`], which has to be within the time after
+/// which a host counts as connected again.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Longest wait for an answer of the store: several times its slowest.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause after a failed call, so that a store that is down is not flooded.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time in which entries that lapsed during an outage come back.
+const RETURN_MS: u64 = 2_200;
+
+/// Follows the store's content.
+pub struct StoreFollower {
+    quick: StoreClient,
+    patient: StoreClient,
+    belief: Belief,
+    missing: BTreeMap<CompactString, (Instant, StoreRevision)>,
+    is_reachable: Option<bool>,
+    unstable_until: Option<Instant>,
+}
+
+impl StoreFollower {
+    /// A follower of the store at `address`.
+    pub fn new(address: SocketAddr, belief: Belief) -> Self {
+        Self {
+            quick: StoreClient::new(address, ANSWER_TIMEOUT),
+            patient: StoreClient::new(address, WATCH_WAIT + ANSWER_TIMEOUT),
+            belief,
+            missing: BTreeMap::new(),
+            is_reachable: None,
+            unstable_until: None,
+        }
+    }
+
+    /// Follows until the process ends.
+    pub fn run(&mut self, is_stopping: &AtomicBool) {
+        let mut revision: Option<StoreRevision> = None;
+        while !is_stopping.load(Ordering::Relaxed) {
+            let result = match revision {
+                None => self.synchronise(),
+                Some(known) => self.watch(known),
+            };
+            self.drop_missing();
+            match result {
+                Ok(next) => {
+                    self.set_reachable(true, "");
+                    revision = Some(next);
+                }
+                Err(StoreError::HistoryGone) => {
+                    tracing::info!(
+                        revision = ?revision,
+                        "store dropped its history; reading all items again"
+                    );
+                    revision = None;
+                }
+                Err(error) => {
+                    self.set_reachable(false, &error.to_string());
+                    thread::sleep(RETRY_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn synchronise(&mut self) -> Result<StoreRevision, StoreError> {
+        let page = self.quick.range("")?;
+        let gone = self.belief.keys_besides(&page.changes);
+        let deletions = gone.into_iter().map(|key| ItemChange {
+            key,
+            revision: page.revision,
+            value: None,
+        });
+        let revision = page.revision;
+        self.take(
+            page.changes.into_iter().chain(deletions).collect(),
+            revision,
+        );
+        Ok(revision)
+    }
+
+    fn watch(&mut self, revision: StoreRevision) -> Result<StoreRevision, StoreError> {
+        let page = self.patient.watch("", revision, WATCH_WAIT)?;
+        let revision = page.revision.max(revision);
+        self.take(page.changes, revision);
+        Ok(revision)
+    }
+
+    /// Takes over changes; holds back deletions that an outage may have caused.
+    fn take(&mut self, changes: Vec<ItemChange>, revision: StoreRevision) {
+        let now = Instant::now();
+        let is_unstable = self.unstable_until.is_some_and(|until| now < until);
+        let mut taken = Vec::with_capacity(changes.len());
+        for change in changes {
+            if change.value.is_none() && is_unstable && self.belief.is_ready_endpoint(&change.key) {
+                let until = now + Duration::from_millis(RETURN_MS);
+                self.missing
+                    .entry(change.key)
+                    .or_insert((until, change.revision));
+                continue;
+            }
+            if change.value.is_some() {
+                self.missing.remove(&change.key);
+            }
+            taken.push(change);
+        }
+        self.belief.apply(taken, revision);
+    }
+
+    fn drop_missing(&mut self) {
+        let now = Instant::now();
+        let due: Vec<ItemChange> = self
+            .missing
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(key, (_, revision))| ItemChange {
+                key: key.clone(),
+                revision: *revision,
+                value: None,
+            })
+            .collect();
+        if due.is_empty() {
+            return;
+        }
+        for change in &due {
+            self.missing.remove(&change.key);
+        }
+        self.belief.apply(due, StoreRevision::default());
+    }
+
+    fn set_reachable(&mut self, is_reachable: bool, cause: &str) {
+        let window = Duration::from_millis(RETURN_MS);
+        if !is_reachable {
+            // Refreshed at each failure, so it counts from the end of an outage.
+            self.unstable_until = Some(Instant::now() + window + WATCH_WAIT);
+        }
+        if self.is_reachable == Some(is_reachable) {
+            return;
+        }
+        if is_reachable {
+            tracing::info!(dependency = "store", "dependency regained");
+        } else {
+            tracing::warn!(dependency = "store", cause, "dependency lost");
+        }
+        self.is_reachable = Some(is_reachable);
+        self.belief.report_store(is_reachable);
+    }
+}
+
+/// Asks the hosts whose addresses arrive through `behind` for what they know.
+pub fn follow_peers(belief: &Belief, behind: &Receiver<SocketAddr>) {
+    while let Ok(peer) = behind.recv() {
+        let known = belief.revision();
+        match fetch_news(peer, known) {
+            Ok(news) => {
+                tracing::info!(
+                    %peer,
+                    known = known.0,
+                    revision = news.revision.0,
+                    entries = news.entries.len(),
+                    "learned from another host"
+                );
+                let changes = news.entries.into_iter().map(|entry| ItemChange {
+                    key: entry.key,
+                    revision: entry.revision,
+                    value: entry.value,
+                });
+                if news.revision > known {
+                    belief.apply(changes.collect(), news.revision);
+                }
+            }
+            Err(error) => tracing::debug!(%peer, %error, "another host did not tell its news"),
+        }
+    }
+}
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -64,6 +64,8 @@
     pub started_ms: u64,
     /// Number of the beacon in this run.
     pub sequence: u64,
+    /// Revision of the store up to which the sender knows all changes.
+    pub revision: u64,
     /// The sender is shutting down.
     pub is_leaving: bool,
     /// Requests in progress, by a hash of the endpoint's id; to its own region.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -25,6 +25,13 @@
 const MIN_BEACON_INTERVAL_MS: u64 = 100;
 /// Longest interval; a few fit into the silence after which a host is gone.
 const MAX_BEACON_INTERVAL_MS: u64 = 900;
+/// Time for which another host has to know more before it is asked: a change
+/// takes a round trip between regions to reach all hosts.
+const BEHIND_MS: u64 = 400;
+/// Shortest interval between two such questions.
+const ASK_INTERVAL_MS: u64 = 400;
+/// Time that the store has to answer first after the start.
+const SEED_DELAY_MS: u64 = 1_000;
 /// Interval of beacons to one host of each other region.
 const AWAY_BEACON_INTERVAL_MS: u64 = 400;
 
@@ -161,12 +168,60 @@
             .collect()
     }
 
+    fn known_revision(&self) -> u64 {
+        let belief = self.belief.as_ref();
+        belief.map_or(0, |belief| belief.revision().0)
+    }
+
+    /// Asks a host for its news if it has known more for some time.
+    ///
+    /// Changes reach hosts at different times, so a short lag means nothing.
+    fn compare_revision(&mut self, beacon: &Beacon, now_ms: u64) {
+        let known = self.known_revision();
+        if beacon.revision <= known {
+            return;
+        }
+        // Other hosts may be as far behind, so only progress ends the lag.
+        let (since_ms, _) = *self
+            .behind_since
+            .filter(|(_, revision)| *revision == known)
+            .get_or_insert((now_ms, known));
+        self.behind_since = Some((since_ms, known));
+        if now_ms >= since_ms + BEHIND_MS {
+            self.ask(beacon.host.peer_address, now_ms);
+        }
+    }
+
+    /// Asks a seed while nothing is known; the store may be away.
+    pub(super) fn ask_seeds(&mut self, now_ms: u64) {
+        if self.is_synchronised || self.settings.seeds.is_empty() || now_ms < SEED_DELAY_MS {
+            return;
+        }
+        let index = self.draw_index(self.settings.seeds.len());
+        let seed = self.settings.seeds[index];
+        if seed != self.settings.host.peer_address {
+            self.ask(seed, now_ms);
+        }
+    }
+
+    fn ask(&mut self, peer: std::net::SocketAddr, now_ms: u64) {
+        if now_ms < self.next_ask_ms {
+            return;
+        }
+        self.next_ask_ms = now_ms + ASK_INTERVAL_MS;
+        if let Some(behind) = &self.behind {
+            // A host that is still being asked is enough.
+            let _ = behind.try_send(peer);
+        }
+    }
+
     fn new_beacon(&mut self) -> Beacon {
         self.beacon_sequence += 1;
         Beacon {
             host: self.settings.host.clone(),
             started_ms: self.run_started_ms,
             sequence: self.beacon_sequence,
+            revision: self.known_revision(),
             is_leaving: self.leave_started_ms.is_some(),
             shares: Vec::new(),
             services: Vec::new(),
@@ -249,7 +304,10 @@
         loop {
             match self.beacon_socket.recv_from(&mut buffer) {
                 Ok((count, _)) => match postcard::from_bytes::<Beacon>(&buffer[..count]) {
-                    Ok(beacon) => is_changed |= self.hosts.hear(beacon, now_ms),
+                    Ok(beacon) => {
+                        self.compare_revision(&beacon, now_ms);
+                        is_changed |= self.hosts.hear(beacon, now_ms);
+                    }
                     Err(error) => tracing::debug!(%error, "unreadable beacon"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -22,7 +22,10 @@
 };
 
 use compact_str::CompactString;
-use crossbeam::channel::Receiver;
+use crossbeam::channel::{
+    Receiver,
+    Sender, //
+};
 use mio::{
     Events,
     Interest,
@@ -45,7 +48,10 @@
 use slab::Slab;
 
 use super::{
-    belief::Update,
+    belief::{
+        Belief,
+        Update, //
+    },
     configuration::Configuration,
     connection::{
         Client,
@@ -75,8 +81,10 @@
 /// Pause between the end of the last request and the end of the process, in
 /// which callers that hold an older directory answer still reach the host.
 const MIN_LEAVE_MS: u64 = 4_200;
-/// Time before the forced end at which new requests are refused.
-const REFUSE_BEFORE_END_MS: u64 = 2_500;
+/// Time after the signal to stop from which new requests are refused. The
+/// platform excuses the end of requests that arrive up to three seconds after
+/// it, and callers have asked the directory again by then.
+const REFUSE_AFTER_MS: u64 = 2_700;
 /// Time before the forced end at which the process ends by itself.
 const END_BEFORE_KILL_MS: u64 = 500;
 
@@ -117,6 +125,13 @@
     pub(super) is_synchronised: bool,
     pub(super) leave_started_ms: Option<u64>,
     pub(super) reload: Option<Box<dyn Fn() -> Option<GatewaySettings>>>,
+    /// What the host believes, to tell other hosts.
+    pub(super) belief: Option<Belief>,
+    /// Hosts to ask because they know more.
+    pub(super) behind: Option<Sender<SocketAddr>>,
+    /// When the host fell behind, and the revision it knew.
+    pub(super) behind_since: Option<(u64, u64)>,
+    pub(super) next_ask_ms: u64,
     next_sweep_ms: u64,
 }
 
@@ -187,6 +202,10 @@
             is_synchronised: false,
             leave_started_ms: None,
             reload: None,
+            belief: None,
+            behind: None,
+            behind_since: None,
+            next_ask_ms: 0,
             next_sweep_ms: 0,
         })
     }
@@ -202,6 +221,12 @@
         self
     }
 
+    /// Sets what the host believes and where it asks others for more.
+    pub fn set_belief(&mut self, belief: Belief, behind: Sender<SocketAddr>) {
+        self.belief = Some(belief);
+        self.behind = Some(behind);
+    }
+
     /// Steady time since the start of the reactor.
     pub(super) fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
@@ -317,6 +342,7 @@
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         self.send_beacons(now_ms);
+        self.ask_seeds(now_ms);
         self.check_exchanges(now_ms);
         self.serve_waiting(now_ms);
         if now_ms >= self.next_sweep_ms {
@@ -346,9 +372,8 @@
 
     /// Whether new requests are refused because the process ends soon.
     pub(super) fn refuses_new(&self, now_ms: u64) -> bool {
-        self.leave_started_ms.is_some_and(|started_ms| {
-            now_ms + REFUSE_BEFORE_END_MS >= started_ms + self.settings.shutdown_ms
-        })
+        self.leave_started_ms
+            .is_some_and(|started_ms| now_ms >= started_ms + REFUSE_AFTER_MS)
     }
 
     fn ended(&self) -> Option<Ended> {
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -25,6 +25,10 @@
         RequestHead,
         parse_request, //
     },
+    peer_news::{
+        NEWS_PATH,
+        tell_news, //
+    },
     reactor::Reactor, //
 };
 use crate::platform::headers::{
@@ -128,6 +132,7 @@
         }
         match client.role {
             Role::Caller => self.handle_call(key, head, body, None),
+            Role::Peer if head.path() == NEWS_PATH => self.answer_news(key, head.query()),
             Role::Peer => match decode_plan(&head) {
                 Some(plan) => self.handle_call(key, head, body, Some(plan)),
                 None => self.answer_own(key, OwnAnswer::plain(400)),
@@ -230,6 +235,21 @@
         self.answer_own(key, OwnAnswer::plain(status));
     }
 
+    fn answer_news(&mut self, key: usize, query: &str) {
+        let news = self.belief.as_ref().map(|belief| tell_news(belief, query));
+        match news {
+            Some(Ok(bytes)) => {
+                let answer = OwnAnswer::plain(200);
+                self.answer_with(key, answer, "application/octet-stream", &bytes);
+            }
+            Some(Err(error)) => {
+                tracing::error!(%error, "could not encode the news");
+                self.answer_own(key, OwnAnswer::plain(500));
+            }
+            None => self.answer_own(key, OwnAnswer::plain(503)),
+        }
+    }
+
     fn answer_metrics(&mut self, key: usize) {
         let text = self.telemetry.render();
         self.answer_with(
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -33,6 +33,7 @@
     "directory_address",
     "peer_address",
     "metrics_address",
+    "seeds",
 ];
 const LIMIT_KEYS: &[&str] = &[
     "shutdown_s",
@@ -57,6 +58,8 @@
     pub directory_address: SocketAddr,
     /// Where metrics are served, if they are.
     pub metrics_address: Option<SocketAddr>,
+    /// Hosts to ask while the store is away at the start.
+    pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store_address: SocketAddr,
     /// Shortest lease that the store grants.
@@ -104,6 +107,9 @@
             peer_address: file.value(host, "peer_address")?,
             capacity: (positive(&file, host, "capacity")? * CAPACITY_PER_CORE) as u32,
         };
+        // All hosts listen on the same port; the port of a seed is that of
+        // another interface.
+        let peer_port = info.peer_address.port();
         let regions = regions(&file)?;
         require(
             &file,
@@ -124,6 +130,11 @@
             host: info,
             ready_address: file.value(host, "ready_address")?,
             directory_address: file.value(host, "directory_address")?,
+            seeds: file
+                .list::<SocketAddr>(host, "seeds")?
+                .into_iter()
+                .map(|seed| SocketAddr::new(seed.ip(), peer_port))
+                .collect(),
             metrics_address: file.optional(host, "metrics_address")?,
             store_address: file.value(store, "address")?,
             min_lease_ms: file.value(store, "min_lease_ms")?,
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -1,6 +1,7 @@
 //! The `gateway` command: starts the threads of a host and waits for its end.
 
 use std::{
+    net::SocketAddr,
     path::{
         Path,
         PathBuf, //
@@ -33,12 +34,16 @@
 
 use super::{
     belief::{
-        Registration,
-        StoreFollower,
+        Belief,
         Update,
         UpdateSender, //
     },
+    follower::{
+        StoreFollower,
+        follow_peers, //
+    },
     reactor::Reactor,
+    registration::Registration,
     settings::GatewaySettings,
     telemetry::Telemetry, //
 };
@@ -62,6 +67,9 @@
         .context("could not open the sockets")?
         .with_reload(Box::new(move || reload(&reread)));
     let updates = UpdateSender::new(sender, reactor.waker()?);
+    let belief = Belief::new(updates.clone());
+    let (behind, asked) = bounded(1);
+    reactor.set_belief(belief.clone(), behind);
     let is_stopping = Arc::new(AtomicBool::new(false));
     tracing::info!(
         host = %settings.host.name,
@@ -75,7 +83,7 @@
 
     let (stop, stopped) = bounded::<()>(1);
     let deregistered = spawn_registration(&settings, stopped)?;
-    spawn_follower(&settings, updates.clone(), Arc::clone(&is_stopping))?;
+    spawn_followers(&settings, belief, asked, Arc::clone(&is_stopping))?;
     spawn_signals(updates, stop)?;
     let ended = reactor.run().context("the reactor failed")?;
 
@@ -124,12 +132,16 @@
     Ok(deregistered)
 }
 
-fn spawn_follower(
+fn spawn_followers(
     settings: &GatewaySettings,
-    updates: UpdateSender,
+    belief: Belief,
+    asked: Receiver<SocketAddr>,
     is_stopping: Arc<AtomicBool>,
 ) -> anyhow::Result<()> {
-    let mut follower = StoreFollower::new(settings.store_address, updates);
+    let mut follower = StoreFollower::new(settings.store_address, belief.clone());
+    thread::Builder::new()
+        .name("peer-news".into())
+        .spawn(move || follow_peers(&belief, &asked))?;
     thread::Builder::new()
         .name("store".into())
         .spawn(move || follower.run(&is_stopping))?;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -53,7 +53,8 @@
 }
 
 /// A number that orders all changes of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct StoreRevision(pub u64);
 
 /// Identity of a lease.
--- /dev/null
+++ b/tests/gateway_decisions.rs
@@ -0,0 +1,463 @@
+//! Decisions of the gateway, without a network.
+
+use std::collections::BTreeMap;
+
+use cardamombridge::{
+    gateway::{
+        admission::{
+            AwayOffer,
+            Placement,
+            Situation,
+            place, //
+        },
+        configuration::{
+            Configuration,
+            Repeat,
+            Route,
+            RouteTarget,
+            Service, //
+        },
+        endpoint::{
+            Announcement,
+            Failure,
+            Stage,
+            Work, //
+        },
+        fleet::{
+            Choice,
+            ColdBounds,
+            Fleet, //
+        },
+        hosts::{
+            Beacon,
+            HostInfo,
+            Hosts, //
+        },
+        request::{
+            Call,
+            PromptPart, //
+        },
+        retry_budget::{
+            RetryBounds,
+            RetryBudget, //
+        }, //
+    },
+    types::Tokens,
+};
+use compact_str::{
+    CompactString,
+    format_compact, //
+};
+
+const COLD: ColdBounds = ColdBounds {
+    factor: 1.5,
+    slack: 3.0,
+};
+
+fn model() -> Service {
+    Service {
+        name: "model".into(),
+        max_connections: Some(370),
+        cold_ms: 3_000,
+        cold_per_s: 1.9,
+        engine_slots: Some(64),
+        memory_tokens: Some(400_000),
+    }
+}
+
+fn announcement(cold_left_ms: u64) -> Announcement {
+    Announcement {
+        service: "model".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "north-a".into(),
+        slots: 64,
+        stage: Stage::Ready,
+        cold_left_ms,
+        remaining_ms: None,
+        started_ms: 1,
+    }
+}
+
+fn fleet_of(host: &str, endpoint_count: usize, cold_left_ms: u64) -> Fleet {
+    let regions = BTreeMap::from([("north-a".into(), "north".into())]);
+    let mut fleet = Fleet::new(host.into(), "north".into(), regions, COLD);
+    for number in 0..endpoint_count {
+        assert!(fleet.announce(&format!("e-{number}"), announcement(cold_left_ms), 0));
+    }
+    fleet
+}
+
+fn prompt(shared: u64, own: u64) -> Call {
+    let part = |id, tokens| PromptPart {
+        id,
+        tokens: Tokens(tokens),
+    };
+    Call {
+        prompt: Tokens(12_000),
+        max_output: Tokens(400),
+        parts: vec![part(1, 500), part(shared, 5_000), part(own, 6_500)],
+        ..Call::default()
+    }
+}
+
+fn names(count: usize) -> Vec<CompactString> {
+    (0..count)
+        .map(|number| format_compact!("host-{number}"))
+        .collect()
+}
+
+/// Sends that each host's own view allows to one cold endpoint in a second.
+fn cold_sends(host: &str, view: &[CompactString]) -> u32 {
+    let mut fleet = fleet_of(host, 1, 60_000);
+    let service = model();
+    let mut sent = 0;
+    while let Some(choice) = fleet.choose(&service, &prompt(2, 3), &[], view, 1_000) {
+        let endpoint = fleet.get_mut(&choice.endpoint).expect("the endpoint");
+        endpoint.start(Work::default(), 1_000);
+        sent += 1;
+        assert!(sent < 100, "no limit");
+    }
+    sent
+}
+
+/// Guards against a cold endpoint that crashes because each host uses the whole
+/// limit, at any number of hosts.
+#[test]
+fn hosts_share_the_limit_of_a_cold_endpoint() {
+    let bound = 1.9 * COLD.factor + COLD.slack;
+    for count in 1..=40 {
+        let view = names(count);
+
+        let total: u32 = view.iter().map(|host| cold_sends(host, &view)).sum();
+
+        assert!(
+            f64::from(total) <= bound,
+            "{total} of {bound} with {count} hosts"
+        );
+        assert!(
+            total >= 1,
+            "a cold endpoint is never warmed by {count} hosts"
+        );
+    }
+}
+
+/// Guards against a limit that is exceeded while two groups of hosts each take
+/// the other one as gone.
+#[test]
+fn limit_of_a_cold_endpoint_holds_while_views_differ() {
+    let bound = 1.9 * COLD.factor + COLD.slack;
+    let all = names(8);
+    for split in 1..8 {
+        let (left, right) = all.split_at(split);
+
+        let total: u32 = left
+            .iter()
+            .map(|host| cold_sends(host, left))
+            .chain(right.iter().map(|host| cold_sends(host, right)))
+            .sum();
+
+        assert!(f64::from(total) <= bound, "{total} of {bound} at {split}");
+    }
+}
+
+/// Load: many requests with the same shared part from hosts that do not hear
+/// each other. Guards against a part that every endpoint reads.
+#[test]
+fn hosts_agree_on_the_endpoint_for_a_shared_part() {
+    let view = names(3);
+    let chosen = |host: &str, part| {
+        let fleet = fleet_of(host, 9, 0);
+        let choice = fleet.choose(&model(), &prompt(part, 99), &[], &view, 5_000);
+        choice.expect("an endpoint").endpoint
+    };
+    for part in 10..40 {
+        let first = chosen("host-0", part);
+
+        assert_eq!(chosen("host-1", part), first);
+        assert_eq!(chosen("host-2", part), first);
+    }
+}
+
+/// Load: one shared part that is asked for faster than one endpoint reads.
+/// Guards against a backlog at the preferred endpoint beside idle ones.
+#[test]
+fn backlog_moves_requests_to_other_endpoints() {
+    let mut fleet = fleet_of("host-0", 4, 0);
+    let mut loads: BTreeMap<CompactString, u32> = BTreeMap::new();
+    for _ in 0..40 {
+        let choice = fleet
+            .choose(&model(), &prompt(7, 99), &[], &names(1), 0)
+            .expect("an endpoint");
+        let endpoint = fleet.get_mut(&choice.endpoint).expect("the endpoint");
+        endpoint.start(choice.work, 0);
+        *loads.entry(choice.endpoint).or_default() += 1;
+    }
+
+    assert_eq!(loads.len(), 4);
+    assert!(loads.values().all(|load| *load <= 20), "{loads:?}");
+}
+
+/// Guards against requests to an endpoint that fails half of them while its
+/// health looks good.
+#[test]
+fn failing_endpoint_is_left() {
+    let mut fleet = fleet_of("host-0", 3, 0);
+    for _ in 0..8 {
+        let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+        endpoint.start(Work::default(), 0);
+        endpoint.finish(Work::default(), false);
+        endpoint.fail(Failure::Error, 0);
+    }
+
+    for part in 10..30 {
+        let choice = fleet.choose(&model(), &prompt(part, 99), &[], &names(1), 0);
+        assert_ne!(choice.expect("an endpoint").endpoint, "e-0");
+    }
+}
+
+/// Guards against requests to an endpoint that leaves, and against a restarted
+/// endpoint that is judged by its earlier life.
+#[test]
+fn announcements_decide_which_endpoints_are_used() {
+    let mut fleet = fleet_of("host-0", 1, 0);
+    for _ in 0..3 {
+        let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+        endpoint.fail(Failure::Broken, 0);
+    }
+    let choose = |fleet: &Fleet| fleet.choose(&model(), &prompt(7, 8), &[], &names(1), 100);
+    assert_eq!(choose(&fleet), None, "a blocked endpoint is used");
+
+    let restarted = Announcement {
+        started_ms: 2,
+        ..announcement(0)
+    };
+    fleet.announce("e-0", restarted.clone(), 50);
+    assert!(choose(&fleet).is_some(), "a restarted endpoint is not used");
+
+    let leaving = Announcement {
+        stage: Stage::Draining,
+        ..restarted
+    };
+    fleet.announce("e-0", leaving, 60);
+    assert_eq!(choose(&fleet), None, "a leaving endpoint is used");
+}
+
+/// Guards against endpoints of an evacuated data centre that are taken as warm
+/// when it is taken back.
+#[test]
+fn evacuated_data_centre_is_left_and_comes_back_cold() {
+    let mut fleet = fleet_of("host-0", 1, 0);
+    let configuration = Configuration {
+        services: vec![model()],
+        ..Configuration::default()
+    };
+
+    fleet.set_evacuated("north-a", true, &configuration, 0);
+    assert_eq!(fleet.usable("model", 10).count(), 0);
+
+    fleet.set_evacuated("north-a", false, &configuration, 1_000);
+    let endpoint = fleet.usable("model", 1_010).next().expect("an endpoint");
+    assert!(endpoint.is_cold(1_010));
+    assert!(!endpoint.is_cold(4_100));
+}
+
+fn situation() -> Situation {
+    Situation {
+        here: Some(Choice {
+            endpoint: "e-0".into(),
+            first_event_ms: 100.0,
+            work: Work::default(),
+            backlog_ms: 50.0,
+        }),
+        queue_ms: 0.0,
+        away: None,
+        goal_left_ms: 800.0,
+        goal_ms: 800.0,
+        time_left_ms: 8_000.0,
+        is_waiting: false,
+    }
+}
+
+/// Load: more prompts than the region reads. Guards against a queue that is
+/// longer than the goal, in which no request is on time.
+#[test]
+fn request_that_would_be_late_is_refused_at_once() {
+    let late = Situation {
+        queue_ms: 2_000.0,
+        ..situation()
+    };
+
+    let Placement::Refuse(retry_ms) = place(late) else {
+        panic!("a request that will be late was taken");
+    };
+
+    assert!((1_000..=2_400).contains(&retry_ms), "{retry_ms}");
+}
+
+/// Guards against a request that jumps over those that wait.
+#[test]
+fn request_waits_behind_earlier_ones() {
+    let queued = Situation {
+        queue_ms: 300.0,
+        ..situation()
+    };
+
+    assert_eq!(place(queued), Placement::Wait);
+}
+
+/// Load: the peak of a small region while others are idle. Guards against late
+/// answers beside idle endpoints elsewhere, and against traffic between regions
+/// that gains nothing.
+#[test]
+fn request_goes_away_only_for_a_clear_gain() {
+    let offer = AwayOffer {
+        region: "south".into(),
+        first_event_ms: 300.0,
+    };
+    let busy = Situation {
+        queue_ms: 900.0,
+        away: Some(offer.clone()),
+        ..situation()
+    };
+    assert_eq!(place(busy), Placement::Away(offer.clone()));
+
+    let idle = Situation {
+        away: Some(offer),
+        ..situation()
+    };
+    assert!(matches!(place(idle), Placement::Send(_)));
+}
+
+/// Guards against repeats that multiply the load of a failing service.
+#[test]
+fn repeats_stay_within_the_limit_of_all_hosts() {
+    let bounds = RetryBounds {
+        ratio: 0.2,
+        slack: 56.0,
+        window_ms: 10_000,
+    };
+    let host_count = 8;
+    let mut repeats = 0;
+    for _ in 0..host_count {
+        let mut budget = RetryBudget::new(bounds);
+        for request in 0..500 {
+            budget.record_request("desk", request);
+            repeats += u32::from(budget.take("desk", host_count, request));
+        }
+    }
+
+    let limit = 0.2 * 500.0 * host_count as f64 + 56.0;
+    assert!(f64::from(repeats) <= limit, "{repeats} of {limit}");
+    assert!(f64::from(repeats) >= limit / 3.0, "{repeats} of {limit}");
+}
+
+fn host(name: &str, region: &str) -> HostInfo {
+    HostInfo {
+        name: name.into(),
+        region: region.into(),
+        data_centre: format_compact!("{region}-a"),
+        caller_address: "10.0.0.1:80".parse().expect("an address"),
+        peer_address: "10.0.0.1:81".parse().expect("an address"),
+        capacity: 250,
+    }
+}
+
+fn beacon(name: &str, sequence: u64) -> Beacon {
+    Beacon {
+        host: host(name, "north"),
+        started_ms: 1,
+        sequence,
+        revision: 1,
+        is_leaving: false,
+        shares: Vec::new(),
+        services: Vec::new(),
+    }
+}
+
+/// Guards against a directory that sends callers to a region that may not see
+/// their requests while their own region has hosts.
+#[test]
+fn directory_names_hosts_of_the_callers_region() {
+    let mut hosts = Hosts::new(host("host-0", "north"));
+    hosts.set_store_reachable(true);
+    let far = HostInfo {
+        caller_address: "10.0.0.9:80".parse().expect("an address"),
+        ..host("host-9", "south")
+    };
+    hosts.register(far.clone());
+
+    let south = hosts.directory("south", "south-a", 0);
+    assert_eq!(south, vec![far.caller_address]);
+
+    hosts.unregister("host-9");
+    let south = hosts.directory("south", "south-a", 0);
+    assert_eq!(south, vec![host("host-0", "north").caller_address]);
+}
+
+/// Guards against a host that is named although it was killed while the store
+/// is away, and against one that is forgotten although it is heard.
+#[test]
+fn silence_ends_a_host_while_the_store_is_away() {
+    let mut hosts = Hosts::new(host("host-0", "north"));
+    hosts.set_store_reachable(true);
+    hosts.register(host("host-1", "north"));
+    assert!(hosts.hear(beacon("host-1", 2), 1_000));
+    hosts.set_store_reachable(false);
+
+    assert_eq!(hosts.live(2_000).count(), 1);
+    assert_eq!(hosts.live(6_000).count(), 0);
+    assert!(
+        !hosts.hear(beacon("host-1", 2), 6_000),
+        "an old beacon counts"
+    );
+    assert!(hosts.hear(beacon("host-1", 3), 6_000));
+    assert_eq!(hosts.live(6_100).count(), 1);
+}
+
+/// Guards against a request that takes the route of a shorter prefix.
+#[test]
+fn longest_prefix_selects_the_route() {
+    let route = |name: &str, prefix: &str| Route {
+        name: name.into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        is_stream: false,
+        repeat: Repeat::Never,
+        timeout_ms: 1_000,
+        goal_ms: 500,
+        max_attempts: 1,
+        priority: None,
+        targets: vec![
+            RouteTarget {
+                service: "a".into(),
+                weight: 90.0,
+            },
+            RouteTarget {
+                service: "b".into(),
+                weight: 10.0,
+            },
+        ],
+        homes: Vec::new(),
+    };
+    let configuration = Configuration {
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        ..Configuration::default()
+    };
+    let selected = |path: &str| {
+        let route = configuration.route("shop.example", path);
+        route.map(|route| route.name.to_string())
+    };
+
+    assert_eq!(selected("/a/b/c").as_deref(), Some("long"));
+    assert_eq!(selected("/a/x").as_deref(), Some("short"));
+    assert_eq!(selected("/b/"), None);
+    let route = &configuration.routes[0];
+    assert_eq!(
+        route.pick_service(0.89).map(|name| name.as_str()),
+        Some("a")
+    );
+    assert_eq!(
+        route.pick_service(0.91).map(|name| name.as_str()),
+        Some("b")
+    );
+}
--- /dev/null
+++ b/tests/gateway_news.rs
@@ -0,0 +1,122 @@
+//! Hosts that the store does not serve learn from hosts that it does.
+
+mod gatewayenv;
+
+use cardamombridge::standin::{
+    scripted::{
+        Script,
+        ScriptedEndpoint, //
+    },
+    wire::Wire, //
+};
+use gatewayenv::{
+    Host,
+    HostOptions,
+    Request,
+    announce,
+    configuration,
+    store_with_configuration,
+    wait_until, //
+};
+use serde_json::json;
+
+/// Guards against hosts that keep sending to an evacuated data centre, or keep
+/// an old configuration, while the store turns them away: two such hosts that
+/// hear each other must not take each other's old news for new.
+#[test]
+fn hosts_without_the_store_learn_from_another_host() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |_, _| Script::Answer(200, b"ok".to_vec()))
+        .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let wire = Wire::start(store.address(), 1).expect("the wire starts");
+    let start = |name, store_address| {
+        let options = HostOptions {
+            name,
+            store: store_address,
+            ..HostOptions::default()
+        };
+        Host::start(&store, &options)
+    };
+    let _informed = start("host-1", None);
+    let cut_off = [
+        start("host-2", Some(wire.address())),
+        start("host-3", Some(wire.address())),
+    ];
+    for host in &cut_off {
+        host.wait_log("\"host registered\",\"host\":\"host-1\"");
+    }
+
+    wire.set_cut(true);
+    store.put("op/evacuate/north-a", &json!({}));
+    store.put("op/config", &configuration(8));
+
+    for host in &cut_off {
+        host.wait_log("evacuation changed");
+        host.wait_log("\"configuration in force\",\"version\":8");
+        let answer = Request::get("/read/1")
+            .with_attempt("a-1", 2_000)
+            .send(host.callers);
+        assert_eq!(answer.status, 503, "an evacuated endpoint was used");
+    }
+    assert!(endpoint.arrivals().is_empty());
+}
+
+/// Guards against a host that keeps an endpoint for gone although it only
+/// lapsed while the store was away.
+#[test]
+fn endpoint_that_lapsed_in_an_outage_stays_in_use() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |_, _| Script::Answer(200, b"ok".to_vec()))
+        .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let wire = Wire::start(store.address(), 1).expect("the wire starts");
+    let options = HostOptions {
+        store: Some(wire.address()),
+        ..HostOptions::default()
+    };
+    let host = Host::start(&store, &options);
+    host.wait_log("endpoint announced");
+
+    wire.set_cut(true);
+    host.wait_log("dependency lost");
+    store.delete("servers/e-1");
+    wire.set_cut(false);
+    wait_until("the store is back", || {
+        host.log().matches("dependency regained").count() == 2
+    });
+    let answer = Request::get("/read/1")
+        .with_attempt("a-1", 2_000)
+        .send(host.callers);
+
+    assert_eq!(answer.status, 200);
+    host.wait_log("endpoint is no longer announced");
+}
+
+/// Guards against a host that misses changes when the store drops its history.
+#[test]
+fn dropped_history_is_read_anew() {
+    let store = store_with_configuration();
+    let host = Host::start(&store, &HostOptions::default());
+
+    store.drop_history();
+    store.put("op/config", &configuration(8));
+
+    host.wait_log("\"configuration in force\",\"version\":8");
+}
+
+/// Guards against an older configuration that replaces a newer one.
+#[test]
+fn configuration_never_goes_back() {
+    let store = store_with_configuration();
+    let host = Host::start(&store, &HostOptions::default());
+
+    store.put("op/config", &configuration(6));
+
+    host.wait_log("older configuration ignored");
+    assert!(
+        !host
+            .log()
+            .contains("\"configuration in force\",\"version\":6")
+    );
+}
--- /dev/null
+++ b/tests/gateway_shutdown.rs
@@ -0,0 +1,145 @@
+//! What callers see of a host that is asked to stop.
+
+mod gatewayenv;
+
+use std::{
+    net::TcpStream,
+    thread,
+    time::Duration, //
+};
+
+use cardamombridge::standin::scripted::{
+    Script,
+    ScriptedEndpoint,
+    event_text, //
+};
+use gatewayenv::{
+    Host,
+    HostOptions,
+    Request,
+    announce,
+    read_answer,
+    store_with_configuration,
+    wait_until, //
+};
+use nix::sys::signal::Signal;
+
+/// Guards against requests that a stopping host takes although it cannot finish
+/// them, and against streams that it cuts although it could have.
+#[test]
+fn stopping_host_finishes_streams_and_refuses_late_requests() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| match arrival.path.as_str() {
+        "/draft/1" => Script::Events {
+            first: 0,
+            end: 40,
+            pause: Duration::from_millis(100),
+            is_whole: true,
+        },
+        _ => Script::Answer(200, b"ok".to_vec()),
+    })
+    .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let mut host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+    let callers = host.callers;
+    let stream = thread::spawn(move || {
+        Request::post("/draft/1", b"text")
+            .with_attempt("a-1", 9_000)
+            .send(callers)
+    });
+    wait_until("the stream runs", || endpoint.runs().len() == 1);
+
+    host.signal(Signal::SIGTERM);
+    wait_until("the host is not ready", || !host.is_ready());
+    let early = Request::post("/book/1", b"x")
+        .with_attempt("a-2", 5_000)
+        .send(host.callers);
+    thread::sleep(Duration::from_millis(3_100));
+    let late = Request::post("/book/1", b"x")
+        .with_attempt("a-3", 5_000)
+        .send(host.callers);
+
+    assert_eq!(early.status, 200);
+    assert_eq!(early.header("connection"), Some("close"));
+    assert_eq!(late.status, 503);
+    assert!(late.header("retry-after").is_some());
+    let stream = stream.join().expect("the caller ends");
+    assert!(stream.is_whole);
+    assert_eq!(stream.text(), (0..40).map(event_text).collect::<String>());
+    assert_eq!(host.wait_end(Duration::from_secs(5)), Some(0));
+    assert!(!endpoint.runs().iter().any(|run| run.attempt() == "a-3"));
+    assert!(store.keys("cardamombridge/hosts/").is_empty());
+}
+
+/// Guards against a caller that left while its stream runs on at the endpoint,
+/// and against a call with an effect that is broken off with its caller.
+#[test]
+fn stream_ends_with_its_caller_and_a_booking_does_not() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| match arrival.path.as_str() {
+        "/draft/1" => Script::Events {
+            first: 0,
+            end: 1_000,
+            pause: Duration::from_millis(20),
+            is_whole: true,
+        },
+        _ => Script::After(
+            Duration::from_millis(300),
+            Box::new(Script::Answer(200, b"ok".to_vec())),
+        ),
+    })
+    .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+    let leave_after_start = |path: &str, attempt: &str| {
+        let mut stream = TcpStream::connect(host.callers).expect("a connection");
+        let request = Request::post(path, b"x").with_attempt(attempt, 9_000);
+        std::io::Write::write_all(&mut stream, &request.bytes()).expect("the request is sent");
+        wait_until("the request runs", || {
+            endpoint.runs().iter().any(|run| run.attempt() == attempt)
+        });
+    };
+
+    leave_after_start("/draft/1", "a-1");
+    leave_after_start("/book/1", "a-2");
+
+    host.wait_log("\"outcome\":\"caller left\"");
+    host.wait_log("\"request\":\"a-2\",\"route\":\"book\"");
+    let log = host.log();
+    let booking = log
+        .lines()
+        .find(|line| line.contains("request ended") && line.contains("\"request\":\"a-2\""))
+        .expect("the booking ended");
+    assert!(booking.contains("\"outcome\":\"answered\""), "{booking}");
+    assert!(log.contains("\"outcome\":\"caller left\""));
+}
+
+/// Guards against a second answer on a kept connection that is lost or mixed.
+#[test]
+fn kept_connection_serves_requests_one_after_the_other() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| {
+        Script::Answer(200, arrival.attempt().as_bytes().to_vec())
+    })
+    .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+    let mut stream = TcpStream::connect(host.callers).expect("a connection");
+    let pipelined: Vec<u8> = (0..3)
+        .flat_map(|number| {
+            Request::get("/read/1")
+                .with_attempt(&format!("a-{number}"), 5_000)
+                .bytes()
+        })
+        .collect();
+
+    std::io::Write::write_all(&mut stream, &pipelined).expect("the requests are sent");
+
+    for number in 0..3 {
+        let answer = read_answer(&mut stream).expect("an answer");
+        assert_eq!(answer.text(), format!("a-{number}"));
+    }
+}
