--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -45,6 +45,17 @@
 /// Share of an unknown shared part that is expected in the cache of the
 /// endpoint that all hosts prefer for it.
 const PREFERRED_CACHE: f64 = 0.7;
+/// Share of the goal within which a wait costs a caller nothing yet.
+const SPARE_GOAL_SHARE: f64 = 0.45;
+/// Cost of a millisecond in which an endpoint reads, relative to one of waiting
+/// beyond the spare time.
+const READ_WEIGHT: f64 = 1.5;
+/// Cost of a millisecond until the first event.
+const WAIT_WEIGHT: f64 = 0.4;
+/// Cost of a millisecond beyond the spare time.
+const EXCESS_WEIGHT: f64 = 4.0;
+/// Cost of a full endpoint relative to an empty one: events come more slowly.
+const LOAD_COST_MS: f64 = 150.0;
 /// Weight of the error rate in the choice.
 const ERROR_WEIGHT: f64 = 6.0;
 /// Share of an engine's memory beyond which requests are preempted.
@@ -59,11 +70,19 @@
     pub slack: f64,
 }
 
-/// Hosts of the region, ranked for one cold endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ColdShare {
-    /// Requests a second that this host may send.
-    pub per_second: u32,
+/// A request that needs an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Its service.
+    pub service: &'a Service,
+    /// What the caller said.
+    pub call: &'a Call,
+    /// Endpoints that are not tried.
+    pub excluded: &'a [CompactString],
+    /// Live hosts of the region, this one included.
+    pub hosts: &'a [CompactString],
+    /// Time left until an answer is late.
+    pub goal_left_ms: f64,
 }
 
 /// An endpoint chosen for a request.
@@ -236,29 +255,42 @@
     }
 
     /// The best endpoint for a request, or none if none may be used now.
-    ///
-    /// `hosts` are the live hosts of the region, this one included.
-    pub fn choose(
-        &self,
-        service: &Service,
-        call: &Call,
-        excluded: &[CompactString],
-        hosts: &[CompactString],
-        now_ms: u64,
-    ) -> Option<Choice> {
-        let affinity = call.affinity();
+    pub fn choose(&self, demand: &Demand<'_>, now_ms: u64) -> Option<Choice> {
+        let service = demand.service;
+        let affinity = demand.call.affinity();
         let preferred = affinity.and_then(|part| self.preferred(&service.name, part, now_ms));
         self.usable(&service.name, now_ms)
-            .filter(|endpoint| !excluded.contains(&endpoint.id))
-            .filter(|endpoint| self.may_send_cold(endpoint, service, hosts, now_ms))
+            .filter(|endpoint| !demand.excluded.contains(&endpoint.id))
+            .filter(|endpoint| self.may_send_cold(endpoint, service, demand.hosts, now_ms))
             .map(|endpoint| {
                 let is_preferred = preferred.as_ref() == Some(&endpoint.id);
-                self.predict(endpoint, service, call, is_preferred, now_ms)
+                let choice = self.predict(endpoint, service, demand.call, is_preferred, now_ms);
+                let cost = self.cost(endpoint, &choice, demand, now_ms);
+                (choice, cost)
             })
             .min_by(|left, right| left.1.total_cmp(&right.1))
             .map(|(choice, _)| choice)
     }
 
+    /// What a choice costs, in milliseconds.
+    ///
+    /// A wait within a part of the goal costs a caller little, while a prompt
+    /// part that is read again takes time from all requests of the endpoint.
+    fn cost(&self, endpoint: &Endpoint, choice: &Choice, demand: &Demand<'_>, now_ms: u64) -> f64 {
+        let service = demand.service;
+        let slots = slots_of(endpoint, Some(service));
+        let load = endpoint.load(now_ms);
+        let read_ms = choice.work.uncached_tokens as f64 * self.token_ms(service, load);
+        let spare_ms = demand.goal_left_ms * SPARE_GOAL_SHARE;
+        let excess_ms = (choice.first_event_ms - spare_ms).max(0.0);
+        let load_ms = load / slots * LOAD_COST_MS;
+        let cost = READ_WEIGHT * read_ms
+            + WAIT_WEIGHT * choice.first_event_ms
+            + EXCESS_WEIGHT * excess_ms
+            + load_ms;
+        cost * (1.0 + ERROR_WEIGHT * endpoint.error_rate())
+    }
+
     /// The endpoint that all hosts of the region prefer for a prompt part.
     fn preferred(&self, service: &str, part: u64, now_ms: u64) -> Option<CompactString> {
         self.usable(service, now_ms)
@@ -266,7 +298,7 @@
             .map(|endpoint| endpoint.id.clone())
     }
 
-    /// Predicts the first event and gives the cost that the choice minimises.
+    /// Predicts the first event of a request at an endpoint.
     fn predict(
         &self,
         endpoint: &Endpoint,
@@ -274,7 +306,7 @@
         call: &Call,
         is_preferred: bool,
         now_ms: u64,
-    ) -> (Choice, f64) {
+    ) -> Choice {
         let cached = self.expected_cached(endpoint, call, is_preferred);
         let work = Work::new(call, cached);
         let load = endpoint.load(now_ms);
@@ -289,16 +321,12 @@
             Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * token_ms,
             None => run_ms,
         };
-        let first_event_ms = backlog_ms + endpoint.slowness() * own_ms;
-        let load_ms = load / slots * run_ms * 0.05;
-        let cost = (first_event_ms + load_ms) * (1.0 + ERROR_WEIGHT * endpoint.error_rate());
-        let choice = Choice {
+        Choice {
             endpoint: endpoint.id.clone(),
-            first_event_ms,
+            first_event_ms: backlog_ms + endpoint.slowness() * own_ms,
             work,
             backlog_ms,
-        };
-        (choice, cost)
+        }
     }
 
     fn expected_cached(&self, endpoint: &Endpoint, call: &Call, is_preferred: bool) -> u64 {
@@ -359,16 +387,12 @@
         if service.cold_per_s <= 0.0 || !endpoint.is_cold(now_ms) {
             return true;
         }
-        let share = self.cold_share(endpoint, service, hosts);
-        endpoint.has_cold_allowance(share.per_second, now_ms)
+        let per_second = self.cold_share(endpoint, service, hosts);
+        endpoint.has_cold_allowance(per_second, now_ms)
     }
 
-    fn cold_share(
-        &self,
-        endpoint: &Endpoint,
-        service: &Service,
-        hosts: &[CompactString],
-    ) -> ColdShare {
+    /// Requests a second that this host may send to a cold endpoint.
+    fn cold_share(&self, endpoint: &Endpoint, service: &Service, hosts: &[CompactString]) -> u32 {
         let bound = service.cold_per_s * self.cold.factor + self.cold.slack;
         // Half of the bound, so that it holds while two views of the live
         // hosts differ, each host counting the others as gone.
@@ -387,9 +411,7 @@
         let count = hosts.len().max(1);
         let even = total / count;
         let extra = usize::from(before < total % count);
-        ColdShare {
-            per_second: (even + extra) as u32,
-        }
+        (even + extra) as u32
     }
 }
 
@@ -397,8 +419,8 @@
     /// Time until an endpoint begins with a new request.
     pub fn backlog_ms(&self, endpoint: &Endpoint, service: &Service, now_ms: u64) -> f64 {
         let nothing = Call::default();
-        let (choice, _) = self.predict(endpoint, service, &nothing, false, now_ms);
-        choice.backlog_ms
+        self.predict(endpoint, service, &nothing, false, now_ms)
+            .backlog_ms
     }
 
     /// Time to read a prompt token at an endpoint with the mean load.
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -43,7 +43,10 @@
         Reply,
         Sending, //
     },
-    fleet::Choice,
+    fleet::{
+        Choice,
+        Demand, //
+    },
     head::{
         Framing,
         ResponseHead, //
@@ -147,9 +150,16 @@
         let service = self.service(&plan.service);
         let is_home = plan.allows_region(&self.settings.host.region);
         let hosts = self.hosts.region_names(now_ms);
-        let choose = |left_out: &[CompactString]| {
-            self.fleet
-                .choose(&service, &exchange.request.call, left_out, &hosts, now_ms)
+        let goal_left_ms = exchange.goal_at_ms.saturating_sub(now_ms) as f64;
+        let choose = |excluded: &[CompactString]| {
+            let demand = Demand {
+                service: &service,
+                call: &exchange.request.call,
+                excluded,
+                hosts: &hosts,
+                goal_left_ms,
+            };
+            self.fleet.choose(&demand, now_ms)
         };
         let unwanted = [exchange.excluded.as_slice(), exchange.avoided.as_slice()].concat();
         let here = is_home
@@ -161,7 +171,7 @@
             here,
             queue_ms,
             away,
-            goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
+            goal_left_ms,
             goal_ms: plan.goal_ms as f64,
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms) as f64,
             is_waiting: exchange.is_waiting,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -26,6 +26,7 @@
         fleet::{
             Choice,
             ColdBounds,
+            Demand,
             Fleet, //
         },
         hosts::{
@@ -106,12 +107,23 @@
         .collect()
 }
 
+/// The choice for a request of the model.
+fn choose(fleet: &Fleet, call: &Call, hosts: &[CompactString], now_ms: u64) -> Option<Choice> {
+    let demand = Demand {
+        service: &model(),
+        call,
+        excluded: &[],
+        hosts,
+        goal_left_ms: 1_200.0,
+    };
+    fleet.choose(&demand, now_ms)
+}
+
 /// Sends that each host's own view allows to one cold endpoint in a second.
 fn cold_sends(host: &str, view: &[CompactString]) -> u32 {
     let mut fleet = fleet_of(host, 1, 60_000);
-    let service = model();
     let mut sent = 0;
-    while let Some(choice) = fleet.choose(&service, &prompt(2, 3), &[], view, 1_000) {
+    while let Some(choice) = choose(&fleet, &prompt(2, 3), view, 1_000) {
         let endpoint = fleet.get_mut(&choice.endpoint).expect("the endpoint");
         endpoint.start(Work::default(), 1_000);
         sent += 1;
@@ -167,7 +179,7 @@
     let view = names(3);
     let chosen = |host: &str, part| {
         let fleet = fleet_of(host, 9, 0);
-        let choice = fleet.choose(&model(), &prompt(part, 99), &[], &view, 5_000);
+        let choice = choose(&fleet, &prompt(part, 99), &view, 5_000);
         choice.expect("an endpoint").endpoint
     };
     for part in 10..40 {
@@ -185,9 +197,7 @@
     let mut fleet = fleet_of("host-0", 4, 0);
     let mut loads: BTreeMap<CompactString, u32> = BTreeMap::new();
     for _ in 0..40 {
-        let choice = fleet
-            .choose(&model(), &prompt(7, 99), &[], &names(1), 0)
-            .expect("an endpoint");
+        let choice = choose(&fleet, &prompt(7, 99), &names(1), 0).expect("an endpoint");
         let endpoint = fleet.get_mut(&choice.endpoint).expect("the endpoint");
         endpoint.start(choice.work, 0);
         *loads.entry(choice.endpoint).or_default() += 1;
@@ -210,7 +220,7 @@
     }
 
     for part in 10..30 {
-        let choice = fleet.choose(&model(), &prompt(part, 99), &[], &names(1), 0);
+        let choice = choose(&fleet, &prompt(part, 99), &names(1), 0);
         assert_ne!(choice.expect("an endpoint").endpoint, "e-0");
     }
 }
@@ -224,7 +234,7 @@
         let endpoint = fleet.get_mut("e-0").expect("the endpoint");
         endpoint.fail(Failure::Broken, 0);
     }
-    let choose = |fleet: &Fleet| fleet.choose(&model(), &prompt(7, 8), &[], &names(1), 100);
+    let choose = |fleet: &Fleet| choose(fleet, &prompt(7, 8), &names(1), 100);
     assert_eq!(choose(&fleet), None, "a blocked endpoint is used");
 
     let restarted = Announcement {
