--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -64,10 +64,19 @@
     pub cold_ms: u64,
     /// Requests a second that a cold endpoint tolerates; 0 for no limit.
     pub cold_per_s: f64,
-    /// Requests that a model engine runs at once; none for other services.
-    pub engine_slots: Option<u32>,
-    /// Memory of a model engine for prompts and answers.
-    pub memory_tokens: Option<u64>,
+    /// What its endpoints are, if they are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// Properties of a service's model engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Memory for prompts and answers.
+    pub memory_tokens: u64,
+    /// Time to copy a cached token to another engine; none if they do not copy.
+    pub copy_ms_per_token: Option<f64>,
 }
 
 /// What callers may send.
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -125,6 +125,8 @@
     block_ms: u64,
     on_trial: bool,
     parts: HashMap<u64, u64>,
+    /// Tokens that this host's requests took up in the endpoint's memory.
+    taken_tokens: u64,
 }
 
 impl Endpoint {
@@ -152,6 +154,7 @@
             block_ms: FIRST_BLOCK_MS,
             on_trial: false,
             parts: HashMap::new(),
+            taken_tokens: 0,
         }
     }
 
@@ -207,6 +210,7 @@
         self.own.active += 1;
         self.own.backlog_tokens += work.uncached_tokens;
         self.own.held_tokens += work.held_tokens;
+        self.taken_tokens += work.held_tokens;
         if self.is_cold(now_ms) {
             self.last_cold_send_ms
                 .retain(|sent_ms| now_ms < *sent_ms + COLD_WINDOW_MS);
@@ -280,23 +284,30 @@
     }
 
     /// Remembers which parts of a prompt the endpoint has read.
-    pub fn remember(&mut self, call: &Call, now_ms: u64) {
+    pub fn remember(&mut self, call: &Call) {
         if self.parts.len() > MAX_PARTS {
-            let mut ages: Vec<u64> = self.parts.values().copied().collect();
-            let (_, median, _) = ages.select_nth_unstable(MAX_PARTS / 2);
-            let oldest_kept_ms = *median;
-            self.parts.retain(|_, used_ms| *used_ms > oldest_kept_ms);
+            let mut uses: Vec<u64> = self.parts.values().copied().collect();
+            let (_, median, _) = uses.select_nth_unstable(MAX_PARTS / 2);
+            let oldest_kept = *median;
+            self.parts.retain(|_, used_at| *used_at > oldest_kept);
         }
         for part in &call.parts {
-            self.parts.insert(part.id, now_ms);
+            self.parts.insert(part.id, self.taken_tokens);
         }
     }
 
     /// Tokens at the start of the prompt that the endpoint has probably cached.
-    pub fn cached_tokens(&self, call: &Call) -> u64 {
+    ///
+    /// An endpoint drops the parts that were not used for longest, so a part is
+    /// there until this host's requests have taken `lifetime_tokens` more.
+    pub fn cached_tokens(&self, call: &Call, lifetime_tokens: u64) -> u64 {
+        let is_cached = |id: &u64| {
+            let used_at = self.parts.get(id);
+            used_at.is_some_and(|used_at| self.taken_tokens < used_at + lifetime_tokens)
+        };
         call.parts
             .iter()
-            .take_while(|part| self.parts.contains_key(&part.id))
+            .take_while(|part| is_cached(&part.id))
             .map(|part| part.tokens.0)
             .sum()
     }
@@ -346,6 +357,7 @@
 
 /// Requests that a service's endpoints run at once.
 pub fn slots_of(endpoint: &Endpoint, service: Option<&Service>) -> f64 {
-    let configured = service.and_then(|service| service.engine_slots);
+    let configured = service.and_then(|service| service.engine);
+    let configured = configured.map(|engine| engine.slots);
     f64::from(configured.unwrap_or(endpoint.announcement.slots).max(1))
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -6,9 +6,12 @@
 //! When one endpoint has a backlog, the prediction moves the next request to
 //! another one, even if the part has to be read again there.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr, //
 };
 
 use compact_str::CompactString;
@@ -49,7 +52,13 @@
 const SPARE_GOAL_SHARE: f64 = 0.45;
 /// Cost of a millisecond in which an endpoint reads, relative to one of waiting
 /// beyond the spare time.
-const READ_WEIGHT: f64 = 1.5;
+const READ_WEIGHT: f64 = 3.0;
+/// Cost of copying what takes a millisecond to read.
+const COPY_WEIGHT: f64 = 0.8;
+/// Fewest tokens that are copied; less is read faster than a copy is set up.
+const MIN_COPIED_TOKENS: u64 = 512;
+/// Part of an endpoint's memory in which unused parts stay while requests run.
+const CACHE_SHARE: f64 = 0.6;
 /// Cost of a millisecond until the first event.
 const WAIT_WEIGHT: f64 = 0.4;
 /// Cost of a millisecond beyond the spare time.
@@ -94,8 +103,49 @@
     pub first_event_ms: f64,
     /// Work at the endpoint.
     pub work: Work,
+    /// Prompt tokens that are copied from another endpoint.
+    pub copied_tokens: u64,
     /// Time that requests before this one take.
     pub backlog_ms: f64,
+    /// Endpoint from which cached parts of the prompt are copied first.
+    pub fetch_from: Option<SocketAddr>,
+}
+
+/// Where the start of a prompt is probably cached.
+#[derive(Debug, Default)]
+struct Caches {
+    tokens: Vec<(CompactString, u64)>,
+    /// The endpoint with most of it, if endpoints copy from each other.
+    source: Option<(CompactString, SocketAddr, u64)>,
+}
+
+impl Caches {
+    fn tokens_at(&self, id: &str) -> u64 {
+        let found = self.tokens.iter().find(|(other, _)| other == id);
+        found.map_or(0, |(_, tokens)| *tokens)
+    }
+
+    fn copied_to(&self, endpoint: &Endpoint, cached_tokens: u64) -> u64 {
+        let Some((source, _, tokens)) = &self.source else {
+            return 0;
+        };
+        let copied = tokens.saturating_sub(cached_tokens);
+        match *source != endpoint.id && copied >= MIN_COPIED_TOKENS {
+            true => copied,
+            false => 0,
+        }
+    }
+}
+
+/// Tokens that an endpoint has cached, from knowledge or, at the endpoint that
+/// all hosts prefer, from what they probably sent there.
+fn expected_cached(known: u64, call: &Call, is_preferred: bool) -> u64 {
+    if !is_preferred {
+        return known;
+    }
+    let shared = call.parts.len().saturating_sub(1);
+    let shared: u64 = call.parts[..shared].iter().map(|part| part.tokens.0).sum();
+    known.max((shared as f64 * PREFERRED_CACHE) as u64)
 }
 
 /// All endpoints of this host's view.
@@ -257,14 +307,12 @@
     /// The best endpoint for a request, or none if none may be used now.
     pub fn choose(&self, demand: &Demand<'_>, now_ms: u64) -> Option<Choice> {
         let service = demand.service;
-        let affinity = demand.call.affinity();
-        let preferred = affinity.and_then(|part| self.preferred(&service.name, part, now_ms));
+        let caches = self.caches(demand, now_ms);
         self.usable(&service.name, now_ms)
             .filter(|endpoint| !demand.excluded.contains(&endpoint.id))
             .filter(|endpoint| self.may_send_cold(endpoint, service, demand.hosts, now_ms))
             .map(|endpoint| {
-                let is_preferred = preferred.as_ref() == Some(&endpoint.id);
-                let choice = self.predict(endpoint, service, demand.call, is_preferred, now_ms);
+                let choice = self.predict(endpoint, demand, &caches, now_ms);
                 let cost = self.cost(endpoint, &choice, demand, now_ms);
                 (choice, cost)
             })
@@ -280,11 +328,14 @@
         let service = demand.service;
         let slots = slots_of(endpoint, Some(service));
         let load = endpoint.load(now_ms);
-        let read_ms = choice.work.uncached_tokens as f64 * self.token_ms(service, load);
+        let token_ms = self.token_ms(service, load);
+        let read_ms = choice.work.uncached_tokens as f64 * token_ms;
+        let copy_ms = choice.copied_tokens as f64 * token_ms;
         let spare_ms = demand.goal_left_ms * SPARE_GOAL_SHARE;
         let excess_ms = (choice.first_event_ms - spare_ms).max(0.0);
         let load_ms = load / slots * LOAD_COST_MS;
         let cost = READ_WEIGHT * read_ms
+            + COPY_WEIGHT * copy_ms
             + WAIT_WEIGHT * choice.first_event_ms
             + EXCESS_WEIGHT * excess_ms
             + load_ms;
@@ -302,13 +353,14 @@
     fn predict(
         &self,
         endpoint: &Endpoint,
-        service: &Service,
-        call: &Call,
-        is_preferred: bool,
+        demand: &Demand<'_>,
+        caches: &Caches,
         now_ms: u64,
     ) -> Choice {
-        let cached = self.expected_cached(endpoint, call, is_preferred);
-        let work = Work::new(call, cached);
+        let service = demand.service;
+        let cached = caches.tokens_at(&endpoint.id);
+        let copied_tokens = caches.copied_to(endpoint, cached);
+        let work = Work::new(demand.call, cached + copied_tokens);
         let load = endpoint.load(now_ms);
         let slots = slots_of(endpoint, Some(service));
         let run_ms = self.run_ms(service);
@@ -317,7 +369,7 @@
         let backlog_tokens = endpoint.own.backlog_tokens + endpoint.others.backlog_tokens;
         let backlog_ms = endpoint.slowness() * (backlog_tokens as f64 * token_ms + waiting)
             + self.memory_wait_ms(endpoint, service, work, run_ms);
-        let own_ms = match service.engine_slots {
+        let own_ms = match service.engine {
             Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * token_ms,
             None => run_ms,
         };
@@ -325,18 +377,45 @@
             endpoint: endpoint.id.clone(),
             first_event_ms: backlog_ms + endpoint.slowness() * own_ms,
             work,
+            copied_tokens,
             backlog_ms,
+            fetch_from: caches
+                .source
+                .as_ref()
+                .filter(|_| copied_tokens > 0)
+                .map(|(_, address, _)| *address),
         }
     }
 
-    fn expected_cached(&self, endpoint: &Endpoint, call: &Call, is_preferred: bool) -> u64 {
-        let known = endpoint.cached_tokens(call);
-        if !is_preferred {
-            return known;
+    /// Where the start of the prompt is probably cached.
+    fn caches(&self, demand: &Demand<'_>, now_ms: u64) -> Caches {
+        let service = demand.service;
+        let affinity = demand.call.affinity();
+        let preferred = affinity.and_then(|part| self.preferred(&service.name, part, now_ms));
+        let memory_tokens = service.engine.map_or(0, |engine| engine.memory_tokens);
+        // The other hosts of the region fill the same memory.
+        let share = CACHE_SHARE / demand.hosts.len().max(1) as f64;
+        let lifetime_tokens = (memory_tokens as f64 * share) as u64;
+        let mut caches = Caches::default();
+        for endpoint in self.usable(&service.name, now_ms) {
+            let known = endpoint.cached_tokens(demand.call, lifetime_tokens);
+            let is_preferred = preferred.as_ref() == Some(&endpoint.id);
+            let tokens = expected_cached(known, demand.call, is_preferred);
+            if tokens == 0 {
+                continue;
+            }
+            let best = caches.source.as_ref().map_or(0, |(_, _, tokens)| *tokens);
+            if tokens > best {
+                let address = endpoint.announcement.address;
+                caches.source = Some((endpoint.id.clone(), address, tokens));
+            }
+            caches.tokens.push((endpoint.id.clone(), tokens));
+        }
+        let copies = service.engine.and_then(|engine| engine.copy_ms_per_token);
+        if copies.is_none_or(|copy_ms| copy_ms > TOKEN_MS / 2.0) {
+            caches.source = None;
         }
-        let shared = call.parts.len().saturating_sub(1);
-        let shared: u64 = call.parts[..shared].iter().map(|part| part.tokens.0).sum();
-        known.max((shared as f64 * PREFERRED_CACHE) as u64)
+        caches
     }
 
     /// Wait until running requests free enough memory.
@@ -347,9 +426,10 @@
         work: Work,
         run_ms: f64,
     ) -> f64 {
-        let Some(memory) = service.memory_tokens else {
+        let Some(engine) = service.engine else {
             return 0.0;
         };
+        let memory = engine.memory_tokens;
         let held = endpoint.own.held_tokens + endpoint.others.held_tokens + work.held_tokens;
         let excess = held as f64 / (memory as f64 * MEMORY_SHARE) - 1.0;
         excess.max(0.0) * run_ms
@@ -366,7 +446,7 @@
 
     /// Typical time that a request of the service runs.
     pub fn run_ms(&self, service: &Service) -> f64 {
-        let initial = match service.engine_slots {
+        let initial = match service.engine {
             Some(_) => GENERATION_MS,
             None => CALL_MS,
         };
@@ -418,8 +498,14 @@
 impl Fleet {
     /// Time until an endpoint begins with a new request.
     pub fn backlog_ms(&self, endpoint: &Endpoint, service: &Service, now_ms: u64) -> f64 {
-        let nothing = Call::default();
-        self.predict(endpoint, service, &nothing, false, now_ms)
+        let demand = Demand {
+            service,
+            call: &Call::default(),
+            excluded: &[],
+            hosts: &[],
+            goal_left_ms: 0.0,
+        };
+        self.predict(endpoint, &demand, &Caches::default(), now_ms)
             .backlog_ms
     }
 
@@ -436,7 +522,7 @@
 
     /// Time that an endpoint spends on a request before it can begin the next.
     pub fn service_ms(&self, service: &Service, call: &Call, now_ms: u64) -> f64 {
-        match service.engine_slots {
+        match service.engine {
             Some(_) => FIRST_EVENT_MS + call.prompt.0 as f64 * self.mean_token_ms(service, now_ms),
             None => self.run_ms(service) / 2.0,
         }
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -79,6 +79,8 @@
 /// Least time without progress after which a request that may run again is
 /// sent to another endpoint.
 const MIN_STALL_MS: u64 = 1_200;
+/// The same for a request in another region, which is predicted less well.
+const AWAY_STALL_MS: u64 = 2_500;
 /// Factor on the predicted time until the first event for the same purpose.
 const STALL_FACTOR: f64 = 4.0;
 
@@ -189,8 +191,7 @@
             max_connections: None,
             cold_ms: 0,
             cold_per_s: 0.0,
-            engine_slots: None,
-            memory_tokens: None,
+            engine: None,
         })
     }
 
@@ -285,7 +286,7 @@
             return;
         };
         endpoint.start(choice.work, now_ms);
-        endpoint.remember(&exchange.request.call, now_ms);
+        endpoint.remember(&exchange.request.call);
         let is_first = exchange.run_count == 0;
         let headers = EndpointHeaders {
             endpoint: Some(choice.endpoint.clone()),
@@ -295,6 +296,7 @@
                 .priority
                 .filter(|_| !exchange.request.call.parts.is_empty()),
             last_event: self.resume_header(key),
+            fetch_from: choice.fetch_from,
         };
         tracing::debug!(
             request = %self.exchanges[key].request.call.attempt,
@@ -317,7 +319,9 @@
             return;
         };
         let mut plan = exchange.plan.clone();
-        plan.max_attempts = plan.max_attempts.saturating_sub(exchange.run_count).max(1);
+        // Repeats are decided here alone, so that two regions cannot both use
+        // up the attempts.
+        plan.max_attempts = 1;
         plan.goal_ms = exchange.goal_at_ms.saturating_sub(now_ms);
         plan.timeout_ms = exchange.deadline_ms.saturating_sub(now_ms);
         let encoded = match postcard::to_allocvec(&plan) {
@@ -335,6 +339,7 @@
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
             priority: None,
             last_event: self.resume_header(key),
+            fetch_from: None,
         };
         let service = exchange.plan.service.clone();
         tracing::debug!(
@@ -1054,15 +1059,15 @@
     let Some(sending) = &exchange.sending else {
         return false;
     };
-    let Destination::Endpoint(choice) = &sending.destination else {
-        return false;
-    };
     let may_repeat = exchange.plan.may_repeat()
         && exchange.client.is_some()
         && exchange.run_count + 1 < exchange.plan.max_attempts;
-    let limit_ms = match sending.has_begun {
-        true => MIN_STALL_MS,
-        false => MIN_STALL_MS.max((choice.first_event_ms * STALL_FACTOR) as u64),
+    let limit_ms = match &sending.destination {
+        Destination::Region { .. } => AWAY_STALL_MS,
+        Destination::Endpoint(_) if sending.has_begun => MIN_STALL_MS,
+        Destination::Endpoint(choice) => {
+            MIN_STALL_MS.max((choice.first_event_ms * STALL_FACTOR) as u64)
+        }
     };
     may_repeat && now_ms >= sending.progress_ms + limit_ms
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,5 +1,7 @@
 //! HTTP headers and paths of the platform.
 
+use std::net::SocketAddr;
+
 use compact_str::CompactString;
 
 use crate::{
@@ -25,6 +27,8 @@
 const PROMPT_PARTS: &str = "x-prompt-prefix";
 const LAST_EVENT: &str = "last-event-id";
 const EXPECTED_ENDPOINT: &str = "X-Expect-Instance";
+/// Address of an endpoint that has cached parts of the prompt.
+const FETCH_FROM: &str = "Kv-Fetch";
 const PRIORITY: &str = "X-Request-Priority";
 const SEAL: &str = "x-server-seal";
 const NOT_RUN: &str = "x-not-run";
@@ -107,6 +111,8 @@
     pub time_left_ms: u64,
     /// Rank among other requests, 0 first.
     pub priority: Option<u8>,
+    /// Endpoint from which cached prompt parts are copied first.
+    pub fetch_from: Option<SocketAddr>,
     /// Event after which a resumed stream goes on.
     pub last_event: Option<CompactString>,
 }
@@ -127,6 +133,9 @@
         if let Some(priority) = self.priority {
             line(PRIORITY, &priority.min(MAX_PRIORITY).to_string());
         }
+        if let Some(address) = &self.fetch_from {
+            line(FETCH_FROM, &address.to_string());
+        }
         if let Some(event) = &self.last_event {
             line("Last-Event-Id", event);
         }
@@ -205,7 +214,7 @@
 }
 
 /// Body of a directory answer.
-pub fn encode_directory_answer(addresses: &[std::net::SocketAddr], ttl_s: u32) -> Vec<u8> {
+pub fn encode_directory_answer(addresses: &[SocketAddr], ttl_s: u32) -> Vec<u8> {
     let body = serde_json::json!({ "addrs": addresses, "ttl_s": ttl_s });
     body.to_string().into_bytes()
 }
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -13,6 +13,7 @@
     configuration::{
         CallerLimits,
         Configuration,
+        Engine,
         Repeat,
         Route,
         RouteTarget,
@@ -99,6 +100,12 @@
 struct WireEngine {
     slots: u32,
     kv_cap_tokens: u64,
+    /// Memory of one token of a prompt or an answer.
+    #[serde(default)]
+    kv_token_bytes: f64,
+    /// Rate at which engines copy cached prompts between each other.
+    #[serde(default)]
+    link_mbps: f64,
 }
 
 #[derive(Deserialize)]
@@ -186,11 +193,20 @@
         max_connections: wire.max_conns,
         cold_ms: whole_ms(wire.cold_s * 1_000.0),
         cold_per_s: wire.cold_per_s,
-        engine_slots: wire.engine.as_ref().map(|engine| engine.slots),
-        memory_tokens: wire.engine.as_ref().map(|engine| engine.kv_cap_tokens),
+        engine: wire.engine.map(|engine| Engine {
+            slots: engine.slots,
+            memory_tokens: engine.kv_cap_tokens,
+            copy_ms_per_token: copy_ms_per_token(&engine),
+        }),
     }
 }
 
+/// Time to copy a cached token to another engine; none if engines do not copy.
+fn copy_ms_per_token(engine: &WireEngine) -> Option<f64> {
+    let is_possible = engine.kv_token_bytes > 0.0 && engine.link_mbps > 0.0;
+    is_possible.then(|| engine.kv_token_bytes * 8.0 / (engine.link_mbps * 1_000.0))
+}
+
 /// Reads the entry of an endpoint.
 pub fn decode_endpoint(text: &[u8]) -> Result<Announcement, ItemError> {
     let wire: WireEndpoint = serde_json::from_slice(text)?;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -12,6 +12,7 @@
         },
         configuration::{
             Configuration,
+            Engine,
             Repeat,
             Route,
             RouteTarget,
@@ -61,8 +62,11 @@
         max_connections: Some(370),
         cold_ms: 3_000,
         cold_per_s: 1.9,
-        engine_slots: Some(64),
-        memory_tokens: Some(400_000),
+        engine: Some(Engine {
+            slots: 64,
+            memory_tokens: 400_000,
+            copy_ms_per_token: Some(0.001),
+        }),
     }
 }
 
@@ -277,7 +281,9 @@
             endpoint: "e-0".into(),
             first_event_ms: 100.0,
             work: Work::default(),
+            copied_tokens: 0,
             backlog_ms: 50.0,
+            fetch_from: None,
         }),
         queue_ms: 0.0,
         away: None,
