Log what decided the placing of each request

The line that ends a request named no destination, since the sending had ended by then. It now carries the endpoint or region, the predicted and the actual time to the first event, the wait and the uncached tokens.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -112,6 +112,21 @@
     pub progress_ms: u64,
 }
 
+/// What decided the latest placing of a request, for its log line.
+#[derive(Debug, Clone)]
+pub struct Placed {
+    /// Name of the endpoint, or of the region and host.
+    pub destination: CompactString,
+    /// Predicted time from then to the first event.
+    pub predicted_ms: u64,
+    /// Predicted part of it in which other requests come first.
+    pub backlog_ms: u64,
+    /// Prompt tokens that were not expected in the endpoint's cache.
+    pub uncached_tokens: u64,
+    /// When it was sent.
+    pub sent_ms: u64,
+}
+
 /// How far the answer to the caller is.
 #[derive(Debug, Default)]
 pub enum Reply {
@@ -158,6 +173,10 @@
     pub is_waiting: bool,
     /// Where the request is.
     pub sending: Option<Sending>,
+    /// How the latest placing was decided.
+    pub placed: Option<Placed>,
+    /// When the first event, or the answer, had arrived.
+    pub first_event_at_ms: Option<u64>,
     /// How far the answer is.
     pub reply: Reply,
     /// Events passed on, for streams that another endpoint may continue.
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -6,7 +6,10 @@
 
 use std::rc::Rc;
 
-use compact_str::CompactString;
+use compact_str::{
+    CompactString,
+    format_compact, //
+};
 
 use super::{
     admission::{
@@ -39,6 +42,7 @@
         CallerRequest,
         Destination,
         Exchange,
+        Placed,
         Plan,
         Reply,
         Sending, //
@@ -113,6 +117,8 @@
             excluded_regions: Vec::new(),
             is_waiting: false,
             sending: None,
+            placed: None,
+            first_event_at_ms: None,
             reply: Reply::None,
             events: EventSplitter::new(),
             held: Vec::new(),
@@ -287,7 +293,6 @@
         };
         endpoint.start(choice.work, now_ms);
         endpoint.remember(&exchange.request.call);
-        let is_first = exchange.run_count == 0;
         let headers = EndpointHeaders {
             endpoint: Some(choice.endpoint.clone()),
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
@@ -298,12 +303,18 @@
             last_event: self.resume_header(key),
             fetch_from: choice.fetch_from,
         };
+        self.exchanges[key].placed = Some(Placed {
+            destination: choice.endpoint.clone(),
+            predicted_ms: choice.first_event_ms as u64,
+            backlog_ms: choice.backlog_ms as u64,
+            uncached_tokens: choice.work.uncached_tokens,
+            sent_ms: now_ms,
+        });
         tracing::debug!(
             request = %self.exchanges[key].request.call.attempt,
             endpoint = %choice.endpoint,
             predicted_ms = choice.first_event_ms as u64,
             backlog_ms = choice.backlog_ms as u64,
-            is_first,
             "request sent"
         );
         let destination = Destination::Endpoint(choice);
@@ -349,6 +360,13 @@
             predicted_ms = offer.first_event_ms as u64,
             "request sent to another region"
         );
+        self.exchanges[key].placed = Some(Placed {
+            destination: format_compact!("{}/{}", offer.region, host.name),
+            predicted_ms: offer.first_event_ms as u64,
+            backlog_ms: 0,
+            uncached_tokens: 0,
+            sent_ms: now_ms,
+        });
         self.hosts.record_away(&offer.region, &service);
         self.telemetry.count_away();
         let destination = Destination::Region {
@@ -548,6 +566,7 @@
             return;
         }
         sending.has_begun = true;
+        exchange.first_event_at_ms.get_or_insert(now_ms);
         let actual_ms = now_ms.saturating_sub(sending.sent_ms) as f64;
         self.telemetry
             .observe_first_event(now_ms.saturating_sub(exchange.arrived_ms));
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -19,10 +19,7 @@
 
 use tracing_appender::non_blocking::ErrorCounter;
 
-use super::exchange::{
-    Destination,
-    Exchange, //
-};
+use super::exchange::Exchange;
 
 /// Lines a second about requests that were answered by an endpoint.
 const ROUTINE_LINES_PER_S: u32 = 10;
@@ -200,7 +197,19 @@
             runs = exchange.run_count,
             tried = ?exchange.excluded,
             events = exchange.events.whole_count(),
-            destination = ?exchange.sending.as_ref().map(|sending| name_of(&sending.destination)),
+            prompt_tokens = exchange.request.call.prompt.0,
+            goal_ms = exchange.plan.goal_ms,
+            destination = exchange.placed.as_ref().map(|placed| placed.destination.as_str()),
+            waited_ms = exchange
+                .placed
+                .as_ref()
+                .map(|placed| placed.sent_ms.saturating_sub(exchange.arrived_ms)),
+            predicted_ms = exchange.placed.as_ref().map(|placed| placed.predicted_ms),
+            backlog_ms = exchange.placed.as_ref().map(|placed| placed.backlog_ms),
+            uncached_tokens = exchange.placed.as_ref().map(|placed| placed.uncached_tokens),
+            first_event_ms = exchange
+                .first_event_at_ms
+                .map(|at_ms| at_ms.saturating_sub(exchange.arrived_ms)),
             total_ms,
             outcome,
             status,
@@ -209,13 +218,6 @@
     }
 }
 
-fn name_of(destination: &Destination) -> &str {
-    match destination {
-        Destination::Endpoint(choice) => &choice.endpoint,
-        Destination::Region { region, .. } => region,
-    }
-}
-
 impl Default for Telemetry {
     fn default() -> Self {
         Self::new()
