Send requests to another region earlier, and short prompts at once

Engines read prompts in the order of arrival, so a priority by length misled the prediction; it was dropped.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -13,13 +13,13 @@
 
 /// Work that may wait inside one endpoint. Enough to keep it busy until this
 /// host has seen an answer and sent the next request.
-const MAX_ENDPOINT_BACKLOG_MS: f64 = 250.0;
+const MAX_ENDPOINT_BACKLOG_MS: f64 = 500.0;
 /// How much earlier an answer from another region has to be: the prediction for
 /// another region is older than the one for this region.
-const AWAY_ADVANTAGE_MS: f64 = 150.0;
+const AWAY_ADVANTAGE_MS: f64 = 80.0;
 /// Share of the goal up to which a request stays in its region whatever others
 /// offer, since traffic between regions is slow and paid for.
-const HOME_GOAL_SHARE: f64 = 0.6;
+const HOME_GOAL_SHARE: f64 = 0.3;
 /// Shortest time after which a caller is told to return.
 const MIN_RETRY_MS: f64 = 150.0;
 /// Callers follow a hint up to this share of the time they have left.
@@ -84,10 +84,12 @@
         .is_some_and(|choice| choice.backlog_ms <= MAX_ENDPOINT_BACKLOG_MS);
     // A request that has waited is the most urgent one when it is asked about.
     let is_next = situation.is_waiting || situation.queue_ms <= 0.0;
-    if let Some(choice) = situation.here.clone().filter(|_| has_room && is_next) {
-        if choice.first_event_ms < situation.time_left_ms {
-            return Placement::Send(choice);
-        }
+    let goes_now = situation.here.clone().filter(|choice| {
+        let is_quick = choice.work.is_quick() && choice.first_event_ms <= situation.goal_left_ms;
+        (is_quick || (has_room && is_next)) && choice.first_event_ms < situation.time_left_ms
+    });
+    if let Some(choice) = goes_now {
+        return Placement::Send(choice);
     }
     let is_hopeless = here_ms >= situation.time_left_ms;
     let is_late = here_ms > situation.goal_left_ms;
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -355,6 +355,17 @@
     }
 }
 
+impl Work {
+    /// Whether the prompt is read within a few steps of an engine, so that it
+    /// delays others little.
+    pub fn is_quick(&self) -> bool {
+        self.uncached_tokens <= QUICK_TOKENS
+    }
+}
+
+/// Longest prompt that counts as quick: two chunks of a batching engine.
+const QUICK_TOKENS: u64 = 2_048;
+
 /// Requests that a service's endpoints run at once.
 pub fn slots_of(endpoint: &Endpoint, service: Option<&Service>) -> f64 {
     let configured = service.and_then(|service| service.engine);
