Compare regions by cost, with the prompt parts they have cached

A request goes to another region when that costs less than here, where a prompt part that has to be read counts on both sides. A request whose only endpoint in the region failed it is repeated in another region.

Tests of the queue use a prompt that is not short.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -14,12 +14,9 @@
 /// Work that may wait inside one endpoint. Enough to keep it busy until this
 /// host has seen an answer and sent the next request.
 const MAX_ENDPOINT_BACKLOG_MS: f64 = 500.0;
-/// How much earlier an answer from another region has to be: the prediction for
-/// another region is older than the one for this region.
-const AWAY_ADVANTAGE_MS: f64 = 80.0;
-/// Share of the goal up to which a request stays in its region whatever others
-/// offer, since traffic between regions is slow and paid for.
-const HOME_GOAL_SHARE: f64 = 0.3;
+/// Cost of a millisecond in the queue of this region. Most requests that wait
+/// there at all are near the part of the goal beyond which waits are costly.
+const QUEUE_WEIGHT: f64 = 2.0;
 /// Shortest time after which a caller is told to return.
 const MIN_RETRY_MS: f64 = 150.0;
 /// Callers follow a hint up to this share of the time they have left.
@@ -32,6 +29,8 @@
     pub region: CompactString,
     /// Predicted time until the first event, the way there and back included.
     pub first_event_ms: f64,
+    /// Cost, comparable to that of a choice in this region.
+    pub cost_ms: f64,
 }
 
 /// What is known when a request is placed.
@@ -106,11 +105,12 @@
     }
     match here_ms {
         None => Some(offer),
-        Some(here_ms) => {
-            let is_late_here = here_ms > situation.goal_left_ms * HOME_GOAL_SHARE;
-            let is_better = offer.first_event_ms + AWAY_ADVANTAGE_MS < here_ms;
+        Some(_) => {
+            let cost_here_ms = situation.here.as_ref().map_or(0.0, |choice| choice.cost_ms);
+            let queue_cost_ms = situation.queue_ms * QUEUE_WEIGHT;
+            let is_cheaper = offer.cost_ms < cost_here_ms + queue_cost_ms;
             let is_in_time = offer.first_event_ms <= situation.goal_left_ms;
-            (is_late_here && is_better && is_in_time).then_some(offer)
+            (is_cheaper && is_in_time).then_some(offer)
         }
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -63,6 +63,12 @@
 const WAIT_WEIGHT: f64 = 0.4;
 /// Cost of a millisecond beyond the spare time.
 const EXCESS_WEIGHT: f64 = 4.0;
+/// Cost of traffic between regions.
+const AWAY_COST_MS: f64 = 60.0;
+/// How long a prompt part is expected in the caches of another region.
+const AWAY_CACHE_MS: u64 = 8_000;
+/// Parts remembered for other regions before old ones are dropped.
+const MAX_AWAY_PARTS: usize = 4_096;
 /// Cost of a full endpoint relative to an empty one: events come more slowly.
 const LOAD_COST_MS: f64 = 150.0;
 /// Weight of the error rate in the choice.
@@ -105,8 +111,10 @@
     pub work: Work,
     /// Prompt tokens that are copied from another endpoint.
     pub copied_tokens: u64,
-    /// Time that requests before this one take.
+    /// Time that all requests before this one take.
     pub backlog_ms: f64,
+    /// Cost, by which choices and offers of other regions are compared.
+    pub cost_ms: f64,
     /// Endpoint from which cached parts of the prompt are copied first.
     pub fetch_from: Option<SocketAddr>,
 }
@@ -137,6 +145,12 @@
     }
 }
 
+/// Cost of a wait: little within a part of the goal, and more beyond it.
+fn wait_cost(first_event_ms: f64, goal_left_ms: f64) -> f64 {
+    let excess_ms = (first_event_ms - goal_left_ms * SPARE_GOAL_SHARE).max(0.0);
+    WAIT_WEIGHT * first_event_ms + EXCESS_WEIGHT * excess_ms
+}
+
 /// Tokens that an endpoint has cached, from knowledge or, at the endpoint that
 /// all hosts prefer, from what they probably sent there.
 fn expected_cached(known: u64, call: &Call, is_preferred: bool) -> u64 {
@@ -159,6 +173,8 @@
     evacuated: BTreeSet<CompactString>,
     run_ms: BTreeMap<CompactString, f64>,
     token_ms: BTreeMap<CompactString, f64>,
+    /// When a prompt part was last sent to another region.
+    away_parts: BTreeMap<(CompactString, u64), u64>,
 }
 
 impl Fleet {
@@ -178,6 +194,7 @@
             evacuated: BTreeSet::new(),
             run_ms: BTreeMap::new(),
             token_ms: BTreeMap::new(),
+            away_parts: BTreeMap::new(),
         }
     }
 
@@ -313,11 +330,12 @@
             .filter(|endpoint| self.may_send_cold(endpoint, service, demand.hosts, now_ms))
             .map(|endpoint| {
                 let choice = self.predict(endpoint, demand, &caches, now_ms);
-                let cost = self.cost(endpoint, &choice, demand, now_ms);
-                (choice, cost)
+                Choice {
+                    cost_ms: self.cost(endpoint, &choice, demand, now_ms),
+                    ..choice
+                }
             })
-            .min_by(|left, right| left.1.total_cmp(&right.1))
-            .map(|(choice, _)| choice)
+            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
     /// What a choice costs, in milliseconds.
@@ -331,13 +349,10 @@
         let token_ms = self.token_ms(service, load);
         let read_ms = choice.work.uncached_tokens as f64 * token_ms;
         let copy_ms = choice.copied_tokens as f64 * token_ms;
-        let spare_ms = demand.goal_left_ms * SPARE_GOAL_SHARE;
-        let excess_ms = (choice.first_event_ms - spare_ms).max(0.0);
         let load_ms = load / slots * LOAD_COST_MS;
         let cost = READ_WEIGHT * read_ms
             + COPY_WEIGHT * copy_ms
-            + WAIT_WEIGHT * choice.first_event_ms
-            + EXCESS_WEIGHT * excess_ms
+            + wait_cost(choice.first_event_ms, demand.goal_left_ms)
             + load_ms;
         cost * (1.0 + ERROR_WEIGHT * endpoint.error_rate())
     }
@@ -376,6 +391,7 @@
         Choice {
             endpoint: endpoint.id.clone(),
             first_event_ms: backlog_ms + endpoint.slowness() * own_ms,
+            cost_ms: 0.0,
             work,
             copied_tokens,
             backlog_ms,
@@ -418,6 +434,39 @@
         caches
     }
 
+    /// Cost of a request in another region, which answers after `first_event_ms`
+    /// if it has to read the whole prompt.
+    pub fn cost_away(
+        &self,
+        region: &str,
+        first_event_ms: f64,
+        demand: &Demand<'_>,
+        now_ms: u64,
+    ) -> f64 {
+        let call = demand.call;
+        let is_known = call.affinity().is_some_and(|part| {
+            let sent_ms = self.away_parts.get(&(region.into(), part));
+            sent_ms.is_some_and(|sent_ms| now_ms < sent_ms + AWAY_CACHE_MS)
+        });
+        let shared = call.parts.len().saturating_sub(1);
+        let shared: u64 = call.parts[..shared].iter().map(|part| part.tokens.0).sum();
+        let cached = if is_known { shared } else { 0 };
+        let uncached_tokens = call.prompt.0.saturating_sub(cached);
+        let read_ms = uncached_tokens as f64 * self.mean_token_ms(demand.service, now_ms);
+        AWAY_COST_MS + READ_WEIGHT * read_ms + wait_cost(first_event_ms, demand.goal_left_ms)
+    }
+
+    /// Remembers that a request was sent to another region.
+    pub fn remember_away(&mut self, region: &str, call: &Call, now_ms: u64) {
+        if self.away_parts.len() > MAX_AWAY_PARTS {
+            self.away_parts
+                .retain(|_, sent_ms| now_ms < *sent_ms + AWAY_CACHE_MS);
+        }
+        if let Some(part) = call.affinity() {
+            self.away_parts.insert((region.into(), part), now_ms);
+        }
+    }
+
     /// Wait until running requests free enough memory.
     fn memory_wait_ms(
         &self,
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -170,11 +170,15 @@
             self.fleet.choose(&demand, now_ms)
         };
         let unwanted = [exchange.excluded.as_slice(), exchange.avoided.as_slice()].concat();
-        let here = is_home
-            .then(|| choose(&unwanted).or_else(|| choose(&exchange.excluded)))
-            .flatten();
-        let queue_ms = self.queue_ms(&service, Some(key), now_ms);
         let away = self.away_offer(exchange, &service, now_ms);
+        let untried = is_home.then(|| choose(&unwanted)).flatten();
+        // An endpoint that failed the request is only tried again if no other
+        // region can be.
+        let here = match untried {
+            None if is_home && away.is_none() => choose(&exchange.excluded),
+            untried => untried,
+        };
+        let queue_ms = self.queue_ms(&service, Some(key), now_ms);
         Some(Situation {
             here,
             queue_ms,
@@ -240,7 +244,7 @@
             .filter(|region| !exchange.excluded_regions.contains(region))
             .filter(|region| self.hosts.live(now_ms).any(|host| host.region == **region))
             .filter_map(|region| self.offer_of(region, exchange, service, now_ms))
-            .min_by(|left, right| left.first_event_ms.total_cmp(&right.first_event_ms))
+            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
     fn offer_of(
@@ -261,12 +265,23 @@
         let sent = f64::from(self.hosts.away_sent(region, &service.name));
         let hosts = self.hosts.region_names(now_ms).len() as f64;
         let sent_ms = sent * hosts * work_ms / f64::from(load.endpoint_count);
+        let first_event_ms = round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS)
+            + f64::from(load.backlog_ms)
+            + sent_ms
+            + work_ms;
+        let demand = Demand {
+            service,
+            call: &exchange.request.call,
+            excluded: &[],
+            hosts: &[],
+            goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
+        };
         Some(AwayOffer {
             region: region.clone(),
-            first_event_ms: round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS)
-                + f64::from(load.backlog_ms)
-                + sent_ms
-                + work_ms,
+            first_event_ms,
+            cost_ms: self
+                .fleet
+                .cost_away(region, first_event_ms, &demand, now_ms),
         })
     }
 
@@ -368,6 +383,9 @@
             sent_ms: now_ms,
         });
         self.hosts.record_away(&offer.region, &service);
+        let request = Rc::clone(&self.exchanges[key].request);
+        self.fleet
+            .remember_away(&offer.region, &request.call, now_ms);
         self.telemetry.count_away();
         let destination = Destination::Region {
             region: offer.region,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -280,9 +280,13 @@
         here: Some(Choice {
             endpoint: "e-0".into(),
             first_event_ms: 100.0,
-            work: Work::default(),
+            work: Work {
+                uncached_tokens: 8_000,
+                held_tokens: 8_400,
+            },
             copied_tokens: 0,
             backlog_ms: 50.0,
+            cost_ms: 200.0,
             fetch_from: None,
         }),
         queue_ms: 0.0,
@@ -329,6 +333,7 @@
     let offer = AwayOffer {
         region: "south".into(),
         first_event_ms: 300.0,
+        cost_ms: 500.0,
     };
     let busy = Situation {
         queue_ms: 900.0,
