--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -127,6 +127,20 @@
     pub sent_ms: u64,
 }
 
+/// What decided the refusal of a request, for its log line.
+#[derive(Debug, Clone, Copy)]
+pub struct Refused {
+    /// Predicted time to the first event in this region, its queue included;
+    /// none if no endpoint could be used.
+    pub here_ms: Option<u64>,
+    /// Part of it that requests take which wait here already.
+    pub queue_ms: u64,
+    /// Predicted time in the best other region, if one was known.
+    pub away_ms: Option<u64>,
+    /// When the caller may come back.
+    pub retry_ms: u64,
+}
+
 /// How far the answer to the caller is.
 #[derive(Debug, Default)]
 pub enum Reply {
@@ -175,6 +189,8 @@
     pub sending: Option<Sending>,
     /// How the latest placing was decided.
     pub placed: Option<Placed>,
+    /// What decided a refusal.
+    pub refused: Option<Refused>,
     /// When the first event, or the answer, had arrived.
     pub first_event_at_ms: Option<u64>,
     /// How far the answer is.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -13,6 +13,7 @@
     net::SocketAddr,
     sync::atomic::{
         AtomicBool,
+        AtomicU64,
         Ordering, //
     },
     thread,
@@ -44,6 +45,11 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call, so that a store that is down is not flooded.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two watches for each host of the region.
+const WATCH_PAUSE_PER_HOST: Duration = Duration::from_millis(80);
+/// Longest pause; with an answer of the store it stays below the time in which
+/// a configuration has to be in force, also without other hosts.
+const MAX_WATCH_PAUSE: Duration = Duration::from_millis(1_800);
 /// Time in which entries that lapsed during an outage come back.
 const RETURN_MS: u64 = 2_200;
 
@@ -71,7 +77,9 @@
     }
 
     /// Follows until the process ends.
-    pub fn run(&mut self, is_stopping: &AtomicBool) {
+    ///
+    /// `host_count` is the number of live hosts in the region.
+    pub fn run(&mut self, is_stopping: &AtomicBool, host_count: &AtomicU64) {
         let mut revision: Option<StoreRevision> = None;
         while !is_stopping.load(Ordering::Relaxed) {
             let result = match revision {
@@ -83,6 +91,7 @@
                 Ok(next) => {
                     self.set_reachable(true, "");
                     revision = Some(next);
+                    thread::sleep(watch_pause(host_count.load(Ordering::Relaxed)));
                 }
                 Err(StoreError::HistoryGone) => {
                     tracing::info!(
@@ -183,6 +192,16 @@
     }
 }
 
+/// Pause between two watches, in which changes gather.
+///
+/// Hosts watch at different times and learn from each other, so each of many
+/// hosts can watch more seldom.
+fn watch_pause(host_count: u64) -> Duration {
+    WATCH_PAUSE_PER_HOST
+        .saturating_mul(u32::try_from(host_count).unwrap_or(u32::MAX))
+        .min(MAX_WATCH_PAUSE)
+}
+
 /// Asks the hosts whose addresses arrive through `behind` for what they know.
 pub fn follow_peers(belief: &Belief, behind: &Receiver<SocketAddr>) {
     while let Ok(peer) = behind.recv() {
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -22,6 +22,8 @@
 /// Silence after which a host that sent beacons is taken as gone while the
 /// store cannot tell. Several beacons of the slowest interval fit into it.
 const SILENCE_MS: u64 = 3_000;
+/// Time after which the prompts that another host told of have been read.
+const BACKLOG_LIFETIME_MS: u64 = 600;
 /// Most addresses in an answer of the directory.
 const MAX_DIRECTORY_ADDRESSES: usize = 64;
 
@@ -70,10 +72,21 @@
     pub is_leaving: bool,
     /// Requests in progress, by a hash of the endpoint's id; to its own region.
     pub shares: Vec<(u32, u32, u32, u32)>,
+    /// Work that waits at the sender, by service; to its own region.
+    pub queues: Vec<QueueLoad>,
     /// Loads of the sender's region; to other regions.
     pub services: Vec<ServiceLoad>,
 }
 
+/// Work that waits at a host for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueLoad {
+    /// The service.
+    pub service: CompactString,
+    /// Time that an endpoint needs for it.
+    pub work_ms: u32,
+}
+
 #[derive(Debug, Clone)]
 struct Known {
     info: HostInfo,
@@ -82,6 +95,7 @@
     run: (u64, u64),
     heard_ms: Option<u64>,
     shares: BTreeMap<u32, Share>,
+    queues: Vec<QueueLoad>,
 }
 
 #[derive(Debug, Clone)]
@@ -148,6 +162,7 @@
                 run: (0, 0),
                 heard_ms: None,
                 shares: BTreeMap::new(),
+                queues: Vec::new(),
             });
         known.info = info;
         known.is_registered = true;
@@ -176,6 +191,7 @@
                 run: (0, 0),
                 heard_ms: None,
                 shares: BTreeMap::new(),
+                queues: Vec::new(),
             });
         if run <= known.run {
             return false;
@@ -183,7 +199,8 @@
         known.run = run;
         known.heard_ms = Some(now_ms);
         known.is_leaving = beacon.is_leaving;
-        if beacon.host.region == self.own.region {
+        if beacon.host.region == self.own.region && beacon.services.is_empty() {
+            known.queues = beacon.queues;
             known.shares = beacon
                 .shares
                 .into_iter()
@@ -218,12 +235,26 @@
                 continue;
             }
             if let Some(share) = known.shares.get(&id) {
-                total.add(*share);
+                total.add(faded(
+                    *share,
+                    now_ms.saturating_sub(known.heard_ms.unwrap_or(0)),
+                ));
             }
         }
         total
     }
 
+    /// Work that waits for a service at the other hosts of the region.
+    pub fn queue_of_others_ms(&self, service: &str, now_ms: u64) -> f64 {
+        self.known
+            .values()
+            .filter(|known| is_heard(known, now_ms))
+            .flat_map(|known| &known.queues)
+            .filter(|queue| queue.service == service)
+            .map(|queue| f64::from(queue.work_ms))
+            .sum()
+    }
+
     /// Load of a service in another region, with its age.
     pub fn away_load(
         &self,
@@ -310,6 +341,16 @@
     }
 }
 
+/// A share as it probably is some time after it was told: prompts are read in
+/// the meantime.
+fn faded(share: Share, age_ms: u64) -> Share {
+    let left_ms = BACKLOG_LIFETIME_MS.saturating_sub(age_ms);
+    Share {
+        backlog_tokens: share.backlog_tokens * left_ms / BACKLOG_LIFETIME_MS,
+        ..share
+    }
+}
+
 fn is_heard(known: &Known, now_ms: u64) -> bool {
     known
         .heard_ms
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -10,6 +10,7 @@
     endpoint::slots_of,
     hosts::{
         Beacon,
+        QueueLoad,
         ServiceLoad,
         endpoint_hash, //
     },
@@ -20,7 +21,7 @@
 const MAX_BEACON_BYTES: usize = 1_400;
 /// Interval of beacons to each host of the region, for each of these hosts, so
 /// that a host receives about as many whatever the size of the region.
-const BEACON_INTERVAL_PER_HOST_MS: u64 = 40;
+const BEACON_INTERVAL_PER_HOST_MS: u64 = 20;
 /// Shortest interval of beacons to the region.
 const MIN_BEACON_INTERVAL_MS: u64 = 100;
 /// Longest interval; a few fit into the silence after which a host is gone.
@@ -224,6 +225,7 @@
             revision: self.known_revision(),
             is_leaving: self.leave_started_ms.is_some(),
             shares: Vec::new(),
+            queues: Vec::new(),
             services: Vec::new(),
         }
     }
@@ -243,9 +245,23 @@
                 )
             })
             .collect();
+        beacon.queues = self.own_queues();
         beacon
     }
 
+    fn own_queues(&self) -> Vec<QueueLoad> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let configuration = self.configuration.clone().unwrap_or_default();
+        let now_ms = self.now_ms();
+        let queues = configuration.services.iter().map(|service| QueueLoad {
+            service: service.name.clone(),
+            work_ms: self.own_queue_ms(service, None, now_ms) as u32,
+        });
+        queues.filter(|queue| queue.work_ms > 0).collect()
+    }
+
     fn away_beacon(&mut self, now_ms: u64) -> Beacon {
         let mut beacon = self.new_beacon();
         let Some(configuration) = self.configuration.clone() else {
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -14,7 +14,13 @@
         ErrorKind, //
     },
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
     time::{
         Duration,
         Instant, //
@@ -132,6 +138,8 @@
     /// When the host fell behind, and the revision it knew.
     pub(super) behind_since: Option<(u64, u64)>,
     pub(super) next_ask_ms: u64,
+    /// Live hosts of the region, for the thread that follows the store.
+    host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
 }
 
@@ -206,6 +214,7 @@
             behind: None,
             behind_since: None,
             next_ask_ms: 0,
+            host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
         })
     }
@@ -215,6 +224,11 @@
         Waker::new(self.poll.registry(), WAKER).map(Arc::new)
     }
 
+    /// Number of live hosts in the region, kept up to date.
+    pub fn host_count(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.host_count)
+    }
+
     /// Sets what reads the settings again.
     pub fn with_reload(mut self, reload: Box<dyn Fn() -> Option<GatewaySettings>>) -> Self {
         self.reload = Some(reload);
@@ -365,6 +379,8 @@
         for key in stale {
             self.close_upstream(key);
         }
+        let host_count = self.hosts.region_names(now_ms).len() as u64;
+        self.host_count.store(host_count, Ordering::Relaxed);
         let fleet = &mut self.fleet;
         let hosts = &self.hosts;
         fleet.set_others(|id| hosts.shares_of_others(id, now_ms));
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -67,10 +67,10 @@
                 break;
             }
         }
-        if let Some(held) = lease {
-            if let Err(error) = self.client.end_lease(held) {
-                tracing::warn!(%error, "could not end the lease; it lapses by itself");
-            }
+        if let Some(held) = lease
+            && let Err(error) = self.client.end_lease(held)
+        {
+            tracing::warn!(%error, "could not end the lease; it lapses by itself");
         }
     }
 
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -310,11 +310,11 @@
         client.exchange = None;
         client.active_ms = now_ms;
         self.flush_client(key);
-        if let Some(client) = self.clients.get_mut(key) {
-            if !client.closes {
-                client.wire.shrink();
-                self.read_requests(key);
-            }
+        if let Some(client) = self.clients.get_mut(key)
+            && !client.closes
+        {
+            client.wire.shrink();
+            self.read_requests(key);
         }
     }
 
@@ -397,10 +397,10 @@
     else {
         return Ok(None);
     };
-    if let BodyDecoder::Length(left) = decoder {
-        if *left > limits.max_body_bytes as u64 {
-            return Err(413);
-        }
+    if let BodyDecoder::Length(left) = decoder
+        && *left > limits.max_body_bytes as u64
+    {
+        return Err(413);
     }
     let used = decoder
         .decode(&client.wire.input, content)
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -44,6 +44,7 @@
         Exchange,
         Placed,
         Plan,
+        Refused,
         Reply,
         Sending, //
     },
@@ -118,6 +119,7 @@
             is_waiting: false,
             sending: None,
             placed: None,
+            refused: None,
             first_event_at_ms: None,
             reply: Reply::None,
             events: EventSplitter::new(),
@@ -139,6 +141,18 @@
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
+        let inputs = Refused {
+            here_ms: situation
+                .here
+                .as_ref()
+                .map(|choice| (choice.first_event_ms + situation.queue_ms) as u64),
+            queue_ms: situation.queue_ms as u64,
+            away_ms: situation
+                .away
+                .as_ref()
+                .map(|offer| offer.first_event_ms as u64),
+            retry_ms: 0,
+        };
         match place(situation) {
             Placement::Send(choice) => self.send_to_endpoint(key, choice),
             Placement::Away(offer) => self.send_away(key, offer),
@@ -148,7 +162,10 @@
                     self.waiting.push(key);
                 }
             }
-            Placement::Refuse(retry_ms) => self.refuse(key, "no capacity in time", retry_ms),
+            Placement::Refuse(retry_ms) => {
+                exchange.refused = Some(Refused { retry_ms, ..inputs });
+                self.refuse(key, "no capacity in time", retry_ms);
+            }
         }
     }
 
@@ -208,6 +225,17 @@
     /// Time that the requests take which wait here and come before `key`, or
     /// all that wait if there is none.
     pub(super) fn queue_ms(&self, service: &Service, key: Option<usize>, now_ms: u64) -> f64 {
+        let own_ms = self.own_queue_ms(service, key, now_ms);
+        // The other hosts of the region have queues in front of the same
+        // endpoints, and their requests may be more or less urgent.
+        let others_ms = self.hosts.queue_of_others_ms(&service.name, now_ms) / 2.0;
+        let endpoints = self.fleet.usable(&service.name, now_ms).count().max(1) as f64;
+        (own_ms + others_ms) / endpoints
+    }
+
+    /// Time that one endpoint would need for the requests that wait here and
+    /// come before `key`, or for all that wait if there is none.
+    pub(super) fn own_queue_ms(&self, service: &Service, key: Option<usize>, now_ms: u64) -> f64 {
         let own_rank = key.and_then(|key| self.exchanges.get(key)).map(rank);
         let ahead = self
             .waiting
@@ -216,18 +244,9 @@
             .filter_map(|other| self.exchanges.get(*other))
             .filter(|other| other.plan.service == service.name)
             .filter(|other| own_rank.is_none_or(|own| rank(other) <= own));
-        let mut total_ms = 0.0;
-        for other in ahead {
-            total_ms += self.fleet.service_ms(service, &other.request.call, now_ms);
-        }
-        if total_ms <= 0.0 {
-            return 0.0;
-        }
-        // The other hosts of the region have queues of their own in front of
-        // the same endpoints.
-        let hosts = self.hosts.region_names(now_ms).len() as f64;
-        let endpoints = self.fleet.usable(&service.name, now_ms).count().max(1) as f64;
-        total_ms * hosts / endpoints
+        ahead
+            .map(|other| self.fleet.service_ms(service, &other.request.call, now_ms))
+            .sum()
     }
 
     fn away_offer(&self, exchange: &Exchange, service: &Service, now_ms: u64) -> Option<AwayOffer> {
@@ -513,14 +532,13 @@
             destination: Destination::Endpoint(choice),
             ..
         }) = &exchange.sending
+            && let Some(endpoint) = self.fleet.get_mut(&choice.endpoint)
         {
-            if let Some(endpoint) = self.fleet.get_mut(&choice.endpoint) {
-                if let Some(load) = verdict.load {
-                    endpoint.report(load, now_ms);
-                }
-                if let Some(left_ms) = verdict.cold_left_ms {
-                    endpoint.set_cold(left_ms, now_ms);
-                }
+            if let Some(load) = verdict.load {
+                endpoint.report(load, now_ms);
+            }
+            if let Some(left_ms) = verdict.cold_left_ms {
+                endpoint.set_cold(left_ms, now_ms);
             }
         }
         let streams = exchange.plan.is_stream && is_good(head, verdict);
@@ -872,26 +890,26 @@
         if was_sent {
             exchange.run_count += 1;
         }
-        if let Some(upstream) = self.upstreams.get_mut(sending.upstream) {
-            if upstream.exchange == Some(key) {
-                upstream.exchange = None;
-            }
+        if let Some(upstream) = self.upstreams.get_mut(sending.upstream)
+            && upstream.exchange == Some(key)
+        {
+            upstream.exchange = None;
         }
-        if let Destination::Endpoint(choice) = &sending.destination {
-            if let Some(endpoint) = self.fleet.get_mut(&choice.endpoint) {
-                endpoint.finish(choice.work, sending.has_begun);
-                let blocked = failure.is_some_and(|failure| endpoint.fail(failure, now_ms));
-                if blocked {
-                    tracing::warn!(
-                        endpoint = %choice.endpoint,
-                        ?failure,
-                        until_ms = endpoint.blocked_until_ms().saturating_sub(now_ms),
-                        "endpoint is not used for a while"
-                    );
-                }
-                if !endpoint.is_listed {
-                    self.fleet.withdraw(&choice.endpoint);
-                }
+        if let Destination::Endpoint(choice) = &sending.destination
+            && let Some(endpoint) = self.fleet.get_mut(&choice.endpoint)
+        {
+            endpoint.finish(choice.work, sending.has_begun);
+            let blocked = failure.is_some_and(|failure| endpoint.fail(failure, now_ms));
+            if blocked {
+                tracing::warn!(
+                    endpoint = %choice.endpoint,
+                    ?failure,
+                    until_ms = endpoint.blocked_until_ms().saturating_sub(now_ms),
+                    "endpoint is not used for a while"
+                );
+            }
+            if !endpoint.is_listed {
+                self.fleet.withdraw(&choice.endpoint);
             }
         }
     }
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -11,6 +11,7 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicU64,
             Ordering, //
         }, //
     },
@@ -83,7 +84,14 @@
 
     let (stop, stopped) = bounded::<()>(1);
     let deregistered = spawn_registration(&settings, stopped)?;
-    spawn_followers(&settings, belief, asked, Arc::clone(&is_stopping))?;
+    let host_count = reactor.host_count();
+    spawn_followers(
+        &settings,
+        belief,
+        asked,
+        Arc::clone(&is_stopping),
+        host_count,
+    )?;
     spawn_signals(updates, stop)?;
     let ended = reactor.run().context("the reactor failed")?;
 
@@ -137,6 +145,7 @@
     belief: Belief,
     asked: Receiver<SocketAddr>,
     is_stopping: Arc<AtomicBool>,
+    host_count: Arc<AtomicU64>,
 ) -> anyhow::Result<()> {
     let mut follower = StoreFollower::new(settings.store_address, belief.clone());
     thread::Builder::new()
@@ -144,7 +153,7 @@
         .spawn(move || follow_peers(&belief, &asked))?;
     thread::Builder::new()
         .name("store".into())
-        .spawn(move || follower.run(&is_stopping))?;
+        .spawn(move || follower.run(&is_stopping, &host_count))?;
     Ok(())
 }
 
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -210,6 +210,10 @@
             first_event_ms = exchange
                 .first_event_at_ms
                 .map(|at_ms| at_ms.saturating_sub(exchange.arrived_ms)),
+            here_ms = exchange.refused.and_then(|refused| refused.here_ms),
+            queue_ms = exchange.refused.map(|refused| refused.queue_ms),
+            away_ms = exchange.refused.and_then(|refused| refused.away_ms),
+            retry_ms = exchange.refused.map(|refused| refused.retry_ms),
             total_ms,
             outcome,
             status,
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -132,7 +132,7 @@
 #[test]
 fn intent_files_in_the_pages_plan_without_refusal() {
     let mut found = 0;
-    for page in ["README.md", "docs/operations.md"] {
+    for page in ["README.md", "docs/OPERATIONS.md"] {
         for block in blocks(&read(page), "ini") {
             if !block.contains("[caller/") {
                 continue;
@@ -150,12 +150,12 @@
 #[test]
 fn settings_in_the_pages_are_valid() {
     let mut found = 0;
-    for block in blocks(&read("docs/operations.md"), "ini") {
+    for block in blocks(&read("docs/OPERATIONS.md"), "ini") {
         if !block.contains("[host]") {
             continue;
         }
         found += 1;
-        let path = Path::new("docs/operations.md");
+        let path = Path::new("docs/OPERATIONS.md");
         let config = cardamombridge::config::Config::parse(path, &block);
         assert!(config.is_ok(), "{config:?}");
     }
@@ -197,7 +197,7 @@
 /// the list again, run this test with `UPDATE_EXPECT=1`.
 #[test]
 fn the_list_of_metrics_is_current() {
-    let path = "docs/operations.md";
+    let path = "docs/OPERATIONS.md";
     let page = read(path);
     let (before, rest) = page.split_once(METRICS_START).expect("start of the list");
     let (shown, after) = rest.split_once(METRICS_END).expect("end of the list");
@@ -254,7 +254,7 @@
     let of_cargo = ["release", "locked", "all", "all-targets", "test", "check"];
     let mut unshown = BTreeSet::new();
     leaf_commands(&cli, cli.get_name(), &mut unshown);
-    for page in ["README.md", "docs/operations.md"] {
+    for page in ["README.md", "docs/OPERATIONS.md"] {
         let text = read(page).replace("\\\n", " ");
         for word in words(&text).filter(|word| is_option(word)) {
             let name = word.trim_start_matches('-').split('=').next();
@@ -296,7 +296,7 @@
         "README.md",
         "CONTRIBUTING.md",
         "CHANGELOG.md",
-        "docs/operations.md",
+        "docs/OPERATIONS.md",
         "docs/CAPACITY.md",
         "docs/glossary.md",
         "docs/measurements.md",
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -391,6 +391,7 @@
         revision: 1,
         is_leaving: false,
         shares: Vec::new(),
+        queues: Vec::new(),
         services: Vec::new(),
     }
 }
