--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -5,7 +5,10 @@
 //! although the store cannot tell.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     net::SocketAddr, //
 };
 
@@ -23,7 +26,7 @@
 /// store cannot tell. Several beacons of the slowest interval fit into it.
 const SILENCE_MS: u64 = 3_000;
 /// Time after which the prompts that another host told of have been read.
-const BACKLOG_LIFETIME_MS: u64 = 600;
+const BACKLOG_LIFETIME_MS: u64 = 400;
 /// Most addresses in an answer of the directory.
 const MAX_DIRECTORY_ADDRESSES: usize = 64;
 
@@ -94,7 +97,7 @@
     is_leaving: bool,
     run: (u64, u64),
     heard_ms: Option<u64>,
-    shares: BTreeMap<u32, Share>,
+    shares: Vec<(u32, Share)>,
     queues: Vec<QueueLoad>,
 }
 
@@ -161,7 +164,7 @@
                 is_leaving: false,
                 run: (0, 0),
                 heard_ms: None,
-                shares: BTreeMap::new(),
+                shares: Vec::new(),
                 queues: Vec::new(),
             });
         known.info = info;
@@ -190,7 +193,7 @@
                 is_leaving: false,
                 run: (0, 0),
                 heard_ms: None,
-                shares: BTreeMap::new(),
+                shares: Vec::new(),
                 queues: Vec::new(),
             });
         if run <= known.run {
@@ -226,22 +229,23 @@
         true
     }
 
-    /// What all other hosts of the region have at an endpoint.
-    pub fn shares_of_others(&self, endpoint: &str, now_ms: u64) -> Share {
-        let id = endpoint_hash(endpoint);
-        let mut total = Share::default();
+    /// What all other hosts of the region have at each endpoint, by the hash of
+    /// the endpoint's id.
+    pub fn shares_of_others(&self, now_ms: u64) -> HashMap<u32, Share> {
+        let mut totals: HashMap<u32, Share> = HashMap::new();
         for known in self.known.values() {
             if !is_heard(known, now_ms) {
                 continue;
             }
-            if let Some(share) = known.shares.get(&id) {
-                total.add(faded(
-                    *share,
-                    now_ms.saturating_sub(known.heard_ms.unwrap_or(0)),
-                ));
+            let age_ms = now_ms.saturating_sub(known.heard_ms.unwrap_or(0));
+            for (endpoint, share) in &known.shares {
+                totals
+                    .entry(*endpoint)
+                    .or_default()
+                    .add(faded(*share, age_ms));
             }
         }
-        total
+        totals
     }
 
     /// Work that waits for a service at the other hosts of the region.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -21,11 +21,15 @@
 const MAX_BEACON_BYTES: usize = 1_400;
 /// Interval of beacons to each host of the region, for each of these hosts, so
 /// that a host receives about as many whatever the size of the region.
-const BEACON_INTERVAL_PER_HOST_MS: u64 = 20;
+const BEACON_INTERVAL_PER_HOST_MS: u64 = 9;
 /// Shortest interval of beacons to the region.
 const MIN_BEACON_INTERVAL_MS: u64 = 100;
 /// Longest interval; a few fit into the silence after which a host is gone.
 const MAX_BEACON_INTERVAL_MS: u64 = 900;
+/// Shortest interval between two sums over what other hosts told.
+const SHARE_UPDATE_MS: u64 = 25;
+/// The same while nothing new was told.
+const IDLE_SHARE_UPDATE_MS: u64 = 100;
 /// Time for which another host has to know more before it is asked: a change
 /// takes a round trip between regions to reach all hosts.
 const BEHIND_MS: u64 = 400;
@@ -313,6 +317,21 @@
         }
     }
 
+    /// Takes over what the other hosts of the region have at the endpoints.
+    pub(super) fn update_shares(&mut self, now_ms: u64) {
+        if now_ms < self.next_share_update_ms {
+            return;
+        }
+        let interval_ms = match std::mem::take(&mut self.has_new_shares) {
+            true => SHARE_UPDATE_MS,
+            false => IDLE_SHARE_UPDATE_MS,
+        };
+        self.next_share_update_ms = now_ms + interval_ms;
+        let shares = self.hosts.shares_of_others(now_ms);
+        self.fleet
+            .set_others(|id| shares.get(&endpoint_hash(id)).copied().unwrap_or_default());
+    }
+
     pub(super) fn receive_beacons(&mut self) {
         let now_ms = self.now_ms();
         let mut buffer = [0_u8; MAX_BEACON_BYTES + 1];
@@ -334,10 +353,6 @@
                 }
             }
         }
-        if is_changed {
-            let hosts = &self.hosts;
-            self.fleet
-                .set_others(|id| hosts.shares_of_others(id, now_ms));
-        }
+        self.has_new_shares |= is_changed;
     }
 }
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -138,6 +138,9 @@
     /// When the host fell behind, and the revision it knew.
     pub(super) behind_since: Option<(u64, u64)>,
     pub(super) next_ask_ms: u64,
+    /// Beacons arrived since the last sum over what other hosts told.
+    pub(super) has_new_shares: bool,
+    pub(super) next_share_update_ms: u64,
     /// Live hosts of the region, for the thread that follows the store.
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
@@ -214,6 +217,8 @@
             behind: None,
             behind_since: None,
             next_ask_ms: 0,
+            has_new_shares: false,
+            next_share_update_ms: 0,
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
         })
@@ -356,6 +361,7 @@
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         self.send_beacons(now_ms);
+        self.update_shares(now_ms);
         self.ask_seeds(now_ms);
         self.check_exchanges(now_ms);
         self.serve_waiting(now_ms);
@@ -381,9 +387,6 @@
         }
         let host_count = self.hosts.region_names(now_ms).len() as u64;
         self.host_count.store(host_count, Ordering::Relaxed);
-        let fleet = &mut self.fleet;
-        let hosts = &self.hosts;
-        fleet.set_others(|id| hosts.shares_of_others(id, now_ms));
     }
 
     /// Whether new requests are refused because the process ends soon.
