--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -26,7 +26,7 @@
 /// store cannot tell. Several beacons of the slowest interval fit into it.
 const SILENCE_MS: u64 = 3_000;
 /// Time after which the prompts that another host told of have been read.
-const BACKLOG_LIFETIME_MS: u64 = 400;
+const BACKLOG_LIFETIME_MS: u64 = 600;
 /// Most addresses in an answer of the directory.
 const MAX_DIRECTORY_ADDRESSES: usize = 64;
 
