Soak real gateway processes under random faults

A seed decides requests, answers of endpoints and faults: hosts are paused, stopped, killed and restarted, their ways to the store cut, frozen and delayed, the store refuses, closes, loses answers and drops its history, and configurations, evacuations and removals come in between. Checked from what callers and endpoints saw: at most one run, true refusals, whole and own answers, events in order, versions that never go back, recovery.

--- /dev/null
+++ b/tests/gateway_soak.rs
@@ -0,0 +1,449 @@
+//! Randomized soak of real gateway processes under faults from outside.
+//!
+//! A seed decides the requests, the answers of the endpoints and the faults:
+//! hosts are paused, stopped, killed and restarted; their ways to the store are
+//! cut, frozen and delayed; the store refuses, closes, loses answers and drops
+//! its history; configurations, evacuations and removals come in between. The
+//! checks use only what callers received and what endpoints saw.
+//!
+//! `SOAK_SEEDS` lists seeds and `SOAK_SECONDS` sets the length of each, such as
+//! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak`.
+
+mod gatewayenv;
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use cardamombridge::standin::{
+    metadata_store::{
+        MetadataStore,
+        StoreFault, //
+    },
+    scripted::{
+        Arrival,
+        Script,
+        ScriptedEndpoint,
+        event_text, //
+    },
+    wire::Wire, //
+};
+use gatewayenv::{
+    Answer,
+    Host,
+    HostOptions,
+    Request,
+    announce,
+    announce_with,
+    configuration,
+    store_with_configuration,
+    wait_until, //
+};
+use nix::sys::signal::Signal;
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+
+/// Seeds that run in CI, and every seed that ever failed.
+const DEFAULT_SEEDS: [u64; 2] = [1, 2];
+/// Length of one seed in CI.
+const DEFAULT_SECONDS: u64 = 6;
+const HOSTS: [(&str, &str); 3] = [
+    ("host-1", "north"),
+    ("host-2", "north"),
+    ("host-3", "south"),
+];
+const ENDPOINTS: [(&str, &str); 4] = [
+    ("e-1", "north"),
+    ("e-2", "north"),
+    ("e-3", "south"),
+    ("e-4", "south"),
+];
+const CALLERS: u64 = 6;
+const EVENTS: u64 = 6;
+const LIMIT_MS: u64 = 3_000;
+/// Time in which all hosts serve again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(8);
+
+struct Outcome {
+    attempt: String,
+    path: &'static str,
+    answer: Option<Answer>,
+}
+
+type Callers = Arc<Mutex<Vec<Option<SocketAddr>>>>;
+
+fn pick(random: &mut Pcg64Mcg, count: u64) -> u64 {
+    random.next_u64() % count
+}
+
+/// What an endpoint does with a request, decided by the seed and the attempt.
+fn script(seed: u64, arrival: &Arrival, index: usize) -> Script {
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ (index as u64) << 32);
+    let first = arrival
+        .headers
+        .get("last-event-id")
+        .and_then(|last| last.parse::<u64>().ok())
+        .map_or(0, |last| last + 1);
+    let is_stream = arrival.path.starts_with("/chat/") || arrival.path.starts_with("/draft/");
+    match (pick(&mut random, 20), is_stream) {
+        (0, _) => Script::NotRun,
+        (1, _) => Script::Close,
+        (2, _) => Script::Answer(500, b"failed".to_vec()),
+        (3, true) => Script::Events {
+            first,
+            end: (first + 2).min(EVENTS),
+            pause: Duration::from_millis(5),
+            is_whole: false,
+        },
+        (_, true) => Script::Events {
+            first,
+            end: EVENTS,
+            pause: Duration::from_millis(pick(&mut random, 40)),
+            is_whole: true,
+        },
+        (3, false) => Script::Extra(
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n\
+              Content-Length: 5\r\n\r\nother"
+                .to_vec(),
+        ),
+        (_, false) => Script::After(
+            Duration::from_millis(pick(&mut random, 60)),
+            Box::new(Script::Answer(200, arrival.attempt().as_bytes().to_vec())),
+        ),
+    }
+}
+
+/// Sends requests until told to end.
+fn call(seed: u64, callers: &Callers, ends: &AtomicBool, outcomes: &Mutex<Vec<Outcome>>) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut number = 0;
+    while !ends.load(Ordering::Relaxed) {
+        number += 1;
+        let attempt = format!("{seed:x}-{number}");
+        let paths = ["/read/1", "/book/1", "/chat/1", "/draft/1"];
+        let path = paths[pick(&mut random, 4) as usize];
+        let host = pick(&mut random, HOSTS.len() as u64) as usize;
+        let address = callers.lock().expect("no panic")[host];
+        let Some(address) = address else {
+            thread::sleep(Duration::from_millis(10));
+            continue;
+        };
+        let request = match path {
+            "/read/1" => Request::get(path),
+            _ => Request::post(path, attempt.as_bytes()),
+        };
+        let answer = request.with_attempt(&attempt, LIMIT_MS).try_send(address);
+        outcomes.lock().expect("no panic").push(Outcome {
+            attempt,
+            path,
+            answer,
+        });
+    }
+}
+
+struct World {
+    store: MetadataStore,
+    wires: Vec<Wire>,
+    endpoints: Vec<ScriptedEndpoint>,
+    hosts: Vec<Option<Host>>,
+    callers: Callers,
+    old_logs: Vec<String>,
+    version: u64,
+    incarnation: AtomicU64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let store = store_with_configuration();
+        let endpoints: Vec<ScriptedEndpoint> = ENDPOINTS
+            .iter()
+            .map(|(id, region)| {
+                let endpoint =
+                    ScriptedEndpoint::start(id, move |index, arrival| script(seed, arrival, index))
+                        .expect("the endpoint starts");
+                announce(&store, &endpoint, region);
+                endpoint
+            })
+            .collect();
+        let wires = (0..HOSTS.len() as u64)
+            .map(|index| Wire::start(store.address(), seed ^ index).expect("the wire starts"))
+            .collect();
+        let mut world = Self {
+            store,
+            wires,
+            endpoints,
+            hosts: HOSTS.iter().map(|_| None).collect(),
+            callers: Arc::new(Mutex::new(vec![None; HOSTS.len()])),
+            old_logs: Vec::new(),
+            version: 7,
+            incarnation: AtomicU64::new(1),
+        };
+        for index in 0..HOSTS.len() {
+            world.start(index);
+        }
+        for host in world.hosts.iter().flatten() {
+            host.wait_ready();
+            host.wait_log("endpoint announced");
+        }
+        world
+    }
+
+    fn start(&mut self, index: usize) {
+        let (name, region) = HOSTS[index];
+        let options = HostOptions {
+            name,
+            region,
+            shutdown_s: 6,
+            store: Some(self.wires[index].address()),
+        };
+        let host = Host::start_only(&self.store, &options);
+        self.callers.lock().expect("no panic")[index] = Some(host.callers);
+        self.hosts[index] = Some(host);
+    }
+
+    /// Ends a host's process with a signal and starts another one.
+    fn restart(&mut self, index: usize, signal: Signal) {
+        if let Some(mut host) = self.hosts[index].take() {
+            host.signal(signal);
+            let ended = host.wait_end(Duration::from_secs(9));
+            assert!(
+                ended.is_some() || signal == Signal::SIGKILL,
+                "a host did not end"
+            );
+            self.old_logs.push(host.log());
+        }
+        self.start(index);
+    }
+
+    fn configure(&mut self) {
+        self.version += 1;
+        self.store.put("op/config", &configuration(self.version));
+    }
+
+    /// Plays one fault and mends it.
+    fn fault(&mut self, random: &mut Pcg64Mcg) {
+        let index = pick(random, HOSTS.len() as u64) as usize;
+        let pause = Duration::from_millis(100 + pick(random, 900));
+        match pick(random, 11) {
+            0 => self.restart(index, Signal::SIGKILL),
+            1 => self.restart(index, Signal::SIGTERM),
+            2 => {
+                self.signal(index, Signal::SIGSTOP);
+                thread::sleep(pause);
+                self.signal(index, Signal::SIGCONT);
+            }
+            3 => {
+                self.wires[index].set_cut(true);
+                self.configure();
+                thread::sleep(pause);
+                self.wires[index].set_cut(false);
+            }
+            4 => {
+                self.wires[index].set_frozen(true);
+                self.configure();
+                thread::sleep(pause);
+                self.wires[index].set_frozen(false);
+            }
+            5 => {
+                self.wires[index].set_delay(pause / 4);
+                thread::sleep(pause);
+                self.wires[index].set_delay(Duration::ZERO);
+            }
+            6..=8 => {
+                let faults = [StoreFault::Busy, StoreFault::Down, StoreFault::LosesAnswers];
+                self.store.set_fault(faults[pick(random, 3) as usize]);
+                thread::sleep(pause);
+                self.store.set_fault(StoreFault::None);
+                self.store.drop_history();
+            }
+            9 => {
+                self.store.put("op/evacuate/north-a", &json!({}));
+                thread::sleep(pause);
+                self.store.delete("op/evacuate/north-a");
+            }
+            _ => self.replace_endpoint(pick(random, ENDPOINTS.len() as u64) as usize, pause),
+        }
+    }
+
+    fn signal(&self, index: usize, signal: Signal) {
+        if let Some(host) = &self.hosts[index] {
+            host.signal(signal);
+        }
+    }
+
+    /// Announces an endpoint as leaving, and later as started again.
+    fn replace_endpoint(&self, index: usize, pause: Duration) {
+        let endpoint = &self.endpoints[index];
+        let region = ENDPOINTS[index].1;
+        announce_with(
+            &self.store,
+            endpoint,
+            region,
+            &json!({ "state": "draining" }),
+        );
+        thread::sleep(pause);
+        let born = self.incarnation.fetch_add(1, Ordering::Relaxed) + 1;
+        announce_with(&self.store, endpoint, region, &json!({ "born": born }));
+    }
+}
+
+/// Runs of each attempt at all endpoints.
+fn runs(endpoints: &[ScriptedEndpoint]) -> HashMap<String, usize> {
+    let mut counts = HashMap::new();
+    for run in endpoints.iter().flat_map(ScriptedEndpoint::runs) {
+        *counts.entry(run.attempt().to_owned()).or_default() += 1;
+    }
+    counts
+}
+
+fn check_outcome(seed: u64, outcome: &Outcome, runs: usize) {
+    let Outcome { attempt, path, .. } = outcome;
+    let may_repeat = matches!(*path, "/read/1" | "/chat/1");
+    let limit = if may_repeat { 2 } else { 1 };
+    assert!(
+        runs <= limit,
+        "seed {seed}: {attempt} {path} ran {runs} times"
+    );
+    let Some(answer) = &outcome.answer else {
+        return;
+    };
+    let promises_not_run = matches!(answer.status, 408 | 421 | 429 | 503);
+    if promises_not_run && !may_repeat {
+        assert_eq!(runs, 0, "seed {seed}: {attempt} {path} was refused and ran");
+    }
+    if answer.status != 200 {
+        return;
+    }
+    let text = answer.text();
+    let expected = match *path {
+        "/chat/1" | "/draft/1" => (0..EVENTS).map(event_text).collect(),
+        _ => attempt.clone(),
+    };
+    // The script that sends a second answer gives the first one this body.
+    let is_own = text == expected || text == "answer";
+    match answer.is_whole {
+        true => assert!(is_own, "seed {seed}: {attempt} {path} got {text:?}"),
+        false => assert!(
+            expected.starts_with(&text),
+            "seed {seed}: {attempt} {path} got the part {text:?}"
+        ),
+    }
+}
+
+fn check_versions(seed: u64, log: &str) {
+    let versions: Vec<u64> = log
+        .lines()
+        .filter(|line| line.contains("\"configuration in force\""))
+        .filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok())
+        .filter_map(|line| line["version"].as_u64())
+        .collect();
+    assert!(
+        versions.is_sorted_by(|left, right| left < right),
+        "seed {seed}: versions {versions:?}"
+    );
+}
+
+fn soak(seed: u64, length: Duration) {
+    let mut world = World::new(seed);
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let ends = Arc::new(AtomicBool::new(false));
+    let outcomes = Arc::new(Mutex::new(Vec::new()));
+    let threads: Vec<thread::JoinHandle<()>> = (0..CALLERS)
+        .map(|caller| {
+            let callers = Arc::clone(&world.callers);
+            let ends = Arc::clone(&ends);
+            let outcomes = Arc::clone(&outcomes);
+            let caller_seed = seed.wrapping_mul(1_000) + caller;
+            thread::spawn(move || call(caller_seed, &callers, &ends, &outcomes))
+        })
+        .collect();
+
+    let deadline = Instant::now() + length;
+    while Instant::now() < deadline {
+        world.fault(&mut random);
+        thread::sleep(Duration::from_millis(pick(&mut random, 300)));
+    }
+
+    let recovery = Instant::now() + RECOVERY;
+    for (index, address) in world.callers.lock().expect("no panic").iter().enumerate() {
+        let address = address.expect("every host was started again");
+        wait_until("a host serves again", || {
+            let request = Request::get("/read/1").with_attempt(&format!("r-{index}"), LIMIT_MS);
+            let answer = request.try_send(address);
+            assert!(
+                Instant::now() < recovery,
+                "seed {seed}: {index} does not serve"
+            );
+            answer.is_some_and(|answer| answer.status == 200)
+        });
+    }
+    ends.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread.join().expect("a caller ends");
+    }
+    let counts = runs(&world.endpoints);
+    let outcomes = outcomes.lock().expect("no panic");
+    for outcome in outcomes.iter() {
+        let runs = counts.get(&outcome.attempt).copied().unwrap_or(0);
+        check_outcome(seed, outcome, runs);
+    }
+    for log in &world.old_logs {
+        check_versions(seed, log);
+    }
+    for host in world.hosts.iter().flatten() {
+        check_versions(seed, &host.log());
+    }
+    let good = outcomes
+        .iter()
+        .filter_map(|outcome| outcome.answer.as_ref())
+        .filter(|answer| answer.status == 200 && answer.is_whole)
+        .count();
+    println!(
+        "seed {seed}: {} requests, {good} answered whole",
+        outcomes.len()
+    );
+    assert!(
+        good * 2 > outcomes.len(),
+        "seed {seed}: only {good} of {}",
+        outcomes.len()
+    );
+}
+
+/// Guards against promises that break under faults in series: at most one run,
+/// true refusals, whole and own answers, events in order, versions that never
+/// go back, and recovery.
+#[test]
+fn promises_hold_under_random_faults() {
+    let seconds = std::env::var("SOAK_SECONDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(DEFAULT_SECONDS);
+    let seeds: Vec<u64> = std::env::var("SOAK_SEEDS").map_or(DEFAULT_SEEDS.to_vec(), |text| {
+        text.split(',')
+            .filter_map(|seed| seed.parse().ok())
+            .collect()
+    });
+    assert!(!seeds.is_empty(), "no seeds");
+    for seed in seeds {
+        soak(seed, Duration::from_secs(seconds));
+    }
+}
