--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -128,6 +128,14 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Number of routes that only some regions may serve, this one among them.
+    pub fn home_route_count(&self, region: &str) -> usize {
+        self.routes
+            .iter()
+            .filter(|route| !route.homes.is_empty() && route.allows_region(region))
+            .count()
+    }
+
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -321,7 +321,19 @@
     }
 
     /// Addresses for a caller in a region and data centre, best ones only.
-    pub fn directory(&self, region: &str, data_centre: &str, now_ms: u64) -> Vec<SocketAddr> {
+    ///
+    /// While the caller's region has no host, another one is named: the one with
+    /// most `home_routes`, since a request may be bound to certain regions.
+    pub fn directory<F>(
+        &self,
+        region: &str,
+        data_centre: &str,
+        home_routes: F,
+        now_ms: u64,
+    ) -> Vec<SocketAddr>
+    where
+        F: Fn(&str) -> usize,
+    {
         let own = (!self.is_leaving).then_some(&self.own);
         let live: Vec<&HostInfo> = self.live(now_ms).chain(own).collect();
         let same = |keep: &dyn Fn(&HostInfo) -> bool| -> Vec<&HostInfo> {
@@ -335,7 +347,8 @@
         } else if !in_region.is_empty() {
             in_region
         } else {
-            live
+            let best = live.iter().map(|host| home_routes(&host.region)).max();
+            same(&|host| Some(home_routes(&host.region)) == best)
         };
         chosen
             .into_iter()
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -211,9 +211,13 @@
         }
         let query = decode_directory_query(head.query());
         let now_ms = self.now_ms();
-        let addresses = self
-            .hosts
-            .directory(&query.region, &query.data_centre, now_ms);
+        let configuration = self.configuration.clone().unwrap_or_default();
+        let addresses = self.hosts.directory(
+            &query.region,
+            &query.data_centre,
+            |region| configuration.home_route_count(region),
+            now_ms,
+        );
         if addresses.is_empty() || !self.is_synchronised {
             return self.answer_own(key, OwnAnswer::refusal(NOT_READY_RETRY_MS));
         }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -408,14 +408,37 @@
     };
     hosts.register(far.clone());
 
-    let south = hosts.directory("south", "south-a", 0);
+    let south = hosts.directory("south", "south-a", |_| 0, 0);
     assert_eq!(south, vec![far.caller_address]);
 
     hosts.unregister("host-9");
-    let south = hosts.directory("south", "south-a", 0);
+    let south = hosts.directory("south", "south-a", |_| 0, 0);
     assert_eq!(south, vec![host("host-0", "north").caller_address]);
 }
 
+/// Load: all hosts of a region are restarted one after the other, so that for some
+/// seconds none takes requests. Guards against callers that are sent to a region
+/// in which their requests may not be seen.
+#[test]
+fn directory_falls_back_to_a_region_that_is_a_home() {
+    let mut hosts = Hosts::new(host("host-0", "north"));
+    hosts.set_store_reachable(true);
+    let home = HostInfo {
+        caller_address: "10.0.0.9:80".parse().expect("an address"),
+        ..host("host-9", "west")
+    };
+    hosts.register(home.clone());
+
+    let named = hosts.directory(
+        "south",
+        "south-a",
+        |region| usize::from(region == "west"),
+        0,
+    );
+
+    assert_eq!(named, vec![home.caller_address]);
+}
+
 /// Guards against a host that is named although it was killed while the store
 /// is away, and against one that is forgotten although it is heard.
 #[test]
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -95,8 +95,19 @@
         host
     }
 
-    /// Starts a host.
+    /// Starts a host, on other ports if another process takes one of them first.
     pub fn start_only(store: &MetadataStore, options: &HostOptions) -> Self {
+        loop {
+            let mut host = Self::spawn(store, options);
+            let ended = host.wait_end(Duration::from_millis(60));
+            let is_taken = host.log().contains("Address already in use");
+            if ended.is_none() || !is_taken {
+                return host;
+            }
+        }
+    }
+
+    fn spawn(store: &MetadataStore, options: &HostOptions) -> Self {
         let directory = tempfile::tempdir().expect("a temporary directory");
         let ports = free_addresses(5);
         let region = options.region;
