--- a/tests/gateway_truth.rs
+++ b/tests/gateway_truth.rs
@@ -170,3 +170,24 @@
     assert!(answer.header("retry-after").is_some());
     assert!(endpoint.runs().is_empty());
 }
+
+/// Guards against an outcome that the metrics and the log do not show.
+#[test]
+fn metrics_and_log_show_how_a_request_ended() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |_, _| Script::Answer(200, b"ok".to_vec()))
+        .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    Request::get("/read/1")
+        .with_attempt("a-1", LIMIT_MS)
+        .send(host.callers);
+
+    host.wait_log("\"request\":\"a-1\",\"route\":\"read\"");
+    let metrics = Request::get("/metrics").send(host.metrics).text();
+    let counted = "cardamombridge_requests_total{outcome=\"answered\",status=\"200\"} 1";
+    assert!(metrics.contains(counted), "{metrics}");
+    assert!(metrics.contains("cardamombridge_first_event_seconds_bucket"));
+}
