Tell only revisions up to which every change is held

Cause: a host could hold a revision without a change that led to it, in two ways: a watch that reported no changes moved the revision to the newest one of the store, and a deletion that an outage may have caused was held back while its revision was already told. Hosts that learn from others ask for what came after their own revision, so they never saw such a change.

The belief now holds every deletion at once; the reactor keeps an endpoint in use for 2.2 s if its announcement ends during or shortly after an outage, so the delay no longer waits for the next watch.

--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -4,6 +4,10 @@
 //! through [`Belief::apply`] alone, whether a change comes from the store or
 //! from another host, and an item never goes back to an earlier revision. Each
 //! change is decoded once and sent to the reactor.
+//!
+//! The revision of a belief is one up to which it holds every change: other
+//! hosts ask for what came after their own, so a change that was left out below
+//! it would never reach them.
 
 use std::{
     collections::BTreeMap,
@@ -25,10 +29,7 @@
 
 use super::{
     configuration::Configuration,
-    endpoint::{
-        Announcement,
-        Stage, //
-    },
+    endpoint::Announcement,
     hosts::{
         HOST_PREFIX,
         HostInfo, //
@@ -185,19 +186,6 @@
             .collect()
     }
 
-    /// Whether an item is the announcement of an endpoint that takes requests.
-    pub fn is_ready_endpoint(&self, key: &str) -> bool {
-        let content = self.lock();
-        let value = content
-            .entries
-            .get(key)
-            .and_then(|(_, value)| value.as_ref());
-        key.starts_with(ENDPOINT_PREFIX)
-            && value
-                .and_then(|value| decode_endpoint(value).ok())
-                .is_some_and(|announced| announced.stage == Stage::Ready)
-    }
-
     /// Hosts that are registered.
     pub fn hosts(&self) -> Vec<HostInfo> {
         let content = self.lock();
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -109,8 +109,8 @@
     pub announcement: Announcement,
     /// Region of its data centre.
     pub region: CompactString,
-    /// The announcement stands; otherwise the endpoint only finishes its work.
-    pub is_listed: bool,
+    /// When its announcement ends; after that it only finishes its work.
+    withdrawn_at_ms: Option<u64>,
     /// What this host sent.
     pub own: Share,
     /// What the other hosts of the region say they sent.
@@ -142,7 +142,7 @@
             region,
             cold_until_ms: now_ms + announcement.cold_left_ms,
             announcement,
-            is_listed: true,
+            withdrawn_at_ms: None,
             own: Share::default(),
             others: Share::default(),
             last_cold_send_ms: Vec::new(),
@@ -170,7 +170,7 @@
             self.own = own;
             return;
         }
-        self.is_listed = true;
+        self.withdrawn_at_ms = None;
         if announcement.cold_left_ms > 0 {
             self.set_cold(announcement.cold_left_ms, now_ms);
         }
@@ -187,9 +187,20 @@
         now_ms < self.cold_until_ms
     }
 
+    /// Ends the announcement at a time, unless it ended before.
+    pub fn withdraw(&mut self, at_ms: u64) {
+        let ends_ms = self.withdrawn_at_ms.unwrap_or(at_ms);
+        self.withdrawn_at_ms = Some(ends_ms.min(at_ms));
+    }
+
+    /// Whether the announcement stands.
+    pub fn is_listed(&self, now_ms: u64) -> bool {
+        self.withdrawn_at_ms.is_none_or(|at_ms| now_ms < at_ms)
+    }
+
     /// Whether new requests may go to the endpoint, its load aside.
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        self.is_listed
+        self.is_listed(now_ms)
             && self.announcement.stage == Stage::Ready
             && now_ms >= self.blocked_until_ms
             && !(self.on_trial && self.own.active > 0)
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -26,7 +26,6 @@
         Announcement,
         Endpoint,
         Share,
-        Stage,
         Work,
         slots_of, //
     },
@@ -213,13 +212,17 @@
         true
     }
 
-    /// Records that an endpoint is no longer announced.
-    pub fn withdraw(&mut self, id: &str) {
+    /// Records that the announcement of an endpoint ends at a time.
+    pub fn withdraw(&mut self, id: &str, at_ms: u64) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.is_listed = false;
+            endpoint.withdraw(at_ms);
         }
+    }
+
+    /// Forgets endpoints that are not announced and have finished their work.
+    pub fn drop_withdrawn(&mut self, now_ms: u64) {
         self.endpoints
-            .retain(|_, endpoint| endpoint.is_listed || endpoint.own.active > 0);
+            .retain(|_, endpoint| endpoint.is_listed(now_ms) || endpoint.own.active > 0);
     }
 
     /// Stops or resumes the use of a data centre's endpoints.
@@ -308,19 +311,6 @@
         })
     }
 
-    /// Endpoints of `service` in this region that are announced as ready.
-    pub fn listed_count(&self, service: &str) -> usize {
-        self.endpoints
-            .values()
-            .filter(|endpoint| {
-                endpoint.announcement.service == service
-                    && endpoint.region == self.region
-                    && endpoint.is_listed
-                    && endpoint.announcement.stage == Stage::Ready
-            })
-            .count()
-    }
-
     /// The best endpoint for a request, or none if none may be used now.
     pub fn choose(&self, demand: &Demand<'_>, now_ms: u64) -> Option<Choice> {
         let service = demand.service;
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -3,13 +3,8 @@
 //! A store that is slow or away never holds up a request: the reactor only sees
 //! the changes. A host that the store turns away, or that is cut off from it,
 //! learns from hosts whose revision is higher.
-//!
-//! Entries of endpoints lapse while the store is away, although the endpoints
-//! live. An entry that is missing shortly after an outage is therefore only
-//! taken as gone when it is still missing after [`RETURN_MS`].
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     sync::atomic::{
         AtomicBool,
@@ -17,13 +12,9 @@
         Ordering, //
     },
     thread,
-    time::{
-        Duration,
-        Instant, //
-    }, //
+    time::Duration, //
 };
 
-use compact_str::CompactString;
 use crossbeam::channel::Receiver;
 
 use super::{
@@ -50,17 +41,13 @@
 /// Longest pause; with an answer of the store it stays below the time in which
 /// a configuration has to be in force, also without other hosts.
 const MAX_WATCH_PAUSE: Duration = Duration::from_millis(1_800);
-/// Time in which entries that lapsed during an outage come back.
-const RETURN_MS: u64 = 2_200;
 
 /// Follows the store's content.
 pub struct StoreFollower {
     quick: StoreClient,
     patient: StoreClient,
     belief: Belief,
-    missing: BTreeMap<CompactString, (Instant, StoreRevision)>,
     is_reachable: Option<bool>,
-    unstable_until: Option<Instant>,
 }
 
 impl StoreFollower {
@@ -70,9 +57,7 @@
             quick: StoreClient::new(address, ANSWER_TIMEOUT),
             patient: StoreClient::new(address, WATCH_WAIT + ANSWER_TIMEOUT),
             belief,
-            missing: BTreeMap::new(),
             is_reachable: None,
-            unstable_until: None,
         }
     }
 
@@ -86,7 +71,6 @@
                 None => self.synchronise(),
                 Some(known) => self.watch(known),
             };
-            self.drop_missing();
             match result {
                 Ok(next) => {
                     self.set_reachable(true, "");
@@ -117,68 +101,24 @@
             value: None,
         });
         let revision = page.revision;
-        self.take(
-            page.changes.into_iter().chain(deletions).collect(),
-            revision,
-        );
+        let changes = page.changes.into_iter().chain(deletions).collect();
+        self.belief.apply(changes, revision);
         Ok(revision)
     }
 
+    /// Waits for changes after `revision`; returns the revision that is known.
+    ///
+    /// The store may tell a revision without the changes that led to it while it
+    /// drops its history, so only changes themselves move the revision.
     fn watch(&mut self, revision: StoreRevision) -> Result<StoreRevision, StoreError> {
         let page = self.patient.watch("", revision, WATCH_WAIT)?;
-        let revision = page.revision.max(revision);
-        self.take(page.changes, revision);
+        let newest = page.changes.iter().map(|change| change.revision).max();
+        let revision = newest.unwrap_or(revision).max(revision);
+        self.belief.apply(page.changes, revision);
         Ok(revision)
     }
 
-    /// Takes over changes; holds back deletions that an outage may have caused.
-    fn take(&mut self, changes: Vec<ItemChange>, revision: StoreRevision) {
-        let now = Instant::now();
-        let is_unstable = self.unstable_until.is_some_and(|until| now < until);
-        let mut taken = Vec::with_capacity(changes.len());
-        for change in changes {
-            if change.value.is_none() && is_unstable && self.belief.is_ready_endpoint(&change.key) {
-                let until = now + Duration::from_millis(RETURN_MS);
-                self.missing
-                    .entry(change.key)
-                    .or_insert((until, change.revision));
-                continue;
-            }
-            if change.value.is_some() {
-                self.missing.remove(&change.key);
-            }
-            taken.push(change);
-        }
-        self.belief.apply(taken, revision);
-    }
-
-    fn drop_missing(&mut self) {
-        let now = Instant::now();
-        let due: Vec<ItemChange> = self
-            .missing
-            .iter()
-            .filter(|(_, (until, _))| *until <= now)
-            .map(|(key, (_, revision))| ItemChange {
-                key: key.clone(),
-                revision: *revision,
-                value: None,
-            })
-            .collect();
-        if due.is_empty() {
-            return;
-        }
-        for change in &due {
-            self.missing.remove(&change.key);
-        }
-        self.belief.apply(due, StoreRevision::default());
-    }
-
     fn set_reachable(&mut self, is_reachable: bool, cause: &str) {
-        let window = Duration::from_millis(RETURN_MS);
-        if !is_reachable {
-            // Refreshed at each failure, so it counts from the end of an outage.
-            self.unstable_until = Some(Instant::now() + window + WATCH_WAIT);
-        }
         if self.is_reachable == Some(is_reachable) {
             return;
         }
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -37,6 +37,9 @@
 const ASK_INTERVAL_MS: u64 = 400;
 /// Time that the store has to answer first after the start.
 const SEED_DELAY_MS: u64 = 1_000;
+/// Time in which announcements that lapsed in an outage of the store are back:
+/// the platform's two seconds and the time on the way.
+const ANNOUNCEMENT_RETURN_MS: u64 = 2_200;
 /// Interval of beacons to one host of each other region.
 const AWAY_BEACON_INTERVAL_MS: u64 = 400;
 
@@ -66,8 +69,9 @@
                 }
             }
             Update::EndpointGone(id) => {
-                tracing::info!(endpoint = %id, "endpoint is no longer announced");
-                self.fleet.withdraw(&id);
+                let delay_ms = self.withdrawal_delay_ms(now_ms);
+                tracing::info!(endpoint = %id, delay_ms, "endpoint is no longer announced");
+                self.fleet.withdraw(&id, now_ms + delay_ms);
             }
             Update::Evacuated(data_centre, is_evacuated) => {
                 tracing::info!(%data_centre, is_evacuated, "evacuation changed");
@@ -83,13 +87,31 @@
                 tracing::info!(host = %name, "host is no longer registered");
                 self.hosts.unregister(&name);
             }
-            Update::Store(is_reachable) => self.hosts.set_store_reachable(is_reachable),
+            Update::Store(is_reachable) => {
+                self.hosts.set_store_reachable(is_reachable);
+                self.store_back_ms = is_reachable.then_some(now_ms);
+            }
             Update::Synchronised => self.is_synchronised = true,
             Update::Stop => self.leave(now_ms),
             Update::Reload => self.reload_settings(),
         }
     }
 
+    /// Time for which an endpoint stays in use after its announcement ended.
+    ///
+    /// Announcements lapse while the store is away, although the endpoints
+    /// live, and are back shortly after it.
+    fn withdrawal_delay_ms(&self, now_ms: u64) -> u64 {
+        let is_settled = self
+            .store_back_ms
+            .is_some_and(|back_ms| now_ms >= back_ms + ANNOUNCEMENT_RETURN_MS);
+        if is_settled {
+            0
+        } else {
+            ANNOUNCEMENT_RETURN_MS
+        }
+    }
+
     fn configure(&mut self, configuration: std::sync::Arc<Configuration>) {
         let known = self.configuration.as_ref().map(|known| known.version);
         if known.is_some_and(|known| configuration.version <= known) {
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -137,6 +137,8 @@
     pub(super) behind: Option<Sender<SocketAddr>>,
     /// When the host fell behind, and the revision it knew.
     pub(super) behind_since: Option<(u64, u64)>,
+    /// When the store was regained; none while it does not answer.
+    pub(super) store_back_ms: Option<u64>,
     pub(super) next_ask_ms: u64,
     /// Beacons arrived since the last sum over what other hosts told.
     pub(super) has_new_shares: bool,
@@ -216,6 +218,7 @@
             belief: None,
             behind: None,
             behind_since: None,
+            store_back_ms: None,
             next_ask_ms: 0,
             has_new_shares: false,
             next_share_update_ms: 0,
@@ -374,6 +377,7 @@
     /// Closes connections that are idle for too long.
     fn sweep(&mut self, now_ms: u64) {
         self.sweep_clients(now_ms);
+        self.fleet.drop_withdrawn(now_ms);
         let stale: Vec<usize> = self
             .upstreams
             .iter()
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -908,9 +908,6 @@
                     "endpoint is not used for a while"
                 );
             }
-            if !endpoint.is_listed {
-                self.fleet.withdraw(&choice.endpoint);
-            }
         }
     }
 
--- a/src/standin/metadata_store.rs
+++ b/src/standin/metadata_store.rs
@@ -57,6 +57,8 @@
     Down,
     /// It executes calls and closes the connection instead of answering.
     LosesAnswers,
+    /// Its watches report no changes, although they tell the newest revision.
+    DeafWatches,
 }
 
 #[derive(Debug, Clone)]
@@ -214,11 +216,11 @@
     match fault {
         StoreFault::Down => return Ok(Next::Close),
         StoreFault::Busy => return respond_json(connection, 503, Headers::new(), &refused),
-        StoreFault::None | StoreFault::LosesAnswers => {}
+        StoreFault::None | StoreFault::LosesAnswers | StoreFault::DeafWatches => {}
     }
     let (status, body) = answer(shared, request);
     let fault = lock(&shared.state).fault;
-    if fault != StoreFault::None {
+    if !matches!(fault, StoreFault::None | StoreFault::DeafWatches) {
         return Ok(Next::Close);
     }
     respond_json(connection, status, Headers::new(), &body)
@@ -323,10 +325,14 @@
     let mut state = lock(&shared.state);
     loop {
         state.expire(Instant::now());
-        if after < state.history_start || state.fault != StoreFault::None {
+        let is_deaf = state.fault == StoreFault::DeafWatches;
+        if after < state.history_start || (!is_deaf && state.fault != StoreFault::None) {
             return (410, json!({}));
         }
-        let events = state.changes_after(&prefix, after);
+        let events = match is_deaf {
+            true => Vec::new(),
+            false => state.changes_after(&prefix, after),
+        };
         let left = deadline.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
             let body = json!({ "events": events, "current_rev": state.revision });
--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -3,6 +3,7 @@
 mod gatewayenv;
 
 use cardamombridge::standin::{
+    metadata_store::StoreFault,
     scripted::{
         Script,
         ScriptedEndpoint, //
@@ -120,3 +121,52 @@
             .contains("\"configuration in force\",\"version\":6")
     );
 }
+
+/// Guards against a host that takes the revision of a watch that reported no
+/// changes for the revision that it knows, and so never sees those changes.
+#[test]
+fn changes_that_a_watch_left_out_are_not_skipped() {
+    let store = store_with_configuration();
+    let host = Host::start(&store, &HostOptions::default());
+
+    store.set_fault(StoreFault::DeafWatches);
+    store.put("op/config", &configuration(8));
+    // Longer than the wait of a watch, so that one ends without changes.
+    std::thread::sleep(std::time::Duration::from_millis(3_000));
+    store.set_fault(StoreFault::None);
+
+    host.wait_log("\"configuration in force\",\"version\":8");
+}
+
+/// Guards against a host that tells its revision to others while it keeps a
+/// deletion of that revision to itself: a host that the store does not serve
+/// would never hear of it.
+#[test]
+fn deletion_after_an_outage_reaches_hosts_without_the_store() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |_, _| Script::Answer(200, b"ok".to_vec()))
+        .expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let wire = Wire::start(store.address(), 1).expect("the wire starts");
+    let start = |name, store_address| {
+        let options = HostOptions {
+            name,
+            store: store_address,
+            ..HostOptions::default()
+        };
+        Host::start(&store, &options)
+    };
+    let informed = start("host-1", None);
+    let cut_off = start("host-2", Some(wire.address()));
+    cut_off.wait_log("\"host registered\",\"host\":\"host-1\"");
+    cut_off.wait_log("endpoint announced");
+    wire.set_cut(true);
+
+    store.set_fault(StoreFault::Busy);
+    informed.wait_log("dependency lost");
+    store.delete("servers/e-1");
+    store.set_fault(StoreFault::None);
+
+    informed.wait_log("endpoint is no longer announced");
+    cut_off.wait_log("endpoint is no longer announced");
+}
