Send to cold endpoints only from hosts that hear half of their region

Cause: each host takes its share of the limit of a cold endpoint from its own view of the live hosts. Ruled out: the window of a second, which each host keeps with a margin; views of two groups, which half of the bound covers.

A host takes a share 3 s after its start at the earliest, and only if it hears half of the hosts of its region that are registered or heard. The view is renewed with the shares instead of for each placement.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -29,6 +29,7 @@
         Work,
         slots_of, //
     },
+    hosts::RegionView,
     request::Call, //
 };
 
@@ -93,8 +94,8 @@
     pub call: &'a Call,
     /// Endpoints that are not tried.
     pub excluded: &'a [CompactString],
-    /// Live hosts of the region, this one included.
-    pub hosts: &'a [CompactString],
+    /// The hosts of the region.
+    pub region: &'a RegionView,
     /// Time left until an answer is late.
     pub goal_left_ms: f64,
 }
@@ -317,7 +318,7 @@
         let caches = self.caches(demand, now_ms);
         self.usable(&service.name, now_ms)
             .filter(|endpoint| !demand.excluded.contains(&endpoint.id))
-            .filter(|endpoint| self.may_send_cold(endpoint, service, demand.hosts, now_ms))
+            .filter(|endpoint| self.may_send_cold(endpoint, service, demand.region, now_ms))
             .map(|endpoint| {
                 let choice = self.predict(endpoint, demand, &caches, now_ms);
                 Choice {
@@ -400,7 +401,7 @@
         let preferred = affinity.and_then(|part| self.preferred(&service.name, part, now_ms));
         let memory_tokens = service.engine.map_or(0, |engine| engine.memory_tokens);
         // The other hosts of the region fill the same memory.
-        let share = CACHE_SHARE / demand.hosts.len().max(1) as f64;
+        let share = CACHE_SHARE / demand.region.host_count.max(1) as f64;
         let lifetime_tokens = (memory_tokens as f64 * share) as u64;
         let mut caches = Caches::default();
         for endpoint in self.usable(&service.name, now_ms) {
@@ -500,21 +501,24 @@
         &self,
         endpoint: &Endpoint,
         service: &Service,
-        hosts: &[CompactString],
+        region: &RegionView,
         now_ms: u64,
     ) -> bool {
         if service.cold_per_s <= 0.0 || !endpoint.is_cold(now_ms) {
             return true;
         }
-        let per_second = self.cold_share(endpoint, service, hosts);
+        let per_second = self.cold_share(endpoint, service, &region.cold_sharers);
         endpoint.has_cold_allowance(per_second, now_ms)
     }
 
     /// Requests a second that this host may send to a cold endpoint.
     fn cold_share(&self, endpoint: &Endpoint, service: &Service, hosts: &[CompactString]) -> u32 {
+        if hosts.is_empty() {
+            return 0;
+        }
         let bound = service.cold_per_s * self.cold.factor + self.cold.slack;
-        // Half of the bound, so that it holds while two views of the live
-        // hosts differ, each host counting the others as gone.
+        // Half of the bound, so that it holds for two groups of hosts that do
+        // not hear each other.
         let total = (bound / 2.0).floor() as usize;
         let rank_of = |host: &CompactString| {
             xxh3_64_with_seed(
@@ -527,7 +531,7 @@
             .iter()
             .filter(|host| **host != self.host && rank_of(host) > own)
             .count();
-        let count = hosts.len().max(1);
+        let count = hosts.len();
         let even = total / count;
         let extra = usize::from(before < total % count);
         (even + extra) as u32
@@ -541,7 +545,7 @@
             service,
             call: &Call::default(),
             excluded: &[],
-            hosts: &[],
+            region: &RegionView::default(),
             goal_left_ms: 0.0,
         };
         self.predict(endpoint, &demand, &Caches::default(), now_ms)
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -27,6 +27,9 @@
 const SILENCE_MS: u64 = 3_000;
 /// Time after which the prompts that another host told of have been read.
 const BACKLOG_LIFETIME_MS: u64 = 600;
+/// Time after the start of a host in which it may not know all others yet: one
+/// pause between watches and one beacon of the slowest interval.
+const VIEW_SETTLES_MS: u64 = 3_000;
 /// Most addresses in an answer of the directory.
 const MAX_DIRECTORY_ADDRESSES: usize = 64;
 
@@ -118,6 +121,16 @@
     away: BTreeMap<(CompactString, CompactString), AwayLoad>,
 }
 
+/// The hosts of this host's region, as it sees them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct RegionView {
+    /// Live hosts, this one included.
+    pub host_count: usize,
+    /// Hosts that share the limits of cold endpoints; empty if this host sees
+    /// too few others to take a share.
+    pub cold_sharers: Vec<CompactString>,
+}
+
 /// A short name of an endpoint in beacons.
 pub fn endpoint_hash(id: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
@@ -304,15 +317,40 @@
         }
     }
 
-    /// Names of the live hosts of this region, this one included.
-    pub fn region_names(&self, now_ms: u64) -> Vec<CompactString> {
-        let others = self
-            .live(now_ms)
-            .filter(|host| host.region == self.own.region)
-            .map(|host| host.name.clone());
-        std::iter::once(self.own.name.clone())
-            .chain(others)
-            .collect()
+    /// The live hosts of this region.
+    pub fn region_view(&self, now_ms: u64) -> RegionView {
+        let live = self.live(now_ms);
+        RegionView {
+            host_count: 1 + live.filter(|host| host.region == self.own.region).count(),
+            cold_sharers: self.cold_sharers(now_ms),
+        }
+    }
+
+    /// Hosts that share the limits of cold endpoints with this one, itself
+    /// included.
+    ///
+    /// Each host takes its share from its own view, so hosts that do not hear
+    /// each other would take the same share twice. A host therefore takes one
+    /// only if it hears half of the hosts that are registered, which at most two
+    /// groups can do, and not shortly after its start.
+    fn cold_sharers(&self, now_ms: u64) -> Vec<CompactString> {
+        let own_region = || {
+            let known = self.known.values();
+            known.filter(|known| known.info.region == self.own.region)
+        };
+        let heard: Vec<CompactString> = own_region()
+            .filter(|known| is_heard(known, now_ms))
+            .map(|known| known.info.name.clone())
+            .chain([self.own.name.clone()])
+            .collect();
+        let possible = own_region()
+            .filter(|known| known.is_registered || is_heard(known, now_ms))
+            .count()
+            + 1;
+        if now_ms < VIEW_SETTLES_MS || heard.len() * 2 < possible {
+            return Vec::new();
+        }
+        heard
     }
 
     /// Number of live hosts, this one included.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -349,6 +349,7 @@
             false => IDLE_SHARE_UPDATE_MS,
         };
         self.next_share_update_ms = now_ms + interval_ms;
+        self.region_view = self.hosts.region_view(now_ms);
         let shares = self.hosts.shares_of_others(now_ms);
         self.fleet
             .set_others(|id| shares.get(&endpoint_hash(id)).copied().unwrap_or_default());
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -67,7 +67,10 @@
     },
     exchange::Exchange,
     fleet::Fleet,
-    hosts::Hosts,
+    hosts::{
+        Hosts,
+        RegionView, //
+    },
     retry_budget::RetryBudget,
     settings::GatewaySettings,
     telemetry::Telemetry, //
@@ -118,6 +121,8 @@
     pub(super) configuration: Option<Arc<Configuration>>,
     pub(super) fleet: Fleet,
     pub(super) hosts: Hosts,
+    /// What `hosts` says about the own region, renewed with the shares.
+    pub(super) region_view: RegionView,
     pub(super) budget: RetryBudget,
     pub(super) telemetry: Telemetry,
     pub(super) random: Pcg64Mcg,
@@ -199,6 +204,7 @@
             idle: HashMap::new(),
             waiting: Vec::new(),
             hosts: Hosts::new(settings.host.clone()),
+            region_view: RegionView::default(),
             budget: RetryBudget::new(settings.retry),
             settings,
             configuration: None,
@@ -389,7 +395,7 @@
         for key in stale {
             self.close_upstream(key);
         }
-        let host_count = self.hosts.region_names(now_ms).len() as u64;
+        let host_count = self.region_view.host_count as u64;
         self.host_count.store(host_count, Ordering::Relaxed);
     }
 
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -174,14 +174,13 @@
         let plan = &exchange.plan;
         let service = self.service(&plan.service);
         let is_home = plan.allows_region(&self.settings.host.region);
-        let hosts = self.hosts.region_names(now_ms);
         let goal_left_ms = exchange.goal_at_ms.saturating_sub(now_ms) as f64;
         let choose = |excluded: &[CompactString]| {
             let demand = Demand {
                 service: &service,
                 call: &exchange.request.call,
                 excluded,
-                hosts: &hosts,
+                region: &self.region_view,
                 goal_left_ms,
             };
             self.fleet.choose(&demand, now_ms)
@@ -282,7 +281,7 @@
             .fleet
             .service_ms(service, &exchange.request.call, now_ms);
         let sent = f64::from(self.hosts.away_sent(region, &service.name));
-        let hosts = self.hosts.region_names(now_ms).len() as f64;
+        let hosts = self.region_view.host_count as f64;
         let sent_ms = sent * hosts * work_ms / f64::from(load.endpoint_count);
         let first_event_ms = round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS)
             + f64::from(load.backlog_ms)
@@ -292,7 +291,7 @@
             service,
             call: &exchange.request.call,
             excluded: &[],
-            hosts: &[],
+            region: &self.region_view,
             goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
         };
         Some(AwayOffer {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -33,7 +33,8 @@
         hosts::{
             Beacon,
             HostInfo,
-            Hosts, //
+            Hosts,
+            RegionView, //
         },
         request::{
             Call,
@@ -113,11 +114,15 @@
 
 /// The choice for a request of the model.
 fn choose(fleet: &Fleet, call: &Call, hosts: &[CompactString], now_ms: u64) -> Option<Choice> {
+    let region = RegionView {
+        host_count: hosts.len(),
+        cold_sharers: hosts.to_vec(),
+    };
     let demand = Demand {
         service: &model(),
         call,
         excluded: &[],
-        hosts,
+        region: &region,
         goal_left_ms: 1_200.0,
     };
     fleet.choose(&demand, now_ms)
@@ -176,6 +181,64 @@
     }
 }
 
+/// What the hosts send to one cold endpoint in a second, each by its own view:
+/// at `now_ms` it has just heard the hosts in `hears`, and all are registered.
+fn cold_sends_of(views: &[(usize, Vec<usize>)], registered: usize, now_ms: u64) -> u32 {
+    let sends = views.iter().map(|(own, hears)| {
+        let name = |number: &usize| format!("host-{number}");
+        let mut hosts = Hosts::new(host(&name(own), "north"));
+        hosts.set_store_reachable(true);
+        for number in 0..registered {
+            hosts.register(host(&name(&number), "north"));
+        }
+        for number in hears {
+            hosts.hear(beacon(&name(number), 1), now_ms);
+        }
+        let view = hosts.region_view(now_ms);
+        cold_sends(&name(own), &view.cold_sharers)
+    });
+    sends.sum()
+}
+
+/// Load: all hosts of a region lose power with their endpoints and come back
+/// together, before they have heard of each other. Guards against a cold
+/// endpoint that each of them counts as its own.
+#[test]
+fn limit_of_a_cold_endpoint_holds_after_a_common_restart() {
+    let bound = 1.9 * COLD.factor + COLD.slack;
+    let alone: Vec<(usize, Vec<usize>)> = (0..22).map(|own| (own, Vec::new())).collect();
+
+    let total = cold_sends_of(&alone, 0, 500);
+
+    assert!(f64::from(total) <= bound, "{total} of {bound}");
+}
+
+/// Load: a region falls apart into groups that do not hear each other. Guards
+/// against a limit that each of more than two groups uses.
+#[test]
+fn limit_of_a_cold_endpoint_holds_in_any_partition() {
+    let bound = 1.9 * COLD.factor + COLD.slack;
+    for group_count in 1..=12 {
+        let views: Vec<(usize, Vec<usize>)> = (0..12)
+            .map(|own| {
+                let hears = (0..12).filter(|other| other % group_count == own % group_count);
+                (own, hears.collect())
+            })
+            .collect();
+
+        let total = cold_sends_of(&views, 12, 20_000);
+
+        assert!(
+            f64::from(total) <= bound,
+            "{total} of {bound} with {group_count} groups"
+        );
+        assert!(
+            group_count > 2 || total >= 1,
+            "{group_count} groups send none"
+        );
+    }
+}
+
 /// Load: many requests with the same shared part from hosts that do not hear
 /// each other. Guards against a part that every endpoint reads.
 #[test]
