Leave replaced and unreachable endpoints at once, on all hosts of a region

Cause: endpoints that crashed came back under another id at the same address while the announcement of the old id stood for 2.4 s more. While they were down each of 22 hosts found out about each of 13 by itself, and a request that met four of them was refused. Ruled out: full slots (backlog 0, and no load was reported).

Now 421 blocks the endpoint for 4 s, a block for either cause is told to the hosts of the region, which believe it unless they have requests there, and a request tries up to 8 endpoints that did not run it. Copies are taken only from endpoints that have read the part already.

The first test tried the replaced endpoint 12 times before.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -80,6 +80,8 @@
     Error,
     /// The endpoint said that it did not run the request.
     Shed,
+    /// Another endpoint listens at its address.
+    Replaced,
 }
 
 /// What one host has at one endpoint.
@@ -102,6 +104,15 @@
     }
 }
 
+/// A prompt part that an endpoint has read, or will have read soon.
+#[derive(Debug, Clone, Copy)]
+struct KnownPart {
+    /// Tokens that requests had taken in the endpoint's memory at its last use.
+    used_at_tokens: u64,
+    /// When the endpoint has read it.
+    read_at_ms: u64,
+}
+
 /// An endpoint and what this host knows about it.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
@@ -128,7 +139,7 @@
     blocked_until_ms: u64,
     block_ms: u64,
     on_trial: bool,
-    parts: HashMap<u64, u64>,
+    parts: HashMap<u64, KnownPart>,
     /// Tokens that requests of all hosts took up in the endpoint's memory.
     taken_tokens: u64,
 }
@@ -270,8 +281,12 @@
             return false;
         }
         self.failures += 1;
-        let blocks =
-            failure == Failure::Unreachable || self.on_trial || self.failures >= FAILURES_TO_BLOCK;
+        if failure == Failure::Replaced {
+            self.block_ms = MAX_BLOCK_MS;
+        }
+        let blocks = matches!(failure, Failure::Unreachable | Failure::Replaced)
+            || self.on_trial
+            || self.failures >= FAILURES_TO_BLOCK;
         if !blocks || now_ms < self.blocked_until_ms {
             return false;
         }
@@ -281,6 +296,19 @@
         true
     }
 
+    /// Takes over that another host cannot use the endpoint for a while.
+    ///
+    /// A host may be cut off alone, so requests of this host that still run at
+    /// the endpoint count for more.
+    pub fn block_told(&mut self, for_ms: u64, now_ms: u64) {
+        if self.own.active > 0 {
+            return;
+        }
+        let until_ms = now_ms + for_ms.min(MAX_BLOCK_MS);
+        self.blocked_until_ms = self.blocked_until_ms.max(until_ms);
+        self.on_trial = true;
+    }
+
     /// Takes over the load that an answer carries.
     pub fn report(&mut self, load: EndpointLoad, now_ms: u64) {
         self.reported = Some((now_ms, load));
@@ -299,35 +327,51 @@
         }
     }
 
-    /// Remembers which parts of a prompt the endpoint has read.
-    pub fn remember(&mut self, call: &Call) {
-        if self.parts.len() > MAX_PARTS {
-            let mut uses: Vec<u64> = self.parts.values().copied().collect();
-            let (_, median, _) = uses.select_nth_unstable(MAX_PARTS / 2);
-            let oldest_kept = *median;
-            self.parts.retain(|_, used_at| *used_at > oldest_kept);
-        }
+    /// Remembers which parts of a prompt the endpoint has read at `read_at_ms`.
+    pub fn remember(&mut self, call: &Call, read_at_ms: u64) {
         for part in &call.parts {
-            self.parts.insert(part.id, self.taken_tokens);
+            self.remember_part(part.id, read_at_ms);
         }
     }
 
     /// Remembers a prompt that another host sent.
-    pub fn remember_told(&mut self, sent: &SentPrompt) {
+    pub fn remember_told(&mut self, sent: &SentPrompt, now_ms: u64) {
         self.taken_tokens += u64::from(sent.held_tokens);
         for part in &sent.parts {
-            self.parts.insert(*part, self.taken_tokens);
+            self.remember_part(*part, now_ms + u64::from(sent.read_ms));
+        }
+    }
+
+    fn remember_part(&mut self, part: u64, read_at_ms: u64) {
+        if self.parts.len() > MAX_PARTS {
+            let uses = self.parts.values().map(|known| known.used_at_tokens);
+            let mut uses: Vec<u64> = uses.collect();
+            let (_, median, _) = uses.select_nth_unstable(MAX_PARTS / 2);
+            let oldest_kept = *median;
+            self.parts
+                .retain(|_, known| known.used_at_tokens > oldest_kept);
         }
+        let used_at_tokens = self.taken_tokens;
+        let known = self.parts.entry(part).or_insert(KnownPart {
+            used_at_tokens,
+            read_at_ms,
+        });
+        known.used_at_tokens = used_at_tokens;
+        known.read_at_ms = known.read_at_ms.min(read_at_ms);
     }
 
     /// Tokens at the start of the prompt that the endpoint has probably cached.
     ///
     /// An endpoint drops the parts that were not used for longest, so a part is
     /// there until requests have taken `lifetime_tokens` more.
-    pub fn cached_tokens(&self, call: &Call, lifetime_tokens: u64) -> u64 {
+    /// Parts that it only reads until `by_ms` count as well: it reads prompts in
+    /// the order of their arrival.
+    pub fn cached_tokens(&self, call: &Call, lifetime_tokens: u64, by_ms: u64) -> u64 {
         let is_cached = |id: &u64| {
-            let used_at = self.parts.get(id);
-            used_at.is_some_and(|used_at| self.taken_tokens < used_at + lifetime_tokens)
+            self.parts.get(id).is_some_and(|known| {
+                known.read_at_ms <= by_ms
+                    && self.taken_tokens < known.used_at_tokens + lifetime_tokens
+            })
         };
         call.parts
             .iter()
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -31,7 +31,10 @@
     },
     hosts::RegionView,
     request::Call,
-    sharing::SentPrompt, //
+    sharing::{
+        EndpointBlock,
+        SentPrompt, //
+    }, //
 };
 
 /// Time until a first event without any prompt to read: the shortest that a
@@ -275,11 +278,19 @@
         }
     }
 
+    /// Takes over that another host of the region cannot use an endpoint.
+    pub fn block_told(&mut self, block: &EndpointBlock, now_ms: u64) {
+        let mut endpoints = self.endpoints.values_mut();
+        if let Some(endpoint) = endpoints.find(|endpoint| endpoint.hash == block.endpoint) {
+            endpoint.block_told(u64::from(block.for_ms), now_ms);
+        }
+    }
+
     /// Remembers a prompt that another host of the region sent.
-    pub fn remember_told(&mut self, sent: &SentPrompt) {
+    pub fn remember_told(&mut self, sent: &SentPrompt, now_ms: u64) {
         let mut endpoints = self.endpoints.values_mut();
         if let Some(endpoint) = endpoints.find(|endpoint| endpoint.hash == sent.endpoint) {
-            endpoint.remember_told(sent);
+            endpoint.remember_told(sent, now_ms);
         }
     }
 
@@ -410,18 +421,20 @@
         let lifetime_tokens = (memory_tokens as f64 * CACHE_SHARE) as u64;
         let mut caches = Caches::default();
         for endpoint in self.usable(&service.name, now_ms) {
-            let known = endpoint.cached_tokens(demand.call, lifetime_tokens);
+            let known = endpoint.cached_tokens(demand.call, lifetime_tokens, u64::MAX);
             let is_preferred = preferred.as_ref() == Some(&endpoint.id);
             let tokens = expected_cached(known, demand.call, is_preferred);
             if tokens == 0 {
                 continue;
             }
+            caches.tokens.push((endpoint.id.clone(), tokens));
+            // Only what has been read can be copied.
+            let read = endpoint.cached_tokens(demand.call, lifetime_tokens, now_ms);
             let best = caches.source.as_ref().map_or(0, |(_, _, tokens)| *tokens);
-            if tokens > best {
+            if read > best {
                 let address = endpoint.announcement.address;
-                caches.source = Some((endpoint.id.clone(), address, tokens));
+                caches.source = Some((endpoint.id.clone(), address, read));
             }
-            caches.tokens.push((endpoint.id.clone(), tokens));
         }
         let copies = service.engine.and_then(|engine| engine.copy_ms_per_token);
         if copies.is_none_or(|copy_ms| copy_ms > TOKEN_MS / 2.0) {
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -74,8 +74,9 @@
 const MAX_AWAY_AGE_MS: u64 = 2_500;
 /// Placements tried in one pass over the waiting requests of a service.
 const MAX_PLACEMENTS: usize = 24;
-/// Endpoints tried for one request that none of them has run.
-const MAX_EXCLUDED: usize = 4;
+/// Endpoints tried for one request that none of them has run. Those that are
+/// gone say so within milliseconds.
+const MAX_EXCLUDED: usize = 8;
 /// When a caller may come back after a failure to reach any endpoint.
 const UNREACHABLE_RETRY_MS: u64 = 300;
 /// Answers up to this size are passed on only when they are complete, so that a
@@ -325,13 +326,10 @@
             return;
         };
         endpoint.start(choice.work, now_ms);
-        endpoint.remember(&exchange.request.call);
-        self.pending_update.record_send(
-            &choice.endpoint,
-            endpoint.hash,
-            &exchange.request.call,
-            choice.work,
-        );
+        let call = &exchange.request.call;
+        endpoint.remember(call, now_ms + choice.first_event_ms as u64);
+        self.pending_update
+            .record_send(&choice, endpoint.hash, call);
         let headers = EndpointHeaders {
             endpoint: Some(choice.endpoint.clone()),
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
@@ -667,7 +665,11 @@
         };
         let is_not_run = verdict.is_not_run || head.header(NOT_RUN_HEADER).is_some();
         if is_not_run && !is_good {
-            return self.not_run(key, head);
+            let failure = match verdict.is_other_endpoint {
+                true => Failure::Replaced,
+                false => Failure::Shed,
+            };
+            return self.not_run(key, head, failure);
         }
         if exchange.plan.is_stream && is_good {
             let begun = exchange.events.whole_count() > 0;
@@ -760,7 +762,7 @@
     }
 
     /// The endpoint or region says that it did not run the request.
-    fn not_run(&mut self, key: usize, head: &ResponseHead) {
+    fn not_run(&mut self, key: usize, head: &ResponseHead, failure: Failure) {
         let now_ms = self.now_ms();
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
@@ -777,7 +779,7 @@
         match destination {
             Some(Destination::Endpoint(choice)) => {
                 exchange.excluded.push(choice.endpoint.clone());
-                self.end_sending(key, Some(Failure::Shed), now_ms);
+                self.end_sending(key, Some(failure), now_ms);
                 let service = self.exchanges[key].plan.service.clone();
                 let tries_left = self.exchanges[key].excluded.len() < MAX_EXCLUDED;
                 let hosts = self.hosts.live_count(now_ms);
@@ -892,7 +894,10 @@
         let Some(sending) = exchange.sending.take() else {
             return;
         };
-        let was_sent = !matches!(failure, Some(Failure::Unreachable | Failure::Shed));
+        let was_sent = !matches!(
+            failure,
+            Some(Failure::Unreachable | Failure::Shed | Failure::Replaced)
+        );
         if was_sent {
             exchange.run_count += 1;
         }
@@ -908,12 +913,16 @@
             self.pending_update.record_change(&choice.endpoint);
             let blocked = failure.is_some_and(|failure| endpoint.fail(failure, now_ms));
             if blocked {
+                let for_ms = endpoint.blocked_until_ms().saturating_sub(now_ms);
                 tracing::warn!(
                     endpoint = %choice.endpoint,
                     ?failure,
-                    until_ms = endpoint.blocked_until_ms().saturating_sub(now_ms),
+                    for_ms,
                     "endpoint is not used for a while"
                 );
+                if matches!(failure, Some(Failure::Unreachable | Failure::Replaced)) {
+                    self.pending_update.record_block(endpoint.hash, for_ms);
+                }
             }
         }
     }
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -15,10 +15,8 @@
 };
 
 use super::{
-    endpoint::{
-        Share,
-        Work, //
-    },
+    endpoint::Share,
+    fleet::Choice,
     hosts::Beacon,
     reactor::Reactor,
     request::Call, //
@@ -31,9 +29,10 @@
 const MIN_SEND_INTERVAL_MS: u64 = 5;
 /// Factor on the interval for changes that only free an endpoint.
 const RELEASE_FACTOR: u64 = 5;
-/// Most endpoints and sends in an update, so that it fits into one packet.
+/// Most endpoints, sends and blocks in an update, so that it fits into one packet.
 const MAX_SHARES: usize = 32;
 const MAX_SENDS: usize = 12;
+const MAX_BLOCKS: usize = 16;
 /// Most shared parts that are told of one prompt.
 const MAX_PARTS: usize = 4;
 
@@ -59,6 +58,17 @@
     pub shares: Vec<EndpointShare>,
     /// Prompts that were sent.
     pub sends: Vec<SentPrompt>,
+    /// Endpoints that turned out to be gone.
+    pub blocks: Vec<EndpointBlock>,
+}
+
+/// An endpoint that a host could not reach, or that another one has replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointBlock {
+    /// Hash of the endpoint's id.
+    pub endpoint: u32,
+    /// Time for which the sender does not use it.
+    pub for_ms: u32,
 }
 
 /// What a host has at one endpoint.
@@ -102,6 +112,8 @@
     pub endpoint: u32,
     /// Memory that it takes, in tokens.
     pub held_tokens: u32,
+    /// Predicted time until it has been read.
+    pub read_ms: u32,
     /// Its shared parts, in order.
     pub parts: Vec<u64>,
 }
@@ -113,6 +125,8 @@
     pub endpoints: Vec<CompactString>,
     /// Prompts that were sent.
     pub sends: Vec<SentPrompt>,
+    /// Endpoints that turned out to be gone.
+    pub blocks: Vec<EndpointBlock>,
 }
 
 /// Changes that were not told yet.
@@ -120,6 +134,7 @@
 pub struct PendingUpdate {
     changed: BTreeSet<CompactString>,
     sends: Vec<SentPrompt>,
+    blocks: Vec<EndpointBlock>,
     next_ms: u64,
     next_release_ms: u64,
 }
@@ -133,25 +148,35 @@
     }
 
     /// Records that a request was sent to an endpoint.
-    pub fn record_send(&mut self, endpoint: &CompactString, hash: u32, call: &Call, work: Work) {
-        self.record_change(endpoint);
+    pub fn record_send(&mut self, choice: &Choice, hash: u32, call: &Call) {
+        self.record_change(&choice.endpoint);
         let shared = call.shared_parts().iter().map(|part| part.id);
         self.sends.push(SentPrompt {
             endpoint: hash,
-            held_tokens: work.held_tokens as u32,
+            held_tokens: choice.work.held_tokens as u32,
+            read_ms: choice.first_event_ms as u32,
             parts: shared.take(MAX_PARTS).collect(),
         });
     }
 
+    /// Records that the host does not use an endpoint for a while.
+    pub fn record_block(&mut self, hash: u32, for_ms: u64) {
+        self.blocks.push(EndpointBlock {
+            endpoint: hash,
+            for_ms: for_ms as u32,
+        });
+    }
+
     /// What is to be told now, with `peer_count` other hosts in the region.
     ///
     /// What does not fit into one packet is left for the next one.
     pub fn take_due(&mut self, peer_count: usize, now_ms: u64) -> Option<Changes> {
-        let due_ms = match self.sends.is_empty() {
-            true => self.next_release_ms,
-            false => self.next_ms,
+        let is_urgent = !self.sends.is_empty() || !self.blocks.is_empty();
+        let due_ms = match is_urgent {
+            true => self.next_ms,
+            false => self.next_release_ms,
         };
-        if self.changed.is_empty() || now_ms < due_ms {
+        if (self.changed.is_empty() && !is_urgent) || now_ms < due_ms {
             return None;
         }
         let interval_ms = (peer_count as u64 * SEND_INTERVAL_PER_HOST_MS).max(MIN_SEND_INTERVAL_MS);
@@ -163,7 +188,13 @@
         }
         let count = self.sends.len().min(MAX_SENDS);
         let sends = self.sends.drain(..count).collect();
-        Some(Changes { endpoints, sends })
+        let count = self.blocks.len().min(MAX_BLOCKS);
+        let blocks = self.blocks.drain(..count).collect();
+        Some(Changes {
+            endpoints,
+            sends,
+            blocks,
+        })
     }
 }
 
@@ -191,6 +222,7 @@
             sequence: self.beacon_sequence,
             shares,
             sends: changes.sends,
+            blocks: changes.blocks,
         };
         self.send_packet(&Packet::Update(update), &peers);
     }
@@ -201,7 +233,10 @@
             return false;
         }
         for sent in &update.sends {
-            self.fleet.remember_told(sent);
+            self.fleet.remember_told(sent, now_ms);
+        }
+        for block in &update.blocks {
+            self.fleet.block_told(block, now_ms);
         }
         true
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -151,6 +151,8 @@
     pub is_sealed: bool,
     /// The endpoint says that it has not run the request.
     pub is_not_run: bool,
+    /// Another endpoint listens at the address than the one that was expected.
+    pub is_other_endpoint: bool,
     /// Load at the time of the answer.
     pub load: Option<EndpointLoad>,
     /// How long the endpoint stays cold.
@@ -161,6 +163,7 @@
 pub fn decode_verdict(head: &ResponseHead) -> Verdict {
     let mut verdict = Verdict {
         is_not_run: head.status == 421,
+        is_other_endpoint: head.status == 421,
         ..Verdict::default()
     };
     for header in &head.headers {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -46,6 +46,7 @@
             RetryBudget, //
         },
         sharing::{
+            EndpointBlock,
             EndpointShare,
             LoadUpdate,
             PendingUpdate, //
@@ -280,10 +281,9 @@
         let choice = choose(&self.fleet, call, &[], now_ms).expect("an endpoint");
         let endpoint = self.fleet.get_mut(&choice.endpoint).expect("the endpoint");
         endpoint.start(choice.work, now_ms);
-        endpoint.remember(call);
+        endpoint.remember(call, now_ms + choice.first_event_ms as u64);
         let hash = endpoint.hash;
-        self.pending
-            .record_send(&choice.endpoint, hash, call, choice.work);
+        self.pending.record_send(&choice, hash, call);
         let changes = self.pending.take_due(1, now_ms).expect("an update is due");
         let shares = changes.endpoints.iter().map(|id| {
             let endpoint = self.fleet.get(id).expect("the endpoint");
@@ -297,6 +297,7 @@
             sequence: self.sequence,
             shares,
             sends: changes.sends,
+            blocks: changes.blocks,
         };
         (choice.endpoint, update)
     }
@@ -307,7 +308,7 @@
         }
         assert!(self.hosts.hear_update(update, now_ms));
         for sent in &update.sends {
-            self.fleet.remember_told(sent);
+            self.fleet.remember_told(sent, now_ms);
         }
         let shares = self.hosts.shares_of_others(now_ms);
         self.fleet
@@ -371,6 +372,30 @@
     }
 }
 
+/// Load: some endpoints of a region crash at once. Guards against each host that
+/// finds out by itself, with requests that are refused meanwhile, and against an
+/// endpoint that is lost to all because one host is cut off from it.
+#[test]
+fn endpoint_that_another_host_cannot_reach_is_left() {
+    let mut fleet = fleet_of("host-0", 2, 0);
+    let lost = fleet.get("e-0").expect("the endpoint").hash;
+    let block = EndpointBlock {
+        endpoint: lost,
+        for_ms: 500,
+    };
+    fleet.block_told(&block, 1_000);
+
+    let usable = |fleet: &Fleet, now_ms| fleet.usable("model", now_ms).count();
+    assert_eq!(usable(&fleet, 1_400), 1);
+    assert_eq!(usable(&fleet, 1_600), 2);
+
+    let busy = fleet.get_mut("e-1").expect("the endpoint");
+    busy.start(Work::default(), 2_000);
+    let endpoint = busy.hash;
+    fleet.block_told(&EndpointBlock { endpoint, ..block }, 2_000);
+    assert_eq!(usable(&fleet, 2_100), 2);
+}
+
 /// Load: many requests with the same shared part from hosts that do not hear
 /// each other. Guards against a part that every endpoint reads.
 #[test]
--- a/tests/gateway_truth.rs
+++ b/tests/gateway_truth.rs
@@ -191,3 +191,39 @@
     assert!(metrics.contains(counted), "{metrics}");
     assert!(metrics.contains("cardamombridge_first_event_seconds_bucket"));
 }
+
+/// Guards against an endpoint that is tried again and again after it restarted
+/// under another id at the same address: each try uses up the limit of repeats.
+#[test]
+fn replaced_endpoint_is_not_tried_again() {
+    let store = store_with_configuration();
+    let replaced = ScriptedEndpoint::start("e-1", |_, _| Script::Answer(421, Vec::new()))
+        .expect("the endpoint starts");
+    let good = ScriptedEndpoint::start("e-2", |_, _| {
+        let answer = Script::Answer(200, b"ok".to_vec());
+        Script::After(Duration::from_millis(300), Box::new(answer))
+    })
+    .expect("the endpoint starts");
+    announce(&store, &replaced, "north");
+    announce(&store, &good, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("\"endpoint announced\",\"endpoint\":\"e-1\"");
+    host.wait_log("\"endpoint announced\",\"endpoint\":\"e-2\"");
+
+    // They overlap, so that the replaced endpoint always looks idle.
+    std::thread::scope(|scope| {
+        for number in 0..12 {
+            let callers = host.callers;
+            scope.spawn(move || {
+                let answer = Request::get("/read/1")
+                    .with_attempt(&format!("a-{number}"), LIMIT_MS)
+                    .send(callers);
+                assert_eq!(answer.status, 200);
+            });
+            std::thread::sleep(Duration::from_millis(80));
+        }
+    });
+
+    let tries = replaced.arrivals().len();
+    assert_eq!(tries, 1, "the replaced endpoint was tried {tries} times");
+}
