Weigh how long streams run, and whom a prompt delays

Cause: an engine reads prompts between the steps in which its streams get a token, so a stream of 700 tokens takes 5 s where little is read and over 15 s where prompts are read all the time.

The cost of an endpoint now counts how much longer the streams there take because of the prompt, how long the new stream will take at the share of time that the endpoint lately spent on reading, and whether that is within the time limit. The work sent to another region is counted by its size, not as so many requests of the present one, and the end line of a request names its shared part.

The test sends a long answer to the reading endpoint without the change.

Tried and dropped: telling refused callers a time drawn between the drained backlog and the latest possible return, or up to twice the former.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -33,6 +33,8 @@
 const FAILURES_TO_BLOCK: u32 = 3;
 /// How long a reported load is believed.
 const REPORT_LIFETIME_MS: u64 = 1_000;
+/// Time over which the reading of an endpoint is averaged: the run of a stream.
+const READ_FADE_MS: f64 = 2_000.0;
 /// Parts remembered for one endpoint; older ones are forgotten first.
 const MAX_PARTS: usize = 512;
 /// Slowness is kept in this range, so that one observation cannot exclude an
@@ -140,6 +142,9 @@
     block_ms: u64,
     on_trial: bool,
     parts: HashMap<u64, KnownPart>,
+    /// Prompt tokens that all hosts sent lately, fading with [`READ_FADE_MS`].
+    recent_read_tokens: f64,
+    recent_read_at_ms: u64,
     /// Tokens that requests of all hosts took up in the endpoint's memory.
     taken_tokens: u64,
 }
@@ -170,6 +175,8 @@
             block_ms: FIRST_BLOCK_MS,
             on_trial: false,
             parts: HashMap::new(),
+            recent_read_tokens: 0.0,
+            recent_read_at_ms: 0,
             taken_tokens: 0,
         }
     }
@@ -238,6 +245,7 @@
         self.own.backlog_tokens += work.uncached_tokens;
         self.own.held_tokens += work.held_tokens;
         self.taken_tokens += work.held_tokens;
+        self.record_read(work.uncached_tokens, now_ms);
         if self.is_cold(now_ms) {
             self.last_cold_send_ms
                 .retain(|sent_ms| now_ms < *sent_ms + COLD_WINDOW_MS);
@@ -337,11 +345,28 @@
     /// Remembers a prompt that another host sent.
     pub fn remember_told(&mut self, sent: &SentPrompt, now_ms: u64) {
         self.taken_tokens += u64::from(sent.held_tokens);
+        self.record_read(u64::from(sent.read_tokens), now_ms);
         for part in &sent.parts {
             self.remember_part(*part, now_ms + u64::from(sent.read_ms));
         }
     }
 
+    fn record_read(&mut self, tokens: u64, now_ms: u64) {
+        self.recent_read_tokens = self.recent_read_tokens(now_ms) + tokens as f64;
+        self.recent_read_at_ms = now_ms;
+    }
+
+    fn recent_read_tokens(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.recent_read_at_ms) as f64;
+        self.recent_read_tokens * (-age_ms / READ_FADE_MS).exp()
+    }
+
+    /// Share of the time that the endpoint lately spent on reading prompts, if
+    /// it needs `token_ms` for each token.
+    pub fn read_share(&self, token_ms: f64, now_ms: u64) -> f64 {
+        self.recent_read_tokens(now_ms) * token_ms / READ_FADE_MS
+    }
+
     fn remember_part(&mut self, part: u64, read_at_ms: u64) {
         if self.parts.len() > MAX_PARTS {
             let uses = self.parts.values().map(|known| known.used_at_tokens);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -75,6 +75,18 @@
 const MAX_AWAY_PARTS: usize = 4_096;
 /// Cost of a full endpoint relative to an empty one: events come more slowly.
 const LOAD_COST_MS: f64 = 150.0;
+/// Cost of a millisecond in which an endpoint reads instead of going on with the
+/// streams that run there, for each of them.
+const DELAY_WEIGHT: f64 = 0.04;
+/// Time of an engine's step that reads no prompt, in which each stream gets a
+/// token: the shortest that the platform states, with a usual batch.
+const STEP_MS: f64 = 4.5;
+/// Largest share of the time that an engine is expected to read.
+const MAX_READ_SHARE: f64 = 0.9;
+/// Cost of a millisecond that a stream takes longer.
+const STREAM_WEIGHT: f64 = 0.03;
+/// Cost of a stream that will not end within its time limit.
+const OVERRUN_COST_MS: f64 = 600.0;
 /// Weight of the error rate in the choice.
 const ERROR_WEIGHT: f64 = 6.0;
 /// Share of an engine's memory beyond which requests are preempted.
@@ -102,6 +114,8 @@
     pub region: &'a RegionView,
     /// Time left until an answer is late.
     pub goal_left_ms: f64,
+    /// Time left until the caller gives up.
+    pub time_left_ms: f64,
 }
 
 /// An endpoint chosen for a request.
@@ -155,6 +169,29 @@
     WAIT_WEIGHT * first_event_ms + EXCESS_WEIGHT * excess_ms
 }
 
+/// Cost of the time that a stream takes after its first event.
+///
+/// An engine gives each stream a token between the chunks of prompts that it
+/// reads, so long answers are slow, and may not end in time, where many prompts
+/// are read.
+fn stream_cost(
+    endpoint: &Endpoint,
+    choice: &Choice,
+    demand: &Demand<'_>,
+    token_ms: f64,
+    now_ms: u64,
+) -> f64 {
+    if demand.service.engine.is_none() {
+        return 0.0;
+    }
+    let read_share = endpoint.read_share(token_ms, now_ms).min(MAX_READ_SHARE);
+    let tokens = demand.call.max_output.0 as f64;
+    let stream_ms = endpoint.slowness() * tokens * STEP_MS / (1.0 - read_share);
+    let is_overrun = choice.first_event_ms + stream_ms > demand.time_left_ms;
+    let overrun_ms = if is_overrun { OVERRUN_COST_MS } else { 0.0 };
+    STREAM_WEIGHT * stream_ms + overrun_ms
+}
+
 /// Tokens that an endpoint has cached, from knowledge or, at the endpoint that
 /// all hosts prefer, from what they probably sent there.
 fn expected_cached(known: u64, call: &Call, is_preferred: bool) -> u64 {
@@ -360,8 +397,10 @@
         let copy_ms = choice.copied_tokens as f64 * token_ms;
         let load_ms = load / slots * LOAD_COST_MS;
         let cost = READ_WEIGHT * read_ms
+            + DELAY_WEIGHT * read_ms * load
             + COPY_WEIGHT * copy_ms
             + wait_cost(choice.first_event_ms, demand.goal_left_ms)
+            + stream_cost(endpoint, choice, demand, token_ms, now_ms)
             + load_ms;
         cost * (1.0 + ERROR_WEIGHT * endpoint.error_rate())
     }
@@ -563,6 +602,7 @@
             excluded: &[],
             region: &RegionView::default(),
             goal_left_ms: 0.0,
+            time_left_ms: 0.0,
         };
         self.predict(endpoint, &demand, &Caches::default(), now_ms)
             .backlog_ms
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -114,7 +114,7 @@
 struct AwayLoad {
     at_ms: u64,
     load: ServiceLoad,
-    sent_since: u32,
+    sent_since_ms: f64,
 }
 
 /// All hosts that this host knows, itself included.
@@ -234,7 +234,7 @@
             let fresh = AwayLoad {
                 at_ms: now_ms,
                 load,
-                sent_since: 0,
+                sent_since_ms: 0.0,
             };
             self.away.insert(key, fresh);
         }
@@ -303,16 +303,17 @@
         Some((&away.load, now_ms.saturating_sub(away.at_ms)))
     }
 
-    /// Requests sent to another region since its load was last heard.
-    pub fn away_sent(&self, region: &str, service: &str) -> u32 {
+    /// Work sent to another region since its load was last heard, as the time
+    /// that one endpoint needs for it.
+    pub fn away_sent_ms(&self, region: &str, service: &str) -> f64 {
         let away = self.away.get(&(region.into(), service.into()));
-        away.map_or(0, |away| away.sent_since)
+        away.map_or(0.0, |away| away.sent_since_ms)
     }
 
-    /// Records a request sent to another region.
-    pub fn record_away(&mut self, region: &str, service: &str) {
+    /// Records a request sent to another region, which needs `work_ms` there.
+    pub fn record_away(&mut self, region: &str, service: &str, work_ms: f64) {
         if let Some(away) = self.away.get_mut(&(region.into(), service.into())) {
-            away.sent_since += 1;
+            away.sent_since_ms += work_ms;
         }
     }
 
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -176,6 +176,7 @@
         let service = self.service(&plan.service);
         let is_home = plan.allows_region(&self.settings.host.region);
         let goal_left_ms = exchange.goal_at_ms.saturating_sub(now_ms) as f64;
+        let time_left_ms = exchange.deadline_ms.saturating_sub(now_ms) as f64;
         let choose = |excluded: &[CompactString]| {
             let demand = Demand {
                 service: &service,
@@ -183,6 +184,7 @@
                 excluded,
                 region: &self.region_view,
                 goal_left_ms,
+                time_left_ms,
             };
             self.fleet.choose(&demand, now_ms)
         };
@@ -202,7 +204,7 @@
             away,
             goal_left_ms,
             goal_ms: plan.goal_ms as f64,
-            time_left_ms: exchange.deadline_ms.saturating_sub(now_ms) as f64,
+            time_left_ms,
             is_waiting: exchange.is_waiting,
         })
     }
@@ -281,9 +283,10 @@
         let work_ms = self
             .fleet
             .service_ms(service, &exchange.request.call, now_ms);
-        let sent = f64::from(self.hosts.away_sent(region, &service.name));
-        let hosts = self.region_view.host_count as f64;
-        let sent_ms = sent * hosts * work_ms / f64::from(load.endpoint_count);
+        // The other hosts of this region have probably sent as much.
+        let all_sent_ms =
+            self.hosts.away_sent_ms(region, &service.name) * self.region_view.host_count as f64;
+        let sent_ms = all_sent_ms / f64::from(load.endpoint_count);
         let first_event_ms = round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS)
             + f64::from(load.backlog_ms)
             + sent_ms
@@ -294,6 +297,7 @@
             excluded: &[],
             region: &self.region_view,
             goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
+            time_left_ms: exchange.deadline_ms.saturating_sub(now_ms) as f64,
         };
         Some(AwayOffer {
             region: region.clone(),
@@ -404,8 +408,11 @@
             uncached_tokens: 0,
             sent_ms: now_ms,
         });
-        self.hosts.record_away(&offer.region, &service);
         let request = Rc::clone(&self.exchanges[key].request);
+        let service = self.service(&service);
+        let work_ms = self.fleet.service_ms(&service, &request.call, now_ms);
+        self.hosts
+            .record_away(&offer.region, &service.name, work_ms);
         self.fleet
             .remember_away(&offer.region, &request.call, now_ms);
         self.telemetry.count_away();
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -112,6 +112,8 @@
     pub endpoint: u32,
     /// Memory that it takes, in tokens.
     pub held_tokens: u32,
+    /// Tokens of it that the endpoint has to read.
+    pub read_tokens: u32,
     /// Predicted time until it has been read.
     pub read_ms: u32,
     /// Its shared parts, in order.
@@ -154,6 +156,7 @@
         self.sends.push(SentPrompt {
             endpoint: hash,
             held_tokens: choice.work.held_tokens as u32,
+            read_tokens: choice.work.uncached_tokens as u32,
             read_ms: choice.first_event_ms as u32,
             parts: shared.take(MAX_PARTS).collect(),
         });
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -198,6 +198,8 @@
             tried = ?exchange.excluded,
             events = exchange.events.whole_count(),
             prompt_tokens = exchange.request.call.prompt.0,
+            shared_tokens = exchange.request.call.shared_tokens(),
+            shared_part = exchange.request.call.affinity(),
             goal_ms = exchange.plan.goal_ms,
             destination = exchange.placed.as_ref().map(|placed| placed.destination.as_str()),
             waited_ms = exchange
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -133,6 +133,7 @@
         excluded: &[],
         region: &region,
         goal_left_ms: GOAL_MS,
+        time_left_ms: 15_000.0,
     };
     fleet.choose(&demand, now_ms)
 }
@@ -372,6 +373,38 @@
     }
 }
 
+/// Load: long answers among many long prompts. Guards against a stream that does
+/// not end within its time limit because its engine reads prompts most of the
+/// time, while another engine only has more streams.
+#[test]
+fn long_answer_goes_where_few_prompts_are_read() {
+    let mut fleet = fleet_of("host-0", 2, 0);
+    let reading = fleet.get_mut("e-0").expect("the endpoint");
+    // Nine tenths of the last two seconds, at 56.6 tokens in a millisecond.
+    for now_ms in (1_000..3_000).step_by(200) {
+        let prompt = Work {
+            uncached_tokens: 10_000,
+            held_tokens: 0,
+        };
+        reading.start(prompt, now_ms);
+        reading.finish(prompt, true);
+        reading.first_event(prompt);
+    }
+    let streaming = fleet.get_mut("e-1").expect("the endpoint");
+    for _ in 0..12 {
+        streaming.start(Work::default(), 1_000);
+    }
+    let long_answer = Call {
+        prompt: Tokens(400),
+        max_output: Tokens(900),
+        ..Call::default()
+    };
+
+    let choice = choose(&fleet, &long_answer, &[], 3_000).expect("an endpoint");
+
+    assert_eq!(choice.endpoint, "e-1");
+}
+
 /// Load: some endpoints of a region crash at once. Guards against each host that
 /// finds out by itself, with requests that are refused meanwhile, and against an
 /// endpoint that is lost to all because one host is cut off from it.
