Split the course of a request into files, read changed settings without a signal

No longer there: the setting endpoint_heartbeat_ms, the connection limit of a service that nothing kept, a flag and a trace line without use. The headers of an answer are decoded once instead of with each piece of a stream.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -58,8 +58,6 @@
 pub struct Service {
     /// Name.
     pub name: CompactString,
-    /// Connections that an endpoint accepts from all hosts.
-    pub max_connections: Option<u32>,
     /// How long an endpoint is cold after it starts.
     pub cold_ms: u64,
     /// Requests a second that a cold endpoint tolerates; 0 for no limit.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -66,6 +66,12 @@
         self.is_idempotent || self.is_resumable
     }
 
+    /// Whether the request, once sent, goes on when its caller has left: it has
+    /// an effect that is not to be broken off midway.
+    pub fn runs_without_caller(&self) -> bool {
+        !self.is_stream && !self.is_idempotent
+    }
+
     /// Whether a region may serve the request.
     pub fn allows_region(&self, region: &str) -> bool {
         self.homes.is_empty() || self.homes.iter().any(|home| home == region)
@@ -108,6 +114,8 @@
     pub sent_ms: u64,
     /// The first event or the answer has begun.
     pub has_begun: bool,
+    /// The head of the answer is that of a success of the endpoint.
+    pub is_good: bool,
     /// Last time at which content arrived.
     pub progress_ms: u64,
 }
@@ -148,10 +156,7 @@
     #[default]
     None,
     /// The head and perhaps some content were written.
-    Begun {
-        /// The content is sent in chunks.
-        is_chunked: bool,
-    },
+    Begun,
 }
 
 /// A request of a caller.
@@ -210,6 +215,6 @@
 
     /// Whether any of the answer reached the caller.
     pub fn has_reply_begun(&self) -> bool {
-        matches!(self.reply, Reply::Begun { .. })
+        matches!(self.reply, Reply::Begun)
     }
 }
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -7,7 +7,6 @@
 use super::{
     belief::Update,
     configuration::Configuration,
-    endpoint::slots_of,
     hosts::{
         Beacon,
         QueueLoad,
@@ -306,7 +305,6 @@
                     }
                     count += 1;
                     backlog_ms += self.fleet.backlog_ms(endpoint, service, now_ms);
-                    debug_assert!(slots_of(endpoint, Some(service)) > 0.0);
                 }
                 ServiceLoad {
                     service: service.name.clone(),
--- /dev/null
+++ b/src/gateway/serve_sending.rs
@@ -0,0 +1,250 @@
+//! Sending a request to an endpoint or to another region.
+
+use std::rc::Rc;
+
+use compact_str::{
+    CompactString,
+    format_compact, //
+};
+
+use super::{
+    admission::AwayOffer,
+    answer::{
+        FORWARD_HEADER,
+        write_request_start, //
+    },
+    connection::{
+        Answering,
+        UpstreamPhase, //
+    },
+    exchange::{
+        Destination,
+        Placed,
+        Sending, //
+    },
+    fleet::Choice,
+    head::Framing,
+    reactor::Reactor,
+    serve_ending::UNREACHABLE_RETRY_MS, //
+    serve_endpoint::Breakage,
+};
+use crate::platform::headers::{
+    EndpointHeaders,
+    is_passed_on, //
+};
+
+impl Reactor {
+    pub(super) fn send_to_endpoint(&mut self, key: usize, choice: Choice) {
+        let now_ms = self.now_ms();
+        let Some(endpoint) = self.fleet.get_mut(&choice.endpoint) else {
+            return;
+        };
+        let address = endpoint.announcement.address;
+        let Some(exchange) = self.exchanges.get(key) else {
+            return;
+        };
+        endpoint.start(choice.work, now_ms);
+        let call = &exchange.request.call;
+        endpoint.remember(call, now_ms + choice.first_event_ms as u64);
+        self.pending_update
+            .record_send(&choice, endpoint.hash, call);
+        let headers = EndpointHeaders {
+            endpoint: Some(choice.endpoint.clone()),
+            time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
+            priority: exchange
+                .plan
+                .priority
+                .filter(|_| !exchange.request.call.parts.is_empty()),
+            last_event: self.resume_header(key),
+            fetch_from: choice.fetch_from,
+        };
+        self.exchanges[key].placed = Some(Placed {
+            destination: choice.endpoint.clone(),
+            predicted_ms: choice.first_event_ms as u64,
+            backlog_ms: choice.backlog_ms as u64,
+            uncached_tokens: choice.work.uncached_tokens,
+            sent_ms: now_ms,
+        });
+        tracing::debug!(
+            request = %self.exchanges[key].request.call.attempt,
+            endpoint = %choice.endpoint,
+            predicted_ms = choice.first_event_ms as u64,
+            backlog_ms = choice.backlog_ms as u64,
+            "request sent"
+        );
+        let destination = Destination::Endpoint(choice);
+        self.send(key, address, destination, &headers, None);
+    }
+
+    pub(super) fn send_away(&mut self, key: usize, offer: AwayOffer) {
+        let now_ms = self.now_ms();
+        let Some(host) = self.random_host(&offer.region, now_ms) else {
+            return;
+        };
+        let Some(exchange) = self.exchanges.get(key) else {
+            return;
+        };
+        let mut plan = exchange.plan.clone();
+        // Repeats are decided here alone, so that two regions cannot both use
+        // up the attempts.
+        plan.max_attempts = 1;
+        plan.goal_ms = exchange.goal_at_ms.saturating_sub(now_ms);
+        plan.timeout_ms = exchange.deadline_ms.saturating_sub(now_ms);
+        let encoded = match postcard::to_allocvec(&plan) {
+            Ok(bytes) => {
+                use base64::Engine;
+                base64::engine::general_purpose::STANDARD.encode(bytes)
+            }
+            Err(error) => {
+                tracing::error!(%error, "could not encode a plan");
+                return self.refuse(key, "plan could not be encoded", UNREACHABLE_RETRY_MS);
+            }
+        };
+        let headers = EndpointHeaders {
+            endpoint: None,
+            time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
+            priority: None,
+            last_event: self.resume_header(key),
+            fetch_from: None,
+        };
+        let service = exchange.plan.service.clone();
+        tracing::debug!(
+            request = %exchange.request.call.attempt,
+            region = %offer.region,
+            host = %host.name,
+            predicted_ms = offer.first_event_ms as u64,
+            "request sent to another region"
+        );
+        self.exchanges[key].placed = Some(Placed {
+            destination: format_compact!("{}/{}", offer.region, host.name),
+            predicted_ms: offer.first_event_ms as u64,
+            backlog_ms: 0,
+            uncached_tokens: 0,
+            sent_ms: now_ms,
+        });
+        let request = Rc::clone(&self.exchanges[key].request);
+        let service = self.service(&service);
+        let work_ms = self.fleet.service_ms(&service, &request.call, now_ms);
+        self.hosts
+            .record_away(&offer.region, &service.name, work_ms);
+        self.fleet
+            .remember_away(&offer.region, &request.call, now_ms);
+        self.telemetry.count_away();
+        let destination = Destination::Region {
+            region: offer.region,
+            host: host.name,
+        };
+        self.send(key, host.peer_address, destination, &headers, Some(encoded));
+    }
+
+    /// The event after which the next endpoint goes on, if the stream resumes.
+    pub(super) fn resume_header(&self, key: usize) -> Option<CompactString> {
+        let exchange = self.exchanges.get(key)?;
+        exchange.resume_after()
+    }
+
+    pub(super) fn send(
+        &mut self,
+        key: usize,
+        address: std::net::SocketAddr,
+        destination: Destination,
+        headers: &EndpointHeaders,
+        forward: Option<String>,
+    ) {
+        let now_ms = self.now_ms();
+        let bytes = self.encode_request(key, headers, forward.as_deref());
+        let is_peer = forward.is_some();
+        let upstream = match self.take_idle(address, now_ms) {
+            Some(upstream) => Some(upstream),
+            None => {
+                self.telemetry.count_connection();
+                self.connect(address)
+            }
+        };
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            return;
+        };
+        if exchange.is_waiting {
+            exchange.is_waiting = false;
+            self.waiting.retain(|other| *other != key);
+        }
+        let Some(upstream) = upstream else {
+            exchange.sending = Some(Sending {
+                destination,
+                upstream: usize::MAX,
+                sent_ms: now_ms,
+                has_begun: false,
+                is_good: false,
+                progress_ms: now_ms,
+            });
+            return self.sending_failed(key, Breakage::Unreachable);
+        };
+        exchange.sending = Some(Sending {
+            destination,
+            upstream,
+            sent_ms: now_ms,
+            has_begun: false,
+            is_good: false,
+            progress_ms: now_ms,
+        });
+        let is_head_request = exchange.request.head.method == "HEAD";
+        let connection = &mut self.upstreams[upstream];
+        connection.exchange = Some(key);
+        connection.is_peer = is_peer;
+        connection.is_paused = false;
+        connection.is_head_request = is_head_request;
+        connection.request_count += 1;
+        connection.answering = Answering::Head;
+        connection.wire.queue(&bytes);
+        if connection.phase == UpstreamPhase::Idle {
+            connection.phase = UpstreamPhase::Busy;
+            // A failed write shows as a failed read.
+            connection.wire.flush();
+        }
+    }
+
+    pub(super) fn encode_request(
+        &self,
+        key: usize,
+        headers: &EndpointHeaders,
+        forward: Option<&str>,
+    ) -> Vec<u8> {
+        let Some(exchange) = self.exchanges.get(key) else {
+            return Vec::new();
+        };
+        let request = &exchange.request;
+        let resumes = headers.last_event.is_some();
+        let mut bytes = Vec::with_capacity(request.body.len() + 768);
+        write_request_start(
+            &request.head,
+            |header| is_passed_on(header, resumes),
+            &mut bytes,
+        );
+        headers.write(&mut bytes);
+        if let Some(plan) = forward {
+            bytes.extend_from_slice(format!("{FORWARD_HEADER}: {plan}\r\n").as_bytes());
+        }
+        let had_length = request.head.header("content-length").is_some();
+        if !request.body.is_empty() || had_length || request.head.framing == Framing::Chunked {
+            let length = request.body.len();
+            bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&request.body);
+        bytes
+    }
+
+    /// A connection for an exchange has been made.
+    pub(super) fn record_connected(&mut self, exchange: Option<usize>, connect_ms: u64) {
+        let sending = exchange
+            .and_then(|exchange| self.exchanges.get(exchange))
+            .and_then(|exchange| exchange.sending.as_ref());
+        if let Some(Destination::Region { region, .. }) =
+            sending.map(|sending| &sending.destination)
+        {
+            let measured = connect_ms as f64;
+            let known = self.round_trip_ms.entry(region.clone()).or_insert(measured);
+            *known += 0.2 * (measured - *known);
+        }
+    }
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -37,7 +37,6 @@
 ];
 const LIMIT_KEYS: &[&str] = &[
     "shutdown_s",
-    "endpoint_heartbeat_ms",
     "cold_factor",
     "cold_slack",
     "retry_ratio",
@@ -68,8 +67,6 @@
     pub regions: BTreeMap<CompactString, CompactString>,
     /// Time between the signal to stop and the end of the process.
     pub shutdown_ms: u64,
-    /// Interval at which endpoints renew their announcements.
-    pub endpoint_heartbeat_ms: u64,
     /// Limit on requests to cold endpoints.
     pub cold: ColdBounds,
     /// Limit on repeated requests.
@@ -140,7 +137,6 @@
             min_lease_ms: file.value(store, "min_lease_ms")?,
             regions,
             shutdown_ms: millis(positive(&file, limits, "shutdown_s")?),
-            endpoint_heartbeat_ms: file.value(limits, "endpoint_heartbeat_ms")?,
             cold: ColdBounds {
                 factor: positive(&file, limits, "cold_factor")?,
                 slack: positive(&file, limits, "cold_slack")?,
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -54,6 +54,9 @@
 const UPDATE_RING: usize = 1_024;
 /// Exit code when requests were cut off at the end.
 const EXIT_CUT_OFF: u8 = 3;
+/// Interval at which the settings file is compared with what was read from it.
+/// It may change without a signal, and no bound of the platform hangs on it.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest wait for the end of the host's lease at shutdown.
 const DEREGISTER_LIMIT: Duration = Duration::from_millis(300);
 
@@ -92,6 +95,7 @@
         Arc::clone(&is_stopping),
         host_count,
     )?;
+    spawn_settings_watch(path, updates.clone())?;
     spawn_signals(updates, stop)?;
     let ended = reactor.run().context("the reactor failed")?;
 
@@ -157,6 +161,34 @@
     Ok(())
 }
 
+/// Reads the settings again when their file has changed.
+fn spawn_settings_watch(path: &Path, updates: UpdateSender) -> anyhow::Result<()> {
+    let path = path.to_path_buf();
+    let mut known = std::fs::read(&path)?;
+    thread::Builder::new()
+        .name("settings".into())
+        .spawn(move || {
+            loop {
+                thread::sleep(SETTINGS_INTERVAL);
+                let content = match std::fs::read(&path) {
+                    Ok(content) => content,
+                    Err(error) => {
+                        tracing::warn!(%error, "settings file cannot be read");
+                        continue;
+                    }
+                };
+                if content == known {
+                    continue;
+                }
+                known = content;
+                if !updates.send(Update::Reload) {
+                    return;
+                }
+            }
+        })?;
+    Ok(())
+}
+
 fn spawn_signals(
     updates: UpdateSender,
     stop: crossbeam::channel::Sender<()>,
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -88,7 +88,6 @@
 #[derive(Deserialize)]
 struct WireService {
     name: CompactString,
-    max_conns: Option<u32>,
     #[serde(default)]
     cold_s: f64,
     #[serde(default)]
@@ -190,7 +189,6 @@
 fn decode_service(wire: WireService) -> Service {
     Service {
         name: wire.name,
-        max_connections: wire.max_conns,
         cold_ms: whole_ms(wire.cold_s * 1_000.0),
         cold_per_s: wire.cold_per_s,
         engine: wire.engine.map(|engine| Engine {
