--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -77,14 +77,14 @@
 const LOAD_COST_MS: f64 = 150.0;
 /// Cost of a millisecond in which an endpoint reads instead of going on with the
 /// streams that run there, for each of them.
-const DELAY_WEIGHT: f64 = 0.04;
+const DELAY_WEIGHT: f64 = 0.08;
 /// Time of an engine's step that reads no prompt, in which each stream gets a
 /// token: the shortest that the platform states, with a usual batch.
 const STEP_MS: f64 = 4.5;
 /// Largest share of the time that an engine is expected to read.
 const MAX_READ_SHARE: f64 = 0.9;
 /// Cost of a millisecond that a stream takes longer.
-const STREAM_WEIGHT: f64 = 0.03;
+const STREAM_WEIGHT: f64 = 0.08;
 /// Cost of a stream that will not end within its time limit.
 const OVERRUN_COST_MS: f64 = 600.0;
 /// Weight of the error rate in the choice.
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -65,8 +65,6 @@
     pub endpoint_count: u32,
     /// Mean time until an endpoint begins with a new request, in milliseconds.
     pub backlog_ms: u32,
-    /// Time to read a thousand prompt tokens, in milliseconds.
-    pub kilotoken_ms: u32,
 }
 
 /// What a host sends to other hosts several times a second.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -310,7 +310,6 @@
                     service: service.name.clone(),
                     endpoint_count: count,
                     backlog_ms: (backlog_ms / f64::from(count.max(1)) + queue_ms) as u32,
-                    kilotoken_ms: (self.fleet.mean_token_ms(service, now_ms) * 1_000.0) as u32,
                 }
             })
             .collect();
