--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -41,6 +41,14 @@
 /// endpoint for good.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 12.0);
 
+/// Window in which requests to a cold endpoint are counted. The platform counts
+/// whole seconds; the rest covers differences in the time on the way.
+const COLD_WINDOW_MS: u64 = 1_150;
+/// Pause after an endpoint refused a request for lack of room.
+const SHED_PAUSE_MS: u64 = 60;
+/// Longest prompt that counts as quick: two chunks of a batching engine.
+const QUICK_TOKENS: u64 = 2_048;
+
 /// State that an endpoint announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -421,12 +429,6 @@
     }
 }
 
-/// Window in which requests to a cold endpoint are counted. The platform counts
-/// whole seconds; the rest covers differences in the time on the way.
-const COLD_WINDOW_MS: u64 = 1_150;
-/// Pause after an endpoint refused a request for lack of room.
-const SHED_PAUSE_MS: u64 = 60;
-
 /// Size of a request at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Work {
@@ -456,9 +458,6 @@
     }
 }
 
-/// Longest prompt that counts as quick: two chunks of a batching engine.
-const QUICK_TOKENS: u64 = 2_048;
-
 /// Requests that a service's endpoints run at once.
 pub fn slots_of(endpoint: &Endpoint, service: Option<&Service>) -> f64 {
     let configured = service.and_then(|service| service.engine);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -87,6 +87,10 @@
 const STREAM_WEIGHT: f64 = 0.08;
 /// Cost of a stream that will not end within its time limit.
 const OVERRUN_COST_MS: f64 = 600.0;
+/// Weight of a new observation in the mean time of a run.
+const RUN_LEARN_WEIGHT: f64 = 0.1;
+/// The same for the time to read a token, which is told by few requests.
+const TOKEN_LEARN_WEIGHT: f64 = 0.03;
 /// Weight of the error rate in the choice.
 const ERROR_WEIGHT: f64 = 6.0;
 /// Share of an engine's memory beyond which requests are preempted.
@@ -334,7 +338,7 @@
     /// Learns how long requests of a service run.
     pub fn learn_run(&mut self, service: &str, run_ms: f64) {
         let known = self.run_ms.entry(service.into()).or_insert(run_ms);
-        *known += 0.1 * (run_ms - *known);
+        *known += RUN_LEARN_WEIGHT * (run_ms - *known);
     }
 
     /// Learns how long a service's endpoints take to read a prompt token.
@@ -349,7 +353,7 @@
         let observed =
             ((actual_ms - FIRST_EVENT_MS) / tokens).clamp(TOKEN_MS / 20.0, TOKEN_MS * 20.0);
         let known = self.token_ms.entry(service.into()).or_insert(TOKEN_MS);
-        *known += 0.03 * (observed - *known);
+        *known += TOKEN_LEARN_WEIGHT * (observed - *known);
     }
 
     /// Endpoints of `service` in this region that may be used, their load and
--- a/src/gateway/serve_sending.rs
+++ b/src/gateway/serve_sending.rs
@@ -33,6 +33,9 @@
     is_passed_on, //
 };
 
+/// Weight of a new observation in the round trip to another region.
+const ROUND_TRIP_LEARN_WEIGHT: f64 = 0.2;
+
 impl Reactor {
     pub(super) fn send_to_endpoint(&mut self, key: usize, choice: Choice) {
         let now_ms = self.now_ms();
@@ -244,7 +247,7 @@
         {
             let measured = connect_ms as f64;
             let known = self.round_trip_ms.entry(region.clone()).or_insert(measured);
-            *known += 0.2 * (measured - *known);
+            *known += ROUND_TRIP_LEARN_WEIGHT * (measured - *known);
         }
     }
 }
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -30,9 +30,9 @@
 /// Factor on the interval for changes that only free an endpoint.
 const RELEASE_FACTOR: u64 = 5;
 /// Most endpoints, sends and blocks in an update, so that it fits into one packet.
-const MAX_SHARES: usize = 32;
-const MAX_SENDS: usize = 12;
-const MAX_BLOCKS: usize = 16;
+const MAX_SHARES: usize = 24;
+const MAX_SENDS: usize = 10;
+const MAX_BLOCKS: usize = 8;
 /// Most shared parts that are told of one prompt.
 const MAX_PARTS: usize = 4;
 
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -49,6 +49,7 @@
             EndpointBlock,
             EndpointShare,
             LoadUpdate,
+            Packet,
             PendingUpdate, //
         }, //
     },
@@ -343,6 +344,62 @@
     );
 }
 
+/// Load: a burst of sends while many endpoints are lost. Guards against an update
+/// that is too long for a packet and is not sent at all.
+#[test]
+fn update_of_a_burst_fits_into_packets() {
+    const PACKET_BYTES: usize = 1_400;
+    let mut pending = PendingUpdate::default();
+    let work = Work {
+        uncached_tokens: u64::from(u32::MAX),
+        held_tokens: u64::from(u32::MAX),
+    };
+    let call = Call {
+        parts: (0..9)
+            .map(|number| PromptPart {
+                id: u64::MAX - number,
+                tokens: Tokens(1),
+            })
+            .collect(),
+        ..Call::default()
+    };
+    for number in 0..100 {
+        let choice = Choice {
+            endpoint: format_compact!("e-{number}"),
+            first_event_ms: f64::from(u32::MAX),
+            work,
+            ..situation().here.expect("a choice")
+        };
+        pending.record_send(&choice, u32::MAX, &call);
+        pending.record_block(u32::MAX, u64::from(u32::MAX));
+    }
+
+    let mut told = 0;
+    for now_ms in (0..1_000).step_by(5) {
+        let Some(changes) = pending.take_due(1, now_ms) else {
+            continue;
+        };
+        told += changes.sends.len();
+        let share = EndpointShare {
+            endpoint: u32::MAX,
+            active: u32::MAX,
+            backlog_tokens: u32::MAX,
+            held_tokens: u32::MAX,
+        };
+        let update = LoadUpdate {
+            host: "edge-a-host-with-a-long-name-1".into(),
+            started_ms: u64::MAX,
+            sequence: u64::MAX,
+            shares: vec![share; changes.endpoints.len()],
+            sends: changes.sends,
+            blocks: changes.blocks,
+        };
+        let bytes = postcard::to_allocvec(&Packet::Update(update)).expect("it is encoded");
+        assert!(bytes.len() <= PACKET_BYTES, "{} bytes", bytes.len());
+    }
+    assert_eq!(told, 100, "not every send was told");
+}
+
 /// Load: requests with one shared part arrive at several hosts. Guards against a
 /// part that is read again at another endpoint although a host told where it is.
 #[test]
