Read pipelined answers that arrive together; write an older configuration in the soak

The host's log shows that all three answers were written in order; the fixture read up to 4,096 bytes and dropped what belonged to the next answer. With a pause before reading, the old fixture fails each time. The reader now keeps those bytes, and the test also refuses bytes after the last answer.

--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -18,7 +18,7 @@
     HostOptions,
     Request,
     announce,
-    read_answer,
+    read_next_answer,
     store_with_configuration,
     wait_until, //
 };
@@ -137,9 +137,13 @@
         .collect();
 
     std::io::Write::write_all(&mut stream, &pipelined).expect("the requests are sent");
+    // All answers may arrive at once.
+    thread::sleep(Duration::from_millis(300));
 
+    let mut read = Vec::new();
     for number in 0..3 {
-        let answer = read_answer(&mut stream).expect("an answer");
+        let answer = read_next_answer(&mut stream, &mut read).expect("an answer");
         assert_eq!(answer.text(), format!("a-{number}"));
     }
+    assert!(read.is_empty(), "bytes after the last answer: {read:?}");
 }
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -239,11 +239,18 @@
         self.store.put("op/config", &configuration(self.version));
     }
 
+    /// A second operator overwrites the newest configuration with an older one.
+    fn configure_late(&mut self) {
+        self.configure();
+        self.store
+            .put("op/config", &configuration(self.version - 1));
+    }
+
     /// Plays one fault and mends it.
     fn fault(&mut self, random: &mut Pcg64Mcg) {
         let index = pick(random, HOSTS.len() as u64) as usize;
         let pause = Duration::from_millis(100 + pick(random, 900));
-        match pick(random, 11) {
+        match pick(random, 12) {
             0 => self.restart(index, Signal::SIGKILL),
             1 => self.restart(index, Signal::SIGTERM),
             2 => {
@@ -280,6 +287,10 @@
                 thread::sleep(pause);
                 self.store.delete("op/evacuate/north-a");
             }
+            10 => {
+                self.configure_late();
+                thread::sleep(pause);
+            }
             _ => self.replace_endpoint(pick(random, ENDPOINTS.len() as u64) as usize, pause),
         }
     }
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -333,10 +333,16 @@
 
 /// Reads one answer; none if the connection ends before its head.
 pub fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
+    read_next_answer(stream, &mut Vec::new())
+}
+
+/// Reads one of several answers on a connection; `read` holds what was read from
+/// it beyond the answer before, and then beyond this one.
+pub fn read_next_answer(stream: &mut TcpStream, read: &mut Vec<u8>) -> Option<Answer> {
     stream
         .set_read_timeout(Some(Duration::from_secs(30)))
         .expect("a time limit");
-    let mut bytes = Vec::new();
+    let mut bytes = std::mem::take(read);
     let mut buffer = [0; 4096];
     let (head, length) = loop {
         let parsed = cardamombridge::gateway::head::parse_response(&bytes, false);
@@ -363,6 +369,7 @@
             Ok(count) => input.extend_from_slice(&buffer[..count]),
         }
     };
+    *read = input;
     Some(Answer {
         status: head.status,
         head: text,
