--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -2,8 +2,13 @@
 
 mod gatewayenv;
 
+use std::net::SocketAddr;
+
 use cardamombridge::standin::{
-    metadata_store::StoreFault,
+    metadata_store::{
+        MetadataStore,
+        StoreFault, //
+    },
     scripted::{
         Script,
         ScriptedEndpoint, //
@@ -21,6 +26,16 @@
 };
 use serde_json::json;
 
+/// Starts a host that reaches the store at another address than its own.
+fn start(store: &MetadataStore, name: &'static str, address: Option<SocketAddr>) -> Host {
+    let options = HostOptions {
+        name,
+        store: address,
+        ..HostOptions::default()
+    };
+    Host::start(store, &options)
+}
+
 /// Guards against hosts that keep sending to an evacuated data centre, or keep
 /// an old configuration, while the store turns them away: two such hosts that
 /// hear each other must not take each other's old news for new.
@@ -31,18 +46,10 @@
         .expect("the endpoint starts");
     announce(&store, &endpoint, "north");
     let wire = Wire::start(store.address(), 1).expect("the wire starts");
-    let start = |name, store_address| {
-        let options = HostOptions {
-            name,
-            store: store_address,
-            ..HostOptions::default()
-        };
-        Host::start(&store, &options)
-    };
-    let _informed = start("host-1", None);
+    let _informed = start(&store, "host-1", None);
     let cut_off = [
-        start("host-2", Some(wire.address())),
-        start("host-3", Some(wire.address())),
+        start(&store, "host-2", Some(wire.address())),
+        start(&store, "host-3", Some(wire.address())),
     ];
     for host in &cut_off {
         host.wait_log("\"host registered\",\"host\":\"host-1\"");
@@ -148,16 +155,8 @@
         .expect("the endpoint starts");
     announce(&store, &endpoint, "north");
     let wire = Wire::start(store.address(), 1).expect("the wire starts");
-    let start = |name, store_address| {
-        let options = HostOptions {
-            name,
-            store: store_address,
-            ..HostOptions::default()
-        };
-        Host::start(&store, &options)
-    };
-    let informed = start("host-1", None);
-    let cut_off = start("host-2", Some(wire.address()));
+    let informed = start(&store, "host-1", None);
+    let cut_off = start(&store, "host-2", Some(wire.address()));
     cut_off.wait_log("\"host registered\",\"host\":\"host-1\"");
     cut_off.wait_log("endpoint announced");
     wire.set_cut(true);
