Let one piece of code serve where the gateway repeated another

Behaviour stays. What hosts tell each other is the page of changes that the store's client already has, not a second pair of types. Known sections and checked values are methods of the settings file for both kinds of settings; the reason phrases are those of http::message. A plan encodes and decodes itself; a known host, the endpoint of a hash and the registration of a connection have one place each; a reply that has begun is a flag. The choice no longer looks for a source of copies where endpoints do not copy. A prefix of keys that nothing used is gone. Tests with one endpoint share a fixture; their assertions are the same.

--- a/src/config.rs
+++ b/src/config.rs
@@ -117,11 +117,7 @@
 impl Config {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = fs::read_to_string(path).map_err(|source| ConfigError::Read {
-            path: path.to_path_buf(),
-            source,
-        })?;
-        Ok(Self::parse(path, &text)?)
+        Ok(Self::parse(path, &read_text(path)?)?)
     }
 
     /// Checks settings that were read from `path`.
@@ -131,8 +127,7 @@
             |name| SECTIONS.contains(&name) || name.starts_with(LINK_SECTION_PREFIX),
             &format_compact!("one of {} and link.REGION", SECTIONS.join(", ")),
         )?;
-        let host = known_section(
-            &file,
+        let host = file.known_section(
             "host",
             &[
                 "name",
@@ -144,8 +139,8 @@
                 "admin_address",
             ],
         )?;
-        let platform = known_section(&file, "platform", &["address"])?;
-        let keys = known_section(&file, "keys", &["cluster_key_file", "operator_key_file"])?;
+        let platform = file.known_section("platform", &["address"])?;
+        let keys = file.known_section("keys", &["cluster_key_file", "operator_key_file"])?;
         let peers = optional_section(&file, "peers", &["seeds"])?;
         let limits = optional_section(&file, "limits", &["max_connections", "drain_limit"])?;
         let policy = optional_section(&file, "policy", &["weigh"])?;
@@ -153,19 +148,13 @@
         let metrics = optional_section(&file, "metrics", &["statsd_address"])?;
 
         let max_connections = file.optional(&limits, "max_connections")?;
-        check(&file, &limits, "max_connections", "a number from 1", |_| {
+        file.check(&limits, "max_connections", "a number from 1", |_| {
             max_connections != Some(0)
         })?;
         let drain_limit_ms = file.optional(&limits, "drain_limit")?;
         let log_format = file.optional(&logs, "format")?;
         let log_filter = file.optional(&logs, "filter")?;
-        check(
-            &file,
-            &logs,
-            "filter",
-            FILTER_EXPECTED,
-            logs::is_valid_filter,
-        )?;
+        file.check(&logs, "filter", FILTER_EXPECTED, logs::is_valid_filter)?;
         check_listeners(&file, host)?;
         Ok(Self {
             host: file.value(host, "name")?,
@@ -260,6 +249,14 @@
     }
 }
 
+/// Reads a settings file.
+pub fn read_text(path: &Path) -> Result<String, ConfigError> {
+    fs::read_to_string(path).map_err(|source| ConfigError::Read {
+        path: path.to_path_buf(),
+        source,
+    })
+}
+
 /// Reads a key file; white space at the end does not count.
 pub fn read_key(path: &Path) -> Result<Vec<u8>, ConfigError> {
     let bytes = fs::read(path).map_err(|source| ConfigError::Read {
@@ -276,19 +273,9 @@
     Ok(key)
 }
 
-fn known_section<'a>(
-    file: &'a IniFile,
-    name: &str,
-    keys: &[&str],
-) -> Result<&'a Section, IniError> {
-    let section = file.require(name)?;
-    file.reject_unknown_keys(section, keys)?;
-    Ok(section)
-}
-
 fn optional_section(file: &IniFile, name: &str, keys: &[&str]) -> Result<Section, IniError> {
     if file.section(name).is_some() {
-        return known_section(file, name, keys).cloned();
+        return file.known_section(name, keys).cloned();
     }
     Ok(Section {
         name: name.into(),
@@ -297,23 +284,6 @@
     })
 }
 
-/// Refuses a value that has the right type but cannot work.
-fn check<F>(
-    file: &IniFile,
-    section: &Section,
-    key: &str,
-    expected: &str,
-    is_valid: F,
-) -> Result<(), IniError>
-where
-    F: Fn(&str) -> bool,
-{
-    match section.entry(key) {
-        Some(entry) if !is_valid(&entry.value) => Err(file.bad_value(section, entry, expected)),
-        _ => Ok(()),
-    }
-}
-
 /// Two TCP listeners cannot share an address, unless the system picks the port.
 fn check_listeners(file: &IniFile, host: &Section) -> Result<(), IniError> {
     const KEYS: [&str; 3] = ["caller_address", "peer_address", "admin_address"];
@@ -321,14 +291,12 @@
     for key in KEYS {
         let address: SocketAddr = file.value(host, key)?;
         let is_free = address.port() == 0 || !taken.contains(&address);
-        check(file, host, key, "an address that no other key has", |_| {
-            is_free
-        })?;
+        file.check(host, key, "an address that no other key has", |_| is_free)?;
         taken.push(address);
     }
     let is_advertised = host.entry("advertised_peer_address").is_some();
     let expected = "an address that others can reach, or advertised_peer_address as well";
-    check(file, host, "peer_address", expected, |text| {
+    file.check(host, "peer_address", expected, |text| {
         let address: Result<SocketAddr, _> = text.parse();
         is_advertised || address.is_ok_and(|address| !address.ip().is_unspecified())
     })
@@ -352,9 +320,7 @@
         })?;
         let latency_ms: Millis = file.value(section, "latency")?;
         let rate: MbitPerSecond = file.value(section, "rate")?;
-        check(file, section, "rate", "a rate above 0Mbit/s", |_| {
-            rate.0 > 0
-        })?;
+        file.check(section, "rate", "a rate above 0Mbit/s", |_| rate.0 > 0)?;
         links.push(RegionLink {
             region,
             latency_ms,
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -5,6 +5,7 @@
     RequestHead,
     ResponseHead, //
 };
+use crate::http::message::reason;
 
 /// Header with which a host tells another one that a request did not run.
 pub const NOT_RUN_HEADER: &str = "Bridge-Not-Run";
@@ -44,23 +45,6 @@
     }
 }
 
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        501 => "Not Implemented",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Unknown",
-    }
-}
-
 /// Writes an answer of the gateway with a body.
 pub fn write_own(
     answer: OwnAnswer,
--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -22,10 +22,6 @@
 use compact_str::CompactString;
 use crossbeam::channel::Sender;
 use mio::Waker;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 
 use super::{
     configuration::Configuration,
@@ -45,6 +41,7 @@
     },
     store::{
         ItemChange,
+        Page,
         StoreRevision, //
     }, //
 };
@@ -102,26 +99,6 @@
     }
 }
 
-/// An item, or the fact that it was deleted.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Key.
-    pub key: CompactString,
-    /// Revision of the last change.
-    pub revision: StoreRevision,
-    /// Value; none if it was deleted.
-    pub value: Option<Vec<u8>>,
-}
-
-/// Changes that one host tells another.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct News {
-    /// Revision up to which the sender knows all changes.
-    pub revision: StoreRevision,
-    /// Items changed after the revision that was asked for.
-    pub entries: Vec<Entry>,
-}
-
 #[derive(Debug, Default)]
 struct Content {
     revision: StoreRevision,
@@ -155,21 +132,21 @@
     }
 
     /// Items changed after `revision`, for another host.
-    pub fn news_after(&self, revision: StoreRevision) -> News {
+    pub fn news_after(&self, revision: StoreRevision) -> Page {
         let content = self.lock();
-        let entries = content
+        let changes = content
             .entries
             .iter()
             .filter(|(_, (changed, _))| *changed > revision)
-            .map(|(key, (changed, value))| Entry {
+            .map(|(key, (changed, value))| ItemChange {
                 key: key.clone(),
                 revision: *changed,
                 value: value.clone(),
             })
             .collect();
-        News {
+        Page {
+            changes,
             revision: content.revision,
-            entries,
         }
     }
 
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -11,10 +11,10 @@
 };
 
 use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     configuration::Service,
-    hosts::endpoint_hash,
     request::{
         Call,
         EndpointLoad, //
@@ -166,7 +166,7 @@
         now_ms: u64,
     ) -> Self {
         Self {
-            hash: endpoint_hash(&id),
+            hash: xxh3_64(id.as_bytes()) as u32,
             id,
             region,
             cold_until_ms: now_ms + announcement.cold_left_ms,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,6 +2,10 @@
 
 use std::rc::Rc;
 
+use base64::{
+    Engine,
+    engine::general_purpose::STANDARD, //
+};
 use compact_str::CompactString;
 use serde::{
     Deserialize,
@@ -61,6 +65,17 @@
         }
     }
 
+    /// The plan as text for a header.
+    pub fn encode(&self) -> Result<String, postcard::Error> {
+        Ok(STANDARD.encode(postcard::to_allocvec(self)?))
+    }
+
+    /// Reads what [`Plan::encode`] wrote; none if it is anything else.
+    pub fn decode(text: &str) -> Option<Self> {
+        let bytes = STANDARD.decode(text).ok()?;
+        postcard::from_bytes(&bytes).ok()
+    }
+
     /// Whether the request may run more than once.
     pub fn may_repeat(&self) -> bool {
         self.is_idempotent || self.is_resumable
@@ -149,16 +164,6 @@
     pub retry_ms: u64,
 }
 
-/// How far the answer to the caller is.
-#[derive(Debug, Default)]
-pub enum Reply {
-    /// Nothing was written.
-    #[default]
-    None,
-    /// The head and perhaps some content were written.
-    Begun,
-}
-
 /// A request of a caller.
 #[derive(Debug)]
 pub struct Exchange {
@@ -198,8 +203,8 @@
     pub refused: Option<Refused>,
     /// When the first event, or the answer, had arrived.
     pub first_event_at_ms: Option<u64>,
-    /// How far the answer is.
-    pub reply: Reply,
+    /// The head and perhaps some content of the answer reached the caller.
+    pub has_reply_begun: bool,
     /// Events passed on, for streams that another endpoint may continue.
     pub events: EventSplitter,
     /// Answer or part of it that has not been passed on.
@@ -213,8 +218,8 @@
         passed_on.or_else(|| self.request.call.last_event.clone())
     }
 
-    /// Whether any of the answer reached the caller.
-    pub fn has_reply_begun(&self) -> bool {
-        matches!(self.reply, Reply::Begun)
+    /// Where the request is.
+    pub fn destination(&self) -> Option<&Destination> {
+        self.sending.as_ref().map(|sending| &sending.destination)
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -319,18 +319,21 @@
         }
     }
 
+    fn get_by_hash(&mut self, hash: u32) -> Option<&mut Endpoint> {
+        let mut endpoints = self.endpoints.values_mut();
+        endpoints.find(|endpoint| endpoint.hash == hash)
+    }
+
     /// Takes over that another host of the region cannot use an endpoint.
     pub fn block_told(&mut self, block: &EndpointBlock, now_ms: u64) {
-        let mut endpoints = self.endpoints.values_mut();
-        if let Some(endpoint) = endpoints.find(|endpoint| endpoint.hash == block.endpoint) {
+        if let Some(endpoint) = self.get_by_hash(block.endpoint) {
             endpoint.block_told(u64::from(block.for_ms), now_ms);
         }
     }
 
     /// Remembers a prompt that another host of the region sent.
     pub fn remember_told(&mut self, sent: &SentPrompt, now_ms: u64) {
-        let mut endpoints = self.endpoints.values_mut();
-        if let Some(endpoint) = endpoints.find(|endpoint| endpoint.hash == sent.endpoint) {
+        if let Some(endpoint) = self.get_by_hash(sent.endpoint) {
             endpoint.remember_told(sent, now_ms);
         }
     }
@@ -462,6 +465,8 @@
         let preferred = affinity.and_then(|part| self.preferred(&service.name, part, now_ms));
         let memory_tokens = service.engine.map_or(0, |engine| engine.memory_tokens);
         let lifetime_tokens = (memory_tokens as f64 * CACHE_SHARE) as u64;
+        let copy_ms = service.engine.and_then(|engine| engine.copy_ms_per_token);
+        let copies = copy_ms.is_some_and(|copy_ms| copy_ms <= TOKEN_MS / 2.0);
         let mut caches = Caches::default();
         for endpoint in self.usable(&service.name, now_ms) {
             let known = endpoint.cached_tokens(demand.call, lifetime_tokens, u64::MAX);
@@ -471,6 +476,9 @@
                 continue;
             }
             caches.tokens.push((endpoint.id.clone(), tokens));
+            if !copies {
+                continue;
+            }
             // Only what has been read can be copied.
             let read = endpoint.cached_tokens(demand.call, lifetime_tokens, now_ms);
             let best = caches.source.as_ref().map_or(0, |(_, _, tokens)| *tokens);
@@ -479,10 +487,6 @@
                 caches.source = Some((endpoint.id.clone(), address, read));
             }
         }
-        let copies = service.engine.and_then(|engine| engine.copy_ms_per_token);
-        if copies.is_none_or(|copy_ms| copy_ms > TOKEN_MS / 2.0) {
-            caches.source = None;
-        }
         caches
     }
 
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -152,16 +152,11 @@
                     %peer,
                     known = known.0,
                     revision = news.revision.0,
-                    entries = news.entries.len(),
+                    entries = news.changes.len(),
                     "learned from another host"
                 );
-                let changes = news.entries.into_iter().map(|entry| ItemChange {
-                    key: entry.key,
-                    revision: entry.revision,
-                    value: entry.value,
-                });
                 if news.revision > known {
-                    belief.apply(changes.collect(), news.revision);
+                    belief.apply(news.changes, news.revision);
                 }
             }
             Err(error) => tracing::debug!(%peer, %error, "another host did not tell its news"),
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -108,6 +108,20 @@
     queues: Vec<QueueLoad>,
 }
 
+impl Known {
+    fn new(info: HostInfo) -> Self {
+        Self {
+            info,
+            is_registered: false,
+            is_leaving: false,
+            run: (0, 0),
+            heard_ms: None,
+            shares: BTreeMap::new(),
+            queues: Vec::new(),
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct AwayLoad {
     at_ms: u64,
@@ -135,11 +149,6 @@
     pub cold_sharers: Vec<CompactString>,
 }
 
-/// A short name of an endpoint in beacons.
-pub fn endpoint_hash(id: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
-}
-
 impl Hosts {
     /// Knows only the host itself.
     pub fn new(own: HostInfo) -> Self {
@@ -175,15 +184,7 @@
         let known = self
             .known
             .entry(info.name.clone())
-            .or_insert_with(|| Known {
-                info: info.clone(),
-                is_registered: true,
-                is_leaving: false,
-                run: (0, 0),
-                heard_ms: None,
-                shares: BTreeMap::new(),
-                queues: Vec::new(),
-            });
+            .or_insert_with(|| Known::new(info.clone()));
         known.info = info;
         known.is_registered = true;
     }
@@ -204,15 +205,7 @@
         let known = self
             .known
             .entry(beacon.host.name.clone())
-            .or_insert_with(|| Known {
-                info: beacon.host.clone(),
-                is_registered: false,
-                is_leaving: false,
-                run: (0, 0),
-                heard_ms: None,
-                shares: BTreeMap::new(),
-                queues: Vec::new(),
-            });
+            .or_insert_with(|| Known::new(beacon.host.clone()));
         if run <= known.run {
             return false;
         }
--- a/src/gateway/peer_news.rs
+++ b/src/gateway/peer_news.rs
@@ -19,11 +19,11 @@
 };
 use thiserror::Error;
 
-use super::belief::{
-    Belief,
-    News, //
+use super::belief::Belief;
+use crate::platform::store::{
+    Page,
+    StoreRevision, //
 };
-use crate::platform::store::StoreRevision;
 
 /// Path of the call on the address for other hosts.
 pub const NEWS_PATH: &str = "/bridge/news";
@@ -47,7 +47,7 @@
 }
 
 /// Asks the host at `peer` for changes after `revision`.
-pub fn fetch_news(peer: SocketAddr, revision: StoreRevision) -> Result<News, NewsError> {
+pub fn fetch_news(peer: SocketAddr, revision: StoreRevision) -> Result<Page, NewsError> {
     let client = Client::new().with_global_timeout(ANSWER_TIMEOUT);
     let request = Request::builder()
         .method(Method::GET)
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -326,13 +326,7 @@
         let now_ms = self.now_ms();
         let key = self.clients.insert(Client::new(stream, role, now_ms));
         let token = Token(FIRST_CONNECTION + key * 2);
-        let registered = self.poll.registry().register(
-            &mut self.clients[key].wire.stream,
-            token,
-            Interest::READABLE | Interest::WRITABLE,
-        );
-        if let Err(error) = registered {
-            tracing::warn!(%error, "could not register a connection");
+        if !register(&self.poll, &mut self.clients[key].wire.stream, token) {
             self.clients.remove(key);
         }
     }
@@ -351,13 +345,7 @@
             .upstreams
             .insert(Upstream::new(stream, address, now_ms));
         let token = Token(FIRST_CONNECTION + key * 2 + 1);
-        let registered = self.poll.registry().register(
-            &mut self.upstreams[key].wire.stream,
-            token,
-            Interest::READABLE | Interest::WRITABLE,
-        );
-        if let Err(error) = registered {
-            tracing::warn!(%error, "could not register a connection");
+        if !register(&self.poll, &mut self.upstreams[key].wire.stream, token) {
             self.upstreams.remove(key);
             return None;
         }
@@ -434,3 +422,15 @@
         (self.random.next_u64() % count.max(1) as u64) as usize
     }
 }
+
+/// Registers a connection for both directions; false if that fails.
+fn register(poll: &Poll, stream: &mut TcpStream, token: Token) -> bool {
+    let interest = Interest::READABLE | Interest::WRITABLE;
+    match poll.registry().register(stream, token, interest) {
+        Ok(()) => true,
+        Err(error) => {
+            tracing::warn!(%error, "could not register a connection");
+            false
+        }
+    }
+}
--- a/src/gateway/serve_answer.rs
+++ b/src/gateway/serve_answer.rs
@@ -18,7 +18,6 @@
     endpoint::Failure,
     exchange::{
         Destination,
-        Reply,
         Sending, //
     },
     head::ResponseHead,
@@ -142,10 +141,10 @@
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
-        if exchange.has_reply_begun() {
+        if exchange.has_reply_begun {
             return;
         }
-        exchange.reply = Reply::Begun;
+        exchange.has_reply_begun = true;
         let Some(client) = exchange
             .client
             .and_then(|client| self.clients.get_mut(client))
@@ -213,7 +212,7 @@
         } else {
             self.end_sending(key, None, now_ms);
         }
-        if self.exchanges[key].has_reply_begun() {
+        if self.exchanges[key].has_reply_begun {
             return self.cut_off(key, "endpoint failed during the answer");
         }
         if failure == Failure::Broken {
@@ -231,10 +230,7 @@
         let service = self.exchanges[key].plan.service.clone();
         if let Some(sent_ms) = sent_ms {
             let is_here = matches!(
-                self.exchanges[key]
-                    .sending
-                    .as_ref()
-                    .map(|sending| &sending.destination),
+                self.exchanges[key].destination(),
                 Some(Destination::Endpoint(_))
             );
             if is_here {
@@ -253,7 +249,7 @@
             return;
         };
         let held = std::mem::take(&mut exchange.held);
-        let has_begun = exchange.has_reply_begun();
+        let has_begun = exchange.has_reply_begun;
         if let Some(client) = exchange
             .client
             .and_then(|client| self.clients.get_mut(client))
@@ -278,10 +274,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
-        let destination = exchange
-            .sending
-            .as_ref()
-            .map(|sending| sending.destination.clone());
+        let destination = exchange.destination().cloned();
         exchange.held.clear();
         let retry_ms = head
             .header("retry-after")
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -133,7 +133,7 @@
         match client.role {
             Role::Caller => self.handle_call(key, head, body, None),
             Role::Peer if head.path() == NEWS_PATH => self.answer_news(key, head.query()),
-            Role::Peer => match decode_plan(&head) {
+            Role::Peer => match head.header(FORWARD_HEADER).and_then(Plan::decode) {
                 Some(plan) => self.handle_call(key, head, body, Some(plan)),
                 None => self.answer_own(key, OwnAnswer::plain(400)),
             },
@@ -429,12 +429,3 @@
         HeadError::Coding => 501,
     }
 }
-
-fn decode_plan(head: &RequestHead) -> Option<Plan> {
-    use base64::Engine;
-    let text = head.header(FORWARD_HEADER)?;
-    let bytes = base64::engine::general_purpose::STANDARD
-        .decode(text)
-        .ok()?;
-    postcard::from_bytes(&bytes).ok()
-}
--- a/src/gateway/serve_ending.rs
+++ b/src/gateway/serve_ending.rs
@@ -38,10 +38,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
-        let destination = exchange
-            .sending
-            .as_ref()
-            .map(|sending| sending.destination.clone());
+        let destination = exchange.destination().cloned();
         let failure = match breakage {
             Breakage::Unreachable => Failure::Unreachable,
             Breakage::Broken => Failure::Broken,
@@ -59,7 +56,7 @@
         let excluded = exchange.excluded.len() + exchange.excluded_regions.len();
         self.end_sending(key, Some(failure), now_ms);
         if breakage == Breakage::Unreachable {
-            if self.exchanges[key].has_reply_begun() {
+            if self.exchanges[key].has_reply_begun {
                 return self.cut_off(key, "no endpoint could be reached");
             }
             if excluded < MAX_EXCLUDED {
@@ -73,7 +70,7 @@
         if self.exchanges.get(key).is_none() {
             return;
         }
-        if self.exchanges[key].has_reply_begun() {
+        if self.exchanges[key].has_reply_begun {
             self.cut_off(key, "answer broke off");
         } else {
             self.fail(key, "answer broke off", OwnAnswer::plain(502));
@@ -85,12 +82,9 @@
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
-        if let Some(Destination::Endpoint(choice)) = exchange
-            .sending
-            .as_ref()
-            .map(|sending| &sending.destination)
-        {
-            exchange.avoided.push(choice.endpoint.clone());
+        if let Some(Destination::Endpoint(choice)) = exchange.destination() {
+            let endpoint = choice.endpoint.clone();
+            exchange.avoided.push(endpoint);
         }
     }
 
@@ -169,7 +163,7 @@
         };
         // Something of it may have run, so nothing can be promised.
         if exchange.run_count > 0 {
-            if exchange.has_reply_begun() {
+            if exchange.has_reply_begun {
                 return self.cut_off(key, cause);
             }
             return self.fail(key, cause, OwnAnswer::plain(502));
@@ -278,7 +272,7 @@
         if !runs_on {
             self.close_upstream(sending.upstream);
         }
-        if self.exchanges[key].has_reply_begun() {
+        if self.exchanges[key].has_reply_begun {
             self.cut_off(key, "time limit during the answer");
         } else {
             self.fail(key, "time limit", OwnAnswer::plain(504));
--- a/src/gateway/serve_exchange.rs
+++ b/src/gateway/serve_exchange.rs
@@ -20,8 +20,7 @@
         CallerRequest,
         Exchange,
         Plan,
-        Refused,
-        Reply, //
+        Refused, //
     },
     fleet::Demand,
     hosts::HostInfo,
@@ -69,7 +68,7 @@
             placed: None,
             refused: None,
             first_event_at_ms: None,
-            reply: Reply::None,
+            has_reply_begun: false,
             events: EventSplitter::new(),
             held: Vec::new(),
         };
--- a/src/gateway/serve_sending.rs
+++ b/src/gateway/serve_sending.rs
@@ -93,11 +93,8 @@
         plan.max_attempts = 1;
         plan.goal_ms = exchange.goal_at_ms.saturating_sub(now_ms);
         plan.timeout_ms = exchange.deadline_ms.saturating_sub(now_ms);
-        let encoded = match postcard::to_allocvec(&plan) {
-            Ok(bytes) => {
-                use base64::Engine;
-                base64::engine::general_purpose::STANDARD.encode(bytes)
-            }
+        let encoded = match plan.encode() {
+            Ok(encoded) => encoded,
             Err(error) => {
                 tracing::error!(%error, "could not encode a plan");
                 return self.refuse(key, "plan could not be encoded", UNREACHABLE_RETRY_MS);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -14,7 +14,10 @@
     retry_budget::RetryBounds, //
 };
 use crate::{
-    config::ConfigError,
+    config::{
+        ConfigError,
+        read_text, //
+    },
     ini_file::{
         IniError,
         IniFile,
@@ -78,11 +81,7 @@
 impl GatewaySettings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Read {
-            path: path.to_path_buf(),
-            source,
-        })?;
-        Ok(Self::parse(path, &text)?)
+        Ok(Self::parse(path, &read_text(path)?)?)
     }
 
     /// Checks settings that were read from `path`.
@@ -92,10 +91,10 @@
             |name| ["host", "store", "data_centres", "limits", "logs"].contains(&name),
             "one of host, store, data_centres, limits, logs",
         )?;
-        let host = known(&file, "host", HOST_KEYS)?;
-        let store = known(&file, "store", &["address", "min_lease_ms"])?;
-        let limits = known(&file, "limits", LIMIT_KEYS)?;
-        let logs = known(&file, "logs", &["filter"])?;
+        let host = file.known_section("host", HOST_KEYS)?;
+        let store = file.known_section("store", &["address", "min_lease_ms"])?;
+        let limits = file.known_section("limits", LIMIT_KEYS)?;
+        let logs = file.known_section("logs", &["filter"])?;
         let info = HostInfo {
             name: file.value(host, "name")?,
             region: file.value(host, "region")?,
@@ -108,20 +107,18 @@
         // another interface.
         let peer_port = info.peer_address.port();
         let regions = regions(&file)?;
-        require(
-            &file,
+        file.check(
             host,
             "data_centre",
-            regions.get(&info.data_centre) == Some(&info.region),
             "a data centre that [data_centres] maps to the host's region",
+            |_| regions.get(&info.data_centre) == Some(&info.region),
         )?;
         let log_filter: CompactString = file.value(logs, "filter")?;
-        require(
-            &file,
+        file.check(
             logs,
             "filter",
-            logs::is_valid_filter(&log_filter),
             "directives such as info or warn,cardamombridge::gateway=debug",
+            logs::is_valid_filter,
         )?;
         Ok(Self {
             host: info,
@@ -151,12 +148,6 @@
     }
 }
 
-fn known<'a>(file: &'a IniFile, name: &str, keys: &[&str]) -> Result<&'a Section, IniError> {
-    let section = file.require(name)?;
-    file.reject_unknown_keys(section, keys)?;
-    Ok(section)
-}
-
 fn regions(file: &IniFile) -> Result<BTreeMap<CompactString, CompactString>, IniError> {
     let section = file.require("data_centres")?;
     Ok(section
@@ -170,23 +161,10 @@
 fn positive(file: &IniFile, section: &Section, key: &str) -> Result<f64, IniError> {
     let text: CompactString = file.value(section, key)?;
     let number: f64 = text.parse().unwrap_or(f64::NAN);
-    require(file, section, key, number >= 0.0, "a number from 0")?;
+    file.check(section, key, "a number from 0", |_| number >= 0.0)?;
     Ok(number)
 }
 
-fn require(
-    file: &IniFile,
-    section: &Section,
-    key: &str,
-    is_valid: bool,
-    expected: &str,
-) -> Result<(), IniError> {
-    match section.entry(key) {
-        Some(entry) if !is_valid => Err(file.bad_value(section, entry, expected)),
-        _ => Ok(()),
-    }
-}
-
 fn millis(seconds: f64) -> u64 {
     (seconds * 1_000.0) as u64
 }
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -270,6 +270,7 @@
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
+        501 => "Not Implemented",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
--- a/src/ini_file.rs
+++ b/src/ini_file.rs
@@ -192,6 +192,30 @@
             .ok_or_else(|| self.error(1, IniProblem::MissingSection(name.into())))
     }
 
+    /// A section that has to exist and may only have these keys.
+    pub fn known_section(&self, name: &str, keys: &[&str]) -> Result<&Section, IniError> {
+        let section = self.require(name)?;
+        self.reject_unknown_keys(section, keys)?;
+        Ok(section)
+    }
+
+    /// Refuses a value that has the right type but cannot work.
+    pub fn check<F>(
+        &self,
+        section: &Section,
+        key: &str,
+        expected: &str,
+        is_valid: F,
+    ) -> Result<(), IniError>
+    where
+        F: Fn(&str) -> bool,
+    {
+        match section.entry(key) {
+            Some(entry) if !is_valid(&entry.value) => Err(self.bad_value(section, entry, expected)),
+            _ => Ok(()),
+        }
+    }
+
     /// An error at a line of this file.
     pub fn error(&self, line: usize, problem: IniProblem) -> IniError {
         IniError {
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -31,8 +31,6 @@
 pub const EVACUATION_PREFIX: &str = "op/evacuate/";
 /// Prefix of the keys of endpoints.
 pub const ENDPOINT_PREFIX: &str = "servers/";
-/// Prefix of everything that operators write.
-pub const OPERATOR_PREFIX: &str = "op/";
 
 /// Why an item cannot be used.
 #[derive(Debug, Error)]
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -62,7 +62,7 @@
 pub struct LeaseId(pub u64);
 
 /// An item as it was written, or its deletion.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemChange {
     /// Key.
     pub key: CompactString,
@@ -73,11 +73,11 @@
 }
 
 /// Items or changes, and the revision that they reach.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
     /// Items or changes, in order.
     pub changes: Vec<ItemChange>,
-    /// Revision of the store when it answered.
+    /// Revision of the store, or of the host, when it answered.
     pub revision: StoreRevision,
 }
 
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -14,12 +14,9 @@
     event_text, //
 };
 use gatewayenv::{
-    Host,
-    HostOptions,
     Request,
-    announce,
+    host_with,
     read_next_answer,
-    store_with_configuration,
     wait_until, //
 };
 use nix::sys::signal::Signal;
@@ -28,7 +25,6 @@
 /// them, and against streams that it cuts although it could have.
 #[test]
 fn stopping_host_finishes_streams_and_refuses_late_requests() {
-    let store = store_with_configuration();
     let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| match arrival.path.as_str() {
         "/draft/1" => Script::Events {
             first: 0,
@@ -39,9 +35,7 @@
         _ => Script::Answer(200, b"ok".to_vec()),
     })
     .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let mut host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (store, mut host) = host_with(&endpoint);
     let callers = host.callers;
     let stream = thread::spawn(move || {
         Request::post("/draft/1", b"text")
@@ -76,7 +70,6 @@
 /// and against a call with an effect that is broken off with its caller.
 #[test]
 fn stream_ends_with_its_caller_and_a_booking_does_not() {
-    let store = store_with_configuration();
     let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| match arrival.path.as_str() {
         "/draft/1" => Script::Events {
             first: 0,
@@ -90,9 +83,7 @@
         ),
     })
     .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
     let leave_after_start = |path: &str, attempt: &str| {
         let mut stream = TcpStream::connect(host.callers).expect("a connection");
         let request = Request::post(path, b"x").with_attempt(attempt, 9_000);
@@ -119,14 +110,11 @@
 /// Guards against a second answer on a kept connection that is lost or mixed.
 #[test]
 fn kept_connection_serves_requests_one_after_the_other() {
-    let store = store_with_configuration();
     let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| {
         Script::Answer(200, arrival.attempt().as_bytes().to_vec())
     })
     .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
     let mut stream = TcpStream::connect(host.callers).expect("a connection");
     let pipelined: Vec<u8> = (0..3)
         .flat_map(|number| {
--- a/tests/gateway_truth.rs
+++ b/tests/gateway_truth.rs
@@ -14,6 +14,7 @@
     HostOptions,
     Request,
     announce,
+    host_with,
     store_with_configuration, //
 };
 
@@ -32,15 +33,12 @@
 /// was to continue it answered with an error.
 #[test]
 fn stream_is_cut_off_if_it_cannot_be_continued() {
-    let store = store_with_configuration();
     let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
         0 => events(0, 3, false),
         _ => Script::Answer(500, b"failed".to_vec()),
     })
     .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
 
     let answer = Request::post("/chat/1", b"hello")
         .with_attempt("a-1", LIMIT_MS)
@@ -55,7 +53,6 @@
 /// runs when another endpoint continues a stream.
 #[test]
 fn stream_continues_after_the_last_whole_event() {
-    let store = store_with_configuration();
     let partial = Script::Raw(
         format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Server-Seal: s\r\n\
@@ -73,9 +70,7 @@
         }
     })
     .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
 
     let answer = Request::post("/chat/1", b"hello")
         .with_attempt("a-1", LIMIT_MS)
@@ -89,12 +84,9 @@
 /// Guards against a call that runs twice because its answer was lost.
 #[test]
 fn call_that_may_not_repeat_runs_once_if_its_answer_is_lost() {
-    let store = store_with_configuration();
     let endpoint =
         ScriptedEndpoint::start("e-1", |_, _| Script::Close).expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
 
     let answer = Request::post("/book/1", b"parcel")
         .with_attempt("a-1", LIMIT_MS)
@@ -108,7 +100,6 @@
 /// arrives late on a kept connection.
 #[test]
 fn late_answer_to_an_earlier_request_is_dropped() {
-    let store = store_with_configuration();
     let late = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-0\r\nX-Server-Seal: s\r\n\
                 Content-Length: 5\r\n\r\nwrong";
     let endpoint = ScriptedEndpoint::start("e-1", move |index, _| match index {
@@ -116,9 +107,7 @@
         _ => Script::Answer(200, b"right".to_vec()),
     })
     .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
 
     for attempt in 0..4 {
         let answer = Request::post("/book/1", b"parcel")
@@ -135,15 +124,12 @@
 /// endpoint may run the request.
 #[test]
 fn idempotent_request_is_repeated_after_an_error() {
-    let store = store_with_configuration();
     let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
         0 => Script::Answer(500, b"failed".to_vec()),
         _ => Script::Answer(200, b"found".to_vec()),
     })
     .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
 
     let answer = Request::get("/read/1")
         .with_attempt("a-1", LIMIT_MS)
@@ -155,12 +141,9 @@
 /// Guards against a refusal that says "not run" about a request that ran.
 #[test]
 fn refusal_says_not_run_only_if_no_endpoint_ran_the_request() {
-    let store = store_with_configuration();
     let endpoint =
         ScriptedEndpoint::start("e-1", |_, _| Script::NotRun).expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
 
     let answer = Request::post("/book/1", b"parcel")
         .with_attempt("a-1", LIMIT_MS)
@@ -174,12 +157,9 @@
 /// Guards against an outcome that the metrics and the log do not show.
 #[test]
 fn metrics_and_log_show_how_a_request_ended() {
-    let store = store_with_configuration();
     let endpoint = ScriptedEndpoint::start("e-1", |_, _| Script::Answer(200, b"ok".to_vec()))
         .expect("the endpoint starts");
-    announce(&store, &endpoint, "north");
-    let host = Host::start(&store, &HostOptions::default());
-    host.wait_log("endpoint announced");
+    let (_store, host) = host_with(&endpoint);
 
     Request::get("/read/1")
         .with_attempt("a-1", LIMIT_MS)
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -211,6 +211,15 @@
     }
 }
 
+/// A store, and a host of it that knows `endpoint`.
+pub fn host_with(endpoint: &ScriptedEndpoint) -> (MetadataStore, Host) {
+    let store = store_with_configuration();
+    announce(&store, endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+    (store, host)
+}
+
 /// Addresses that nothing listens on.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
     let listeners: Vec<TcpListener> = (0..count)
