Do not count attempts that nobody took against the attempts of a request

Cause of the listed failure of forwarding_headers_from_a_caller_are_ignored (502 upstream_failed, not_run): the two engines at home are leaving and each refuses the request, so the third and last attempt is the forward. If that host does not complete the handshake within 2 s, which a starved or paused process does not, the request fails, although nobody took it, another region could serve it and most of its time is left. A second limit hid behind the first: a forward that could not be sent still counted against the share of requests that may be forwarded.

Refusals of leaving endpoints and hosts, and forwards that could not be sent, now have a limit of their own (5), and an unsent forward is not counted as forwarded.

Two tests fail without the change: one of the decisions, and one with a host that is paused on purpose, which showed the same 502 upstream_failed, not_run with zapad paused.

--- a/src/decision/attempt_end.rs
+++ b/src/decision/attempt_end.rs
@@ -146,6 +146,8 @@
             }
         );
         let is_unreachable = matches!(outcome, AttemptOutcome::NotSent);
+        let was_remote = matches!(open.phase, Phase::Forwarded { .. });
+        open.untaken_attempts += u16::from(is_leaving || (is_unreachable && was_remote));
         let policy = &self.inputs.policy;
         let view = &mut self.inputs.view;
         match &open.phase {
@@ -161,6 +163,9 @@
                     view.avoid_host(host.clone(), until_ms);
                 }
                 open.was_forwarded |= !is_unreachable;
+                if is_unreachable {
+                    self.region_chooser.note_unsent(&open.arrival.target);
+                }
             }
             Phase::AwaitingGrant { .. } | Phase::Queued | Phase::Delayed { .. } => {}
         }
@@ -202,7 +207,7 @@
         let hint_ms = retry_hint_ms(outcome);
         let delay_ms = self.retry_delay_ms(&open, hint_ms);
         let is_in_time = now_ms + delay_ms < open.arrival.deadline_ms;
-        let has_attempts = open.attempt.0 + 1 < self.inputs.policy.max_attempts;
+        let has_attempts = open.has_attempts(&self.inputs.policy);
         if !is_in_time || !has_attempts || !self.retries.spend() {
             let wait_ms = hint_ms.unwrap_or(self.inputs.policy.retry_after_ms);
             let reason = match now_ms < open.arrival.deadline_ms {
--- a/src/decision/forwarding.rs
+++ b/src/decision/forwarding.rs
@@ -45,6 +45,11 @@
         self.forwarded += 1.0;
     }
 
+    /// Takes back the count of a forwarded request that could not be sent.
+    pub fn note_unsent(&mut self) {
+        self.forwarded = (self.forwarded - 1.0).max(0.0);
+    }
+
     /// Whether one more request may be forwarded without exceeding the cap, in
     /// thousandths of recent requests.
     pub fn allows_forward(&self, cap_permille: u16) -> bool {
--- a/src/decision/policy.rs
+++ b/src/decision/policy.rs
@@ -194,8 +194,12 @@
     pub retry_permille: u16,
     /// Maximum retry budget, and its initial value.
     pub retry_burst: u16,
-    /// Maximum number of attempts of one request.
+    /// Maximum number of attempts of one request, without those of
+    /// `max_untaken_attempts`.
     pub max_attempts: u16,
+    /// Maximum number of further attempts that a leaving endpoint or host refused, or
+    /// that could not be sent to another region.
+    pub max_untaken_attempts: u16,
     /// Upper bound of the delay before the first retry; doubles with each further
     /// retry.
     pub retry_base_ms: Millis,
@@ -292,6 +296,7 @@
             retry_permille: 100,
             retry_burst: 10,
             max_attempts: 3,
+            max_untaken_attempts: 5,
             retry_base_ms: Millis(50),
             retry_now_ms: Millis(5),
             grant_cover_ms: Millis(300_000),
--- a/src/decision/region_choice.rs
+++ b/src/decision/region_choice.rs
@@ -170,6 +170,13 @@
         }
     }
 
+    /// Records that a request could not be sent to the remote region chosen for it.
+    pub fn note_unsent(&mut self, target: &Target) {
+        if let Some(history) = self.histories.get_mut(target) {
+            history.note_unsent();
+        }
+    }
+
     /// Chooses a remote region and one of its hosts, or `None` for the local region.
     ///
     /// `turn` is the number of choices so far, for `RoundRobin`.
--- a/src/decision/request.rs
+++ b/src/decision/request.rs
@@ -60,6 +60,9 @@
     pub attempt: Attempt,
     /// Current phase.
     pub phase: Phase,
+    /// Ended attempts that a leaving endpoint or host refused, or that could not be
+    /// sent to another region.
+    pub untaken_attempts: u16,
     /// Endpoints of its ended attempts.
     pub tried: Vec<EndpointId>,
     /// Whether it may have reached another region in an earlier attempt.
@@ -85,6 +88,7 @@
             price,
             attempt: Attempt(0),
             phase: Phase::AwaitingGrant { since_ms: now_ms },
+            untaken_attempts: 0,
             tried: Vec::new(),
             was_forwarded: false,
             reservation: None,
@@ -114,6 +118,15 @@
         self.is_from_caller() && self.arrival.is_repeatable && !self.was_forwarded
     }
 
+    /// Whether the policy allows another attempt.
+    ///
+    /// Attempts that nobody took added no load, and a region's endpoints may all be
+    /// leaving, so these attempts have a limit of their own.
+    pub fn has_attempts(&self, policy: &Policy) -> bool {
+        let untaken = self.untaken_attempts.min(policy.max_untaken_attempts);
+        self.attempt.0 + 1 < policy.max_attempts + untaken
+    }
+
     /// Time left until its deadline.
     pub fn remaining_ms(&self, now_ms: Millis) -> Millis {
         self.arrival.deadline_ms - now_ms
--- a/tests/decision_choices.rs
+++ b/tests/decision_choices.rs
@@ -472,6 +472,47 @@
     );
 }
 
+/// Guards against a request that fails although a region could serve it: its first
+/// attempts went to leaving endpoints and to a host that could not be reached, and
+/// none of them placed any load.
+#[test]
+fn attempts_that_no_endpoint_took_leave_the_request_its_attempts() {
+    let policy = Policy::default();
+    let endpoints = vec![endpoint("e1", 8), endpoint("e2", 8)];
+    let mut gateway = ready(1, policy, endpoints);
+    let leaving = || AttemptOutcome::Rejected {
+        retry_after_ms: None,
+        is_leaving: true,
+    };
+    run(
+        &mut gateway,
+        START,
+        Event::Arrived(arrival(1, "wide", at(30_000))),
+    );
+    receive_summary(&mut gateway, 0, 0);
+
+    run(&mut gateway, at(10), ended(1, 0, leaving()));
+    ticks(&mut gateway, 10, 200);
+    run(&mut gateway, at(210), ended(1, 1, leaving()));
+    ticks(&mut gateway, 210, 600);
+    run(&mut gateway, at(610), ended(1, 2, AttemptOutcome::NotSent));
+    let actions = ticks(&mut gateway, 610, 1_400);
+
+    let forwards: Vec<&Action> = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Forward { .. }))
+        .collect();
+    assert_eq!(forwards.len(), 1, "{actions:?}");
+}
+
+/// Ticks every 50 ms in a time span and returns all actions.
+fn ticks(gateway: &mut Gateway, from_ms: u64, to_ms: u64) -> Vec<Action> {
+    let times = (from_ms..=to_ms).step_by(50);
+    times
+        .flat_map(|ms| run(gateway, at(ms), Event::Tick))
+        .collect()
+}
+
 /// Guards against late messages resetting a host or region to an old state.
 #[test]
 fn revisions_and_runs_never_go_back() {
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -60,6 +60,7 @@
         Tokens, //
     }, //
 };
+use nix::sys::signal::Signal;
 use testenv::{
     Caller,
     CallerResponse,
@@ -315,6 +316,26 @@
     assert_eq!(runs.get(forged), None, "{runs:?}");
 }
 
+/// Guards against a request that fails although another region could serve it: the
+/// endpoints at home are leaving, and the first host in another region does not
+/// respond, as a paused process does.
+#[test]
+fn a_paused_host_of_another_region_does_not_use_up_the_attempts() {
+    for paused in ["zapad", "sever"] {
+        let env = TestEnv::start(&TestbedOptions::new());
+        wait_until_regions_are_known(&env);
+        for engine in env.testbed.engines_in("stred") {
+            engine.standin.set_leaving(true);
+        }
+        env.host(paused).signal(Signal::SIGSTOP);
+
+        let response = env.caller("stred").chat("while paused", 8);
+
+        let response = response.expect("the host must answer");
+        assert_eq!(response.status, 200, "{paused} paused:\n{}", env.logs());
+    }
+}
+
 fn identity(host: &str) -> PeerIdentity {
     PeerIdentity {
         host: host.parse().expect("valid host"),
