--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -6,6 +6,14 @@
 
 use compact_str::CompactString;
 
+use crate::types::counter;
+
+counter!(
+    /// Version of the operators' configuration.
+    ConfigurationVersion,
+    "configuration version"
+);
+
 /// Whether a request that may have run may be sent again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryPolicy {
@@ -108,7 +116,7 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Configuration {
     /// Version; a higher one replaces a lower one.
-    pub version: u64,
+    pub version: ConfigurationVersion,
     /// All routes.
     pub routes: Vec<Route>,
     /// All services.
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -11,6 +11,10 @@
 };
 
 use compact_str::CompactString;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
@@ -76,8 +80,17 @@
     pub cold_left_ms: u64,
     /// Time until it ends, if it was asked to shut down at short notice.
     pub remaining_ms: Option<u64>,
-    /// Unix time of its start, which distinguishes it from earlier instances.
+    /// Place among all announcements under its id.
+    pub order: AnnouncementOrder,
+}
+
+/// Place of an announcement among those of an endpoint and of its earlier instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct AnnouncementOrder {
+    /// Unix time of the endpoint's start, which distinguishes its instances.
     pub started_ms: u64,
+    /// Number of the announcement since the start.
+    pub sequence: u64,
 }
 
 /// How a request failed at an endpoint.
@@ -199,7 +212,7 @@
     /// A restarted endpoint keeps no state, so what was learned about it is
     /// dropped.
     pub fn apply_announcement(&mut self, announcement: Announcement, now_ms: u64) {
-        let is_restarted = announcement.started_ms != self.announcement.started_ms
+        let is_restarted = announcement.order.started_ms != self.announcement.order.started_ms
             || announcement.address != self.announcement.address;
         if is_restarted {
             let own = self.own_load;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 
 use super::{
     configuration::{
+        ConfigurationVersion,
         RetryPolicy,
         Route, //
     },
@@ -183,7 +184,7 @@
     /// Parameters of its route.
     pub route: ResolvedRoute,
     /// Version of the configuration that the route comes from.
-    pub configuration_version: u64,
+    pub configuration_version: ConfigurationVersion,
     /// Time at which the request had been received completely.
     pub arrived_ms: u64,
     /// Time after which the response misses its latency goal.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -12,20 +12,39 @@
         Ordering, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use crossbeam::channel::Receiver;
+use thiserror::Error;
 
 use super::{
+    era::{
+        EraTracker,
+        EraWentBack, //
+    },
     peer_changes::fetch_changes,
-    store_replica::StoreReplica, //
+    spread::Spread,
+    store_replica::{
+        ApplyOutcome,
+        ReplicaPage,
+        StoreReplica, //
+    }, //
 };
-use crate::platform::store::{
-    ItemChange,
-    StoreClient,
-    StoreError,
-    StoreRevision, //
+use crate::{
+    platform::store::{
+        Answer,
+        Page,
+        StoreClient,
+        StoreError, //
+    },
+    store_position::{
+        StoreEra,
+        StorePosition, //
+    }, //
 };
 
 /// Longest wait of one watch. A watch whose connection is dead is detected after
@@ -42,22 +61,47 @@
 /// stays below the time within which a configuration has to be in force, even
 /// without changes from other hosts.
 const MAX_WATCH_PAUSE: Duration = Duration::from_millis(1_800);
+/// Time that each host of the region takes of the store to read all items.
+const READ_ALL_PER_HOST: Duration = Duration::from_millis(4);
+
+/// Why the replica could not be brought up to date.
+#[derive(Debug, Error)]
+enum FollowError {
+    /// The call failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The answer is of an era that has ended.
+    #[error(transparent)]
+    Era(#[from] EraWentBack),
+}
+
+/// Where the next watch begins, or that all items have to be read first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    Watch(StorePosition),
+    ReadAll,
+}
 
 /// Keeps a replica up to date with the store.
 pub struct StoreFollower {
     call_client: StoreClient,
     watch_client: StoreClient,
     replica: StoreReplica,
+    spread: Spread,
+    era: EraTracker,
     is_reachable: Option<bool>,
 }
 
 impl StoreFollower {
-    /// Creates a follower of the store at `address`.
-    pub fn new(address: SocketAddr, replica: StoreReplica) -> Self {
+    /// Creates a follower of the store at `address`; `spread` is this host's place
+    /// among those that read all items at the same time.
+    pub fn new(address: SocketAddr, replica: StoreReplica, spread: Spread) -> Self {
         Self {
             call_client: StoreClient::new(address, RESPONSE_TIMEOUT),
             watch_client: StoreClient::new(address, WATCH_WAIT + RESPONSE_TIMEOUT),
             replica,
+            spread,
+            era: EraTracker::new(),
             is_reachable: None,
         }
     }
@@ -66,24 +110,27 @@
     ///
     /// `host_count` is the number of live hosts in the region.
     pub fn run(&mut self, is_stopping: &AtomicBool, host_count: &AtomicU64) {
-        let mut revision: Option<StoreRevision> = None;
+        let mut next = Next::ReadAll;
         while !is_stopping.load(Ordering::Relaxed) {
-            let result = match revision {
-                None => self.synchronise(),
-                Some(known) => self.watch(known),
+            self.replica.settle(Instant::now());
+            let result = match next {
+                Next::ReadAll => self.read_all(),
+                Next::Watch(known) => self.watch(known),
             };
             match result {
-                Ok(next) => {
+                Ok(Next::Watch(reached)) => {
                     self.set_reachable(true, "");
-                    revision = Some(next);
-                    thread::sleep(watch_pause(host_count.load(Ordering::Relaxed)));
+                    next = Next::Watch(reached);
+                    thread::sleep(self.pause(host_count.load(Ordering::Relaxed)));
+                }
+                Ok(Next::ReadAll) => {
+                    next = Next::ReadAll;
+                    thread::sleep(self.spread.delay(READ_ALL_PER_HOST));
                 }
-                Err(StoreError::HistoryDropped) => {
-                    tracing::info!(
-                        revision = ?revision,
-                        "store dropped its history; reading all items again"
-                    );
-                    revision = None;
+                Err(FollowError::Store(StoreError::HistoryDropped)) => {
+                    tracing::info!(?next, "store dropped its history; reading all items again");
+                    next = Next::ReadAll;
+                    thread::sleep(self.spread.delay(READ_ALL_PER_HOST));
                 }
                 Err(error) => {
                     self.set_reachable(false, &error.to_string());
@@ -93,30 +140,64 @@
         }
     }
 
-    fn synchronise(&mut self) -> Result<StoreRevision, StoreError> {
-        let page = self.call_client.range("")?;
-        let missing = self.replica.keys_missing_from(&page.changes);
-        let deletions = missing.into_iter().map(|key| ItemChange {
-            key,
-            revision: page.revision,
-            value: None,
-        });
-        let revision = page.revision;
-        let changes = page.changes.into_iter().chain(deletions).collect();
-        self.replica.apply(changes, revision);
-        Ok(revision)
+    /// Reads all items.
+    fn read_all(&mut self) -> Result<Next, FollowError> {
+        let answer = match self.call_client.range("") {
+            Ok(answer) => answer,
+            Err(StoreError::MixedEras) => {
+                tracing::info!("store returned from a copy during a read; reading again");
+                return Ok(Next::ReadAll);
+            }
+            Err(error) => return Err(error.into()),
+        };
+        let era = self.era.observe(&answer.era)?;
+        self.apply(page(answer, era, true))
     }
 
-    /// Waits for changes after `revision` and returns the revision reached.
+    /// Waits for changes after `known` and returns what comes next.
     ///
     /// While the store drops its history it may report a revision without the
     /// changes up to it, so only the changes themselves advance the revision.
-    fn watch(&mut self, revision: StoreRevision) -> Result<StoreRevision, StoreError> {
-        let page = self.watch_client.watch("", revision, WATCH_WAIT)?;
+    fn watch(&mut self, known: StorePosition) -> Result<Next, FollowError> {
+        let wait = match self.replica.settles_in(Instant::now()) {
+            Some(settles_in) => WATCH_WAIT.min(settles_in),
+            None => WATCH_WAIT,
+        };
+        let answer = self.watch_client.watch("", known.revision, wait)?;
+        let era = self.era.observe(&answer.era)?;
+        if era != known.era {
+            // The revisions of the answer are not comparable with the known one.
+            return Ok(Next::ReadAll);
+        }
+        let mut page = page(answer, era, false);
         let newest = page.changes.iter().map(|change| change.revision).max();
-        let revision = newest.unwrap_or(revision).max(revision);
-        self.replica.apply(page.changes, revision);
-        Ok(revision)
+        page.revision = newest.unwrap_or(known.revision).max(known.revision);
+        self.apply(page)
+    }
+
+    fn apply(&self, page: ReplicaPage) -> Result<Next, FollowError> {
+        let position = page.position();
+        match self.replica.apply(page, Instant::now()) {
+            ApplyOutcome::Applied => Ok(Next::Watch(position)),
+            ApplyOutcome::NeedsAllItems => Ok(Next::ReadAll),
+            ApplyOutcome::Outdated => {
+                let known = self.replica.position().era;
+                let stated = position.era;
+                match stated < known {
+                    true => Err(EraWentBack { known, stated }.into()),
+                    false => Ok(Next::ReadAll),
+                }
+            }
+        }
+    }
+
+    /// Returns the pause until the next watch, in which changes accumulate.
+    fn pause(&self, host_count: u64) -> Duration {
+        let pause = watch_pause(host_count);
+        match self.replica.settles_in(Instant::now()) {
+            Some(settles_in) => pause.min(settles_in),
+            None => pause,
+        }
     }
 
     fn set_reachable(&mut self, is_reachable: bool, cause: &str) {
@@ -133,6 +214,15 @@
     }
 }
 
+fn page(answer: Answer<Page>, era: StoreEra, is_complete: bool) -> ReplicaPage {
+    ReplicaPage {
+        changes: answer.value.changes,
+        revision: answer.value.revision,
+        era,
+        is_complete,
+    }
+}
+
 /// Returns the pause between two watches, in which changes accumulate.
 ///
 /// Hosts watch at different times and send each other changes, so the more hosts
@@ -147,18 +237,21 @@
 /// `resync_requests`.
 pub fn fetch_from_peers(replica: &StoreReplica, resync_requests: &Receiver<SocketAddr>) {
     while let Ok(peer) = resync_requests.recv() {
-        let known = replica.revision();
+        let known = replica.known();
         match fetch_changes(peer, known) {
             Ok(page) => {
                 tracing::info!(
                     %peer,
-                    known = known.0,
+                    known = known.position.revision.0,
+                    known_era = known.position.era.0,
                     revision = page.revision.0,
+                    era = page.era.0,
                     entries = page.changes.len(),
                     "received changes from another host"
                 );
-                if page.revision > known {
-                    replica.apply(page.changes, page.revision);
+                let outcome = replica.apply(page, Instant::now());
+                if outcome != ApplyOutcome::Applied {
+                    tracing::info!(%peer, ?outcome, "changes from another host ignored");
                 }
             }
             Err(error) => tracing::debug!(%peer, %error, "could not fetch changes from a host"),
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -19,11 +19,18 @@
 };
 
 use super::{
+    configuration::ConfigurationVersion,
     endpoint::LoadShare,
     load_updates::{
         EndpointLoadShare,
         LoadUpdate, //
-    }, //
+    },
+    store_replica::Known, //
+};
+use crate::store_position::{
+    StoreEra,
+    StorePosition,
+    StoreRevision, //
 };
 
 /// Prefix of the keys of hosts in the store.
@@ -78,7 +85,7 @@
     /// Sequence number of the packet in this instance of the sender.
     pub sequence: u64,
     /// Store revision up to which the sender knows all changes.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether the sender is shutting down.
     pub is_leaving: bool,
     /// Load that the sender places at endpoints; sent to its own region only.
@@ -87,6 +94,20 @@
     pub queues: Vec<QueueLoad>,
     /// Loads of the sender's region; sent to other regions only.
     pub services: Vec<ServiceLoad>,
+    /// Era of the revision.
+    pub era: StoreEra,
+    /// Highest version of the configuration that the sender has seen.
+    pub configuration: ConfigurationVersion,
+}
+
+impl Beacon {
+    /// Returns the state of the store that the sender knows.
+    pub fn known(&self) -> Known {
+        Known {
+            position: StorePosition::new(self.era, self.revision),
+            configuration: self.configuration,
+        }
+    }
 }
 
 /// Work that waits at a host for a service.
--- a/src/gateway/peer_changes.rs
+++ b/src/gateway/peer_changes.rs
@@ -19,10 +19,10 @@
 };
 use thiserror::Error;
 
-use super::store_replica::StoreReplica;
-use crate::platform::store::{
-    Page,
-    StoreRevision, //
+use super::store_replica::{
+    Known,
+    ReplicaPage,
+    StoreReplica, //
 };
 
 /// Path of the request on a host's peer address.
@@ -46,12 +46,19 @@
     Codec(#[from] postcard::Error),
 }
 
-/// Fetches the changes after `revision` from the host at `peer`.
-pub fn fetch_changes(peer: SocketAddr, revision: StoreRevision) -> Result<Page, PeerChangesError> {
+/// Fetches from the host at `peer` what a host that has `known` is missing.
+///
+/// # Errors
+///
+/// Fails if no complete and valid response arrives in time.
+pub fn fetch_changes(peer: SocketAddr, known: Known) -> Result<ReplicaPage, PeerChangesError> {
     let client = Client::new().with_global_timeout(RESPONSE_TIMEOUT);
     let request = Request::builder()
         .method(Method::GET)
-        .uri(format!("http://{peer}{CHANGES_PATH}?after={}", revision.0))
+        .uri(format!(
+            "http://{peer}{CHANGES_PATH}?{}",
+            encode_query(known)
+        ))
         .body(Body::empty())
         .map_err(io::Error::other)?;
     let response = client.request(request)?;
@@ -66,14 +73,41 @@
     Ok(postcard::from_bytes(&bytes)?)
 }
 
+fn encode_query(known: Known) -> String {
+    let Known {
+        position,
+        configuration,
+    } = known;
+    format!(
+        "era={}&after={}&configuration={configuration}",
+        position.era, position.revision
+    )
+}
+
+/// Decodes a query; a number that is missing or malformed counts as 0, so that the
+/// response contains more than needed.
+fn decode_query(query: &str) -> Known {
+    let mut known = Known::default();
+    for pair in query.split('&') {
+        match pair.split_once('=') {
+            Some(("era", value)) => known.position.era = value.parse().unwrap_or_default(),
+            Some(("after", value)) => known.position.revision = value.parse().unwrap_or_default(),
+            Some(("configuration", value)) => {
+                known.configuration = value.parse().unwrap_or_default()
+            }
+            _ => {}
+        }
+    }
+    known
+}
+
 /// Encodes the response to the request of [`fetch_changes`] with this query string.
+///
+/// # Errors
+///
+/// Fails if the changes cannot be serialised.
 pub fn encode_changes(replica: &StoreReplica, query: &str) -> Result<Vec<u8>, PeerChangesError> {
-    let after = query
-        .split('&')
-        .filter_map(|pair| pair.strip_prefix("after="))
-        .next()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-    let changes = replica.changes_after(StoreRevision(after));
-    Ok(postcard::to_allocvec(&changes)?)
+    Ok(postcard::to_allocvec(
+        &replica.changes_for(decode_query(query)),
+    )?)
 }
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -72,6 +72,7 @@
     retry_budget::RetryBudget,
     settings::GatewaySettings,
     store_replica::{
+        Known,
         StoreReplica,
         Update, //
     },
@@ -143,8 +144,8 @@
     pub(super) replica: Option<StoreReplica>,
     /// Requests to fetch store changes from the host at an address.
     pub(super) resync_requests: Option<Sender<SocketAddr>>,
-    /// Time at which this host fell behind another one, and its revision then.
-    pub(super) lag_since: Option<(u64, u64)>,
+    /// Time at which this host fell behind another one, and what it knew then.
+    pub(super) lag_since: Option<(u64, Known)>,
     /// Time at which the store became reachable; none while it is unreachable.
     pub(super) store_recovered_ms: Option<u64>,
     pub(super) next_resync_ms: u64,
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -1,4 +1,7 @@
 //! This host's item in the store, kept alive by a lease.
+//!
+//! A lease is known only in the era of the store in which it was granted: in the
+//! next one it may be lost, or its id may belong to the lease of another host.
 
 use std::time::Duration;
 
@@ -6,15 +9,26 @@
     Receiver,
     RecvTimeoutError, //
 };
+use thiserror::Error;
 
-use super::hosts::{
-    HOST_PREFIX,
-    HostInfo, //
+use super::{
+    era::{
+        EraTracker,
+        EraWentBack, //
+    },
+    hosts::{
+        HOST_PREFIX,
+        HostInfo, //
+    },
+    spread::Spread, //
 };
-use crate::platform::store::{
-    LeaseId,
-    StoreClient,
-    StoreError, //
+use crate::{
+    platform::store::{
+        LeaseId,
+        StoreClient,
+        StoreError, //
+    },
+    store_position::StoreEra, //
 };
 
 /// Longest wait for a response of the store: half of the lease, so that a second
@@ -26,39 +40,92 @@
 const LEASE_TTL: Duration = Duration::from_millis(3_000);
 /// Interval of lease renewals.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time that each host of the region takes of the store to register again. With three
+/// regions, the hosts together make 400 writing calls a second.
+const REGISTER_PER_HOST: Duration = Duration::from_millis(15);
+
+/// Why the host could not be registered, or its lease not be renewed.
+#[derive(Debug, Error)]
+enum RegistrationError {
+    /// The call failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The answer is of an era that has ended.
+    #[error(transparent)]
+    Era(#[from] EraWentBack),
+    /// The store returned from a copy since the lease was granted.
+    #[error("lease of era {granted} is unknown in era {now}")]
+    LeaseOfFormerEra {
+        /// Era in which the lease was granted.
+        granted: StoreEra,
+        /// Era of the store's answer.
+        now: StoreEra,
+    },
+}
+
+/// A lease with the era in which it was granted.
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    id: LeaseId,
+    era: StoreEra,
+}
+
+impl Lease {
+    /// Fails if `now` is not the era of the lease.
+    fn check_era(self, now: StoreEra) -> Result<Self, RegistrationError> {
+        let granted = self.era;
+        match granted == now {
+            true => Ok(self),
+            false => Err(RegistrationError::LeaseOfFormerEra { granted, now }),
+        }
+    }
+}
 
 /// Keeps the host's item in the store while the process runs.
 pub struct Registration {
     client: StoreClient,
     info: HostInfo,
     ttl: Duration,
+    spread: Spread,
+    era: EraTracker,
 }
 
 impl Registration {
     /// Creates a registration of `info` at the store at `address`; the lease lasts at
-    /// least `min_lease_ms`.
-    pub fn new(address: std::net::SocketAddr, info: HostInfo, min_lease_ms: u64) -> Self {
+    /// least `min_lease_ms`. `spread` is this host's place among those that register
+    /// again at the same time.
+    pub fn new(
+        address: std::net::SocketAddr,
+        info: HostInfo,
+        min_lease_ms: u64,
+        spread: Spread,
+    ) -> Self {
         Self {
             client: StoreClient::new(address, RESPONSE_TIMEOUT),
             info,
             ttl: LEASE_TTL.max(Duration::from_millis(min_lease_ms)),
+            spread,
+            era: EraTracker::new(),
         }
     }
 
     /// Registers the host, renews its lease until `stop` gets a message or is closed,
     /// and ends the lease.
-    pub fn run(&self, stop: &Receiver<()>) {
-        let mut lease: Option<LeaseId> = None;
+    pub fn run(&mut self, stop: &Receiver<()>) {
+        let mut lease: Option<Lease> = None;
         loop {
             let pause = match self.register_or_renew(lease) {
-                Ok(lease_id) => {
-                    lease = Some(lease_id);
+                Ok(held) => {
+                    lease = Some(held);
                     RENEW_INTERVAL
                 }
-                Err(StoreError::LeaseEnded) => {
-                    tracing::warn!("lease of this host expired; registering again");
+                Err(
+                    error @ (RegistrationError::Store(StoreError::LeaseEnded)
+                    | RegistrationError::LeaseOfFormerEra { .. }),
+                ) => {
+                    tracing::warn!(%error, "lease of this host is gone; registering again");
                     lease = None;
-                    Duration::ZERO
+                    self.spread.delay(REGISTER_PER_HOST)
                 }
                 Err(error) => {
                     tracing::debug!(%error, "could not register or renew the lease; trying again");
@@ -69,22 +136,34 @@
                 break;
             }
         }
-        if let Some(lease_id) = lease
-            && let Err(error) = self.client.end_lease(lease_id)
+        if let Some(held) = lease
+            && let Err(error) = self.client.end_lease(held.id)
         {
             tracing::warn!(%error, "could not end the lease; it expires by itself");
         }
     }
 
-    fn register_or_renew(&self, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
-        if let Some(lease_id) = lease {
-            self.client.renew_lease(lease_id)?;
-            return Ok(lease_id);
+    fn register_or_renew(&mut self, lease: Option<Lease>) -> Result<Lease, RegistrationError> {
+        match lease {
+            Some(held) => self.renew(held),
+            None => self.register(),
         }
-        let lease_id = self.client.grant_lease(self.ttl)?;
+    }
+
+    fn renew(&mut self, held: Lease) -> Result<Lease, RegistrationError> {
+        let answer = self.client.renew_lease(held.id)?;
+        held.check_era(self.era.observe(&answer.era)?)
+    }
+
+    fn register(&mut self) -> Result<Lease, RegistrationError> {
+        let granted = self.client.grant_lease(self.ttl)?;
+        let held = Lease {
+            id: granted.value,
+            era: self.era.observe(&granted.era)?,
+        };
         let key = format!("{HOST_PREFIX}{}", self.info.name);
-        self.client
-            .put(&key, &serde_json::to_vec(&self.info)?, lease_id)?;
-        Ok(lease_id)
+        let value = serde_json::to_vec(&self.info).map_err(StoreError::from)?;
+        let written = self.client.put(&key, &value, held.id)?;
+        held.check_era(self.era.observe(&written.era)?)
     }
 }
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -181,7 +181,7 @@
                 let Some(route) = resolved else {
                     tracing::info!(
                         request = %metadata.attempt_id,
-                        configuration = configuration.version,
+                        configuration = configuration.version.0,
                         outcome = "no route",
                         status = 404,
                         "request answered"
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -14,7 +14,10 @@
         RemoteOffer,
         place, //
     },
-    configuration::Service,
+    configuration::{
+        ConfigurationVersion,
+        Service, //
+    },
     events::EventSplitter,
     exchange::{
         CallerRequest,
@@ -42,7 +45,7 @@
         inbound: usize,
         request: CallerRequest,
         route: ResolvedRoute,
-        configuration_version: u64,
+        configuration_version: ConfigurationVersion,
         is_forwarded: bool,
     ) {
         let now_ms = self.now_ms();
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -41,6 +41,7 @@
     reactor::Reactor,
     registration::Registration,
     settings::GatewaySettings,
+    spread::Spread,
     store_replica::{
         StoreReplica,
         Update,
@@ -91,8 +92,8 @@
     );
 
     let (stop, stopped) = bounded::<()>(1);
-    let deregistered = spawn_registration(&settings, stopped)?;
     let host_count = reactor.host_count();
+    let deregistered = spawn_registration(&settings, Arc::clone(&host_count), stopped)?;
     spawn_followers(
         &settings,
         replica,
@@ -131,12 +132,14 @@
 
 fn spawn_registration(
     settings: &GatewaySettings,
+    host_count: Arc<AtomicU64>,
     stopped: Receiver<()>,
 ) -> anyhow::Result<Receiver<()>> {
-    let registration = Registration::new(
+    let mut registration = Registration::new(
         settings.store_address,
         settings.host.clone(),
         settings.min_lease_ms,
+        Spread::new(&settings.host.name, host_count),
     );
     let (done, deregistered) = bounded(1);
     thread::Builder::new()
@@ -156,7 +159,8 @@
     is_stopping: Arc<AtomicBool>,
     host_count: Arc<AtomicU64>,
 ) -> anyhow::Result<()> {
-    let mut follower = StoreFollower::new(settings.store_address, replica.clone());
+    let spread = Spread::new(&settings.host.name, Arc::clone(&host_count));
+    let mut follower = StoreFollower::new(settings.store_address, replica.clone(), spread);
     thread::Builder::new()
         .name("peer-news".into())
         .spawn(move || fetch_from_peers(&replica, &resync_receiver))?;
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -16,7 +16,11 @@
         Packet, //
     },
     reactor::Reactor,
-    store_replica::Update, //
+    store_replica::{
+        Known,
+        StoreReplica,
+        Update, //
+    }, //
 };
 
 /// Largest packet between hosts; it fits into one IP packet on common links.
@@ -99,6 +103,12 @@
                 self.hosts.set_store_reachable(is_reachable);
                 self.store_recovered_ms = is_reachable.then_some(now_ms);
             }
+            Update::StoreReturned => {
+                // Announcements that the copy lacks are renewed as after an outage.
+                if self.store_recovered_ms.is_some() {
+                    self.store_recovered_ms = Some(now_ms);
+                }
+            }
             Update::Synchronised => self.is_synchronised = true,
             Update::Stop => self.begin_shutdown(now_ms),
             Update::Reload => self.reload_settings(),
@@ -125,15 +135,15 @@
         let known = self.configuration.as_ref().map(|known| known.version);
         if known.is_some_and(|known| configuration.version <= known) {
             tracing::info!(
-                version = configuration.version,
-                in_force = known,
+                version = configuration.version.0,
+                in_force = known.map(|known| known.0),
                 "older configuration ignored"
             );
             return;
         }
         tracing::info!(
-            version = configuration.version,
-            before = known,
+            version = configuration.version.0,
+            before = known.map(|known| known.0),
             routes = configuration.routes.len(),
             "configuration in force"
         );
@@ -208,25 +218,26 @@
             .collect()
     }
 
-    fn known_revision(&self) -> u64 {
+    /// Returns the state of the store that this host knows.
+    fn known(&self) -> Known {
         let replica = self.replica.as_ref();
-        replica.map_or(0, |replica| replica.revision().0)
+        replica.map_or_else(Known::default, StoreReplica::known)
     }
 
-    /// Requests changes from the sender of a beacon if this host's revision has lagged
-    /// behind for some time.
+    /// Requests changes from the sender of a beacon if this host has lagged behind for
+    /// some time.
     ///
     /// Changes reach hosts at different times, so a short lag is normal.
-    fn check_revision_lag(&mut self, beacon: &Beacon, now_ms: u64) {
-        let known = self.known_revision();
-        if beacon.revision <= known {
+    fn check_lag(&mut self, beacon: &Beacon, now_ms: u64) {
+        let known = self.known();
+        if !known.lags_behind(beacon.known()) {
             return;
         }
-        // Other hosts may lag as much, so the lag ends only when this host's own
-        // revision advances.
+        // Other hosts may lag as much, so the lag ends only when this host itself
+        // advances.
         let (since_ms, _) = *self
             .lag_since
-            .filter(|(_, revision)| *revision == known)
+            .filter(|(_, at_start)| *at_start == known)
             .get_or_insert((now_ms, known));
         self.lag_since = Some((since_ms, known));
         if now_ms >= since_ms + LAG_BEFORE_RESYNC_MS {
@@ -260,15 +271,18 @@
 
     fn new_beacon(&mut self) -> Beacon {
         self.beacon_sequence += 1;
+        let known = self.known();
         Beacon {
             host: self.settings.host.clone(),
             started_ms: self.instance_started_ms,
             sequence: self.beacon_sequence,
-            revision: self.known_revision(),
+            revision: known.position.revision,
             is_leaving: self.shutdown_started_ms.is_some(),
             shares: Vec::new(),
             queues: Vec::new(),
             services: Vec::new(),
+            era: known.position.era,
+            configuration: known.configuration,
         }
     }
 
@@ -375,7 +389,7 @@
             match self.beacon_socket.recv_from(&mut buffer) {
                 Ok((count, _)) => match postcard::from_bytes::<Packet>(&buffer[..count]) {
                     Ok(Packet::Beacon(beacon)) => {
-                        self.check_revision_lag(&beacon, now_ms);
+                        self.check_lag(&beacon, now_ms);
                         is_changed |= self.hosts.apply_beacon(beacon, now_ms);
                     }
                     Ok(Packet::LoadUpdate(update)) => {
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -2,52 +2,80 @@
 //!
 //! The replica contains the store's items with their revisions. It changes only
 //! through [`StoreReplica::apply`], whether a change comes from the store or from
-//! another host, and an item never returns to an earlier revision. Each change is
-//! decoded once and sent to the reactor.
+//! another host, and within an era of the store an item never returns to an earlier
+//! revision. Each change is decoded once and sent to the reactor.
 //!
-//! The revision of a replica is one up to which it contains every change. Other
-//! hosts ask for the changes after their own revision, so a change that is
-//! missing below it would never reach them.
+//! The position of a replica is one up to which it contains every change. Other
+//! hosts ask for the changes after their own position, so a change that is missing
+//! below it would never reach them.
+//!
+//! A new era begins with a page of all items; [`super::replica_entry`] decides how
+//! these are merged with what was known before.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::{
         Arc,
         Mutex,
         MutexGuard,
         PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
     }, //
 };
 
 use compact_str::CompactString;
 use crossbeam::channel::Sender;
 use mio::Waker;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use super::{
-    configuration::Configuration,
+    configuration::{
+        Configuration,
+        ConfigurationVersion, //
+    },
     endpoint::Announcement,
     hosts::{
         HOST_PREFIX,
         HostInfo, //
+    },
+    replica_entry::{
+        Entry,
+        Merge, //
     }, //
 };
-use crate::platform::{
-    items::{
-        CONFIGURATION_KEY,
-        ENDPOINT_PREFIX,
-        EVACUATION_PREFIX,
-        decode_configuration,
-        decode_endpoint, //
+use crate::{
+    platform::{
+        items::{
+            CONFIGURATION_KEY,
+            ENDPOINT_PREFIX,
+            EVACUATION_PREFIX,
+            decode_configuration,
+            decode_endpoint, //
+        },
+        store::ItemChange, //
     },
-    store::{
-        ItemChange,
-        Page,
+    store_position::{
+        StoreEra,
+        StorePosition,
         StoreRevision, //
     }, //
 };
 
 /// Deletions that are kept, so that other hosts can receive them.
 const MAX_DELETIONS: usize = 1_024;
+/// Time after the begin of an era in which items that its first page contradicts
+/// are kept. The writers of live items have written them again by then, and items
+/// whose writers are gone have expired.
+pub const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
 /// A message to the reactor: a change of the replica or a command to the process.
 #[derive(Debug, Clone, PartialEq)]
@@ -66,6 +94,8 @@
     HostRemoved(CompactString),
     /// Whether the store responds.
     StoreReachable(bool),
+    /// The store returned from an older copy of itself.
+    StoreReturned,
     /// The first set of changes was applied to the replica.
     Synchronised,
     /// The process has to shut down.
@@ -102,12 +132,63 @@
     }
 }
 
+/// Items or changes, as the store or another host sends them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaPage {
+    /// Items or changes, in the order received.
+    pub changes: Vec<ItemChange>,
+    /// Revision up to which the changes are complete.
+    pub revision: StoreRevision,
+    /// Era of all revisions.
+    pub era: StoreEra,
+    /// Whether `changes` contains all items, so that others do not exist.
+    pub is_complete: bool,
+}
+
+impl ReplicaPage {
+    /// Returns the position up to which the changes are complete.
+    pub fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.revision)
+    }
+}
+
+/// Whether a page was applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ApplyOutcome {
+    /// The page was applied.
+    Applied,
+    /// The page is of an earlier era, or contains all items of an earlier revision, and
+    /// was ignored.
+    Outdated,
+    /// The page is of a later era and does not contain all items, so it was ignored.
+    NeedsAllItems,
+}
+
+/// State of the store that a host knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Known {
+    /// Position of its replica.
+    pub position: StorePosition,
+    /// Highest version of the configuration that it has seen.
+    pub configuration: ConfigurationVersion,
+}
+
+impl Known {
+    /// Returns whether a host that has `other` knows something that this one lacks.
+    pub fn lags_behind(&self, other: Self) -> bool {
+        other.position > self.position || other.configuration > self.configuration
+    }
+}
+
 #[derive(Debug, Default)]
 struct Content {
-    revision: StoreRevision,
-    /// Revision and value of each item; a deleted item has no value.
-    entries: BTreeMap<CompactString, (StoreRevision, Option<Vec<u8>>)>,
+    position: StorePosition,
+    entries: BTreeMap<CompactString, Entry>,
     is_synchronised: bool,
+    /// Revision from which on the replica contains every deletion.
+    history_start: StoreRevision,
+    /// When the items that are kept from the previous era are given up.
+    settles_at: Option<Instant>,
 }
 
 /// A host's copy of the store, shared by the threads that change it.
@@ -130,85 +211,149 @@
         self.content.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the revision up to which the replica contains all changes.
-    pub fn revision(&self) -> StoreRevision {
-        self.lock().revision
+    /// Returns the position up to which the replica contains all changes.
+    pub fn position(&self) -> StorePosition {
+        self.lock().position
     }
 
-    /// Returns the items that changed after `revision`, for another host.
-    pub fn changes_after(&self, revision: StoreRevision) -> Page {
+    /// Returns the state of the store that the replica contains.
+    pub fn known(&self) -> Known {
         let content = self.lock();
-        let changes = content
-            .entries
-            .iter()
-            .filter(|(_, (item_revision, _))| *item_revision > revision)
-            .map(|(key, (item_revision, value))| ItemChange {
-                key: key.clone(),
-                revision: *item_revision,
-                value: value.clone(),
-            })
-            .collect();
-        Page {
-            changes,
-            revision: content.revision,
+        let entry = content.entries.get(CONFIGURATION_KEY);
+        Known {
+            position: content.position,
+            configuration: entry.map_or_else(ConfigurationVersion::default, Entry::version),
         }
     }
 
-    /// Returns the keys of the replica's items that are not among `present`.
-    pub fn keys_missing_from(&self, present: &[ItemChange]) -> Vec<CompactString> {
+    /// Returns the items of the replica, by key.
+    pub fn items(&self) -> BTreeMap<CompactString, Vec<u8>> {
         let content = self.lock();
-        content
-            .entries
-            .iter()
-            .filter(|(_, (_, value))| value.is_some())
-            .map(|(key, _)| key)
-            .filter(|key| !present.iter().any(|change| change.key == **key))
-            .cloned()
+        let entries = content.entries.iter();
+        entries
+            .filter_map(|(key, entry)| Some((key.clone(), entry.value.clone()?)))
             .collect()
     }
 
-    /// Returns the hosts that are registered.
-    pub fn hosts(&self) -> Vec<HostInfo> {
+    /// Returns what another host that has `known` is missing.
+    ///
+    /// The configuration is compared by version, because a host that started after
+    /// the store returned from a copy has only the one of the copy.
+    pub fn changes_for(&self, known: Known) -> ReplicaPage {
         let content = self.lock();
-        content
+        let is_same_era = known.position.era == content.position.era;
+        let lacks_history = is_same_era && known.position.revision < content.history_start;
+        let is_complete = known.position.era < content.position.era || lacks_history;
+        let changes = content
             .entries
             .iter()
-            .filter(|(key, _)| key.starts_with(HOST_PREFIX))
-            .filter_map(|(_, (_, value))| serde_json::from_slice(value.as_ref()?).ok())
-            .collect()
+            .filter(|(key, entry)| {
+                let is_missing = match is_complete {
+                    true => entry.is_shown_item(),
+                    false => is_same_era && entry.revision > known.position.revision,
+                };
+                is_missing || (*key == CONFIGURATION_KEY && entry.version() > known.configuration)
+            })
+            .map(|(key, entry)| ItemChange {
+                key: key.clone(),
+                revision: entry.revision,
+                value: entry.shown_value().cloned(),
+            })
+            .collect();
+        ReplicaPage {
+            changes,
+            revision: content.position.revision,
+            era: content.position.era,
+            is_complete,
+        }
     }
 
-    /// Applies changes, and raises the revision of the replica to `revision`.
+    /// Applies a page of the store or of another host at the time `now`.
     ///
     /// Changes that are not newer than the replica's item are ignored.
-    pub fn apply(&self, changes: Vec<ItemChange>, revision: StoreRevision) {
+    pub fn apply(&self, page: ReplicaPage, now: Instant) -> ApplyOutcome {
         let mut content = self.lock();
-        for change in changes {
-            let known = content.entries.get(&change.key);
-            if known.is_some_and(|(item_revision, _)| *item_revision >= change.revision) {
-                continue;
+        let is_older_read = page.is_complete && page.position() < content.position;
+        if page.era < content.position.era || is_older_read {
+            return ApplyOutcome::Outdated;
+        }
+        if page.era > content.position.era {
+            if !page.is_complete {
+                return ApplyOutcome::NeedsAllItems;
             }
-            let before = known.and_then(|(_, value)| value.clone());
-            let is_new = before != change.value;
-            let update = match &change.value {
-                Some(value) if is_new => decode_update(&change.key, value, change.revision),
-                None if is_new => deletion_update(&change.key),
-                _ => None,
-            };
-            content
-                .entries
-                .insert(change.key, (change.revision, change.value));
-            if let Some(update) = update {
-                // Sent under the lock, so that updates arrive in the order of changes.
+            self.begin_era(&mut content, &page, now);
+        }
+        // Updates are sent under the lock, so that they arrive in the order of changes.
+        if page.is_complete {
+            for update in content.drop_absent(&page) {
                 self.updates.send(update);
             }
+            // Items may have been written and deleted since the previous position.
+            content.history_start = page.revision;
         }
-        prune_deletions(&mut content.entries);
-        content.revision = content.revision.max(revision);
+        let position = page.position();
+        for change in page.changes {
+            if let Some(update) = content.merge(change, page.is_complete) {
+                self.updates.send(update);
+            }
+        }
+        let pruned_up_to = prune_deletions(&mut content.entries);
+        content.history_start = content.history_start.max(pruned_up_to);
+        content.position = content.position.max(position);
         if !content.is_synchronised {
             content.is_synchronised = true;
             self.updates.send(Update::Synchronised);
         }
+        ApplyOutcome::Applied
+    }
+
+    fn begin_era(&self, content: &mut Content, page: &ReplicaPage, now: Instant) {
+        if content.is_synchronised {
+            tracing::warn!(
+                before = %content.position,
+                after = %page.position(),
+                items = page.changes.len(),
+                "store returned from an older copy; known state is kept until it is written again"
+            );
+            self.updates.send(Update::StoreReturned);
+            content.settles_at = Some(now + SETTLE_TIME);
+            for entry in content.entries.values_mut() {
+                entry.begin_era();
+            }
+        }
+        content.position = StorePosition::new(page.era, StoreRevision(0));
+    }
+
+    /// Returns the time left until the items kept from the previous era are given up,
+    /// if there are any.
+    pub fn settles_in(&self, now: Instant) -> Option<Duration> {
+        let settles_at = self.lock().settles_at?;
+        Some(settles_at.saturating_duration_since(now))
+    }
+
+    /// Gives up the items kept from the previous era, if it is time.
+    pub fn settle(&self, now: Instant) {
+        let mut content = self.lock();
+        if content.settles_at.is_none_or(|at| now < at) {
+            return;
+        }
+        content.settles_at = None;
+        let revision = content.position.revision;
+        for (key, entry) in &mut content.entries {
+            let is_kept = key == CONFIGURATION_KEY;
+            let update = match entry.settle(is_kept, revision) {
+                Merge::Write => written_update(key, entry),
+                Merge::Delete => deletion_update(key),
+                Merge::None => None,
+            };
+            if let Some(update) = update {
+                tracing::info!(
+                    %key,
+                    "item was not written again after the store returned; its state in the store is in effect"
+                );
+                self.updates.send(update);
+            }
+        }
     }
 
     /// Reports to the reactor whether the store responds.
@@ -217,19 +362,91 @@
     }
 }
 
-/// Drops the oldest deletions beyond [`MAX_DELETIONS`].
-fn prune_deletions(entries: &mut BTreeMap<CompactString, (StoreRevision, Option<Vec<u8>>)>) {
+impl Content {
+    /// Merges one change and returns the update that follows from it.
+    fn merge(&mut self, change: ItemChange, is_complete: bool) -> Option<Update> {
+        if change.key == CONFIGURATION_KEY {
+            return merge_configuration(
+                self.entries.entry(change.key.clone()).or_default(),
+                change,
+            );
+        }
+        let is_known = self.entries.contains_key(&change.key);
+        if !is_known && !is_complete && change.revision <= self.position.revision {
+            // A later change, which the replica contains, deleted the item.
+            return None;
+        }
+        let entry = self.entries.entry(change.key.clone()).or_default();
+        if entry.revision >= change.revision {
+            return None;
+        }
+        let order = match (&change.value, change.key.strip_prefix(ENDPOINT_PREFIX)) {
+            (Some(value), Some(_)) => decode_endpoint(value).ok().map(|known| known.order),
+            _ => None,
+        };
+        let is_endpoint = change.key.starts_with(ENDPOINT_PREFIX);
+        let merge = match is_complete && entry.is_superseding(&change, is_endpoint, order) {
+            true => entry.hold_back(change.revision, change.value),
+            false => entry.write(change.revision, change.value, order),
+        };
+        match merge {
+            Merge::Write => written_update(&change.key, entry),
+            Merge::Delete => deletion_update(&change.key),
+            Merge::None => None,
+        }
+    }
+
+    /// Records that the items that a page of all items lacks do not exist, and returns
+    /// the updates that follow from it.
+    fn drop_absent(&mut self, page: &ReplicaPage) -> Vec<Update> {
+        let present: BTreeSet<&str> = page.changes.iter().map(|item| item.key.as_str()).collect();
+        let entries = self.entries.iter_mut();
+        let absent = entries.filter(|(key, _)| {
+            !present.contains(key.as_str()) && key.as_str() != CONFIGURATION_KEY
+        });
+        let updates = absent.filter_map(|(key, entry)| {
+            // The reactor keeps an endpoint in use for some time after its removal.
+            let is_kept = !key.starts_with(ENDPOINT_PREFIX);
+            match entry.mark_absent(page.revision, is_kept) {
+                Merge::Delete => deletion_update(key),
+                Merge::Write | Merge::None => None,
+            }
+        });
+        updates.collect()
+    }
+}
+
+/// Merges a change of the configuration, of which the highest version is kept.
+fn merge_configuration(entry: &mut Entry, change: ItemChange) -> Option<Update> {
+    let value = change.value.as_ref()?;
+    let is_other_write = change.revision > entry.revision && change.value != entry.value;
+    let update = decode_update(&change.key, value, change.revision);
+    let Some(Update::Configuration(configuration)) = &update else {
+        return None;
+    };
+    let is_higher = entry.value.is_none() || configuration.version > entry.version();
+    entry.revision = entry.revision.max(change.revision);
+    if is_higher {
+        entry.set_configuration(change.value, configuration.version);
+    }
+    update.filter(|_| is_higher || is_other_write)
+}
+
+/// Drops the oldest deletions beyond [`MAX_DELETIONS`]; returns the revision from which
+/// on there are all.
+fn prune_deletions(entries: &mut BTreeMap<CompactString, Entry>) -> StoreRevision {
     let mut deleted: Vec<StoreRevision> = entries
         .values()
-        .filter(|(_, value)| value.is_none())
-        .map(|(item_revision, _)| *item_revision)
+        .filter(|entry| entry.value.is_none())
+        .map(|entry| entry.revision)
         .collect();
     if deleted.len() <= MAX_DELETIONS {
-        return;
+        return StoreRevision(0);
     }
     deleted.sort_unstable();
     let limit = deleted[deleted.len() - MAX_DELETIONS];
-    entries.retain(|_, (item_revision, value)| value.is_some() || *item_revision >= limit);
+    entries.retain(|_, entry| entry.value.is_some() || entry.revision >= limit);
+    limit
 }
 
 fn deletion_update(key: &str) -> Option<Update> {
@@ -243,6 +460,10 @@
     Some(Update::HostRemoved(name.into()))
 }
 
+fn written_update(key: &str, entry: &Entry) -> Option<Update> {
+    decode_update(key, entry.value.as_ref()?, entry.revision)
+}
+
 fn decode_update(key: &str, value: &[u8], revision: StoreRevision) -> Option<Update> {
     let decoded = if key == CONFIGURATION_KEY {
         decode_configuration(value)
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -192,7 +192,7 @@
             request = %exchange.request.metadata.attempt_id,
             route = %exchange.route.name,
             service = %exchange.route.service,
-            configuration = exchange.configuration_version,
+            configuration = exchange.configuration_version.0,
             is_forwarded = exchange.is_forwarded,
             runs = exchange.run_count,
             tried = ?exchange.excluded_endpoints,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod spending;
 pub mod standin;
 pub mod status;
+pub mod store_position;
 pub mod ticket;
 pub mod ticket_thread;
 pub mod ticketed_calls;
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -14,6 +14,7 @@
     configuration::{
         CallerLimits,
         Configuration,
+        ConfigurationVersion,
         Engine,
         RetryPolicy,
         Route,
@@ -22,6 +23,7 @@
     },
     endpoint::{
         Announcement,
+        AnnouncementOrder,
         Stage, //
     }, //
 };
@@ -129,6 +131,9 @@
     /// Unix time of the endpoint's start in milliseconds.
     #[serde(default)]
     born: u64,
+    /// Number of the announcement since the start.
+    #[serde(default)]
+    seq: u64,
 }
 
 /// Decodes the configuration.
@@ -141,7 +146,7 @@
     let wire: WireConfiguration = serde_json::from_slice(text)?;
     let routes: Result<Vec<Route>, ItemError> = wire.routes.into_iter().map(decode_route).collect();
     Ok(Configuration {
-        version: wire.version,
+        version: ConfigurationVersion(wire.version),
         routes: routes?,
         services: wire.backends.into_iter().map(decode_service).collect(),
         limits: CallerLimits {
@@ -235,7 +240,10 @@
         stage,
         cold_left_ms: ceil_ms(wire.cold_left_ms),
         remaining_ms: wire.remaining_ms.map(ceil_ms),
-        started_ms: wire.born,
+        order: AnnouncementOrder {
+            started_ms: wire.born,
+            sequence: wire.seq,
+        },
     })
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,8 +4,10 @@
 //! may still have been executed, so only idempotent calls are to be retried.
 
 use std::{
+    fmt,
     io::Read,
     net::SocketAddr,
+    str::FromStr,
     time::Duration, //
 };
 
@@ -20,6 +22,7 @@
         Body,
         Method,
         Request,
+        Response,
         header::CONTENT_TYPE, //
     }, //
 };
@@ -29,6 +32,16 @@
 };
 use thiserror::Error;
 
+use crate::{
+    store_position::{
+        StoreEra,
+        StoreRevision, //
+    },
+    types::ParseError, //
+};
+
+/// Header in which the store states its era.
+const ERA_HEADER: &str = "store-era";
 /// Maximum size of a response: a page holds a megabyte of values in base64.
 const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
 
@@ -50,17 +63,63 @@
     /// The lease does not exist or has ended.
     #[error("lease does not exist or has ended")]
     LeaseEnded,
+    /// The store returned from an older copy between two pages.
+    #[error("pages of one read state different eras; all items have to be read again")]
+    MixedEras,
 }
 
-/// Revision of the store; it increases with each change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct StoreRevision(pub u64);
-
-/// Id of a lease.
+/// Id of a lease; the store may give it out again in a later era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
 
+impl fmt::Display for LeaseId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for LeaseId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        text.parse()
+            .map(Self)
+            .map_err(|_| ParseError::new("lease id", text, "a whole number"))
+    }
+}
+
+/// Era as an answer of the store states it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StatedEra {
+    /// The era.
+    Era(StoreEra),
+    /// The answer states no era.
+    Missing,
+    /// The answer states something that is not an era.
+    Invalid(CompactString),
+}
+
+/// Result of a call, with the era that the answer states.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer<T> {
+    /// Era in which the store executed the call.
+    pub era: StatedEra,
+    /// Result of the call.
+    pub value: T,
+}
+
+impl<T> Answer<T> {
+    fn map<F, U>(self, convert: F) -> Answer<U>
+    where
+        F: FnOnce(T) -> U,
+    {
+        Answer {
+            era: self.era,
+            value: convert(self.value),
+        }
+    }
+}
+
 /// Write or deletion of an item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemChange {
@@ -73,11 +132,11 @@
 }
 
 /// Items or changes, with the revision up to which they are complete.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Page {
     /// Items or changes, in the order received.
     pub changes: Vec<ItemChange>,
-    /// Revision of the store, or of the host, at the time of the response.
+    /// Revision of the store at the time of the answer.
     pub revision: StoreRevision,
 }
 
@@ -141,24 +200,33 @@
     ///
     /// # Errors
     ///
-    /// Fails if one of the calls fails.
-    pub fn range(&self, prefix: &str) -> Result<Page, StoreError> {
+    /// Fails with [`StoreError::MixedEras`] if the pages are of different eras, or if
+    /// one of the calls fails.
+    pub fn range(&self, prefix: &str) -> Result<Answer<Page>, StoreError> {
         let mut all = Page::default();
         let mut after: Option<CompactString> = None;
+        let mut first_era: Option<StatedEra> = None;
         loop {
             let mut path = format!("/cardamombridge/kv-range?prefix={prefix}");
             if let Some(key) = &after {
                 path.push_str("&after=");
                 path.push_str(key);
             }
-            let page: WirePage = serde_json::from_slice(&self.call(Method::GET, &path, None)?)?;
+            let answer = self.call(Method::GET, &path, None)?;
+            let page: WirePage = serde_json::from_slice(&answer.value)?;
+            if *first_era.get_or_insert_with(|| answer.era.clone()) != answer.era {
+                return Err(StoreError::MixedEras);
+            }
             if after.is_none() {
                 all.revision = StoreRevision(page.current_rev);
             }
             after = page.items.last().map(|item| item.key.clone());
             all.changes.extend(page.items.into_iter().map(decode_item));
             if !page.has_more || after.is_none() {
-                return Ok(all);
+                return Ok(Answer {
+                    era: answer.era,
+                    value: all,
+                });
             }
         }
     }
@@ -175,17 +243,18 @@
         prefix: &str,
         revision: StoreRevision,
         wait: Duration,
-    ) -> Result<Page, StoreError> {
+    ) -> Result<Answer<Page>, StoreError> {
         let path = format!(
             "/cardamombridge/kv-watch?prefix={prefix}&after={}&wait_ms={}",
-            revision.0,
+            revision,
             wait.as_millis()
         );
-        let page: WirePage = serde_json::from_slice(&self.call(Method::GET, &path, None)?)?;
-        Ok(Page {
+        let answer = self.call(Method::GET, &path, None)?;
+        let page: WirePage = serde_json::from_slice(&answer.value)?;
+        Ok(answer.map(|_| Page {
             revision: StoreRevision(page.current_rev),
             changes: page.items.into_iter().map(decode_item).collect(),
-        })
+        }))
     }
 
     /// Creates a lease that ends unless it is renewed within `ttl`.
@@ -193,15 +262,15 @@
     /// # Errors
     ///
     /// Fails if the call fails.
-    pub fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+    pub fn grant_lease(&self, ttl: Duration) -> Result<Answer<LeaseId>, StoreError> {
         let body = serde_json::json!({ "ttl_ms": ttl.as_millis() as u64 }).to_string();
-        let response = self.call(
+        let answer = self.call(
             Method::POST,
             "/cardamombridge/kv-lease",
             Some(body.into_bytes()),
         )?;
-        let lease: WireLease = serde_json::from_slice(&response)?;
-        Ok(LeaseId(lease.lease))
+        let lease: WireLease = serde_json::from_slice(&answer.value)?;
+        Ok(answer.map(|_| LeaseId(lease.lease)))
     }
 
     /// Renews a lease.
@@ -209,9 +278,10 @@
     /// # Errors
     ///
     /// Fails if the lease has ended or the call fails.
-    pub fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let path = format!("/cardamombridge/kv-keep/{}", lease.0);
-        self.call(Method::POST, &path, None).map(drop)
+    pub fn renew_lease(&self, lease: LeaseId) -> Result<Answer<()>, StoreError> {
+        let path = format!("/cardamombridge/kv-keep/{lease}");
+        let answer = self.call(Method::POST, &path, None)?;
+        Ok(answer.map(drop))
     }
 
     /// Ends a lease, which deletes its items.
@@ -220,7 +290,7 @@
     ///
     /// Fails if the lease has ended or the call fails.
     pub fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let path = format!("/cardamombridge/kv-lease-end/{}", lease.0);
+        let path = format!("/cardamombridge/kv-lease-end/{lease}");
         self.call(Method::DELETE, &path, None).map(drop)
     }
 
@@ -229,7 +299,7 @@
     /// # Errors
     ///
     /// Fails if the lease has ended or the call fails.
-    pub fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<(), StoreError> {
+    pub fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<Answer<()>, StoreError> {
         let body = serde_json::to_vec(&WireTransaction {
             precondition: [],
             writes: [WireWrite {
@@ -239,8 +309,8 @@
             }],
             remove: [],
         })?;
-        self.call(Method::POST, "/cardamombridge/kv-txn", Some(body))
-            .map(drop)
+        let answer = self.call(Method::POST, "/cardamombridge/kv-txn", Some(body))?;
+        Ok(answer.map(drop))
     }
 
     fn call(
@@ -248,7 +318,7 @@
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
-    ) -> Result<Vec<u8>, StoreError> {
+    ) -> Result<Answer<Vec<u8>>, StoreError> {
         let builder = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
@@ -263,13 +333,25 @@
             410 => return Err(StoreError::HistoryDropped),
             status => return Err(StoreError::Refused(status)),
         }
+        let era = decode_era(&response);
         let mut bytes = Vec::new();
         response
             .into_body()
             .take(MAX_ANSWER_BYTES)
             .read_to_end(&mut bytes)
             .map_err(StoreError::NoAnswer)?;
-        Ok(bytes)
+        Ok(Answer { era, value: bytes })
+    }
+}
+
+fn decode_era(response: &Response<Body>) -> StatedEra {
+    let Some(value) = response.headers().get(ERA_HEADER) else {
+        return StatedEra::Missing;
+    };
+    let text = String::from_utf8_lossy(value.as_bytes());
+    match text.trim().parse() {
+        Ok(era) => StatedEra::Era(era),
+        Err(_) => StatedEra::Invalid(text.into()),
     }
 }
 
--- a/src/standin/metadata_store.rs
+++ b/src/standin/metadata_store.rs
@@ -1,7 +1,8 @@
 //! Stand-in of the platform's metadata store.
 //!
 //! Speaks the published calls: range, watch, transactions and leases. It can be
-//! down, forget its history and lose answers, as the platform's store does.
+//! down, forget its history, lose answers and return from an older copy, as the
+//! platform's store does.
 
 use std::{
     collections::BTreeMap,
@@ -42,6 +43,8 @@
     }, //
 };
 
+/// Header that states the era in every answer.
+const ERA_HEADER: &str = "store-era";
 /// Longest wait of a watch, as published.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -68,14 +71,24 @@
     value: Option<Vec<u8>>,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What the store loses when it returns from a copy.
+#[derive(Debug, Clone, Default)]
+struct Content {
     revision: u64,
     items: BTreeMap<String, (u64, Vec<u8>, u64)>,
     history: Vec<Change>,
     history_start: u64,
     leases: BTreeMap<u64, (Instant, Duration)>,
     next_lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    content: Content,
+    copy: Content,
+    era: u64,
+    /// Value of the era's header if it is not the era; no header if empty.
+    era_text: Option<String>,
     fault: StoreFault,
 }
 
@@ -92,7 +105,7 @@
     shared: Arc<Shared>,
 }
 
-impl State {
+impl Content {
     fn write(&mut self, key: &str, value: Option<Vec<u8>>, lease: u64) {
         self.revision += 1;
         match &value {
@@ -156,7 +169,10 @@
     /// Starts an empty store on a free port of loopback.
     pub fn start() -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
-        lock(&shared.state).revision = 1;
+        let mut state = lock(&shared.state);
+        state.content.revision = 1;
+        state.era = 1;
+        drop(state);
         let served = Arc::clone(&shared);
         let listener = Listener::start(0, move |connection, request| {
             serve(&served, connection, &request)
@@ -171,13 +187,14 @@
 
     /// Writes an item, as the operator and endpoints do.
     pub fn put(&self, key: &str, value: &Value) {
-        lock(&self.shared.state).write(key, Some(value.to_string().into_bytes()), 0);
+        let value = value.to_string().into_bytes();
+        lock(&self.shared.state).content.write(key, Some(value), 0);
         self.shared.changed.notify_all();
     }
 
     /// Deletes an item.
     pub fn delete(&self, key: &str) {
-        lock(&self.shared.state).write(key, None, 0);
+        lock(&self.shared.state).content.write(key, None, 0);
         self.shared.changed.notify_all();
     }
 
@@ -189,17 +206,42 @@
 
     /// Drops all history, so that watches from earlier revisions fail.
     pub fn drop_history(&self) {
+        let content = &mut lock(&self.shared.state).content;
+        content.history.clear();
+        content.history_start = content.revision;
+        self.shared.changed.notify_all();
+    }
+
+    /// Copies the content, for [`Self::return_from_copy`].
+    pub fn take_copy(&self) {
+        let mut state = lock(&self.shared.state);
+        state.copy = state.content.clone();
+    }
+
+    /// Replaces the content by the last copy: what was written since is lost, leases
+    /// too, and revisions are given out again.
+    pub fn return_from_copy(&self) {
         let mut state = lock(&self.shared.state);
-        state.history.clear();
-        state.history_start = state.revision;
+        state.content = state.copy.clone();
+        state.era += 1;
         self.shared.changed.notify_all();
     }
 
+    /// Sends `text` instead of the era, or no era if it is empty.
+    pub fn set_era_text(&self, text: Option<&str>) {
+        lock(&self.shared.state).era_text = text.map(str::to_owned);
+    }
+
+    /// The revision of the last change.
+    pub fn revision(&self) -> u64 {
+        lock(&self.shared.state).content.revision
+    }
+
     /// Keys that start with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let mut state = lock(&self.shared.state);
-        state.expire(Instant::now());
-        let keys = state.items.keys();
+        let content = &mut lock(&self.shared.state).content;
+        content.expire(Instant::now());
+        let keys = content.items.keys();
         keys.filter(|key| key.starts_with(prefix))
             .cloned()
             .collect()
@@ -215,7 +257,7 @@
     let refused = json!({ "error": "busy" });
     match fault {
         StoreFault::Down => return Ok(Next::Close),
-        StoreFault::Busy => return respond_json(connection, 503, Headers::new(), &refused),
+        StoreFault::Busy => return respond_json(connection, 503, era_header(shared), &refused),
         StoreFault::None | StoreFault::LosesAnswers | StoreFault::DeafWatches => {}
     }
     let (status, body) = answer(shared, request);
@@ -223,7 +265,16 @@
     if !matches!(fault, StoreFault::None | StoreFault::DeafWatches) {
         return Ok(Next::Close);
     }
-    respond_json(connection, status, Headers::new(), &body)
+    respond_json(connection, status, era_header(shared), &body)
+}
+
+fn era_header(shared: &Shared) -> Headers {
+    let state = lock(&shared.state);
+    let text = state.era_text.clone();
+    match text.unwrap_or_else(|| state.era.to_string()) {
+        text if text.is_empty() => Headers::new(),
+        text => Headers::new().with_field(ERA_HEADER, &text),
+    }
 }
 
 fn answer(shared: &Shared, request: &Request) -> (u16, Value) {
@@ -239,28 +290,29 @@
         return watch(shared, query);
     }
     let mut state = lock(&shared.state);
-    state.expire(Instant::now());
+    let content = &mut state.content;
+    content.expire(Instant::now());
     let answer = match call {
-        "kv-range" => range(&state, &parameter(query, "prefix")),
-        "kv-txn" => transact(&mut state, &body),
+        "kv-range" => range(content, &parameter(query, "prefix")),
+        "kv-txn" => transact(content, &body),
         "kv-lease" => {
             let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
-            state.next_lease += 1;
-            let lease = state.next_lease;
-            state.leases.insert(lease, (Instant::now() + ttl, ttl));
+            content.next_lease += 1;
+            let lease = content.next_lease;
+            content.leases.insert(lease, (Instant::now() + ttl, ttl));
             (
                 200,
                 json!({ "lease": lease, "ttl_ms": ttl.as_millis() as u64 }),
             )
         }
-        "kv-keep" => match state.leases.get_mut(&id) {
+        "kv-keep" => match content.leases.get_mut(&id) {
             Some((ends, ttl)) => {
                 *ends = Instant::now() + *ttl;
                 (200, json!({ "ttl_ms": ttl.as_millis() as u64 }))
             }
             None => (404, json!({})),
         },
-        "kv-lease-end" => match state.end_lease(id) {
+        "kv-lease-end" => match content.end_lease(id) {
             true => (200, json!({})),
             false => (404, json!({})),
         },
@@ -271,8 +323,8 @@
     answer
 }
 
-fn range(state: &State, prefix: &str) -> (u16, Value) {
-    let items: Vec<Value> = state
+fn range(content: &Content, prefix: &str) -> (u16, Value) {
+    let items: Vec<Value> = content
         .items
         .iter()
         .filter(|(key, _)| key.starts_with(prefix))
@@ -283,15 +335,15 @@
             })
         })
         .collect();
-    let body = json!({ "items": items, "has_more": false, "current_rev": state.revision });
+    let body = json!({ "items": items, "has_more": false, "current_rev": content.revision });
     (200, body)
 }
 
-fn transact(state: &mut State, body: &Value) -> (u16, Value) {
+fn transact(content: &mut Content, body: &Value) -> (u16, Value) {
     let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
     let holds = rows("precondition").iter().all(|row| {
         let key = row["key"].as_str().unwrap_or_default();
-        let found = state.items.get(key).map_or(0, |item| item.0);
+        let found = content.items.get(key).map_or(0, |item| item.0);
         Some(found) == row["rev"].as_u64()
     });
     if !holds {
@@ -299,22 +351,22 @@
     }
     for write in rows("writes") {
         let lease = write["lease"].as_u64().unwrap_or(0);
-        if lease != 0 && !state.leases.contains_key(&lease) {
+        if lease != 0 && !content.leases.contains_key(&lease) {
             return (404, json!({}));
         }
         let value = STANDARD
             .decode(write["value"].as_str().unwrap_or_default())
             .unwrap_or_default();
-        state.write(
+        content.write(
             write["key"].as_str().unwrap_or_default(),
             Some(value),
             lease,
         );
     }
     for key in rows("remove") {
-        state.write(key.as_str().unwrap_or_default(), None, 0);
+        content.write(key.as_str().unwrap_or_default(), None, 0);
     }
-    (200, json!({ "rev": state.revision }))
+    (200, json!({ "rev": content.revision }))
 }
 
 fn watch(shared: &Shared, query: &str) -> (u16, Value) {
@@ -324,18 +376,22 @@
     let deadline = Instant::now() + wait.min(MAX_WAIT);
     let mut state = lock(&shared.state);
     loop {
-        state.expire(Instant::now());
+        state.content.expire(Instant::now());
+        let content = &state.content;
         let is_deaf = state.fault == StoreFault::DeafWatches;
-        if after < state.history_start || (!is_deaf && state.fault != StoreFault::None) {
+        if after < content.history_start
+            || after > content.revision
+            || (!is_deaf && state.fault != StoreFault::None)
+        {
             return (410, json!({}));
         }
         let events = match is_deaf {
             true => Vec::new(),
-            false => state.changes_after(&prefix, after),
+            false => content.changes_after(&prefix, after),
         };
         let left = deadline.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
-            let body = json!({ "events": events, "current_rev": state.revision });
+            let body = json!({ "events": events, "current_rev": content.revision });
             return (200, body);
         }
         // Leases end without a notification.
--- a/src/types.rs
+++ b/src/types.rs
@@ -273,6 +273,37 @@
     "Mbit/s"
 );
 
+/// Defines a number that counts up and has no unit.
+macro_rules! counter {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::types::ParseError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| $crate::types::ParseError::new($kind, text, "a whole number"))
+            }
+        }
+    };
+}
+
+pub(crate) use counter;
+
 /// Number of the configuration in force, one higher for each accepted change.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -12,6 +12,7 @@
         },
         configuration::{
             Configuration,
+            ConfigurationVersion,
             Engine,
             RetryPolicy,
             Route,
@@ -20,6 +21,7 @@
         },
         endpoint::{
             Announcement,
+            AnnouncementOrder,
             Failure,
             LoadShare,
             Stage,
@@ -53,6 +55,10 @@
             RetryBudget, //
         }, //
     },
+    store_position::{
+        StoreEra,
+        StoreRevision, //
+    },
     types::Tokens, //
 };
 use compact_str::{
@@ -89,7 +95,14 @@
         stage: Stage::Ready,
         cold_left_ms,
         remaining_ms: None,
-        started_ms: 1,
+        order: order(1, 1),
+    }
+}
+
+fn order(started_ms: u64, sequence: u64) -> AnnouncementOrder {
+    AnnouncementOrder {
+        started_ms,
+        sequence,
     }
 }
 
@@ -559,7 +572,7 @@
     assert_eq!(choose(&fleet), None, "a blocked endpoint is used");
 
     let restarted = Announcement {
-        started_ms: 2,
+        order: order(2, 1),
         ..announcement(0)
     };
     fleet.apply_announcement("e-0", restarted.clone(), 50);
@@ -705,11 +718,13 @@
         host: host(name, "north"),
         started_ms: 1,
         sequence,
-        revision: 1,
+        revision: StoreRevision(1),
         is_leaving: false,
         shares: Vec::new(),
         queues: Vec::new(),
         services: Vec::new(),
+        era: StoreEra(1),
+        configuration: ConfigurationVersion(1),
     }
 }
 
