Heed endpoints that state that they are leaving or want no requests

Cause: a response with Server-Leaving had no effect, so a host sent requests to the endpoint until the store announced its leaving; Retry-After of a refusing endpoint only shaped the refusal of the one request, and the endpoint was tried again 60 ms later.

Change: an endpoint that states that it is leaving gets nothing from the next request on. The hosts of the region learn it with the load updates, and from beacons if an update is lost; it holds until the next start of the endpoint, also if its announcement lapses in between. An endpoint that answers 503 with Retry-After gets nothing from this host until the time is over. The wish counts as its own word on its load: it opens no breaker, and it is not passed on, since it is addressed to one host. If all endpoints of a service are in that state, a request waits if one of them wants it within half of the time left to the goal, and is refused at once otherwise, with the time until the first one wants requests again. A caller is no longer told the wish of one endpoint while others accept requests.

Load and cold time in a response of another endpoint at the address (421) are not counted for the expected endpoint any more.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -51,6 +51,9 @@
     pub time_left_ms: f64,
     /// Whether the request is in this host's queue already.
     pub is_waiting: bool,
+    /// Time until an endpoint of this region wants requests from this host again;
+    /// none unless all of them asked it to stay away.
+    pub unwanted_for_ms: Option<f64>,
 }
 
 /// Decision about a request.
@@ -121,6 +124,13 @@
 /// Decides about a request while no endpoint may be used; one may become usable
 /// shortly.
 fn without_endpoint(context: PlacementContext) -> Placement {
+    if let Some(unwanted_ms) = context.unwanted_for_ms {
+        // Without time to serve the request afterwards, a wait would be in vain.
+        if unwanted_ms <= context.goal_left_ms / 2.0 {
+            return Placement::Wait;
+        }
+        return refuse_for(&context, unwanted_ms);
+    }
     let wait_ms = context.goal_ms / 8.0;
     if context.goal_left_ms > context.goal_ms - wait_ms {
         return Placement::Wait;
@@ -129,8 +139,12 @@
 }
 
 fn refuse(context: &PlacementContext, local_ms: f64) -> Placement {
-    let excess_ms = local_ms - context.goal_ms / 2.0;
+    refuse_for(context, local_ms - context.goal_ms / 2.0)
+}
+
+/// Refuses a request that may be served after `wait_ms`.
+fn refuse_for(context: &PlacementContext, wait_ms: f64) -> Placement {
     let longest_ms = context.time_left_ms * MAX_RETRY_SHARE;
-    let retry_ms = excess_ms.min(longest_ms).max(MIN_RETRY_MS);
+    let retry_ms = wait_ms.min(longest_ms).max(MIN_RETRY_MS);
     Placement::Refuse(retry_ms as u64)
 }
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -128,6 +128,15 @@
     }
 }
 
+/// What an endpoint states about itself in responses; holds until its next start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Statements {
+    /// It is leaving and is to get no new requests.
+    pub is_leaving: bool,
+    /// Until then it wants no requests from this host.
+    pub unwanted_until_ms: u64,
+}
+
 /// A prompt part that an endpoint has prefilled or will soon have prefilled.
 #[derive(Debug, Clone, Copy)]
 struct CachedPart {
@@ -154,6 +163,8 @@
     pub own_load: LoadShare,
     /// Load that the other hosts of the region report.
     pub peer_load: LoadShare,
+    /// What it states about itself in responses.
+    pub statements: Statements,
     cold_until_ms: u64,
     cold_sends_ms: Vec<u64>,
     /// Latest load from a response, with the time at which it arrived.
@@ -190,6 +201,7 @@
             cold_until_ms: now_ms + announcement.cold_left_ms,
             announcement,
             withdrawn_at_ms: None,
+            statements: Statements::default(),
             own_load: LoadShare::default(),
             peer_load: LoadShare::default(),
             cold_sends_ms: Vec::new(),
@@ -216,8 +228,11 @@
             || announcement.address != self.announcement.address;
         if is_restarted {
             let own = self.own_load;
+            let is_same_start = announcement.order.started_ms == self.announcement.order.started_ms;
+            let statements = is_same_start.then_some(self.statements);
             *self = Self::new(self.id.clone(), self.region.clone(), announcement, now_ms);
             self.own_load = own;
+            self.statements = statements.unwrap_or_default();
             return;
         }
         self.withdrawn_at_ms = None;
@@ -248,11 +263,24 @@
         self.withdrawn_at_ms.is_none_or(|at_ms| now_ms < at_ms)
     }
 
+    /// Records that the endpoint wants no requests from this host for `for_ms`.
+    pub fn record_unwanted(&mut self, for_ms: u64, now_ms: u64) {
+        let until_ms = now_ms.saturating_add(for_ms);
+        self.statements.unwanted_until_ms = self.statements.unwanted_until_ms.max(until_ms);
+    }
+
+    /// Returns whether the endpoint is announced and is not about to end.
+    pub fn is_staying(&self, now_ms: u64) -> bool {
+        self.is_announced(now_ms)
+            && self.announcement.stage == Stage::Ready
+            && !self.statements.is_leaving
+    }
+
     /// Returns whether new requests may be sent to the endpoint, regardless of its
     /// load.
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        self.is_announced(now_ms)
-            && self.announcement.stage == Stage::Ready
+        self.is_staying(now_ms)
+            && now_ms >= self.statements.unwanted_until_ms
             && now_ms >= self.blocked_until_ms
             && !(self.is_probing && self.own_load.active > 0)
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -26,12 +26,14 @@
         Announcement,
         Endpoint,
         LoadShare,
+        Statements,
         Work,
         slots_of, //
     },
     hosts::RegionView,
     load_updates::{
         EndpointBlock,
+        LeavingEndpoint,
         SentPrompt, //
     },
     request::RequestMetadata, //
@@ -99,6 +101,9 @@
 /// Share of an engine's memory beyond which requests are preempted.
 const PREEMPTION_MEMORY_SHARE: f64 = 0.85;
 
+/// Endpoints that are no longer announced, of which statements are remembered.
+const MAX_FORMER_STATEMENTS: usize = 1_024;
+
 /// Limit on the rate of requests to a cold endpoint, for all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdBounds {
@@ -227,6 +232,9 @@
     prefill_ms_per_token: BTreeMap<CompactString, f64>,
     /// When a prompt part was last sent to another region, by region and part.
     remote_parts: BTreeMap<(CompactString, u64), u64>,
+    /// Start and statements of endpoints that are no longer announced, in case they
+    /// are announced again.
+    former_statements: BTreeMap<CompactString, (u64, Statements)>,
 }
 
 impl Fleet {
@@ -248,6 +256,7 @@
             mean_run_ms: BTreeMap::new(),
             prefill_ms_per_token: BTreeMap::new(),
             remote_parts: BTreeMap::new(),
+            former_statements: BTreeMap::new(),
         }
     }
 
@@ -264,7 +273,12 @@
         match self.endpoints.get_mut(id) {
             Some(endpoint) => endpoint.apply_announcement(announcement, now_ms),
             None => {
-                let endpoint = Endpoint::new(id.into(), region.clone(), announcement, now_ms);
+                let started_ms = announcement.order.started_ms;
+                let mut endpoint = Endpoint::new(id.into(), region.clone(), announcement, now_ms);
+                let former = self.former_statements.remove(id);
+                if let Some((_, statements)) = former.filter(|(start, _)| *start == started_ms) {
+                    endpoint.statements = statements;
+                }
                 self.endpoints.insert(id.into(), endpoint);
             }
         }
@@ -281,8 +295,59 @@
     /// Removes endpoints that are no longer announced and have no requests in
     /// progress from this host.
     pub fn drop_withdrawn(&mut self, now_ms: u64) {
-        self.endpoints
-            .retain(|_, endpoint| endpoint.is_announced(now_ms) || endpoint.own_load.active > 0);
+        let former = &mut self.former_statements;
+        self.endpoints.retain(|id, endpoint| {
+            let is_kept = endpoint.is_announced(now_ms) || endpoint.own_load.active > 0;
+            let has_statements = endpoint.statements != Statements::default();
+            if !is_kept && has_statements && former.len() < MAX_FORMER_STATEMENTS {
+                let started_ms = endpoint.announcement.order.started_ms;
+                former.insert(id.clone(), (started_ms, endpoint.statements));
+            }
+            is_kept
+        });
+    }
+
+    /// Records that an endpoint states that it is leaving; returns whether this was
+    /// not known.
+    pub fn record_leaving(&mut self, id: &str) -> bool {
+        let endpoint = self.endpoints.get_mut(id);
+        endpoint
+            .is_some_and(|endpoint| !std::mem::replace(&mut endpoint.statements.is_leaving, true))
+    }
+
+    /// Applies another host's statement that an endpoint is leaving; returns its id if
+    /// this was not known. A later start of the endpoint is not leaving.
+    pub fn record_peer_leaving(&mut self, leaving: &LeavingEndpoint) -> Option<CompactString> {
+        let endpoint = self.get_by_hash(leaving.endpoint)?;
+        if endpoint.announcement.order.started_ms != leaving.started_ms {
+            return None;
+        }
+        let was_known = std::mem::replace(&mut endpoint.statements.is_leaving, true);
+        (!was_known).then(|| endpoint.id.clone())
+    }
+
+    /// Returns the endpoints of this region that state that they are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = LeavingEndpoint> + '_ {
+        let own_region = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.statements.is_leaving && endpoint.region == self.region);
+        own_region.map(LeavingEndpoint::new)
+    }
+
+    /// Returns the time until the first endpoint of `service` in this region wants
+    /// requests from this host again; none if there is another one, or none at all.
+    pub fn unwanted_for_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        let staying = self.endpoints.values().filter(|endpoint| {
+            endpoint.announcement.service == service
+                && endpoint.region == self.region
+                && endpoint.is_staying(now_ms)
+                && !self.evacuated.contains(&endpoint.announcement.data_centre)
+        });
+        let until_ms = staying
+            .map(|endpoint| endpoint.statements.unwanted_until_ms)
+            .min()?;
+        (until_ms > now_ms).then(|| until_ms - now_ms)
     }
 
     /// Stops or resumes the use of a data centre's endpoints.
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -23,6 +23,7 @@
     endpoint::LoadShare,
     load_updates::{
         EndpointLoadShare,
+        LeavingEndpoint,
         LoadUpdate, //
     },
     store_replica::Known, //
@@ -98,6 +99,8 @@
     pub era: StoreEra,
     /// Highest version of the configuration that the sender has seen.
     pub configuration: ConfigurationVersion,
+    /// Endpoints that stated that they are leaving; sent to the sender's region only.
+    pub leaving: Vec<LeavingEndpoint>,
 }
 
 impl Beacon {
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -15,7 +15,10 @@
 };
 
 use super::{
-    endpoint::LoadShare,
+    endpoint::{
+        Endpoint,
+        LoadShare, //
+    },
     fleet::Choice,
     hosts::Beacon,
     reactor::Reactor,
@@ -35,6 +38,8 @@
 const MAX_SENDS: usize = 10;
 /// Most blocks in an update, for the same reason.
 const MAX_BLOCKS: usize = 8;
+/// Most leaving endpoints in an update or beacon, for the same reason.
+pub const MAX_LEAVING: usize = 12;
 /// Most shared parts that are reported of one prompt.
 const MAX_PARTS: usize = 4;
 
@@ -62,6 +67,27 @@
     pub sends: Vec<SentPrompt>,
     /// Endpoints that the sender could not reach or found replaced.
     pub blocks: Vec<EndpointBlock>,
+    /// Endpoints that stated to the sender that they are leaving.
+    pub leaving: Vec<LeavingEndpoint>,
+}
+
+/// An endpoint that stated that it is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingEndpoint {
+    /// Hash of the endpoint's id.
+    pub endpoint: u32,
+    /// Unix time of its start; a later start is not leaving.
+    pub started_ms: u64,
+}
+
+impl LeavingEndpoint {
+    /// Returns the statement about an endpoint in its current start.
+    pub fn new(endpoint: &Endpoint) -> Self {
+        Self {
+            endpoint: endpoint.hash,
+            started_ms: endpoint.announcement.order.started_ms,
+        }
+    }
 }
 
 /// An endpoint that the sender could not reach, or whose address now belongs to
@@ -132,6 +158,8 @@
     pub sends: Vec<SentPrompt>,
     /// Endpoints that this host could not reach or found replaced.
     pub blocks: Vec<EndpointBlock>,
+    /// Endpoints that stated that they are leaving.
+    pub leaving: Vec<LeavingEndpoint>,
 }
 
 /// Changes that have not been sent yet.
@@ -140,6 +168,7 @@
     changed: BTreeSet<CompactString>,
     sends: Vec<SentPrompt>,
     blocks: Vec<EndpointBlock>,
+    leaving: Vec<LeavingEndpoint>,
     next_ms: u64,
     next_release_ms: u64,
 }
@@ -173,11 +202,17 @@
         });
     }
 
+    /// Records that an endpoint stated that it is leaving.
+    pub fn record_leaving(&mut self, leaving: LeavingEndpoint) {
+        self.leaving.push(leaving);
+    }
+
     /// Returns the changes that are due with `peer_count` other hosts in the region.
     ///
     /// Changes that do not fit into one packet stay for the next one.
     pub fn take_due(&mut self, peer_count: usize, now_ms: u64) -> Option<LoadChanges> {
-        let is_urgent = !self.sends.is_empty() || !self.blocks.is_empty();
+        let is_urgent =
+            !self.sends.is_empty() || !self.blocks.is_empty() || !self.leaving.is_empty();
         let due_ms = match is_urgent {
             true => self.next_ms,
             false => self.next_release_ms,
@@ -196,10 +231,13 @@
         let sends = self.sends.drain(..count).collect();
         let count = self.blocks.len().min(MAX_BLOCKS);
         let blocks = self.blocks.drain(..count).collect();
+        let count = self.leaving.len().min(MAX_LEAVING);
+        let leaving = self.leaving.drain(..count).collect();
         Some(LoadChanges {
             endpoints,
             sends,
             blocks,
+            leaving,
         })
     }
 }
@@ -229,6 +267,7 @@
             shares,
             sends: changes.sends,
             blocks: changes.blocks,
+            leaving: changes.leaving,
         };
         self.send_packet(&Packet::LoadUpdate(update), &peers);
     }
@@ -244,6 +283,21 @@
         for block in &update.blocks {
             self.fleet.apply_peer_block(block, now_ms);
         }
+        self.apply_peer_leaving(&update.leaving, &update.host);
         true
     }
+
+    /// Stops sending requests to endpoints that stated to another host that they are
+    /// leaving.
+    pub(super) fn apply_peer_leaving(&mut self, leaving: &[LeavingEndpoint], host: &str) {
+        for one in leaving {
+            if let Some(id) = self.fleet.record_peer_leaving(one) {
+                tracing::info!(
+                    endpoint = %id,
+                    host,
+                    "endpoint told another host that it is leaving; it gets no new requests"
+                );
+            }
+        }
+    }
 }
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -166,6 +166,10 @@
             goal_ms: route.goal_ms as f64,
             time_left_ms,
             is_waiting: exchange.is_waiting,
+            unwanted_for_ms: self
+                .fleet
+                .unwanted_for_ms(&service.name, now_ms)
+                .map(|for_ms| for_ms as f64),
         })
     }
 
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -11,11 +11,9 @@
     },
     connection::ResponseProgress,
     endpoint::Failure,
-    exchange::{
-        Destination,
-        Dispatch, //
-    },
+    exchange::Destination,
     head::ResponseHead,
+    load_updates::LeavingEndpoint,
     reactor::Reactor,
     response::{
         BodyFrame,
@@ -49,11 +47,9 @@
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
-        if let Some(Dispatch {
-            destination: Destination::Endpoint(choice),
-            ..
-        }) = &exchange.dispatch
+        if let Some(Destination::Endpoint(choice)) = exchange.destination()
             && let Some(endpoint) = self.fleet.get_mut(&choice.endpoint)
+            && !metadata.is_other_endpoint
         {
             if let Some(load) = metadata.load {
                 endpoint.record_reported_load(load, now_ms);
@@ -61,6 +57,15 @@
             if let Some(left_ms) = metadata.cold_left_ms {
                 endpoint.set_cold(left_ms, now_ms);
             }
+            if let Some(for_ms) = metadata.unwanted_for_ms {
+                endpoint.record_unwanted(for_ms, now_ms);
+                tracing::info!(
+                    endpoint = %choice.endpoint,
+                    request = %exchange.request.metadata.attempt_id,
+                    for_ms,
+                    "endpoint wants no requests from this host for a while"
+                );
+            }
         }
         let is_success = is_success(head, metadata);
         if let Some(dispatch) = &mut exchange.dispatch {
@@ -72,6 +77,32 @@
         }
     }
 
+    /// Stops sending requests to the endpoint of a response that states that it is
+    /// leaving, and informs the hosts of the region.
+    pub(super) fn record_leaving(&mut self, key: usize, metadata: &ResponseMetadata) {
+        if !metadata.is_leaving || metadata.is_other_endpoint {
+            return;
+        }
+        let Some(exchange) = self.exchanges.get(key) else {
+            return;
+        };
+        let Some(Destination::Endpoint(choice)) = exchange.destination() else {
+            return;
+        };
+        if !self.fleet.record_leaving(&choice.endpoint) {
+            return;
+        }
+        tracing::info!(
+            endpoint = %choice.endpoint,
+            request = %exchange.request.metadata.attempt_id,
+            "endpoint states that it is leaving; it gets no new requests"
+        );
+        if let Some(endpoint) = self.fleet.get(&choice.endpoint) {
+            self.pending_update
+                .record_leaving(LeavingEndpoint::new(endpoint));
+        }
+    }
+
     /// Handles a piece of a response body.
     pub(super) fn on_response_body(&mut self, key: usize, content: &[u8]) {
         let now_ms = self.now_ms();
@@ -196,7 +227,7 @@
                 true => Failure::Replaced,
                 false => Failure::Shed,
             };
-            return self.handle_not_run(key, head, failure);
+            return self.handle_not_run(key, failure);
         }
         if exchange.route.is_stream && is_success {
             let remainder = exchange.events.partial().to_vec();
@@ -285,17 +316,13 @@
 
     /// Handles the statement of an endpoint or region that it did not run the
     /// request.
-    pub(super) fn handle_not_run(&mut self, key: usize, head: &ResponseHead, failure: Failure) {
+    pub(super) fn handle_not_run(&mut self, key: usize, failure: Failure) {
         let now_ms = self.now_ms();
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
         let destination = exchange.destination().cloned();
         exchange.buffered.clear();
-        let retry_ms = head
-            .header("retry-after")
-            .and_then(|seconds| seconds.parse::<f64>().ok())
-            .map_or(UNREACHABLE_RETRY_MS, |seconds| (seconds * 1_000.0) as u64);
         match destination {
             Some(Destination::Endpoint(choice)) => {
                 exchange.excluded_endpoints.push(choice.endpoint.clone());
@@ -307,7 +334,12 @@
                 if has_attempts_left && self.retry_budget.try_take(&service, hosts, now_ms) {
                     return self.place_exchange(key);
                 }
-                self.refuse(key, "endpoint full", retry_ms);
+                let retry_ms = self.fleet.unwanted_for_ms(&service, now_ms);
+                self.refuse(
+                    key,
+                    "endpoint full",
+                    retry_ms.unwrap_or(UNREACHABLE_RETRY_MS),
+                );
             }
             Some(Destination::Region { region, .. }) => {
                 exchange.excluded_regions.push(region);
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -189,6 +189,12 @@
             ),
             None => false,
         };
+        if let Some(exchange) = exchange {
+            self.record_leaving(exchange, &metadata);
+        }
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
         let decoder = BodyDecoder::new(head.framing);
         upstream.response_progress = ResponseProgress::Body {
             head: Box::new(head.clone()),
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -13,6 +13,7 @@
     },
     load_updates::{
         EndpointLoadShare,
+        MAX_LEAVING,
         Packet, //
     },
     reactor::Reactor,
@@ -283,6 +284,7 @@
             services: Vec::new(),
             era: known.position.era,
             configuration: known.configuration,
+            leaving: Vec::new(),
         }
     }
 
@@ -295,6 +297,7 @@
             .map(|endpoint| EndpointLoadShare::new(endpoint.hash, endpoint.own_load))
             .collect();
         beacon.queues = self.own_queues();
+        beacon.leaving = self.fleet.leaving().take(MAX_LEAVING).collect();
         beacon
     }
 
@@ -390,6 +393,7 @@
                 Ok((count, _)) => match postcard::from_bytes::<Packet>(&buffer[..count]) {
                     Ok(Packet::Beacon(beacon)) => {
                         self.check_lag(&beacon, now_ms);
+                        self.apply_peer_leaving(&beacon.leaving, &beacon.host.name);
                         is_changed |= self.hosts.apply_beacon(beacon, now_ms);
                     }
                     Ok(Packet::LoadUpdate(update)) => {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -35,6 +35,10 @@
 /// Running requests, queued requests and slots, separated by commas.
 const LOAD: &str = "x-server-load";
 const COLD_TIME: &str = "x-cold-ms";
+/// Set in all responses of an endpoint that is leaving.
+const LEAVING: &str = "server-leaving";
+/// With status 503, seconds for which the endpoint wants no requests from this host.
+const RETRY_AFTER: &str = "retry-after";
 /// Least urgent priority that endpoints accept; 0 is the most urgent.
 const MAX_PRIORITY: u8 = 9;
 
@@ -159,6 +163,11 @@
     pub load: Option<EndpointLoad>,
     /// Time for which the endpoint remains cold.
     pub cold_left_ms: Option<u64>,
+    /// The endpoint is leaving.
+    pub is_leaving: bool,
+    /// Time for which the endpoint, which refused the request, wants no others from
+    /// this host.
+    pub unwanted_for_ms: Option<u64>,
 }
 
 /// Decodes the platform's headers of a response; ignores malformed values.
@@ -182,11 +191,21 @@
             metadata.load = decode_load(value);
         } else if header.is(COLD_TIME) {
             metadata.cold_left_ms = value.parse().ok();
+        } else if header.is(LEAVING) {
+            metadata.is_leaving = value.trim() == "1";
+        } else if header.is(RETRY_AFTER) && head.status == 503 {
+            metadata.unwanted_for_ms = decode_seconds(value);
         }
     }
     metadata
 }
 
+/// Decodes seconds, which may have a fraction, into milliseconds.
+fn decode_seconds(value: &str) -> Option<u64> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+}
+
 fn decode_load(value: &str) -> Option<EndpointLoad> {
     let mut fields = value.split(',').map(|field| field.trim().parse().ok());
     Some(EndpointLoad {
--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -8,7 +8,11 @@
     net::SocketAddr,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
     },
     thread,
     time::{
@@ -45,6 +49,8 @@
     Answer(u16, Vec<u8>),
     /// Says that it does not run the request.
     NotRun,
+    /// Says the same, and that it wants nothing from the host for this many seconds.
+    NotRunFor(&'static str),
     /// Sends events from a number on, with a pause after each.
     Events {
         /// First event.
@@ -66,6 +72,12 @@
     After(Duration, Box<Script>),
 }
 
+impl Script {
+    fn is_refusal(&self) -> bool {
+        matches!(self, Self::NotRun | Self::NotRunFor(_))
+    }
+}
+
 /// A request as the endpoint saw it.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -81,6 +93,10 @@
     pub body: Vec<u8>,
     /// The endpoint began to work on it.
     pub has_run: bool,
+    /// The endpoint said that it is leaving.
+    pub is_leaving: bool,
+    /// Seconds for which the endpoint asked for no further requests.
+    pub unwanted_s: Option<&'static str>,
 }
 
 impl Arrival {
@@ -96,6 +112,7 @@
     id: String,
     listener: Listener,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    is_leaving: Arc<AtomicBool>,
 }
 
 impl ScriptedEndpoint {
@@ -106,6 +123,8 @@
     {
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let noted = Arc::clone(&arrivals);
+        let is_leaving = Arc::new(AtomicBool::new(false));
+        let stated_leaving = Arc::clone(&is_leaving);
         let own_id = id.to_owned();
         let listener = Listener::start(0, move |connection, request| {
             let mut arrival = arrival(&request);
@@ -113,7 +132,11 @@
             let expected = arrival.headers.get("x-expect-instance");
             let is_misdirected = expected.is_some_and(|expected| expected != own_id);
             let script = script(index, &arrival);
-            arrival.has_run = !is_misdirected && script != Script::NotRun;
+            arrival.is_leaving = stated_leaving.load(Ordering::Relaxed);
+            arrival.has_run = !is_misdirected && !script.is_refusal();
+            if let Script::NotRunFor(seconds) = &script {
+                arrival.unwanted_s = Some(seconds);
+            }
             lock(&noted).push(arrival.clone());
             if is_misdirected {
                 let headers = answer_headers(&arrival, &own_id);
@@ -126,9 +149,15 @@
             id: id.into(),
             listener,
             arrivals,
+            is_leaving,
         })
     }
 
+    /// Sets whether all its answers say that it is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
     /// Its identity.
     pub fn id(&self) -> &str {
         &self.id
@@ -167,13 +196,19 @@
         headers: request.head.headers.clone(),
         body: request.body.clone(),
         has_run: false,
+        is_leaving: false,
+        unwanted_s: None,
     }
 }
 
 fn answer_headers(arrival: &Arrival, id: &str) -> Headers {
-    Headers::new()
+    let headers = Headers::new()
         .with_field("x-attempt-id", arrival.attempt())
-        .with_field("x-instance-id", id)
+        .with_field("x-instance-id", id);
+    match arrival.is_leaving {
+        true => headers.with_field("server-leaving", "1"),
+        false => headers,
+    }
 }
 
 fn play(
@@ -194,6 +229,12 @@
             let headers = plain.with_field("x-not-run", "1");
             respond(connection, 503, headers, b"", write_deadline())?;
         }
+        Script::NotRunFor(seconds) => {
+            let headers = plain
+                .with_field("x-not-run", "1")
+                .with_field("retry-after", seconds);
+            respond(connection, 503, headers, b"", write_deadline())?;
+        }
         Script::Events {
             first,
             end,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -42,6 +42,7 @@
         load_updates::{
             EndpointBlock,
             EndpointLoadShare,
+            LeavingEndpoint,
             LoadUpdate,
             Packet,
             PendingUpdate, //
@@ -319,6 +320,7 @@
             shares,
             sends: changes.sends,
             blocks: changes.blocks,
+            leaving: Vec::new(),
         };
         (choice.endpoint, update)
     }
@@ -413,6 +415,7 @@
             shares: vec![share; changes.endpoints.len()],
             sends: changes.sends,
             blocks: changes.blocks,
+            leaving: Vec::new(),
         };
         let bytes = postcard::to_allocvec(&Packet::LoadUpdate(update)).expect("it is encoded");
         assert!(bytes.len() <= PACKET_BYTES, "{} bytes", bytes.len());
@@ -625,6 +628,7 @@
         goal_ms: 800.0,
         time_left_ms: 8_000.0,
         is_waiting: false,
+        unwanted_for_ms: None,
     }
 }
 
@@ -725,6 +729,7 @@
         services: Vec::new(),
         era: StoreEra(1),
         configuration: ConfigurationVersion(1),
+        leaving: Vec::new(),
     }
 }
 
@@ -838,3 +843,130 @@
         Some("b")
     );
 }
+
+/// Returns a fleet of one endpoint that is announced with this order.
+fn fleet_of_announced(order: AnnouncementOrder) -> Fleet {
+    let regions = BTreeMap::from([("north-a".into(), "north".into())]);
+    let mut fleet = Fleet::new("host-0".into(), "north".into(), regions, COLD);
+    assert!(fleet.apply_announcement("e-0", announced(order), 0));
+    fleet
+}
+
+fn announced(order: AnnouncementOrder) -> Announcement {
+    Announcement {
+        order,
+        ..announcement(0)
+    }
+}
+
+fn is_chosen(fleet: &Fleet, now_ms: u64) -> bool {
+    choose(fleet, &prompt(7, 8), &names(1), now_ms).is_some()
+}
+
+/// Guards against requests to an endpoint that stated that it is leaving: neither a
+/// later announcement of the same start nor a lapse of its announcement undoes it.
+#[test]
+fn leaving_endpoint_is_unused_until_its_next_start() {
+    let mut fleet = fleet_of_announced(order(1, 1));
+    assert!(is_chosen(&fleet, 0));
+
+    assert!(fleet.record_leaving("e-0"));
+
+    assert!(!is_chosen(&fleet, 0));
+    assert!(!fleet.record_leaving("e-0"), "it was known");
+    fleet.apply_announcement("e-0", announced(order(1, 2)), 100);
+    assert!(!is_chosen(&fleet, 100), "announced again");
+    fleet.withdraw("e-0", 200);
+    fleet.drop_withdrawn(300);
+    fleet.apply_announcement("e-0", announced(order(1, 3)), 400);
+    assert!(!is_chosen(&fleet, 400), "announced after a lapse");
+    fleet.apply_announcement("e-0", announced(order(2, 1)), 500);
+    assert!(is_chosen(&fleet, 500), "started again");
+}
+
+/// Guards against hosts that learn of a leaving endpoint only from its answers, and
+/// against a late message that excludes the next start of the endpoint.
+#[test]
+fn leaving_endpoint_is_left_by_the_hosts_of_its_region() {
+    let mut origin = fleet_of_announced(order(1, 1));
+    origin.record_leaving("e-0");
+    let leaving: Vec<LeavingEndpoint> = origin.leaving().collect();
+    let mut other = fleet_of_announced(order(1, 1));
+    let mut restarted = fleet_of_announced(order(2, 1));
+
+    for one in &leaving {
+        assert_eq!(other.record_peer_leaving(one), Some("e-0".into()));
+        assert_eq!(restarted.record_peer_leaving(one), None);
+    }
+
+    assert!(!is_chosen(&other, 0));
+    assert!(is_chosen(&restarted, 0));
+}
+
+/// Guards against a statement that waits for the next send or release: it leaves with
+/// the next update.
+#[test]
+fn leaving_endpoint_is_in_the_next_load_update() {
+    let mut pending = PendingUpdate::default();
+    let leaving = LeavingEndpoint {
+        endpoint: 7,
+        started_ms: 1,
+    };
+
+    pending.record_leaving(leaving);
+
+    let changes = pending.take_due(64, 0).expect("an update is due");
+    assert_eq!(changes.leaving, vec![leaving]);
+    assert!(pending.take_due(64, 1_000).is_none(), "it was sent twice");
+}
+
+/// Guards against requests to an endpoint that asked this host to stay away, also
+/// after its announcement lapsed, and against a wish that opens the breaker.
+#[test]
+fn endpoint_gets_nothing_while_it_wants_nothing() {
+    let mut fleet = fleet_of_announced(order(1, 1));
+    let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+
+    endpoint.record_unwanted(1_500, 100);
+    endpoint.record_failure(Failure::Shed, 100);
+
+    assert_eq!(endpoint.error_rate(), 0.0);
+    assert!(!is_chosen(&fleet, 1_599));
+    assert_eq!(fleet.unwanted_for_ms("model", 600), Some(1_000));
+    assert!(is_chosen(&fleet, 1_600));
+    assert_eq!(fleet.unwanted_for_ms("model", 1_600), None);
+    fleet.withdraw("e-0", 700);
+    fleet.drop_withdrawn(800);
+    fleet.apply_announcement("e-0", announced(order(1, 2)), 900);
+    assert!(!is_chosen(&fleet, 1_000), "announced after a lapse");
+    fleet.apply_announcement("e-0", announced(order(2, 1)), 1_100);
+    assert!(is_chosen(&fleet, 1_100), "started again");
+}
+
+/// Guards against a caller that is told the wish of one endpoint although another one
+/// accepts requests.
+#[test]
+fn wish_of_one_endpoint_does_not_speak_for_the_service() {
+    let mut fleet = fleet_of("host-0", 2, 0);
+    let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+
+    endpoint.record_unwanted(1_500, 0);
+
+    assert_eq!(fleet.unwanted_for_ms("model", 100), None);
+    assert!(is_chosen(&fleet, 100));
+}
+
+/// All endpoints asked the host to stay away. Guards against a request that waits in
+/// vain, and against a time to come back that is not the one the endpoints named.
+#[test]
+fn request_waits_only_if_an_endpoint_wants_it_in_time() {
+    let unwanted = |for_ms| PlacementContext {
+        local: None,
+        unwanted_for_ms: Some(for_ms),
+        ..placement_context()
+    };
+    let goal_left_ms = placement_context().goal_left_ms;
+
+    assert_eq!(place(unwanted(goal_left_ms / 3.0)), Placement::Wait);
+    assert_eq!(place(unwanted(2_000.0)), Placement::Refuse(2_000));
+}
