--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -14,7 +14,10 @@
         RemoteOffer,
         place, //
     },
-    configuration::Service,
+    configuration::{
+        ConfigurationVersion,
+        Service, //
+    },
     events::EventSplitter,
     exchange::{
         CallerRequest,
@@ -42,7 +45,7 @@
         inbound: usize,
         request: CallerRequest,
         route: ResolvedRoute,
-        configuration_version: u64,
+        configuration_version: ConfigurationVersion,
         is_forwarded: bool,
     ) {
         let now_ms = self.now_ms();
@@ -163,6 +166,10 @@
             goal_ms: route.goal_ms as f64,
             time_left_ms,
             is_waiting: exchange.is_waiting,
+            unwanted_for_ms: self
+                .fleet
+                .unwanted_for_ms(&service.name, now_ms)
+                .map(|for_ms| for_ms as f64),
         })
     }
 
