Let work forwarded to another region drain between its load reports

East took 59 forwards in 2 s and its two engines read prompts for a fraction of the time: a host counted what it had forwarded in full until the next load of east arrived, up to a second later, so it soon predicted a wait beyond the goal and refused.

Change: forwarded work is worked off by the endpoints there since the load was reported. The reported backlog is still assumed to stay, because that region has callers of its own. The prediction is a method of Hosts.

--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -45,6 +45,8 @@
 /// Time after the start of a host in which it may not know all others yet: one
 /// pause between watches and one beacon of the longest interval.
 const VIEW_SETTLE_MS: u64 = 3_000;
+/// Age beyond which another region's load is ignored; several beacon intervals.
+const MAX_REMOTE_LOAD_AGE_MS: u64 = 2_500;
 /// Most addresses in a response of the directory.
 const MAX_DIRECTORY_ADDRESSES: usize = 64;
 
@@ -315,23 +317,28 @@
             .sum()
     }
 
-    /// Returns the load of a service in another region and its age in
-    /// milliseconds.
-    pub fn remote_load(
+    /// Predicts the wait for a service in another region; none if its load is unknown
+    /// or too old, or if it has no endpoint there.
+    ///
+    /// `sender_count` hosts of this region are assumed to forward as much as this one.
+    /// What they forwarded since the load was reported is worked off by the endpoints
+    /// there in the meantime; the reported backlog itself is assumed to stay, because
+    /// the other region has callers of its own.
+    pub fn remote_wait_ms(
         &self,
         region: &str,
         service: &str,
+        sender_count: usize,
         now_ms: u64,
-    ) -> Option<(&ServiceLoad, u64)> {
+    ) -> Option<f64> {
         let remote = self.remote_loads.get(&(region.into(), service.into()))?;
-        Some((&remote.load, now_ms.saturating_sub(remote.received_ms)))
-    }
-
-    /// Returns the work forwarded to another region since its load was last
-    /// received, as the time that one endpoint needs for it.
-    pub fn remote_sent_ms(&self, region: &str, service: &str) -> f64 {
-        let remote = self.remote_loads.get(&(region.into(), service.into()));
-        remote.map_or(0.0, |remote| remote.forwarded_work_ms)
+        let age_ms = now_ms.saturating_sub(remote.received_ms);
+        if age_ms > MAX_REMOTE_LOAD_AGE_MS || remote.load.endpoint_count == 0 {
+            return None;
+        }
+        let all_sent_ms = remote.forwarded_work_ms * sender_count as f64;
+        let sent_ms = all_sent_ms / f64::from(remote.load.endpoint_count) - age_ms as f64;
+        Some(f64::from(remote.load.backlog_ms) + sent_ms.max(0.0))
     }
 
     /// Records a request forwarded to another region, which needs `work_ms` there.
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -34,8 +34,6 @@
 const DEFAULT_TIME_LIMIT_MS: u64 = 30_000;
 /// Assumed round trip to another region before it has been measured.
 const DEFAULT_ROUND_TRIP_MS: f64 = 150.0;
-/// Age beyond which another region's load is ignored; several beacon intervals.
-const MAX_REMOTE_LOAD_AGE_MS: u64 = 2_500;
 /// Maximum placements per service in one pass over the waiting requests.
 const MAX_PLACEMENTS: usize = 24;
 
@@ -246,22 +244,15 @@
         service: &Service,
         now_ms: u64,
     ) -> Option<RemoteOffer> {
-        let (load, age_ms) = self.hosts.remote_load(region, &service.name, now_ms)?;
-        if age_ms > MAX_REMOTE_LOAD_AGE_MS || load.endpoint_count == 0 {
-            return None;
-        }
+        let sender_count = self.region_view.host_count;
+        let wait_ms = self
+            .hosts
+            .remote_wait_ms(region, &service.name, sender_count, now_ms)?;
         let round_trip_ms = self.round_trip_ms.get(region).copied();
         let work_ms = self
             .fleet
             .service_ms(service, &exchange.request.metadata, now_ms);
-        // Assumes that the other hosts of this region have sent as much.
-        let all_sent_ms =
-            self.hosts.remote_sent_ms(region, &service.name) * self.region_view.host_count as f64;
-        let sent_ms = all_sent_ms / f64::from(load.endpoint_count);
-        let first_event_ms = round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS)
-            + f64::from(load.backlog_ms)
-            + sent_ms
-            + work_ms;
+        let first_event_ms = round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS) + wait_ms + work_ms;
         let query = EndpointQuery {
             service,
             metadata: &exchange.request.metadata,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -37,7 +37,8 @@
             Beacon,
             HostInfo,
             Hosts,
-            RegionView, //
+            RegionView,
+            ServiceLoad, //
         },
         load_updates::{
             EndpointBlock,
@@ -970,3 +971,73 @@
     assert_eq!(place(unwanted(goal_left_ms / 3.0)), Placement::Wait);
     assert_eq!(place(unwanted(2_000.0)), Placement::Refuse(2_000));
 }
+
+/// Load of the service `desk` in the region `south`, as a beacon reports it.
+fn remote_beacon(sequence: u64, backlog_ms: f64) -> Beacon {
+    Beacon {
+        host: host("host-9", "south"),
+        services: vec![ServiceLoad {
+            service: "desk".into(),
+            endpoint_count: REMOTE_ENDPOINTS as u32,
+            backlog_ms: backlog_ms as u32,
+        }],
+        ..beacon("host-9", sequence)
+    }
+}
+
+const REMOTE_ENDPOINTS: f64 = 2.0;
+
+/// The endpoints of a region are lost, and its callers send more than the endpoints of
+/// another region can serve, whose load is reported every 700 ms. Guards against
+/// endpoints there that are idle for most of each interval, and against responses that
+/// miss the goal because too much is forwarded.
+#[test]
+fn forwarded_work_drains_between_reports() {
+    const WORK_MS: f64 = 30.0;
+    const ROUND_TRIP_MS: f64 = 110.0;
+    const GOAL_MS: f64 = 400.0;
+    const LENGTH_MS: u64 = 10_000;
+    const REPORT_INTERVAL_MS: u64 = 700;
+    let mut hosts = Hosts::new(host("host-0", "north"));
+    let mut true_backlog_ms: f64 = 0.0;
+    let mut sent_count = 0.0;
+    let mut late_count = 0.0;
+
+    for now_ms in 0..LENGTH_MS {
+        true_backlog_ms = (true_backlog_ms - 1.0).max(0.0);
+        if now_ms.is_multiple_of(REPORT_INTERVAL_MS) {
+            let sequence = now_ms / REPORT_INTERVAL_MS + 1;
+            hosts.apply_beacon(remote_beacon(sequence, true_backlog_ms), now_ms);
+        }
+        let wait_ms = hosts.remote_wait_ms("south", "desk", 1, now_ms);
+        let predicted_ms = ROUND_TRIP_MS + wait_ms.expect("the load is known") + WORK_MS;
+        if predicted_ms <= GOAL_MS {
+            hosts.record_remote_work("south", "desk", WORK_MS);
+            let actual_ms = ROUND_TRIP_MS + true_backlog_ms + WORK_MS;
+            late_count += f64::from(u8::from(actual_ms > GOAL_MS));
+            true_backlog_ms += WORK_MS / REMOTE_ENDPOINTS;
+            sent_count += 1.0;
+        }
+    }
+
+    let capacity = LENGTH_MS as f64 / WORK_MS * REMOTE_ENDPOINTS;
+    assert!(sent_count >= 0.8 * capacity, "{sent_count} of {capacity}");
+    assert!(
+        late_count <= 0.05 * sent_count,
+        "{late_count} of {sent_count} late"
+    );
+}
+
+/// Guards against requests forwarded on the word of an old report, and against a
+/// reported backlog that is taken to vanish although the region has callers of its own.
+#[test]
+fn reported_backlog_stays_until_the_next_report() {
+    let mut hosts = Hosts::new(host("host-0", "north"));
+    hosts.apply_beacon(remote_beacon(1, 300.0), 0);
+    hosts.record_remote_work("south", "desk", 200.0);
+
+    assert_eq!(hosts.remote_wait_ms("south", "desk", 3, 0), Some(600.0));
+    assert_eq!(hosts.remote_wait_ms("south", "desk", 3, 100), Some(500.0));
+    assert_eq!(hosts.remote_wait_ms("south", "desk", 3, 2_000), Some(300.0));
+    assert_eq!(hosts.remote_wait_ms("south", "desk", 3, 3_000), None);
+}
