Take a changed announcement of the copy although its number is the known one

Cause: at the begin of an era an announcement with the known number counted as the known one, also with another value, and nothing would have changed it later. Only an earlier number, or the known one after a removal, is held back.

Known is named KnownState, and is_superseding knows_newer.

--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -26,7 +26,7 @@
         LeavingEndpoint,
         LoadUpdate, //
     },
-    store_replica::Known, //
+    store_replica::KnownState, //
 };
 use crate::store_position::{
     StoreEra,
@@ -107,8 +107,8 @@
 
 impl Beacon {
     /// Returns the state of the store that the sender knows.
-    pub fn known(&self) -> Known {
-        Known {
+    pub fn known(&self) -> KnownState {
+        KnownState {
             position: StorePosition::new(self.era, self.revision),
             configuration: self.configuration,
         }
--- a/src/gateway/peer_changes.rs
+++ b/src/gateway/peer_changes.rs
@@ -20,7 +20,7 @@
 use thiserror::Error;
 
 use super::store_replica::{
-    Known,
+    KnownState,
     ReplicaPage,
     StoreReplica, //
 };
@@ -51,7 +51,7 @@
 /// # Errors
 ///
 /// Fails if no complete and valid response arrives in time.
-pub fn fetch_changes(peer: SocketAddr, known: Known) -> Result<ReplicaPage, PeerChangesError> {
+pub fn fetch_changes(peer: SocketAddr, known: KnownState) -> Result<ReplicaPage, PeerChangesError> {
     let client = Client::new().with_global_timeout(RESPONSE_TIMEOUT);
     let request = Request::builder()
         .method(Method::GET)
@@ -73,8 +73,8 @@
     Ok(postcard::from_bytes(&bytes)?)
 }
 
-fn encode_query(known: Known) -> String {
-    let Known {
+fn encode_query(known: KnownState) -> String {
+    let KnownState {
         position,
         configuration,
     } = known;
@@ -86,8 +86,8 @@
 
 /// Decodes a query; a number that is missing or malformed counts as 0, so that the
 /// response contains more than needed.
-fn decode_query(query: &str) -> Known {
-    let mut known = Known::default();
+fn decode_query(query: &str) -> KnownState {
+    let mut known = KnownState::default();
     for pair in query.split('&') {
         match pair.split_once('=') {
             Some(("era", value)) => known.position.era = value.parse().unwrap_or_default(),
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -72,7 +72,7 @@
     retry_budget::RetryBudget,
     settings::GatewaySettings,
     store_replica::{
-        Known,
+        KnownState,
         StoreReplica,
         Update, //
     },
@@ -145,7 +145,7 @@
     /// Requests to fetch store changes from the host at an address.
     pub(super) resync_requests: Option<Sender<SocketAddr>>,
     /// Time at which this host fell behind another one, and what it knew then.
-    pub(super) lag_since: Option<(u64, Known)>,
+    pub(super) lag_since: Option<(u64, KnownState)>,
     /// Time at which the store became reachable; none while it is unreachable.
     pub(super) store_recovered_ms: Option<u64>,
     pub(super) next_resync_ms: u64,
--- a/src/gateway/replica_entry.rs
+++ b/src/gateway/replica_entry.rs
@@ -3,8 +3,9 @@
 //! When the store returns from an older copy, its items are some seconds old, and
 //! those written since are gone until their writers write them again. What this host
 //! already knew to be newer stays in effect until then: an item that the copy lacks
-//! is kept, and an item that is known to be replaced or deleted is held back. After
-//! [`super::store_replica::SETTLE_TIME`] the store's items count again.
+//! is kept, and an item that is known to be replaced or deleted is held back, for
+//! [`super::store_replica::SETTLE_TIME`]. An endpoint that is known to be leaving stays
+//! so until it is announced anew.
 
 use super::{
     configuration::ConfigurationVersion,
@@ -77,12 +78,13 @@
         self.held_back = None;
     }
 
-    /// Returns whether a change that a page of all items shows is older than what was
-    /// known before the era began.
+    /// Returns whether something newer than a change in a page of all items was known
+    /// before the era began.
     ///
-    /// Announcements are ordered by their numbers. Any other item that was deleted is
-    /// recognised by the revision of its last write, which the copy shows again.
-    pub fn is_superseding(
+    /// Announcements are ordered by their numbers, and one that cannot be decoded comes
+    /// before all others. Any other item that was deleted is recognised by the revision
+    /// of its last write, which the copy shows again.
+    pub fn knows_newer(
         &self,
         change: &ItemChange,
         is_endpoint: bool,
@@ -91,10 +93,11 @@
         if !self.is_carried_over {
             return false;
         }
-        if is_endpoint {
-            return order <= self.order && self.order.is_some();
+        let is_deleted = self.value.is_none();
+        match self.order.filter(|_| is_endpoint) {
+            Some(known) => order < Some(known) || (is_deleted && order == Some(known)),
+            None => is_deleted && change.revision == self.written,
         }
-        self.value.is_none() && change.revision == self.written
     }
 
     /// Keeps the known state although the copy shows `value`.
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -18,7 +18,7 @@
     },
     reactor::Reactor,
     store_replica::{
-        Known,
+        KnownState,
         StoreReplica,
         Update, //
     }, //
@@ -220,9 +220,9 @@
     }
 
     /// Returns the state of the store that this host knows.
-    fn known(&self) -> Known {
+    fn known(&self) -> KnownState {
         let replica = self.replica.as_ref();
-        replica.map_or_else(Known::default, StoreReplica::known)
+        replica.map_or_else(KnownState::default, StoreReplica::known)
     }
 
     /// Requests changes from the sender of a beacon if this host has lagged behind for
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -166,14 +166,14 @@
 
 /// State of the store that a host knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Known {
+pub struct KnownState {
     /// Position of its replica.
     pub position: StorePosition,
     /// Highest version of the configuration that it has seen.
     pub configuration: ConfigurationVersion,
 }
 
-impl Known {
+impl KnownState {
     /// Returns whether a host that has `other` knows something that this one lacks.
     pub fn lags_behind(&self, other: Self) -> bool {
         other.position > self.position || other.configuration > self.configuration
@@ -217,10 +217,10 @@
     }
 
     /// Returns the state of the store that the replica contains.
-    pub fn known(&self) -> Known {
+    pub fn known(&self) -> KnownState {
         let content = self.lock();
         let entry = content.entries.get(CONFIGURATION_KEY);
-        Known {
+        KnownState {
             position: content.position,
             configuration: entry.map_or_else(ConfigurationVersion::default, Entry::version),
         }
@@ -239,7 +239,7 @@
     ///
     /// The configuration is compared by version, because a host that started after
     /// the store returned from a copy has only the one of the copy.
-    pub fn changes_for(&self, known: Known) -> ReplicaPage {
+    pub fn changes_for(&self, known: KnownState) -> ReplicaPage {
         let content = self.lock();
         let is_same_era = known.position.era == content.position.era;
         let lacks_history = is_same_era && known.position.revision < content.history_start;
@@ -385,7 +385,7 @@
             _ => None,
         };
         let is_endpoint = change.key.starts_with(ENDPOINT_PREFIX);
-        let merge = match is_complete && entry.is_superseding(&change, is_endpoint, order) {
+        let merge = match is_complete && entry.knows_newer(&change, is_endpoint, order) {
             true => entry.hold_back(change.revision, change.value),
             false => entry.write(change.revision, change.value, order),
         };
--- a/tests/gateway_replica.rs
+++ b/tests/gateway_replica.rs
@@ -221,6 +221,23 @@
     assert!(matches!(&subject.updates()[..], [Update::Endpoint(..)]));
 }
 
+/// Guards against a changed announcement that is taken for an older one, because its
+/// writer did not number it anew.
+#[test]
+fn announcement_with_the_same_number_and_another_value_is_in_effect() {
+    let subject = Subject::new();
+    let ready = change(ENDPOINT, 10, endpoint("ready", 1));
+    subject.apply(complete(1, 10, vec![ready]));
+
+    subject.apply(complete(
+        2,
+        11,
+        vec![change(ENDPOINT, 11, endpoint("draining", 1))],
+    ));
+
+    assert_eq!(subject.value(ENDPOINT), endpoint("draining", 1));
+}
+
 /// Guards against an item of the copy that is held back for good although its writer
 /// keeps it alive, which the store does not show as a change.
 #[test]
