--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -21,12 +21,12 @@
 use super::{
     configuration::ConfigurationVersion,
     endpoint::LoadShare,
+    known_state::KnownState,
     load_updates::{
         EndpointLoadShare,
         LeavingEndpoint,
         LoadUpdate, //
-    },
-    store_replica::KnownState, //
+    }, //
 };
 use crate::store_position::{
     StoreEra,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod follower;
 pub mod head;
 pub mod hosts;
+pub mod known_state;
 pub mod load_updates;
 pub mod peer_changes;
 pub mod reactor;
--- a/src/gateway/peer_changes.rs
+++ b/src/gateway/peer_changes.rs
@@ -19,10 +19,12 @@
 };
 use thiserror::Error;
 
-use super::store_replica::{
-    KnownState,
-    ReplicaPage,
-    StoreReplica, //
+use super::{
+    known_state::KnownState,
+    store_replica::{
+        ReplicaPage,
+        StoreReplica, //
+    }, //
 };
 
 /// Path of the request on a host's peer address.
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -68,11 +68,11 @@
         Hosts,
         RegionView, //
     },
+    known_state::KnownState,
     load_updates::PendingUpdate,
     retry_budget::RetryBudget,
     settings::GatewaySettings,
     store_replica::{
-        KnownState,
         StoreReplica,
         Update, //
     },
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -11,6 +11,7 @@
         QueueLoad,
         ServiceLoad, //
     },
+    known_state::KnownState,
     load_updates::{
         EndpointLoadShare,
         MAX_LEAVING,
@@ -18,7 +19,6 @@
     },
     reactor::Reactor,
     store_replica::{
-        KnownState,
         StoreReplica,
         Update, //
     }, //
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -47,6 +47,7 @@
         HOST_PREFIX,
         HostInfo, //
     },
+    known_state::KnownState,
     replica_entry::{
         Entry,
         Merge, //
@@ -164,22 +165,6 @@
     NeedsAllItems,
 }
 
-/// State of the store that a host knows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct KnownState {
-    /// Position of its replica.
-    pub position: StorePosition,
-    /// Highest version of the configuration that it has seen.
-    pub configuration: ConfigurationVersion,
-}
-
-impl KnownState {
-    /// Returns whether a host that has `other` knows something that this one lacks.
-    pub fn lags_behind(&self, other: Self) -> bool {
-        other.position > self.position || other.configuration > self.configuration
-    }
-}
-
 #[derive(Debug, Default)]
 struct Content {
     position: StorePosition,
