Make the soak's checks of endpoints' statements match their requests

Cause: header names are stored in lower case, so no request had a sender and the two checks compared nothing.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -84,7 +84,7 @@
 const EVENT_COUNT: u64 = 6;
 const LIMIT_MS: u64 = 3_000;
 /// Header with which a caller names the process that it sends its request to.
-const SENDER_HEADER: &str = "X-Soak-Sender";
+const SENDER_HEADER: &str = "x-soak-sender";
 /// Time in seconds for which an endpoint sometimes wants no requests.
 const UNWANTED_S: &str = "1.5";
 const UNWANTED: Duration = Duration::from_millis(1_500);
