Reproduce requests that are lost because their endpoint is silent

An endpoint is silent for 1.7 s and goes on. After 1.2 s the host closes the connection of each retryable request ("endpoint stalled; request is sent to another one", silent_ms 1203 to 1214). The third of them blocks the endpoint, and each further one ends in the same millisecond: a stream is cut off with "no capacity in time", a read gets 502. The same happens beside three configuration changes, after a stop signal, and if the only other endpoint cannot be reached.

--- /dev/null
+++ b/tests/gateway_silence.rs
@@ -0,0 +1,181 @@
+//! Requests at endpoints that fall silent for one to two seconds and then go on, beside
+//! configuration changes and stop signals.
+
+mod gatewayenv;
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::Duration, //
+};
+
+use cardamombridge::standin::{
+    metadata_store::MetadataStore,
+    scripted::{
+        Script,
+        ScriptedEndpoint,
+        event_text, //
+    }, //
+};
+use gatewayenv::{
+    Host,
+    HostOptions,
+    Request,
+    Response,
+    announce,
+    configuration,
+    free_addresses,
+    host_with,
+    store_with_configuration,
+    wait_until, //
+};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+const LIMIT_MS: u64 = 5_000;
+/// Requests in progress when the endpoint falls silent; enough failures to block it.
+const REQUEST_COUNT: usize = 6;
+/// Silence of a sound endpoint, longer than the gateway waits for progress.
+const SILENCE: Duration = Duration::from_millis(1_700);
+/// Number of events of a stream.
+const EVENT_COUNT: u64 = 2;
+
+/// Sends events from the one after the caller's last on, and is silent after each.
+fn silent_stream(last_event: Option<&str>) -> Script {
+    let first = last_event
+        .and_then(|last| last.parse::<u64>().ok())
+        .map_or(0, |last| last + 1);
+    Script::Events {
+        first,
+        end: EVENT_COUNT,
+        pause: SILENCE,
+        is_whole: true,
+    }
+}
+
+fn silent_stream_endpoint(id: &str) -> ScriptedEndpoint {
+    ScriptedEndpoint::start(id, |_, arrival| {
+        silent_stream(arrival.headers.get("last-event-id"))
+    })
+    .expect("the endpoint starts")
+}
+
+fn all_events() -> String {
+    (0..EVENT_COUNT).map(event_text).collect()
+}
+
+/// Sends requests at the same time and returns their responses.
+fn send_all(address: SocketAddr, request: &Request) -> Vec<Option<Response>> {
+    let callers: Vec<_> = (0..REQUEST_COUNT)
+        .map(|number| {
+            let request = request
+                .clone()
+                .with_attempt(&format!("a-{number}"), LIMIT_MS);
+            thread::spawn(move || request.try_send(address))
+        })
+        .collect();
+    callers
+        .into_iter()
+        .map(|caller| caller.join().expect("a caller ends"))
+        .collect()
+}
+
+fn assert_whole_streams(responses: &[Option<Response>]) {
+    for response in responses {
+        let response = response.as_ref().expect("a response");
+        assert_eq!(response.status, 200);
+        assert!(response.is_complete, "cut off after {:?}", response.text());
+        assert_eq!(response.text(), all_events());
+    }
+}
+
+/// Writes configurations in quick succession.
+fn change_configuration(store: &MetadataStore) {
+    for version in 8..11 {
+        store.put("op/config", &configuration(version));
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Guards against streams that are taken from the only endpoint because it is silent,
+/// and are then cut off because no other one can continue them.
+#[test]
+fn stream_at_a_silent_endpoint_is_not_cut_off() {
+    let endpoint = silent_stream_endpoint("e-1");
+    let (store, host) = host_with(&endpoint);
+    let address = host.caller_address;
+
+    let callers = thread::spawn(move || send_all(address, &Request::post("/chat/1", b"hello")));
+    change_configuration(&store);
+    let responses = callers.join().expect("the callers end");
+
+    assert_whole_streams(&responses);
+}
+
+/// Guards against a failure of repeatable requests that wait for a silent endpoint.
+#[test]
+fn request_at_a_silent_endpoint_is_answered() {
+    let endpoint = ScriptedEndpoint::start("e-1", |_, _| {
+        Script::After(SILENCE, Box::new(Script::Answer(200, b"found".to_vec())))
+    })
+    .expect("the endpoint starts");
+    let (store, host) = host_with(&endpoint);
+    let address = host.caller_address;
+
+    let callers = thread::spawn(move || send_all(address, &Request::get("/read/1")));
+    change_configuration(&store);
+    let responses = callers.join().expect("the callers end");
+
+    for response in &responses {
+        let response = response.as_ref().expect("a response");
+        assert_eq!((response.status, &*response.text()), (200, "found"));
+    }
+}
+
+/// Guards against streams that a host which shuts down takes from a silent endpoint
+/// and cuts off.
+#[test]
+fn stream_at_a_silent_endpoint_survives_the_stop_of_its_host() {
+    let endpoint = silent_stream_endpoint("e-1");
+    let (store, mut host) = host_with(&endpoint);
+    let address = host.caller_address;
+
+    let callers = thread::spawn(move || send_all(address, &Request::post("/chat/1", b"hello")));
+    wait_until("all requests run", || {
+        endpoint.runs().len() == REQUEST_COUNT
+    });
+    host.signal(Signal::SIGTERM);
+    change_configuration(&store);
+    let responses = callers.join().expect("the callers end");
+
+    assert_whole_streams(&responses);
+    assert_eq!(host.wait_end(Duration::from_secs(9)), Some(0));
+}
+
+/// Guards against streams that are taken from a silent endpoint in favour of one that
+/// cannot be reached.
+#[test]
+fn stream_at_a_silent_endpoint_is_not_given_up_for_an_unreachable_one() {
+    let store = store_with_configuration();
+    let endpoint = silent_stream_endpoint("e-1");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+    let address = host.caller_address;
+
+    let callers = thread::spawn(move || send_all(address, &Request::post("/chat/1", b"hello")));
+    wait_until("all requests run", || {
+        endpoint.runs().len() == REQUEST_COUNT
+    });
+    store.put(
+        "servers/e-2",
+        &json!({
+            "backend": "desk", "addr": free_addresses(1)[0], "zone": "north-a",
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1,
+            "born": 1,
+        }),
+    );
+    let responses = callers.join().expect("the callers end");
+
+    assert_whole_streams(&responses);
+}
