Keep a stalled request at its endpoint until another one can take it

Cause: after 1.2 s without progress a host closed the connection of a retryable request first and looked for another endpoint afterwards. If none could take it (the endpoint blocked by the same stalls, a queue, a latency goal that had passed, an endpoint that could not be reached), the request was refused, which cuts off a response that has begun.

Change: a stalled request is placed again while it stays where it is, and moves only to another endpoint or region that takes it, over a connection that is open already. A connection that cannot be opened is recorded as a failure of that endpoint and leaves the request alone.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -14,6 +14,7 @@
     time::Duration, //
 };
 
+use compact_str::CompactString;
 use mio::net::TcpStream;
 use socket2::{
     SockRef,
@@ -279,6 +280,8 @@
     pub is_paused: bool,
     /// A response to an earlier request arrived, so the connection is not reused.
     pub had_stale_response: bool,
+    /// Endpoint to which it was opened before there is a request for it.
+    pub opened_ahead_for: Option<CompactString>,
 }
 
 impl UpstreamConnection {
@@ -297,6 +300,7 @@
             is_peer: false,
             is_paused: false,
             had_stale_response: false,
+            opened_ahead_for: None,
         }
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -139,6 +139,8 @@
     pub is_success: bool,
     /// Time at which response data last arrived.
     pub progress_ms: u64,
+    /// Time from which another place may be sought if the endpoint stalls.
+    pub next_move_ms: u64,
 }
 
 /// Inputs of the latest placement of a request, for its log line.
@@ -224,6 +226,11 @@
         passed_on.or_else(|| self.request.metadata.last_event_id.clone())
     }
 
+    /// Returns whether the dispatch in progress went to a region.
+    pub fn is_in_region(&self, name: &str) -> bool {
+        matches!(self.destination(), Some(Destination::Region { region, .. }) if region == name)
+    }
+
     /// Returns the destination of the dispatch in progress.
     pub fn destination(&self) -> Option<&Destination> {
         self.dispatch.as_ref().map(|dispatch| &dispatch.destination)
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -5,11 +5,18 @@
 //! informed that a request has not run only by code that has the unsent request.
 
 use super::{
+    admission::{
+        Placement,
+        RemoteOffer,
+        place, //
+    },
     endpoint::Failure,
     exchange::{
         Destination,
         Exchange, //
     },
+    fleet::Choice,
+    hosts::HostInfo,
     reactor::Reactor,
     response::{
         GatewayResponse,
@@ -32,6 +39,8 @@
 /// Multiple of the predicted time to the first event after which the request
 /// counts as stalled.
 const STALL_FACTOR: f64 = 4.0;
+/// Interval at which a place for a stalled request is sought.
+const MOVE_INTERVAL_MS: u64 = 100;
 
 impl Reactor {
     /// Handles a dispatch that failed before its response was complete.
@@ -144,22 +153,33 @@
         {
             endpoint.record_end(choice.work, dispatch.has_begun);
             self.pending_update.record_change(&choice.endpoint);
-            let blocked = failure.is_some_and(|failure| endpoint.record_failure(failure, now_ms));
-            if blocked {
-                let for_ms = endpoint.blocked_until_ms().saturating_sub(now_ms);
-                tracing::warn!(
-                    endpoint = %choice.endpoint,
-                    ?failure,
-                    for_ms,
-                    "endpoint failed; it is not used for a while"
-                );
-                if matches!(failure, Some(Failure::Unreachable | Failure::Replaced)) {
-                    self.pending_update.record_block(endpoint.hash, for_ms);
-                }
+            if let Some(failure) = failure {
+                self.record_endpoint_failure(&choice.endpoint, failure, now_ms);
             }
         }
     }
 
+    /// Records a failure of an endpoint; informs the hosts of the region if it is blocked
+    /// because it cannot be reached.
+    pub(super) fn record_endpoint_failure(&mut self, id: &str, failure: Failure, now_ms: u64) {
+        let Some(endpoint) = self.fleet.get_mut(id) else {
+            return;
+        };
+        if !endpoint.record_failure(failure, now_ms) {
+            return;
+        }
+        let for_ms = endpoint.blocked_until_ms().saturating_sub(now_ms);
+        tracing::warn!(
+            endpoint = id,
+            ?failure,
+            for_ms,
+            "endpoint failed; it is not used for a while"
+        );
+        if matches!(failure, Failure::Unreachable | Failure::Replaced) {
+            self.pending_update.record_block(endpoint.hash, for_ms);
+        }
+    }
+
     /// Refuses a request that was not sent, or that no endpoint ran.
     pub(super) fn refuse(&mut self, key: usize, cause: &'static str, retry_ms: u64) {
         let Some(exchange) = self.exchanges.get(key) else {
@@ -266,7 +286,7 @@
             self.time_out(key, now_ms);
         }
         for key in stalled {
-            self.retry_stalled(key);
+            self.move_stalled(key);
         }
     }
 
@@ -289,21 +309,29 @@
         }
     }
 
-    /// Sends a stalled request to another endpoint, if the retry budget allows it.
-    pub(super) fn retry_stalled(&mut self, key: usize) {
+    /// Moves a stalled request to another endpoint or region, if one can take it and the
+    /// retry budget allows it.
+    ///
+    /// A silent endpoint may go on, so the request stays there until the connection to
+    /// its successor is open.
+    pub(super) fn move_stalled(&mut self, key: usize) {
         let now_ms = self.now_ms();
-        let hosts = self.hosts.live_count(now_ms);
-        let Some(exchange) = self.exchanges.get_mut(key) else {
+        let Some(dispatch) = self.exchanges[key].dispatch.as_mut() else {
             return;
         };
-        let Some(dispatch) = exchange.dispatch.clone() else {
+        dispatch.next_move_ms = now_ms + MOVE_INTERVAL_MS;
+        let dispatch = dispatch.clone();
+        let Some(successor) = self.connected_successor(key, now_ms) else {
             return;
         };
-        let service = exchange.route.service.clone();
-        if !self.retry_budget.try_take(&service, hosts, now_ms) {
+        let hosts = self.hosts.live_count(now_ms);
+        let exchange = &mut self.exchanges[key];
+        if !self
+            .retry_budget
+            .try_take(&exchange.route.service, hosts, now_ms)
+        {
             return;
         }
-        let exchange = &mut self.exchanges[key];
         tracing::info!(
             request = %exchange.request.metadata.attempt_id,
             silent_ms = now_ms.saturating_sub(dispatch.progress_ms),
@@ -315,8 +343,42 @@
         self.end_dispatch(key, Some(Failure::Broken), now_ms);
         self.close_upstream(dispatch.upstream);
         self.telemetry.count_retry();
-        self.place_exchange(key);
+        match successor {
+            Successor::Endpoint(choice) => self.send_to_endpoint(key, choice),
+            Successor::Host(offer, host) => self.send_to_host(key, offer, host),
+        }
     }
+
+    /// Returns where a request in progress can be moved, once a connection there is open;
+    /// starts to connect otherwise.
+    fn connected_successor(&mut self, key: usize, now_ms: u64) -> Option<Successor> {
+        let successor = match place(self.placement_context(key, now_ms)?) {
+            Placement::Send(choice) => Successor::Endpoint(choice),
+            Placement::Forward(offer) => {
+                let host = self.preferred_host(&offer.region, now_ms)?;
+                Successor::Host(offer, host)
+            }
+            Placement::Wait | Placement::Refuse(_) => return None,
+        };
+        let (address, endpoint) = match &successor {
+            Successor::Endpoint(choice) => {
+                let endpoint = self.fleet.get(&choice.endpoint)?;
+                (endpoint.announcement.address, Some(endpoint.id.clone()))
+            }
+            Successor::Host(_, host) => (host.peer_address, None),
+        };
+        if self.has_idle(address, now_ms) {
+            return Some(successor);
+        }
+        self.connect_ahead(address, endpoint);
+        None
+    }
+}
+
+/// Where a request in progress is moved.
+enum Successor {
+    Endpoint(Choice),
+    Host(RemoteOffer, HostInfo),
 }
 
 fn is_stalled(exchange: &Exchange, now_ms: u64) -> bool {
@@ -333,5 +395,5 @@
             MIN_STALL_MS.max((choice.first_event_ms * STALL_FACTOR) as u64)
         }
     };
-    is_retryable && now_ms >= dispatch.progress_ms + limit_ms
+    is_retryable && now_ms >= dispatch.progress_ms + limit_ms && now_ms >= dispatch.next_move_ms
 }
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -20,6 +20,7 @@
     },
     fleet::Choice,
     head::Framing,
+    hosts::HostInfo,
     reactor::Reactor,
     response::{
         FORWARD_HEADER,
@@ -81,9 +82,14 @@
 
     pub(super) fn send_to_region(&mut self, key: usize, offer: RemoteOffer) {
         let now_ms = self.now_ms();
-        let Some(host) = self.random_host(&offer.region, now_ms) else {
-            return;
-        };
+        if let Some(host) = self.random_host(&offer.region, now_ms) {
+            self.send_to_host(key, offer, host);
+        }
+    }
+
+    /// Sends a request to a host of another region.
+    pub(super) fn send_to_host(&mut self, key: usize, offer: RemoteOffer, host: HostInfo) {
+        let now_ms = self.now_ms();
         let Some(exchange) = self.exchanges.get(key) else {
             return;
         };
@@ -176,6 +182,7 @@
                 has_begun: false,
                 is_success: false,
                 progress_ms: now_ms,
+                next_move_ms: now_ms,
             });
             return self.dispatch_failed(key, UpstreamError::Unreachable);
         };
@@ -186,6 +193,7 @@
             has_begun: false,
             is_success: false,
             progress_ms: now_ms,
+            next_move_ms: now_ms,
         });
         let is_head_request = exchange.request.head.method == "HEAD";
         let connection = &mut self.upstreams[upstream];
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -21,6 +21,7 @@
     events::EventSplitter,
     exchange::{
         CallerRequest,
+        Destination,
         Exchange,
         RefusalRecord,
         ResolvedRoute, //
@@ -142,9 +143,16 @@
             };
             self.fleet.choose(&query, now_ms)
         };
+        // A request in progress is only moved to another place.
+        let current = match exchange.destination() {
+            Some(Destination::Endpoint(choice)) => Some(choice.endpoint.clone()),
+            _ => None,
+        };
+        let is_in_progress = exchange.dispatch.is_some();
         let skipped = [
             exchange.excluded_endpoints.as_slice(),
             exchange.avoided_endpoints.as_slice(),
+            current.as_slice(),
         ]
         .concat();
         let remote = self.best_remote_offer(exchange, &service, now_ms);
@@ -152,7 +160,9 @@
         // An endpoint that failed the request is only tried again if no other
         // region can be.
         let local = match untried {
-            None if is_home && remote.is_none() => choose(&exchange.excluded_endpoints),
+            None if is_home && remote.is_none() && !is_in_progress => {
+                choose(&exchange.excluded_endpoints)
+            }
             untried => untried,
         };
         let queue_ms = self.queue_ms(&service, Some(key), now_ms);
@@ -232,6 +242,7 @@
             .into_iter()
             .filter(|region| *region != own_region && exchange.route.allows_region(region))
             .filter(|region| !exchange.excluded_regions.contains(region))
+            .filter(|region| !exchange.is_in_region(region))
             .filter(|region| self.hosts.live(now_ms).any(|host| host.region == **region))
             .filter_map(|region| self.remote_offer(region, exchange, service, now_ms))
             .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
@@ -282,6 +293,22 @@
         hosts.get(index).cloned()
     }
 
+    /// Returns a live host of a region: one with an idle connection, otherwise one to which
+    /// a connection is being opened, otherwise any.
+    pub(super) fn preferred_host(&mut self, region: &str, now_ms: u64) -> Option<HostInfo> {
+        let hosts = || {
+            let live = self.hosts.live(now_ms);
+            live.filter(|host| host.region == region)
+        };
+        let connected = hosts().find(|host| self.has_idle(host.peer_address, now_ms));
+        let known =
+            connected.or_else(|| hosts().find(|host| self.is_connecting(host.peer_address)));
+        match known.cloned() {
+            None => self.random_host(region, now_ms),
+            known => known,
+        }
+    }
+
     /// Places waiting requests, the most urgent first.
     pub(super) fn serve_waiting(&mut self, _now_ms: u64) {
         if self.waiting.is_empty() {
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -1,5 +1,8 @@
 //! Connections to endpoints and to hosts of other regions.
 
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
 use mio::event::Event;
 
 use super::{
@@ -9,6 +12,7 @@
         ResponseProgress,
         UpstreamPhase, //
     },
+    endpoint::Failure,
     head::{
         ResponseHead,
         parse_response, //
@@ -82,9 +86,12 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
-        upstream.phase = UpstreamPhase::Busy;
         let connect_ms = now_ms.saturating_sub(upstream.since_ms);
         let exchange = upstream.exchange;
+        if exchange.is_none() && upstream.socket.unwritten() == 0 {
+            return self.keep_idle(key, DEFAULT_IDLE_MS);
+        }
+        upstream.phase = UpstreamPhase::Busy;
         self.record_connected(exchange, connect_ms);
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.socket.flush();
@@ -254,7 +261,6 @@
 
     /// Handles the end of a response; keeps the connection for reuse if possible.
     fn complete_response(&mut self, key: usize) {
-        let now_ms = self.now_ms();
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
@@ -275,17 +281,7 @@
             } else {
                 idle_ms(&head)
             };
-            upstream.phase = UpstreamPhase::Idle;
-            upstream.since_ms = now_ms;
-            upstream.idle_deadline_ms = now_ms + idle_ms;
-            upstream.socket.shrink();
-            let address = upstream.address;
-            let idle = self.idle_upstreams.entry(address).or_default();
-            idle.push(key);
-            if idle.len() > MAX_IDLE_PER_ADDRESS {
-                let oldest = idle[0];
-                self.close_upstream(oldest);
-            }
+            self.keep_idle(key, idle_ms);
         } else {
             self.close_upstream(key);
         }
@@ -294,12 +290,67 @@
         }
     }
 
+    /// Keeps an open connection for the next request.
+    fn keep_idle(&mut self, key: usize, idle_ms: u64) {
+        let now_ms = self.now_ms();
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.phase = UpstreamPhase::Idle;
+        upstream.since_ms = now_ms;
+        upstream.idle_deadline_ms = now_ms + idle_ms;
+        upstream.opened_ahead_for = None;
+        upstream.socket.shrink();
+        let idle = self.idle_upstreams.entry(upstream.address).or_default();
+        idle.push(key);
+        if idle.len() > MAX_IDLE_PER_ADDRESS {
+            let oldest = idle[0];
+            self.close_upstream(oldest);
+        }
+    }
+
+    /// Returns whether an idle connection to an address can be used.
+    pub(super) fn has_idle(&self, address: SocketAddr, now_ms: u64) -> bool {
+        let idle = self.idle_upstreams.get(&address).into_iter().flatten();
+        idle.filter_map(|key| self.upstreams.get(*key))
+            .any(|upstream| now_ms < upstream.idle_deadline_ms)
+    }
+
+    /// Returns whether a connection to an address is being opened.
+    pub(super) fn is_connecting(&self, address: SocketAddr) -> bool {
+        self.upstreams.iter().any(|(_, upstream)| {
+            upstream.address == address && upstream.phase == UpstreamPhase::Connecting
+        })
+    }
+
+    /// Opens a connection for a request that is still in progress elsewhere, unless one
+    /// is being opened; `endpoint` is at `address`.
+    pub(super) fn connect_ahead(&mut self, address: SocketAddr, endpoint: Option<CompactString>) {
+        if self.is_connecting(address) {
+            return;
+        }
+        self.telemetry.count_connection();
+        let is_peer = endpoint.is_none();
+        match self.connect(address) {
+            Some(key) => {
+                let upstream = &mut self.upstreams[key];
+                upstream.is_peer = is_peer;
+                upstream.opened_ahead_for = endpoint;
+            }
+            None => self.record_unreachable(endpoint.as_ref()),
+        }
+    }
+
+    /// Records that an endpoint could not be reached while no request was sent to it.
+    fn record_unreachable(&mut self, id: Option<&CompactString>) {
+        let now_ms = self.now_ms();
+        if let Some(id) = id {
+            self.record_endpoint_failure(id, Failure::Unreachable, now_ms);
+        }
+    }
+
     /// Takes the most recently used idle connection to an address.
-    pub(super) fn take_idle(
-        &mut self,
-        address: std::net::SocketAddr,
-        now_ms: u64,
-    ) -> Option<usize> {
+    pub(super) fn take_idle(&mut self, address: SocketAddr, now_ms: u64) -> Option<usize> {
         let idle = self.idle_upstreams.get_mut(&address)?;
         while let Some(key) = idle.pop() {
             let is_usable = self
@@ -333,13 +384,15 @@
 
     /// Closes a failed connection and ends the dispatch on it.
     pub(super) fn upstream_broken(&mut self, key: usize, error: UpstreamError) {
-        let exchange = self
-            .upstreams
-            .get(key)
-            .and_then(|upstream| upstream.exchange);
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        let exchange = upstream.exchange;
+        let opened_ahead_for = upstream.opened_ahead_for.take();
         self.close_upstream(key);
-        if let Some(exchange) = exchange {
-            self.dispatch_failed(exchange, error);
+        match exchange {
+            Some(exchange) => self.dispatch_failed(exchange, error),
+            None => self.record_unreachable(opened_ahead_for.as_ref()),
         }
     }
 
--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -6,7 +6,10 @@
 use std::{
     net::SocketAddr,
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use cardamombridge::standin::{
@@ -179,3 +182,31 @@
 
     assert_whole_streams(&responses);
 }
+
+/// Guards against a request that stays at a silent endpoint although another one serves.
+#[test]
+fn stalled_request_moves_to_an_endpoint_that_serves() {
+    let store = store_with_configuration();
+    let answer = || Script::Answer(200, b"found".to_vec());
+    let silent = ScriptedEndpoint::start("e-1", move |_, _| {
+        Script::After(Duration::from_millis(LIMIT_MS), Box::new(answer()))
+    })
+    .expect("the endpoint starts");
+    let serving = ScriptedEndpoint::start("e-2", move |_, _| answer()).expect("it starts");
+    announce(&store, &silent, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+    let address = host.caller_address;
+    let started = Instant::now();
+
+    let callers = thread::spawn(move || send_all(address, &Request::get("/read/1")));
+    wait_until("all requests run", || silent.runs().len() == REQUEST_COUNT);
+    announce(&store, &serving, "north");
+    let responses = callers.join().expect("the callers end");
+
+    let took = started.elapsed();
+    let statuses: Vec<u16> = responses.iter().flatten().map(|one| one.status).collect();
+    assert_eq!(statuses, [200; REQUEST_COUNT]);
+    assert_eq!(serving.runs().len(), REQUEST_COUNT);
+    assert!(took < Duration::from_millis(2_500), "took {took:?}");
+}
