Do not refuse a request that has run because its goal has passed

Callers saw streams that were cut off midway although another endpoint could have continued them.

Cause: the admission of new requests decided about requests that had run. After the first event the goal has passed, so any queue, a blocked endpoint or a single unreachable one counted as "late" and ended the response.

Change: a request that has run is placed before those that have not, waits for a usable endpoint until its deadline, and is refused only if none is left. An unreachable endpoint is excluded and the next one tried, also after the response has begun. A forwarded one carries its deadline as goal.

Result: stream_continues_if_the_next_endpoint_is_unreachable and streams_wait_for_an_endpoint_that_broke_them_off failed before (cut off after the first events) and pass now.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -5,7 +5,8 @@
 //! requests are queued at the host instead, the most urgent first. A request
 //! whose first event would miss its latency goal is refused on arrival, with the
 //! time after which the backlog ahead of it will be processed, rather than after
-//! a useless wait.
+//! a useless wait. A request that has run already, and whose endpoint failed, is
+//! only refused if no endpoint can complete it before its deadline.
 
 use compact_str::CompactString;
 
@@ -51,6 +52,11 @@
     pub time_left_ms: f64,
     /// Whether the request is in this host's queue already.
     pub is_waiting: bool,
+    /// Whether an endpoint may have run the request; the latency goal no longer decides
+    /// about it, and a refusal would end its response.
+    pub has_run: bool,
+    /// Whether an endpoint of this region that cannot be used now may be usable later.
+    pub may_become_usable: bool,
     /// Time until an endpoint of this region wants requests from this host again;
     /// none unless all of them asked it to stay away.
     pub unwanted_for_ms: Option<f64>,
@@ -86,7 +92,7 @@
         .as_ref()
         .is_some_and(|choice| choice.backlog_ms <= MAX_ENDPOINT_BACKLOG_MS);
     // A queued request is only considered while it is the most urgent one.
-    let is_next = context.is_waiting || context.queue_ms <= 0.0;
+    let is_next = context.is_waiting || context.has_run || context.queue_ms <= 0.0;
     let sendable = context.local.clone().filter(|choice| {
         let is_short_and_on_time =
             choice.work.is_short_prompt() && choice.first_event_ms <= context.goal_left_ms;
@@ -98,7 +104,7 @@
     }
     let is_past_deadline = local_ms >= context.time_left_ms;
     let is_late = local_ms > context.goal_left_ms;
-    if is_past_deadline || (is_late && !context.is_waiting) {
+    if is_past_deadline || (is_late && !context.is_waiting && !context.has_run) {
         return refuse(&context, local_ms);
     }
     Placement::Wait
@@ -115,7 +121,7 @@
             let local_cost_ms = context.local.as_ref().map_or(0.0, |choice| choice.cost_ms);
             let queue_cost_ms = context.queue_ms * QUEUE_WEIGHT;
             let is_cheaper = offer.cost_ms < local_cost_ms + queue_cost_ms;
-            let is_in_time = offer.first_event_ms <= context.goal_left_ms;
+            let is_in_time = context.has_run || offer.first_event_ms <= context.goal_left_ms;
             (is_cheaper && is_in_time).then_some(offer)
         }
     }
@@ -124,6 +130,9 @@
 /// Decides about a request while no endpoint may be used; one may become usable
 /// shortly.
 fn without_endpoint(context: PlacementContext) -> Placement {
+    if context.has_run && context.may_become_usable {
+        return Placement::Wait;
+    }
     if let Some(unwanted_ms) = context.unwanted_for_ms {
         // Without time to serve the request afterwards, a wait would be in vain.
         if unwanted_ms <= context.goal_left_ms / 2.0 {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -226,6 +226,11 @@
         passed_on.or_else(|| self.request.metadata.last_event_id.clone())
     }
 
+    /// Returns whether an endpoint may have run the request, or runs it.
+    pub fn has_run(&self) -> bool {
+        self.run_count > 0 || self.dispatch.is_some()
+    }
+
     /// Returns whether the dispatch in progress went to a region.
     pub fn is_in_region(&self, name: &str) -> bool {
         matches!(self.destination(), Some(Destination::Region { region, .. }) if region == name)
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -335,16 +335,31 @@
         own_region.map(LeavingEndpoint::new)
     }
 
-    /// Returns the time until the first endpoint of `service` in this region wants
-    /// requests from this host again; none if there is another one, or none at all.
-    pub fn unwanted_for_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
-        let staying = self.endpoints.values().filter(|endpoint| {
+    /// Returns whether an endpoint of `service` in this region, other than the excluded
+    /// ones, is announced and stays, although it may be blocked at the moment.
+    pub fn has_staying(&self, service: &str, excluded: &[CompactString], now_ms: u64) -> bool {
+        self.staying(service, now_ms)
+            .any(|endpoint| !excluded.contains(&endpoint.id))
+    }
+
+    fn staying<'a>(
+        &'a self,
+        service: &'a str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Endpoint> + 'a {
+        self.endpoints.values().filter(move |endpoint| {
             endpoint.announcement.service == service
                 && endpoint.region == self.region
                 && endpoint.is_staying(now_ms)
                 && !self.evacuated.contains(&endpoint.announcement.data_centre)
-        });
-        let until_ms = staying
+        })
+    }
+
+    /// Returns the time until the first endpoint of `service` in this region wants
+    /// requests from this host again; none if there is another one, or none at all.
+    pub fn unwanted_for_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        let until_ms = self
+            .staying(service, now_ms)
             .map(|endpoint| endpoint.statements.unwanted_until_ms)
             .min()?;
         (until_ms > now_ms).then(|| until_ms - now_ms)
@@ -455,12 +470,8 @@
         service: &'a str,
         now_ms: u64,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
-        self.endpoints.values().filter(move |endpoint| {
-            endpoint.announcement.service == service
-                && endpoint.region == self.region
-                && endpoint.is_usable(now_ms)
-                && !self.evacuated.contains(&endpoint.announcement.data_centre)
-        })
+        self.staying(service, now_ms)
+            .filter(move |endpoint| endpoint.is_usable(now_ms))
     }
 
     /// Returns the endpoint with the lowest cost for a request, or none if none may be
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -69,9 +69,6 @@
         let excluded = exchange.excluded_endpoints.len() + exchange.excluded_regions.len();
         self.end_dispatch(key, Some(failure), now_ms);
         if error == UpstreamError::Unreachable {
-            if self.exchanges[key].has_response_begun {
-                return self.cut_off(key, "no endpoint could be reached");
-            }
             if excluded < MAX_EXCLUDED_ENDPOINTS {
                 return self.place_exchange(key);
             }
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -97,8 +97,12 @@
         // Retries are decided in this region alone, so that two regions cannot
         // both use up the attempts.
         route.max_attempts = 1;
-        route.goal_ms = exchange.goal_at_ms.saturating_sub(now_ms);
         route.timeout_ms = exchange.deadline_ms.saturating_sub(now_ms);
+        // The latency goal no longer decides about a request that has run.
+        route.goal_ms = match exchange.has_run() {
+            true => route.timeout_ms,
+            false => exchange.goal_at_ms.saturating_sub(now_ms),
+        };
         let encoded = match route.encode() {
             Ok(encoded) => encoded,
             Err(error) => {
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -174,6 +174,11 @@
             goal_ms: route.goal_ms as f64,
             time_left_ms,
             is_waiting: exchange.is_waiting,
+            has_run: exchange.has_run(),
+            may_become_usable: is_home
+                && self
+                    .fleet
+                    .has_staying(&service.name, &exchange.excluded_endpoints, now_ms),
             unwanted_for_ms: self
                 .fleet
                 .unwanted_for_ms(&service.name, now_ms)
@@ -338,8 +343,13 @@
     }
 }
 
-/// Sort key of waiting requests: priority, then arrival.
-fn sort_key(exchange: &Exchange) -> (u8, u64, u64) {
+/// Sort key of waiting requests: those that have run first, then priority, then arrival.
+fn sort_key(exchange: &Exchange) -> (bool, u8, u64, u64) {
     let priority = exchange.route.priority.unwrap_or(0);
-    (priority, exchange.arrived_ms, exchange.serial)
+    (
+        !exchange.has_run(),
+        priority,
+        exchange.arrived_ms,
+        exchange.serial,
+    )
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -629,6 +629,8 @@
         goal_ms: 800.0,
         time_left_ms: 8_000.0,
         is_waiting: false,
+        has_run: false,
+        may_become_usable: false,
         unwanted_for_ms: None,
     }
 }
@@ -649,6 +651,48 @@
     assert!((1_000..=2_400).contains(&retry_ms), "{retry_ms}");
 }
 
+/// An endpoint broke a stream off after its goal had passed. Guards against a refusal,
+/// which would end the response, while another endpoint can take it before the deadline.
+#[test]
+fn request_that_has_run_is_not_refused_for_its_goal() {
+    let late = PlacementContext {
+        has_run: true,
+        goal_left_ms: 0.0,
+        queue_ms: 300.0,
+        ..placement_context()
+    };
+    let no_room = |context: PlacementContext| PlacementContext {
+        local: context.local.map(|choice| Choice {
+            backlog_ms: 900.0,
+            ..choice
+        }),
+        ..context
+    };
+    let blocked = PlacementContext {
+        local: None,
+        may_become_usable: true,
+        ..late.clone()
+    };
+
+    assert!(matches!(place(late.clone()), Placement::Send(_)));
+    assert_eq!(place(no_room(late)), Placement::Wait);
+    assert_eq!(place(blocked), Placement::Wait);
+}
+
+/// Guards against a wait until the deadline if no endpoint is left that could continue
+/// a stream.
+#[test]
+fn request_that_has_run_is_refused_without_an_endpoint() {
+    let lost = PlacementContext {
+        local: None,
+        has_run: true,
+        goal_left_ms: 0.0,
+        ..placement_context()
+    };
+
+    assert!(matches!(place(lost), Placement::Refuse(_)));
+}
+
 /// Guards against a request that overtakes queued ones.
 #[test]
 fn request_waits_behind_earlier_ones() {
--- a/tests/gateway_outcomes.rs
+++ b/tests/gateway_outcomes.rs
@@ -3,7 +3,10 @@
 
 mod gatewayenv;
 
-use std::time::Duration;
+use std::{
+    thread,
+    time::Duration, //
+};
 
 use cardamombridge::standin::scripted::{
     Script,
@@ -15,9 +18,13 @@
     HostOptions,
     Request,
     announce,
+    announce_with,
+    free_addresses,
     host_with,
-    store_with_configuration, //
+    store_with_configuration,
+    wait_until, //
 };
+use serde_json::json;
 
 const LIMIT_MS: u64 = 5_000;
 
@@ -199,7 +206,7 @@
     host.wait_log("\"endpoint announced\",\"endpoint\":\"e-2\"");
 
     // The requests overlap, so that the replaced endpoint always looks idle.
-    std::thread::scope(|scope| {
+    thread::scope(|scope| {
         for number in 0..12 {
             let caller_address = host.caller_address;
             scope.spawn(move || {
@@ -208,7 +215,7 @@
                     .send(caller_address);
                 assert_eq!(response.status, 200);
             });
-            std::thread::sleep(Duration::from_millis(80));
+            thread::sleep(Duration::from_millis(80));
         }
     });
 
@@ -218,3 +225,76 @@
         "the replaced endpoint was tried {attempts} times"
     );
 }
+
+/// Guards against a stream that is cut off because the first endpoint that is to
+/// continue it cannot be reached, although another one can.
+#[test]
+fn stream_continues_if_the_next_endpoint_is_unreachable() {
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
+        0 => Script::Events {
+            first: 0,
+            end: 2,
+            pause: Duration::from_millis(400),
+            is_whole: false,
+        },
+        _ => events(2, 4, true),
+    })
+    .expect("the endpoint starts");
+    let unreachable = json!({ "addr": free_addresses(1)[0] });
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("\"endpoint announced\",\"endpoint\":\"e-1\"");
+    let address = host.caller_address;
+
+    let caller = thread::spawn(move || {
+        Request::post("/chat/1", b"hello")
+            .with_attempt("a-1", LIMIT_MS)
+            .send(address)
+    });
+    wait_until("the stream has begun", || endpoint.runs().len() == 1);
+    let other = ScriptedEndpoint::start("e-2", |_, _| Script::Close).expect("it starts");
+    announce_with(&store, &other, "north", &unreachable);
+    host.wait_log("\"endpoint announced\",\"endpoint\":\"e-2\"");
+    let response = caller.join().expect("the caller ends");
+
+    assert_eq!(response.text(), (0..4).map(event_text).collect::<String>());
+    assert!(response.is_complete);
+}
+
+/// Guards against streams that are cut off, because their goal for the first event has
+/// passed, while the only endpoint is blocked for a moment after it broke them off.
+#[test]
+fn streams_wait_for_an_endpoint_that_broke_them_off() {
+    const STREAM_COUNT: usize = 6;
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| {
+        match arrival.headers.get("last-event-id") {
+            None => Script::Events {
+                first: 0,
+                end: 1,
+                pause: Duration::from_millis(900),
+                is_whole: false,
+            },
+            Some(_) => events(1, 3, true),
+        }
+    })
+    .expect("the endpoint starts");
+    let (_store, host) = host_with(&endpoint);
+    let address = host.caller_address;
+
+    let callers: Vec<_> = (0..STREAM_COUNT)
+        .map(|number| {
+            thread::spawn(move || {
+                Request::post("/chat/1", b"hello")
+                    .with_attempt(&format!("a-{number}"), LIMIT_MS)
+                    .send(address)
+            })
+        })
+        .collect();
+
+    for caller in callers {
+        let response = caller.join().expect("the caller ends");
+        assert_eq!(response.text(), (0..3).map(event_text).collect::<String>());
+        assert!(response.is_complete);
+    }
+}
