Accept refusals of other hosts on reused connections

Cause: a response without an attempt id on a connection that was used before counts as the late second response to the previous request, which faulty endpoints send, and is discarded. A refusal that a host makes itself carries no attempt id, so every refusal of a forwarded request was dropped unless its connection was new, and the request waited for a response that had come.

Change: the rule applies to endpoints only; a host sends one response to each request.

--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -192,7 +192,7 @@
             Some(exchange) => is_stale(
                 &metadata,
                 &exchange.request.metadata.attempt_id,
-                upstream.request_count,
+                upstream.request_count > 1 && !upstream.is_peer,
             ),
             None => false,
         };
@@ -420,12 +420,13 @@
 
 /// Returns whether a response belongs to an earlier request.
 ///
-/// A response without an attempt id is accepted only as the first one on a
-/// connection; a later one may belong to the previous request.
-fn is_stale(metadata: &ResponseMetadata, attempt: &str, request_count: u32) -> bool {
+/// An endpoint may send a second response to the previous request of a connection. On
+/// such a connection, `may_be_late`, a response is accepted only with the attempt's id.
+/// A host sends one response to each request, and its refusals carry no id.
+fn is_stale(metadata: &ResponseMetadata, attempt: &str, may_be_late: bool) -> bool {
     match &metadata.attempt_id {
         Some(answered) => answered != attempt,
-        None => request_count > 1,
+        None => may_be_late,
     }
 }
 
--- /dev/null
+++ b/tests/gateway_forwards.rs
@@ -0,0 +1,77 @@
+//! Requests that a host forwards to another region, and the refusals from there.
+
+mod gatewayenv;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use cardamombridge::standin::{
+    metadata_store::MetadataStore,
+    scripted::{
+        Script,
+        ScriptedEndpoint, //
+    }, //
+};
+use gatewayenv::{
+    Host,
+    HostOptions,
+    Request,
+    announce,
+    store_with_configuration,
+    wait_until, //
+};
+
+const LIMIT_MS: u64 = 5_000;
+/// Time in which a refusal of another region reaches the caller: several times the
+/// time that the region waits for an endpoint.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Starts a store, a host in a region without endpoints, and a host beside `endpoint`.
+fn two_regions(endpoint: &ScriptedEndpoint) -> (MetadataStore, Host, Host) {
+    let store = store_with_configuration();
+    announce(&store, endpoint, "south");
+    let hosts = [("host-1", "north"), ("host-2", "south")].map(|(name, region)| {
+        let options = HostOptions {
+            name,
+            region,
+            ..HostOptions::default()
+        };
+        Host::start(&store, &options)
+    });
+    let [home, other] = hosts;
+    other.wait_log("endpoint announced");
+    (store, home, other)
+}
+
+fn book(host: &Host, attempt: &str) -> gatewayenv::Response {
+    Request::post("/book/1", b"parcel")
+        .with_attempt(attempt, LIMIT_MS)
+        .send(host.caller_address)
+}
+
+/// Guards against a refusal that is taken for the response to an earlier request, so
+/// that the caller gets nothing until its time limit: the connection to the other host
+/// is used for the second time.
+#[test]
+fn refusal_of_another_region_reaches_the_caller_on_a_reused_connection() {
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| match arrival.attempt() {
+        "refused" => Script::NotRun,
+        _ => Script::Answer(200, b"booked".to_vec()),
+    })
+    .expect("the endpoint starts");
+    let (_store, home, _other) = two_regions(&endpoint);
+    let mut number = 0;
+    wait_until("a request is forwarded", || {
+        number += 1;
+        book(&home, &format!("a-{number}")).status == 200
+    });
+    let started = Instant::now();
+
+    let response = book(&home, "refused");
+
+    let took = started.elapsed();
+    assert!(took < REFUSAL_LIMIT, "{} after {took:?}", response.status);
+    assert!(endpoint.runs().iter().all(|run| run.attempt() != "refused"));
+}
