Count a request refused by another region as not run

Callers got 502, which promises nothing, for requests that may not be repeated and that no endpoint had run, and could not try again.

Cause: the end of a forward after the statement "not run" of the other host was counted as a run of the request.

Change: the refusal of a region ends the dispatch like that of an endpoint.

Result: request_refused_by_another_region_counts_as_not_run failed before (502) and passes now (503 with a time to retry).

--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -343,7 +343,7 @@
             }
             Some(Destination::Region { region, .. }) => {
                 exchange.excluded_regions.push(region);
-                self.end_dispatch(key, None, now_ms);
+                self.end_dispatch(key, Some(failure), now_ms);
                 self.place_exchange(key);
             }
             None => {}
--- a/tests/gateway_forwards.rs
+++ b/tests/gateway_forwards.rs
@@ -75,3 +75,22 @@
     assert!(took < REFUSAL_LIMIT, "{} after {took:?}", response.status);
     assert!(endpoint.runs().iter().all(|run| run.attempt() != "refused"));
 }
+
+/// Guards against a request that may not be repeated and is said to have run perhaps,
+/// although the other region refused it.
+#[test]
+fn request_refused_by_another_region_counts_as_not_run() {
+    let endpoint =
+        ScriptedEndpoint::start("e-1", |_, _| Script::NotRun).expect("the endpoint starts");
+    let (_store, home, _other) = two_regions(&endpoint);
+
+    let mut response = book(&home, "a-0");
+    wait_until("a request is forwarded", || {
+        response = book(&home, "a-1");
+        !endpoint.arrivals().is_empty()
+    });
+
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some());
+    assert!(endpoint.runs().is_empty());
+}
