Do not end the process when a caller resets at the end of its stream

All callers of a host lost their connections when its process ended with "invalid key" (exit status 101).

Cause: a stream that ends within an event is relayed in two steps. If the first write fails because the caller has reset the connection, the request is ended there, and the second step looked it up without a check. It takes an endpoint that spoils an answer and a caller that leaves at that moment.

Change: the second step ends nothing if the request is gone. The move of a stalled request looks its request up in the same way.

Result: caller_that_resets_at_the_end_of_a_stream_does_not_end_the_host failed before (the process ended at serve_response.rs:276) and passes now.

--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -313,7 +313,8 @@
     /// its successor is open.
     pub(super) fn move_stalled(&mut self, key: usize) {
         let now_ms = self.now_ms();
-        let Some(dispatch) = self.exchanges[key].dispatch.as_mut() else {
+        let exchange = self.exchanges.get_mut(key);
+        let Some(dispatch) = exchange.and_then(|exchange| exchange.dispatch.as_mut()) else {
             return;
         };
         dispatch.next_move_ms = now_ms + MOVE_INTERVAL_MS;
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -267,22 +267,17 @@
         self.relay_response(key, head);
     }
 
+    /// Ends a request whose response is complete; does nothing if its caller has
+    /// disconnected in the meantime.
     pub(super) fn finish_success(&mut self, key: usize, head: &ResponseHead, now_ms: u64) {
-        let sent_ms = self
-            .exchanges
-            .get(key)
-            .and_then(|exchange| exchange.dispatch.as_ref())
-            .map(|dispatch| dispatch.sent_ms);
-        let service = self.exchanges[key].route.service.clone();
-        if let Some(sent_ms) = sent_ms {
-            let is_local = matches!(
-                self.exchanges[key].destination(),
-                Some(Destination::Endpoint(_))
-            );
-            if is_local {
-                self.fleet
-                    .record_run_time(&service, now_ms.saturating_sub(sent_ms) as f64);
-            }
+        let Some(exchange) = self.exchanges.get(key) else {
+            return;
+        };
+        if let Some(dispatch) = &exchange.dispatch
+            && matches!(dispatch.destination, Destination::Endpoint(_))
+        {
+            let run_ms = now_ms.saturating_sub(dispatch.sent_ms) as f64;
+            self.fleet.record_run_time(&exchange.route.service, run_ms);
         }
         self.end_dispatch(key, None, now_ms);
         self.relay_response(key, head);
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -3,15 +3,18 @@
 mod gatewayenv;
 
 use std::{
+    io::Write,
     net::TcpStream,
     thread,
     time::Duration, //
 };
 
-use cardamombridge::standin::scripted::{
-    Script,
-    ScriptedEndpoint,
-    event_text, //
+use cardamombridge::standin::{
+    scripted::{
+        Script,
+        ScriptedEndpoint,
+        event_text, //
+    }, //
 };
 use gatewayenv::{
     Request,
@@ -20,6 +23,7 @@
     wait_until, //
 };
 use nix::sys::signal::Signal;
+use socket2::SockRef;
 
 /// Guards against a stopping host that accepts requests it cannot finish, or
 /// interrupts streams that it could have finished.
@@ -137,3 +141,34 @@
     }
     assert!(read.is_empty(), "bytes after the last response: {read:?}");
 }
+
+/// Guards against the end of the whole process: a stream ends in the middle of an event
+/// just after its caller reset the connection.
+#[test]
+fn caller_that_resets_at_the_end_of_a_stream_does_not_end_the_host() {
+    let unfinished = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Server-Seal: s\r\n\
+        Transfer-Encoding: chunked\r\n\r\nd\r\nid: 1\ndata: t\r\n0\r\n\r\n";
+    let endpoint = ScriptedEndpoint::start("e-1", move |_, _| {
+        let answer = Script::Raw(unfinished.to_vec());
+        Script::After(Duration::from_millis(300), Box::new(answer))
+    })
+    .expect("the endpoint starts");
+    let (_store, host) = host_with(&endpoint);
+    let mut caller = TcpStream::connect(host.caller_address).expect("a connection");
+    let request = Request::post("/chat/1", b"hello").with_attempt("a-1", 5_000);
+    caller
+        .write_all(&request.bytes())
+        .expect("the request is sent");
+    wait_until("the request runs", || endpoint.runs().len() == 1);
+
+    host.signal(Signal::SIGSTOP);
+    thread::sleep(Duration::from_millis(600));
+    SockRef::from(&caller)
+        .set_linger(Some(Duration::ZERO))
+        .expect("the option can be set");
+    drop(caller);
+    host.signal(Signal::SIGCONT);
+    host.wait_log("\"request\":\"a-1\",\"route\":\"chat\"");
+
+    assert!(host.is_ready());
+}
