Answer the requests that are left when a host ends

Cause: the forced end of the event loop dropped all requests.

Change: before the forced end, a request that has not run is refused, one that may have run and has no response yet gets 502, and only a response that has begun is cut off. Each writes its log line.

Result: waiting_request_is_refused_when_its_host_ends failed before (the connection closed without a byte) and passes now.

--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -415,19 +415,22 @@
             .is_some_and(|started_ms| now_ms >= started_ms + REFUSE_AFTER_MS)
     }
 
-    fn exit_if_done(&self) -> Option<ReactorExit> {
+    /// Returns whether the process can end; before its forced end, ends the requests
+    /// that are left.
+    fn exit_if_done(&mut self) -> Option<ReactorExit> {
         let started_ms = self.shutdown_started_ms?;
         let now_ms = self.now_ms();
-        let is_forced = now_ms + EXIT_BEFORE_KILL_MS >= started_ms + self.settings.shutdown_ms;
+        if now_ms + EXIT_BEFORE_KILL_MS >= started_ms + self.settings.shutdown_ms {
+            let cut_off_count = self.end_all_exchanges();
+            return Some(ReactorExit { cut_off_count });
+        }
         let is_idle = self.exchanges.is_empty()
             && self
                 .upstreams
                 .iter()
                 .all(|(_, upstream)| upstream.phase != UpstreamPhase::Busy);
         let is_done = is_idle && now_ms >= started_ms + MIN_SHUTDOWN_MS;
-        (is_forced || is_done).then(|| ReactorExit {
-            cut_off_count: self.exchanges.len(),
-        })
+        is_done.then_some(ReactorExit { cut_off_count: 0 })
     }
 
     /// Returns a random number in `0.0..1.0`.
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -46,7 +46,7 @@
 const NOT_READY_RETRY_MS: u64 = 500;
 /// Retry time for callers of a host that shuts down; other hosts can serve the
 /// request immediately.
-const LEAVING_RETRY_MS: u64 = 50;
+pub(super) const LEAVING_RETRY_MS: u64 = 50;
 /// Pending output to a caller beyond which reading from the endpoint is paused.
 pub const MAX_OUTPUT_BYTES: usize = 512 * 1024;
 /// Maximum buffered input of a connection while a request is in progress.
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -22,6 +22,7 @@
         GatewayResponse,
         write_gateway_response, //
     },
+    serve_caller::LEAVING_RETRY_MS,
     serve_upstream::UpstreamError, //
 };
 
@@ -287,6 +288,28 @@
         }
     }
 
+    /// Ends all requests because the process ends; returns the number of those that an
+    /// endpoint was at work on or had run.
+    ///
+    /// A request that has not run is refused, so that its caller can go to another host
+    /// at once.
+    pub(super) fn end_all_exchanges(&mut self) -> usize {
+        let keys: Vec<usize> = self.exchanges.iter().map(|(key, _)| key).collect();
+        let mut cut_off_count = 0;
+        for key in keys {
+            let has_run = self.exchanges.get(key).is_some_and(Exchange::has_run);
+            cut_off_count += usize::from(has_run);
+            if has_run && self.exchanges[key].has_response_begun {
+                self.cut_off(key, "host stops during the answer");
+            } else if has_run {
+                self.fail(key, "host stops", GatewayResponse::new(502));
+            } else {
+                self.refuse(key, "host stops", LEAVING_RETRY_MS);
+            }
+        }
+        cut_off_count
+    }
+
     pub(super) fn time_out(&mut self, key: usize, now_ms: u64) {
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -10,6 +10,7 @@
 };
 
 use cardamombridge::standin::{
+    metadata_store::MetadataStore,
     scripted::{
         Script,
         ScriptedEndpoint,
@@ -17,12 +18,17 @@
     }, //
 };
 use gatewayenv::{
+    Host,
+    HostOptions,
     Request,
+    announce,
+    configuration,
     host_with,
     read_next_response,
     wait_until, //
 };
 use nix::sys::signal::Signal;
+use serde_json::json;
 use socket2::SockRef;
 
 /// Guards against a stopping host that accepts requests it cannot finish, or
@@ -142,6 +148,43 @@
     assert!(read.is_empty(), "bytes after the last response: {read:?}");
 }
 
+/// Guards against a waiting request that gets neither an answer nor a refusal, because
+/// its host ends before an endpoint accepts it.
+#[test]
+fn waiting_request_is_refused_when_its_host_ends() {
+    let endpoint =
+        ScriptedEndpoint::start("e-1", |_, _| Script::NotRunFor("9.5")).expect("it starts");
+    let mut patient = configuration(7);
+    patient["routes"][1]["goal_ms"] = json!(20_000);
+    patient["routes"][1]["timeout_ms"] = json!(20_000);
+    let store = MetadataStore::start().expect("the store starts");
+    store.put("op/config", &patient);
+    announce(&store, &endpoint, "north");
+    let options = HostOptions {
+        shutdown_s: 3,
+        ..HostOptions::default()
+    };
+    let mut host = Host::start(&store, &options);
+    host.wait_log("endpoint announced");
+    let address = host.caller_address;
+    let caller = thread::spawn(move || {
+        Request::post("/book/1", b"parcel")
+            .with_attempt("a-1", 20_000)
+            .try_send(address)
+    });
+    wait_until("the endpoint refuses the request", || {
+        endpoint.arrivals().len() == 1
+    });
+
+    host.signal(Signal::SIGTERM);
+    let response = caller.join().expect("the caller ends");
+
+    let response = response.expect("an answer before the connection closes");
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(host.wait_end(Duration::from_secs(5)), Some(0));
+}
+
 /// Guards against the end of the whole process: a stream ends in the middle of an event
 /// just after its caller reset the connection.
 #[test]
