Reproduce streams that go on at another software version

The gateway does not decode the field version of an endpoint's entry and knows no header Resumes, so a broken resumable stream goes on at any endpoint, and so does one that a caller takes up again.

Scripted endpoints get a software version and state it in their events; without one, the events are as before. The new tests cover a response that goes on after its endpoint broke off, taken-up streams at the same host, at another host, in another region, after a forward and after a kill of the host, streams of unknown beginning, versions that are gone or refuse, and the share that goes on.

--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -113,6 +113,7 @@
     listener: Listener,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_leaving: Arc<AtomicBool>,
+    version: Arc<Mutex<Option<String>>>,
 }
 
 impl ScriptedEndpoint {
@@ -125,6 +126,8 @@
         let noted = Arc::clone(&arrivals);
         let is_leaving = Arc::new(AtomicBool::new(false));
         let stated_leaving = Arc::clone(&is_leaving);
+        let version = Arc::new(Mutex::new(None));
+        let own_version = Arc::clone(&version);
         let own_id = id.to_owned();
         let listener = Listener::start(0, move |connection, request| {
             let mut arrival = arrival(&request);
@@ -143,16 +146,29 @@
                 respond(connection, 421, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
-            play(connection, &arrival, &own_id, script)
+            let version = lock(&own_version).clone();
+            play(connection, &arrival, &own_id, version.as_deref(), script)
         })?;
         Ok(Self {
             id: id.into(),
             listener,
             arrivals,
             is_leaving,
+            version,
         })
     }
 
+    /// States a software version in the events that it sends.
+    pub fn with_version(self, version: &str) -> Self {
+        self.set_version(version);
+        self
+    }
+
+    /// Changes the software version; streams in progress keep theirs.
+    pub fn set_version(&self, version: &str) {
+        *lock(&self.version) = Some(version.into());
+    }
+
     /// Sets whether all its answers say that it is leaving.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.is_leaving.store(is_leaving, Ordering::Relaxed);
@@ -215,6 +231,7 @@
     connection: &mut Connection,
     arrival: &Arrival,
     id: &str,
+    version: Option<&str>,
     script: Script,
 ) -> Result<Next, MessageError> {
     let plain = answer_headers(arrival, id);
@@ -244,7 +261,10 @@
             let headers = sealed.with_field("content-type", "text/event-stream");
             start_chunked(connection, 200, headers, write_deadline())?;
             for number in first..end {
-                let event = event_text(number);
+                let event = match version {
+                    Some(version) => versioned_event_text(version, number),
+                    None => event_text(number),
+                };
                 write_chunk(connection, event.as_bytes(), write_deadline())?;
                 thread::sleep(pause);
             }
@@ -264,13 +284,18 @@
         Script::Close => return Ok(Next::Close),
         Script::After(pause, next) => {
             thread::sleep(pause);
-            return play(connection, arrival, id, *next);
+            return play(connection, arrival, id, version, *next);
         }
     }
     Ok(Next::Keep)
 }
 
-/// Text of an event as scripted endpoints send it.
+/// Text of an event as scripted endpoints without a software version send it.
 pub fn event_text(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
 }
+
+/// Text of an event as scripted endpoints of a software version send it.
+pub fn versioned_event_text(version: &str, number: u64) -> String {
+    format!("id: {number}\ndata: token {number} of {version}\n\n")
+}
--- /dev/null
+++ b/tests/gateway_stream_versions.rs
@@ -0,0 +1,746 @@
+//! Streams go on only at endpoints of the software version that began them, within a
+//! response and over the attempts of a caller.
+
+mod gatewayenv;
+
+use std::{
+    collections::BTreeSet,
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    sync::{
+        Arc,
+        Barrier, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use cardamombridge::{
+    gateway::{
+        body::BodyDecoder,
+        head::parse_response, //
+    },
+    standin::{
+        metadata_store::MetadataStore,
+        scripted::{
+            Arrival,
+            Script,
+            ScriptedEndpoint, //
+        }, //
+    }, //
+};
+use gatewayenv::{
+    Host,
+    HostOptions,
+    Request,
+    Response,
+    SITE_HOST,
+    announce_with,
+    store_with_configuration,
+    wait_until, //
+};
+use nix::sys::signal::Signal;
+use serde_json::{
+    Value,
+    json, //
+};
+
+const LIMIT_MS: u64 = 5_000;
+/// Events of a whole stream.
+const EVENT_COUNT: u64 = 24;
+/// Pause after each event of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(30);
+/// Streams of a test, so that a choice that ignores versions shows.
+const STREAM_COUNT: usize = 12;
+/// Time within which a refusal that waits for nothing arrives.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
+/// Time in which hosts receive beacons from each other.
+const BEACON_TIME: Duration = Duration::from_millis(1_000);
+
+/// Returns a host's options.
+fn options(name: &'static str, region: &'static str) -> HostOptions {
+    HostOptions {
+        name,
+        region,
+        ..HostOptions::default()
+    }
+}
+
+/// Starts hosts and waits until each receives beacons from the others.
+fn start_hosts(store: &MetadataStore, places: &[(&'static str, &'static str)]) -> Vec<Host> {
+    let hosts: Vec<Host> = places
+        .iter()
+        .map(|(name, region)| Host::start(store, &options(name, region)))
+        .collect();
+    for host in &hosts {
+        for (_, region) in places {
+            let count = places.iter().filter(|(_, other)| other == region).count();
+            wait_until("all hosts are known", || known_hosts(host, region) == count);
+        }
+    }
+    thread::sleep(BEACON_TIME);
+    hosts
+}
+
+/// Returns the number of hosts of a region that a host's directory contains.
+fn known_hosts(host: &Host, region: &str) -> usize {
+    let path = format!("/cardamombridge/resolve?name={SITE_HOST}&region={region}&zone={region}-a");
+    let response = Request::get(&path).send(host.directory_address);
+    let answer: Value = serde_json::from_slice(&response.body).unwrap_or(Value::Null);
+    answer["addrs"].as_array().map_or(0, Vec::len)
+}
+
+/// Returns the event after which a request wants a stream to continue, plus one.
+fn first_event(arrival: &Arrival) -> u64 {
+    let last = arrival.headers.get("last-event-id");
+    last.and_then(|last| last.parse::<u64>().ok())
+        .map_or(0, |last| last + 1)
+}
+
+fn events(first: u64, end: u64, is_whole: bool) -> Script {
+    Script::Events {
+        first,
+        end,
+        pause: EVENT_PAUSE,
+        is_whole,
+    }
+}
+
+/// Starts and announces an endpoint that streams all events, or those that are left.
+fn whole_endpoint(
+    store: &MetadataStore,
+    id: &str,
+    version: &str,
+    region: &str,
+) -> ScriptedEndpoint {
+    scripted_endpoint(store, id, version, region, |_, arrival| {
+        events(first_event(arrival), EVENT_COUNT, true)
+    })
+}
+
+/// Starts and announces an endpoint that breaks off new streams after `end` events and
+/// completes streams that began elsewhere.
+fn breaking_endpoint(
+    store: &MetadataStore,
+    id: &str,
+    version: &str,
+    region: &str,
+    end: u64,
+) -> ScriptedEndpoint {
+    scripted_endpoint(
+        store,
+        id,
+        version,
+        region,
+        move |_, arrival| match first_event(arrival) {
+            0 => events(0, end, false),
+            first => events(first, EVENT_COUNT, true),
+        },
+    )
+}
+
+fn scripted_endpoint<S>(
+    store: &MetadataStore,
+    id: &str,
+    version: &str,
+    region: &str,
+    script: S,
+) -> ScriptedEndpoint
+where
+    S: Fn(usize, &Arrival) -> Script + Send + Sync + 'static,
+{
+    let endpoint = ScriptedEndpoint::start(id, script).expect("the endpoint starts");
+    let endpoint = endpoint.with_version(version);
+    announce_version(store, &endpoint, version, region);
+    endpoint
+}
+
+/// Announces an endpoint with a software version and room for all streams of a test.
+fn announce_version(
+    store: &MetadataStore,
+    endpoint: &ScriptedEndpoint,
+    version: &str,
+    region: &str,
+) {
+    let fields = json!({ "version": version, "slots": 64 });
+    announce_with(store, endpoint, region, &fields);
+}
+
+fn wait_known(hosts: &[Host], endpoints: &[&ScriptedEndpoint]) {
+    for host in hosts {
+        for endpoint in endpoints {
+            let id = endpoint.id();
+            host.wait_log(&format!("\"endpoint announced\",\"endpoint\":\"{id}\""));
+        }
+    }
+}
+
+/// Announces three idle endpoints of the version `v2` in a region.
+fn release(store: &MetadataStore, hosts: &[Host], region: &str) -> Vec<ScriptedEndpoint> {
+    let released: Vec<ScriptedEndpoint> = (1..=3)
+        .map(|number| whole_endpoint(store, &format!("{region}-new-{number}"), "v2", region))
+        .collect();
+    wait_known(hosts, &released.iter().collect::<Vec<_>>());
+    released
+}
+
+/// Returns a request that begins a stream.
+fn begin(attempt: &str) -> Request {
+    Request::post("/chat/1", b"hello").with_attempt(attempt, LIMIT_MS)
+}
+
+/// Returns a request that takes up the stream that `begun` began, after `received`
+/// events.
+fn take_up(attempt: &str, begun: &str, received: &str) -> Request {
+    let last = event_count(received).saturating_sub(1);
+    begin(attempt)
+        .with_header("Last-Event-Id", &last.to_string())
+        .with_header("Resumes", begun)
+}
+
+fn event_count(text: &str) -> usize {
+    text.matches("\n\n").count()
+}
+
+/// Returns the software versions that sent the events in `text`.
+fn versions(text: &str) -> BTreeSet<&str> {
+    text.lines()
+        .filter_map(|line| line.strip_prefix("data: token "))
+        .filter_map(|data| data.split_once(" of "))
+        .map(|(_, version)| version)
+        .collect()
+}
+
+/// Checks that `text` contains all events of a stream, in order, of one version.
+fn assert_whole_stream_of_one_version(text: &str, attempt: &str) {
+    let ids: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
+    let expected: Vec<String> = (0..EVENT_COUNT).map(|number| number.to_string()).collect();
+    let found = versions(text);
+    assert_eq!(found.len(), 1, "{attempt} holds events of {found:?}");
+    assert_eq!(ids, expected, "events of {attempt}");
+}
+
+fn assert_refused_at_once(response: &Response, took: Duration) {
+    assert_eq!(
+        response.status,
+        503,
+        "events {:?}",
+        versions(&response.text())
+    );
+    assert!(response.header("retry-after").is_some());
+    assert!(took < REFUSAL_LIMIT, "the refusal took {took:?}");
+}
+
+/// Sends a request and returns the response with the time that it took.
+fn timed(request: &Request, address: SocketAddr) -> (Response, Duration) {
+    let sent = Instant::now();
+    let response = request.send(address);
+    (response, sent.elapsed())
+}
+
+/// A stream that a caller reads event by event; the caller disconnects on drop.
+struct Stream {
+    connection: TcpStream,
+    decoder: BodyDecoder,
+    text: Vec<u8>,
+}
+
+impl Stream {
+    /// Sends a request and reads the response head; none without a success.
+    fn open(request: &Request, address: SocketAddr) -> Option<Self> {
+        let mut connection = TcpStream::connect(address).ok()?;
+        let limit = Some(Duration::from_millis(LIMIT_MS));
+        connection.set_read_timeout(limit).expect("a time limit");
+        connection.write_all(&request.bytes()).ok()?;
+        let mut bytes = Vec::new();
+        let mut buffer = [0; 4096];
+        let (head, length) = loop {
+            if let Some(parsed) = parse_response(&bytes, false).expect("a valid head") {
+                break parsed;
+            }
+            match connection.read(&mut buffer) {
+                Ok(0) | Err(_) => return None,
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            }
+        };
+        if head.status != 200 {
+            return None;
+        }
+        let mut stream = Self {
+            connection,
+            decoder: BodyDecoder::new(head.framing),
+            text: Vec::new(),
+        };
+        let input = bytes.split_off(length);
+        stream.decode(&input);
+        Some(stream)
+    }
+
+    fn decode(&mut self, input: &[u8]) {
+        let used = self.decoder.decode(input, &mut self.text);
+        let used = used.expect("a valid body");
+        assert_eq!(used, input.len(), "bytes after the end of the body");
+    }
+
+    /// Reads until `count` events or the end of the response have arrived; returns the
+    /// events so far.
+    fn read_events(&mut self, count: usize) -> String {
+        let mut buffer = [0; 4096];
+        while event_count(&self.received()) < count && !self.decoder.is_done() {
+            match self.connection.read(&mut buffer) {
+                Ok(0) | Err(_) => break,
+                Ok(length) => self.decode(&buffer[..length]),
+            }
+        }
+        self.received()
+    }
+
+    /// Returns the complete events that have arrived.
+    fn received(&self) -> String {
+        let text = String::from_utf8_lossy(&self.text);
+        let end = text.rfind("\n\n").map_or(0, |end| end + 2);
+        text[..end].to_owned()
+    }
+}
+
+/// A stream that its caller has received a part of.
+struct Begun {
+    attempt: String,
+    received: String,
+}
+
+/// Begins streams at a host and disconnects after `count` events of each.
+fn begin_and_leave(host: &Host, streams: usize, count: usize) -> Vec<Begun> {
+    let address = host.caller_address;
+    let callers: Vec<_> = (0..streams)
+        .map(|number| {
+            thread::spawn(move || {
+                let attempt = format!("a-{number}");
+                let mut stream = Stream::open(&begin(&attempt), address).expect("a stream");
+                let received = stream.read_events(count);
+                assert!(event_count(&received) >= count, "{attempt}: {received:?}");
+                Begun { attempt, received }
+            })
+        })
+        .collect();
+    callers
+        .into_iter()
+        .map(|caller| caller.join().expect("a caller ends"))
+        .collect()
+}
+
+/// Takes up all streams at once and returns the responses in the same order.
+fn take_up_all(begun: &[Begun], address: SocketAddr) -> Vec<Response> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = begun
+            .iter()
+            .map(|stream| {
+                scope.spawn(move || {
+                    let attempt = format!("{}-again", stream.attempt);
+                    take_up(&attempt, &stream.attempt, &stream.received).send(address)
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().expect("a caller ends"))
+            .collect()
+    })
+}
+
+/// Checks that each stream went on to its end at the version that began it.
+fn assert_all_go_on(begun: &[Begun], responses: &[Response]) {
+    for (stream, response) in begun.iter().zip(responses) {
+        let attempt = &stream.attempt;
+        assert_eq!(response.status, 200, "{attempt} did not go on");
+        assert!(response.is_complete, "{attempt} was cut off");
+        let text = format!("{}{}", stream.received, response.text());
+        assert_whole_stream_of_one_version(&text, attempt);
+    }
+}
+
+/// Guards against a response that goes on at an idle endpoint of another version after
+/// its endpoint broke off.
+#[test]
+fn broken_stream_goes_on_at_the_version_that_began_it() {
+    let store = store_with_configuration();
+    let end = EVENT_COUNT / 2;
+    let first = breaking_endpoint(&store, "old-1", "v1", "north", end);
+    let second = breaking_endpoint(&store, "old-2", "v1", "north", end);
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &[&first, &second]);
+    let address = hosts[0].caller_address;
+    let callers: Vec<_> = (0..STREAM_COUNT)
+        .map(|number| thread::spawn(move || begin(&format!("a-{number}")).send(address)))
+        .collect();
+    wait_until("all streams have begun", || {
+        first.runs().len() + second.runs().len() >= STREAM_COUNT
+    });
+
+    let released = release(&store, &hosts, "north");
+
+    for (number, caller) in callers.into_iter().enumerate() {
+        let response = caller.join().expect("a caller ends");
+        assert!(response.is_complete, "a-{number} was cut off");
+        assert_whole_stream_of_one_version(&response.text(), &format!("a-{number}"));
+    }
+    assert!(released.iter().all(|endpoint| endpoint.runs().is_empty()));
+}
+
+/// Guards against a response that goes on at another version because no endpoint of its
+/// own is left.
+#[test]
+fn broken_stream_is_cut_off_if_only_another_version_is_left() {
+    let store = store_with_configuration();
+    let mut old = whole_endpoint(&store, "old-1", "v1", "north");
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &[&old]);
+    let mut stream = Stream::open(&begin("a-1"), hosts[0].caller_address).expect("a stream");
+    stream.read_events(2);
+    let released = release(&store, &hosts, "north");
+
+    old.stop();
+    let text = stream.read_events(EVENT_COUNT as usize);
+
+    assert_eq!(versions(&text), BTreeSet::from(["v1"]));
+    assert!(!stream.decoder.is_done(), "the response looks complete");
+    assert!(released.iter().all(|endpoint| endpoint.runs().is_empty()));
+}
+
+/// Guards against a forwarded response that goes on at another version after it broke
+/// off: its own region now has endpoints of that version.
+#[test]
+fn broken_forwarded_stream_does_not_go_on_at_another_version() {
+    let store = store_with_configuration();
+    let old = breaking_endpoint(&store, "old-1", "v1", "south", EVENT_COUNT / 2);
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-3", "south")]);
+    wait_known(&hosts, &[&old]);
+    let address = hosts[0].caller_address;
+    let callers: Vec<_> = (0..STREAM_COUNT)
+        .map(|number| thread::spawn(move || begin(&format!("a-{number}")).send(address)))
+        .collect();
+    wait_until("all streams have begun", || {
+        old.runs().len() >= STREAM_COUNT
+    });
+
+    let released = release(&store, &hosts, "north");
+
+    for caller in callers {
+        let text = caller.join().expect("a caller ends").text();
+        assert_eq!(versions(&text), BTreeSet::from(["v1"]));
+    }
+    assert!(released.iter().all(|endpoint| endpoint.runs().is_empty()));
+}
+
+/// Guards against a taken-up stream that goes on at another version although the host
+/// itself began it.
+#[test]
+fn taken_up_stream_goes_on_at_its_version_at_the_same_host() {
+    let store = store_with_configuration();
+    let old = ["old-1", "old-2"].map(|id| whole_endpoint(&store, id, "v1", "north"));
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let begun = begin_and_leave(&hosts[0], STREAM_COUNT, 3);
+    let _released = release(&store, &hosts, "north");
+
+    let responses = take_up_all(&begun, hosts[0].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a stream that changes its version when it is taken up a second time,
+/// which names the attempt that brought its first event, not the latest one.
+#[test]
+fn stream_taken_up_twice_goes_on_at_its_version() {
+    let store = store_with_configuration();
+    let old = ["old-1", "old-2"].map(|id| whole_endpoint(&store, id, "v1", "north"));
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let mut begun = begin_and_leave(&hosts[0], STREAM_COUNT, 3);
+    let _released = release(&store, &hosts, "north");
+
+    for stream in &mut begun {
+        let attempt = format!("{}-second", stream.attempt);
+        let request = take_up(&attempt, &stream.attempt, &stream.received);
+        let mut second = Stream::open(&request, hosts[1].caller_address).expect("a stream");
+        stream.received.push_str(&second.read_events(2));
+    }
+    let responses = take_up_all(&begun, hosts[0].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a taken-up stream that goes on at another version because another
+/// host of the region began it.
+#[test]
+fn taken_up_stream_goes_on_at_its_version_at_another_host() {
+    let store = store_with_configuration();
+    let old = ["old-1", "old-2"].map(|id| whole_endpoint(&store, id, "v1", "north"));
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let begun = begin_and_leave(&hosts[0], STREAM_COUNT, 3);
+    let _released = release(&store, &hosts, "north");
+
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a taken-up stream that goes on at another version because a host of
+/// another region began it.
+#[test]
+fn taken_up_stream_goes_on_at_its_version_in_another_region() {
+    let store = store_with_configuration();
+    let old = [("old-1", "north"), ("old-2", "north"), ("old-3", "south")]
+        .map(|(id, region)| whole_endpoint(&store, id, "v1", region));
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-3", "south")]);
+    wait_known(&hosts, &[&old[0], &old[1], &old[2]]);
+    let begun = begin_and_leave(&hosts[0], STREAM_COUNT, 10);
+    let _released = ["north", "south"].map(|region| release(&store, &hosts, region));
+
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a taken-up stream that goes on at another version because an endpoint
+/// of another region began it through a forward.
+#[test]
+fn taken_up_forwarded_stream_goes_on_at_its_version() {
+    let store = store_with_configuration();
+    let old = ["old-1", "old-2"].map(|id| whole_endpoint(&store, id, "v1", "south"));
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-3", "south")]);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let mut begun = begin_and_leave(&hosts[0], STREAM_COUNT * 2, 10);
+    let at_south = begun.split_off(STREAM_COUNT);
+    let _released = ["north", "south"].map(|region| release(&store, &hosts, region));
+
+    let responses = take_up_all(&begun, hosts[0].caller_address);
+    let south_responses = take_up_all(&at_south, hosts[1].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+    assert_all_go_on(&at_south, &south_responses);
+}
+
+/// Guards against a beginning that only the host of the stream knew: it is killed right
+/// after the first events.
+#[test]
+fn stream_of_a_killed_host_goes_on_at_its_version() {
+    let store = store_with_configuration();
+    let old = ["old-1", "old-2"].map(|id| whole_endpoint(&store, id, "v1", "north"));
+    let mut hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let _released = release(&store, &hosts, "north");
+    let address = hosts[0].caller_address;
+    let mut streams: Vec<(String, Stream)> = (0..STREAM_COUNT)
+        .map(|number| format!("a-{number}"))
+        .map(|attempt| {
+            let stream = Stream::open(&begin(&attempt), address).expect("a stream");
+            (attempt, stream)
+        })
+        .collect();
+    let newest = streams.last_mut().expect("a stream");
+    newest.1.read_events(2);
+
+    hosts[0].signal(Signal::SIGKILL);
+    hosts[0].wait_end(Duration::from_secs(5));
+    let begun: Vec<Begun> = streams
+        .into_iter()
+        .map(|(attempt, mut stream)| {
+            let received = stream.read_events(EVENT_COUNT as usize);
+            Begun { attempt, received }
+        })
+        .collect();
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a taken-up stream of unknown beginning that goes on at any version.
+#[test]
+fn stream_of_unknown_beginning_is_refused_while_two_versions_serve() {
+    let store = store_with_configuration();
+    let endpoints = [("e-1", "v1"), ("e-2", "v2")]
+        .map(|(id, version)| whole_endpoint(&store, id, version, "north"));
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &[&endpoints[0], &endpoints[1]]);
+    let request = begin("a-1")
+        .with_header("Last-Event-Id", "2")
+        .with_header("Resumes", "a-unknown");
+
+    let (response, took) = timed(&request, hosts[0].caller_address);
+
+    assert_refused_at_once(&response, took);
+    assert!(
+        endpoints
+            .iter()
+            .all(|endpoint| endpoint.arrivals().is_empty())
+    );
+}
+
+/// Guards against a taken-up stream of unknown beginning that goes on because the
+/// region of the host has a single version, although another region has another one.
+#[test]
+fn stream_of_unknown_beginning_is_refused_while_another_region_has_another_version() {
+    let store = store_with_configuration();
+    let endpoints = [("e-1", "v1", "north"), ("e-2", "v2", "south")]
+        .map(|(id, version, region)| whole_endpoint(&store, id, version, region));
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-3", "south")]);
+    wait_known(&hosts, &[&endpoints[0], &endpoints[1]]);
+    let request = begin("a-1")
+        .with_header("Last-Event-Id", "2")
+        .with_header("Resumes", "a-unknown");
+
+    let (response, took) = timed(&request, hosts[0].caller_address);
+
+    assert_refused_at_once(&response, took);
+    assert!(
+        endpoints
+            .iter()
+            .all(|endpoint| endpoint.arrivals().is_empty())
+    );
+}
+
+/// Guards against a refusal of streams of unknown beginning while no other version could
+/// have begun them.
+#[test]
+fn stream_of_unknown_beginning_goes_on_while_a_single_version_serves() {
+    let store = store_with_configuration();
+    let endpoints = [("e-1", "north"), ("e-2", "south")]
+        .map(|(id, region)| whole_endpoint(&store, id, "v1", region));
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-3", "south")]);
+    wait_known(&hosts, &[&endpoints[0], &endpoints[1]]);
+    let request = begin("a-1")
+        .with_header("Last-Event-Id", "2")
+        .with_header("Resumes", "a-unknown");
+
+    let response = request.send(hosts[0].caller_address);
+
+    assert_eq!(response.status, 200);
+    assert!(response.is_complete);
+    assert_eq!(event_count(&response.text()) as u64, EVENT_COUNT - 3);
+}
+
+/// Guards against a taken-up stream that waits, or goes on at another version, after all
+/// endpoints of its version have gone.
+#[test]
+fn taken_up_stream_is_refused_at_once_if_its_version_is_gone() {
+    let store = store_with_configuration();
+    let mut old = ["old-1", "old-2"].map(|id| whole_endpoint(&store, id, "v1", "north"));
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let begun = begin_and_leave(&hosts[0], 1, 3);
+    let released = release(&store, &hosts, "north");
+    for endpoint in &mut old {
+        store.delete(&format!("servers/{}", endpoint.id()));
+        endpoint.stop();
+    }
+    for endpoint in &old {
+        let id = endpoint.id();
+        hosts[0].wait_log(&format!(
+            "\"endpoint is no longer announced\",\"endpoint\":\"{id}\""
+        ));
+    }
+
+    let request = take_up("a-0-again", &begun[0].attempt, &begun[0].received);
+    let (response, took) = timed(&request, hosts[0].caller_address);
+
+    assert_refused_at_once(&response, took);
+    assert!(
+        released
+            .iter()
+            .all(|endpoint| endpoint.arrivals().is_empty())
+    );
+}
+
+/// Guards against a taken-up stream that goes on at another version because all
+/// endpoints of its own refuse it.
+#[test]
+fn taken_up_stream_is_refused_if_its_version_refuses_it() {
+    let store = store_with_configuration();
+    let old = ["old-1", "old-2"].map(|id| {
+        scripted_endpoint(&store, id, "v1", "north", |_, arrival| {
+            match first_event(arrival) {
+                0 => events(0, EVENT_COUNT, true),
+                _ => Script::NotRun,
+            }
+        })
+    });
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let begun = begin_and_leave(&hosts[0], 1, 3);
+    let released = release(&store, &hosts, "north");
+
+    let request = take_up("a-0-again", &begun[0].attempt, &begun[0].received);
+    let (response, took) = timed(&request, hosts[0].caller_address);
+
+    assert_refused_at_once(&response, took);
+    assert!(
+        released
+            .iter()
+            .all(|endpoint| endpoint.arrivals().is_empty())
+    );
+}
+
+/// Guards against streams of a killed host that change their version, or of which most
+/// are refused, while both versions serve.
+#[test]
+fn most_streams_of_a_killed_host_go_on_at_their_versions() {
+    const BEGUN_COUNT: usize = 40;
+    let store = store_with_configuration();
+    let endpoints = [("e-1", "v1"), ("e-2", "v2"), ("e-3", "v1"), ("e-4", "v2")]
+        .map(|(id, version)| whole_endpoint(&store, id, version, "north"));
+    let mut hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    let address = hosts[0].caller_address;
+    let all_begun = Arc::new(Barrier::new(BEGUN_COUNT + 1));
+    let callers: Vec<_> = (0..BEGUN_COUNT)
+        .map(|number| {
+            let all_begun = Arc::clone(&all_begun);
+            thread::spawn(move || {
+                let attempt = format!("a-{number}");
+                let mut stream = Stream::open(&begin(&attempt), address).expect("a stream");
+                stream.read_events(1 + number % 3);
+                all_begun.wait();
+                let received = stream.read_events(EVENT_COUNT as usize);
+                Begun { attempt, received }
+            })
+        })
+        .collect();
+    all_begun.wait();
+
+    hosts[0].signal(Signal::SIGKILL);
+    hosts[0].wait_end(Duration::from_secs(5));
+    let begun: Vec<Begun> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("a caller ends"))
+        .collect();
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    let mut gone_on = 0;
+    for (stream, response) in begun.iter().zip(&responses) {
+        let is_broken = event_count(&stream.received) < EVENT_COUNT as usize;
+        assert!(is_broken, "{} had ended before the kill", stream.attempt);
+        if response.status == 200 {
+            let text = format!("{}{}", stream.received, response.text());
+            assert_whole_stream_of_one_version(&text, &stream.attempt);
+            gone_on += 1;
+        }
+    }
+    assert!(
+        gone_on * 2 > BEGUN_COUNT,
+        "only {gone_on} of {BEGUN_COUNT} went on"
+    );
+}
