Log software versions and the attempts that began taken-up streams

"endpoint announced" names the version, "request ended" the version of its endpoint and begun_by. An entry without a version, or with one of another type, names no endpoint to use, as the users' pages say; the fixture of tests/gateway_replica.rs states one now, like the entries of the platform. No decision changes.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -23,7 +23,8 @@
     request::{
         EndpointLoad,
         RequestMetadata, //
-    }, //
+    },
+    software_version::SoftwareVersion, //
 };
 
 /// Weight of a new observation in a moving average.
@@ -72,6 +73,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: CompactString,
+    /// Version of its software.
+    pub software_version: SoftwareVersion,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts requests.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,7 +21,8 @@
     events::EventSplitter,
     fleet::Choice,
     head::RequestHead,
-    request::RequestMetadata, //
+    request::RequestMetadata,
+    software_version::SoftwareVersion, //
 };
 
 /// Parameters of a route for one request, also sent to the host of another
@@ -148,6 +149,8 @@
 pub struct PlacementRecord {
     /// Id of the endpoint, or names of the region and host.
     pub destination: CompactString,
+    /// Software version of the endpoint; none for a host.
+    pub software_version: Option<SoftwareVersion>,
     /// Predicted time from sending to the first event.
     pub predicted_ms: u64,
     /// Part of the predicted time spent on requests ahead of this one.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod serve_response;
 mod serve_upstream;
 pub mod settings;
+pub mod software_version;
 pub mod spread;
 pub mod start;
 mod state_updates;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -41,6 +41,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the event after which the caller resumes a stream.
     pub last_event_id: Option<CompactString>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub begun_by: Option<CompactString>,
 }
 
 impl RequestMetadata {
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -44,6 +44,7 @@
             return;
         };
         let address = endpoint.announcement.address;
+        let software_version = endpoint.announcement.software_version.clone();
         let Some(exchange) = self.exchanges.get(key) else {
             return;
         };
@@ -64,6 +65,7 @@
         };
         self.exchanges[key].placement = Some(PlacementRecord {
             destination: choice.endpoint.clone(),
+            software_version: Some(software_version),
             predicted_ms: choice.first_event_ms as u64,
             backlog_ms: choice.backlog_ms as u64,
             uncached_tokens: choice.work.uncached_tokens,
@@ -127,6 +129,7 @@
         );
         self.exchanges[key].placement = Some(PlacementRecord {
             destination: format_compact!("{}/{}", offer.region, host.name),
+            software_version: None,
             predicted_ms: offer.first_event_ms as u64,
             backlog_ms: 0,
             uncached_tokens: 0,
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -69,6 +69,7 @@
                         endpoint = %id,
                         service = %announcement.service,
                         address = %announcement.address,
+                        software_version = %announcement.software_version,
                         stage = ?stage,
                         cold_left_ms = announcement.cold_left_ms,
                         "endpoint announced"
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -19,7 +19,10 @@
 
 use tracing_appender::non_blocking::ErrorCounter;
 
-use super::exchange::Exchange;
+use super::{
+    exchange::Exchange,
+    software_version::SoftwareVersion, //
+};
 
 /// Log lines per second for requests that ended with success.
 const ROUTINE_LINES_PER_S: u32 = 10;
@@ -202,6 +205,12 @@
             shared_part = exchange.request.metadata.affinity_key(),
             goal_ms = exchange.route.goal_ms,
             destination = exchange.placement.as_ref().map(|placement| placement.destination.as_str()),
+            software_version = exchange
+                .placement
+                .as_ref()
+                .and_then(|placement| placement.software_version.as_ref())
+                .map(SoftwareVersion::as_str),
+            begun_by = exchange.request.metadata.begun_by.as_deref(),
             waited_ms = exchange
                 .placement
                 .as_ref()
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -26,6 +26,8 @@
 const TOKENS: &str = "x-token-counts";
 const PROMPT_PARTS: &str = "x-prompt-prefix";
 const LAST_EVENT: &str = "last-event-id";
+/// Attempt that brought the first event of a stream that the caller takes up.
+const BEGUN_BY: &str = "resumes";
 const EXPECTED_ENDPOINT: &str = "X-Expect-Instance";
 /// Address of an endpoint from which cached parts of the prompt can be copied.
 const FETCH_FROM: &str = "Kv-Fetch";
@@ -81,6 +83,8 @@
             metadata.parts = decode_parts(value);
         } else if header.is(LAST_EVENT) {
             metadata.last_event_id = Some(value.into());
+        } else if header.is(BEGUN_BY) {
+            metadata.begun_by = Some(value.into());
         }
     }
     metadata
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -25,7 +25,8 @@
         Announcement,
         AnnouncementOrder,
         Stage, //
-    }, //
+    },
+    software_version::SoftwareVersion, //
 };
 
 /// Key of the configuration.
@@ -122,6 +123,8 @@
     backend: CompactString,
     addr: SocketAddr,
     zone: CompactString,
+    /// Version of the software, not of the model's weights.
+    version: SoftwareVersion,
     slots: u32,
     state: CompactString,
     #[serde(default)]
@@ -236,6 +239,7 @@
         service: wire.backend,
         address: wire.addr,
         data_centre: wire.zone,
+        software_version: wire.version,
         slots: wire.slots.max(1),
         stage,
         cold_left_ms: ceil_ms(wire.cold_left_ms),
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -92,6 +92,7 @@
     Announcement {
         service: "model".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
+        software_version: "v1".parse().expect("a valid version"),
         data_centre: "north-a".into(),
         slots: 64,
         stage: Stage::Ready,
--- a/tests/gateway_replica.rs
+++ b/tests/gateway_replica.rs
@@ -105,7 +105,8 @@
 
 fn endpoint(state: &str, sequence: u64) -> Option<Vec<u8>> {
     let item = json!({
-        "backend": "desk", "addr": "127.0.0.1:80", "zone": "north-a", "slots": 8,
+        "backend": "desk", "addr": "127.0.0.1:80", "zone": "north-a", "version": "v1",
+        "slots": 8,
         "state": state, "cold_left_ms": 0, "seq": sequence, "born": 1,
     });
     Some(item.to_string().into_bytes())
