Continue a stream only at the software version that began it

Cause: the choice of an endpoint ignored its software version. A stream that broke off went on at any endpoint, and one that a caller takes up was treated as a request that knows no past: the host that began it may be gone, and no other one knew its version. The class of fault: state that a later request depends on lived only in the process that made it, and in an endpoint's choice.

Change: a stream that can be resumed is bound to the version of its first event. Hosts report the streams that they begin to their region with the next load update, and to one host of each other region with a beacon, which passes them on; they are remembered for 30 s. A taken-up stream goes on at the version of the attempt that it names. If that is unknown, it goes on only while a single version has served in all regions for 30 s, as far as this host knows, with the store in reach. Otherwise, or if no endpoint of the version stays, it is refused at once, which says that it has not run. A forward carries the version, and the other host states the one that began a stream. Six sends instead of ten fit into a load update now.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,6 +49,8 @@
     pub priority: Option<u8>,
     /// Regions that may serve the request; any region if empty.
     pub home_regions: Vec<CompactString>,
+    /// Software version at which a resumed stream began.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl ResolvedRoute {
@@ -65,6 +67,7 @@
             max_attempts: route.max_attempts,
             priority: route.priority,
             home_regions: route.home_regions.clone(),
+            software_version: None,
         }
     }
 
@@ -140,6 +143,8 @@
     pub is_success: bool,
     /// Time at which response data last arrived.
     pub progress_ms: u64,
+    /// Software version of the endpoint; none until another region has stated it.
+    pub software_version: Option<SoftwareVersion>,
     /// Time from which another place may be sought if the endpoint stalls.
     pub next_move_ms: u64,
 }
@@ -229,6 +234,20 @@
         passed_on.or_else(|| self.request.metadata.last_event_id.clone())
     }
 
+    /// Returns whether the request may be sent again although it may have run.
+    ///
+    /// A stream can only be continued at the version that began it.
+    pub fn is_retryable(&self) -> bool {
+        let is_begun = self.events.complete_count() > 0;
+        let can_continue = !is_begun || self.route.software_version.is_some();
+        self.route.is_retryable() && can_continue
+    }
+
+    /// Returns whether the caller takes up a stream that an earlier attempt began.
+    pub fn is_taken_up(&self) -> bool {
+        self.route.is_resumable && self.request.metadata.last_event_id.is_some()
+    }
+
     /// Returns whether an endpoint may have run the request, or runs it.
     pub fn has_run(&self) -> bool {
         self.run_count > 0 || self.dispatch.is_some()
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -36,7 +36,9 @@
         LeavingEndpoint,
         SentPrompt, //
     },
-    request::RequestMetadata, //
+    request::RequestMetadata,
+    software_version::SoftwareVersion,
+    stream_origins::ORIGIN_LIFETIME_MS, //
 };
 
 /// Time until a first event without any prompt to prefill: the shortest that a
@@ -122,6 +124,8 @@
     pub metadata: &'a RequestMetadata,
     /// Endpoints that are not chosen.
     pub excluded: &'a [CompactString],
+    /// Software version that the endpoint must have; any if none.
+    pub software_version: Option<&'a SoftwareVersion>,
     /// The hosts of the region.
     pub region: &'a RegionView,
     /// Time left until the response misses its latency goal.
@@ -178,6 +182,13 @@
     }
 }
 
+fn version_key(announcement: &Announcement) -> (CompactString, SoftwareVersion) {
+    (
+        announcement.service.clone(),
+        announcement.software_version.clone(),
+    )
+}
+
 /// Returns the cost of a wait: low within a share of the goal, and higher beyond
 /// it.
 fn wait_cost(first_event_ms: f64, goal_left_ms: f64) -> f64 {
@@ -235,6 +246,9 @@
     /// Start and statements of endpoints that are no longer announced, in case they
     /// are announced again.
     former_statements: BTreeMap<CompactString, (u64, Statements)>,
+    /// Services and software versions of endpoints that are gone, with the time until
+    /// which streams that they began may be taken up.
+    former_versions: BTreeMap<(CompactString, SoftwareVersion), u64>,
 }
 
 impl Fleet {
@@ -257,6 +271,7 @@
             prefill_ms_per_token: BTreeMap::new(),
             remote_parts: BTreeMap::new(),
             former_statements: BTreeMap::new(),
+            former_versions: BTreeMap::new(),
         }
     }
 
@@ -271,7 +286,12 @@
             return false;
         };
         match self.endpoints.get_mut(id) {
-            Some(endpoint) => endpoint.apply_announcement(announcement, now_ms),
+            Some(endpoint) => {
+                let key = version_key(&endpoint.announcement);
+                self.former_versions
+                    .insert(key, now_ms + ORIGIN_LIFETIME_MS);
+                endpoint.apply_announcement(announcement, now_ms);
+            }
             None => {
                 let started_ms = announcement.order.started_ms;
                 let mut endpoint = Endpoint::new(id.into(), region.clone(), announcement, now_ms);
@@ -295,9 +315,16 @@
     /// Removes endpoints that are no longer announced and have no requests in
     /// progress from this host.
     pub fn drop_withdrawn(&mut self, now_ms: u64) {
+        self.former_versions
+            .retain(|_, until_ms| now_ms < *until_ms);
+        let former_versions = &mut self.former_versions;
         let former = &mut self.former_statements;
         self.endpoints.retain(|id, endpoint| {
             let is_kept = endpoint.is_announced(now_ms) || endpoint.own_load.active > 0;
+            if !is_kept {
+                let key = version_key(&endpoint.announcement);
+                former_versions.insert(key, now_ms + ORIGIN_LIFETIME_MS);
+            }
             let has_statements = endpoint.statements != Statements::default();
             if !is_kept && has_statements && former.len() < MAX_FORMER_STATEMENTS {
                 let started_ms = endpoint.announcement.order.started_ms;
@@ -342,6 +369,43 @@
             .any(|endpoint| !excluded.contains(&endpoint.id))
     }
 
+    /// Returns whether an endpoint of a service and software version in `region` is
+    /// announced and stays.
+    pub fn has_version(
+        &self,
+        region: &str,
+        service: &str,
+        version: &SoftwareVersion,
+        now_ms: u64,
+    ) -> bool {
+        self.endpoints.values().any(|endpoint| {
+            endpoint.region == region
+                && endpoint.announcement.service == service
+                && endpoint.announcement.software_version == *version
+                && endpoint.is_staying(now_ms)
+                && !self.evacuated.contains(&endpoint.announcement.data_centre)
+        })
+    }
+
+    /// Returns the only software version of a service's endpoints in all regions, those
+    /// included that are gone but may have begun streams that callers still take up.
+    pub fn only_version(&self, service: &str, now_ms: u64) -> Option<&SoftwareVersion> {
+        let current = self
+            .endpoints
+            .values()
+            .map(|endpoint| &endpoint.announcement)
+            .filter(|announcement| announcement.service == service)
+            .map(|announcement| &announcement.software_version);
+        let former = self
+            .former_versions
+            .iter()
+            .filter(|((name, _), until_ms)| name == service && now_ms < **until_ms)
+            .map(|((_, version), _)| version);
+        let mut versions = current.chain(former);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     fn staying<'a>(
         &'a self,
         service: &'a str,
@@ -481,6 +545,10 @@
         let caches = self.caches(query, now_ms);
         self.usable(&service.name, now_ms)
             .filter(|endpoint| !query.excluded.contains(&endpoint.id))
+            .filter(|endpoint| {
+                let version = &endpoint.announcement.software_version;
+                query.software_version.is_none_or(|bound| bound == version)
+            })
             .filter(|endpoint| self.may_send_cold(endpoint, service, query.region, now_ms))
             .map(|endpoint| {
                 let choice = self.predict(endpoint, query, &caches, now_ms);
@@ -729,6 +797,7 @@
             service,
             metadata: &RequestMetadata::default(),
             excluded: &[],
+            software_version: None,
             region: &RegionView::default(),
             goal_left_ms: 0.0,
             time_left_ms: 0.0,
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -26,7 +26,8 @@
         EndpointLoadShare,
         LeavingEndpoint,
         LoadUpdate, //
-    }, //
+    },
+    stream_origins::StreamOrigin, //
 };
 use crate::store_position::{
     StoreEra,
@@ -103,6 +104,8 @@
     pub configuration: ConfigurationVersion,
     /// Endpoints that stated that they are leaving; sent to the sender's region only.
     pub leaving: Vec<LeavingEndpoint>,
+    /// Streams that the sender began; sent to other regions only.
+    pub origins: Vec<StreamOrigin>,
 }
 
 impl Beacon {
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -22,7 +22,8 @@
     fleet::Choice,
     hosts::Beacon,
     reactor::Reactor,
-    request::RequestMetadata, //
+    request::RequestMetadata,
+    stream_origins::StreamOrigin, //
 };
 
 /// Interval of updates after a send, per other host of the region, so that a host
@@ -35,11 +36,13 @@
 /// Most endpoints in an update, so that it fits into one packet.
 const MAX_SHARES: usize = 24;
 /// Most sends in an update, for the same reason.
-const MAX_SENDS: usize = 10;
+const MAX_SENDS: usize = 6;
 /// Most blocks in an update, for the same reason.
 const MAX_BLOCKS: usize = 8;
 /// Most leaving endpoints in an update or beacon, for the same reason.
 pub const MAX_LEAVING: usize = 12;
+/// Most stream origins in an update, for the same reason.
+pub const MAX_ORIGINS: usize = 8;
 /// Most shared parts that are reported of one prompt.
 const MAX_PARTS: usize = 4;
 
@@ -69,6 +72,8 @@
     pub blocks: Vec<EndpointBlock>,
     /// Endpoints that stated to the sender that they are leaving.
     pub leaving: Vec<LeavingEndpoint>,
+    /// Streams that the sender began, or that a host of another region told it.
+    pub origins: Vec<StreamOrigin>,
 }
 
 /// An endpoint that stated that it is leaving.
@@ -210,9 +215,18 @@
     /// Returns the changes that are due with `peer_count` other hosts in the region.
     ///
     /// Changes that do not fit into one packet stay for the next one.
-    pub fn take_due(&mut self, peer_count: usize, now_ms: u64) -> Option<LoadChanges> {
-        let is_urgent =
-            !self.sends.is_empty() || !self.blocks.is_empty() || !self.leaving.is_empty();
+    ///
+    /// With `has_origins`, an update is due as after a send.
+    pub fn take_due(
+        &mut self,
+        peer_count: usize,
+        has_origins: bool,
+        now_ms: u64,
+    ) -> Option<LoadChanges> {
+        let is_urgent = has_origins
+            || !self.sends.is_empty()
+            || !self.blocks.is_empty()
+            || !self.leaving.is_empty();
         let due_ms = match is_urgent {
             true => self.next_ms,
             false => self.next_release_ms,
@@ -246,7 +260,11 @@
     /// Sends an update to the hosts of the region, if one is due.
     pub(super) fn send_load_update(&mut self, now_ms: u64) {
         let peer_count = self.region_view.host_count.saturating_sub(1);
-        let Some(changes) = self.pending_update.take_due(peer_count, now_ms) else {
+        let has_origins = self.pending_origins.has_own();
+        let changes = self
+            .pending_update
+            .take_due(peer_count, has_origins, now_ms);
+        let Some(changes) = changes else {
             return;
         };
         let own_region = self.settings.host.region.clone();
@@ -268,12 +286,17 @@
             sends: changes.sends,
             blocks: changes.blocks,
             leaving: changes.leaving,
+            origins: self.pending_origins.take_local(MAX_ORIGINS),
         };
         self.send_packet(&Packet::LoadUpdate(update), &peers);
     }
 
     /// Applies the update of another host; returns false if it is outdated.
     pub(super) fn apply_load_update(&mut self, update: &LoadUpdate, now_ms: u64) -> bool {
+        // The origin of a stream never changes, so the order of packets does not matter.
+        for origin in &update.origins {
+            self.origins.record(origin, now_ms);
+        }
         if !self.hosts.apply_load_update(update, now_ms) {
             return false;
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,4 +40,5 @@
 pub mod start;
 mod state_updates;
 pub mod store_replica;
+pub mod stream_origins;
 pub mod telemetry;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -76,6 +76,10 @@
         StoreReplica,
         Update, //
     },
+    stream_origins::{
+        PendingOrigins,
+        StreamOrigins, //
+    },
     telemetry::Telemetry, //
 };
 
@@ -153,6 +157,9 @@
     pub(super) has_new_peer_loads: bool,
     pub(super) next_peer_load_update_ms: u64,
     pub(super) pending_update: PendingUpdate,
+    /// Software versions at which streams began.
+    pub(super) origins: StreamOrigins,
+    pub(super) pending_origins: PendingOrigins,
     /// Number of live hosts in the region, for the thread that follows the store.
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
@@ -238,6 +245,8 @@
             has_new_peer_loads: false,
             next_peer_load_update_ms: 0,
             pending_update: PendingUpdate::default(),
+            origins: StreamOrigins::new(),
+            pending_origins: PendingOrigins::default(),
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
         })
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,9 +1,12 @@
 //! Encoding of responses: the gateway's own, and those relayed from endpoints.
 
-use super::head::{
-    Header,
-    RequestHead,
-    ResponseHead, //
+use super::{
+    head::{
+        Header,
+        RequestHead,
+        ResponseHead, //
+    },
+    software_version::SoftwareVersion, //
 };
 use crate::http::message::reason_phrase;
 
@@ -11,6 +14,9 @@
 pub const NOT_RUN_HEADER: &str = "Bridge-Not-Run";
 /// Header that carries the resolved route of a forwarded request.
 pub const FORWARD_HEADER: &str = "Bridge-Forward";
+/// Header by which a host states the software version of the endpoint that serves a
+/// forwarded stream.
+pub const SOFTWARE_VERSION_HEADER: &str = "Bridge-Software-Version";
 /// Prefix of header names that only hosts may send.
 const INTERNAL_PREFIX: &str = "bridge-";
 
@@ -85,10 +91,12 @@
     Chunked,
 }
 
-/// Appends the head of a relayed response to `out`.
+/// Appends the head of a relayed response to `out`; `software_version` is for the host
+/// that forwarded the request.
 pub fn write_response_head(
     head: &ResponseHead,
     frame: BodyFrame,
+    software_version: Option<&SoftwareVersion>,
     is_closing: bool,
     out: &mut Vec<u8>,
 ) {
@@ -100,6 +108,9 @@
         }
         BodyFrame::Chunked => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
     }
+    if let Some(version) = software_version {
+        out.extend_from_slice(format!("{SOFTWARE_VERSION_HEADER}: {version}\r\n").as_bytes());
+    }
     if is_closing {
         out.extend_from_slice(b"Connection: close\r\n");
     }
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -107,7 +107,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return false;
         };
-        let is_retryable = exchange.route.is_retryable()
+        let is_retryable = exchange.is_retryable()
             && exchange.inbound.is_some()
             && exchange.run_count < exchange.route.max_attempts
             && now_ms < exchange.deadline_ms;
@@ -406,7 +406,7 @@
     let Some(dispatch) = &exchange.dispatch else {
         return false;
     };
-    let is_retryable = exchange.route.is_retryable()
+    let is_retryable = exchange.is_retryable()
         && exchange.inbound.is_some()
         && exchange.run_count + 1 < exchange.route.max_attempts;
     let limit_ms = match &dispatch.destination {
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -181,27 +181,24 @@
             exchange.is_waiting = false;
             self.waiting.retain(|other| *other != key);
         }
-        let Some(upstream) = upstream else {
-            exchange.dispatch = Some(Dispatch {
-                destination,
-                upstream: usize::MAX,
-                sent_ms: now_ms,
-                has_begun: false,
-                is_success: false,
-                progress_ms: now_ms,
-                next_move_ms: now_ms,
-            });
-            return self.dispatch_failed(key, UpstreamError::Unreachable);
-        };
-        exchange.dispatch = Some(Dispatch {
+        let software_version = exchange
+            .placement
+            .as_ref()
+            .and_then(|placement| placement.software_version.clone());
+        let dispatch = Dispatch {
             destination,
-            upstream,
+            upstream: upstream.unwrap_or(usize::MAX),
             sent_ms: now_ms,
             has_begun: false,
             is_success: false,
             progress_ms: now_ms,
+            software_version,
             next_move_ms: now_ms,
-        });
+        };
+        exchange.dispatch = Some(dispatch);
+        let Some(upstream) = upstream else {
+            return self.dispatch_failed(key, UpstreamError::Unreachable);
+        };
         let is_head_request = exchange.request.head.method == "HEAD";
         let connection = &mut self.upstreams[upstream];
         connection.exchange = Some(key);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -28,7 +28,9 @@
     },
     fleet::EndpointQuery,
     hosts::HostInfo,
-    reactor::Reactor, //
+    reactor::Reactor,
+    serve_completion::UNREACHABLE_RETRY_MS,
+    software_version::SoftwareVersion, //
 };
 
 /// Time limit of requests that specify none.
@@ -81,12 +83,78 @@
         if let Some(inbound) = self.inbound.get_mut(inbound) {
             inbound.exchange = Some(key);
         }
+        if !self.find_stream_version(key, now_ms) {
+            return self.refuse(
+                key,
+                "software version of the stream is unknown",
+                UNREACHABLE_RETRY_MS,
+            );
+        }
         self.place_exchange(key);
     }
 
+    /// Sets the software version of a stream that its caller takes up; returns false if
+    /// it is unknown.
+    fn find_stream_version(&mut self, key: usize, now_ms: u64) -> bool {
+        let Some(exchange) = self.exchanges.get(key) else {
+            return false;
+        };
+        if !exchange.is_taken_up() || exchange.route.software_version.is_some() {
+            return true;
+        }
+        let begun_by = exchange.request.metadata.begun_by.as_deref();
+        let version = self.stream_version(begun_by, &exchange.route.service, now_ms);
+        self.exchanges[key].route.software_version = version;
+        self.exchanges[key].route.software_version.is_some()
+    }
+
+    /// Returns the software version at which the stream of an attempt began.
+    ///
+    /// If the attempt is unknown, it is the only version that has served since, unless
+    /// this host may not know all versions.
+    fn stream_version(
+        &self,
+        begun_by: Option<&str>,
+        service: &str,
+        now_ms: u64,
+    ) -> Option<SoftwareVersion> {
+        let known = begun_by.and_then(|attempt| self.origins.version_of(attempt));
+        if let Some(version) = known {
+            return Some(version.clone());
+        }
+        self.store_recovered_ms?;
+        let only = self.fleet.only_version(service, now_ms)?;
+        (!self.origins.has_other(service, only, now_ms)).then(|| only.clone())
+    }
+
+    /// Returns whether a region has an endpoint of the software version to which a request
+    /// is bound.
+    fn serves_version_of(&self, exchange: &Exchange, region: &str, now_ms: u64) -> bool {
+        let route = &exchange.route;
+        route.software_version.as_ref().is_none_or(|version| {
+            self.fleet
+                .has_version(region, &route.service, version, now_ms)
+        })
+    }
+
+    /// Returns whether any region that may serve a request has an endpoint of the software
+    /// version to which it is bound.
+    fn is_version_served(&self, exchange: &Exchange, now_ms: u64) -> bool {
+        let mut regions = self.settings.regions.values();
+        regions.any(|region| {
+            exchange.route.allows_region(region) && self.serves_version_of(exchange, region, now_ms)
+        })
+    }
+
     /// Decides where a request goes and sends, queues or refuses it.
     pub(super) fn place_exchange(&mut self, key: usize) {
         let now_ms = self.now_ms();
+        let exchange = self.exchanges.get(key);
+        let is_bound = exchange.is_some_and(|exchange| exchange.route.software_version.is_some());
+        if is_bound && exchange.is_some_and(|exchange| !self.is_version_served(exchange, now_ms)) {
+            let cause = "no endpoint of the stream's software version";
+            return self.refuse(key, cause, UNREACHABLE_RETRY_MS);
+        }
         let Some(context) = self.placement_context(key, now_ms) else {
             return;
         };
@@ -137,6 +205,7 @@
                 service: &service,
                 metadata: &exchange.request.metadata,
                 excluded,
+                software_version: route.software_version.as_ref(),
                 region: &self.region_view,
                 goal_left_ms,
                 time_left_ms,
@@ -178,7 +247,8 @@
             may_become_usable: is_home
                 && self
                     .fleet
-                    .has_staying(&service.name, &exchange.excluded_endpoints, now_ms),
+                    .has_staying(&service.name, &exchange.excluded_endpoints, now_ms)
+                && self.serves_version_of(exchange, &self.settings.host.region, now_ms),
             unwanted_for_ms: self
                 .fleet
                 .unwanted_for_ms(&service.name, now_ms)
@@ -248,6 +318,7 @@
             .filter(|region| *region != own_region && exchange.route.allows_region(region))
             .filter(|region| !exchange.excluded_regions.contains(region))
             .filter(|region| !exchange.is_in_region(region))
+            .filter(|region| self.serves_version_of(exchange, region, now_ms))
             .filter(|region| self.hosts.live(now_ms).any(|host| host.region == **region))
             .filter_map(|region| self.remote_offer(region, exchange, service, now_ms))
             .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
@@ -273,6 +344,7 @@
             service,
             metadata: &exchange.request.metadata,
             excluded: &[],
+            software_version: None,
             region: &self.region_view,
             goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms) as f64,
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -19,11 +19,16 @@
         BodyFrame,
         GatewayResponse,
         NOT_RUN_HEADER,
+        SOFTWARE_VERSION_HEADER,
         write_response_head, //
     },
     serve_completion::{
         MAX_EXCLUDED_ENDPOINTS,
         UNREACHABLE_RETRY_MS, //
+    },
+    stream_origins::{
+        AttemptHash,
+        StreamOrigin, //
     }, //
 };
 use crate::platform::headers::{
@@ -71,6 +76,10 @@
         if let Some(dispatch) = &mut exchange.dispatch {
             dispatch.is_success = is_success;
             dispatch.progress_ms = now_ms;
+            if let Destination::Region { .. } = dispatch.destination {
+                let stated = head.header(SOFTWARE_VERSION_HEADER);
+                dispatch.software_version = stated.and_then(|text| text.parse().ok());
+            }
         }
         if !exchange.route.is_stream || !is_success {
             exchange.buffered.clear();
@@ -138,10 +147,35 @@
         }
         let head = head.clone();
         self.record_first_event(key, now_ms);
+        self.record_origin(key, now_ms);
         self.write_head_once(key, &head);
         self.write_body_chunk(key, &complete_events);
     }
 
+    /// Binds a stream that can be taken up to the software version of its first event,
+    /// and informs the other hosts.
+    fn record_origin(&mut self, key: usize, now_ms: u64) {
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            return;
+        };
+        if !exchange.route.is_resumable || exchange.route.software_version.is_some() {
+            return;
+        }
+        let dispatch = exchange.dispatch.as_ref();
+        let Some(version) = dispatch.and_then(|dispatch| dispatch.software_version.clone()) else {
+            return;
+        };
+        exchange.route.software_version = Some(version.clone());
+        let origin = StreamOrigin {
+            attempt: AttemptHash::new(&exchange.request.metadata.attempt_id),
+            service: exchange.route.service.clone(),
+            version,
+        };
+        if self.origins.record(&origin, now_ms) {
+            self.pending_origins.add_own(origin);
+        }
+    }
+
     /// Records the first event, or the response, of the current dispatch.
     pub(super) fn record_first_event(&mut self, key: usize, now_ms: u64) {
         let Some(exchange) = self.exchanges.get_mut(key) else {
@@ -191,9 +225,11 @@
         };
         inbound.is_closing |= is_leaving;
         let is_closing = inbound.is_closing;
+        let software_version = exchange.route.software_version.as_ref();
         write_response_head(
             head,
             BodyFrame::Chunked,
+            software_version.filter(|_| exchange.is_forwarded),
             is_closing,
             inbound.socket.output(),
         );
@@ -302,7 +338,7 @@
             } else {
                 let is_closing = inbound.is_closing;
                 let frame = BodyFrame::Length(buffered.len() as u64);
-                write_response_head(head, frame, is_closing, inbound.socket.output());
+                write_response_head(head, frame, None, is_closing, inbound.socket.output());
                 inbound.socket.queue(&buffered);
             }
         }
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -21,7 +21,8 @@
     store_replica::{
         StoreReplica,
         Update, //
-    }, //
+    },
+    stream_origins::StreamOrigin, //
 };
 
 /// Largest packet between hosts; it fits into one IP packet on common links.
@@ -49,6 +50,8 @@
 /// Time within which announcements that expired during an outage of the store are
 /// renewed: the platform's two seconds and the network latency.
 const ANNOUNCEMENT_RENEWAL_MS: u64 = 2_200;
+/// Most stream origins in a beacon, so that it fits into one packet.
+const MAX_REMOTE_ORIGINS: usize = 24;
 /// Interval of beacons to one host of each other region.
 const REMOTE_BEACON_INTERVAL_MS: u64 = 400;
 
@@ -286,6 +289,7 @@
             era: known.position.era,
             configuration: known.configuration,
             leaving: Vec::new(),
+            origins: Vec::new(),
         }
     }
 
@@ -317,6 +321,7 @@
 
     fn remote_beacon(&mut self, now_ms: u64) -> Beacon {
         let mut beacon = self.new_beacon();
+        beacon.origins = self.pending_origins.take_remote(MAX_REMOTE_ORIGINS);
         let Some(configuration) = self.configuration.clone() else {
             return beacon;
         };
@@ -344,6 +349,15 @@
         beacon
     }
 
+    /// Records streams that began in another region, for the hosts of this one as well.
+    fn relay_origins(&mut self, origins: Vec<StreamOrigin>, now_ms: u64) {
+        for origin in origins {
+            if self.origins.record(&origin, now_ms) {
+                self.pending_origins.add_relayed(origin);
+            }
+        }
+    }
+
     /// Sends a packet to each of `peers`.
     pub(super) fn send_packet(&mut self, packet: &Packet, peers: &[std::net::SocketAddr]) {
         let bytes = match postcard::to_allocvec(packet) {
@@ -392,7 +406,8 @@
         loop {
             match self.beacon_socket.recv_from(&mut buffer) {
                 Ok((count, _)) => match postcard::from_bytes::<Packet>(&buffer[..count]) {
-                    Ok(Packet::Beacon(beacon)) => {
+                    Ok(Packet::Beacon(mut beacon)) => {
+                        self.relay_origins(std::mem::take(&mut beacon.origins), now_ms);
                         self.check_lag(&beacon, now_ms);
                         self.apply_peer_leaving(&beacon.leaving, &beacon.host.name);
                         is_changed |= self.hosts.apply_beacon(beacon, now_ms);
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -45,6 +45,7 @@
             EndpointLoadShare,
             LeavingEndpoint,
             LoadUpdate,
+            MAX_ORIGINS,
             Packet,
             PendingUpdate, //
         },
@@ -55,6 +56,10 @@
         retry_budget::{
             RetryBounds,
             RetryBudget, //
+        },
+        stream_origins::{
+            AttemptHash,
+            StreamOrigin, //
         }, //
     },
     store_position::{
@@ -152,6 +157,7 @@
         service: &model(),
         metadata,
         excluded: &[],
+        software_version: None,
         region: &region,
         goal_left_ms: GOAL_MS,
         time_left_ms: 15_000.0,
@@ -308,7 +314,10 @@
         endpoint.record_prompt(metadata, now_ms + choice.first_event_ms as u64);
         let hash = endpoint.hash;
         self.pending.record_send(&choice, hash, metadata);
-        let changes = self.pending.take_due(1, now_ms).expect("an update is due");
+        let changes = self
+            .pending
+            .take_due(1, false, now_ms)
+            .expect("an update is due");
         let shares = changes.endpoints.iter().map(|id| {
             let endpoint = self.fleet.get(id).expect("the endpoint");
             EndpointLoadShare::new(endpoint.hash, endpoint.own_load)
@@ -323,6 +332,7 @@
             sends: changes.sends,
             blocks: changes.blocks,
             leaving: Vec::new(),
+            origins: Vec::new(),
         };
         (choice.endpoint, update)
     }
@@ -387,6 +397,11 @@
             .collect(),
         ..RequestMetadata::default()
     };
+    let origin = StreamOrigin {
+        attempt: AttemptHash(u64::MAX),
+        service: "service-with-a-long-name".into(),
+        version: "v10.20.30".parse().expect("a valid version"),
+    };
     for number in 0..100 {
         let choice = Choice {
             endpoint: format_compact!("e-{number}"),
@@ -400,7 +415,7 @@
 
     let mut sent_count = 0;
     for now_ms in (0..1_000).step_by(5) {
-        let Some(changes) = pending.take_due(1, now_ms) else {
+        let Some(changes) = pending.take_due(1, false, now_ms) else {
             continue;
         };
         sent_count += changes.sends.len();
@@ -418,6 +433,7 @@
             sends: changes.sends,
             blocks: changes.blocks,
             leaving: Vec::new(),
+            origins: vec![origin.clone(); MAX_ORIGINS],
         };
         let bytes = postcard::to_allocvec(&Packet::LoadUpdate(update)).expect("it is encoded");
         assert!(bytes.len() <= PACKET_BYTES, "{} bytes", bytes.len());
@@ -776,6 +792,7 @@
         era: StoreEra(1),
         configuration: ConfigurationVersion(1),
         leaving: Vec::new(),
+        origins: Vec::new(),
     }
 }
 
@@ -961,9 +978,12 @@
 
     pending.record_leaving(leaving);
 
-    let changes = pending.take_due(64, 0).expect("an update is due");
+    let changes = pending.take_due(64, false, 0).expect("an update is due");
     assert_eq!(changes.leaving, vec![leaving]);
-    assert!(pending.take_due(64, 1_000).is_none(), "it was sent twice");
+    assert!(
+        pending.take_due(64, false, 1_000).is_none(),
+        "it was sent twice"
+    );
 }
 
 /// Guards against requests to an endpoint that asked this host to stay away, also
