Let a broken request wait only for endpoints that can take it

Callers of requests that an endpoint had broken off waited until their deadline although another endpoint was free, or although none could take them in time.

Cause: an endpoint that was full or unreachable for a moment was excluded for good, and a request that has run then waited for any announced endpoint. Such requests also took the places of new ones in the queue.

Change: a request that has run goes back to an endpoint that was full, and to one that was unreachable if there is no other. It waits only if an endpoint may be used before its deadline, and is placed again every 60 ms, outside the queue of the others.

The effect on the queue of new requests has no test of its own.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -55,8 +55,9 @@
     /// Whether an endpoint may have run the request; the latency goal no longer decides
     /// about it, and a refusal would end its response.
     pub has_run: bool,
-    /// Whether an endpoint of this region that cannot be used now may be usable later.
-    pub may_become_usable: bool,
+    /// Time until an endpoint of this region that cannot be used now may be used; none if
+    /// there is no such endpoint.
+    pub usable_in_ms: Option<f64>,
     /// Time until an endpoint of this region wants requests from this host again;
     /// none unless all of them asked it to stay away.
     pub unwanted_for_ms: Option<f64>,
@@ -130,8 +131,12 @@
 /// Decides about a request while no endpoint may be used; one may become usable
 /// shortly.
 fn without_endpoint(context: PlacementContext) -> Placement {
-    if context.has_run && context.may_become_usable {
-        return Placement::Wait;
+    if context.has_run {
+        let is_in_time = |usable_ms| usable_ms < context.time_left_ms;
+        return match context.usable_in_ms.is_some_and(is_in_time) {
+            true => Placement::Wait,
+            false => refuse(&context, context.goal_ms),
+        };
     }
     if let Some(unwanted_ms) = context.unwanted_for_ms {
         // Without time to serve the request afterwards, a wait would be in vain.
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -490,6 +490,11 @@
         self.error_rate
     }
 
+    /// Returns the earliest time at which the endpoint may get a request, if it stays.
+    pub fn usable_at_ms(&self) -> u64 {
+        self.blocked_until_ms.max(self.statements.unwanted_until_ms)
+    }
+
     /// Returns the earliest time at which a blocked endpoint is tried again.
     pub fn blocked_until_ms(&self) -> u64 {
         self.blocked_until_ms
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
         RetryPolicy,
         Route, //
     },
+    endpoint::Failure,
     events::EventSplitter,
     fleet::Choice,
     head::RequestHead,
@@ -205,12 +206,17 @@
     pub run_count: u32,
     /// Endpoints that are not tried again.
     pub excluded_endpoints: Vec<CompactString>,
-    /// Endpoints that failed; they are tried again only if there is no other.
+    /// Endpoints that failed, or could not be reached for a request that has run; they are
+    /// tried again only if there is no other.
     pub avoided_endpoints: Vec<CompactString>,
+    /// Number of endpoints that did not take the request.
+    pub skip_count: usize,
     /// Regions that are not tried again.
     pub excluded_regions: Vec<CompactString>,
     /// The request waits for an endpoint.
     pub is_waiting: bool,
+    /// Time before which a waiting request is not placed again.
+    pub next_placement_ms: u64,
     /// Dispatch in progress.
     pub dispatch: Option<Dispatch>,
     /// Inputs of the latest placement.
@@ -243,6 +249,19 @@
         self.route.is_retryable() && can_continue
     }
 
+    /// Records that an endpoint did not take the request.
+    ///
+    /// A request that has run may go back there: to one that was full when it has room
+    /// again, to one that was unreachable if no other endpoint takes it.
+    pub fn skip_endpoint(&mut self, id: CompactString, failure: Failure) {
+        self.skip_count += 1;
+        match failure {
+            Failure::Shed if self.run_count > 0 => {}
+            Failure::Unreachable if self.run_count > 0 => self.avoided_endpoints.push(id),
+            _ => self.excluded_endpoints.push(id),
+        }
+    }
+
     /// Returns whether the caller takes up a stream that an earlier attempt began.
     pub fn is_taken_up(&self) -> bool {
         self.route.is_resumable && self.request.metadata.last_event_id.is_some()
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -362,11 +362,22 @@
         own_region.map(LeavingEndpoint::new)
     }
 
-    /// Returns whether an endpoint of `service` in this region, other than the excluded
-    /// ones, is announced and stays, although it may be blocked at the moment.
-    pub fn has_staying(&self, service: &str, excluded: &[CompactString], now_ms: u64) -> bool {
+    /// Returns the time until an endpoint of `service` in this region may be used, of those
+    /// that stay and are neither excluded nor of another software version.
+    pub fn usable_in_ms(
+        &self,
+        service: &str,
+        version: Option<&SoftwareVersion>,
+        excluded: &[CompactString],
+        now_ms: u64,
+    ) -> Option<u64> {
         self.staying(service, now_ms)
-            .any(|endpoint| !excluded.contains(&endpoint.id))
+            .filter(|endpoint| !excluded.contains(&endpoint.id))
+            .filter(|endpoint| {
+                version.is_none_or(|bound| *bound == endpoint.announcement.software_version)
+            })
+            .map(|endpoint| endpoint.usable_at_ms().saturating_sub(now_ms))
+            .min()
     }
 
     /// Returns whether an endpoint of a service and software version in `region` is
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -26,9 +26,9 @@
     serve_upstream::UpstreamError, //
 };
 
-/// Maximum number of endpoints tried for a request that none of them runs.
+/// Maximum number of endpoints and regions tried for a request that none of them runs.
 /// Endpoints that no longer exist refuse connections within milliseconds.
-pub(super) const MAX_EXCLUDED_ENDPOINTS: usize = 8;
+pub(super) const MAX_SKIPPED_PLACES: usize = 8;
 /// Retry time for callers if no endpoint could be reached.
 pub(super) const UNREACHABLE_RETRY_MS: u64 = 300;
 /// Minimum time without progress after which a retryable request is sent to
@@ -59,18 +59,16 @@
             Some(Destination::Endpoint(choice)) if error == UpstreamError::Broken => {
                 exchange.avoided_endpoints.push(choice.endpoint);
             }
-            Some(Destination::Endpoint(choice)) => {
-                exchange.excluded_endpoints.push(choice.endpoint)
-            }
+            Some(Destination::Endpoint(choice)) => exchange.skip_endpoint(choice.endpoint, failure),
             Some(Destination::Region { region, .. }) => exchange.excluded_regions.push(region),
             None => {}
         }
         exchange.buffered.clear();
         exchange.events.discard_partial();
-        let excluded = exchange.excluded_endpoints.len() + exchange.excluded_regions.len();
+        let skip_count = exchange.skip_count + exchange.excluded_regions.len();
         self.end_dispatch(key, Some(failure), now_ms);
         if error == UpstreamError::Unreachable {
-            if excluded < MAX_EXCLUDED_ENDPOINTS {
+            if skip_count < MAX_SKIPPED_PLACES {
                 return self.place_exchange(key);
             }
             return self.refuse(key, "no endpoint could be reached", UNREACHABLE_RETRY_MS);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -39,6 +39,11 @@
 const DEFAULT_ROUND_TRIP_MS: f64 = 150.0;
 /// Maximum placements per service in one pass over the waiting requests.
 const MAX_PLACEMENTS: usize = 24;
+/// Longest wait for an endpoint that has not failed a request, if one that has could take
+/// it: enough for one that was full for a moment.
+const MAX_WAIT_FOR_UNTRIED_MS: u64 = 200;
+/// Interval at which a request that has run is placed again while no endpoint may be used.
+const BLOCKED_PLACEMENT_INTERVAL_MS: u64 = 60;
 
 impl Reactor {
     pub(super) fn start_exchange(
@@ -69,8 +74,10 @@
             run_count: 0,
             excluded_endpoints: Vec::new(),
             avoided_endpoints: Vec::new(),
+            skip_count: 0,
             excluded_regions: Vec::new(),
             is_waiting: false,
+            next_placement_ms: now_ms,
             dispatch: None,
             placement: None,
             refusal: None,
@@ -177,6 +184,12 @@
             Placement::Send(choice) => self.send_to_endpoint(key, choice),
             Placement::Forward(offer) => self.send_to_region(key, offer),
             Placement::Wait => {
+                // Without a usable endpoint, the request need not be placed at each tick.
+                let pause_ms = match inputs.local_ms {
+                    None if exchange.has_run() => BLOCKED_PLACEMENT_INTERVAL_MS,
+                    _ => 0,
+                };
+                exchange.next_placement_ms = now_ms + pause_ms;
                 if !exchange.is_waiting {
                     exchange.is_waiting = true;
                     self.waiting.push(key);
@@ -226,15 +239,25 @@
         .concat();
         let remote = self.best_remote_offer(exchange, &service, now_ms);
         let untried = is_home.then(|| choose(&skipped)).flatten();
-        // An endpoint that failed the request is only tried again if no other
-        // region can be.
+        let usable_in_ms = |excluded: &[CompactString]| {
+            let version = route.software_version.as_ref();
+            self.fleet
+                .usable_in_ms(&service.name, version, excluded, now_ms)
+                .filter(|_| is_home)
+        };
+        let untried_in_ms = usable_in_ms(&skipped).filter(|_| exchange.has_run());
+        // An endpoint that failed the request is only tried again if no other one is
+        // usable soon, and no other region can be.
+        let may_repeat = is_home
+            && !is_in_progress
+            && remote.is_none()
+            && untried_in_ms.is_none_or(|in_ms| in_ms > MAX_WAIT_FOR_UNTRIED_MS);
         let local = match untried {
-            None if is_home && remote.is_none() && !is_in_progress => {
-                choose(&exchange.excluded_endpoints)
-            }
+            None if may_repeat => choose(&exchange.excluded_endpoints),
             untried => untried,
         };
         let queue_ms = self.queue_ms(&service, Some(key), now_ms);
+        let usable_in_ms = usable_in_ms(&exchange.excluded_endpoints);
         Some(PlacementContext {
             local,
             queue_ms,
@@ -244,11 +267,7 @@
             time_left_ms,
             is_waiting: exchange.is_waiting,
             has_run: exchange.has_run(),
-            may_become_usable: is_home
-                && self
-                    .fleet
-                    .has_staying(&service.name, &exchange.excluded_endpoints, now_ms)
-                && self.serves_version_of(exchange, &self.settings.host.region, now_ms),
+            usable_in_ms: usable_in_ms.map(|in_ms| in_ms as f64),
             unwanted_for_ms: self
                 .fleet
                 .unwanted_for_ms(&service.name, now_ms)
@@ -291,6 +310,7 @@
             .filter(|other| Some(**other) != key)
             .filter_map(|other| self.exchanges.get(*other))
             .filter(|other| other.route.service == service.name)
+            .filter(|other| now_ms >= other.next_placement_ms)
             .filter(|other| own_sort_key.is_none_or(|own| sort_key(other) <= own));
         ahead
             .map(|other| {
@@ -387,12 +407,15 @@
     }
 
     /// Places waiting requests, the most urgent first.
-    pub(super) fn serve_waiting(&mut self, _now_ms: u64) {
+    pub(super) fn serve_waiting(&mut self, now_ms: u64) {
         if self.waiting.is_empty() {
             return;
         }
         let mut order = self.waiting.clone();
-        order.retain(|key| self.exchanges.contains(*key));
+        order.retain(|key| {
+            let exchange = self.exchanges.get(*key);
+            exchange.is_some_and(|exchange| now_ms >= exchange.next_placement_ms)
+        });
         order.sort_by_key(|key| sort_key(&self.exchanges[*key]));
         let mut tried: Vec<(CompactString, usize)> = Vec::new();
         for key in order {
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -23,7 +23,7 @@
         write_response_head, //
     },
     serve_completion::{
-        MAX_EXCLUDED_ENDPOINTS,
+        MAX_SKIPPED_PLACES,
         UNREACHABLE_RETRY_MS, //
     },
     stream_origins::{
@@ -356,11 +356,10 @@
         exchange.buffered.clear();
         match destination {
             Some(Destination::Endpoint(choice)) => {
-                exchange.excluded_endpoints.push(choice.endpoint.clone());
+                exchange.skip_endpoint(choice.endpoint.clone(), failure);
                 self.end_dispatch(key, Some(failure), now_ms);
                 let service = self.exchanges[key].route.service.clone();
-                let has_attempts_left =
-                    self.exchanges[key].excluded_endpoints.len() < MAX_EXCLUDED_ENDPOINTS;
+                let has_attempts_left = self.exchanges[key].skip_count < MAX_SKIPPED_PLACES;
                 let hosts = self.hosts.live_count(now_ms);
                 if has_attempts_left && self.retry_budget.try_take(&service, hosts, now_ms) {
                     return self.place_exchange(key);
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -647,7 +647,7 @@
         time_left_ms: 8_000.0,
         is_waiting: false,
         has_run: false,
-        may_become_usable: false,
+        usable_in_ms: None,
         unwanted_for_ms: None,
     }
 }
@@ -687,7 +687,7 @@
     };
     let blocked = PlacementContext {
         local: None,
-        may_become_usable: true,
+        usable_in_ms: Some(400.0),
         ..late.clone()
     };
 
--- a/tests/gateway_outcomes.rs
+++ b/tests/gateway_outcomes.rs
@@ -5,7 +5,10 @@
 
 use std::{
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use cardamombridge::standin::scripted::{
@@ -298,3 +301,64 @@
         assert!(response.is_complete);
     }
 }
+
+/// Guards against requests that wait until their deadline although an endpoint, which
+/// was full when they were sent there, has room again.
+#[test]
+fn request_goes_to_an_endpoint_that_was_full_for_a_moment() {
+    const REQUEST_COUNT: usize = 14;
+    let breaking = ScriptedEndpoint::start("e-1", |_, _| {
+        Script::After(Duration::from_millis(300), Box::new(Script::Close))
+    })
+    .expect("the endpoint starts");
+    let full = ScriptedEndpoint::start("e-2", |index, _| match index {
+        0..REQUEST_COUNT => Script::NotRun,
+        _ => Script::Answer(200, b"found".to_vec()),
+    })
+    .expect("the endpoint starts");
+    let (store, host) = host_with(&breaking);
+    let address = host.caller_address;
+    let callers: Vec<_> = (0..REQUEST_COUNT)
+        .map(|number| {
+            thread::spawn(move || {
+                Request::get("/read/1")
+                    .with_attempt(&format!("a-{number}"), LIMIT_MS)
+                    .send(address)
+            })
+        })
+        .collect();
+    wait_until("all requests run", || {
+        breaking.runs().len() == REQUEST_COUNT
+    });
+
+    announce(&store, &full, "north");
+
+    for caller in callers {
+        assert_eq!(caller.join().expect("the caller ends").status, 200);
+    }
+}
+
+/// Guards against a wait until the deadline if the only endpoint that could take a broken
+/// request wants none before.
+#[test]
+fn broken_request_does_not_wait_for_an_endpoint_that_accepts_none_in_time() {
+    let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
+        0 => Script::After(Duration::from_millis(300), Box::new(Script::Close)),
+        _ => Script::NotRunFor("9.5"),
+    })
+    .expect("the endpoint starts");
+    let (_store, host) = host_with(&endpoint);
+    let address = host.caller_address;
+    let started = Instant::now();
+    let read = |attempt: &str| Request::get("/read/1").with_attempt(attempt, LIMIT_MS);
+    let broken = read("a-1");
+
+    let caller = thread::spawn(move || broken.send(address));
+    wait_until("the request runs", || endpoint.runs().len() == 1);
+    let refused = read("a-2").send(address);
+    let response = caller.join().expect("the caller ends");
+
+    let took = started.elapsed();
+    assert_eq!((refused.status, response.status), (503, 502));
+    assert!(took < Duration::from_secs(1), "took {took:?}");
+}
