Exclude a host instead of its region after a failed forward

Callers saw forwarded streams cut off, or 502 for reads, when the host of the other region that served them was stopped or killed, although other hosts of that region reached the same endpoints.

Cause: a connection that broke or could not be opened excluded the whole region for the request. For a service with endpoints in one region only, the retry then found no place.

Change: the host is excluded, and the region only after its own refusal. A forward for which no host is left is refused instead of forgotten.

Result: forwarded_stream_goes_on_at_another_host_of_the_region failed before (cut off after 4 of 12 events) and passes now.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -211,6 +211,8 @@
     pub avoided_endpoints: Vec<CompactString>,
     /// Number of endpoints that did not take the request.
     pub skip_count: usize,
+    /// Hosts of other regions that did not complete the request; not tried again.
+    pub excluded_hosts: Vec<CompactString>,
     /// Regions that are not tried again.
     pub excluded_regions: Vec<CompactString>,
     /// The request waits for an endpoint.
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -60,7 +60,11 @@
                 exchange.avoided_endpoints.push(choice.endpoint);
             }
             Some(Destination::Endpoint(choice)) => exchange.skip_endpoint(choice.endpoint, failure),
-            Some(Destination::Region { region, .. }) => exchange.excluded_regions.push(region),
+            // Another host of the region may reach the same endpoints.
+            Some(Destination::Region { host, .. }) => {
+                exchange.skip_count += 1;
+                exchange.excluded_hosts.push(host);
+            }
             None => {}
         }
         exchange.buffered.clear();
@@ -374,7 +378,7 @@
         let successor = match place(self.placement_context(key, now_ms)?) {
             Placement::Send(choice) => Successor::Endpoint(choice),
             Placement::Forward(offer) => {
-                let host = self.preferred_host(&offer.region, now_ms)?;
+                let host = self.preferred_host(key, &offer.region, now_ms)?;
                 Successor::Host(offer, host)
             }
             Placement::Wait | Placement::Refuse(_) => return None,
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -84,8 +84,9 @@
 
     pub(super) fn send_to_region(&mut self, key: usize, offer: RemoteOffer) {
         let now_ms = self.now_ms();
-        if let Some(host) = self.random_host(&offer.region, now_ms) {
-            self.send_to_host(key, offer, host);
+        match self.random_host_for(key, &offer.region, now_ms) {
+            Some(host) => self.send_to_host(key, offer, host),
+            None => self.refuse(key, "no host of the region", UNREACHABLE_RETRY_MS),
         }
     }
 
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -75,6 +75,7 @@
             excluded_endpoints: Vec::new(),
             avoided_endpoints: Vec::new(),
             skip_count: 0,
+            excluded_hosts: Vec::new(),
             excluded_regions: Vec::new(),
             is_waiting: false,
             next_placement_ms: now_ms,
@@ -339,7 +340,7 @@
             .filter(|region| !exchange.excluded_regions.contains(region))
             .filter(|region| !exchange.is_in_region(region))
             .filter(|region| self.serves_version_of(exchange, region, now_ms))
-            .filter(|region| self.hosts.live(now_ms).any(|host| host.region == **region))
+            .filter(|region| self.usable_hosts(exchange, region, now_ms).next().is_some())
             .filter_map(|region| self.remote_offer(region, exchange, service, now_ms))
             .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
@@ -378,6 +379,19 @@
         })
     }
 
+    /// Returns the live hosts of a region to which a request may be forwarded.
+    fn usable_hosts<'a>(
+        &'a self,
+        exchange: &'a Exchange,
+        region: &'a str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a HostInfo> {
+        self.hosts
+            .live(now_ms)
+            .filter(move |host| host.region == region)
+            .filter(|host| !exchange.excluded_hosts.contains(&host.name))
+    }
+
     /// Returns a random live host of a region.
     pub(super) fn random_host(&mut self, region: &str, now_ms: u64) -> Option<HostInfo> {
         let hosts: Vec<HostInfo> = self
@@ -390,18 +404,37 @@
         hosts.get(index).cloned()
     }
 
-    /// Returns a live host of a region: one with an idle connection, otherwise one to which
-    /// a connection is being opened, otherwise any.
-    pub(super) fn preferred_host(&mut self, region: &str, now_ms: u64) -> Option<HostInfo> {
-        let hosts = || {
-            let live = self.hosts.live(now_ms);
-            live.filter(|host| host.region == region)
-        };
+    /// Returns a random host of a region to which a request may be forwarded.
+    pub(super) fn random_host_for(
+        &mut self,
+        key: usize,
+        region: &str,
+        now_ms: u64,
+    ) -> Option<HostInfo> {
+        let exchange = self.exchanges.get(key)?;
+        let hosts: Vec<HostInfo> = self
+            .usable_hosts(exchange, region, now_ms)
+            .cloned()
+            .collect();
+        let index = self.random_index(hosts.len());
+        hosts.get(index).cloned()
+    }
+
+    /// Returns a host of a region to which a request may be forwarded: one with an idle
+    /// connection, otherwise one to which a connection is being opened, otherwise any.
+    pub(super) fn preferred_host(
+        &mut self,
+        key: usize,
+        region: &str,
+        now_ms: u64,
+    ) -> Option<HostInfo> {
+        let exchange = self.exchanges.get(key)?;
+        let hosts = || self.usable_hosts(exchange, region, now_ms);
         let connected = hosts().find(|host| self.has_idle(host.peer_address, now_ms));
         let known =
             connected.or_else(|| hosts().find(|host| self.is_connecting(host.peer_address)));
         match known.cloned() {
-            None => self.random_host(region, now_ms),
+            None => self.random_host_for(key, region, now_ms),
             known => known,
         }
     }
--- a/tests/gateway_forwards.rs
+++ b/tests/gateway_forwards.rs
@@ -2,16 +2,20 @@
 
 mod gatewayenv;
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use cardamombridge::standin::{
     metadata_store::MetadataStore,
     scripted::{
         Script,
-        ScriptedEndpoint, //
+        ScriptedEndpoint,
+        event_text, //
     }, //
 };
 use gatewayenv::{
@@ -22,8 +26,11 @@
     store_with_configuration,
     wait_until, //
 };
+use nix::sys::signal::Signal;
 
 const LIMIT_MS: u64 = 5_000;
+/// Events of a whole stream.
+const EVENT_COUNT: u64 = 12;
 /// Time in which a refusal of another region reaches the caller: several times the
 /// time that the region waits for an endpoint.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(1_000);
@@ -94,3 +101,53 @@
     assert!(response.header("retry-after").is_some());
     assert!(endpoint.runs().is_empty());
 }
+
+/// Guards against a stream that is cut off because the host of another region that serves
+/// it ends, although another host there reaches the same endpoints.
+#[test]
+fn forwarded_stream_goes_on_at_another_host_of_the_region() {
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| {
+        let last = arrival.headers.get("last-event-id");
+        Script::Events {
+            first: last.map_or(0, |last| last.parse::<u64>().unwrap_or(99) + 1),
+            end: EVENT_COUNT,
+            pause: Duration::from_millis(100),
+            is_whole: true,
+        }
+    })
+    .expect("the endpoint starts");
+    let (store, home, first) = two_regions(&endpoint);
+    let options = HostOptions {
+        name: "host-3",
+        region: "south",
+        ..HostOptions::default()
+    };
+    let mut serving = [first, Host::start(&store, &options)];
+    home.wait_log("\"host\":\"host-3\"");
+    let address = home.caller_address;
+    let mut number = 0;
+    wait_until("a request is forwarded", || {
+        number += 1;
+        book(&home, &format!("b-{number}")).status == 200
+    });
+
+    let caller = thread::spawn(move || {
+        Request::post("/chat/1", b"hello")
+            .with_attempt("a-1", LIMIT_MS)
+            .send(address)
+    });
+    wait_until("the stream runs", || {
+        endpoint.runs().iter().any(|run| run.attempt() == "a-1")
+    });
+    thread::sleep(Duration::from_millis(300));
+    for host in &mut serving {
+        if host.log().contains("\"request sent\",\"request\":\"a-1\"") {
+            host.signal(Signal::SIGKILL);
+        }
+    }
+    let response = caller.join().expect("the caller ends");
+
+    let expected: String = (0..EVENT_COUNT).map(event_text).collect();
+    assert_eq!(response.text(), expected);
+    assert!(response.is_complete);
+}
