Let a scripted endpoint fall silent for a time

A sound endpoint may pause on all its connections for a second or so and go on, and no stand-in could do that: a held wire also keeps requests from the endpoint's socket. ScriptedEndpoint::fall_silent lets every connection wait before it handles the next request, before a response and between events; connections are still accepted. An arrival also notes whether its script ends without a whole answer, so that a test can tell a break of the endpoint from one of the host.

--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -76,6 +76,15 @@
     fn is_refusal(&self) -> bool {
         matches!(self, Self::NotRun | Self::NotRunFor(_))
     }
+
+    fn breaks_off(&self) -> bool {
+        match self {
+            Self::Events { is_whole, .. } => !is_whole,
+            Self::Raw(_) | Self::Close => true,
+            Self::After(_, next) => next.breaks_off(),
+            _ => false,
+        }
+    }
 }
 
 /// A request as the endpoint saw it.
@@ -93,6 +102,8 @@
     pub body: Vec<u8>,
     /// The endpoint began to work on it.
     pub has_run: bool,
+    /// The endpoint closed the connection without a whole answer.
+    pub breaks_off: bool,
     /// The endpoint said that it is leaving.
     pub is_leaving: bool,
     /// Seconds for which the endpoint asked for no further requests.
@@ -106,6 +117,31 @@
     }
 }
 
+/// A time in which the endpoint neither reads nor writes.
+#[derive(Debug, Clone)]
+struct Silence(Arc<Mutex<Instant>>);
+
+impl Silence {
+    fn new() -> Self {
+        Self(Arc::new(Mutex::new(Instant::now())))
+    }
+
+    fn extend_to(&self, until: Instant) {
+        let mut end = lock(&self.0);
+        *end = until.max(*end);
+    }
+
+    fn wait(&self) {
+        loop {
+            let left = lock(&self.0).saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left);
+        }
+    }
+}
+
 /// A running endpoint.
 #[derive(Debug)]
 pub struct ScriptedEndpoint {
@@ -113,6 +149,7 @@
     listener: Listener,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_leaving: Arc<AtomicBool>,
+    silence: Silence,
 }
 
 impl ScriptedEndpoint {
@@ -125,15 +162,19 @@
         let noted = Arc::clone(&arrivals);
         let is_leaving = Arc::new(AtomicBool::new(false));
         let stated_leaving = Arc::clone(&is_leaving);
+        let silence = Silence::new();
+        let own_silence = silence.clone();
         let own_id = id.to_owned();
         let listener = Listener::start(0, move |connection, request| {
             let mut arrival = arrival(&request);
+            own_silence.wait();
             let index = lock(&noted).len();
             let expected = arrival.headers.get("x-expect-instance");
             let is_misdirected = expected.is_some_and(|expected| expected != own_id);
             let script = script(index, &arrival);
             arrival.is_leaving = stated_leaving.load(Ordering::Relaxed);
             arrival.has_run = !is_misdirected && !script.is_refusal();
+            arrival.breaks_off = !is_misdirected && script.breaks_off();
             if let Script::NotRunFor(seconds) = &script {
                 arrival.unwanted_s = Some(seconds);
             }
@@ -143,16 +184,23 @@
                 respond(connection, 421, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
-            play(connection, &arrival, &own_id, script)
+            play(connection, &arrival, &own_id, &own_silence, script)
         })?;
         Ok(Self {
             id: id.into(),
             listener,
             arrivals,
             is_leaving,
+            silence,
         })
     }
 
+    /// Reads and writes nothing on any connection for `time`, then goes on where it
+    /// was; connections are still accepted.
+    pub fn fall_silent(&self, time: Duration) {
+        self.silence.extend_to(Instant::now() + time);
+    }
+
     /// Sets whether all its answers say that it is leaving.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.is_leaving.store(is_leaving, Ordering::Relaxed);
@@ -196,6 +244,7 @@
         headers: request.head.headers.clone(),
         body: request.body.clone(),
         has_run: false,
+        breaks_off: false,
         is_leaving: false,
         unwanted_s: None,
     }
@@ -215,12 +264,14 @@
     connection: &mut Connection,
     arrival: &Arrival,
     id: &str,
+    silence: &Silence,
     script: Script,
 ) -> Result<Next, MessageError> {
     let plain = answer_headers(arrival, id);
     let sealed = plain
         .clone()
         .with_field("x-server-seal", &format!("seal-{id}"));
+    silence.wait();
     match script {
         Script::Answer(status, body) => {
             respond(connection, status, sealed, &body, write_deadline())?;
@@ -247,6 +298,7 @@
                 let event = event_text(number);
                 write_chunk(connection, event.as_bytes(), write_deadline())?;
                 thread::sleep(pause);
+                silence.wait();
             }
             if !is_whole {
                 return Ok(Next::Close);
@@ -259,12 +311,13 @@
         }
         Script::Extra(bytes) => {
             respond(connection, 200, sealed, b"answer", write_deadline())?;
+            silence.wait();
             connection.write_all(&bytes, write_deadline())?;
         }
         Script::Close => return Ok(Next::Close),
         Script::After(pause, next) => {
             thread::sleep(pause);
-            return play(connection, arrival, id, *next);
+            return play(connection, arrival, id, silence, *next);
         }
     }
     Ok(Next::Keep)
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -36,6 +36,11 @@
             EngineStandin, //
         },
         model::ModelOptions,
+        scripted::{
+            Script,
+            ScriptedEndpoint,
+            event_text, //
+        },
         service::{
             ServiceOptions,
             ServiceStandin, //
@@ -404,6 +409,52 @@
     assert_eq!(service.runs("box-7"), 2);
 }
 
+/// Guards against an endpoint that reads or writes while it is silent, or loses what
+/// was in progress.
+#[test]
+fn a_silent_endpoint_goes_on_where_it_was() {
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| match arrival.path.as_str() {
+        "/events" => Script::Events {
+            first: 0,
+            end: 10,
+            pause: Duration::from_millis(20),
+            is_whole: true,
+        },
+        _ => Script::Answer(200, b"ok".to_vec()),
+    })
+    .expect("the endpoint starts");
+    let address = endpoint.address();
+    let silence = Duration::from_millis(400);
+    let mut stream = open(address, "GET", "/events", &Value::Null);
+
+    endpoint.fall_silent(silence);
+    let fell_silent = Instant::now();
+    let other = thread::spawn(move || (get(address, "/plain"), Instant::now()));
+    let mut events = Vec::new();
+    let mut silent_pieces = 0;
+    let connection = &mut stream.connection;
+    while stream
+        .body
+        .read_piece(connection, &mut events, deadline())
+        .expect("a piece")
+        > 0
+    {
+        // The endpoint may be within a write when it falls silent.
+        let after = fell_silent.elapsed();
+        silent_pieces += u32::from(after > silence / 4 && after < silence * 3 / 4);
+    }
+    let (answer, answered) = other.join().expect("the caller ends");
+
+    assert!(fell_silent.elapsed() > silence);
+    assert_eq!(silent_pieces, 0);
+    assert_eq!(
+        events,
+        (0..10).map(event_text).collect::<String>().as_bytes()
+    );
+    assert_eq!(answer, (200, "ok".into()));
+    assert!(answered >= fell_silent + silence * 3 / 4);
+}
+
 fn stock_over(wire: &Wire) -> Result<u16, MessageError> {
     let call = HttpRequest {
         method: "GET".into(),
