--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -150,6 +150,7 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_leaving: Arc<AtomicBool>,
     silence: Silence,
+    version: Arc<Mutex<Option<String>>>,
 }
 
 impl ScriptedEndpoint {
@@ -164,6 +165,8 @@
         let stated_leaving = Arc::clone(&is_leaving);
         let silence = Silence::new();
         let own_silence = silence.clone();
+        let version = Arc::new(Mutex::new(None));
+        let own_version = Arc::clone(&version);
         let own_id = id.to_owned();
         let listener = Listener::start(0, move |connection, request| {
             let mut arrival = arrival(&request);
@@ -184,7 +187,9 @@
                 respond(connection, 421, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
-            play(connection, &arrival, &own_id, &own_silence, script)
+            let version = lock(&own_version).clone();
+            let version = version.as_deref();
+            play(connection, &arrival, &own_id, version, &own_silence, script)
         })?;
         Ok(Self {
             id: id.into(),
@@ -192,6 +197,7 @@
             arrivals,
             is_leaving,
             silence,
+            version,
         })
     }
 
@@ -201,6 +207,17 @@
         self.silence.extend_to(Instant::now() + time);
     }
 
+    /// States a software version in the events that it sends.
+    pub fn with_version(self, version: &str) -> Self {
+        self.set_version(version);
+        self
+    }
+
+    /// Changes the software version; streams in progress keep theirs.
+    pub fn set_version(&self, version: &str) {
+        *lock(&self.version) = Some(version.into());
+    }
+
     /// Sets whether all its answers say that it is leaving.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.is_leaving.store(is_leaving, Ordering::Relaxed);
@@ -264,6 +281,7 @@
     connection: &mut Connection,
     arrival: &Arrival,
     id: &str,
+    version: Option<&str>,
     silence: &Silence,
     script: Script,
 ) -> Result<Next, MessageError> {
@@ -295,7 +313,10 @@
             let headers = sealed.with_field("content-type", "text/event-stream");
             start_chunked(connection, 200, headers, write_deadline())?;
             for number in first..end {
-                let event = event_text(number);
+                let event = match version {
+                    Some(version) => versioned_event_text(version, number),
+                    None => event_text(number),
+                };
                 write_chunk(connection, event.as_bytes(), write_deadline())?;
                 thread::sleep(pause);
                 silence.wait();
@@ -317,13 +338,18 @@
         Script::Close => return Ok(Next::Close),
         Script::After(pause, next) => {
             thread::sleep(pause);
-            return play(connection, arrival, id, silence, *next);
+            return play(connection, arrival, id, version, silence, *next);
         }
     }
     Ok(Next::Keep)
 }
 
-/// Text of an event as scripted endpoints send it.
+/// Text of an event as scripted endpoints without a software version send it.
 pub fn event_text(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
 }
+
+/// Text of an event as scripted endpoints of a software version send it.
+pub fn versioned_event_text(version: &str, number: u64) -> String {
+    format!("id: {number}\ndata: token {number} of {version}\n\n")
+}
