Do not move requests from an endpoint that is silent for two seconds

Cause: 1.2 s without progress counted as a stall, less than the silence that is no trouble by the users' rules. The next endpoint accepts the connection and may still fail; and the sound one was counted as broken, blocked after three requests, and then tried by one request at a time.

Change: a request is moved after 2.2 s. Callers leave a stream after 3.2 s or more without an event, so a move can still help them. Requests to an endpoint that hangs for longer stay there for a second more than before.

--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -32,8 +32,8 @@
 /// Retry time for callers if no endpoint could be reached.
 pub(super) const UNREACHABLE_RETRY_MS: u64 = 300;
 /// Minimum time without progress after which a retryable request is sent to
-/// another endpoint.
-const MIN_STALL_MS: u64 = 1_200;
+/// another endpoint: longer than the silence of a sound endpoint, up to two seconds.
+const MIN_STALL_MS: u64 = 2_200;
 /// Like [`MIN_STALL_MS`], for another region, whose latency is predicted less
 /// accurately.
 const REMOTE_STALL_MS: u64 = 2_500;
