Send a request to an idle endpoint however slow it was

Callers got 503 for every request, 30 of 30 in the test, from a host whose endpoint had been silent once for 1.9 s and had been idle since.

Cause: the silence counts as the speed of the endpoint and as the run time of its service, and the prediction multiplies the two. Once it exceeds the time limit of the requests, nothing is sent, so nothing corrects it until the endpoint is announced as started again.

Change: if no other request is at the endpoint that would be chosen, the next one is sent there. Requests that arrive meanwhile are still refused.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -103,6 +103,15 @@
     if let Some(choice) = sendable {
         return Placement::Send(choice);
     }
+    // The predicted speed of an idle endpoint comes from earlier requests, and only a new
+    // one can correct it.
+    if let Some(choice) = context
+        .local
+        .clone()
+        .filter(|choice| choice.is_idle && is_next)
+    {
+        return Placement::Send(choice);
+    }
     let is_past_deadline = local_ms >= context.time_left_ms;
     let is_late = local_ms > context.goal_left_ms;
     if is_past_deadline || (is_late && !context.is_waiting && !context.has_run) {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -152,6 +152,8 @@
     pub cost_ms: f64,
     /// Endpoint from which cached parts of the prompt are copied first.
     pub fetch_from: Option<SocketAddr>,
+    /// The endpoint has no other request, as far as this host knows.
+    pub is_idle: bool,
 }
 
 /// Where the start of a prompt is probably cached.
@@ -638,6 +640,7 @@
             work,
             copied_tokens,
             backlog_ms,
+            is_idle: load <= 0.0,
             fetch_from: caches
                 .source
                 .as_ref()
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -639,6 +639,7 @@
             backlog_ms: 50.0,
             cost_ms: 200.0,
             fetch_from: None,
+            is_idle: false,
         }),
         queue_ms: 0.0,
         remote: None,
@@ -668,6 +669,31 @@
     assert!((1_000..=2_400).contains(&retry_ms), "{retry_ms}");
 }
 
+/// An endpoint was silent, so that it is predicted to be slower than a request may last.
+/// Guards against refusals of all requests from then on, after which nothing would
+/// correct the prediction.
+#[test]
+fn idle_endpoint_gets_a_request_however_slow_it_was() {
+    let slow = PlacementContext {
+        local: placement_context().local.map(|choice| Choice {
+            first_event_ms: 20_000.0,
+            is_idle: true,
+            ..choice
+        }),
+        ..placement_context()
+    };
+    let busy = PlacementContext {
+        local: slow.local.clone().map(|choice| Choice {
+            is_idle: false,
+            ..choice
+        }),
+        ..slow.clone()
+    };
+
+    assert!(matches!(place(slow), Placement::Send(_)));
+    assert!(matches!(place(busy), Placement::Refuse(_)));
+}
+
 /// An endpoint broke a stream off after its goal had passed. Guards against a refusal,
 /// which would end the response, while another endpoint can take it before the deadline.
 #[test]
