--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -40,6 +40,9 @@
 /// request can still be retried.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 
+/// Resolution of the reactor's clock, which rounds down.
+const CLOCK_STEP_MS: u64 = 1;
+
 impl Reactor {
     /// Handles the head of a response.
     pub(super) fn on_response_head(
@@ -63,7 +66,7 @@
                 endpoint.set_cold(left_ms, now_ms);
             }
             if let Some(for_ms) = metadata.unwanted_for_ms {
-                endpoint.record_unwanted(for_ms, now_ms);
+                endpoint.record_unwanted(for_ms + CLOCK_STEP_MS, now_ms);
                 tracing::info!(
                     endpoint = %choice.endpoint,
                     request = %exchange.request.metadata.attempt_id,
