Soak software versions and streams that callers take up

The soak's endpoints had no software version, and its callers never took a stream up, so it could not see streams of two versions.

Endpoints now announce v1 or v2, both in each region, and at some of their starts one of the other version and with another id replaces them. A third of the callers' resumable streams are left after two events; these and all others that end early are taken up once at a random host. New checks: a stream holds events of one version over its attempts, and of 12 or more streams whose version two endpoints serve, taken up at a host that neither started in the last 3 s nor was paused, the share that goes on is at least half of the share of new streams that begin.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -4,7 +4,8 @@
 //! faults: hosts are paused, stopped, killed and restarted; their connections to
 //! the store are cut, frozen and delayed; the store refuses calls, closes
 //! connections, loses responses, drops its history and returns from an older copy;
-//! endpoints state that they are leaving, or want no requests for a while;
+//! endpoints state that they are leaving, or want no requests for a while; some are
+//! replaced by endpoints of another software version;
 //! configurations, evacuations and removals are interleaved. The checks use what
 //! callers received, what endpoints saw and the versions that hosts logged.
 //!
@@ -41,7 +42,7 @@
         Arrival,
         Script,
         ScriptedEndpoint,
-        event_text, //
+        versioned_event_text, //
     },
     wire::Wire, //
 };
@@ -50,9 +51,9 @@
     HostOptions,
     Request,
     Response,
-    announce,
     announce_with,
     configuration,
+    event_count,
     store_with_configuration,
     wait_until, //
 };
@@ -80,6 +81,8 @@
     ("e-3", "south"),
     ("e-4", "south"),
 ];
+/// Software versions of the endpoints.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 const CALLER_COUNT: u64 = 6;
 const EVENT_COUNT: u64 = 6;
 const LIMIT_MS: u64 = 3_000;
@@ -97,6 +100,14 @@
 /// Time after a leaving endpoint's response in which requests of the same host may
 /// still arrive: those sent before the response.
 const LEAVING_SLACK: Duration = Duration::from_millis(1_000);
+/// One in this many requests of a caller disconnects from its stream early.
+const EARLY_LEAVE_INTERVAL: u64 = 3;
+/// Events after which it disconnects.
+const EARLY_LEAVE_EVENTS: usize = 2;
+/// Time after the start of a host in which it may not know all streams.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Fewest taken-up streams of which a share is checked.
+const MIN_TAKEN_UP: usize = 12;
 /// Time limit for all hosts to serve again after the last fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(8);
 
@@ -104,6 +115,17 @@
     attempt: String,
     path: &'static str,
     response: Option<Response>,
+    /// The stream that the request takes up, if any.
+    taken_up: Option<TakenUp>,
+}
+
+/// A stream of which a caller received only a part.
+struct TakenUp {
+    received: String,
+    began: Instant,
+    resumed: Instant,
+    /// Process that the stream was taken up at.
+    sender: Sender,
 }
 
 /// A process of a host.
@@ -142,6 +164,12 @@
     until: Instant,
 }
 
+/// Numbers of endpoints of each software version that serve, from a time on.
+struct Serving {
+    at: Instant,
+    counts: [usize; VERSIONS.len()],
+}
+
 /// State of an endpoint as it announces it.
 #[derive(Debug, Clone)]
 struct Announced {
@@ -149,6 +177,26 @@
     sequence: u64,
     /// Times of its starts, the latest last.
     starts: Vec<Instant>,
+    /// Index of its software version.
+    version: usize,
+}
+
+impl Announced {
+    /// Returns the state of an endpoint at its first start; half of a region's endpoints
+    /// have the same version.
+    fn new(index: usize) -> Self {
+        Self {
+            is_draining: false,
+            sequence: 0,
+            starts: vec![Instant::now()],
+            version: index % VERSIONS.len(),
+        }
+    }
+}
+
+fn start_endpoint(seed: u64, id: &str, version: &str) -> ScriptedEndpoint {
+    let endpoint = ScriptedEndpoint::start(id, move |index, arrival| script(seed, arrival, index));
+    endpoint.expect("the endpoint starts").with_version(version)
 }
 
 fn random_below(random: &mut Pcg64Mcg, count: u64) -> u64 {
@@ -218,20 +266,70 @@
             "/read/1" => Request::get(path),
             _ => Request::post(path, attempt.as_bytes()),
         };
+        let began = Instant::now();
         let response = request
             .with_attempt(&attempt, LIMIT_MS)
             .with_header(SENDER_HEADER, &sender.to_string())
-            .try_send(address);
-        let retry_after = response.as_ref().and_then(retry_after);
-        outcomes.lock().expect("no panic").push(Outcome {
+            .try_send_until(address, most_events(path, number));
+        let mut own = vec![Outcome {
             attempt,
             path,
             response,
-        });
+            taken_up: None,
+        }];
+        own.extend(take_up(&own[0], began, caller_addresses, &mut random));
+        let last = own.last().and_then(|outcome| outcome.response.as_ref());
+        let retry_after = last.and_then(retry_after);
+        outcomes.lock().expect("no panic").extend(own);
         thread::sleep(retry_after.unwrap_or_default());
     }
 }
 
+/// Returns the number of events after which a caller disconnects.
+fn most_events(path: &str, number: u64) -> usize {
+    match path == "/chat/1" && number.is_multiple_of(EARLY_LEAVE_INTERVAL) {
+        true => EARLY_LEAVE_EVENTS,
+        false => usize::MAX,
+    }
+}
+
+/// Takes up a resumable stream that ended early, once, at a random host.
+fn take_up(
+    first: &Outcome,
+    began: Instant,
+    caller_addresses: &CallerAddresses,
+    random: &mut Pcg64Mcg,
+) -> Option<Outcome> {
+    let response = first.response.as_ref()?;
+    let text = response.text();
+    let received = &text[..text.rfind("\n\n")? + 2];
+    if first.path != "/chat/1" || response.is_complete {
+        return None;
+    }
+    let host = random_below(random, HOSTS.len() as u64) as usize;
+    let (address, sender) = caller_addresses.lock().expect("no panic")[host]?;
+    let last = event_count(received.as_bytes()) - 1;
+    let attempt = format!("{}-again", first.attempt);
+    let resumed = Instant::now();
+    let response = Request::post(first.path, first.attempt.as_bytes())
+        .with_attempt(&attempt, LIMIT_MS)
+        .with_header(SENDER_HEADER, &sender.to_string())
+        .with_header("Last-Event-Id", &last.to_string())
+        .with_header("Resumes", &first.attempt)
+        .try_send(address);
+    Some(Outcome {
+        attempt,
+        path: first.path,
+        response,
+        taken_up: Some(TakenUp {
+            received: received.to_owned(),
+            began,
+            resumed,
+            sender,
+        }),
+    })
+}
+
 /// Returns the time after which a caller retries: callers heed a host's wish for up to
 /// a third of their time limit.
 fn retry_after(response: &Response) -> Option<Duration> {
@@ -249,22 +347,22 @@
     ended_logs: Vec<String>,
     version: u64,
     announced: Vec<Announced>,
-    process_count: u64,
+    /// Times at which the processes of hosts started.
+    process_starts: Vec<Instant>,
     pauses: Vec<Pause>,
+    seed: u64,
+    /// Endpoints that others have replaced, with their indexes.
+    former: Vec<(usize, ScriptedEndpoint)>,
+    serving: Vec<Serving>,
 }
 
 impl Cluster {
     fn new(seed: u64) -> Self {
         let store = store_with_configuration();
-        let endpoints: Vec<ScriptedEndpoint> = ENDPOINTS
+        let endpoints = ENDPOINTS
             .iter()
-            .map(|(id, region)| {
-                let endpoint =
-                    ScriptedEndpoint::start(id, move |index, arrival| script(seed, arrival, index))
-                        .expect("the endpoint starts");
-                announce(&store, &endpoint, region);
-                endpoint
-            })
+            .enumerate()
+            .map(|(index, (id, _))| start_endpoint(seed, id, VERSIONS[index % VERSIONS.len()]))
             .collect();
         let wires = (0..HOSTS.len() as u64)
             .map(|index| Wire::start(store.address(), seed ^ index).expect("the wire starts"))
@@ -277,17 +375,16 @@
             caller_addresses: Arc::new(Mutex::new(vec![None; HOSTS.len()])),
             ended_logs: Vec::new(),
             version: 7,
-            announced: vec![
-                Announced {
-                    is_draining: false,
-                    sequence: 1,
-                    starts: vec![Instant::now()],
-                };
-                ENDPOINTS.len()
-            ],
-            process_count: 0,
+            announced: (0..ENDPOINTS.len()).map(Announced::new).collect(),
+            process_starts: Vec::new(),
             pauses: Vec::new(),
+            seed,
+            former: Vec::new(),
+            serving: Vec::new(),
         };
+        for index in 0..ENDPOINTS.len() {
+            cluster.announce_again(index);
+        }
         for index in 0..HOSTS.len() {
             cluster.start(index);
         }
@@ -307,10 +404,10 @@
             store: Some(self.wires[index].address()),
         };
         let host = Host::start_only(&self.store, &options);
-        self.process_count += 1;
+        self.process_starts.push(Instant::now());
         let sender = Sender {
             host: index,
-            process: self.process_count,
+            process: self.process_starts.len() as u64,
         };
         self.caller_addresses.lock().expect("no panic")[index] =
             Some((host.caller_address, sender));
@@ -389,8 +486,10 @@
             }
             9 => {
                 self.store.put("op/evacuate/north-a", &json!({}));
+                self.record_serving(|_, region| region != "north");
                 thread::sleep(pause);
                 self.store.delete("op/evacuate/north-a");
+                self.record_serving(|_, _| true);
             }
             10 => {
                 self.write_older_configuration();
@@ -400,6 +499,7 @@
             12 => {
                 let endpoint = random_below(random, ENDPOINTS.len() as u64) as usize;
                 self.endpoints[endpoint].set_leaving(true);
+                self.record_serving(|index, _| index != endpoint);
                 thread::sleep(LEAVING);
                 self.restart_endpoint(endpoint);
             }
@@ -441,17 +541,64 @@
         };
         let fields = json!({
             "state": state, "seq": announced.sequence, "born": announced.starts.len(),
+            "version": VERSIONS[announced.version],
         });
         let region = ENDPOINTS[index].1;
         announce_with(&self.store, &self.endpoints[index], region, &fields);
+        self.record_serving(|_, _| true);
+    }
+
+    /// Records the endpoints that serve: those in use that are not draining.
+    fn record_serving<F>(&mut self, is_in_use: F)
+    where
+        F: Fn(usize, &str) -> bool,
+    {
+        let mut counts = [0; VERSIONS.len()];
+        for (index, announced) in self.announced.iter().enumerate() {
+            if !announced.is_draining && is_in_use(index, ENDPOINTS[index].1) {
+                counts[announced.version] += 1;
+            }
+        }
+        let at = Instant::now();
+        self.serving.push(Serving { at, counts });
+    }
+
+    /// At some starts, replaces an endpoint by one of another version and with another
+    /// id, unless its version would have no endpoint then. The former one completes its
+    /// requests.
+    fn release(&mut self, index: usize) {
+        let Announced {
+            starts, version, ..
+        } = &self.announced[index];
+        let start = starts.len();
+        let same = self.announced.iter();
+        let same = same.filter(|other| other.version == *version);
+        if !start.is_multiple_of(2) || same.count() < 2 {
+            return;
+        }
+        let version = (version + 1) % VERSIONS.len();
+        self.announced[index].version = version;
+        let id = format!("{}-{start}", ENDPOINTS[index].0);
+        let released = start_endpoint(self.seed, &id, VERSIONS[version]);
+        let former = std::mem::replace(&mut self.endpoints[index], released);
+        self.store.delete(&format!("servers/{}", former.id()));
+        self.former.push((index, former));
+    }
+
+    /// Returns all endpoints with their indexes, including those that were replaced.
+    fn all_endpoints(&self) -> impl Iterator<Item = (usize, &ScriptedEndpoint)> {
+        let former = self.former.iter();
+        let former = former.map(|(index, endpoint)| (*index, endpoint));
+        self.endpoints.iter().enumerate().chain(former)
     }
 
     fn restart_endpoint(&mut self, index: usize) {
-        self.endpoints[index].set_leaving(false);
         let announced = &mut self.announced[index];
         announced.is_draining = false;
         announced.sequence = 0;
         announced.starts.push(Instant::now());
+        self.release(index);
+        self.endpoints[index].set_leaving(false);
         self.announce_again(index);
     }
 
@@ -472,7 +619,7 @@
     /// Checks that endpoints got no requests that they did not want: not from a host
     /// that they had asked to stay away, nor after they stated that they are leaving.
     fn check_statements(&self, seed: u64) {
-        for (index, endpoint) in self.endpoints.iter().enumerate() {
+        for (index, endpoint) in self.all_endpoints() {
             let arrivals = endpoint.arrivals();
             for stated in &arrivals {
                 let (slack, time, most) = match (stated.unwanted_s, stated.is_leaving) {
@@ -510,6 +657,30 @@
         next.map_or(at + time, |next| (at + time).min(*next))
     }
 
+    /// Returns whether two endpoints of a taken-up stream's version served, and its host
+    /// had started before and was running.
+    fn can_go_on(&self, stream: &TakenUp) -> bool {
+        let TakenUp {
+            received,
+            began,
+            resumed,
+            sender,
+        } = stream;
+        let until = *resumed + Duration::from_millis(LIMIT_MS);
+        let start = self.process_starts[sender.process as usize - 1];
+        let before = self.serving.iter().rfind(|serving| serving.at <= *began);
+        let after = self
+            .serving
+            .iter()
+            .filter(|serving| (*began..until).contains(&serving.at));
+        let serves_twice = VERSIONS.iter().enumerate().any(|(position, version)| {
+            let of_version = received.starts_with(&versioned_event_text(version, 0));
+            let mut during = before.into_iter().chain(after.clone());
+            of_version && during.all(|serving| serving.counts[position] >= 2)
+        });
+        serves_twice && *resumed >= start + SETTLE_TIME && !self.was_paused(*sender, *began, until)
+    }
+
     fn was_paused(&self, sender: Sender, from: Instant, until: Instant) -> bool {
         self.pauses
             .iter()
@@ -518,10 +689,54 @@
     }
 }
 
+/// Returns the events of a whole stream of the version that sent the first event in
+/// `text`.
+fn expected_events(text: &str) -> String {
+    let is_version = |version: &&&str| text.contains(&format!("token 0 of {version}\n"));
+    let version = VERSIONS.iter().find(is_version).unwrap_or(&VERSIONS[0]);
+    (0..EVENT_COUNT)
+        .map(|number| versioned_event_text(version, number))
+        .collect()
+}
+
+/// Checks that streams that callers took up go on at least half as often as new streams
+/// begin, while two endpoints of their version serve.
+fn check_taken_up(seed: u64, cluster: &Cluster, outcomes: &[Outcome]) {
+    let share = |streams: &[&Outcome]| {
+        let responses = streams.iter().filter_map(|stream| stream.response.as_ref());
+        let begun = responses.filter(|response| response.status == 200).count();
+        begun as f64 / streams.len() as f64
+    };
+    let streams = || outcomes.iter().filter(|outcome| outcome.path == "/chat/1");
+    let new: Vec<&Outcome> = streams()
+        .filter(|stream| stream.taken_up.is_none())
+        .collect();
+    let taken_up: Vec<&Outcome> = streams()
+        .filter(|stream| {
+            let taken_up = stream.taken_up.as_ref();
+            taken_up.is_some_and(|taken_up| cluster.can_go_on(taken_up))
+        })
+        .collect();
+    println!("seed {seed}: {} streams that can go on", taken_up.len());
+    if taken_up.len() < MIN_TAKEN_UP {
+        return;
+    }
+    let (gone_on, begun) = (share(&taken_up), share(&new));
+    println!("seed {seed}: share {gone_on:.2} goes on, {begun:.2} of new streams begin");
+    assert!(
+        gone_on * 2.0 >= begun,
+        "seed {seed}: share {gone_on} of {} taken-up streams, {begun} of new ones",
+        taken_up.len()
+    );
+}
+
 /// Counts the runs of each attempt at all endpoints.
-fn runs(endpoints: &[ScriptedEndpoint]) -> HashMap<String, usize> {
+fn runs(cluster: &Cluster) -> HashMap<String, usize> {
     let mut counts = HashMap::new();
-    for run in endpoints.iter().flat_map(ScriptedEndpoint::runs) {
+    let all_runs = cluster
+        .all_endpoints()
+        .flat_map(|(_, endpoint)| endpoint.runs());
+    for run in all_runs {
         *counts.entry(run.attempt().to_owned()).or_default() += 1;
     }
     counts
@@ -545,9 +760,13 @@
     if response.status != 200 {
         return;
     }
-    let text = response.text();
+    let received = outcome
+        .taken_up
+        .as_ref()
+        .map(|stream| stream.received.as_str());
+    let text = received.unwrap_or_default().to_owned() + &response.text();
     let expected = match *path {
-        "/chat/1" | "/draft/1" => (0..EVENT_COUNT).map(event_text).collect(),
+        "/chat/1" | "/draft/1" => expected_events(&text),
         _ => attempt.clone(),
     };
     // `Script::Extra` sends this body before the second response.
@@ -620,12 +839,13 @@
     for thread in threads {
         thread.join().expect("a caller ends");
     }
-    let counts = runs(&cluster.endpoints);
+    let counts = runs(&cluster);
     let outcomes = outcomes.lock().expect("no panic");
     for outcome in outcomes.iter() {
         let runs = counts.get(&outcome.attempt).copied().unwrap_or(0);
         check_outcome(seed, outcome, runs);
     }
+    check_taken_up(seed, &cluster, &outcomes);
     cluster.check_statements(seed);
     for log in &cluster.ended_logs {
         check_versions(seed, log);
@@ -651,7 +871,8 @@
 
 /// Guards against guarantees that are violated under a series of faults: at most
 /// one run of a non-idempotent request, refusals only of requests that did not
-/// run, complete responses to the right request, events in order, configuration
+/// run, complete responses to the right request, events in order and of one software
+/// version, streams that go on when callers take them up, configuration
 /// versions that never decrease, no requests to endpoints that do not want them, and
 /// recovery.
 #[test]
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -342,9 +342,14 @@
 
     /// Like [`Self::send`]; none if the host does not respond.
     pub fn try_send(&self, address: SocketAddr) -> Option<Response> {
+        self.try_send_until(address, usize::MAX)
+    }
+
+    /// Like [`Self::try_send`]; disconnects after `most_events` events of a stream.
+    pub fn try_send_until(&self, address: SocketAddr, most_events: usize) -> Option<Response> {
         let mut stream = TcpStream::connect(address).ok()?;
         stream.write_all(&self.bytes()).ok()?;
-        read_response(&mut stream)
+        read_response_until(&mut stream, &mut Vec::new(), most_events)
     }
 }
 
@@ -358,6 +363,14 @@
 /// `read` contains bytes already read beyond the previous response; on return,
 /// it contains those beyond this one.
 pub fn read_next_response(stream: &mut TcpStream, read: &mut Vec<u8>) -> Option<Response> {
+    read_response_until(stream, read, usize::MAX)
+}
+
+fn read_response_until(
+    stream: &mut TcpStream,
+    read: &mut Vec<u8>,
+    most_events: usize,
+) -> Option<Response> {
     stream
         .set_read_timeout(Some(Duration::from_secs(30)))
         .expect("a time limit");
@@ -383,6 +396,9 @@
         if decoder.is_done() {
             break true;
         }
+        if event_count(&body) >= most_events {
+            break false;
+        }
         match stream.read(&mut buffer) {
             Ok(0) | Err(_) => break false,
             Ok(count) => input.extend_from_slice(&buffer[..count]),
@@ -397,6 +413,11 @@
     })
 }
 
+/// Returns the number of complete events in a stream.
+pub fn event_count(body: &[u8]) -> usize {
+    body.windows(2).filter(|pair| *pair == b"\n\n").count()
+}
+
 /// Starts a store with a configuration whose routes go to the service `desk`.
 ///
 /// `/read/` is idempotent, `/book/` is not, `/chat/` is a resumable stream and
