--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -145,21 +145,21 @@
         })
     }
 
-    /// Returns whether any region that may serve a request has an endpoint of the software
-    /// version to which it is bound.
+    /// Returns whether a request may go to any software version, or a region that may serve
+    /// it has an endpoint of the one to which it is bound.
     fn is_version_served(&self, exchange: &Exchange, now_ms: u64) -> bool {
         let mut regions = self.settings.regions.values();
-        regions.any(|region| {
+        let is_served_in = |region: &CompactString| {
             exchange.route.allows_region(region) && self.serves_version_of(exchange, region, now_ms)
-        })
+        };
+        exchange.route.software_version.is_none() || regions.any(is_served_in)
     }
 
     /// Decides where a request goes and sends, queues or refuses it.
     pub(super) fn place_exchange(&mut self, key: usize) {
         let now_ms = self.now_ms();
         let exchange = self.exchanges.get(key);
-        let is_bound = exchange.is_some_and(|exchange| exchange.route.software_version.is_some());
-        if is_bound && exchange.is_some_and(|exchange| !self.is_version_served(exchange, now_ms)) {
+        if exchange.is_some_and(|exchange| !self.is_version_served(exchange, now_ms)) {
             let cause = "no endpoint of the stream's software version";
             return self.refuse(key, cause, UNREACHABLE_RETRY_MS);
         }
