Tell other regions of new streams within 50 ms

Callers that took a stream up in another region right after it had begun were refused while two software versions served: in a soak run 7 of 17 refusals came 10 to 41 ms after the beginning, in the other region.

Cause: other regions learned of the streams of a host with its next beacon to them, every 400 ms.

Change: a beacon to the other regions is due after 50 ms while they do not know all streams of the host.

--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -54,6 +54,9 @@
 const MAX_REMOTE_ORIGINS: usize = 24;
 /// Interval of beacons to one host of each other region.
 const REMOTE_BEACON_INTERVAL_MS: u64 = 400;
+/// The same while a region does not know all streams that this host began: a caller may
+/// take one up there at any moment.
+const ORIGIN_BEACON_INTERVAL_MS: u64 = 50;
 
 impl Reactor {
     /// Applies a change of the replica or a command to the process.
@@ -192,7 +195,11 @@
                 self.send_packet(&Packet::Beacon(beacon), &peers);
             }
         }
-        if now_ms >= self.next_remote_beacon_ms {
+        let early_ms = match self.pending_origins.has_remote() {
+            true => REMOTE_BEACON_INTERVAL_MS - ORIGIN_BEACON_INTERVAL_MS,
+            false => 0,
+        };
+        if now_ms + early_ms >= self.next_remote_beacon_ms {
             self.next_remote_beacon_ms = now_ms + REMOTE_BEACON_INTERVAL_MS;
             let peers = self.one_host_of_each_region(now_ms);
             if !peers.is_empty() {
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -171,6 +171,11 @@
         !self.own.is_empty()
     }
 
+    /// Returns whether this host began streams that the other regions do not know.
+    pub fn has_remote(&self) -> bool {
+        !self.remote.is_empty()
+    }
+
     /// Takes up to `count` streams for the hosts of this region.
     pub fn take_local(&mut self, count: usize) -> Vec<StreamOrigin> {
         let own_count = count.min(self.own.len());
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -515,6 +515,40 @@
     assert_all_go_on(&begun, &responses);
 }
 
+/// Guards against a refusal of streams that are taken up in another region as soon as
+/// their own region is lost.
+#[test]
+fn stream_taken_up_in_another_region_at_once_goes_on() {
+    const EVENTS_BEFORE_LOSS: usize = 6;
+    let store = store_with_configuration();
+    let _endpoints = [("e-1", "v1"), ("e-2", "v2")].map(|(id, version)| {
+        ["north", "south"]
+            .map(|region| whole_endpoint(&store, &format!("{region}-{id}"), version, region))
+    });
+    let hosts = start_hosts(&store, &[("host-1", "north"), ("host-3", "south")]);
+    let callers: Vec<_> = (0..STREAM_COUNT)
+        .map(|number| {
+            let (north, south) = (hosts[0].caller_address, hosts[1].caller_address);
+            thread::spawn(move || {
+                thread::sleep(EVENT_PAUSE * 2 * number as u32);
+                let attempt = format!("a-{number}");
+                let mut stream = Stream::open(&begin(&attempt), north).expect("a stream");
+                let received = stream.read_events(EVENTS_BEFORE_LOSS);
+                drop(stream);
+                let response = take_up("again", &attempt, &received).send(south);
+                (Begun { attempt, received }, response)
+            })
+        })
+        .collect();
+
+    let (begun, responses): (Vec<Begun>, Vec<Response>) = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("a caller ends"))
+        .unzip();
+
+    assert_all_go_on(&begun, &responses);
+}
+
 /// Guards against a taken-up stream that goes on at another version because an endpoint
 /// of another region began it through a forward.
 #[test]
