--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,8 @@
 mod serve_dispatch;
 mod serve_placement;
 mod serve_response;
+mod serve_stall;
+mod serve_streams;
 mod serve_upstream;
 pub mod settings;
 pub mod software_version;
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -84,7 +84,11 @@
 
     pub(super) fn send_to_region(&mut self, key: usize, offer: RemoteOffer) {
         let now_ms = self.now_ms();
-        match self.random_host_for(key, &offer.region, now_ms) {
+        let Some(exchange) = self.exchanges.get(key) else {
+            return;
+        };
+        let excluded = exchange.excluded_hosts.clone();
+        match self.random_host(&offer.region, &excluded, now_ms) {
             Some(host) => self.send_to_host(key, offer, host),
             None => self.refuse(key, "no host of the region", UNREACHABLE_RETRY_MS),
         }
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -29,8 +29,7 @@
     fleet::EndpointQuery,
     hosts::HostInfo,
     reactor::Reactor,
-    serve_completion::UNREACHABLE_RETRY_MS,
-    software_version::SoftwareVersion, //
+    serve_completion::UNREACHABLE_RETRY_MS, //
 };
 
 /// Time limit of requests that specify none.
@@ -101,60 +100,6 @@
         self.place_exchange(key);
     }
 
-    /// Sets the software version of a stream that its caller takes up; returns false if
-    /// it is unknown.
-    fn find_stream_version(&mut self, key: usize, now_ms: u64) -> bool {
-        let Some(exchange) = self.exchanges.get(key) else {
-            return false;
-        };
-        if !exchange.is_taken_up() || exchange.route.software_version.is_some() {
-            return true;
-        }
-        let begun_by = exchange.request.metadata.begun_by.as_deref();
-        let version = self.stream_version(begun_by, &exchange.route.service, now_ms);
-        self.exchanges[key].route.software_version = version;
-        self.exchanges[key].route.software_version.is_some()
-    }
-
-    /// Returns the software version at which the stream of an attempt began.
-    ///
-    /// If the attempt is unknown, it is the only version that has served since, unless
-    /// this host may not know all versions.
-    fn stream_version(
-        &self,
-        begun_by: Option<&str>,
-        service: &str,
-        now_ms: u64,
-    ) -> Option<SoftwareVersion> {
-        let known = begun_by.and_then(|attempt| self.origins.version_of(attempt));
-        if let Some(version) = known {
-            return Some(version.clone());
-        }
-        self.store_recovered_ms?;
-        let only = self.fleet.only_version(service, now_ms)?;
-        (!self.origins.has_other(service, only, now_ms)).then(|| only.clone())
-    }
-
-    /// Returns whether a region has an endpoint of the software version to which a request
-    /// is bound.
-    fn serves_version_of(&self, exchange: &Exchange, region: &str, now_ms: u64) -> bool {
-        let route = &exchange.route;
-        route.software_version.as_ref().is_none_or(|version| {
-            self.fleet
-                .has_version(region, &route.service, version, now_ms)
-        })
-    }
-
-    /// Returns whether a request may go to any software version, or a region that may serve
-    /// it has an endpoint of the one to which it is bound.
-    fn is_version_served(&self, exchange: &Exchange, now_ms: u64) -> bool {
-        let mut regions = self.settings.regions.values();
-        let is_served_in = |region: &CompactString| {
-            exchange.route.allows_region(region) && self.serves_version_of(exchange, region, now_ms)
-        };
-        exchange.route.software_version.is_none() || regions.any(is_served_in)
-    }
-
     /// Decides where a request goes and sends, queues or refuses it.
     pub(super) fn place_exchange(&mut self, key: usize) {
         let now_ms = self.now_ms();
@@ -340,7 +285,10 @@
             .filter(|region| !exchange.excluded_regions.contains(region))
             .filter(|region| !exchange.is_in_region(region))
             .filter(|region| self.serves_version_of(exchange, region, now_ms))
-            .filter(|region| self.usable_hosts(exchange, region, now_ms).next().is_some())
+            .filter(|region| {
+                let excluded = &exchange.excluded_hosts;
+                self.hosts_in(region, excluded, now_ms).next().is_some()
+            })
             .filter_map(|region| self.remote_offer(region, exchange, service, now_ms))
             .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
@@ -379,62 +327,44 @@
         })
     }
 
-    /// Returns the live hosts of a region to which a request may be forwarded.
-    fn usable_hosts<'a>(
+    /// Returns the live hosts of a region, without the excluded ones.
+    fn hosts_in<'a>(
         &'a self,
-        exchange: &'a Exchange,
         region: &'a str,
+        excluded: &'a [CompactString],
         now_ms: u64,
     ) -> impl Iterator<Item = &'a HostInfo> {
         self.hosts
             .live(now_ms)
-            .filter(move |host| host.region == region)
-            .filter(|host| !exchange.excluded_hosts.contains(&host.name))
-    }
-
-    /// Returns a random live host of a region.
-    pub(super) fn random_host(&mut self, region: &str, now_ms: u64) -> Option<HostInfo> {
-        let hosts: Vec<HostInfo> = self
-            .hosts
-            .live(now_ms)
-            .filter(|host| host.region == region)
-            .cloned()
-            .collect();
-        let index = self.random_index(hosts.len());
-        hosts.get(index).cloned()
+            .filter(move |host| host.region == region && !excluded.contains(&host.name))
     }
 
-    /// Returns a random host of a region to which a request may be forwarded.
-    pub(super) fn random_host_for(
+    /// Returns a random live host of a region, but none of the excluded ones.
+    pub(super) fn random_host(
         &mut self,
-        key: usize,
         region: &str,
+        excluded: &[CompactString],
         now_ms: u64,
     ) -> Option<HostInfo> {
-        let exchange = self.exchanges.get(key)?;
-        let hosts: Vec<HostInfo> = self
-            .usable_hosts(exchange, region, now_ms)
-            .cloned()
-            .collect();
+        let hosts: Vec<HostInfo> = self.hosts_in(region, excluded, now_ms).cloned().collect();
         let index = self.random_index(hosts.len());
         hosts.get(index).cloned()
     }
 
-    /// Returns a host of a region to which a request may be forwarded: one with an idle
+    /// Returns a host of a region to which a request may be moved: one with an idle
     /// connection, otherwise one to which a connection is being opened, otherwise any.
     pub(super) fn preferred_host(
         &mut self,
-        key: usize,
         region: &str,
+        excluded: &[CompactString],
         now_ms: u64,
     ) -> Option<HostInfo> {
-        let exchange = self.exchanges.get(key)?;
-        let hosts = || self.usable_hosts(exchange, region, now_ms);
+        let hosts = || self.hosts_in(region, excluded, now_ms);
         let connected = hosts().find(|host| self.has_idle(host.peer_address, now_ms));
         let known =
             connected.or_else(|| hosts().find(|host| self.is_connecting(host.peer_address)));
         match known.cloned() {
-            None => self.random_host_for(key, region, now_ms),
+            None => self.random_host(region, excluded, now_ms),
             known => known,
         }
     }
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -26,10 +26,6 @@
         MAX_SKIPPED_PLACES,
         UNREACHABLE_RETRY_MS, //
     },
-    stream_origins::{
-        AttemptHash,
-        StreamOrigin, //
-    }, //
 };
 use crate::platform::headers::{
     ResponseMetadata,
@@ -155,30 +151,6 @@
         self.write_body_chunk(key, &complete_events);
     }
 
-    /// Binds a stream that can be taken up to the software version of its first event,
-    /// and informs the other hosts.
-    fn record_origin(&mut self, key: usize, now_ms: u64) {
-        let Some(exchange) = self.exchanges.get_mut(key) else {
-            return;
-        };
-        if !exchange.route.is_resumable || exchange.route.software_version.is_some() {
-            return;
-        }
-        let dispatch = exchange.dispatch.as_ref();
-        let Some(version) = dispatch.and_then(|dispatch| dispatch.software_version.clone()) else {
-            return;
-        };
-        exchange.route.software_version = Some(version.clone());
-        let origin = StreamOrigin {
-            attempt: AttemptHash::new(&exchange.request.metadata.attempt_id),
-            service: exchange.route.service.clone(),
-            version,
-        };
-        if self.origins.record(&origin, now_ms) {
-            self.pending_origins.add_own(origin);
-        }
-    }
-
     /// Records the first event, or the response, of the current dispatch.
     pub(super) fn record_first_event(&mut self, key: usize, now_ms: u64) {
         let Some(exchange) = self.exchanges.get_mut(key) else {
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -22,7 +22,6 @@
         StoreReplica,
         Update, //
     },
-    stream_origins::StreamOrigin, //
 };
 
 /// Largest packet between hosts; it fits into one IP packet on common links.
@@ -225,7 +224,7 @@
         regions.retain(|region| *region != self.settings.host.region);
         regions
             .iter()
-            .filter_map(|region| self.random_host(region, now_ms))
+            .filter_map(|region| self.random_host(region, &[], now_ms))
             .map(|host| host.peer_address)
             .collect()
     }
@@ -356,15 +355,6 @@
         beacon
     }
 
-    /// Records streams that began in another region, for the hosts of this one as well.
-    fn relay_origins(&mut self, origins: Vec<StreamOrigin>, now_ms: u64) {
-        for origin in origins {
-            if self.origins.record(&origin, now_ms) {
-                self.pending_origins.add_relayed(origin);
-            }
-        }
-    }
-
     /// Sends a packet to each of `peers`.
     pub(super) fn send_packet(&mut self, packet: &Packet, peers: &[std::net::SocketAddr]) {
         let bytes = match postcard::to_allocvec(packet) {
