Space the tries of a broken request at a full endpoint

A request that an endpoint had broken off got 502 half a second later, with 4 s left, while the endpoint that was full for a moment answered all others (one of 12 runs of request_goes_to_an_endpoint_that_was_full_for_a_moment beside load; traced: eight tries in 440 ms, 60 ms apart, each of which also kept the endpoint blocked for the requests that waited).

Change: the pause between two tries doubles from 60 ms up to 960 ms.

--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -41,8 +41,11 @@
 /// Longest wait for an endpoint that has not failed a request, if one that has could take
 /// it: enough for one that was full for a moment.
 const MAX_WAIT_FOR_UNTRIED_MS: u64 = 200;
-/// Interval at which a request that has run is placed again while no endpoint may be used.
-const BLOCKED_PLACEMENT_INTERVAL_MS: u64 = 60;
+/// Pause after which a request that has run is placed again while no endpoint may be used;
+/// doubles with each endpoint that does not take the request.
+const BLOCKED_PLACEMENT_PAUSE_MS: u64 = 60;
+/// Largest number of times that the pause doubles.
+const MAX_PAUSE_DOUBLINGS: usize = 4;
 
 impl Reactor {
     pub(super) fn start_exchange(
@@ -132,7 +135,7 @@
             Placement::Wait => {
                 // Without a usable endpoint, the request need not be placed at each tick.
                 let pause_ms = match inputs.local_ms {
-                    None if exchange.has_run() => BLOCKED_PLACEMENT_INTERVAL_MS,
+                    None if exchange.has_run() => blocked_pause_ms(exchange.skip_count),
                     _ => 0,
                 };
                 exchange.next_placement_ms = now_ms + pause_ms;
@@ -401,6 +404,10 @@
     }
 }
 
+fn blocked_pause_ms(skip_count: usize) -> u64 {
+    BLOCKED_PLACEMENT_PAUSE_MS << skip_count.min(MAX_PAUSE_DOUBLINGS)
+}
+
 /// Sort key of waiting requests: those that have run first, then priority, then arrival.
 fn sort_key(exchange: &Exchange) -> (bool, u8, u64, u64) {
     let priority = exchange.route.priority.unwrap_or(0);
