--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -4,7 +4,8 @@
 //! faults: hosts are paused, stopped, killed and restarted; their connections to
 //! the store are cut, frozen and delayed; the store refuses calls, closes
 //! connections, loses responses, drops its history and returns from an older copy;
-//! endpoints state that they are leaving, or want no requests for a while;
+//! endpoints state that they are leaving, or want no requests for a while; some are
+//! replaced by endpoints of another software version;
 //! configurations, evacuations and removals are interleaved. Another series consists
 //! mostly of planned work beside endpoints that are silent for a second or two. The
 //! checks use what callers received, what endpoints saw and what hosts logged.
@@ -46,7 +47,7 @@
         Arrival,
         Script,
         ScriptedEndpoint,
-        event_text, //
+        versioned_event_text, //
     },
     wire::Wire, //
 };
@@ -55,10 +56,10 @@
     HostOptions,
     Request,
     Response,
-    announce,
     announce_with,
     configuration,
-    read_next_response,
+    event_count,
+    read_response_until,
     store_with_configuration,
     wait_until, //
 };
@@ -92,6 +93,8 @@
     ("e-3", "south"),
     ("e-4", "south"),
 ];
+/// Software versions of the endpoints.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 const CALLER_COUNT: u64 = 6;
 /// Callers beside planned work: with more of them, more requests are in progress when
 /// an endpoint falls silent.
@@ -112,6 +115,17 @@
 /// Time after a leaving endpoint's response in which requests of the same host may
 /// still arrive: those sent before the response.
 const LEAVING_SLACK: Duration = Duration::from_millis(1_000);
+/// One in this many requests of a caller disconnects from its stream early.
+const EARLY_LEAVE_INTERVAL: u64 = 3;
+/// Events after which it disconnects: more than an endpoint sends before it breaks off,
+/// so that the host is not waiting for another endpoint's response then.
+const EARLY_LEAVE_EVENTS: usize = BREAK_EVENTS as usize + 1;
+/// Events after which an endpoint sometimes breaks off.
+const BREAK_EVENTS: u64 = 2;
+/// Time after the start of a host in which it may not know all streams.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Fewest taken-up streams of which a share is checked.
+const MIN_TAKEN_UP: usize = 12;
 /// Time limit for all hosts to serve again after the last fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(8);
 /// Time limits of routes and of idle callers in configurations that change limits.
@@ -133,6 +147,10 @@
     attempt: String,
     path: &'static str,
     response: Option<Response>,
+    /// The stream that the request takes up, if any.
+    taken_up: Option<TakenUp>,
+    /// The caller disconnected before the end of the stream.
+    has_left: bool,
     /// Process that the request was sent to.
     sender: Sender,
     /// The whole request was written.
@@ -143,6 +161,12 @@
     idle: Option<Duration>,
 }
 
+/// A stream of which a caller received only a part.
+struct TakenUp {
+    received: String,
+    began: Instant,
+}
+
 /// A process of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Sender {
@@ -179,6 +203,12 @@
     until: Instant,
 }
 
+/// Numbers of endpoints of each software version that serve, from a time on.
+struct Serving {
+    at: Instant,
+    counts: [usize; VERSIONS.len()],
+}
+
 /// A signal that ended a process.
 struct Stop {
     sender: Sender,
@@ -200,6 +230,26 @@
     sequence: u64,
     /// Times of its starts, the latest last.
     starts: Vec<Instant>,
+    /// Index of its software version.
+    version: usize,
+}
+
+impl Announced {
+    /// Returns the state of an endpoint at its first start; half of a region's endpoints
+    /// have the same version.
+    fn new(index: usize) -> Self {
+        Self {
+            is_draining: false,
+            sequence: 0,
+            starts: vec![Instant::now()],
+            version: index % VERSIONS.len(),
+        }
+    }
+}
+
+fn start_endpoint(seed: u64, id: &str, version: &str) -> ScriptedEndpoint {
+    let endpoint = ScriptedEndpoint::start(id, move |index, arrival| script(seed, arrival, index));
+    endpoint.expect("the endpoint starts").with_version(version)
 }
 
 fn random_below(random: &mut Pcg64Mcg, count: u64) -> u64 {
@@ -223,7 +273,7 @@
         (2, _) => Script::Answer(500, b"failed".to_vec()),
         (3, true) => Script::Events {
             first,
-            end: (first + 2).min(EVENT_COUNT),
+            end: (first + BREAK_EVENTS).min(EVENT_COUNT),
             pause: Duration::from_millis(5),
             is_whole: false,
         },
@@ -264,12 +314,22 @@
         }
     }
 
-    /// Sends a request and reads its response.
-    fn send(&mut self, attempt: String, path: &'static str) -> Outcome {
+    /// Sends a request and reads its response, or the first events of it.
+    fn send(&mut self, attempt: String, path: &'static str, most_events: usize) -> Outcome {
         let request = match path {
             "/read/1" => Request::get(path),
             _ => Request::post(path, attempt.as_bytes()),
         };
+        self.exchange(request, attempt, path, most_events)
+    }
+
+    fn exchange(
+        &mut self,
+        request: Request,
+        attempt: String,
+        path: &'static str,
+        most_events: usize,
+    ) -> Outcome {
         let bytes = request
             .with_attempt(&attempt, LIMIT_MS)
             .with_header(SENDER_HEADER, &self.sender.to_string())
@@ -280,13 +340,18 @@
             Some(stream)
         });
         let is_sent = written.is_some();
-        let response = written.and_then(|stream| read_next_response(stream, &mut self.read));
+        let response =
+            written.and_then(|stream| read_response_until(stream, &mut self.read, most_events));
         let ended = Instant::now();
         let answered = self.answered.replace(ended);
         Outcome {
             attempt,
             path,
+            has_left: response
+                .as_ref()
+                .is_some_and(|response| event_count(&response.body) >= most_events),
             response,
+            taken_up: None,
             sender: self.sender,
             is_sent,
             sent,
@@ -334,17 +399,58 @@
             thread::sleep(Duration::from_millis(10));
             continue;
         };
-        let outcome = connection.send(attempt, path);
-        let retry_after = outcome.response.as_ref().and_then(retry_after);
+        let outcome = connection.send(attempt, path, most_events(path, number));
+        let second = take_up(&outcome, caller_addresses, &mut random);
+        let last = second.as_ref().unwrap_or(&outcome);
+        let retry_after = last.response.as_ref().and_then(retry_after);
         if seed % 2 == 1 && outcome.response.as_ref().is_some_and(keeps_connection) {
             kept = Some(connection);
             thread::sleep(pause_on_connection(&mut random));
         }
-        outcomes.lock().expect("no panic").push(outcome);
+        let both = std::iter::once(outcome).chain(second);
+        outcomes.lock().expect("no panic").extend(both);
         thread::sleep(retry_after.unwrap_or_default());
     }
 }
 
+/// Returns the number of events after which a caller disconnects.
+fn most_events(path: &str, number: u64) -> usize {
+    match path == "/chat/1" && number.is_multiple_of(EARLY_LEAVE_INTERVAL) {
+        true => EARLY_LEAVE_EVENTS,
+        false => usize::MAX,
+    }
+}
+
+/// Takes up a resumable stream that ended early, once, at a random host.
+fn take_up(
+    first: &Outcome,
+    caller_addresses: &CallerAddresses,
+    random: &mut Pcg64Mcg,
+) -> Option<Outcome> {
+    let response = first.response.as_ref()?;
+    let text = response.text();
+    let received = &text[..text.rfind("\n\n")? + 2];
+    if first.path != "/chat/1" || response.is_complete {
+        return None;
+    }
+    let host = random_below(random, HOSTS.len() as u64) as usize;
+    let (address, sender) = caller_addresses.lock().expect("no panic")[host]?;
+    let last = event_count(received.as_bytes()) - 1;
+    let request = Request::post(first.path, first.attempt.as_bytes())
+        .with_header("Last-Event-Id", &last.to_string())
+        .with_header("Resumes", &first.attempt);
+    let attempt = format!("{}-again", first.attempt);
+    let mut connection = CallerConnection::open(address, sender);
+    let second = connection.exchange(request, attempt, first.path, usize::MAX);
+    Some(Outcome {
+        taken_up: Some(TakenUp {
+            received: received.to_owned(),
+            began: first.sent,
+        }),
+        ..second
+    })
+}
+
 /// Returns the time after which a caller retries: callers heed a host's wish for up to
 /// a third of their time limit.
 fn retry_after(response: &Response) -> Option<Duration> {
@@ -362,8 +468,13 @@
     ended_logs: Vec<(Sender, String)>,
     version: u64,
     announced: Vec<Announced>,
-    process_count: u64,
+    /// Times at which the processes of hosts started.
+    process_starts: Vec<Instant>,
     pauses: Vec<Pause>,
+    seed: u64,
+    /// Endpoints that others have replaced, with their indexes.
+    former: Vec<(usize, ScriptedEndpoint)>,
+    serving: Vec<Serving>,
     stops: Vec<Stop>,
     silences: Vec<Silence>,
     /// Time limit of the routes in configurations that change limits.
@@ -373,15 +484,10 @@
 impl Cluster {
     fn new(seed: u64) -> Self {
         let store = store_with_configuration();
-        let endpoints: Vec<ScriptedEndpoint> = ENDPOINTS
+        let endpoints = ENDPOINTS
             .iter()
-            .map(|(id, region)| {
-                let endpoint =
-                    ScriptedEndpoint::start(id, move |index, arrival| script(seed, arrival, index))
-                        .expect("the endpoint starts");
-                announce(&store, &endpoint, region);
-                endpoint
-            })
+            .enumerate()
+            .map(|(index, (id, _))| start_endpoint(seed, id, VERSIONS[index % VERSIONS.len()]))
             .collect();
         let wires = (0..HOSTS.len() as u64)
             .map(|index| Wire::start(store.address(), seed ^ index).expect("the wire starts"))
@@ -394,20 +500,19 @@
             caller_addresses: Arc::new(Mutex::new(vec![None; HOSTS.len()])),
             ended_logs: Vec::new(),
             version: 7,
-            announced: vec![
-                Announced {
-                    is_draining: false,
-                    sequence: 1,
-                    starts: vec![Instant::now()],
-                };
-                ENDPOINTS.len()
-            ],
-            process_count: 0,
+            announced: (0..ENDPOINTS.len()).map(Announced::new).collect(),
+            process_starts: Vec::new(),
             pauses: Vec::new(),
+            seed,
+            former: Vec::new(),
+            serving: Vec::new(),
             stops: Vec::new(),
             silences: Vec::new(),
             route_timeouts_ms: HashMap::new(),
         };
+        for index in 0..ENDPOINTS.len() {
+            cluster.announce_again(index);
+        }
         for index in 0..HOSTS.len() {
             cluster.start(index);
         }
@@ -427,10 +532,10 @@
             store: Some(self.wires[index].address()),
         };
         let host = Host::start_only(&self.store, &options);
-        self.process_count += 1;
+        self.process_starts.push(Instant::now());
         let sender = Sender {
             host: index,
-            process: self.process_count,
+            process: self.process_starts.len() as u64,
         };
         self.caller_addresses.lock().expect("no panic")[index] =
             Some((host.caller_address, sender));
@@ -499,7 +604,10 @@
         let first = random_below(random, ENDPOINTS.len() as u64) as usize;
         let count = 1 + random_below(random, 3) as usize;
         let time = Duration::from_millis(1_000 + random_below(random, 1_000));
-        for index in (first..first + count).map(|index| index % ENDPOINTS.len()) {
+        let silent = (first..first + count).map(|index| index % ENDPOINTS.len());
+        let silent: Vec<usize> = silent.collect();
+        self.record_serving(|index, _| !silent.contains(&index));
+        for index in silent {
             let from = Instant::now();
             self.endpoints[index].fall_silent(time);
             self.silences.push(Silence {
@@ -533,6 +641,7 @@
             self.start(index);
         }
         thread::sleep(silent_until.saturating_duration_since(Instant::now()));
+        self.record_serving(|_, _| true);
     }
 
     /// Injects mostly planned work, and otherwise a random fault.
@@ -588,8 +697,10 @@
             }
             9 => {
                 self.store.put("op/evacuate/north-a", &json!({}));
+                self.record_serving(|_, region| region != "north");
                 thread::sleep(pause);
                 self.store.delete("op/evacuate/north-a");
+                self.record_serving(|_, _| true);
             }
             10 => {
                 self.write_older_configuration();
@@ -599,6 +710,7 @@
             12 => {
                 let endpoint = random_below(random, ENDPOINTS.len() as u64) as usize;
                 self.endpoints[endpoint].set_leaving(true);
+                self.record_serving(|index, _| index != endpoint);
                 thread::sleep(LEAVING);
                 self.restart_endpoint(endpoint);
             }
@@ -640,17 +752,64 @@
         };
         let fields = json!({
             "state": state, "seq": announced.sequence, "born": announced.starts.len(),
+            "version": VERSIONS[announced.version],
         });
         let region = ENDPOINTS[index].1;
         announce_with(&self.store, &self.endpoints[index], region, &fields);
+        self.record_serving(|_, _| true);
+    }
+
+    /// Records the endpoints that serve: those in use that are not draining.
+    fn record_serving<F>(&mut self, is_in_use: F)
+    where
+        F: Fn(usize, &str) -> bool,
+    {
+        let mut counts = [0; VERSIONS.len()];
+        for (index, announced) in self.announced.iter().enumerate() {
+            if !announced.is_draining && is_in_use(index, ENDPOINTS[index].1) {
+                counts[announced.version] += 1;
+            }
+        }
+        let at = Instant::now();
+        self.serving.push(Serving { at, counts });
+    }
+
+    /// At some starts, replaces an endpoint by one of another version and with another
+    /// id, unless its version would have no endpoint then. The former one completes its
+    /// requests.
+    fn release(&mut self, index: usize) {
+        let Announced {
+            starts, version, ..
+        } = &self.announced[index];
+        let start = starts.len();
+        let same = self.announced.iter();
+        let same = same.filter(|other| other.version == *version);
+        if !start.is_multiple_of(2) || same.count() < 2 {
+            return;
+        }
+        let version = (version + 1) % VERSIONS.len();
+        self.announced[index].version = version;
+        let id = format!("{}-{start}", ENDPOINTS[index].0);
+        let released = start_endpoint(self.seed, &id, VERSIONS[version]);
+        let former = std::mem::replace(&mut self.endpoints[index], released);
+        self.store.delete(&format!("servers/{}", former.id()));
+        self.former.push((index, former));
+    }
+
+    /// Returns all endpoints with their indexes, including those that were replaced.
+    fn all_endpoints(&self) -> impl Iterator<Item = (usize, &ScriptedEndpoint)> {
+        let former = self.former.iter();
+        let former = former.map(|(index, endpoint)| (*index, endpoint));
+        self.endpoints.iter().enumerate().chain(former)
     }
 
     fn restart_endpoint(&mut self, index: usize) {
-        self.endpoints[index].set_leaving(false);
         let announced = &mut self.announced[index];
         announced.is_draining = false;
         announced.sequence = 0;
         announced.starts.push(Instant::now());
+        self.release(index);
+        self.endpoints[index].set_leaving(false);
         self.announce_again(index);
     }
 
@@ -671,7 +830,7 @@
     /// Checks that endpoints got no requests that they did not want: not from a host
     /// that they had asked to stay away, nor after they stated that they are leaving.
     fn check_statements(&self, seed: u64) {
-        for (index, endpoint) in self.endpoints.iter().enumerate() {
+        for (index, endpoint) in self.all_endpoints() {
             let arrivals = endpoint.arrivals();
             for stated in &arrivals {
                 let (slack, time, most) = match (stated.unwanted_s, stated.is_leaving) {
@@ -709,6 +868,34 @@
         next.map_or(at + time, |next| (at + time).min(*next))
     }
 
+    /// Returns whether two endpoints of a taken-up stream's version served, and its host
+    /// had started before and was neither paused nor stopped.
+    fn can_go_on(&self, outcome: &Outcome, stream: &TakenUp) -> bool {
+        let Outcome {
+            sender,
+            sent,
+            ended,
+            ..
+        } = outcome;
+        let TakenUp { received, began } = stream;
+        let until = *sent + Duration::from_millis(LIMIT_MS);
+        let start = self.process_starts[sender.process as usize - 1];
+        let before = self.serving.iter().rfind(|serving| serving.at <= *began);
+        let after = self
+            .serving
+            .iter()
+            .filter(|serving| (*began..until).contains(&serving.at));
+        let serves_twice = VERSIONS.iter().enumerate().any(|(position, version)| {
+            let of_version = received.starts_with(&versioned_event_text(version, 0));
+            let mut during = before.into_iter().chain(after.clone());
+            of_version && during.all(|serving| serving.counts[position] >= 2)
+        });
+        let mut stops = self.stops.iter();
+        let was_interrupted = self.was_paused(sender.host, *began, until)
+            || stops.any(|stop| stop.sender == *sender && stop.at <= *ended);
+        serves_twice && *sent >= start + SETTLE_TIME && !was_interrupted
+    }
+
     /// Returns the latest time at which an endpoint begins to answer a request that
     /// arrived at `at`: after a silence.
     fn latest_answer(&self, endpoint: usize, at: Instant) -> Instant {
@@ -750,7 +937,7 @@
 impl<'a> Evidence<'a> {
     fn new(cluster: &'a Cluster) -> Self {
         let mut arrivals: HashMap<String, Vec<_>> = HashMap::new();
-        for endpoint in &cluster.endpoints {
+        for (_, endpoint) in cluster.all_endpoints() {
             for arrival in endpoint.arrivals() {
                 let attempt = arrival.attempt().to_owned();
                 let known = arrivals.entry(attempt).or_default();
@@ -782,6 +969,7 @@
     fn is_lost(&self, outcome: &Outcome) -> bool {
         let response = outcome.response.as_ref();
         outcome.is_sent
+            && !outcome.has_left
             && !response.is_some_and(|response| response.is_complete)
             && !self.broke_off(outcome)
             && !self.reached_time_limit(outcome)
@@ -903,10 +1091,54 @@
     }
 }
 
+/// Returns the events of a whole stream of the version that sent the first event in
+/// `text`.
+fn expected_events(text: &str) -> String {
+    let is_version = |version: &&&str| text.contains(&format!("token 0 of {version}\n"));
+    let version = VERSIONS.iter().find(is_version).unwrap_or(&VERSIONS[0]);
+    (0..EVENT_COUNT)
+        .map(|number| versioned_event_text(version, number))
+        .collect()
+}
+
+/// Checks that streams that callers took up go on at least half as often as new streams
+/// begin, while two endpoints of their version serve.
+fn check_taken_up(seed: u64, cluster: &Cluster, outcomes: &[Outcome]) {
+    let share = |streams: &[&Outcome]| {
+        let responses = streams.iter().filter_map(|stream| stream.response.as_ref());
+        let begun = responses.filter(|response| response.status == 200).count();
+        begun as f64 / streams.len() as f64
+    };
+    let streams = || outcomes.iter().filter(|outcome| outcome.path == "/chat/1");
+    let new: Vec<&Outcome> = streams()
+        .filter(|stream| stream.taken_up.is_none())
+        .collect();
+    let taken_up: Vec<&Outcome> = streams()
+        .filter(|stream| {
+            let taken_up = stream.taken_up.as_ref();
+            taken_up.is_some_and(|taken_up| cluster.can_go_on(stream, taken_up))
+        })
+        .collect();
+    println!("seed {seed}: {} streams that can go on", taken_up.len());
+    if taken_up.len() < MIN_TAKEN_UP {
+        return;
+    }
+    let (gone_on, begun) = (share(&taken_up), share(&new));
+    println!("seed {seed}: share {gone_on:.2} goes on, {begun:.2} of new streams begin");
+    assert!(
+        gone_on * 2.0 >= begun,
+        "seed {seed}: share {gone_on} of {} taken-up streams, {begun} of new ones",
+        taken_up.len()
+    );
+}
+
 /// Counts the runs of each attempt at all endpoints.
-fn runs(endpoints: &[ScriptedEndpoint]) -> HashMap<String, usize> {
+fn runs(cluster: &Cluster) -> HashMap<String, usize> {
     let mut counts = HashMap::new();
-    for run in endpoints.iter().flat_map(ScriptedEndpoint::runs) {
+    let all_runs = cluster
+        .all_endpoints()
+        .flat_map(|(_, endpoint)| endpoint.runs());
+    for run in all_runs {
         *counts.entry(run.attempt().to_owned()).or_default() += 1;
     }
     counts
@@ -930,9 +1162,13 @@
     if response.status != 200 {
         return;
     }
-    let text = response.text();
+    let received = outcome
+        .taken_up
+        .as_ref()
+        .map(|stream| stream.received.as_str());
+    let text = received.unwrap_or_default().to_owned() + &response.text();
     let expected = match *path {
-        "/chat/1" | "/draft/1" => (0..EVENT_COUNT).map(event_text).collect(),
+        "/chat/1" | "/draft/1" => expected_events(&text),
         _ => attempt.clone(),
     };
     // `Script::Extra` sends this body before the second response.
@@ -1012,12 +1248,13 @@
     for thread in threads {
         thread.join().expect("a caller ends");
     }
-    let counts = runs(&cluster.endpoints);
+    let counts = runs(&cluster);
     let outcomes = outcomes.lock().expect("no panic");
     for outcome in outcomes.iter() {
         let runs = counts.get(&outcome.attempt).copied().unwrap_or(0);
         check_outcome(seed, outcome, runs);
     }
+    check_taken_up(seed, &cluster, &outcomes);
     Evidence::new(&cluster).check_answers(seed, &outcomes);
     cluster.check_statements(seed);
     for (_, log) in &cluster.ended_logs {
@@ -1060,8 +1297,8 @@
 
 /// Guards against guarantees that are violated under a series of faults: at most
 /// one run of a non-idempotent request, refusals only of requests that did not
-/// run, complete responses to the right request, events in order, configuration
-/// versions that never decrease, no requests to endpoints that do not want them, no
+/// run, complete responses to the right request, events in order and of one software
+/// version, streams that go on when callers take them up, configuration versions that never decrease, no requests to endpoints that do not want them, no
 /// requests that end without an answer, and recovery.
 #[test]
 fn guarantees_hold_under_random_faults() {
