Log how an answer is framed and whether it ended within an event

The log of a request could not tell an answer that was read until its connection closed from one with a broken frame. 'request ended' now names the framing of the latest answer, and the bytes of its unfinished event.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,7 +21,10 @@
     endpoint::Failure,
     events::EventSplitter,
     fleet::Choice,
-    head::RequestHead,
+    head::{
+        Framing,
+        RequestHead, //
+    },
     request::RequestMetadata,
     software_version::SoftwareVersion, //
 };
@@ -233,6 +236,10 @@
     pub events: EventSplitter,
     /// Response body, or part of it, that has not been relayed.
     pub buffered: Vec<u8>,
+    /// Framing of the latest response.
+    pub answer_framing: Option<Framing>,
+    /// Bytes of the unfinished event with which the latest response ended.
+    pub cut_event_bytes: usize,
 }
 
 impl Exchange {
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -4,6 +4,8 @@
 //! smuggling: they reject a line feed without a carriage return, two lengths,
 //! and a length beside a transfer encoding.
 
+use std::fmt;
+
 use compact_str::CompactString;
 use memchr::{
     memchr_iter,
@@ -64,6 +66,16 @@
     UntilClose,
 }
 
+impl fmt::Display for Framing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Length(bytes) => write!(f, "length {bytes}"),
+            Self::Chunked => f.write_str("chunked"),
+            Self::UntilClose => f.write_str("until close"),
+        }
+    }
+}
+
 /// Reason for which a head is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum HeadError {
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -88,6 +88,8 @@
             has_response_begun: false,
             events: EventSplitter::new(),
             buffered: Vec::new(),
+            answer_framing: None,
+            cut_event_bytes: 0,
         };
         let key = self.exchanges.insert(exchange);
         if let Some(inbound) = self.inbound.get_mut(inbound) {
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -71,6 +71,7 @@
                 );
             }
         }
+        exchange.answer_framing = Some(head.framing);
         let is_success = is_success(head, metadata);
         if let Some(dispatch) = &mut exchange.dispatch {
             dispatch.is_success = is_success;
@@ -242,6 +243,7 @@
         }
         if exchange.route.is_stream && is_success {
             let remainder = exchange.events.partial().to_vec();
+            exchange.cut_event_bytes = remainder.len();
             if !remainder.is_empty() {
                 // Not a complete event, but part of the endpoint's body.
                 self.write_head_once(key, head);
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -200,6 +200,8 @@
             runs = exchange.run_count,
             tried = ?exchange.excluded_endpoints,
             events = exchange.events.complete_count(),
+            answer_framing = exchange.answer_framing.map(tracing::field::display),
+            cut_event_bytes = exchange.cut_event_bytes,
             prompt_tokens = exchange.request.metadata.prompt_tokens.0,
             shared_tokens = exchange.request.metadata.shared_tokens(),
             shared_part = exchange.request.metadata.affinity_key(),
