--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -21,6 +21,8 @@
     }, //
 };
 
+use socket2::SockRef;
+
 use super::listener::{
     Listener,
     Next,
@@ -32,7 +34,8 @@
     connection::Connection,
     message::{
         Headers,
-        MessageError, //
+        MessageError,
+        ResponseHead, //
     },
     server::{
         end_chunked,
@@ -42,6 +45,11 @@
     }, //
 };
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+/// Time between the last byte of an answer and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(50);
+
 /// What the endpoint does with a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Script {
@@ -70,9 +78,56 @@
     Close,
     /// Waits, then does something else.
     After(Duration, Box<Script>),
+    /// Answers with neither a length nor chunks; the answer ends with the connection.
+    Unframed(Unframed),
+}
+
+/// An answer that ends with its connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unframed {
+    status: u16,
+    content_type: &'static str,
+    body: Vec<u8>,
+    is_reset: bool,
 }
 
 impl Script {
+    /// Returns an answer without a frame.
+    pub fn unframed(body: &str) -> Self {
+        Self::Unframed(Unframed {
+            status: 200,
+            content_type: "text/plain",
+            body: body.into(),
+            is_reset: false,
+        })
+    }
+
+    /// Returns a stream without a frame; `text` may end within an event.
+    pub fn unframed_events(text: String) -> Self {
+        Self::Unframed(Unframed {
+            status: 200,
+            content_type: EVENT_STREAM,
+            body: text.into_bytes(),
+            is_reset: false,
+        })
+    }
+
+    /// Sets the status of an answer without a frame.
+    pub fn with_status(mut self, status: u16) -> Self {
+        if let Self::Unframed(unframed) = &mut self {
+            unframed.status = status;
+        }
+        self
+    }
+
+    /// Resets the connection after an answer without a frame instead of closing it.
+    pub fn with_reset(mut self) -> Self {
+        if let Self::Unframed(unframed) = &mut self {
+            unframed.is_reset = true;
+        }
+        self
+    }
+
     fn is_refusal(&self) -> bool {
         matches!(self, Self::NotRun | Self::NotRunFor(_))
     }
@@ -82,11 +137,35 @@
             Self::Events { is_whole, .. } => !is_whole,
             Self::Raw(_) | Self::Close => true,
             Self::After(_, next) => next.breaks_off(),
+            Self::Unframed(unframed) => unframed.breaks_off(),
             _ => false,
         }
     }
 }
 
+impl Unframed {
+    fn breaks_off(&self) -> bool {
+        let is_cut = self.content_type == EVENT_STREAM && !self.body.ends_with(b"\n\n");
+        self.is_reset || is_cut
+    }
+
+    fn write(&self, connection: &mut Connection, headers: Headers) -> Result<(), MessageError> {
+        let head = ResponseHead {
+            status: self.status,
+            headers: headers.with_field("content-type", self.content_type),
+        };
+        let mut bytes = head.encode().into_bytes();
+        bytes.extend_from_slice(&self.body);
+        connection.write_all(&bytes, write_deadline())?;
+        if self.is_reset {
+            // Let the host read what was written: a reset discards it.
+            thread::sleep(RESET_DELAY);
+            SockRef::from(connection.stream()).set_linger(Some(Duration::ZERO))?;
+        }
+        Ok(())
+    }
+}
+
 /// A request as the endpoint saw it.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -310,7 +389,7 @@
             pause,
             is_whole,
         } => {
-            let headers = sealed.with_field("content-type", "text/event-stream");
+            let headers = sealed.with_field("content-type", EVENT_STREAM);
             start_chunked(connection, 200, headers, write_deadline())?;
             for number in first..end {
                 let event = match version {
@@ -335,6 +414,10 @@
             silence.wait();
             connection.write_all(&bytes, write_deadline())?;
         }
+        Script::Unframed(unframed) => {
+            unframed.write(connection, sealed)?;
+            return Ok(Next::Close);
+        }
         Script::Close => return Ok(Next::Close),
         Script::After(pause, next) => {
             thread::sleep(pause);
