Do not frame a cut answer as complete

Cause: an answer with neither a length nor chunks was read until its connection closed, and the close was taken for a proper end; the half event was relayed and followed by the last chunk. Class of fault: the end of the transport is taken for the end of the message.

Change: a stream that ends within an event, however it is framed, or before the first event that is due, counts as interrupted, so it goes on elsewhere or is cut off. An answer that is no stream and has no frame ends with the caller's connection too, as nothing states that it is whole; hosts tell each other so in a header, while their own frame stays, so that a lost host still shows. If such an answer cannot be written completely, the connection is reset. Answers of another type on a stream's route are relayed whole. Events may end with carriage returns.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -210,6 +210,10 @@
     pub last_active_ms: u64,
     /// Arrival time of the first byte of the request that is being read.
     pub request_started_ms: Option<u64>,
+    /// The response ends with the connection.
+    is_unframed: bool,
+    /// The response has been queued completely.
+    pub is_response_whole: bool,
 }
 
 impl InboundConnection {
@@ -224,6 +228,27 @@
             is_closing: false,
             last_active_ms: now_ms,
             request_started_ms: None,
+            is_unframed: false,
+            is_response_whole: false,
+        }
+    }
+
+    /// Records that the response which begins ends with the connection.
+    pub fn begin_unframed_response(&mut self) {
+        self.is_unframed = true;
+        self.is_response_whole = false;
+        self.is_closing = true;
+    }
+
+    /// Makes the close of the connection a reset if it would state the end of a response
+    /// that has not been written completely.
+    pub fn prepare_close(&self) {
+        let is_written = self.is_response_whole && self.socket.unwritten() == 0;
+        if !self.is_unframed || is_written {
+            return;
+        }
+        if let Err(error) = SockRef::from(&self.socket.stream).set_linger(Some(Duration::ZERO)) {
+            tracing::warn!(%error, "could not make a connection reset; its response looks complete");
         }
     }
 }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -4,12 +4,17 @@
 //! relayed, so that another endpoint can continue a stream after the last one.
 
 use compact_str::CompactString;
-use memchr::memmem;
+use memchr::memchr;
 
 /// Splits a stream into complete events and records the id of the last one.
+///
+/// An event ends with an empty line; lines end with a line feed or with a carriage return
+/// and a line feed.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
+    /// Start of the unfinished line in `partial`.
+    line_start: usize,
     last_id: Option<CompactString>,
     complete_count: u64,
 }
@@ -22,21 +27,28 @@
 
     /// Adds content and appends the events that it completes to `out`.
     pub fn push(&mut self, content: &[u8], out: &mut Vec<u8>) {
+        let mut at = self.partial.len();
         self.partial.extend_from_slice(content);
         let mut start = 0;
-        while let Some(found) = memmem::find(&self.partial[start..], b"\n\n") {
-            let end = start + found + 2;
-            let id = event_id(&self.partial[start..end]);
-            self.last_id = id.or(self.last_id.take());
-            self.complete_count += 1;
-            start = end;
+        while let Some(found) = memchr(b'\n', &self.partial[at..]) {
+            let line = &self.partial[self.line_start..at + found];
+            at += found + 1;
+            if matches!(line, b"" | b"\r") {
+                let event = &self.partial[start..at];
+                self.complete_count += u64::from(!event.trim_ascii().is_empty());
+                self.last_id = event_id(event).or(self.last_id.take());
+                start = at;
+            }
+            self.line_start = at;
         }
+        self.line_start -= start;
         out.extend(self.partial.drain(..start));
     }
 
     /// Drops an incomplete event; the stream continues after the last complete one.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.line_start = 0;
     }
 
     /// Returns the content after the last complete event.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -26,6 +26,10 @@
         RequestHead, //
     },
     request::RequestMetadata,
+    response::{
+        BodyFrame,
+        HostStatements, //
+    },
     software_version::SoftwareVersion, //
 };
 
@@ -236,9 +240,11 @@
     pub events: EventSplitter,
     /// Response body, or part of it, that has not been relayed.
     pub buffered: Vec<u8>,
-    /// Framing of the latest response.
+    /// The latest response is a stream of events.
+    pub has_events: bool,
+    /// Framing of the latest response by its endpoint.
     pub answer_framing: Option<Framing>,
-    /// Bytes of the unfinished event with which the latest response ended.
+    /// Bytes of the unfinished event with which the latest interrupted response ended.
     pub cut_event_bytes: usize,
 }
 
@@ -271,6 +277,48 @@
         }
     }
 
+    /// Returns how the response is framed for the caller once a part of it is written.
+    ///
+    /// If only the end of the connection marks the end of an answer, nothing shows that it
+    /// is whole, so the caller's connection ends it as well. A stream of events shows it by
+    /// itself, and hosts state the endpoint's framing to each other.
+    pub fn begun_frame(&self) -> BodyFrame {
+        let ends_with_connection = self.answer_framing == Some(Framing::UntilClose);
+        match ends_with_connection && !self.has_events && !self.is_forwarded {
+            true => BodyFrame::UntilClose,
+            false => BodyFrame::Chunked,
+        }
+    }
+
+    /// Returns what the host that forwarded the request is told about its response.
+    pub fn host_statements(&self) -> HostStatements<'_> {
+        match self.is_forwarded {
+            true => HostStatements {
+                software_version: self.route.software_version.as_ref(),
+                is_unframed: self.answer_framing == Some(Framing::UntilClose),
+            },
+            false => HostStatements::default(),
+        }
+    }
+
+    /// Returns whether a stream that ended with a proper frame or with its connection was
+    /// interrupted: within an event, or before an event that was due.
+    pub fn is_stream_cut(&self) -> bool {
+        let is_first_due = self.resume_after().is_none() || self.cut_event_bytes > 0;
+        let has_begun = self
+            .dispatch
+            .as_ref()
+            .is_some_and(|dispatch| dispatch.has_begun);
+        let is_empty = self.answer_framing == Some(Framing::UntilClose) && !has_begun;
+        !self.events.partial().is_empty() || (is_empty && is_first_due)
+    }
+
+    /// Drops an event that the latest response did not finish.
+    pub fn discard_cut_event(&mut self) {
+        self.cut_event_bytes = self.events.partial().len();
+        self.events.discard_partial();
+    }
+
     /// Returns whether the caller takes up a stream that an earlier attempt began.
     pub fn is_taken_up(&self) -> bool {
         self.route.is_resumable && self.request.metadata.last_event_id.is_some()
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -140,6 +140,14 @@
 }
 
 impl ResponseHead {
+    /// Returns whether the body is a stream of events; assumed if no type is stated.
+    pub fn is_event_stream(&self) -> bool {
+        self.header("content-type").is_none_or(|content_type| {
+            let media_type = content_type.split(';').next().unwrap_or_default();
+            media_type.trim().eq_ignore_ascii_case("text/event-stream")
+        })
+    }
+
     /// Returns the value of a header field, if it is valid UTF-8.
     pub fn header(&self, name: &str) -> Option<&str> {
         find_header(&self.headers, name)
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -315,6 +315,9 @@
             self.receive_updates();
             self.tick();
             if let Some(exit) = self.exit_if_done() {
+                for (_, inbound) in &self.inbound {
+                    inbound.prepare_close();
+                }
                 return Ok(exit);
             }
         }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -17,6 +17,9 @@
 /// Header by which a host states the software version of the endpoint that serves a
 /// forwarded stream.
 pub const SOFTWARE_VERSION_HEADER: &str = "Bridge-Software-Version";
+/// Header by which a host states that only the end of the connection marked the end of the
+/// endpoint's answer.
+pub const UNFRAMED_HEADER: &str = "Bridge-Unframed";
 /// Prefix of header names that only hosts may send.
 const INTERNAL_PREFIX: &str = "bridge-";
 
@@ -89,14 +92,24 @@
     Length(u64),
     /// Chunked transfer coding.
     Chunked,
+    /// The body ends with the connection.
+    UntilClose,
 }
 
-/// Appends the head of a relayed response to `out`; `software_version` is for the host
-/// that forwarded the request.
+/// What a host tells the host that forwarded a request about its response.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HostStatements<'a> {
+    /// Software version of the endpoint.
+    pub software_version: Option<&'a SoftwareVersion>,
+    /// Only the end of the connection marked the end of the endpoint's answer.
+    pub is_unframed: bool,
+}
+
+/// Appends the head of a relayed response to `out`.
 pub fn write_response_head(
     head: &ResponseHead,
     frame: BodyFrame,
-    software_version: Option<&SoftwareVersion>,
+    statements: HostStatements<'_>,
     is_closing: bool,
     out: &mut Vec<u8>,
 ) {
@@ -107,10 +120,14 @@
             out.extend_from_slice(format!("Content-Length: {bytes}\r\n").as_bytes());
         }
         BodyFrame::Chunked => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        BodyFrame::UntilClose => {}
     }
-    if let Some(version) = software_version {
+    if let Some(version) = statements.software_version {
         out.extend_from_slice(format!("{SOFTWARE_VERSION_HEADER}: {version}\r\n").as_bytes());
     }
+    if statements.is_unframed {
+        out.extend_from_slice(format!("{UNFRAMED_HEADER}: 1\r\n").as_bytes());
+    }
     if is_closing {
         out.extend_from_slice(b"Connection: close\r\n");
     }
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -349,6 +349,7 @@
         let Some(mut inbound) = self.inbound.try_remove(key) else {
             return;
         };
+        inbound.prepare_close();
         // Closing the socket deregisters it in any case.
         let _ = self.poll.registry().deregister(&mut inbound.socket.stream);
     }
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -51,7 +51,7 @@
             None => {}
         }
         exchange.buffered.clear();
-        exchange.events.discard_partial();
+        exchange.discard_cut_event();
         let skip_count = exchange.skip_count + exchange.excluded_regions.len();
         self.end_dispatch(key, Some(failure), now_ms);
         if error == UpstreamError::Unreachable {
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -88,6 +88,7 @@
             has_response_begun: false,
             events: EventSplitter::new(),
             buffered: Vec::new(),
+            has_events: false,
             answer_framing: None,
             cut_event_bytes: 0,
         };
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -12,7 +12,10 @@
     connection::ResponseProgress,
     endpoint::Failure,
     exchange::Destination,
-    head::ResponseHead,
+    head::{
+        Framing,
+        ResponseHead, //
+    },
     load_updates::LeavingEndpoint,
     reactor::Reactor,
     response::{
@@ -20,12 +23,14 @@
         GatewayResponse,
         NOT_RUN_HEADER,
         SOFTWARE_VERSION_HEADER,
+        UNFRAMED_HEADER,
         write_response_head, //
     },
     serve_completion::{
         MAX_SKIPPED_PLACES,
         UNREACHABLE_RETRY_MS, //
     },
+    serve_upstream::UpstreamError, //
 };
 use crate::platform::headers::{
     ResponseMetadata,
@@ -71,17 +76,25 @@
                 );
             }
         }
-        exchange.answer_framing = Some(head.framing);
-        let is_success = is_success(head, metadata);
+        let is_unframed = head.header(UNFRAMED_HEADER).is_some();
+        let has_events = exchange.route.is_stream && head.is_event_stream();
+        // Only events can continue a stream of which the caller has a part.
+        let is_success = is_success(head, metadata) && (has_events || !exchange.has_response_begun);
         if let Some(dispatch) = &mut exchange.dispatch {
+            let is_from_host = matches!(dispatch.destination, Destination::Region { .. });
+            exchange.answer_framing = Some(match is_unframed && is_from_host {
+                true => Framing::UntilClose,
+                false => head.framing,
+            });
             dispatch.is_success = is_success;
+            exchange.has_events = is_success && has_events;
             dispatch.progress_ms = now_ms;
             if let Destination::Region { .. } = dispatch.destination {
                 let stated = head.header(SOFTWARE_VERSION_HEADER);
                 dispatch.software_version = stated.and_then(|text| text.parse().ok());
             }
         }
-        if !exchange.route.is_stream || !is_success {
+        if !has_events || !is_success {
             exchange.buffered.clear();
         }
     }
@@ -122,14 +135,14 @@
             return;
         };
         dispatch.progress_ms = now_ms;
-        let is_success = dispatch.is_success;
+        let (is_success, has_events) = (dispatch.is_success, exchange.has_events);
         let Some(upstream) = self.upstreams.get(dispatch.upstream) else {
             return;
         };
         let ResponseProgress::Body { head, .. } = &upstream.response_progress else {
             return;
         };
-        if !exchange.route.is_stream || !is_success {
+        if !has_events {
             exchange.buffered.extend_from_slice(content);
             if exchange.buffered.len() > MAX_BUFFERED_BYTES && is_success {
                 let head = head.clone();
@@ -199,28 +212,28 @@
         else {
             return;
         };
+        let frame = exchange.begun_frame();
+        if frame == BodyFrame::UntilClose {
+            inbound.begin_unframed_response();
+        }
         inbound.is_closing |= is_leaving;
         let is_closing = inbound.is_closing;
-        let software_version = exchange.route.software_version.as_ref();
-        write_response_head(
-            head,
-            BodyFrame::Chunked,
-            software_version.filter(|_| exchange.is_forwarded),
-            is_closing,
-            inbound.socket.output(),
-        );
+        let statements = exchange.host_statements();
+        write_response_head(head, frame, statements, is_closing, inbound.socket.output());
     }
 
     pub(super) fn write_body_chunk(&mut self, key: usize, content: &[u8]) {
-        let inbound = self
-            .exchanges
-            .get(key)
-            .and_then(|exchange| exchange.inbound);
-        let Some(inbound_key) = inbound else {
+        let Some(exchange) = self.exchanges.get(key) else {
+            return;
+        };
+        let Some(inbound_key) = exchange.inbound else {
             return;
         };
         if let Some(inbound) = self.inbound.get_mut(inbound_key) {
-            write_chunk(content, inbound.socket.output());
+            match exchange.begun_frame() {
+                BodyFrame::UntilClose => inbound.socket.queue(content),
+                _ => write_chunk(content, inbound.socket.output()),
+            }
         }
         self.flush_inbound(inbound_key);
     }
@@ -229,10 +242,13 @@
     pub(super) fn on_response_end(&mut self, key: usize, head: &ResponseHead) {
         let now_ms = self.now_ms();
         let metadata = decode_response_metadata(head);
-        let is_success = is_success(head, &metadata);
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
+        let Some(dispatch) = &exchange.dispatch else {
+            return;
+        };
+        let (is_success, has_events) = (dispatch.is_success, exchange.has_events);
         let is_not_run = metadata.is_not_run || head.header(NOT_RUN_HEADER).is_some();
         if is_not_run && !is_success {
             let failure = match metadata.is_other_endpoint {
@@ -241,16 +257,8 @@
             };
             return self.handle_not_run(key, failure);
         }
-        if exchange.route.is_stream && is_success {
-            let remainder = exchange.events.partial().to_vec();
-            exchange.cut_event_bytes = remainder.len();
-            if !remainder.is_empty() {
-                // Not a complete event, but part of the endpoint's body.
-                self.write_head_once(key, head);
-                self.write_body_chunk(key, &remainder);
-            }
-            self.record_first_event(key, now_ms);
-            return self.finish_success(key, head, now_ms);
+        if has_events && exchange.is_stream_cut() {
+            return self.dispatch_failed(key, UpstreamError::Broken);
         }
         if is_success {
             self.record_first_event(key, now_ms);
@@ -303,21 +311,35 @@
             return;
         };
         let buffered = std::mem::take(&mut exchange.buffered);
+        let begun_frame = exchange.begun_frame();
         let has_begun = exchange.has_response_begun;
+        let statements = exchange.host_statements();
         if let Some(inbound) = exchange
             .inbound
             .and_then(|inbound| self.inbound.get_mut(inbound))
         {
             inbound.is_closing |= is_leaving;
-            if has_begun {
-                write_chunk(&buffered, inbound.socket.output());
-                write_last_chunk(inbound.socket.output());
-            } else {
-                let is_closing = inbound.is_closing;
-                let frame = BodyFrame::Length(buffered.len() as u64);
-                write_response_head(head, frame, None, is_closing, inbound.socket.output());
-                inbound.socket.queue(&buffered);
+            match begun_frame {
+                BodyFrame::Chunked if has_begun => {
+                    write_chunk(&buffered, inbound.socket.output());
+                    write_last_chunk(inbound.socket.output());
+                }
+                BodyFrame::UntilClose if has_begun => inbound.socket.queue(&buffered),
+                _ => {
+                    let frame = match begun_frame {
+                        BodyFrame::UntilClose => BodyFrame::UntilClose,
+                        _ => BodyFrame::Length(buffered.len() as u64),
+                    };
+                    if frame == BodyFrame::UntilClose {
+                        inbound.begin_unframed_response();
+                    }
+                    let is_closing = inbound.is_closing;
+                    let output = inbound.socket.output();
+                    write_response_head(head, frame, statements, is_closing, output);
+                    inbound.socket.queue(&buffered);
+                }
             }
+            inbound.is_response_whole = true;
         }
         self.end_exchange(key, "answered", head.status);
     }
--- a/src/gateway/serve_stall.rs
+++ b/src/gateway/serve_stall.rs
@@ -62,7 +62,7 @@
             "endpoint stalled; request is sent to another one"
         );
         exchange.buffered.clear();
-        exchange.events.discard_partial();
+        exchange.discard_cut_event();
         self.avoid_destination(key);
         self.end_dispatch(key, Some(Failure::Broken), now_ms);
         self.close_upstream(dispatch.upstream);
