--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -76,6 +76,9 @@
     Extra(Vec<u8>),
     /// Runs the request and closes the connection without an answer.
     Close,
+    /// Ends the endpoint as it begins its answer: it accepts no more connections, and all
+    /// open ones break.
+    Crash,
     /// Waits, then does something else.
     After(Duration, Box<Script>),
     /// Answers with neither a length nor chunks; the answer ends with the connection.
@@ -135,7 +138,7 @@
     fn breaks_off(&self) -> bool {
         match self {
             Self::Events { is_whole, .. } => !is_whole,
-            Self::Raw(_) | Self::Close => true,
+            Self::Raw(_) | Self::Close | Self::Crash => true,
             Self::After(_, next) => next.breaks_off(),
             Self::Unframed(unframed) => unframed.breaks_off(),
             _ => false,
@@ -221,11 +224,22 @@
     }
 }
 
+/// The listener of an endpoint; none once it has ended.
+type SharedListener = Arc<Mutex<Option<Listener>>>;
+
+fn end(listener: &SharedListener) {
+    let running = lock(listener).take();
+    if let Some(mut running) = running {
+        running.stop();
+    }
+}
+
 /// A running endpoint.
 #[derive(Debug)]
 pub struct ScriptedEndpoint {
     id: String,
-    listener: Listener,
+    address: SocketAddr,
+    listener: SharedListener,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_leaving: Arc<AtomicBool>,
     silence: Silence,
@@ -247,7 +261,9 @@
         let version = Arc::new(Mutex::new(None));
         let own_version = Arc::clone(&version);
         let own_id = id.to_owned();
-        let listener = Listener::start(0, move |connection, request| {
+        let listener = SharedListener::default();
+        let own_listener = Arc::clone(&listener);
+        let started = Listener::start(0, move |connection, request| {
             let mut arrival = arrival(&request);
             own_silence.wait();
             let index = lock(&noted).len();
@@ -266,12 +282,19 @@
                 respond(connection, 421, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
+            if script == Script::Crash {
+                end(&own_listener);
+                return Ok(Next::Close);
+            }
             let version = lock(&own_version).clone();
             let version = version.as_deref();
             play(connection, &arrival, &own_id, version, &own_silence, script)
         })?;
+        let address = started.address();
+        *lock(&listener) = Some(started);
         Ok(Self {
             id: id.into(),
+            address,
             listener,
             arrivals,
             is_leaving,
@@ -309,7 +332,7 @@
 
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.listener.address()
+        self.address
     }
 
     /// Requests that arrived so far.
@@ -328,7 +351,18 @@
 
     /// Ends it as a crash would.
     pub fn stop(&mut self) {
-        self.listener.stop();
+        end(&self.listener);
+    }
+
+    /// Returns whether it accepts connections.
+    pub fn is_running(&self) -> bool {
+        lock(&self.listener).is_some()
+    }
+}
+
+impl Drop for ScriptedEndpoint {
+    fn drop(&mut self) {
+        self.stop();
     }
 }
 
@@ -418,7 +452,7 @@
             unframed.write(connection, sealed)?;
             return Ok(Next::Close);
         }
-        Script::Close => return Ok(Next::Close),
+        Script::Close | Script::Crash => return Ok(Next::Close),
         Script::After(pause, next) => {
             thread::sleep(pause);
             return play(connection, arrival, id, version, silence, *next);
