Refuse requests with a prompt part that crashes endpoints

Requests with one prompt part ended each endpoint that began to answer them, one after the other, until nobody was served (users' rule BUDGET).

Cause: hosts knew endpoints that fail, not requests that make them fail. Class of fault: a failure is attributed to the one that fails only.

The parts of requests that had not begun are blamed when their endpoint ends, and cleared when a request with them begins; after three crashes requests with the part get 400 at once, in all regions.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -149,6 +149,10 @@
     pub has_begun: bool,
     /// The response head is a success signed by the endpoint.
     pub is_success: bool,
+    /// When the first event, or the response, arrived.
+    pub begun_ms: Option<u64>,
+    /// The endpoint has begun the request and has not ended because of it.
+    pub is_sound: bool,
     /// Time at which response data last arrived.
     pub progress_ms: u64,
     /// Software version of the endpoint; none until another region has stated it.
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -23,6 +23,7 @@
     hosts::Beacon,
     reactor::Reactor,
     request::RequestMetadata,
+    serve_crashes::CrashReports,
     stream_origins::StreamOrigin, //
 };
 
@@ -53,6 +54,8 @@
     Beacon(Beacon),
     /// Changes since the last packet; sent to the sender's region only.
     LoadUpdate(LoadUpdate),
+    /// Crashes of endpoints and the prompt parts that may have caused them.
+    CrashReports(CrashReports),
 }
 
 /// Changes of the load that a host places at endpoints.
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -8,7 +8,8 @@
 use std::{
     collections::{
         BTreeMap,
-        HashMap, //
+        HashMap,
+        VecDeque, //
     },
     io::{
         self,
@@ -62,6 +63,7 @@
         UpstreamConnection,
         UpstreamPhase, //
     },
+    crash_records::CrashRecords,
     exchange::Exchange,
     fleet::Fleet,
     hosts::{
@@ -71,6 +73,7 @@
     known_state::KnownState,
     load_updates::PendingUpdate,
     retry_budget::RetryBudget,
+    serve_crashes::SuspectedCrash,
     settings::GatewaySettings,
     store_replica::{
         StoreReplica,
@@ -163,6 +166,10 @@
     /// Software versions at which streams began.
     pub(super) origins: StreamOrigins,
     pub(super) pending_origins: PendingOrigins,
+    pub(super) crash_records: CrashRecords,
+    /// Requests whose endpoint may have ended because of them.
+    pub(super) suspected_crashes: VecDeque<SuspectedCrash>,
+    pub(super) next_crash_exchange_ms: u64,
     /// Number of live hosts in the region, for the thread that follows the store.
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
@@ -252,6 +259,9 @@
             pending_update: PendingUpdate::default(),
             origins: StreamOrigins::new(),
             pending_origins: PendingOrigins::default(),
+            crash_records: CrashRecords::new(),
+            suspected_crashes: VecDeque::new(),
+            next_crash_exchange_ms: 0,
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
         })
@@ -410,6 +420,7 @@
         self.send_beacons(now_ms);
         self.update_peer_loads(now_ms);
         self.resync_from_seeds(now_ms);
+        self.exchange_crash_reports(now_ms);
         self.check_exchanges(now_ms);
         self.serve_waiting(now_ms);
         self.send_load_update(now_ms);
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -30,7 +30,7 @@
     /// Handles a dispatch that failed before its response was complete.
     pub(super) fn dispatch_failed(&mut self, key: usize, error: UpstreamError) {
         let now_ms = self.now_ms();
-        let Some(exchange) = self.exchanges.get_mut(key) else {
+        let Some(exchange) = self.exchanges.get(key) else {
             return;
         };
         let destination = exchange.destination().cloned();
@@ -38,6 +38,14 @@
             UpstreamError::Unreachable => Failure::Unreachable,
             UpstreamError::Broken => Failure::Broken,
         };
+        if let Some(Destination::Endpoint(choice)) = &destination
+            && error == UpstreamError::Broken
+        {
+            self.suspect_crash(key, choice);
+        }
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            return;
+        };
         match destination {
             Some(Destination::Endpoint(choice)) if error == UpstreamError::Broken => {
                 exchange.avoided_endpoints.push(choice.endpoint);
@@ -89,6 +97,7 @@
     pub(super) fn try_retry(&mut self, key: usize, cause: &str) -> bool {
         let now_ms = self.now_ms();
         let hosts = self.hosts.live_count(now_ms);
+        let may_crash_again = self.may_crash_again(key);
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return false;
         };
@@ -96,7 +105,7 @@
             && exchange.inbound.is_some()
             && exchange.run_count < exchange.route.max_attempts
             && now_ms < exchange.deadline_ms;
-        if !is_retryable {
+        if !is_retryable || may_crash_again {
             return false;
         }
         let service = exchange.route.service.clone();
@@ -145,6 +154,9 @@
     /// Records a failure of an endpoint; informs the hosts of the region if it is blocked
     /// because it cannot be reached.
     pub(super) fn record_endpoint_failure(&mut self, id: &str, failure: Failure, now_ms: u64) {
+        if failure == Failure::Unreachable {
+            self.confirm_crash(id, now_ms);
+        }
         let Some(endpoint) = self.fleet.get_mut(id) else {
             return;
         };
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -109,6 +109,9 @@
     /// Decides where a request goes and sends, queues or refuses it.
     pub(super) fn place_exchange(&mut self, key: usize) {
         let now_ms = self.now_ms();
+        if self.refuse_unservable(key, now_ms) {
+            return;
+        }
         let exchange = self.exchanges.get(key);
         if exchange.is_some_and(|exchange| !self.is_version_served(exchange, now_ms)) {
             let cause = "no endpoint of the stream's software version";
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -160,6 +160,7 @@
         }
         let head = head.clone();
         self.record_first_event(key, now_ms);
+        self.record_progress(key, false, now_ms);
         self.record_origin(key, now_ms);
         self.write_head_once(key, &head);
         self.write_body_chunk(key, &complete_events);
@@ -242,6 +243,7 @@
     pub(super) fn on_response_end(&mut self, key: usize, head: &ResponseHead) {
         let now_ms = self.now_ms();
         let metadata = decode_response_metadata(head);
+        let is_refused_by_host = self.is_refused_by_host(key, head.status);
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
@@ -250,6 +252,10 @@
         };
         let (is_success, has_events) = (dispatch.is_success, exchange.has_events);
         let is_not_run = metadata.is_not_run || head.header(NOT_RUN_HEADER).is_some();
+        if is_not_run && is_refused_by_host {
+            self.end_dispatch(key, Some(Failure::Shed), now_ms);
+            return self.end_unservable(key);
+        }
         if is_not_run && !is_success {
             let failure = match metadata.is_other_endpoint {
                 true => Failure::Replaced,
@@ -291,6 +297,7 @@
     /// Ends a request whose response is complete; does nothing if its caller has
     /// disconnected in the meantime.
     pub(super) fn finish_success(&mut self, key: usize, head: &ResponseHead, now_ms: u64) {
+        self.record_progress(key, true, now_ms);
         let Some(exchange) = self.exchanges.get(key) else {
             return;
         };
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -217,7 +217,7 @@
             .collect()
     }
 
-    fn one_host_of_each_region(&mut self, now_ms: u64) -> Vec<std::net::SocketAddr> {
+    pub(super) fn one_host_of_each_region(&mut self, now_ms: u64) -> Vec<std::net::SocketAddr> {
         let mut regions: Vec<CompactString> = self.settings.regions.values().cloned().collect();
         regions.sort_unstable();
         regions.dedup();
@@ -402,7 +402,7 @@
         let mut is_changed = false;
         loop {
             match self.beacon_socket.recv_from(&mut buffer) {
-                Ok((count, _)) => match postcard::from_bytes::<Packet>(&buffer[..count]) {
+                Ok((count, from)) => match postcard::from_bytes::<Packet>(&buffer[..count]) {
                     Ok(Packet::Beacon(mut beacon)) => {
                         self.relay_origins(std::mem::take(&mut beacon.origins), now_ms);
                         self.check_lag(&beacon, now_ms);
@@ -412,6 +412,7 @@
                     Ok(Packet::LoadUpdate(update)) => {
                         is_changed |= self.apply_load_update(&update, now_ms)
                     }
+                    Ok(Packet::CrashReports(sent)) => self.apply_crash_reports(sent, from),
                     Err(error) => tracing::debug!(%error, "could not decode a packet"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -135,6 +135,13 @@
         matches!(self, Self::NotRun | Self::NotRunFor(_))
     }
 
+    fn crashes(&self) -> bool {
+        match self {
+            Self::After(_, next) => next.crashes(),
+            _ => *self == Self::Crash,
+        }
+    }
+
     fn breaks_off(&self) -> bool {
         match self {
             Self::Events { is_whole, .. } => !is_whole,
@@ -282,13 +289,14 @@
                 respond(connection, 421, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
-            if script == Script::Crash {
-                end(&own_listener);
-                return Ok(Next::Close);
-            }
             let version = lock(&own_version).clone();
             let version = version.as_deref();
-            play(connection, &arrival, &own_id, version, &own_silence, script)
+            let crashes = script.crashes();
+            let next = play(connection, &arrival, &own_id, version, &own_silence, script)?;
+            if crashes {
+                end(&own_listener);
+            }
+            Ok(next)
         })?;
         let address = started.address();
         *lock(&listener) = Some(started);
--- a/tests/gateway_crashing_parts.rs
+++ b/tests/gateway_crashing_parts.rs
@@ -20,8 +20,7 @@
     scripted::{
         Arrival,
         Script,
-        ScriptedEndpoint,
-        event_text, //
+        ScriptedEndpoint, //
     }, //
 };
 use gatewayenv::{
@@ -152,8 +151,7 @@
     for thread in threads {
         thread.join().expect("a caller ends");
     }
-    let sound = std::mem::take(&mut *sound.lock().expect("no panic"));
-    sound
+    std::mem::take(&mut *sound.lock().expect("no panic"))
 }
 
 fn share_served(responses: &[Response]) -> f64 {
