Keep the limit on repeats over restarts, absent hosts and regions

A host that was started six times within a window, 48 requests each, all of them failing, sent 234 repeats where 113 are allowed (users' rule BUDGET).

Causes: each start began with a full share of the slack; the slack was divided by the hosts heard at the moment, so hosts that heard few others took more together. By reading: a forwarded request allowed repeats at both hosts, and a try after the refusal of another region took nothing, although an endpoint there may have been reached. Class of fault: a share of a common limit is derived from what one process knows at the moment.

Change: a host holds half of its share of the slack at most and earns the other half over the window, from its start, so no window holds more than the share; hosts count as long as they are registered or were heard of in the last minute; a request counts at the host that received it from its caller; a host states that an endpoint has refused a forwarded request, and the next try takes a repeat. 'retry decided' names the count, the slack and the number of hosts. Calls that endpoints make cannot be told from others, so those of repeated runs are not counted as repeats.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -248,6 +248,8 @@
     pub has_events: bool,
     /// Framing of the latest response by its endpoint.
     pub answer_framing: Option<Framing>,
+    /// The request has reached an endpoint, which may have refused it.
+    pub has_arrived: bool,
     /// Bytes of the unfinished event with which the latest interrupted response ended.
     pub cut_event_bytes: usize,
 }
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -41,6 +41,8 @@
 /// while the store is unreachable. Several beacons of the longest interval fit
 /// into it.
 const SILENCE_LIMIT_MS: u64 = 3_000;
+/// Time after the last packet of a host that is not registered in which it may be at work.
+const ABSENCE_LIMIT_MS: u64 = 60_000;
 /// Time after which the prompts that another host reported have been prefilled.
 const BACKLOG_LIFETIME_MS: u64 = 600;
 /// Time after the start of a host in which it may not know all others yet: one
@@ -409,9 +411,16 @@
         seen
     }
 
-    /// Returns the number of live hosts, this one included.
-    pub fn live_count(&self, now_ms: u64) -> usize {
-        1 + self.live(now_ms).count()
+    /// Returns the number of hosts, this one included, that may be at work: those that are
+    /// registered, and others heard of within [`ABSENCE_LIMIT_MS`], which may be cut off.
+    pub fn possible_count(&self, now_ms: u64) -> usize {
+        let peers = self.peers.values();
+        let possible = peers.filter(|peer| {
+            let last_seen_ms = peer.last_seen_ms;
+            peer.is_registered
+                || last_seen_ms.is_some_and(|at_ms| now_ms < at_ms + ABSENCE_LIMIT_MS)
+        });
+        1 + possible.count()
     }
 
     /// Returns the addresses of the hosts that suit a caller in a region and data
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -12,6 +12,8 @@
 
 /// Header by which a host states that a request was not run.
 pub const NOT_RUN_HEADER: &str = "Bridge-Not-Run";
+/// Header by which a host states that an endpoint has refused a request that was not run.
+pub const ARRIVED_HEADER: &str = "Bridge-Arrived";
 /// Header that carries the resolved route of a forwarded request.
 pub const FORWARD_HEADER: &str = "Bridge-Forward";
 /// Header by which a host states the software version of the endpoint that serves a
@@ -32,6 +34,8 @@
     pub retry_after_ms: Option<u64>,
     /// The request has not run and will not run.
     pub is_not_run: bool,
+    /// An endpoint of this region has refused the forwarded request.
+    pub has_arrived: bool,
 }
 
 impl GatewayResponse {
@@ -41,6 +45,7 @@
             status: 503,
             retry_after_ms: Some(retry_after_ms),
             is_not_run: true,
+            has_arrived: false,
         }
     }
 
@@ -50,6 +55,7 @@
             status,
             retry_after_ms: None,
             is_not_run: false,
+            has_arrived: false,
         }
     }
 }
@@ -77,6 +83,9 @@
     if response.is_not_run {
         head.push_str(&format!("{NOT_RUN_HEADER}: 1\r\n"));
     }
+    if response.has_arrived {
+        head.push_str(&format!("{ARRIVED_HEADER}: 1\r\n"));
+    }
     if is_closing {
         head.push_str("Connection: close\r\n");
     }
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! Without a limit, retries would double the load of a service just when its
 //! endpoints fail. The limit holds for all hosts together over a window; each host
-//! uses its share of it.
+//! uses its share of it. A share of the slack is earned over the window from the start
+//! of a host, so that restarts add nothing to what the host took before.
 
 use std::collections::{
     BTreeMap,
@@ -14,8 +15,9 @@
 /// Share of the allowed ratio that a host uses. The rest covers retries that are
 /// counted in another window than the requests that allowed them.
 const RATIO_SHARE: f64 = 0.6;
-/// Share of the allowed slack that all hosts use together.
-const SLACK_SHARE: f64 = 0.6;
+/// Share of the allowed slack that all hosts use together. The rest covers hosts that do
+/// not know of each other.
+const SLACK_SHARE: f64 = 0.8;
 
 /// Limit on retries for all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,7 +33,23 @@
 #[derive(Debug, Default)]
 struct Window {
     requests_ms: VecDeque<u64>,
+    /// Retries that the requests allowed.
     retries_ms: VecDeque<u64>,
+    /// Retries that the slack allows now.
+    slack: f64,
+    /// Time up to which the slack was earned; 0 is the start of the host.
+    slack_at_ms: u64,
+}
+
+/// What the budget for a service holds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryUsage {
+    /// Requests in the window.
+    pub request_count: usize,
+    /// Retries that they allowed.
+    pub retry_count: usize,
+    /// Retries that the slack allows now.
+    pub slack: f64,
 }
 
 /// Requests and retries of this host, by service.
@@ -60,16 +78,43 @@
     /// Takes one retry from this host's share among `host_count` hosts; returns false
     /// if the budget is exhausted.
     pub fn try_take(&mut self, service: &str, host_count: usize, now_ms: u64) -> bool {
+        let bounds = self.bounds;
         let window = self.windows.entry(service.into()).or_default();
-        drop_expired(window, self.bounds.window_ms, now_ms);
-        let by_requests = self.bounds.ratio * RATIO_SHARE * window.requests_ms.len() as f64;
-        let by_slack = self.bounds.slack * SLACK_SHARE / host_count.max(1) as f64;
-        if window.retries_ms.len() as f64 + 1.0 > by_requests + by_slack {
-            return false;
+        drop_expired(window, bounds.window_ms, now_ms);
+        earn_slack(window, bounds, host_count, now_ms);
+        let by_requests = bounds.ratio * RATIO_SHARE * window.requests_ms.len() as f64;
+        if window.retries_ms.len() as f64 + 1.0 <= by_requests {
+            window.retries_ms.push_back(now_ms);
+            return true;
+        }
+        let is_allowed = window.slack >= 1.0;
+        if is_allowed {
+            window.slack -= 1.0;
         }
-        window.retries_ms.push_back(now_ms);
-        true
+        is_allowed
     }
+
+    /// Returns what the budget for a service holds.
+    pub fn usage(&self, service: &str) -> RetryUsage {
+        let window = self.windows.get(service);
+        RetryUsage {
+            request_count: window.map_or(0, |window| window.requests_ms.len()),
+            retry_count: window.map_or(0, |window| window.retries_ms.len()),
+            slack: window.map_or(0.0, |window| window.slack),
+        }
+    }
+}
+
+/// Adds the slack earned since the last call.
+///
+/// A host holds half of its share at most and earns the other half in a window, so it
+/// takes no more than its share in any window, whenever it started.
+fn earn_slack(window: &mut Window, bounds: RetryBounds, host_count: usize, now_ms: u64) {
+    let most = bounds.slack * SLACK_SHARE / host_count.max(1) as f64 / 2.0;
+    let elapsed_ms = now_ms.saturating_sub(window.slack_at_ms) as f64;
+    let earned = most * elapsed_ms / bounds.window_ms.max(1) as f64;
+    window.slack = (window.slack + earned).min(most);
+    window.slack_at_ms = now_ms;
 }
 
 fn drop_expired(window: &mut Window, window_ms: u64, now_ms: u64) {
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -96,7 +96,7 @@
     /// and the retry budget allows it; returns whether it did.
     pub(super) fn try_retry(&mut self, key: usize, cause: &str) -> bool {
         let now_ms = self.now_ms();
-        let hosts = self.hosts.live_count(now_ms);
+        let hosts = self.hosts.possible_count(now_ms);
         let may_crash_again = self.may_crash_again(key);
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return false;
@@ -111,7 +111,17 @@
         let service = exchange.route.service.clone();
         let attempt = exchange.request.metadata.attempt_id.clone();
         let is_allowed = self.retry_budget.try_take(&service, hosts, now_ms);
-        tracing::info!(request = %attempt, cause, is_allowed, "retry decided");
+        let usage = self.retry_budget.usage(&service);
+        tracing::info!(
+            request = %attempt,
+            cause,
+            is_allowed,
+            requests = usage.request_count,
+            retries = usage.retry_count,
+            slack = usage.slack,
+            hosts,
+            "retry decided"
+        );
         if is_allowed {
             self.telemetry.count_retry();
             self.exchanges[key].buffered.clear();
@@ -135,6 +145,8 @@
         if was_sent {
             exchange.run_count += 1;
         }
+        let is_at_endpoint = matches!(dispatch.destination, Destination::Endpoint(_));
+        exchange.has_arrived |= is_at_endpoint && failure != Some(Failure::Unreachable);
         if let Some(upstream) = self.upstreams.get_mut(dispatch.upstream)
             && upstream.exchange == Some(key)
         {
@@ -202,6 +214,10 @@
         {
             inbound.is_closing |= is_leaving;
             let is_closing = inbound.is_closing;
+            let response = GatewayResponse {
+                has_arrived: exchange.is_forwarded && exchange.has_arrived,
+                ..response
+            };
             write_gateway_response(
                 response,
                 "text/plain",
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -61,7 +61,10 @@
             .metadata
             .time_limit_ms
             .unwrap_or(DEFAULT_TIME_LIMIT_MS);
-        self.retry_budget.record_request(&route.service, now_ms);
+        // The host that received the request from its caller has counted it.
+        if !is_forwarded {
+            self.retry_budget.record_request(&route.service, now_ms);
+        }
         self.next_serial += 1;
         let exchange = Exchange {
             serial: self.next_serial,
@@ -91,6 +94,7 @@
             has_events: false,
             answer_framing: None,
             cut_event_bytes: 0,
+            has_arrived: false,
         };
         let key = self.exchanges.insert(exchange);
         if let Some(inbound) = self.inbound.get_mut(inbound) {
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -19,6 +19,7 @@
     load_updates::LeavingEndpoint,
     reactor::Reactor,
     response::{
+        ARRIVED_HEADER,
         BodyFrame,
         GatewayResponse,
         NOT_RUN_HEADER,
@@ -261,7 +262,8 @@
                 true => Failure::Replaced,
                 false => Failure::Shed,
             };
-            return self.handle_not_run(key, failure);
+            let has_arrived = head.header(ARRIVED_HEADER).is_some();
+            return self.handle_not_run(key, failure, has_arrived);
         }
         if has_events && exchange.is_stream_cut() {
             return self.dispatch_failed(key, UpstreamError::Broken);
@@ -351,9 +353,28 @@
         self.end_exchange(key, "answered", head.status);
     }
 
+    /// Takes a retry for a request that an endpoint of another region has refused.
+    fn try_take_after_arrival(&mut self, key: usize, now_ms: u64) -> bool {
+        let hosts = self.hosts.possible_count(now_ms);
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            return false;
+        };
+        exchange.has_arrived = true;
+        let is_allowed = self
+            .retry_budget
+            .try_take(&exchange.route.service, hosts, now_ms);
+        tracing::info!(
+            request = %exchange.request.metadata.attempt_id,
+            has_arrived = true,
+            is_allowed,
+            "request refused in another region"
+        );
+        is_allowed
+    }
+
     /// Handles the statement of an endpoint or region that it did not run the
-    /// request.
-    pub(super) fn handle_not_run(&mut self, key: usize, failure: Failure) {
+    /// request; `has_arrived` if an endpoint of the region has refused it.
+    pub(super) fn handle_not_run(&mut self, key: usize, failure: Failure, has_arrived: bool) {
         let now_ms = self.now_ms();
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
@@ -366,7 +387,7 @@
                 self.end_dispatch(key, Some(failure), now_ms);
                 let service = self.exchanges[key].route.service.clone();
                 let has_attempts_left = self.exchanges[key].skip_count < MAX_SKIPPED_PLACES;
-                let hosts = self.hosts.live_count(now_ms);
+                let hosts = self.hosts.possible_count(now_ms);
                 if has_attempts_left && self.retry_budget.try_take(&service, hosts, now_ms) {
                     return self.place_exchange(key);
                 }
@@ -380,6 +401,9 @@
             Some(Destination::Region { region, .. }) => {
                 exchange.excluded_regions.push(region);
                 self.end_dispatch(key, Some(failure), now_ms);
+                if has_arrived && !self.try_take_after_arrival(key, now_ms) {
+                    return self.refuse(key, "endpoint full", UNREACHABLE_RETRY_MS);
+                }
                 self.place_exchange(key);
             }
             None => {}
--- a/src/gateway/serve_stall.rs
+++ b/src/gateway/serve_stall.rs
@@ -48,7 +48,7 @@
         let Some(successor) = self.connected_successor(key, now_ms) else {
             return;
         };
-        let hosts = self.hosts.live_count(now_ms);
+        let hosts = self.hosts.possible_count(now_ms);
         let exchange = &mut self.exchanges[key];
         if !self
             .retry_budget
