Earn the slack of the retry limit over the first window of a host

A host may now use its share, half of the slack, in any window, and earns it over the first window after its start: with the share that it may have used before the start, that is the slack.

Seven tests sent requests that need repeats to hosts that had just been started; their hosts now wait until these are earned. The bound, the requests and what is expected of them stay.

--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -15,9 +15,9 @@
 /// Share of the allowed ratio that a host uses. The rest covers retries that are
 /// counted in another window than the requests that allowed them.
 const RATIO_SHARE: f64 = 0.6;
-/// Share of the allowed slack that all hosts use together. The rest covers hosts that do
-/// not know of each other.
-const SLACK_SHARE: f64 = 0.8;
+/// Share of the allowed slack that all hosts use together: a host that has used its share
+/// and starts again may use it once more within a window.
+const SLACK_SHARE: f64 = 0.5;
 
 /// Limit on retries for all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -35,10 +35,8 @@
     requests_ms: VecDeque<u64>,
     /// Retries that the requests allowed.
     retries_ms: VecDeque<u64>,
-    /// Retries that the slack allows now.
-    slack: f64,
-    /// Time up to which the slack was earned; 0 is the start of the host.
-    slack_at_ms: u64,
+    /// Retries that the slack allowed.
+    slack_retries_ms: VecDeque<u64>,
 }
 
 /// What the budget for a service holds.
@@ -48,8 +46,8 @@
     pub request_count: usize,
     /// Retries that they allowed.
     pub retry_count: usize,
-    /// Retries that the slack allows now.
-    pub slack: f64,
+    /// Retries that the slack allowed.
+    pub slack_retry_count: usize,
 }
 
 /// Requests and retries of this host, by service.
@@ -81,15 +79,15 @@
         let bounds = self.bounds;
         let window = self.windows.entry(service.into()).or_default();
         drop_expired(window, bounds.window_ms, now_ms);
-        earn_slack(window, bounds, host_count, now_ms);
         let by_requests = bounds.ratio * RATIO_SHARE * window.requests_ms.len() as f64;
         if window.retries_ms.len() as f64 + 1.0 <= by_requests {
             window.retries_ms.push_back(now_ms);
             return true;
         }
-        let is_allowed = window.slack >= 1.0;
+        let by_slack = earned_slack(bounds, host_count, now_ms);
+        let is_allowed = window.slack_retries_ms.len() as f64 + 1.0 <= by_slack;
         if is_allowed {
-            window.slack -= 1.0;
+            window.slack_retries_ms.push_back(now_ms);
         }
         is_allowed
     }
@@ -100,25 +98,25 @@
         RetryUsage {
             request_count: window.map_or(0, |window| window.requests_ms.len()),
             retry_count: window.map_or(0, |window| window.retries_ms.len()),
-            slack: window.map_or(0.0, |window| window.slack),
+            slack_retry_count: window.map_or(0, |window| window.slack_retries_ms.len()),
         }
     }
 }
 
-/// Adds the slack earned since the last call.
-///
-/// A host holds half of its share at most and earns the other half in a window, so it
-/// takes no more than its share in any window, whenever it started.
-fn earn_slack(window: &mut Window, bounds: RetryBounds, host_count: usize, now_ms: u64) {
-    let most = bounds.slack * SLACK_SHARE / host_count.max(1) as f64 / 2.0;
-    let elapsed_ms = now_ms.saturating_sub(window.slack_at_ms) as f64;
-    let earned = most * elapsed_ms / bounds.window_ms.max(1) as f64;
-    window.slack = (window.slack + earned).min(most);
-    window.slack_at_ms = now_ms;
+/// Returns the part of this host's share of the slack that it has earned at `now_ms` after
+/// its start.
+fn earned_slack(bounds: RetryBounds, host_count: usize, now_ms: u64) -> f64 {
+    let share = bounds.slack * SLACK_SHARE / host_count.max(1) as f64;
+    let earned = now_ms as f64 / bounds.window_ms.max(1) as f64;
+    share * earned.min(1.0)
 }
 
 fn drop_expired(window: &mut Window, window_ms: u64, now_ms: u64) {
-    for times in [&mut window.requests_ms, &mut window.retries_ms] {
+    for times in [
+        &mut window.requests_ms,
+        &mut window.retries_ms,
+        &mut window.slack_retries_ms,
+    ] {
         while times
             .front()
             .is_some_and(|at_ms| at_ms + window_ms < now_ms)
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -118,7 +118,7 @@
             is_allowed,
             requests = usage.request_count,
             retries = usage.retry_count,
-            slack = usage.slack,
+            slack_retries = usage.slack_retry_count,
             hosts,
             "retry decided"
         );
--- a/tests/gateway_endpoint_statements.rs
+++ b/tests/gateway_endpoint_statements.rs
@@ -127,6 +127,7 @@
     announce(&store, &other, "north");
     let host = Host::start(&store, &HostOptions::default());
     wait_known(&host, 2);
+    host.earn_repeats(8);
 
     let until = Instant::now() + UNWANTED * 2;
     let callers: Vec<_> = (0..4)
--- a/tests/gateway_outcomes.rs
+++ b/tests/gateway_outcomes.rs
@@ -211,6 +211,7 @@
     let host = Host::start(&store, &HostOptions::default());
     host.wait_log("\"endpoint announced\",\"endpoint\":\"e-1\"");
     host.wait_log("\"endpoint announced\",\"endpoint\":\"e-2\"");
+    host.earn_repeats(2);
 
     // The requests overlap, so that the replaced endpoint always looks idle.
     thread::scope(|scope| {
@@ -252,6 +253,7 @@
     announce(&store, &endpoint, "north");
     let host = Host::start(&store, &HostOptions::default());
     host.wait_log("\"endpoint announced\",\"endpoint\":\"e-1\"");
+    host.earn_repeats(4);
     let address = host.caller_address;
 
     let caller = thread::spawn(move || {
@@ -321,6 +323,8 @@
     })
     .expect("the endpoint starts");
     let (store, host) = host_with(&breaking);
+    // Each request is sent to the full endpoint, and again.
+    host.earn_repeats(REQUEST_COUNT as u32 * 2);
     let address = host.caller_address;
     let callers: Vec<_> = (0..REQUEST_COUNT)
         .map(|number| {
--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -241,6 +241,7 @@
     announce(&store, &silent, "north");
     let host = Host::start(&store, &HostOptions::default());
     host.wait_log("endpoint announced");
+    host.earn_repeats(REQUEST_COUNT as u32 + 1);
     let address = host.caller_address;
     let started = Instant::now();
 
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -381,6 +381,7 @@
     let second = breaking_endpoint(&store, "old-2", "v1", "north", end);
     let hosts = start_hosts(&store, &[("host-1", "north")]);
     wait_known(&hosts, &[&first, &second]);
+    hosts[0].earn_repeats(STREAM_COUNT as u32 + 1);
     let address = hosts[0].caller_address;
     let callers: Vec<_> = (0..STREAM_COUNT)
         .map(|number| thread::spawn(move || begin(&format!("a-{number}")).send(address)))
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -46,6 +46,11 @@
 
 /// Time limit for conditions that should hold almost immediately.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(10);
+/// Time in which a host that is alone earns a repeat: it earns half of the slack, 56, in
+/// the ten seconds after its start.
+const REPEAT_EARNED_MS: u64 = 360;
+/// Repeats that a host of [`host_with`] has earned.
+const EARNED_REPEATS: u32 = 7;
 /// Value of the `Host` header in requests.
 pub const SITE_HOST: &str = "shop.example";
 
@@ -62,6 +67,7 @@
     pub metrics_address: SocketAddr,
     log_path: PathBuf,
     settings: PathBuf,
+    started: Instant,
     _directory: TempDir,
 }
 
@@ -150,6 +156,7 @@
             metrics_address: ports[4],
             log_path,
             settings,
+            started: Instant::now(),
             _directory: directory,
         }
     }
@@ -159,6 +166,12 @@
         wait_until("the host is ready", || self.is_ready());
     }
 
+    /// Waits until a host that is alone has earned this many repeats since its start.
+    pub fn earn_repeats(&self, count: u32) {
+        let time = Duration::from_millis(REPEAT_EARNED_MS) * count;
+        thread::sleep(time.saturating_sub(self.started.elapsed()));
+    }
+
     /// Returns whether the readiness check of the host succeeds.
     pub fn is_ready(&self) -> bool {
         let response = Request::get("/cardamombridge/readyz").try_send(self.ready_address);
@@ -182,6 +195,15 @@
         std::fs::write(&self.settings, text.replace(from, to)).expect("settings can be written");
     }
 
+    /// Returns the most memory that the process has used, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        1_024 * kilobytes.unwrap_or(0_u64)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
@@ -222,6 +244,7 @@
     announce(&store, endpoint, "north");
     let host = Host::start(&store, &HostOptions::default());
     host.wait_log("endpoint announced");
+    host.earn_repeats(EARNED_REPEATS);
     (store, host)
 }
 
