Bound what an endpoint can send without end

An error or an unsigned success without length, or one event without end, was held in memory until the time limit of its request; interim responses, trailer fields and a late answer were read for as long.

Change: a body that is only held is limited to 512 KB, an event to 256 KB, discarded answers to 256 KB a connection, trailers to 8 KB, and interim responses to 16. What exceeds a limit is closed at once and counts as a broken connection.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -7,6 +7,9 @@
 /// Maximum length of a chunk-size line or trailer line.
 const MAX_LINE_BYTES: usize = 1024;
 
+/// Maximum length of all trailer lines, which are dropped.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
+
 /// Error in the chunked transfer coding.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("chunked transfer coding is malformed")]
@@ -37,6 +40,7 @@
 pub struct ChunkDecoder {
     state: ChunkState,
     line: Vec<u8>,
+    trailer_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -47,6 +51,7 @@
             Framing::Chunked => Self::Chunked(ChunkDecoder {
                 state: ChunkState::Size,
                 line: Vec::new(),
+                trailer_bytes: 0,
             }),
             Framing::UntilClose => Self::UntilClose,
         }
@@ -129,7 +134,13 @@
             },
             ChunkState::DataEnd if line.is_empty() => ChunkState::Size,
             ChunkState::Trailer if line.is_empty() => ChunkState::Done,
-            ChunkState::Trailer => ChunkState::Trailer,
+            ChunkState::Trailer => {
+                self.trailer_bytes += line.len();
+                if self.trailer_bytes > MAX_TRAILER_BYTES {
+                    return Err(ChunkError);
+                }
+                ChunkState::Trailer
+            }
             _ => return Err(ChunkError),
         };
         Ok(())
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -307,6 +307,10 @@
     pub is_paused: bool,
     /// A response to an earlier request arrived, so the connection is not reused.
     pub had_stale_response: bool,
+    /// Interim responses before the current response.
+    pub interim_count: usize,
+    /// Bytes of responses that were discarded.
+    pub discarded_bytes: usize,
     /// Endpoint to which it was opened before there is a request for it.
     pub opened_ahead_for: Option<CompactString>,
 }
@@ -327,6 +331,8 @@
             is_peer: false,
             is_paused: false,
             had_stale_response: false,
+            interim_count: 0,
+            discarded_bytes: 0,
             opened_ahead_for: None,
         }
     }
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -214,6 +214,7 @@
         connection.is_head_request = is_head_request;
         connection.request_count += 1;
         connection.response_progress = ResponseProgress::Head;
+        connection.interim_count = 0;
         connection.socket.queue(&bytes);
         if connection.phase == UpstreamPhase::Idle {
             connection.phase = UpstreamPhase::Busy;
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -42,6 +42,9 @@
 /// request can still be retried.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 
+/// Largest event of a stream; what is held of an event is not limited otherwise.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Resolution of the reactor's clock, which rounds down.
 const CLOCK_STEP_MS: u64 = 1;
 
@@ -126,38 +129,44 @@
         }
     }
 
-    /// Handles a piece of a response body.
-    pub(super) fn on_response_body(&mut self, key: usize, content: &[u8]) {
+    /// Handles a piece of a response body; returns false if the response exceeds a limit.
+    pub(super) fn on_response_body(&mut self, key: usize, content: &[u8]) -> bool {
         let now_ms = self.now_ms();
         let Some(exchange) = self.exchanges.get_mut(key) else {
-            return;
+            return true;
         };
         let Some(dispatch) = &mut exchange.dispatch else {
-            return;
+            return true;
         };
         dispatch.progress_ms = now_ms;
         let (is_success, has_events) = (dispatch.is_success, exchange.has_events);
         let Some(upstream) = self.upstreams.get(dispatch.upstream) else {
-            return;
+            return true;
         };
         let ResponseProgress::Body { head, .. } = &upstream.response_progress else {
-            return;
+            return true;
         };
         if !has_events {
             exchange.buffered.extend_from_slice(content);
-            if exchange.buffered.len() > MAX_BUFFERED_BYTES && is_success {
+            if exchange.buffered.len() <= MAX_BUFFERED_BYTES {
+                return true;
+            }
+            if is_success {
                 let head = head.clone();
                 self.write_head_once(key, &head);
                 let exchange = &mut self.exchanges[key];
                 let buffered = std::mem::take(&mut exchange.buffered);
                 self.write_body_chunk(key, &buffered);
             }
-            return;
+            return is_success;
         }
         let mut complete_events = Vec::new();
         exchange.events.push(content, &mut complete_events);
+        if exchange.events.partial().len() > MAX_EVENT_BYTES {
+            return false;
+        }
         if complete_events.is_empty() {
-            return;
+            return true;
         }
         let head = head.clone();
         self.record_first_event(key, now_ms);
@@ -165,6 +174,7 @@
         self.record_origin(key, now_ms);
         self.write_head_once(key, &head);
         self.write_body_chunk(key, &complete_events);
+        true
     }
 
     /// Records the first event, or the response, of the current dispatch.
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -37,6 +37,10 @@
 const IDLE_SHARE: f64 = 0.6;
 /// Idle time after which a connection to another host is not reused.
 const PEER_IDLE_MS: u64 = 5_000;
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
+/// Maximum size of the responses that are discarded on a connection.
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -175,6 +179,10 @@
                     Ok(Some((head, length))) => {
                         upstream.socket.input.drain(..length);
                         if (100..200).contains(&head.status) {
+                            upstream.interim_count += 1;
+                            if upstream.interim_count > MAX_INTERIM_RESPONSES {
+                                return self.upstream_broken(key, UpstreamError::Broken);
+                            }
                             continue;
                         }
                         self.begin_response(key, head);
@@ -247,13 +255,24 @@
             matches!(decoder, BodyDecoder::UntilClose) && read_state == ReadState::Closed;
         let is_done = decoder.is_done() || ends_with_connection;
         let exchange = upstream.exchange;
+        if is_stale || exchange.is_none() {
+            upstream.discarded_bytes += content.len();
+            if upstream.discarded_bytes > MAX_DISCARDED_BYTES {
+                self.upstream_broken(key, UpstreamError::Broken);
+                return false;
+            }
+        }
         if is_stale && is_done {
             upstream.response_progress = ResponseProgress::Head;
             upstream.had_stale_response = true;
             return true;
         }
-        if let Some(exchange) = exchange.filter(|_| !is_stale && !content.is_empty()) {
-            self.on_response_body(exchange, &content);
+        if let Some(exchange) = exchange.filter(|_| !is_stale && !content.is_empty())
+            && !self.on_response_body(exchange, &content)
+        {
+            tracing::info!("response exceeds a limit; connection is closed");
+            self.upstream_broken(key, UpstreamError::Broken);
+            return false;
         }
         if is_done {
             self.complete_response(key);
--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -81,6 +81,8 @@
     Crash,
     /// Waits, then does something else.
     After(Duration, Box<Script>),
+    /// Writes the first bytes, and then the second ones until the connection is closed.
+    Endless(Vec<u8>, Vec<u8>),
     /// Answers with neither a length nor chunks; the answer ends with the connection.
     Unframed(Unframed),
 }
@@ -145,7 +147,7 @@
     fn breaks_off(&self) -> bool {
         match self {
             Self::Events { is_whole, .. } => !is_whole,
-            Self::Raw(_) | Self::Close | Self::Crash => true,
+            Self::Raw(_) | Self::Close | Self::Crash | Self::Endless(..) => true,
             Self::After(_, next) => next.breaks_off(),
             Self::Unframed(unframed) => unframed.breaks_off(),
             _ => false,
@@ -456,6 +458,12 @@
             silence.wait();
             connection.write_all(&bytes, write_deadline())?;
         }
+        Script::Endless(first, rest) => {
+            connection.write_all(&first, write_deadline())?;
+            loop {
+                connection.write_all(&rest, write_deadline())?;
+            }
+        }
         Script::Unframed(unframed) => {
             unframed.write(connection, sealed)?;
             return Ok(Next::Close);
