Let the soak end answers anywhere, crash endpoints and bound repeats

Endpoints of the soak answer without a frame, whole or cut within an event, reset connections and send bytes without end. A third series sends requests with a part that crashes endpoints to all hosts, while crashed endpoints start again and hosts are killed. New checks: no cut answer is framed as whole, repeats in each window over all hosts, runs of the part after it has to be known, memory of the hosts.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -7,7 +7,9 @@
 //! endpoints state that they are leaving, or want no requests for a while; some are
 //! replaced by endpoints of another software version;
 //! configurations, evacuations and removals are interleaved. Another series consists
-//! mostly of planned work beside endpoints that are silent for a second or two. The
+//! mostly of planned work beside endpoints that are silent for a second or two, and a third
+//! one of restarts while requests with one prompt part crash endpoints. Answers end
+//! with their connection, anywhere, or never. The
 //! checks use what callers received, what endpoints saw and what hosts logged.
 //!
 //! `SOAK_SEEDS` lists seeds and `SOAK_SECONDS` sets the length of each, such as
@@ -128,6 +130,25 @@
 const MIN_TAKEN_UP: usize = 12;
 /// Time limit for all hosts to serve again after the last fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(8);
+/// Part of a prompt that crashes the endpoints which begin to answer it.
+const BAD_PART: &str = "bad:50";
+/// Pause between requests with that part.
+const BAD_PAUSE: Duration = Duration::from_millis(150);
+/// Crashes after which all hosts know the part within [`CONTACT`], and requests with it that
+/// may reach endpoints afterwards.
+const KNOWN_CRASHES: usize = 5;
+const MAX_LATE_RUNS: usize = 3;
+const CONTACT: Duration = Duration::from_secs(6);
+/// Shortest run with that part.
+const MIN_CRASH_LENGTH: Duration = Duration::from_secs(14);
+/// Limit on repeats in a window, as in the settings of the hosts.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK: f64 = 56.0;
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Memory that a host may use: a quarter of the smallest host's.
+const MAX_MEMORY_BYTES: u64 = 64 * 1024 * 1024;
+/// Seeds of the runs in which a part crashes endpoints.
+const CRASH_SEEDS: [u64; 2] = [1, 2];
 /// Time limits of routes and of idle callers in configurations that change limits.
 const ROUTE_TIMEOUTS_MS: [u64; 3] = [2_500, 3_500, 5_000];
 const IDLE_TIMEOUTS_MS: [u64; 3] = [400, 1_000, 15_000];
@@ -248,7 +269,10 @@
 }
 
 fn start_endpoint(seed: u64, id: &str, version: &str) -> ScriptedEndpoint {
-    let endpoint = ScriptedEndpoint::start(id, move |index, arrival| script(seed, arrival, index));
+    let endpoint = ScriptedEndpoint::start(id, {
+        let version = version.to_owned();
+        move |index, arrival| script(seed, arrival, index, &version)
+    });
     endpoint.expect("the endpoint starts").with_version(version)
 }
 
@@ -256,9 +280,9 @@
     random.next_u64() % count
 }
 
-/// Returns what an endpoint does with a request, from the seed and the index of
-/// the request.
-fn script(seed: u64, arrival: &Arrival, index: usize) -> Script {
+/// Returns what an endpoint of a software version does with a request, from the seed and
+/// the index of the request.
+fn script(seed: u64, arrival: &Arrival, index: usize, version: &str) -> Script {
     let mut random = Pcg64Mcg::seed_from_u64(seed ^ (index as u64) << 32);
     let first = arrival
         .headers
@@ -266,6 +290,10 @@
         .and_then(|last| last.parse::<u64>().ok())
         .map_or(0, |last| last + 1);
     let is_stream = arrival.path.starts_with("/chat/") || arrival.path.starts_with("/draft/");
+    let prefix = arrival.headers.get("x-prompt-prefix");
+    if prefix.is_some_and(|prefix| prefix.contains(BAD_PART)) {
+        return Script::After(Duration::from_millis(10), Box::new(Script::Crash));
+    }
     match (random_below(&mut random, 20), is_stream) {
         (0, _) if index.is_multiple_of(8) => Script::NotRunFor(UNWANTED_S),
         (0, _) => Script::NotRun,
@@ -277,6 +305,21 @@
             pause: Duration::from_millis(5),
             is_whole: false,
         },
+        (4, _) if index.is_multiple_of(2) => Script::Endless(
+            b"HTTP/1.1 500 Failed\r\nX-Server-Seal: s\r\n\r\n".to_vec(),
+            vec![b'x'; 64 * 1024],
+        ),
+        (5, true) => {
+            // Ends after any byte; the version of the first event decides what is whole.
+            let events = (first..EVENT_COUNT).map(|number| versioned_event_text(version, number));
+            let text: String = events.collect();
+            let cut = random_below(&mut random, text.len() as u64 + 1) as usize;
+            let is_whole_event = text[..cut].ends_with("\n\n") || cut == 0;
+            let cut = if is_whole_event { text.len() } else { cut };
+            Script::unframed_events(text[..cut].to_owned())
+        }
+        (5, false) if index.is_multiple_of(2) => Script::unframed(arrival.attempt()),
+        (5, false) => Script::unframed("cut").with_reset(),
         (_, true) => Script::Events {
             first,
             end: EVENT_COUNT,
@@ -413,6 +456,25 @@
     }
 }
 
+/// Sends requests with the crashing part to all hosts in turn, no two alike.
+fn send_bad_requests(caller_addresses: &CallerAddresses, is_ending: &AtomicBool) {
+    let mut number = 0;
+    while !is_ending.load(Ordering::Relaxed) {
+        number += 1;
+        let address = caller_addresses.lock().expect("no panic")[number % HOSTS.len()];
+        if let Some((address, _)) = address {
+            let request = Request::post("/draft/1", b"bad")
+                .with_attempt(&format!("bad-{number}"), LIMIT_MS)
+                .with_header(
+                    "X-Prompt-Prefix",
+                    &format!("a1:50,{BAD_PART},f{number:x}:9"),
+                );
+            thread::spawn(move || request.try_send(address));
+        }
+        thread::sleep(BAD_PAUSE);
+    }
+}
+
 /// Returns the number of events after which a caller disconnects.
 fn most_events(path: &str, number: u64) -> usize {
     match path == "/chat/1" && number.is_multiple_of(EARLY_LEAVE_INTERVAL) {
@@ -652,6 +714,87 @@
         }
     }
 
+    /// Starts endpoints that have crashed again, as new ones, and restarts a host.
+    fn inject_restarts(&mut self, random: &mut Pcg64Mcg) {
+        for index in 0..ENDPOINTS.len() {
+            if !self.endpoints[index].is_running() {
+                let version = VERSIONS[self.announced[index].version];
+                let started = start_endpoint(self.seed, ENDPOINTS[index].0, version);
+                let former = std::mem::replace(&mut self.endpoints[index], started);
+                self.former.push((index, former));
+                self.announced[index].starts.push(Instant::now());
+                self.announced[index].sequence = 0;
+                self.announce_again(index);
+            }
+        }
+        if random_below(random, 12) == 0 {
+            let host = random_below(random, HOSTS.len() as u64) as usize;
+            self.restart(host, Signal::SIGKILL);
+        }
+    }
+
+    /// Checks that requests with the crashing part stop reaching endpoints.
+    fn check_crashes(&self, seed: u64) {
+        let runs = self
+            .all_endpoints()
+            .flat_map(|(_, endpoint)| endpoint.runs());
+        let is_bad = |run: &Arrival| {
+            let prefix = run.headers.get("x-prompt-prefix");
+            prefix.is_some_and(|prefix| prefix.contains(BAD_PART))
+        };
+        let mut times: Vec<Instant> = runs.filter(is_bad).map(|run| run.at).collect();
+        times.sort_unstable();
+        println!("seed {seed}: {} crashes", times.len());
+        let Some(known) = times.get(KNOWN_CRASHES - 1) else {
+            return;
+        };
+        let late = times.iter().filter(|at| **at > *known + CONTACT).count();
+        assert!(
+            late <= MAX_LATE_RUNS,
+            "seed {seed}: {late} runs of a known part"
+        );
+    }
+
+    /// Checks the limit on repeats over all hosts and in all windows.
+    fn check_repeats(&self, seed: u64, outcomes: &[Outcome]) {
+        let mut arrivals: Vec<(String, Instant)> = self
+            .all_endpoints()
+            .flat_map(|(_, endpoint)| endpoint.arrivals())
+            .map(|arrival| (arrival.attempt().to_owned(), arrival.at))
+            .collect();
+        arrivals.sort_unstable();
+        let repeats = arrivals.windows(2).filter(|pair| pair[0].0 == pair[1].0);
+        let repeats: Vec<Instant> = repeats.map(|pair| pair[1].1).collect();
+        for end in &repeats {
+            let in_window = |at: Instant, half_windows: u32| {
+                let end = end.checked_sub(RETRY_WINDOW / 2 * half_windows);
+                end.is_some_and(|end| at <= end && at + RETRY_WINDOW > end)
+            };
+            let count = repeats.iter().filter(|at| in_window(**at, 0)).count();
+            let sent = |half_windows| {
+                let sent = outcomes.iter().map(|outcome| outcome.sent);
+                sent.filter(|at| in_window(*at, half_windows)).count()
+            };
+            let requests = (0..3).map(sent).max().unwrap_or_default();
+            let allowed = RETRY_RATIO * requests as f64 + RETRY_SLACK;
+            assert!(
+                count as f64 <= allowed,
+                "seed {seed}: {count} repeats in a window, {allowed} allowed"
+            );
+        }
+    }
+
+    /// Checks the memory of the hosts that run.
+    fn check_memory(&self, seed: u64) {
+        for host in self.hosts.iter().flatten() {
+            let bytes = host.peak_memory_bytes();
+            assert!(
+                bytes < MAX_MEMORY_BYTES,
+                "seed {seed}: {bytes} bytes of memory"
+            );
+        }
+    }
+
     /// Injects a random fault and removes it.
     fn inject_fault(&mut self, random: &mut Pcg64Mcg) {
         let index = random_below(random, HOSTS.len() as u64) as usize;
@@ -1200,6 +1343,7 @@
     seeds: &'static [u64],
     inject: fn(&mut Cluster, &mut Pcg64Mcg),
     caller_count: u64,
+    has_crashes: bool,
 }
 
 fn soak(seed: u64, length: Duration, series: &Series) {
@@ -1219,12 +1363,24 @@
         })
         .collect();
 
+    let bad_sender = series.has_crashes.then(|| {
+        let caller_addresses = Arc::clone(&cluster.caller_addresses);
+        let is_ending = Arc::clone(&is_ending);
+        thread::spawn(move || send_bad_requests(&caller_addresses, &is_ending))
+    });
+    let length = match series.has_crashes {
+        true => length.max(MIN_CRASH_LENGTH),
+        false => length,
+    };
     let deadline = Instant::now() + length;
     while Instant::now() < deadline {
         (series.inject)(&mut cluster, &mut random);
         thread::sleep(Duration::from_millis(random_below(&mut random, 300)));
     }
 
+    if series.has_crashes {
+        cluster.inject_restarts(&mut random);
+    }
     let recovery = Instant::now() + RECOVERY_LIMIT;
     for (index, address) in cluster
         .caller_addresses
@@ -1245,7 +1401,7 @@
         });
     }
     is_ending.store(true, Ordering::Relaxed);
-    for thread in threads {
+    for thread in threads.into_iter().chain(bad_sender) {
         thread.join().expect("a caller ends");
     }
     let counts = runs(&cluster);
@@ -1254,9 +1410,14 @@
         let runs = counts.get(&outcome.attempt).copied().unwrap_or(0);
         check_outcome(seed, outcome, runs);
     }
-    check_taken_up(seed, &cluster, &outcomes);
-    Evidence::new(&cluster).check_answers(seed, &outcomes);
-    cluster.check_statements(seed);
+    cluster.check_crashes(seed);
+    cluster.check_repeats(seed, &outcomes);
+    cluster.check_memory(seed);
+    if !series.has_crashes {
+        check_taken_up(seed, &cluster, &outcomes);
+        Evidence::new(&cluster).check_answers(seed, &outcomes);
+        cluster.check_statements(seed);
+    }
     for (_, log) in &cluster.ended_logs {
         check_versions(seed, log);
     }
@@ -1306,6 +1467,7 @@
         seeds: &DEFAULT_SEEDS,
         inject: Cluster::inject_fault,
         caller_count: CALLER_COUNT,
+        has_crashes: false,
     });
 }
 
@@ -1317,5 +1479,18 @@
         seeds: &PLANNED_WORK_SEEDS,
         inject: Cluster::inject_mostly_planned_work,
         caller_count: PLANNED_WORK_CALLER_COUNT,
+        has_crashes: false,
+    });
+}
+
+/// Guards against endpoints that one prompt part ends one after the other, at all hosts and
+/// while these restart.
+#[test]
+fn guarantees_hold_while_a_part_crashes_endpoints() {
+    soak_all_seeds(&Series {
+        seeds: &CRASH_SEEDS,
+        inject: Cluster::inject_restarts,
+        caller_count: CALLER_COUNT,
+        has_crashes: true,
     });
 }
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -27,9 +27,12 @@
     }, //
 };
 
-use cardamombridge::standin::{
-    metadata_store::MetadataStore,
-    scripted::ScriptedEndpoint, //
+use cardamombridge::{
+    gateway::head::Framing,
+    standin::{
+        metadata_store::MetadataStore,
+        scripted::ScriptedEndpoint, //
+    }, //
 };
 use nix::{
     sys::signal::{
@@ -419,7 +422,8 @@
             break false;
         }
         match stream.read(&mut buffer) {
-            Ok(0) | Err(_) => break false,
+            Ok(0) => break head.framing == Framing::UntilClose,
+            Err(_) => break false,
             Ok(count) => input.extend_from_slice(&buffer[..count]),
         }
     };
