--- a/src/gateway/crash_records.rs
+++ b/src/gateway/crash_records.rs
@@ -204,10 +204,6 @@
     /// Records that a request with these shared parts has begun.
     pub fn record_sound(&mut self, parts: &[PromptPart], now_ms: u64) {
         let now_ms = now_ms as i64;
-        if self.sound_at_ms.len() + parts.len() > MAX_SOUND_PARTS {
-            self.sound_at_ms
-                .retain(|_, at_ms| now_ms < *at_ms + SOUND_LIFETIME_MS);
-        }
         for part in parts {
             let part = PartId(part.id);
             if self.sound_at_ms.len() < MAX_SOUND_PARTS {
@@ -287,7 +283,7 @@
         reports
     }
 
-    /// Drops crashes that are too old.
+    /// Drops crashes and sound requests that are too old.
     pub fn expire(&mut self, now_ms: u64) {
         let now_ms = now_ms as i64;
         for record in self.parts.values_mut() {
@@ -301,6 +297,8 @@
             });
         }
         self.parts.retain(|_, record| !record.crashes.is_empty());
+        self.sound_at_ms
+            .retain(|_, at_ms| now_ms < *at_ms + SOUND_LIFETIME_MS);
     }
 
     fn is_sound(&self, part: PartId, now_ms: i64) -> bool {
