--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -197,6 +197,8 @@
     pub breaks_off: bool,
     /// The endpoint said that it is leaving.
     pub is_leaving: bool,
+    /// Requests a second that the endpoint said it takes from all hosts.
+    pub limit: Option<String>,
     /// Seconds for which the endpoint asked for no further requests.
     pub unwanted_s: Option<&'static str>,
 }
@@ -251,6 +253,7 @@
     listener: SharedListener,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_leaving: Arc<AtomicBool>,
+    limit: Arc<Mutex<Option<String>>>,
     silence: Silence,
     version: Arc<Mutex<Option<String>>>,
 }
@@ -265,6 +268,8 @@
         let noted = Arc::clone(&arrivals);
         let is_leaving = Arc::new(AtomicBool::new(false));
         let stated_leaving = Arc::clone(&is_leaving);
+        let limit = Arc::new(Mutex::new(None));
+        let stated_limit = Arc::clone(&limit);
         let silence = Silence::new();
         let own_silence = silence.clone();
         let version = Arc::new(Mutex::new(None));
@@ -280,6 +285,7 @@
             let is_misdirected = expected.is_some_and(|expected| expected != own_id);
             let script = script(index, &arrival);
             arrival.is_leaving = stated_leaving.load(Ordering::Relaxed);
+            arrival.limit = lock(&stated_limit).clone();
             arrival.has_run = !is_misdirected && !script.is_refusal();
             arrival.breaks_off = !is_misdirected && script.breaks_off();
             if let Script::NotRunFor(seconds) = &script {
@@ -308,6 +314,7 @@
             listener,
             arrivals,
             is_leaving,
+            limit,
             silence,
             version,
         })
@@ -335,6 +342,11 @@
         self.is_leaving.store(is_leaving, Ordering::Relaxed);
     }
 
+    /// Sets the value with which all its answers name a limit on requests; none ends it.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        *lock(&self.limit) = limit.map(str::to_owned);
+    }
+
     /// Its identity.
     pub fn id(&self) -> &str {
         &self.id
@@ -386,6 +398,7 @@
         has_run: false,
         breaks_off: false,
         is_leaving: false,
+        limit: None,
         unwanted_s: None,
     }
 }
@@ -394,9 +407,13 @@
     let headers = Headers::new()
         .with_field("x-attempt-id", arrival.attempt())
         .with_field("x-instance-id", id);
-    match arrival.is_leaving {
+    let headers = match arrival.is_leaving {
         true => headers.with_field("server-leaving", "1"),
         false => headers,
+    };
+    match &arrival.limit {
+        Some(limit) => headers.with_field("server-limit", limit),
+        None => headers,
     }
 }
 
