Give the hash of an endpoint a type of its own

It identifies endpoints in packets between hosts as a bare u32 beside other numbers. The macro for hexadecimal ids is exported for it; no behaviour changes.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -26,6 +26,7 @@
     },
     software_version::SoftwareVersion, //
 };
+use crate::types::hex_id;
 
 /// Weight of a new observation in a moving average.
 const EWMA_WEIGHT: f64 = 0.15;
@@ -55,6 +56,22 @@
 /// Longest prompt that counts as short: two prefill chunks of a batching engine.
 const SHORT_PROMPT_TOKENS: u64 = 2_048;
 
+hex_id!(
+    /// Hash of an endpoint's id, which identifies it in packets between hosts.
+    EndpointHash,
+    u32,
+    "endpoint hash",
+    "{:08x}",
+    "up to 8 hexadecimal digits"
+);
+
+impl EndpointHash {
+    /// Returns the hash of an endpoint's id.
+    pub fn new(id: &str) -> Self {
+        Self(xxh3_64(id.as_bytes()) as u32)
+    }
+}
+
 /// State that an endpoint announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -154,8 +171,8 @@
 pub struct Endpoint {
     /// Id under which it is announced.
     pub id: CompactString,
-    /// Hash of the id, which identifies the endpoint in packets between hosts.
-    pub hash: u32,
+    /// Hash of the id.
+    pub hash: EndpointHash,
     /// Latest announcement.
     pub announcement: Announcement,
     /// Region of its data centre.
@@ -198,7 +215,7 @@
         now_ms: u64,
     ) -> Self {
         Self {
-            hash: xxh3_64(id.as_bytes()) as u32,
+            hash: EndpointHash::new(&id),
             id,
             region,
             cold_until_ms: now_ms + announcement.cold_left_ms,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -25,6 +25,7 @@
     endpoint::{
         Announcement,
         Endpoint,
+        EndpointHash,
         LoadShare,
         Statements,
         Work,
@@ -487,14 +488,14 @@
     /// `share_at` returns it for the hash of an endpoint's id.
     pub fn set_peer_loads<F>(&mut self, share_at: F)
     where
-        F: Fn(u32) -> LoadShare,
+        F: Fn(EndpointHash) -> LoadShare,
     {
         for endpoint in self.endpoints.values_mut() {
             endpoint.peer_load = share_at(endpoint.hash);
         }
     }
 
-    fn get_by_hash(&mut self, hash: u32) -> Option<&mut Endpoint> {
+    fn get_by_hash(&mut self, hash: EndpointHash) -> Option<&mut Endpoint> {
         let mut endpoints = self.endpoints.values_mut();
         endpoints.find(|endpoint| endpoint.hash == hash)
     }
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -20,7 +20,10 @@
 
 use super::{
     configuration::ConfigurationVersion,
-    endpoint::LoadShare,
+    endpoint::{
+        EndpointHash,
+        LoadShare, //
+    },
     known_state::KnownState,
     load_updates::{
         EndpointLoadShare,
@@ -138,7 +141,7 @@
     /// Start time and sequence number of the newest packet.
     last_packet: (u64, u64),
     last_seen_ms: Option<u64>,
-    shares: BTreeMap<u32, LoadShare>,
+    shares: BTreeMap<EndpointHash, LoadShare>,
     queues: Vec<QueueLoad>,
 }
 
@@ -293,8 +296,8 @@
 
     /// Returns the load that all other hosts of the region place at each endpoint,
     /// by the hash of the endpoint's id.
-    pub fn peer_load_shares(&self, now_ms: u64) -> HashMap<u32, LoadShare> {
-        let mut totals: HashMap<u32, LoadShare> = HashMap::new();
+    pub fn peer_load_shares(&self, now_ms: u64) -> HashMap<EndpointHash, LoadShare> {
+        let mut totals: HashMap<EndpointHash, LoadShare> = HashMap::new();
         for peer in self.peers.values() {
             if !is_recently_seen(peer, now_ms) {
                 continue;
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -17,6 +17,7 @@
 use super::{
     endpoint::{
         Endpoint,
+        EndpointHash,
         LoadShare, //
     },
     fleet::Choice,
@@ -83,7 +84,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingEndpoint {
     /// Hash of the endpoint's id.
-    pub endpoint: u32,
+    pub endpoint: EndpointHash,
     /// Unix time of its start; a later start is not leaving.
     pub started_ms: u64,
 }
@@ -103,7 +104,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointBlock {
     /// Hash of the endpoint's id.
-    pub endpoint: u32,
+    pub endpoint: EndpointHash,
     /// Time for which the sender does not use it.
     pub for_ms: u32,
 }
@@ -112,7 +113,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointLoadShare {
     /// Hash of the endpoint's id.
-    pub endpoint: u32,
+    pub endpoint: EndpointHash,
     /// Requests in progress.
     pub active: u32,
     /// Prompt tokens of requests without a first event.
@@ -123,7 +124,7 @@
 
 impl EndpointLoadShare {
     /// Encodes a share at the endpoint with this hash.
-    pub fn new(endpoint: u32, share: LoadShare) -> Self {
+    pub fn new(endpoint: EndpointHash, share: LoadShare) -> Self {
         Self {
             endpoint,
             active: share.active,
@@ -146,7 +147,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SentPrompt {
     /// Hash of the endpoint's id.
-    pub endpoint: u32,
+    pub endpoint: EndpointHash,
     /// Engine memory that the request reserves, in tokens.
     pub reserved_tokens: u32,
     /// Tokens that the endpoint has to prefill.
@@ -190,7 +191,7 @@
     }
 
     /// Records that a request was sent to an endpoint.
-    pub fn record_send(&mut self, choice: &Choice, hash: u32, metadata: &RequestMetadata) {
+    pub fn record_send(&mut self, choice: &Choice, hash: EndpointHash, metadata: &RequestMetadata) {
         self.record_change(&choice.endpoint);
         let shared = metadata.shared_parts().iter().map(|part| part.id);
         self.sends.push(SentPrompt {
@@ -203,7 +204,7 @@
     }
 
     /// Records that this host does not use an endpoint for `for_ms`.
-    pub fn record_block(&mut self, hash: u32, for_ms: u64) {
+    pub fn record_block(&mut self, hash: EndpointHash, for_ms: u64) {
         self.blocks.push(EndpointBlock {
             endpoint: hash,
             for_ms: for_ms as u32,
--- a/src/types.rs
+++ b/src/types.rs
@@ -138,36 +138,40 @@
     "service"
 );
 
+/// Defines an id that is a number and is written in hexadecimal.
 macro_rules! hex_id {
     ($(#[$doc:meta])* $name:ident, $inner:ty, $kind:literal, $format:literal, $expected:literal) => {
         $(#[$doc])*
         #[derive(
-            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default,
+            serde::Serialize, serde::Deserialize,
         )]
         #[serde(transparent)]
         pub struct $name(pub $inner);
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
                 write!(f, $format, self.0)
             }
         }
 
-        impl FromStr for $name {
-            type Err = ParseError;
+        impl std::str::FromStr for $name {
+            type Err = $crate::types::ParseError;
 
-            fn from_str(text: &str) -> Result<Self, ParseError> {
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
                 let is_hex = text.bytes().all(|b| b.is_ascii_hexdigit());
                 let parsed = <$inner>::from_str_radix(text, 16).ok();
                 parsed
                     .filter(|_| is_hex)
                     .map(Self)
-                    .ok_or_else(|| ParseError::new($kind, text, $expected))
+                    .ok_or_else(|| $crate::types::ParseError::new($kind, text, $expected))
             }
         }
     };
 }
 
+pub(crate) use hex_id;
+
 hex_id!(
     /// One request of a caller, the same at every host it passes.
     RequestId,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -22,6 +22,7 @@
         endpoint::{
             Announcement,
             AnnouncementOrder,
+            EndpointHash,
             Failure,
             LoadShare,
             Stage,
@@ -409,8 +410,8 @@
             work,
             ..placement_context().local.expect("a choice")
         };
-        pending.record_send(&choice, u32::MAX, &metadata);
-        pending.record_block(u32::MAX, u64::from(u32::MAX));
+        pending.record_send(&choice, EndpointHash(u32::MAX), &metadata);
+        pending.record_block(EndpointHash(u32::MAX), u64::from(u32::MAX));
     }
 
     let mut sent_count = 0;
@@ -420,7 +421,7 @@
         };
         sent_count += changes.sends.len();
         let share = EndpointLoadShare {
-            endpoint: u32::MAX,
+            endpoint: EndpointHash(u32::MAX),
             active: u32::MAX,
             backlog_tokens: u32::MAX,
             reserved_tokens: u32::MAX,
@@ -998,7 +999,7 @@
 fn leaving_endpoint_is_in_the_next_load_update() {
     let mut pending = PendingUpdate::default();
     let leaving = LeavingEndpoint {
-        endpoint: 7,
+        endpoint: EndpointHash(7),
         started_ms: 1,
     };
 
