Keep to the limits that endpoints name, all hosts together

Callers saw endpoints in need that got as many requests as before they named a limit. Cause: nothing read the header; a bound on all hosts together had no mechanism at small rates.

The limit is read from the head of each answer, ordered by the time its request was sent, and told to the hosts of the region. One of them, the endpoint's coordinator, hands out permits at nine tenths of the limit to the hosts that ask; a request is sent to the endpoint with a permit only. Without an endpoint that may be used, a request waits if its permit comes in time, goes to another region, or is refused with the time at which a permit is due.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -10,7 +10,10 @@
 
 use compact_str::CompactString;
 
-use super::fleet::Choice;
+use super::fleet::{
+    Choice,
+    LimitWait, //
+};
 
 /// Largest backlog inside one endpoint. It is enough to keep the endpoint busy
 /// until this host has received a response and sent the next request.
@@ -61,6 +64,17 @@
     /// Time until an endpoint of this region wants requests from this host again;
     /// none unless all of them asked it to stay away.
     pub unwanted_for_ms: Option<f64>,
+    /// Wait for a permit; none unless all usable endpoints of this region have a limit.
+    pub limited: Option<LimitedPlace>,
+}
+
+/// When a request can be sent that only endpoints with a limit can serve.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitedPlace {
+    /// Predicted wait for a permit, and for the first event.
+    pub wait: LimitWait,
+    /// Time after which the caller would come back behind those that were refused before.
+    pub return_in_ms: f64,
 }
 
 /// Decision about a request.
@@ -125,7 +139,10 @@
     if offer.first_event_ms >= context.time_left_ms {
         return None;
     }
+    let permit_ms = context.limited.map(|limited| limited.wait.wait_ms);
     match local_ms {
+        // A permit comes earlier.
+        None if permit_ms.is_some_and(|permit_ms| permit_ms < offer.first_event_ms) => None,
         None => Some(offer),
         Some(_) => {
             let local_cost_ms = context.local.as_ref().map_or(0.0, |choice| choice.cost_ms);
@@ -154,6 +171,13 @@
         }
         return refuse_for(&context, unwanted_ms);
     }
+    if let Some(limited) = context.limited {
+        let is_in_time = context.goal_left_ms > 0.0 && limited.wait.wait_ms <= context.goal_left_ms;
+        return match is_in_time {
+            true => Placement::Wait,
+            false => refuse_for(&context, limited.return_in_ms),
+        };
+    }
     let wait_ms = context.goal_ms / 8.0;
     if context.goal_left_ms > context.goal_ms - wait_ms {
         return Placement::Wait;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -297,6 +297,10 @@
     pub is_head_request: bool,
     /// Time at which the connection was opened or became idle.
     pub since_ms: u64,
+    /// Times at which the latest request and the one before it were sent.
+    pub sent_ms: u64,
+    /// See [`Self::sent_ms`].
+    pub previous_sent_ms: u64,
     /// Number of requests sent on it.
     pub request_count: u32,
     /// Time from which an idle connection is not reused.
@@ -326,6 +330,8 @@
             response_progress: ResponseProgress::Head,
             is_head_request: false,
             since_ms: now_ms,
+            sent_ms: now_ms,
+            previous_sent_ms: now_ms,
             request_count: 0,
             idle_deadline_ms: 0,
             is_peer: false,
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -19,11 +19,14 @@
 
 use super::{
     configuration::Service,
+    endpoint_limit::KnownLimit,
     load_updates::SentPrompt,
+    permits::HeldPermits,
     request::{
         EndpointLoad,
         RequestMetadata, //
     },
+    request_rate::RequestRate,
     software_version::SoftwareVersion, //
 };
 use crate::types::hex_id;
@@ -149,12 +152,14 @@
 }
 
 /// What an endpoint states about itself in responses; holds until its next start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Statements {
     /// It is leaving and is to get no new requests.
     pub is_leaving: bool,
     /// Until then it wants no requests from this host.
     pub unwanted_until_ms: u64,
+    /// Its limit on requests from all hosts.
+    pub limit: KnownLimit,
 }
 
 /// A prompt part that an endpoint has prefilled or will soon have prefilled.
@@ -185,6 +190,8 @@
     pub peer_load: LoadShare,
     /// What it states about itself in responses.
     pub statements: Statements,
+    /// Permits to send to it while it names a limit.
+    pub permits: HeldPermits,
     cold_until_ms: u64,
     cold_sends_ms: Vec<u64>,
     /// Latest load from a response, with the time at which it arrived.
@@ -222,6 +229,7 @@
             announcement,
             withdrawn_at_ms: None,
             statements: Statements::default(),
+            permits: HeldPermits::default(),
             own_load: LoadShare::default(),
             peer_load: LoadShare::default(),
             cold_sends_ms: Vec::new(),
@@ -252,7 +260,10 @@
             let statements = is_same_start.then_some(self.statements);
             *self = Self::new(self.id.clone(), self.region.clone(), announcement, now_ms);
             self.own_load = own;
-            self.statements = statements.unwrap_or_default();
+            self.statements = statements.unwrap_or(Statements {
+                limit: KnownLimit::new(now_ms),
+                ..Statements::default()
+            });
             return;
         }
         self.withdrawn_at_ms = None;
@@ -296,8 +307,18 @@
             && !self.statements.is_leaving
     }
 
+    /// Returns the limit that it names, if any.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.statements.limit.rate()
+    }
+
+    /// Returns whether it names no limit, or this host has a permit.
+    pub fn is_permitted(&self, now_ms: u64) -> bool {
+        self.limit().is_none() || self.permits.count(now_ms) > 0
+    }
+
     /// Returns whether new requests may be sent to the endpoint, regardless of its
-    /// load.
+    /// load and limit.
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.is_staying(now_ms)
             && now_ms >= self.statements.unwanted_until_ms
@@ -323,6 +344,9 @@
         self.own_load.reserved_tokens += work.reserved_tokens;
         self.total_reserved_tokens += work.reserved_tokens;
         self.record_prefill(work.uncached_tokens, now_ms);
+        if self.limit().is_some() {
+            self.permits.use_one(now_ms);
+        }
         if self.is_cold(now_ms) {
             self.cold_sends_ms
                 .retain(|sent_ms| now_ms < *sent_ms + COLD_WINDOW_MS);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,10 @@
     },
     endpoint::Failure,
     events::EventSplitter,
-    fleet::Choice,
+    fleet::{
+        Choice,
+        KeptFrom, //
+    },
     head::{
         Framing,
         RequestHead, //
@@ -236,6 +239,8 @@
     pub placement: Option<PlacementRecord>,
     /// Inputs of the refusal, if the request was refused.
     pub refusal: Option<RefusalRecord>,
+    /// Endpoint from which the latest placement kept the request because of a limit.
+    pub kept_from: Option<KeptFrom>,
     /// Time at which the first event, or the response, had arrived.
     pub first_event_at_ms: Option<u64>,
     /// The response head has been written to the caller.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -31,6 +31,10 @@
         Work,
         slots_of, //
     },
+    endpoint_limit::{
+        LimitReport,
+        LimitStatement, //
+    },
     hosts::RegionView,
     load_updates::{
         EndpointBlock,
@@ -38,6 +42,7 @@
         SentPrompt, //
     },
     request::RequestMetadata,
+    request_rate::RequestRate,
     software_version::SoftwareVersion,
     stream_origins::ORIGIN_LIFETIME_MS, //
 };
@@ -82,6 +87,9 @@
 /// Cost of a full endpoint relative to an empty one, where events are sent more
 /// slowly.
 const LOAD_COST_MS: f64 = 150.0;
+/// Value of a request that an endpoint with a limit takes from the others: a permit that is
+/// not used lapses.
+const PERMIT_CREDIT_MS: f64 = 100.0;
 /// Cost of a millisecond by which prefill delays the streams at an endpoint, per
 /// stream.
 const DELAY_WEIGHT: f64 = 0.08;
@@ -133,6 +141,30 @@
     pub goal_left_ms: f64,
     /// Time left until the request's deadline.
     pub time_left_ms: f64,
+    /// Waiting requests for the service that come first.
+    pub waiting_ahead: usize,
+}
+
+/// Predicted wait for a permit of a request that only endpoints with a limit can serve.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitWait {
+    /// Time until the first event, behind the waiting requests that come first.
+    pub wait_ms: f64,
+    /// Time between two permits of this host.
+    pub interval_ms: f64,
+}
+
+/// An endpoint from which a request was kept because of its limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KeptFrom {
+    /// The endpoint.
+    pub endpoint: CompactString,
+    /// Its limit.
+    pub limit: RequestRate,
+    /// Age of the limit as this host knows it.
+    pub age_ms: u64,
+    /// Time between two permits of this host, if it is known.
+    pub interval_ms: Option<f64>,
 }
 
 /// An endpoint chosen for a request.
@@ -365,6 +397,69 @@
         own_region.map(LeavingEndpoint::new)
     }
 
+    /// Applies what an answer to a request sent at `sent_ms` says about the limit of its
+    /// endpoint; returns whether it has changed.
+    pub fn record_limit(
+        &mut self,
+        id: &str,
+        statement: LimitStatement,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let rate = match statement {
+            LimitStatement::None => None,
+            LimitStatement::Limit(rate) => Some(rate),
+            LimitStatement::Invalid => return false,
+        };
+        let endpoint = self.endpoints.get_mut(id);
+        endpoint.is_some_and(|endpoint| endpoint.statements.limit.apply(rate, sent_ms, now_ms))
+    }
+
+    /// Applies another host's report of a limit; returns the endpoint's id if the limit has
+    /// changed.
+    pub fn apply_limit_report(
+        &mut self,
+        report: &LimitReport,
+        now_ms: u64,
+    ) -> Option<CompactString> {
+        let endpoint = self.get_by_hash(report.endpoint)?;
+        if endpoint.announcement.order.started_ms != report.started_ms {
+            return None;
+        }
+        let as_of_ms = now_ms.saturating_sub(report.age_ms);
+        let limit = &mut endpoint.statements.limit;
+        let is_changed = limit.apply(report.rate, as_of_ms, now_ms);
+        is_changed.then(|| endpoint.id.clone())
+    }
+
+    /// Returns the limits of this region's endpoints for another host.
+    pub fn limit_reports(&self, now_ms: u64) -> impl Iterator<Item = LimitReport> + '_ {
+        let own_region = self.endpoints.values();
+        own_region
+            .filter(|endpoint| endpoint.region == self.region)
+            .filter_map(move |endpoint| LimitReport::of_limited(endpoint, now_ms))
+    }
+
+    /// Returns the endpoints of this region that stay and name a limit.
+    pub fn limited(&self, now_ms: u64) -> impl Iterator<Item = (&Endpoint, RequestRate)> {
+        let limited = self
+            .endpoints
+            .values()
+            .filter_map(|endpoint| Some((endpoint, endpoint.limit()?)));
+        limited.filter(move |(endpoint, _)| {
+            endpoint.region == self.region
+                && endpoint.is_staying(now_ms)
+                && !self.evacuated.contains(&endpoint.announcement.data_centre)
+        })
+    }
+
+    /// Returns the id of the endpoint with this hash.
+    pub fn id_of(&self, hash: EndpointHash) -> Option<CompactString> {
+        let mut endpoints = self.endpoints.values();
+        let endpoint = endpoints.find(|endpoint| endpoint.hash == hash)?;
+        Some(endpoint.id.clone())
+    }
+
     /// Returns the time until an endpoint of `service` in this region may be used, of those
     /// that stay and are neither excluded nor of another software version.
     pub fn usable_in_ms(
@@ -379,7 +474,13 @@
             .filter(|endpoint| {
                 version.is_none_or(|bound| *bound == endpoint.announcement.software_version)
             })
-            .map(|endpoint| endpoint.usable_at_ms().saturating_sub(now_ms))
+            .map(|endpoint| {
+                let permit_ms = match endpoint.limit() {
+                    Some(_) => endpoint.permits.due_in_ms(now_ms) as u64,
+                    None => 0,
+                };
+                permit_ms.max(endpoint.usable_at_ms().saturating_sub(now_ms))
+            })
             .min()
     }
 
@@ -557,13 +658,12 @@
     pub fn choose(&self, query: &EndpointQuery<'_>, now_ms: u64) -> Option<Choice> {
         let service = query.service;
         let caches = self.caches(query, now_ms);
-        self.usable(&service.name, now_ms)
-            .filter(|endpoint| !query.excluded.contains(&endpoint.id))
+        let is_ahead = self.has_unclaimed_permit(query, now_ms);
+        self.candidates(query, now_ms)
+            .filter(|endpoint| self.may_send_cold(endpoint, service, query.region, now_ms))
             .filter(|endpoint| {
-                let version = &endpoint.announcement.software_version;
-                query.software_version.is_none_or(|bound| bound == version)
+                endpoint.limit().is_none() || (is_ahead && endpoint.is_permitted(now_ms))
             })
-            .filter(|endpoint| self.may_send_cold(endpoint, service, query.region, now_ms))
             .map(|endpoint| {
                 let choice = self.predict(endpoint, query, &caches, now_ms);
                 Choice {
@@ -574,6 +674,82 @@
             .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
+    /// Returns the usable endpoints that a request may be sent to, regardless of limits.
+    fn candidates<'a>(
+        &'a self,
+        query: &'a EndpointQuery<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        self.usable(&query.service.name, now_ms)
+            .filter(|endpoint| !query.excluded.contains(&endpoint.id))
+            .filter(|endpoint| {
+                let version = &endpoint.announcement.software_version;
+                query.software_version.is_none_or(|bound| bound == version)
+            })
+    }
+
+    /// Returns whether this host holds more permits for a service than the waiting requests
+    /// that come first will use.
+    fn has_unclaimed_permit(&self, query: &EndpointQuery<'_>, now_ms: u64) -> bool {
+        let limited = self
+            .usable(&query.service.name, now_ms)
+            .filter(|endpoint| endpoint.limit().is_some());
+        let held: usize = limited.map(|endpoint| endpoint.permits.count(now_ms)).sum();
+        held > query.waiting_ahead
+    }
+
+    /// Predicts the wait of a request for a permit; none if an endpoint without a limit may
+    /// be used, or none at all.
+    pub fn limit_wait(&self, query: &EndpointQuery<'_>, now_ms: u64) -> Option<LimitWait> {
+        let mut due_ms: Option<f64> = None;
+        let mut permits_per_ms = 0.0;
+        for endpoint in self.candidates(query, now_ms) {
+            endpoint.limit()?;
+            let next_ms = endpoint.permits.due_in_ms(now_ms);
+            due_ms = Some(due_ms.map_or(next_ms, |known_ms| known_ms.min(next_ms)));
+            // Before the first answer of the coordinator, a permit may come at once.
+            let interval_ms = endpoint.permits.interval_ms(now_ms).unwrap_or(0.0);
+            permits_per_ms += 1.0 / interval_ms;
+        }
+        let interval_ms = 1.0 / permits_per_ms;
+        let run_ms = match query.service.engine {
+            Some(_) => FIRST_EVENT_MS,
+            None => self.mean_run_ms(query.service),
+        };
+        Some(LimitWait {
+            wait_ms: due_ms? + query.waiting_ahead as f64 * interval_ms + run_ms,
+            interval_ms,
+        })
+    }
+
+    /// Returns an endpoint that a request may not be sent to because of its limit.
+    pub fn kept_from(&self, query: &EndpointQuery<'_>, now_ms: u64) -> Option<KeptFrom> {
+        let is_ahead = self.has_unclaimed_permit(query, now_ms);
+        let mut candidates = self.candidates(query, now_ms);
+        candidates.find_map(|endpoint| {
+            let limit = endpoint.limit()?;
+            let is_kept = !is_ahead || !endpoint.is_permitted(now_ms);
+            is_kept.then(|| KeptFrom {
+                endpoint: endpoint.id.clone(),
+                limit,
+                age_ms: endpoint.statements.limit.age_ms(now_ms),
+                interval_ms: endpoint.permits.interval_ms(now_ms),
+            })
+        })
+    }
+
+    /// Returns the usable endpoints of a service, those with a limit as the part of one that
+    /// they can serve.
+    pub fn capacity(&self, service: &Service, now_ms: u64) -> f64 {
+        let one_ms = self.service_ms(service, &RequestMetadata::default(), now_ms);
+        self.usable(&service.name, now_ms)
+            .map(|endpoint| match endpoint.limit() {
+                Some(limit) => (limit.per_s() * one_ms / 1_000.0).min(1.0),
+                None => 1.0,
+            })
+            .sum()
+    }
+
     /// Returns the cost of a choice in milliseconds.
     ///
     /// A wait within a share of the goal costs a caller little, while a prompt part
@@ -598,13 +774,19 @@
             + wait_cost(choice.first_event_ms, query.goal_left_ms)
             + stream_cost(endpoint, choice, query, prefill_ms_per_token, now_ms)
             + load_ms;
-        cost * (1.0 + ERROR_RATE_WEIGHT * endpoint.error_rate())
+        let credit_ms = match endpoint.limit() {
+            Some(_) => PERMIT_CREDIT_MS,
+            None => 0.0,
+        };
+        cost * (1.0 + ERROR_RATE_WEIGHT * endpoint.error_rate()) - credit_ms
     }
 
     /// Returns the endpoint that all hosts of the region prefer for a prompt part
     /// (rendezvous hashing).
     fn preferred(&self, service: &str, part: u64, now_ms: u64) -> Option<CompactString> {
+        // Most requests with the part could not be sent to an endpoint with a limit.
         self.usable(service, now_ms)
+            .filter(|endpoint| endpoint.limit().is_none())
             .max_by_key(|endpoint| xxh3_64_with_seed(endpoint.id.as_bytes(), part))
             .map(|endpoint| endpoint.id.clone())
     }
@@ -816,6 +998,7 @@
             region: &RegionView::default(),
             goal_left_ms: 0.0,
             time_left_ms: 0.0,
+            waiting_ahead: 0,
         };
         self.predict(endpoint, &query, &Caches::default(), now_ms)
             .backlog_ms
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -395,23 +395,44 @@
     /// hosts, which at most two partitions can do, and not shortly after its
     /// start.
     fn cold_sharers(&self, now_ms: u64) -> Vec<CompactString> {
-        let own_region = || {
-            let peers = self.peers.values();
-            peers.filter(|peer| peer.info.region == self.own.region)
-        };
-        let seen: Vec<CompactString> = own_region()
+        if now_ms < VIEW_SETTLE_MS || self.heard_share(now_ms) < 0.5 {
+            return Vec::new();
+        }
+        let heard = self.region_peers();
+        heard
             .filter(|peer| is_recently_seen(peer, now_ms))
             .map(|peer| peer.info.name.clone())
             .chain([self.own.name.clone()])
-            .collect();
-        let candidate_count = own_region()
-            .filter(|peer| peer.is_registered || is_recently_seen(peer, now_ms))
-            .count()
-            + 1;
-        if now_ms < VIEW_SETTLE_MS || seen.len() * 2 < candidate_count {
-            return Vec::new();
-        }
-        seen
+            .collect()
+    }
+
+    fn region_peers(&self) -> impl Iterator<Item = &PeerState> {
+        let peers = self.peers.values();
+        peers.filter(|peer| peer.info.region == self.own.region)
+    }
+
+    /// Returns the share of the region's hosts, registered or heard, that this host hears,
+    /// itself included.
+    pub fn heard_share(&self, now_ms: u64) -> f64 {
+        let count_if = |is_counted: &dyn Fn(&&PeerState) -> bool| {
+            1 + self.region_peers().filter(|peer| is_counted(peer)).count()
+        };
+        let heard = count_if(&|peer| is_recently_seen(peer, now_ms));
+        let known = count_if(&|peer| peer.is_registered || is_recently_seen(peer, now_ms));
+        heard as f64 / known as f64
+    }
+
+    /// Returns the hosts of the region that this host hears and that stay, itself included.
+    pub fn heard_in_region(&self, now_ms: u64) -> Vec<HostInfo> {
+        let heard = self.region_peers();
+        let heard = heard.filter(|peer| is_recently_seen(peer, now_ms) && !peer.is_leaving);
+        let own = (!self.is_leaving).then_some(&self.own);
+        heard.map(|peer| &peer.info).chain(own).cloned().collect()
+    }
+
+    /// Returns the address at which another host receives packets.
+    pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        self.peers.get(name).map(|peer| peer.info.peer_address)
     }
 
     /// Returns the number of hosts, this one included, that may be at work: those that are
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -25,6 +25,11 @@
     reactor::Reactor,
     request::RequestMetadata,
     serve_crashes::CrashReports,
+    serve_limits::{
+        LimitReports,
+        PermitAnswer,
+        PermitQuestion, //
+    },
     stream_origins::StreamOrigin, //
 };
 
@@ -57,6 +62,12 @@
     LoadUpdate(LoadUpdate),
     /// Crashes of endpoints and the prompt parts that may have caused them.
     CrashReports(CrashReports),
+    /// Limits that endpoints name; sent to the sender's region only.
+    LimitReports(LimitReports),
+    /// Question for permits; sent to the coordinator of an endpoint.
+    PermitQuestion(PermitQuestion),
+    /// Permits for the host that asked.
+    PermitAnswer(PermitAnswer),
 }
 
 /// Changes of the load that a host places at endpoints.
--- /dev/null
+++ b/src/gateway/permits.rs
@@ -0,0 +1,208 @@
+//! Permits to send one request each to an endpoint that names a limit.
+//!
+//! One host of a region, the endpoint's coordinator, hands out permits at the rate of the
+//! limit to the hosts that ask. Shares of the limit would either add up to more, since each
+//! host sends whole requests, or stay unused at hosts without requests.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+use compact_str::CompactString;
+
+use super::request_rate::RequestRate;
+
+/// Time in which a permit is used; what hosts hold while the limit falls is used by then.
+const PERMIT_LIFETIME_MS: u64 = 500;
+/// Share of the limit that is handed out, so that a second coordinator, which hosts with
+/// another view of the region ask, does not exceed the bound at once.
+const HANDED_OUT_SHARE: f64 = 0.9;
+/// Time for which a coordinator collects permits that nobody asks for, beside the first.
+const COLLECTED_S: f64 = 0.1;
+/// Rate below which no limit is followed: without a request, no host learns that it ended.
+const LEAST_PER_S: f64 = 0.25;
+/// Intervals of questions for which a host that asked is given permits.
+const QUESTION_LIFETIME_INTERVALS: u64 = 3;
+/// Questions in a row without an answer after which another coordinator is asked.
+const MAX_UNANSWERED: u32 = 3;
+/// Time until the coordinator that did not answer is asked again.
+const SILENT_COORDINATOR_MS: u64 = 3_000;
+/// Age beyond which the time between two permits says nothing about the next.
+const INTERVAL_LIFETIME_MS: u64 = 1_000;
+
+/// Returns the requests a second that the hosts may send together, if a share of them is
+/// heard by the one that hands out permits.
+pub fn handed_out_rate(limit: RequestRate, heard_share: f64) -> RequestRate {
+    let least = RequestRate::new(LEAST_PER_S).unwrap_or_default();
+    limit
+        .share(HANDED_OUT_SHARE)
+        .at_least(least)
+        .share(heard_share)
+}
+
+/// Permits of a host for one endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct HeldPermits {
+    lapse_ms: VecDeque<u64>,
+    /// Time between two permits, as the coordinator last stated, and when it did.
+    interval: Option<(f64, u64)>,
+    /// Time at which the last permit came.
+    last_permit_ms: u64,
+    next_question_ms: u64,
+    unanswered_count: u32,
+    /// Coordinators that did not answer, and until when they are not asked.
+    silent: Vec<(CompactString, u64)>,
+}
+
+impl HeldPermits {
+    /// Returns the number of permits that can be used.
+    pub fn count(&self, now_ms: u64) -> usize {
+        let lapse_ms = self.lapse_ms.iter();
+        lapse_ms.filter(|lapse_ms| now_ms < **lapse_ms).count()
+    }
+
+    /// Uses a permit, if there is one.
+    pub fn use_one(&mut self, now_ms: u64) {
+        self.drop_lapsed(now_ms);
+        self.lapse_ms.pop_front();
+    }
+
+    /// Applies the answer of a coordinator.
+    pub fn apply_answer(&mut self, count: u32, interval_ms: f64, now_ms: u64) {
+        self.drop_lapsed(now_ms);
+        self.unanswered_count = 0;
+        self.interval = Some((interval_ms, now_ms));
+        for _ in 0..count {
+            self.lapse_ms.push_back(now_ms + PERMIT_LIFETIME_MS);
+            self.last_permit_ms = now_ms;
+        }
+    }
+
+    /// Returns the time between two permits in milliseconds; none if it is not known.
+    pub fn interval_ms(&self, now_ms: u64) -> Option<f64> {
+        let (interval_ms, stated_ms) = self.interval?;
+        (now_ms < stated_ms + INTERVAL_LIFETIME_MS).then_some(interval_ms)
+    }
+
+    /// Predicts the time until there is a permit.
+    pub fn due_in_ms(&self, now_ms: u64) -> f64 {
+        if self.count(now_ms) > 0 {
+            return 0.0;
+        }
+        let since_ms = now_ms.saturating_sub(self.last_permit_ms) as f64;
+        let interval_ms = self.interval_ms(now_ms).unwrap_or(0.0);
+        (interval_ms - since_ms).max(0.0)
+    }
+
+    /// Returns the permits to ask for now if `wanted` can be used; none if no question is
+    /// due.
+    pub fn missing(&self, wanted: usize, now_ms: u64) -> Option<u32> {
+        let missing = wanted.saturating_sub(self.count(now_ms));
+        let is_due = missing > 0 && now_ms >= self.next_question_ms;
+        is_due.then(|| u32::try_from(missing).unwrap_or(u32::MAX))
+    }
+
+    /// Returns whether a host is asked, or has not answered recently.
+    pub fn may_ask(&self, coordinator: &str, now_ms: u64) -> bool {
+        let is_silent =
+            |(name, until_ms): &(CompactString, u64)| name == coordinator && now_ms < *until_ms;
+        !self.silent.iter().any(is_silent)
+    }
+
+    /// Records a question to a coordinator.
+    pub fn record_question(&mut self, coordinator: &str, interval_ms: u64, now_ms: u64) {
+        self.next_question_ms = now_ms + interval_ms;
+        self.unanswered_count += 1;
+        if self.unanswered_count <= MAX_UNANSWERED {
+            return;
+        }
+        self.unanswered_count = 0;
+        self.next_question_ms = now_ms;
+        self.silent.retain(|(_, until_ms)| now_ms < *until_ms);
+        self.silent
+            .push((coordinator.into(), now_ms + SILENT_COORDINATOR_MS));
+    }
+
+    fn drop_lapsed(&mut self, now_ms: u64) {
+        while self
+            .lapse_ms
+            .front()
+            .is_some_and(|lapse_ms| now_ms >= *lapse_ms)
+        {
+            self.lapse_ms.pop_front();
+        }
+    }
+}
+
+/// A host that asked for permits.
+#[derive(Debug, Clone)]
+struct Asker {
+    missing: u32,
+    until_ms: u64,
+    /// Order of the last permit; the asker with the lowest gets the next one.
+    turn: u64,
+}
+
+/// Permits that the coordinator of an endpoint hands out.
+#[derive(Debug, Clone)]
+pub struct PermitDesk {
+    collected: f64,
+    collected_ms: u64,
+    askers: BTreeMap<CompactString, Asker>,
+    next_turn: u64,
+}
+
+impl PermitDesk {
+    /// Returns a desk without permits, since another host may have handed out some.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            collected: 0.0,
+            collected_ms: now_ms,
+            askers: BTreeMap::new(),
+            next_turn: 0,
+        }
+    }
+
+    /// Records the question of a host that asks again after `interval_ms`.
+    pub fn ask(&mut self, host: &str, missing: u32, interval_ms: u64, now_ms: u64) {
+        let until_ms = now_ms + interval_ms * QUESTION_LIFETIME_INTERVALS;
+        let turn = self.askers.get(host).map_or(0, |asker| asker.turn);
+        let asker = Asker {
+            missing,
+            until_ms,
+            turn,
+        };
+        self.askers.insert(host.into(), asker);
+    }
+
+    /// Hands out the permits that were collected at `rate`; returns the hosts that get some.
+    pub fn hand_out(&mut self, rate: RequestRate, now_ms: u64) -> BTreeMap<CompactString, u32> {
+        self.askers.retain(|_, asker| now_ms < asker.until_ms);
+        let passed_s = now_ms.saturating_sub(self.collected_ms) as f64 / 1_000.0;
+        self.collected_ms = now_ms;
+        let most = 1.0 + rate.per_s() * COLLECTED_S;
+        self.collected = (self.collected + passed_s * rate.per_s()).min(most);
+        let mut handed_out = BTreeMap::new();
+        while self.collected >= 1.0 {
+            let asking = self
+                .askers
+                .iter_mut()
+                .filter(|(_, asker)| asker.missing > 0);
+            let Some((host, asker)) = asking.min_by_key(|(_, asker)| asker.turn) else {
+                break;
+            };
+            asker.missing -= 1;
+            self.next_turn += 1;
+            asker.turn = self.next_turn;
+            self.collected -= 1.0;
+            *handed_out.entry(host.clone()).or_default() += 1;
+        }
+        handed_out
+    }
+
+    /// Returns the time between two permits for one of the hosts that ask, in milliseconds.
+    pub fn interval_ms(&self, rate: RequestRate) -> f64 {
+        self.askers.len().max(1) as f64 * 1_000.0 / rate.per_s().max(f64::MIN_POSITIVE)
+    }
+}
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -74,6 +74,7 @@
     load_updates::PendingUpdate,
     retry_budget::RetryBudget,
     serve_crashes::SuspectedCrash,
+    serve_limits::LimitState,
     settings::GatewaySettings,
     store_replica::{
         StoreReplica,
@@ -170,6 +171,7 @@
     /// Requests whose endpoint may have ended because of them.
     pub(super) suspected_crashes: VecDeque<SuspectedCrash>,
     pub(super) next_crash_exchange_ms: u64,
+    pub(super) limits: LimitState,
     /// Number of live hosts in the region, for the thread that follows the store.
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
@@ -262,6 +264,7 @@
             crash_records: CrashRecords::new(),
             suspected_crashes: VecDeque::new(),
             next_crash_exchange_ms: 0,
+            limits: LimitState::default(),
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
         })
@@ -422,6 +425,7 @@
         self.resync_from_seeds(now_ms);
         self.exchange_crash_reports(now_ms);
         self.check_exchanges(now_ms);
+        self.follow_limits(now_ms);
         self.serve_waiting(now_ms);
         self.send_load_update(now_ms);
         if now_ms >= self.next_sweep_ms {
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -213,6 +213,7 @@
         connection.is_paused = false;
         connection.is_head_request = is_head_request;
         connection.request_count += 1;
+        connection.previous_sent_ms = std::mem::replace(&mut connection.sent_ms, now_ms);
         connection.response_progress = ResponseProgress::Head;
         connection.interim_count = 0;
         connection.socket.queue(&bytes);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -9,6 +9,7 @@
 
 use super::{
     admission::{
+        LimitedPlace,
         Placement,
         PlacementContext,
         RemoteOffer,
@@ -65,6 +66,7 @@
         if !is_forwarded {
             self.retry_budget.record_request(&route.service, now_ms);
         }
+        self.limits.record_request(&route.service, now_ms);
         self.next_serial += 1;
         let exchange = Exchange {
             serial: self.next_serial,
@@ -87,6 +89,7 @@
             dispatch: None,
             placement: None,
             refusal: None,
+            kept_from: None,
             first_event_at_ms: None,
             has_response_begun: false,
             events: EventSplitter::new(),
@@ -124,6 +127,7 @@
         let Some(context) = self.placement_context(key, now_ms) else {
             return;
         };
+        let is_limited = context.limited.is_some();
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return;
         };
@@ -156,6 +160,10 @@
             }
             Placement::Refuse(retry_ms) => {
                 exchange.refusal = Some(RefusalRecord { retry_ms, ..inputs });
+                if is_limited {
+                    let service = exchange.route.service.clone();
+                    self.limits.promise_return(&service, now_ms + retry_ms);
+                }
                 self.refuse(key, "no capacity in time", retry_ms);
             }
         }
@@ -172,16 +180,19 @@
         let is_home = route.allows_region(&self.settings.host.region);
         let goal_left_ms = exchange.goal_at_ms.saturating_sub(now_ms) as f64;
         let time_left_ms = exchange.deadline_ms.saturating_sub(now_ms) as f64;
+        let waiting_ahead = self.waiting_count(&service.name, Some(key), now_ms);
+        let query = EndpointQuery {
+            service: &service,
+            metadata: &exchange.request.metadata,
+            excluded: &exchange.excluded_endpoints,
+            software_version: route.software_version.as_ref(),
+            region: &self.region_view,
+            goal_left_ms,
+            time_left_ms,
+            waiting_ahead,
+        };
         let choose = |excluded: &[CompactString]| {
-            let query = EndpointQuery {
-                service: &service,
-                metadata: &exchange.request.metadata,
-                excluded,
-                software_version: route.software_version.as_ref(),
-                region: &self.region_view,
-                goal_left_ms,
-                time_left_ms,
-            };
+            let query = EndpointQuery { excluded, ..query };
             self.fleet.choose(&query, now_ms)
         };
         // A request in progress is only moved to another place.
@@ -217,7 +228,14 @@
         };
         let queue_ms = self.queue_ms(&service, Some(key), now_ms);
         let usable_in_ms = usable_in_ms(&exchange.excluded_endpoints);
-        Some(PlacementContext {
+        let limit_wait = self.fleet.limit_wait(&query, now_ms).filter(|_| is_home);
+        let limited = limit_wait.map(|wait| LimitedPlace {
+            wait,
+            return_in_ms: self.limits.return_in_ms(&service.name, wait, now_ms),
+        });
+        let kept_from = self.fleet.kept_from(&query, now_ms).filter(|_| is_home);
+        let unwanted_for_ms = self.fleet.unwanted_for_ms(&service.name, now_ms);
+        let context = PlacementContext {
             local,
             queue_ms,
             remote,
@@ -227,11 +245,14 @@
             is_waiting: exchange.is_waiting,
             has_run: exchange.has_run(),
             usable_in_ms: usable_in_ms.map(|in_ms| in_ms as f64),
-            unwanted_for_ms: self
-                .fleet
-                .unwanted_for_ms(&service.name, now_ms)
-                .map(|for_ms| for_ms as f64),
-        })
+            unwanted_for_ms: unwanted_for_ms.map(|for_ms| for_ms as f64),
+            limited,
+        };
+        if let Some(kept_from) = kept_from {
+            self.telemetry.count_kept_from_limited();
+            self.exchanges.get_mut(key)?.kept_from = Some(kept_from);
+        }
+        Some(context)
     }
 
     /// Returns the service with this name, or one with default parameters.
@@ -255,23 +276,37 @@
         // The other hosts of the region queue requests for the same endpoints,
         // which may be more or less urgent.
         let others_ms = self.hosts.peer_queue_ms(&service.name, now_ms) / 2.0;
-        let endpoints = self.fleet.usable(&service.name, now_ms).count().max(1) as f64;
-        (own_ms + others_ms) / endpoints
+        let capacity = self.fleet.capacity(service, now_ms);
+        let capacity = if capacity > 0.0 { capacity } else { 1.0 };
+        (own_ms + others_ms) / capacity
     }
 
-    /// Returns the time that a single endpoint would need for the queue of this
-    /// host ahead of `key`, or for the entire queue if `key` is none.
-    pub(super) fn own_queue_ms(&self, service: &Service, key: Option<usize>, now_ms: u64) -> f64 {
+    /// Returns the number of this host's requests that wait for a service ahead of `key`, or
+    /// of all if `key` is none.
+    pub(super) fn waiting_count(&self, service: &str, key: Option<usize>, now_ms: u64) -> usize {
+        self.waiting_ahead(service, key, now_ms).count()
+    }
+
+    fn waiting_ahead<'a>(
+        &'a self,
+        service: &'a str,
+        key: Option<usize>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Exchange> {
         let own_sort_key = key.and_then(|key| self.exchanges.get(key)).map(sort_key);
-        let ahead = self
-            .waiting
+        self.waiting
             .iter()
-            .filter(|other| Some(**other) != key)
+            .filter(move |other| Some(**other) != key)
             .filter_map(|other| self.exchanges.get(*other))
-            .filter(|other| other.route.service == service.name)
-            .filter(|other| now_ms >= other.next_placement_ms)
-            .filter(|other| own_sort_key.is_none_or(|own| sort_key(other) <= own));
-        ahead
+            .filter(move |other| other.route.service == service)
+            .filter(move |other| now_ms >= other.next_placement_ms)
+            .filter(move |other| own_sort_key.is_none_or(|own| sort_key(other) <= own))
+    }
+
+    /// Returns the time that a single endpoint would need for the queue of this
+    /// host ahead of `key`, or for the entire queue if `key` is none.
+    pub(super) fn own_queue_ms(&self, service: &Service, key: Option<usize>, now_ms: u64) -> f64 {
+        self.waiting_ahead(&service.name, key, now_ms)
             .map(|other| {
                 self.fleet
                     .service_ms(service, &other.request.metadata, now_ms)
@@ -330,6 +365,7 @@
             region: &self.region_view,
             goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms) as f64,
+            waiting_ahead: 0,
         };
         Some(RemoteOffer {
             region: region.clone(),
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -210,8 +210,13 @@
             ),
             None => false,
         };
+        let sent_ms = match is_stale {
+            true => upstream.previous_sent_ms,
+            false => upstream.sent_ms,
+        };
         if let Some(exchange) = exchange {
             self.record_leaving(exchange, &metadata);
+            self.record_limit(exchange, &metadata, sent_ms);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -5,7 +5,12 @@
 use compact_str::CompactString;
 
 use super::{
-    configuration::Configuration,
+    configuration::{
+        Configuration,
+        Service, //
+    },
+    endpoint::Endpoint,
+    fleet::EndpointQuery,
     hosts::{
         Beacon,
         QueueLoad,
@@ -18,6 +23,7 @@
         Packet, //
     },
     reactor::Reactor,
+    request::RequestMetadata,
     store_replica::{
         StoreReplica,
         Update, //
@@ -334,27 +340,54 @@
         beacon.services = configuration
             .services
             .iter()
-            .map(|service| {
-                let queue_ms = self.queue_ms(service, None, now_ms);
-                let mut count = 0_u32;
-                let mut backlog_ms = 0.0;
-                for endpoint in self.fleet.usable(&service.name, now_ms) {
-                    if service.cold_per_s > 0.0 && endpoint.is_cold(now_ms) {
-                        continue;
-                    }
-                    count += 1;
-                    backlog_ms += self.fleet.backlog_ms(endpoint, service, now_ms);
-                }
-                ServiceLoad {
-                    service: service.name.clone(),
-                    endpoint_count: count,
-                    backlog_ms: (backlog_ms / f64::from(count.max(1)) + queue_ms) as u32,
-                }
-            })
+            .map(|service| self.service_load(service, now_ms))
             .collect();
         beacon
     }
 
+    /// Returns the load of a service in this region, as other regions are told.
+    ///
+    /// Endpoints with a limit are offered to them only if there is no other.
+    fn service_load(&self, service: &Service, now_ms: u64) -> ServiceLoad {
+        let is_warm = |endpoint: &&Endpoint| service.cold_per_s <= 0.0 || !endpoint.is_cold(now_ms);
+        let usable = self.fleet.usable(&service.name, now_ms);
+        let (limited, free): (Vec<&Endpoint>, Vec<&Endpoint>) = usable
+            .filter(is_warm)
+            .partition(|endpoint| endpoint.limit().is_some());
+        let mean_ms = match free.is_empty() {
+            true => self.limit_wait_ms(service, now_ms),
+            false => {
+                let backlogs = free.iter();
+                let backlogs =
+                    backlogs.map(|endpoint| self.fleet.backlog_ms(endpoint, service, now_ms));
+                let queue_ms = self.queue_ms(service, None, now_ms);
+                backlogs.sum::<f64>() / free.len() as f64 + queue_ms
+            }
+        };
+        let offered = if free.is_empty() { limited } else { free };
+        ServiceLoad {
+            service: service.name.clone(),
+            endpoint_count: offered.len() as u32,
+            backlog_ms: mean_ms as u32,
+        }
+    }
+
+    /// Returns the wait of a new request if all endpoints of a service have a limit.
+    fn limit_wait_ms(&self, service: &Service, now_ms: u64) -> f64 {
+        let query = EndpointQuery {
+            service,
+            metadata: &RequestMetadata::default(),
+            excluded: &[],
+            software_version: None,
+            region: &self.region_view,
+            goal_left_ms: 0.0,
+            time_left_ms: 0.0,
+            waiting_ahead: self.waiting_count(&service.name, None, now_ms),
+        };
+        let wait = self.fleet.limit_wait(&query, now_ms);
+        wait.map_or(0.0, |wait| wait.wait_ms)
+    }
+
     /// Sends a packet to each of `peers`.
     pub(super) fn send_packet(&mut self, packet: &Packet, peers: &[std::net::SocketAddr]) {
         let bytes = match postcard::to_allocvec(packet) {
@@ -413,6 +446,9 @@
                         is_changed |= self.apply_load_update(&update, now_ms)
                     }
                     Ok(Packet::CrashReports(sent)) => self.apply_crash_reports(sent, from),
+                    Ok(Packet::LimitReports(sent)) => self.apply_limit_reports(sent, from),
+                    Ok(Packet::PermitQuestion(asked)) => self.answer_permit_question(&asked),
+                    Ok(Packet::PermitAnswer(answer)) => self.apply_permit_answer(&answer),
                     Err(error) => tracing::debug!(%error, "could not decode a packet"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -52,6 +52,9 @@
     retries: Counter,
     connections: Counter,
     remote: Counter,
+    permits: Counter,
+    kept_from_limited: Counter,
+    limited_endpoints: Gauge,
     omitted_lines: Counter,
     dropped_lines: Gauge,
     log_drop_counter: Option<ErrorCounter>,
@@ -70,6 +73,9 @@
             retries: Counter::default(),
             connections: Counter::default(),
             remote: Counter::default(),
+            permits: Counter::default(),
+            kept_from_limited: Counter::default(),
+            limited_endpoints: Gauge::default(),
             omitted_lines: Counter::default(),
             dropped_lines: Gauge::default(),
             log_drop_counter: None,
@@ -99,6 +105,21 @@
             "Requests sent to another region",
             telemetry.remote.clone(),
         );
+        registry.register(
+            "permits",
+            "Permits for endpoints with a limit that this host got",
+            telemetry.permits.clone(),
+        );
+        registry.register(
+            "kept_from_limited",
+            "Placements that passed over an endpoint because of its limit",
+            telemetry.kept_from_limited.clone(),
+        );
+        registry.register(
+            "limited_endpoints",
+            "Endpoints of the region that name a limit",
+            telemetry.limited_endpoints.clone(),
+        );
         registry.register(
             "omitted_log_lines",
             "Lines about requests that were left out",
@@ -161,6 +182,22 @@
         self.remote.inc();
     }
 
+    /// Counts permits for endpoints with a limit.
+    pub fn count_permits(&self, count: u32) {
+        self.permits.inc_by(u64::from(count));
+    }
+
+    /// Counts a placement that passed over an endpoint because of its limit.
+    pub fn count_kept_from_limited(&self) {
+        self.kept_from_limited.inc();
+    }
+
+    /// Sets the number of endpoints that name a limit.
+    pub fn set_limited_endpoints(&self, count: usize) {
+        self.limited_endpoints
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records the time until the first event or the response.
     pub fn observe_first_event(&self, after_ms: u64) {
         self.first_event_s.observe(after_ms as f64 / 1_000.0);
@@ -226,6 +263,13 @@
             here_ms = exchange.refusal.and_then(|refusal| refusal.local_ms),
             queue_ms = exchange.refusal.map(|refusal| refusal.queue_ms),
             away_ms = exchange.refusal.and_then(|refusal| refusal.remote_ms),
+            kept_from = exchange.kept_from.as_ref().map(|kept| kept.endpoint.as_str()),
+            limit = exchange
+                .kept_from
+                .as_ref()
+                .map(|kept| tracing::field::display(kept.limit)),
+            limit_age_ms = exchange.kept_from.as_ref().map(|kept| kept.age_ms),
+            permit_interval_ms = exchange.kept_from.as_ref().and_then(|kept| kept.interval_ms),
             retry_ms = exchange.refusal.map(|refusal| refusal.retry_ms),
             total_ms,
             outcome,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     gateway::{
+        endpoint_limit::LimitStatement,
         head::{
             Header,
             ResponseHead, //
@@ -14,7 +15,8 @@
             EndpointLoad,
             PromptPart,
             RequestMetadata, //
-        }, //
+        },
+        request_rate::RequestRate, //
     },
     types::Tokens, //
 };
@@ -39,8 +41,12 @@
 const COLD_TIME: &str = "x-cold-ms";
 /// Set in all responses of an endpoint that is leaving.
 const LEAVING: &str = "server-leaving";
+/// Requests a second, a decimal number, that an endpoint takes from all hosts together.
+const LIMIT: &str = "server-limit";
 /// With status 503, seconds for which the endpoint wants no requests from this host.
 const RETRY_AFTER: &str = "retry-after";
+/// Highest limit that is followed: more than all hosts of a region can send.
+const MAX_LIMIT_PER_S: f64 = 1_000_000.0;
 /// Least urgent priority that endpoints accept; 0 is the most urgent.
 const MAX_PRIORITY: u8 = 9;
 
@@ -169,6 +175,8 @@
     pub cold_left_ms: Option<u64>,
     /// The endpoint is leaving.
     pub is_leaving: bool,
+    /// What the endpoint says about its limit on requests.
+    pub limit: LimitStatement,
     /// Time for which the endpoint, which refused the request, wants no others from
     /// this host.
     pub unwanted_for_ms: Option<u64>,
@@ -197,6 +205,8 @@
             metadata.cold_left_ms = value.parse().ok();
         } else if header.is(LEAVING) {
             metadata.is_leaving = value.trim() == "1";
+        } else if header.is(LIMIT) {
+            metadata.limit = decode_limit(value);
         } else if header.is(RETRY_AFTER) && head.status == 503 {
             metadata.unwanted_for_ms = decode_seconds(value);
         }
@@ -204,6 +214,16 @@
     metadata
 }
 
+/// Decodes a limit; one above [`MAX_LIMIT_PER_S`] limits nothing.
+fn decode_limit(value: &str) -> LimitStatement {
+    let per_s: Option<f64> = value.trim().parse().ok();
+    match per_s.and_then(RequestRate::new) {
+        Some(rate) if rate.per_s() <= MAX_LIMIT_PER_S => LimitStatement::Limit(rate),
+        Some(_) => LimitStatement::None,
+        None => LimitStatement::Invalid,
+    }
+}
+
 /// Decodes seconds, which may have a fraction, into milliseconds.
 fn decode_seconds(value: &str) -> Option<u64> {
     let seconds: f64 = value.trim().parse().ok()?;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -162,6 +162,7 @@
         region: &region,
         goal_left_ms: GOAL_MS,
         time_left_ms: 15_000.0,
+        waiting_ahead: 0,
     };
     fleet.choose(&query, now_ms)
 }
@@ -651,6 +652,7 @@
         has_run: false,
         usable_in_ms: None,
         unwanted_for_ms: None,
+        limited: None,
     }
 }
 
