Test how limits of endpoints begin, end and survive restarts

Ends at a host that sends nothing and after a limit of zero, at the next start of the endpoint and by order of the requests; named by refusals and failures; values that are no limit; hosts paused, killed and started.

--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -15,6 +15,7 @@
 use cardamombridge::standin::{
     metadata_store::MetadataStore,
     scripted::{
+        Arrival,
         Script,
         ScriptedEndpoint, //
     }, //
@@ -25,8 +26,12 @@
     Request,
     Response,
     announce,
-    store_with_configuration, //
+    announce_with,
+    store_with_configuration,
+    wait_until, //
 };
+use nix::sys::signal::Signal;
+use serde_json::json;
 
 const LIMIT_MS: u64 = 3_000;
 /// Time after which all hosts in touch keep to a limit that one of them was told.
@@ -101,7 +106,14 @@
 struct Answer {
     sent: Instant,
     took: Duration,
-    response: Response,
+    /// None if the host ended.
+    response: Option<Response>,
+}
+
+impl Answer {
+    fn status(&self) -> u16 {
+        self.response.as_ref().map_or(0, |response| response.status)
+    }
 }
 
 /// Sends requests to each host at a steady rate; returns the answers.
@@ -118,7 +130,7 @@
                 let (address, answers) = (*address, &answers);
                 scope.spawn(move || {
                     let sent = Instant::now();
-                    let response = request.send(address);
+                    let response = request.try_send(address);
                     let took = sent.elapsed();
                     let answer = Answer {
                         sent,
@@ -171,7 +183,7 @@
 fn check_all_served(answers: &[Answer]) {
     let failed = answers
         .iter()
-        .filter(|answer| answer.response.status != 200)
+        .filter(|answer| answer.status() != 200)
         .count();
     assert_eq!(failed, 0, "of {} requests", answers.len());
 }
@@ -233,12 +245,11 @@
     let late = answers
         .iter()
         .filter(|answer| answer.sent > started + CONTACT);
-    let refused: Vec<&Answer> = late
-        .filter(|answer| answer.response.status == 503)
-        .collect();
+    let refused: Vec<&Answer> = late.filter(|answer| answer.status() == 503).collect();
     assert!(!refused.is_empty(), "nothing is refused");
     for answer in &refused {
-        let retry_s = answer.response.header("retry-after");
+        let response = answer.response.as_ref().expect("a status");
+        let retry_s = response.header("retry-after");
         let retry_s: f64 = retry_s.and_then(|text| text.parse().ok()).unwrap_or(0.0);
         assert!(retry_s >= 1.0 / 3.0, "asked to come back in {retry_s} s");
     }
@@ -248,3 +259,177 @@
     let share = at_once.count() as f64 / refused.len() as f64;
     assert!(share >= 0.9, "share {share} is refused at once");
 }
+
+/// Waits until an endpoint that named a limit gets requests without a limit again.
+fn wait_unlimited(endpoint: &ScriptedEndpoint, since: Instant, count: usize, time: Duration) {
+    let deadline = since + time;
+    loop {
+        let after = endpoint.arrivals();
+        let after = after.iter().filter(|arrival| arrival.at >= since).count();
+        if after >= count {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{after} requests in {time:?}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against a limit that never ends: at a host that sends nothing, and at all hosts if
+/// the limit let nothing through.
+#[test]
+fn limit_ends_when_answers_no_longer_name_it() {
+    let store = store_with_configuration();
+    let endpoints = start_endpoints(&store, "north", 1, "0");
+    let hosts = start_hosts(&store, &["north"; 3], &endpoints);
+    let addresses = addresses(&hosts);
+    flood(&addresses, Duration::from_secs(8));
+    let bound = bound_arrivals(&endpoints[0]);
+    assert!(most_in_window(&bound) as f64 <= LIMIT_SLACK, "{bound:?}");
+
+    endpoints[0].set_limit(None);
+    let ended = Instant::now();
+    let sender = thread::spawn({
+        let one = vec![addresses[0]];
+        move || flood(&one, CONTACT)
+    });
+    wait_unlimited(&endpoints[0], ended, 20, CONTACT);
+    sender.join().expect("the caller ends");
+    let answers = flood(&addresses[1..], Duration::from_secs(1));
+
+    check_all_served(&answers);
+}
+
+/// Guards against a limit that outlives the start of the endpoint that named it.
+#[test]
+fn limit_ends_with_the_next_start_of_its_endpoint() {
+    let store = store_with_configuration();
+    let endpoints = start_endpoints(&store, "north", 1, "0.5");
+    let hosts = start_hosts(&store, &["north"; 2], &endpoints);
+    flood(&addresses(&hosts), Duration::from_secs(2));
+
+    endpoints[0].set_limit(None);
+    announce_with(&store, &endpoints[0], "north", &json!({ "born": 2 }));
+    thread::sleep(Duration::from_secs(1));
+    let answers = flood(&addresses(&hosts), Duration::from_secs(1));
+
+    check_all_served(&answers);
+}
+
+/// Guards against an answer that arrives late and brings back a limit that has ended.
+#[test]
+fn late_answer_does_not_bring_back_a_limit() {
+    let store = store_with_configuration();
+    let slow = |_, arrival: &Arrival| match arrival.path == "/read/slow" {
+        true => Script::After(
+            Duration::from_secs(1),
+            Box::new(Script::Answer(200, b"slow".to_vec())),
+        ),
+        false => Script::Answer(200, b"answer".to_vec()),
+    };
+    let endpoint = ScriptedEndpoint::start("e-0", slow).expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let endpoints = [endpoint];
+    let hosts = start_hosts(&store, &["north"], &endpoints);
+    endpoints[0].set_limit(Some("0.5"));
+    let address = hosts[0].caller_address;
+    let late = thread::spawn(move || {
+        Request::get("/read/slow")
+            .with_attempt("a", LIMIT_MS)
+            .send(address)
+    });
+    wait_until("the slow request arrives", || {
+        !endpoints[0].arrivals().is_empty()
+    });
+
+    endpoints[0].set_limit(None);
+    Request::get("/read/1")
+        .with_attempt("b", LIMIT_MS)
+        .send(address);
+    late.join().expect("the caller ends");
+    let answers = flood(&[address], Duration::from_secs(1));
+
+    check_all_served(&answers);
+}
+
+/// Guards against values that are no limit and keep requests from an endpoint.
+#[test]
+fn values_that_are_no_limit_are_ignored() {
+    let store = store_with_configuration();
+    let endpoints = start_endpoints(&store, "north", 1, "-1");
+    let hosts = start_hosts(&store, &["north"], &endpoints);
+
+    for value in [
+        "-1",
+        "nan",
+        "inf",
+        "",
+        "many",
+        "1e300",
+        "99999999999999999999",
+    ] {
+        endpoints[0].set_limit(Some(value));
+        let answers = flood(&addresses(&hosts), Duration::from_millis(500));
+        check_all_served(&answers);
+    }
+}
+
+/// Guards against a limit that only successful answers make known.
+#[test]
+fn answers_that_fail_or_refuse_name_a_limit() {
+    let store = store_with_configuration();
+    let fail = |index: usize, _: &Arrival| match index % 2 {
+        0 => Script::NotRun,
+        _ => Script::Answer(500, b"failed".to_vec()),
+    };
+    let limited = ScriptedEndpoint::start("e-0", fail).expect("the endpoint starts");
+    limited.set_limit(Some("1"));
+    announce(&store, &limited, "north");
+    let mut endpoints = vec![limited];
+    let other = ScriptedEndpoint::start("e-1", |_, _| Script::Answer(200, b"answer".to_vec()));
+    endpoints.push(other.expect("the endpoint starts"));
+    announce(&store, &endpoints[1], "north");
+    let hosts = start_hosts(&store, &["north"; 2], &endpoints);
+    let time = CONTACT + WINDOW;
+
+    flood(&addresses(&hosts), time);
+
+    let arrivals = bound_arrivals(&endpoints[0]);
+    let allowed = LIMIT_FACTOR * WINDOW.as_secs_f64() + LIMIT_SLACK;
+    assert!(most_in_window(&arrivals) as f64 <= allowed);
+}
+
+/// Guards against a limit that is exceeded or unused while the hosts that hand out permits
+/// are paused, killed and started.
+#[test]
+fn limit_holds_while_hosts_are_paused_and_restarted() {
+    let store = store_with_configuration();
+    let endpoints = start_endpoints(&store, "north", 3, "4");
+    let mut hosts = start_hosts(&store, &["north"; 4], &endpoints);
+    let time = Duration::from_secs(20);
+    let until = Instant::now() + time;
+    let send = |host: &Host| {
+        let address = vec![host.caller_address];
+        thread::spawn(move || flood(&address, until - Instant::now()))
+    };
+    let mut senders: Vec<_> = hosts.iter().map(send).collect();
+    thread::sleep(CONTACT);
+
+    for index in 0..3 {
+        hosts[index].signal(Signal::SIGSTOP);
+        thread::sleep(Duration::from_secs(2));
+        hosts[index].signal(Signal::SIGCONT);
+        hosts[index].signal(Signal::SIGKILL);
+        let options = HostOptions {
+            name: HOST_NAMES[index],
+            ..HostOptions::default()
+        };
+        hosts[index] = Host::start(&store, &options);
+        senders.push(send(&hosts[index]));
+        thread::sleep(Duration::from_secs(1));
+    }
+    for sender in senders {
+        sender.join().expect("a caller ends");
+    }
+
+    check_limit(&endpoints[0], 4.0, time);
+}
