Let endpoints of the soak name limits that rise, fall and end

Six hosts, five of them in one region, limits of 0 to 6 requests a second that change every few seconds, beside restarts and paused hosts; the bound is checked over all hosts in each window of 4 s, and all limits end at last. Packets between hosts are not lost, as these do not pass through a wire of the soak.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -9,7 +9,7 @@
 //! configurations, evacuations and removals are interleaved. Another series consists
 //! mostly of planned work beside endpoints that are silent for a second or two, and a third
 //! one of restarts while requests with one prompt part crash endpoints, or while all
-//! endpoints fail. Answers end with their connection, anywhere, or never. The
+//! endpoints fail. In a last one, endpoints name limits that rise, fall and end. Answers end with their connection, anywhere, or never. The
 //! checks use what callers received, what endpoints saw and what hosts logged.
 //!
 //! `SOAK_SEEDS` lists seeds and `SOAK_SECONDS` sets the length of each, such as
@@ -28,6 +28,7 @@
         SocketAddr,
         TcpStream, //
     },
+    ops::Range,
     sync::{
         Arc,
         Mutex,
@@ -87,11 +88,16 @@
 const PLANNED_WORK_SEEDS: [u64; 4] = [1, 2, 3, 4];
 /// Duration of the run of one seed in CI.
 const DEFAULT_LENGTH_S: u64 = 6;
-const HOSTS: [(&str, &str); 3] = [
+const HOSTS: [(&str, &str); 6] = [
     ("host-1", "north"),
     ("host-2", "north"),
     ("host-3", "south"),
+    ("host-4", "north"),
+    ("host-5", "north"),
+    ("host-6", "north"),
 ];
+/// Hosts of most series. With limits there are all, since more of them exceed one together.
+const HOST_COUNT: usize = 3;
 const ENDPOINTS: [(&str, &str); 4] = [
     ("e-1", "north"),
     ("e-2", "north"),
@@ -152,6 +158,27 @@
 const MAX_MEMORY_BYTES: u64 = 64 * 1024 * 1024;
 /// Seeds of the runs in which a part crashes endpoints.
 const CRASH_SEEDS: [u64; 2] = [1, 2];
+/// Limits on requests a second that endpoints name: none let through, less than one for
+/// each host, and some.
+const LIMITS_PER_S: [&str; 5] = ["0", "0.4", "1.0", "2.5", "6"];
+/// Number of steps of the series in which an endpoint changes its limit once.
+const LIMIT_PERIOD: u64 = 5;
+/// Limit of all endpoints shortly before it ends.
+const LAST_LIMIT_PER_S: &str = "0.4";
+/// Time in which all endpoints have that limit.
+const LAST_LIMIT: Duration = Duration::from_secs(1);
+/// Factor on a limit and further requests that reach an endpoint in a window at most.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time after a change of a limit in which requests may follow the one before.
+const LIMIT_CHANGE: Duration = Duration::from_millis(1_000);
+/// Requests a second that reach the endpoints once no limit is left.
+const UNLIMITED_PER_S: usize = 30;
+/// Shortest run with limits.
+const MIN_LIMIT_LENGTH: Duration = Duration::from_secs(14);
+/// Seeds of the runs with limits.
+const LIMIT_SEEDS: [u64; 2] = [1, 2];
 /// Part of an answer without a frame.
 const CUT_BODY: &str = "cut";
 /// Seeds of the runs in which all endpoints fail.
@@ -251,6 +278,13 @@
     until: Instant,
 }
 
+/// A limit that an endpoint names from a time on; none if it names no limit.
+struct NamedLimit {
+    endpoint: usize,
+    from: Instant,
+    per_s: Option<f64>,
+}
+
 /// State of an endpoint as it announces it.
 #[derive(Debug, Clone)]
 struct Announced {
@@ -425,6 +459,11 @@
     response.is_complete && response.header("connection") != Some("close")
 }
 
+fn random_host(caller_addresses: &CallerAddresses, random: &mut Pcg64Mcg) -> usize {
+    let count = caller_addresses.lock().expect("no panic").len();
+    random_below(random, count as u64) as usize
+}
+
 /// Returns the pause of a caller between two requests on a connection: sometimes longer
 /// than the shortest idle timeout.
 fn pause_on_connection(random: &mut Pcg64Mcg) -> Duration {
@@ -451,7 +490,7 @@
         let attempt = format!("{seed:x}-{number}");
         let paths = ["/read/1", "/book/1", "/chat/1", "/draft/1"];
         let path = paths[random_below(&mut random, 4) as usize];
-        let host = random_below(&mut random, HOSTS.len() as u64) as usize;
+        let host = random_host(caller_addresses, &mut random);
         let address = caller_addresses.lock().expect("no panic")[host];
         let opened = || address.map(|(address, sender)| CallerConnection::open(address, sender));
         let Some(mut connection) = kept.take().or_else(opened) else {
@@ -489,7 +528,7 @@
     let mut number = 0;
     while !is_ending.load(Ordering::Relaxed) {
         number += 1;
-        let address = caller_addresses.lock().expect("no panic")[number % HOSTS.len()];
+        let address = caller_addresses.lock().expect("no panic")[number % HOST_COUNT];
         if let Some((address, _)) = address {
             let request = Request::post("/draft/1", b"bad")
                 .with_attempt(&format!("bad-{number}"), LIMIT_MS)
@@ -523,7 +562,7 @@
     if first.path != "/chat/1" || response.is_complete {
         return None;
     }
-    let host = random_below(random, HOSTS.len() as u64) as usize;
+    let host = random_host(caller_addresses, random);
     let (address, sender) = caller_addresses.lock().expect("no panic")[host]?;
     let last = event_count(received.as_bytes()) - 1;
     let request = Request::post(first.path, first.attempt.as_bytes())
@@ -569,12 +608,13 @@
     serving: Vec<Serving>,
     stops: Vec<Stop>,
     silences: Vec<Silence>,
+    limits: Vec<NamedLimit>,
     /// Time limit of the routes in configurations that change limits.
     route_timeouts_ms: HashMap<u64, u64>,
 }
 
 impl Cluster {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, host_count: usize) -> Self {
         let store = store_with_configuration();
         let is_failing = Arc::new(AtomicBool::new(false));
         let endpoints = ENDPOINTS
@@ -584,15 +624,15 @@
                 start_endpoint(seed, &is_failing, id, VERSIONS[index % VERSIONS.len()])
             })
             .collect();
-        let wires = (0..HOSTS.len() as u64)
+        let wires = (0..host_count as u64)
             .map(|index| Wire::start(store.address(), seed ^ index).expect("the wire starts"))
             .collect();
         let mut cluster = Self {
             store,
             wires,
             endpoints,
-            hosts: HOSTS.iter().map(|_| None).collect(),
-            caller_addresses: Arc::new(Mutex::new(vec![None; HOSTS.len()])),
+            hosts: (0..host_count).map(|_| None).collect(),
+            caller_addresses: Arc::new(Mutex::new(vec![None; host_count])),
             ended_logs: Vec::new(),
             version: 7,
             announced: (0..ENDPOINTS.len()).map(Announced::new).collect(),
@@ -604,12 +644,13 @@
             serving: Vec::new(),
             stops: Vec::new(),
             silences: Vec::new(),
+            limits: Vec::new(),
             route_timeouts_ms: HashMap::new(),
         };
         for index in 0..ENDPOINTS.len() {
             cluster.announce_again(index);
         }
-        for index in 0..HOSTS.len() {
+        for index in 0..host_count {
             cluster.start(index);
         }
         for host in cluster.hosts.iter().flatten() {
@@ -723,10 +764,10 @@
             self.change_limits(random);
             thread::sleep(Duration::from_millis(random_below(random, 100)));
         }
-        let first = random_below(random, HOSTS.len() as u64) as usize;
+        let first = random_below(random, self.hosts.len() as u64) as usize;
         self.signal(first, Signal::SIGHUP);
         let stopped: Vec<usize> = (0..random_below(random, 3) as usize)
-            .map(|next| (first + next) % HOSTS.len())
+            .map(|next| (first + next) % self.hosts.len())
             .collect();
         for index in &stopped {
             self.begin_stop(*index, Signal::SIGTERM);
@@ -763,15 +804,155 @@
             }
         }
         if random_below(random, 12) == 0 {
-            let host = random_below(random, HOSTS.len() as u64) as usize;
+            let host = random_below(random, self.hosts.len() as u64) as usize;
             self.restart(host, Signal::SIGKILL);
         }
     }
 
+    fn set_limit(&mut self, endpoint: usize, limit: Option<&str>) {
+        self.endpoints[endpoint].set_limit(limit);
+        self.limits.push(NamedLimit {
+            endpoint,
+            from: Instant::now(),
+            per_s: limit.map(|text| text.parse().expect("a limit")),
+        });
+    }
+
+    /// Changes limits: one endpoint of each region always has one, the others now and then.
+    /// Pauses or restarts a host at some of these changes.
+    fn inject_limits(&mut self, random: &mut Pcg64Mcg) {
+        for endpoint in 0..ENDPOINTS.len() {
+            let limit = LIMITS_PER_S[random_below(random, LIMITS_PER_S.len() as u64) as usize];
+            let is_first = self.limits.len() < ENDPOINTS.len();
+            match (endpoint % 2, random_below(random, LIMIT_PERIOD)) {
+                (0, 0) => self.set_limit(endpoint, Some(limit)),
+                (0, _) if is_first => self.set_limit(endpoint, Some(limit)),
+                (1, 0) => self.set_limit(endpoint, Some(limit)),
+                (1, 1) => self.set_limit(endpoint, None),
+                _ => {}
+            }
+        }
+        let host = random_below(random, self.hosts.len() as u64) as usize;
+        match random_below(random, 24) {
+            0 => self.restart(host, Signal::SIGKILL),
+            1 => self.pause(host, Duration::from_millis(100 + random_below(random, 900))),
+            _ => thread::sleep(Duration::from_millis(random_below(random, 2_000))),
+        }
+    }
+
+    /// Ends all limits after a time in which little is let through; returns once all hosts
+    /// know that they have ended.
+    fn end_limits(&mut self) {
+        for limit in [Some(LAST_LIMIT_PER_S), None] {
+            for endpoint in 0..ENDPOINTS.len() {
+                self.set_limit(endpoint, limit);
+            }
+            thread::sleep(LAST_LIMIT);
+        }
+        thread::sleep(CONTACT);
+    }
+
+    /// Checks that no endpoint got more than its limits allow, and that requests go on after
+    /// they have ended at `ended`.
+    fn check_limits(&self, seed: u64, ended: Instant) {
+        let mut most_share: f64 = 0.0;
+        let mut after = 0;
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            let arrivals = endpoint.arrivals();
+            let last_s = ended - Duration::from_secs(1)..ended;
+            after += arrivals
+                .iter()
+                .filter(|one| last_s.contains(&one.at))
+                .count();
+            for first in &arrivals {
+                let window = first.at..first.at + LIMIT_WINDOW;
+                let Some(per_s) = self.highest_limit(index, &window) else {
+                    continue;
+                };
+                let counted = arrivals.iter().filter(|one| window.contains(&one.at));
+                let counted = counted.filter(|one| !self.is_excused(index, one, &window));
+                let count = counted.count() as f64;
+                let allowed = LIMIT_FACTOR * per_s * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+                most_share = most_share.max(count / allowed);
+                assert!(
+                    count <= allowed,
+                    "seed {seed}: {} got {count} requests at a limit of {per_s}",
+                    endpoint.id()
+                );
+            }
+        }
+        println!("seed {seed}: up to {most_share:.2} of a limit's bound, {after} a second after");
+        assert!(
+            after >= UNLIMITED_PER_S,
+            "seed {seed}: {after} requests a second"
+        );
+    }
+
+    /// Returns the highest limit that holds for a window; none unless the endpoint named
+    /// limits from [`CONTACT`] before it to its end.
+    fn highest_limit(&self, endpoint: usize, window: &Range<Instant>) -> Option<f64> {
+        let named = |from: Instant| {
+            let changes = self
+                .limits
+                .iter()
+                .filter(|limit| limit.endpoint == endpoint);
+            let before = changes.clone().rfind(|limit| limit.from <= from);
+            let during = changes.filter(move |limit| (from..window.end).contains(&limit.from));
+            before
+                .map(|limit| limit.per_s)
+                .into_iter()
+                .chain(during.map(|limit| limit.per_s))
+        };
+        let since = window.start - CONTACT;
+        let first = self
+            .limits
+            .iter()
+            .find(|limit| limit.endpoint == endpoint)?;
+        if first.from > since || named(since).any(|limit| limit.is_none()) {
+            return None;
+        }
+        named(window.start - LIMIT_CHANGE)
+            .flatten()
+            .reduce(f64::max)
+    }
+
+    /// Returns whether a restart or a pause of a host excuses a request to an endpoint. A
+    /// forwarded request may have been sent by any host of the endpoint's region.
+    fn is_excused(&self, endpoint: usize, arrival: &Arrival, window: &Range<Instant>) -> bool {
+        let region = ENDPOINTS[endpoint].1;
+        let sender = Sender::of(arrival, region).map(|sender| sender.host);
+        let senders = HOSTS
+            .iter()
+            .enumerate()
+            .filter(|(index, (_, own))| match sender {
+                Some(sender) => sender == *index,
+                None => *own == region,
+            });
+        let since = window.start - CONTACT;
+        let was_restarted = |host: usize| {
+            let mut stops = self.stops.iter();
+            stops.any(|stop| stop.sender.host == host && (since..window.end).contains(&stop.at))
+        };
+        let mut hosts = senders.map(|(index, _)| index);
+        hosts.any(|host| was_restarted(host) || self.was_paused(host, since, window.end))
+    }
+
+    fn pause(&mut self, host: usize, time: Duration) {
+        let from = Instant::now();
+        self.signal(host, Signal::SIGSTOP);
+        thread::sleep(time);
+        self.signal(host, Signal::SIGCONT);
+        self.pauses.push(Pause {
+            host,
+            from,
+            until: Instant::now(),
+        });
+    }
+
     /// Kills and starts a host while all endpoints fail.
     fn inject_failing_restart(&mut self, random: &mut Pcg64Mcg) {
         self.is_failing.store(true, Ordering::Relaxed);
-        let host = random_below(random, HOSTS.len() as u64) as usize;
+        let host = random_below(random, self.hosts.len() as u64) as usize;
         self.restart(host, Signal::SIGKILL);
         thread::sleep(Duration::from_millis(500 + random_below(random, 500)));
     }
@@ -836,21 +1017,13 @@
 
     /// Injects a random fault and removes it.
     fn inject_fault(&mut self, random: &mut Pcg64Mcg) {
-        let index = random_below(random, HOSTS.len() as u64) as usize;
+        let index = random_below(random, self.hosts.len() as u64) as usize;
         let pause = Duration::from_millis(100 + random_below(random, 900));
         match random_below(random, 14) {
             0 => self.restart(index, Signal::SIGKILL),
             1 => self.restart(index, Signal::SIGTERM),
             2 => {
-                let from = Instant::now();
-                self.signal(index, Signal::SIGSTOP);
-                thread::sleep(pause);
-                self.signal(index, Signal::SIGCONT);
-                self.pauses.push(Pause {
-                    host: index,
-                    from,
-                    until: Instant::now(),
-                });
+                self.pause(index, pause);
             }
             3 => {
                 self.wires[index].set_cut(true);
@@ -1401,10 +1574,16 @@
     has_crashes: bool,
     /// All endpoints fail until the end.
     is_failing: bool,
+    /// Endpoints name limits.
+    has_limits: bool,
 }
 
 fn soak(seed: u64, length: Duration, series: &Series) {
-    let mut cluster = Cluster::new(seed);
+    let host_count = match series.has_limits {
+        true => HOSTS.len(),
+        false => HOST_COUNT,
+    };
+    let mut cluster = Cluster::new(seed, host_count);
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let is_ending = Arc::new(AtomicBool::new(false));
     let outcomes = Arc::new(Mutex::new(Vec::new()));
@@ -1425,9 +1604,14 @@
         let is_ending = Arc::clone(&is_ending);
         thread::spawn(move || send_bad_requests(&caller_addresses, &is_ending))
     });
-    let length = match series.has_crashes {
-        true => length.max(MIN_CRASH_LENGTH),
-        false => length,
+    let length = match series {
+        Series {
+            has_crashes: true, ..
+        } => length.max(MIN_CRASH_LENGTH),
+        Series {
+            has_limits: true, ..
+        } => length.max(MIN_LIMIT_LENGTH),
+        _ => length,
     };
     let deadline = Instant::now() + length;
     while Instant::now() < deadline {
@@ -1439,6 +1623,10 @@
         cluster.inject_restarts(&mut random);
     }
     cluster.is_failing.store(false, Ordering::Relaxed);
+    if series.has_limits {
+        cluster.end_limits();
+        cluster.check_limits(seed, Instant::now());
+    }
     let recovery = Instant::now() + RECOVERY_LIMIT;
     for (index, address) in cluster
         .caller_addresses
@@ -1472,7 +1660,7 @@
     cluster.check_crashes(seed);
     cluster.check_repeats(seed, &outcomes);
     cluster.check_memory(seed);
-    if !series.has_crashes && !series.is_failing {
+    if !series.has_crashes && !series.is_failing && !series.has_limits {
         check_taken_up(seed, &cluster, &outcomes);
         Evidence::new(&cluster).check_answers(seed, &outcomes);
         cluster.check_statements(seed);
@@ -1493,7 +1681,7 @@
         outcomes.len()
     );
     assert!(
-        series.is_failing || complete_count * 2 > outcomes.len(),
+        series.is_failing || series.has_limits || complete_count * 2 > outcomes.len(),
         "seed {seed}: only {complete_count} of {}",
         outcomes.len()
     );
@@ -1528,6 +1716,7 @@
         caller_count: CALLER_COUNT,
         has_crashes: false,
         is_failing: false,
+        has_limits: false,
     });
 }
 
@@ -1541,6 +1730,7 @@
         caller_count: PLANNED_WORK_CALLER_COUNT,
         has_crashes: false,
         is_failing: false,
+        has_limits: false,
     });
 }
 
@@ -1554,6 +1744,7 @@
         caller_count: CALLER_COUNT,
         has_crashes: true,
         is_failing: false,
+        has_limits: false,
     });
 }
 
@@ -1566,5 +1757,20 @@
         caller_count: PLANNED_WORK_CALLER_COUNT,
         has_crashes: false,
         is_failing: true,
+        has_limits: false,
+    });
+}
+
+/// Guards against endpoints that get more than they take while limits change and hosts are
+/// restarted and paused, and against limits that never end.
+#[test]
+fn limits_hold_and_end_beside_restarts() {
+    soak_all_seeds(&Series {
+        seeds: &LIMIT_SEEDS,
+        inject: Cluster::inject_limits,
+        caller_count: PLANNED_WORK_CALLER_COUNT,
+        has_crashes: false,
+        is_failing: false,
+        has_limits: true,
     });
 }
