--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -79,6 +79,13 @@
     /// Ends the endpoint as it begins its answer: it accepts no more connections, and all
     /// open ones break.
     Crash,
+    /// Ends the endpoint after the first events of its answer.
+    CrashAfterEvents {
+        /// Number of events.
+        count: u64,
+        /// Pause after each event.
+        pause: Duration,
+    },
     /// Waits, then does something else.
     After(Duration, Box<Script>),
     /// Writes the first bytes, and then the second ones until the connection is closed.
@@ -140,14 +147,16 @@
     fn crashes(&self) -> bool {
         match self {
             Self::After(_, next) => next.crashes(),
-            _ => *self == Self::Crash,
+            Self::Crash | Self::CrashAfterEvents { .. } => true,
+            _ => false,
         }
     }
 
     fn breaks_off(&self) -> bool {
         match self {
             Self::Events { is_whole, .. } => !is_whole,
-            Self::Raw(_) | Self::Close | Self::Crash | Self::Endless(..) => true,
+            Self::Raw(_) | Self::Close | Self::Endless(..) => true,
+            Self::Crash | Self::CrashAfterEvents { .. } => true,
             Self::After(_, next) => next.breaks_off(),
             Self::Unframed(unframed) => unframed.breaks_off(),
             _ => false,
@@ -486,6 +495,15 @@
             return Ok(Next::Close);
         }
         Script::Close | Script::Crash => return Ok(Next::Close),
+        Script::CrashAfterEvents { count, pause } => {
+            let headers = sealed.with_field("content-type", EVENT_STREAM);
+            start_chunked(connection, 200, headers, write_deadline())?;
+            for number in 0..count {
+                write_chunk(connection, event_text(number).as_bytes(), write_deadline())?;
+                thread::sleep(pause);
+            }
+            return Ok(Next::Close);
+        }
         Script::After(pause, next) => {
             thread::sleep(pause);
             return play(connection, arrival, id, version, silence, *next);
