Blame whole requests for crashes, and clear what ends well

Callers lost answers while one request came again and again and ended each endpoint that ran it. Cause: only shared prompt parts of requests that had not begun were blamed, so services without prompts, last parts and crashes after the first events were never recognised.

A request is a suspect itself, by a hash of method, host name, target, account and body, beside its parts. What ends well clears its suspects; events alone no longer do. A repeat that ends the next endpoint counts by itself, and a request under suspicion is not repeated.

--- a/src/gateway/crash_records.rs
+++ b/src/gateway/crash_records.rs
@@ -1,8 +1,9 @@
-//! Crashes of endpoints and the prompt parts that may have caused them.
+//! Crashes of endpoints and the suspects that may have caused them: prompt parts and whole
+//! requests.
 //!
-//! A part is blamed for a crash if a request with it was in progress and had not begun.
-//! A request that begins clears its parts. Hosts exchange what they know as
-//! [`CrashReport`]s, whose order and repetition do not matter.
+//! A suspect is blamed for a crash if a request with it was in progress. A request that ends
+//! well clears its suspects. Hosts exchange what they know as [`CrashReport`]s, whose order
+//! and repetition do not matter.
 
 use std::{
     collections::{
@@ -11,7 +12,6 @@
         VecDeque, //
     },
     fmt,
-    num::ParseIntError,
     str::FromStr, //
 };
 
@@ -22,41 +22,66 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::request::PromptPart;
+use crate::types::{
+    ParseError,
+    hex_id, //
+};
 
-/// Crashes after which requests with a part are refused.
+/// Crashes after which requests with a suspect are refused.
 const CRASH_LIMIT: u32 = 3;
-/// Time within which crashes count as one: endpoints also end together.
+/// Time within which crashes count as one, since endpoints also end together, but not those
+/// of a request and its repeat.
 const EPISODE_MS: i64 = 500;
-/// Time for which a part is refused after the crash that reached the limit; doubles with
+/// Time for which a suspect is refused after the crash that reached the limit; doubles with
 /// each further one.
 const REFUSAL_MS: i64 = 60_000;
 /// Largest number of times that it doubles, up to about an hour.
 const MAX_DOUBLINGS: u32 = 6;
-/// Time for which crashes below the limit, and clearances, are remembered.
-const SUSPICION_LIFETIME_MS: i64 = 60_000;
-/// Time for which the crashes of a part that reached the limit are remembered.
+/// Time for which crashes below the limit are remembered: ten returns of a request that
+/// comes once a minute.
+const SUSPICION_LIFETIME_MS: i64 = 600_000;
+/// Time for which clearances are remembered; reports that are under way arrive in it.
+const CLEARANCE_LIFETIME_MS: i64 = 60_000;
+/// Time for which the crashes of a suspect that reached the limit are remembered.
 const VERDICT_LIFETIME_MS: i64 = 2 * (REFUSAL_MS << MAX_DOUBLINGS);
 /// Remaining lifetime below which a crash is no longer reported, so that hosts do not
 /// remind each other of it for ever.
 const REPORT_MARGIN_MS: i64 = 5_000;
-/// Time after a sound request in which a part is not blamed.
+/// Time after a request that ended well in which its suspects are not blamed.
 const SOUND_LIFETIME_MS: i64 = 10_000;
-/// Parts with crashes that are remembered; those with the oldest are dropped first.
-const MAX_PARTS: usize = 256;
-/// Crashes that are remembered of one part.
+/// Suspects that are remembered; those with the fewest and oldest crashes are dropped first.
+const MAX_SUSPECTS: usize = 2_048;
+/// Crashes that are remembered of one suspect.
 const MAX_CRASHES: usize = 16;
-/// Parts with sound requests that are remembered.
-const MAX_SOUND_PARTS: usize = 8_192;
+/// Suspects of requests that ended well that are remembered in a generation.
+const MAX_SOUND: usize = 8_192;
 /// Reports that wait to be sent; the oldest are dropped first.
-const MAX_PENDING: usize = 512;
-
-/// Id of a prompt part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct PartId(pub u64);
-
-/// Id of the crash of one start of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct CrashId(pub u64);
+const MAX_PENDING: usize = 1_024;
+
+hex_id!(
+    /// Id of a prompt part.
+    PartId,
+    u64,
+    "prompt part",
+    "{:x}",
+    "up to 16 hexadecimal digits"
+);
+hex_id!(
+    /// Hash by which a request that comes again is recognised.
+    RequestHash,
+    u64,
+    "request hash",
+    "{:016x}",
+    "up to 16 hexadecimal digits"
+);
+hex_id!(
+    /// Id of the crash of one start of an endpoint.
+    CrashId,
+    u64,
+    "crash",
+    "{:016x}",
+    "up to 16 hexadecimal digits"
+);
 
 impl CrashId {
     /// Returns the id of the crash of an endpoint that started at this Unix time.
@@ -65,44 +90,105 @@
     }
 }
 
-impl fmt::Display for PartId {
+/// What may have caused a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Suspect {
+    /// A part of a prompt.
+    Part(PartId),
+    /// A request as a whole.
+    Request(RequestHash),
+    /// A request whatever its prompt parts are.
+    Call(RequestHash),
+}
+
+impl fmt::Display for Suspect {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:x}", self.0)
+        match self {
+            Self::Part(part) => write!(f, "part-{part}"),
+            Self::Request(request) => write!(f, "request-{request}"),
+            Self::Call(call) => write!(f, "call-{call}"),
+        }
     }
 }
 
-impl FromStr for PartId {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        u64::from_str_radix(text, 16).map(Self)
+impl FromStr for Suspect {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text.split_once('-') {
+            Some(("part", id)) => Ok(Self::Part(id.parse()?)),
+            Some(("request", id)) => Ok(Self::Request(id.parse()?)),
+            Some(("call", id)) => Ok(Self::Call(id.parse()?)),
+            _ => Err(ParseError::new(
+                "suspect",
+                text,
+                "part-ID, request-ID or call-ID",
+            )),
+        }
     }
 }
 
-impl fmt::Display for CrashId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
+/// The suspects of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspects {
+    all: Vec<Suspect>,
+    shared_count: usize,
 }
 
-impl FromStr for CrashId {
-    type Err = ParseIntError;
+impl Suspects {
+    /// Returns the suspects of a request with these prompt parts; `call` is the hash of the
+    /// rest of it.
+    pub fn new(parts: &[PromptPart], call: RequestHash) -> Self {
+        let ids = parts.iter().map(|part| part.id);
+        let mut all: Vec<Suspect> = ids.clone().map(PartId).map(Suspect::Part).collect();
+        let shared_count = all.len().saturating_sub(1);
+        let request = ids.fold(call.0, |hash, id| {
+            xxh3_64_with_seed(&id.to_le_bytes(), hash)
+        });
+        all.push(Suspect::Request(RequestHash(request)));
+        if !parts.is_empty() {
+            all.push(Suspect::Call(call));
+        }
+        Self { all, shared_count }
+    }
+
+    /// The request itself.
+    pub fn request(&self) -> Suspect {
+        let own = self.own().iter().copied();
+        let mut requests = own.filter(|suspect| matches!(suspect, Suspect::Request(_)));
+        requests
+            .next()
+            .expect("each request has itself as a suspect")
+    }
+
+    /// All suspects.
+    pub fn all(&self) -> &[Suspect] {
+        &self.all
+    }
+
+    /// Prompt parts that other requests may share.
+    pub fn shared(&self) -> &[Suspect] {
+        &self.all[..self.shared_count]
+    }
 
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        u64::from_str_radix(text, 16).map(Self)
+    /// The request itself and, if it has a prompt, the last part of that and the rest.
+    pub fn own(&self) -> &[Suspect] {
+        &self.all[self.shared_count..]
     }
 }
 
-/// A crash for which a part is blamed, or no longer.
+/// A crash for which a suspect is blamed, or no longer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// The part.
-    pub part: PartId,
+    /// The suspect.
+    pub suspect: Suspect,
     /// The crash.
     pub crash: CrashId,
     /// Time since the crash in milliseconds.
     pub age_ms: u32,
-    /// A request with the part has begun since.
+    /// Time from the first send of a request with the suspect to the crash, in milliseconds.
+    pub run_ms: u32,
+    /// A request with the suspect has ended well since.
     pub is_cleared: bool,
 }
 
@@ -110,33 +196,48 @@
 struct Crash {
     /// Time of the crash, negative if it was before the start of this host.
     at_ms: i64,
+    /// When the earliest request with the suspect that was in progress had been sent.
+    began_ms: i64,
     is_cleared: bool,
 }
 
+impl Crash {
+    fn lifetime_ms(&self, record: &Record) -> i64 {
+        match self.is_cleared {
+            true => CLEARANCE_LIFETIME_MS,
+            false => record.lifetime_ms(),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
-struct PartRecord {
+struct Record {
+    /// The suspect is a whole request: a run that began after another crash is its repeat.
+    is_request: bool,
     crashes: BTreeMap<CrashId, Crash>,
 }
 
-impl PartRecord {
+impl Record {
     fn blamed(&self) -> impl Iterator<Item = (&CrashId, &Crash)> {
         self.crashes.iter().filter(|(_, crash)| !crash.is_cleared)
     }
 
-    /// Returns the number of crashes that were not at the same time, and the time of the
-    /// last.
+    /// Returns the number of crashes that were no coincidence with another, and the time of
+    /// the last.
     fn episodes(&self) -> (u32, i64) {
-        let mut times: Vec<i64> = self.blamed().map(|(_, crash)| crash.at_ms).collect();
-        times.sort_unstable();
+        let mut crashes: Vec<&Crash> = self.blamed().map(|(_, crash)| crash).collect();
+        crashes.sort_unstable_by_key(|crash| crash.at_ms);
         let mut count = 0;
         let mut counted_ms = i64::MIN / 2;
-        for at_ms in &times {
-            if at_ms - counted_ms >= EPISODE_MS {
+        for crash in &crashes {
+            let is_repeat = self.is_request && crash.began_ms >= counted_ms;
+            if is_repeat || crash.at_ms - counted_ms >= EPISODE_MS {
                 count += 1;
-                counted_ms = *at_ms;
+                counted_ms = crash.at_ms;
             }
         }
-        (count, times.last().copied().unwrap_or(i64::MIN / 2))
+        let last = crashes.last();
+        (count, last.map_or(i64::MIN / 2, |crash| crash.at_ms))
     }
 
     fn is_refused(&self, now_ms: i64) -> bool {
@@ -152,7 +253,7 @@
         }
     }
 
-    /// Returns whether this part is blamed for all crashes for which another one is.
+    /// Returns whether this suspect is blamed for all crashes for which another one is.
     fn explains(&self, other: &Self) -> bool {
         let mut crashes = other.blamed().map(|(id, _)| id);
         crashes.all(|id| {
@@ -162,15 +263,39 @@
     }
 }
 
-/// What a host knows about prompt parts that may crash endpoints.
+/// Suspects of requests that ended well, with the time of the last.
+#[derive(Debug, Default)]
+struct SoundSuspects {
+    current: HashMap<Suspect, i64>,
+    previous: HashMap<Suspect, i64>,
+    since_ms: i64,
+}
+
+impl SoundSuspects {
+    fn insert(&mut self, suspect: Suspect, now_ms: i64) {
+        if self.current.len() >= MAX_SOUND || now_ms >= self.since_ms + SOUND_LIFETIME_MS {
+            self.previous = std::mem::take(&mut self.current);
+            self.since_ms = now_ms;
+        }
+        self.current.insert(suspect, now_ms);
+    }
+
+    fn contains(&self, suspect: Suspect, now_ms: i64) -> bool {
+        let at_ms = self.current.get(&suspect);
+        let at_ms = at_ms.or_else(|| self.previous.get(&suspect));
+        at_ms.is_some_and(|at_ms| now_ms < at_ms + SOUND_LIFETIME_MS)
+    }
+}
+
+/// What a host knows about the causes of crashes.
 #[derive(Debug, Default)]
 pub struct CrashRecords {
-    parts: HashMap<PartId, PartRecord>,
-    sound_at_ms: HashMap<PartId, i64>,
+    records: HashMap<Suspect, Record>,
+    sound: SoundSuspects,
     /// Changes that the hosts of the region have not been told.
-    pending_local: VecDeque<(PartId, CrashId)>,
+    pending_local: VecDeque<(Suspect, CrashId)>,
     /// Changes that the other regions have not been told.
-    pending_remote: VecDeque<(PartId, CrashId)>,
+    pending_remote: VecDeque<(Suspect, CrashId)>,
     has_new_crash: bool,
 }
 
@@ -182,7 +307,7 @@
 
     /// Returns whether no crash is known.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.records.is_empty()
     }
 
     /// Returns whether a crash was added since the last call.
@@ -190,73 +315,97 @@
         std::mem::take(&mut self.has_new_crash)
     }
 
-    /// Records a crash while a request with these shared parts had not begun.
-    pub fn record_crash(&mut self, parts: &[PromptPart], crash: CrashId, now_ms: u64) {
-        let now_ms = now_ms as i64;
-        for part in parts {
-            let part = PartId(part.id);
-            if !self.is_sound(part, now_ms) && self.add(part, crash, now_ms, false) {
-                self.push_pending(part, crash, true);
+    /// Records a crash at `at_ms` while a request with these suspects, sent at `sent_ms`, was
+    /// in progress.
+    pub fn record_crash(&mut self, suspects: &[Suspect], crash: CrashId, sent_ms: u64, at_ms: u64) {
+        let new = Crash {
+            at_ms: at_ms as i64,
+            began_ms: sent_ms as i64,
+            is_cleared: false,
+        };
+        for suspect in suspects {
+            let is_sound = self.sound.contains(*suspect, new.at_ms);
+            if !is_sound && self.add(*suspect, crash, new) {
+                self.push_pending(*suspect, crash, true);
             }
         }
     }
 
-    /// Records that a request with these shared parts has begun.
-    pub fn record_sound(&mut self, parts: &[PromptPart], now_ms: u64) {
-        let now_ms = now_ms as i64;
-        for part in parts {
-            let part = PartId(part.id);
-            if self.sound_at_ms.len() < MAX_SOUND_PARTS {
-                self.sound_at_ms.insert(part, now_ms);
-            }
-            self.clear(part);
+    /// Records that a request with these suspects has ended well.
+    pub fn record_sound(&mut self, suspects: &[Suspect], now_ms: u64) {
+        for suspect in suspects {
+            self.sound.insert(*suspect, now_ms as i64);
+            self.clear(*suspect);
         }
     }
 
     /// Applies the report of another host; `is_remote` if that is in another region.
     pub fn apply(&mut self, report: CrashReport, is_remote: bool, now_ms: u64) {
         let now_ms = now_ms as i64;
-        let CrashReport {
-            part,
-            crash,
-            age_ms,
-            is_cleared,
-        } = report;
-        if self.add(part, crash, now_ms - i64::from(age_ms), is_cleared) && is_remote {
-            self.push_pending(part, crash, false);
+        let CrashReport { suspect, crash, .. } = report;
+        let at_ms = now_ms - i64::from(report.age_ms);
+        let known = Crash {
+            at_ms,
+            began_ms: at_ms - i64::from(report.run_ms),
+            is_cleared: report.is_cleared,
+        };
+        if self.add(suspect, crash, known) && is_remote {
+            self.push_pending(suspect, crash, false);
         }
-        if !is_cleared && self.is_sound(part, now_ms) {
-            self.clear(part);
+        if !report.is_cleared && self.sound.contains(suspect, now_ms) {
+            self.clear(suspect);
         }
     }
 
-    /// Returns a part for which a request with these shared parts is refused.
-    pub fn refused_part(&self, parts: &[PromptPart], now_ms: u64) -> Option<PartId> {
-        if self.parts.is_empty() {
+    /// Returns a suspect for which a request with these suspects is refused.
+    pub fn refused(&self, suspects: &[Suspect], now_ms: u64) -> Option<Suspect> {
+        if self.records.is_empty() {
             return None;
         }
         let now_ms = now_ms as i64;
-        let contains = |id: &PartId| parts.iter().any(|part| part.id == id.0);
-        parts.iter().map(|part| PartId(part.id)).find(|id| {
-            let Some(record) = self.parts.get(id).filter(|part| part.is_refused(now_ms)) else {
+        suspects.iter().copied().find(|suspect| {
+            let record = self.records.get(suspect);
+            let Some(record) = record.filter(|record| record.is_refused(now_ms)) else {
                 return false;
             };
-            // Another part may be the cause unless the request has that one too.
-            let mut others = self.parts.iter().filter(|(other, _)| *other != id);
+            // Another suspect may be the cause unless the request has that one too.
+            let mut others = self.records.iter().filter(|(other, _)| *other != suspect);
             others.all(|(other, known)| {
-                contains(other) || !known.is_refused(now_ms) || !known.explains(record)
+                suspects.contains(other)
+                    || !is_better_cause(*other, *suspect)
+                    || !known.is_refused(now_ms)
+                    || !known.explains(record)
             })
         })
     }
 
-    /// Returns whether one of these shared parts is blamed for a crash.
-    pub fn is_suspect(&self, parts: &[PromptPart]) -> bool {
-        parts.iter().any(|part| {
-            let record = self.parts.get(&PartId(part.id));
+    /// Returns whether one of these suspects has reached the limit.
+    pub fn has_verdict(&self, suspects: &[Suspect], now_ms: u64) -> bool {
+        suspects.iter().any(|suspect| {
+            let record = self.records.get(suspect);
+            record.is_some_and(|record| record.is_refused(now_ms as i64))
+        })
+    }
+
+    /// Returns whether one of these suspects is blamed for a crash.
+    pub fn is_suspect(&self, suspects: &[Suspect]) -> bool {
+        suspects.iter().any(|suspect| {
+            let record = self.records.get(suspect);
             record.is_some_and(|record| record.blamed().next().is_some())
         })
     }
 
+    /// Returns the suspects that have reached the limit, with the crashes of each.
+    pub fn verdicts(&self, now_ms: u64) -> BTreeMap<Suspect, Vec<CrashReport>> {
+        let known = self.records.iter();
+        let known = known.filter(|(_, record)| record.episodes().0 >= CRASH_LIMIT);
+        let crashes = |(suspect, record): (&Suspect, &Record)| {
+            let blamed = record.blamed().map(|(crash, _)| (*suspect, *crash));
+            (*suspect, self.reports(blamed, now_ms))
+        };
+        known.map(crashes).collect()
+    }
+
     /// Takes up to `count` changes for the hosts of this region.
     pub fn take_local(&mut self, count: usize, now_ms: u64) -> Vec<CrashReport> {
         let count = count.min(self.pending_local.len());
@@ -271,43 +420,36 @@
         self.reports(changes, now_ms)
     }
 
-    /// Returns up to `count` reports, those of the parts with most crashes first.
+    /// Returns up to `count` reports, those of the suspects with most crashes first.
     pub fn all(&self, count: usize, now_ms: u64) -> Vec<CrashReport> {
-        let mut parts: Vec<(&PartId, &PartRecord)> = self.parts.iter().collect();
-        parts.sort_by_key(|(id, record)| (std::cmp::Reverse(record.blamed().count()), **id));
-        let known = parts
+        let mut records: Vec<(&Suspect, &Record)> = self.records.iter().collect();
+        records.sort_by_key(|(id, record)| (std::cmp::Reverse(record.blamed().count()), **id));
+        let known = records
             .into_iter()
-            .flat_map(|(part, record)| record.crashes.keys().map(|crash| (*part, *crash)));
-        let mut reports = self.reports(known, now_ms);
+            .flat_map(|(id, record)| record.crashes.keys().map(|crash| (*id, *crash)));
+        let mut reports = self.reports(known.take(count), now_ms);
         reports.truncate(count);
         reports
     }
 
-    /// Drops crashes and sound requests that are too old.
+    /// Drops crashes that are too old.
     pub fn expire(&mut self, now_ms: u64) {
         let now_ms = now_ms as i64;
-        for record in self.parts.values_mut() {
+        for record in self.records.values_mut() {
             let lifetime_ms = record.lifetime_ms();
             record.crashes.retain(|_, crash| {
                 let lifetime_ms = match crash.is_cleared {
-                    true => SUSPICION_LIFETIME_MS,
+                    true => CLEARANCE_LIFETIME_MS,
                     false => lifetime_ms,
                 };
                 now_ms < crash.at_ms + lifetime_ms
             });
         }
-        self.parts.retain(|_, record| !record.crashes.is_empty());
-        self.sound_at_ms
-            .retain(|_, at_ms| now_ms < *at_ms + SOUND_LIFETIME_MS);
+        self.records.retain(|_, record| !record.crashes.is_empty());
     }
 
-    fn is_sound(&self, part: PartId, now_ms: i64) -> bool {
-        let sound_ms = self.sound_at_ms.get(&part);
-        sound_ms.is_some_and(|at_ms| now_ms < at_ms + SOUND_LIFETIME_MS)
-    }
-
-    fn clear(&mut self, part: PartId) {
-        let Some(record) = self.parts.get_mut(&part) else {
+    fn clear(&mut self, suspect: Suspect) {
+        let Some(record) = self.records.get_mut(&suspect) else {
             return;
         };
         let mut cleared = Vec::new();
@@ -317,24 +459,20 @@
             }
         }
         for crash in cleared {
-            self.push_pending(part, crash, true);
+            self.push_pending(suspect, crash, true);
         }
     }
 
     /// Adds a crash, or the clearance of one; returns whether that is new.
-    fn add(&mut self, part: PartId, crash: CrashId, at_ms: i64, is_cleared: bool) -> bool {
-        if !self.parts.contains_key(&part) && self.parts.len() >= MAX_PARTS {
-            let oldest = self.parts.iter().min_by_key(|(_, record)| {
-                let crashes = record.crashes.values();
-                crashes.map(|crash| crash.at_ms).max()
-            });
-            if let Some(oldest) = oldest.map(|(part, _)| *part) {
-                self.parts.remove(&oldest);
-            }
+    fn add(&mut self, suspect: Suspect, crash: CrashId, new: Crash) -> bool {
+        if !self.records.contains_key(&suspect) && self.records.len() >= MAX_SUSPECTS {
+            self.drop_least();
         }
-        let record = self.parts.entry(part).or_default();
+        let record = self.records.entry(suspect).or_default();
+        record.is_request = !matches!(suspect, Suspect::Part(_));
         if let Some(known) = record.crashes.get_mut(&crash) {
-            return is_cleared && !std::mem::replace(&mut known.is_cleared, true);
+            known.began_ms = known.began_ms.min(new.began_ms);
+            return new.is_cleared && !std::mem::replace(&mut known.is_cleared, true);
         }
         if record.crashes.len() >= MAX_CRASHES {
             let crashes = record.crashes.iter();
@@ -343,35 +481,43 @@
                 record.crashes.remove(&oldest);
             }
         }
-        record.crashes.insert(crash, Crash { at_ms, is_cleared });
-        self.has_new_crash |= !is_cleared;
+        record.crashes.insert(crash, new);
+        self.has_new_crash |= !new.is_cleared;
         true
     }
 
-    fn push_pending(&mut self, part: PartId, crash: CrashId, is_own: bool) {
-        push(&mut self.pending_local, (part, crash));
+    fn drop_least(&mut self) {
+        let least = self.records.iter().min_by_key(|(_, record)| {
+            let latest = record.crashes.values().map(|crash| crash.at_ms).max();
+            (record.blamed().count(), latest)
+        });
+        if let Some(least) = least.map(|(suspect, _)| *suspect) {
+            self.records.remove(&least);
+        }
+    }
+
+    fn push_pending(&mut self, suspect: Suspect, crash: CrashId, is_own: bool) {
+        push(&mut self.pending_local, (suspect, crash));
         if is_own {
-            push(&mut self.pending_remote, (part, crash));
+            push(&mut self.pending_remote, (suspect, crash));
         }
     }
 
     fn reports<I>(&self, changes: I, now_ms: u64) -> Vec<CrashReport>
     where
-        I: IntoIterator<Item = (PartId, CrashId)>,
+        I: IntoIterator<Item = (Suspect, CrashId)>,
     {
         let now_ms = now_ms as i64;
-        let report = |(part, id)| {
-            let record = self.parts.get(&part)?;
+        let report = |(suspect, id)| {
+            let record = self.records.get(&suspect)?;
             let crash = record.crashes.get(&id)?;
             let age_ms = now_ms - crash.at_ms;
-            let lifetime_ms = match crash.is_cleared {
-                true => SUSPICION_LIFETIME_MS,
-                false => record.lifetime_ms(),
-            };
-            (age_ms < lifetime_ms - REPORT_MARGIN_MS).then(|| CrashReport {
-                part,
+            let is_kept = age_ms < crash.lifetime_ms(record) - REPORT_MARGIN_MS;
+            is_kept.then(|| CrashReport {
+                suspect,
                 crash: id,
                 age_ms: u32::try_from(age_ms).unwrap_or_default(),
+                run_ms: u32::try_from(crash.at_ms - crash.began_ms).unwrap_or_default(),
                 is_cleared: crash.is_cleared,
             })
         };
@@ -379,7 +525,13 @@
     }
 }
 
-fn push(queue: &mut VecDeque<(PartId, CrashId)>, change: (PartId, CrashId)) {
+/// Returns whether a suspect with the same crashes as another one may be the cause instead:
+/// requests that differ in their prompts do not speak for the rest of them.
+fn is_better_cause(suspect: Suspect, other: Suspect) -> bool {
+    !matches!((suspect, other), (Suspect::Call(_), Suspect::Part(_)))
+}
+
+fn push(queue: &mut VecDeque<(Suspect, CrashId)>, change: (Suspect, CrashId)) {
     if queue.len() >= MAX_PENDING {
         queue.pop_front();
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
         RetryPolicy,
         Route, //
     },
+    crash_records::Suspects,
     endpoint::Failure,
     events::EventSplitter,
     fleet::{
@@ -152,10 +153,6 @@
     pub has_begun: bool,
     /// The response head is a success signed by the endpoint.
     pub is_success: bool,
-    /// When the first event, or the response, arrived.
-    pub begun_ms: Option<u64>,
-    /// The endpoint has begun the request and has not ended because of it.
-    pub is_sound: bool,
     /// Time at which response data last arrived.
     pub progress_ms: u64,
     /// Software version of the endpoint; none until another region has stated it.
@@ -206,6 +203,8 @@
     pub is_forwarded: bool,
     /// The request, shared so that it can be read while the exchange is modified.
     pub request: Rc<CallerRequest>,
+    /// What is blamed if an endpoint ends while it runs the request.
+    pub suspects: Rc<Suspects>,
     /// Parameters of its route.
     pub route: ResolvedRoute,
     /// Version of the configuration that the route comes from.
--- a/src/gateway/serve_crashes.rs
+++ b/src/gateway/serve_crashes.rs
@@ -1,32 +1,37 @@
-//! Finds crashes of endpoints, exchanges reports of them, and refuses requests with a part
-//! that crashes endpoints.
+//! Finds crashes of endpoints, exchanges reports of them, and refuses requests that crash
+//! endpoints, by themselves or with a prompt part.
 
-use std::net::SocketAddr;
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    rc::Rc, //
+};
 
 use compact_str::CompactString;
 use serde::{
     Deserialize,
     Serialize, //
 };
+use xxhash_rust::xxh3::Xxh3;
 
 use super::{
     crash_records::{
         CrashId,
-        CrashReport, //
+        CrashReport,
+        RequestHash,
+        Suspect,
+        Suspects, //
     },
     exchange::Destination,
     fleet::Choice,
+    head::RequestHead,
     load_updates::Packet,
     reactor::Reactor,
-    request::PromptPart,
     response::GatewayResponse, //
 };
 
 /// Status of a refusal of a request that no endpoint can serve: callers do not repeat it.
 pub(super) const UNSERVABLE_STATUS: u16 = 400;
-/// Time for which events have to arrive until a request counts as begun: a crash may follow
-/// the first one.
-const SOUND_AFTER_MS: u64 = 300;
 /// Time after a broken connection in which the endpoint may turn out to have ended.
 const CONFIRM_LIMIT_MS: u64 = 3_000;
 /// Broken requests that wait for that; the oldest are dropped first.
@@ -37,6 +42,8 @@
 const ASK_MS: u64 = 5_000;
 /// Most reports in a packet, so that it does not exceed the largest size.
 const MAX_REPORTS: usize = 40;
+/// Most suspects in a log line.
+const MAX_LOGGED: usize = 8;
 
 /// Crash reports of a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,29 +56,43 @@
     pub is_question: bool,
 }
 
-/// A request whose connection broke before it had begun.
+/// A request whose connection broke.
 #[derive(Debug)]
 pub(super) struct SuspectedCrash {
     endpoint: CompactString,
     crash: CrashId,
-    parts: Vec<PromptPart>,
+    suspects: Rc<Suspects>,
+    sent_ms: u64,
     broke_ms: u64,
 }
 
+/// Returns the hash by which a request, but for its prompt parts, is recognised when it comes
+/// again.
+pub(super) fn call_hash(head: &RequestHead, body: &[u8]) -> RequestHash {
+    let host = head.header("host").unwrap_or_default().to_ascii_lowercase();
+    let account = head.header("authorization").unwrap_or_default();
+    let mut hash = Xxh3::new();
+    for field in [&head.method, host.as_str(), &head.target, account] {
+        hash.update(&(field.len() as u64).to_le_bytes());
+        hash.update(field.as_bytes());
+    }
+    hash.update(body);
+    RequestHash(hash.digest())
+}
+
 impl Reactor {
-    /// Notes that the connection of a request broke before the request had begun, and tests
-    /// whether the endpoint has ended.
+    /// Notes that the connection of a request broke, and tests whether the endpoint has ended.
     pub(super) fn suspect_crash(&mut self, key: usize, choice: &Choice) {
         let now_ms = self.now_ms();
-        let Some(exchange) = self.exchanges.get(key) else {
+        let exchange = self.exchanges.get(key);
+        let Some(dispatch) = exchange.and_then(|exchange| exchange.dispatch.as_ref()) else {
             return;
         };
-        let is_sound = exchange.dispatch.as_ref().is_none_or(|one| one.is_sound);
-        let parts = exchange.request.metadata.shared_parts();
         let Some(endpoint) = self.fleet.get(&choice.endpoint) else {
             return;
         };
-        if is_sound || parts.is_empty() {
+        // An endpoint that leaves ends without any fault of its requests.
+        if !endpoint.is_staying(now_ms) {
             return;
         }
         let announcement = &endpoint.announcement;
@@ -79,7 +100,8 @@
         self.suspected_crashes.push_back(SuspectedCrash {
             endpoint: choice.endpoint.clone(),
             crash: CrashId::new(&choice.endpoint, announcement.order.started_ms),
-            parts: parts.to_vec(),
+            suspects: Rc::clone(&self.exchanges[key].suspects),
+            sent_ms: dispatch.sent_ms,
             broke_ms: now_ms,
         });
         if self.suspected_crashes.len() > MAX_SUSPECTED {
@@ -91,53 +113,54 @@
     /// Records the crash of an endpoint that accepts no connections any more.
     pub(super) fn confirm_crash(&mut self, endpoint: &str, now_ms: u64) {
         let suspected = std::mem::take(&mut self.suspected_crashes);
-        for one in suspected {
-            if one.endpoint != endpoint {
-                self.suspected_crashes.push_back(one);
-            } else if now_ms < one.broke_ms + CONFIRM_LIMIT_MS {
-                tracing::info!(
-                    endpoint,
-                    crash = %one.crash,
-                    parts = ?one.parts.iter().map(|part| part.id).collect::<Vec<u64>>(),
-                    "endpoint ended before a request had begun"
-                );
-                self.crash_records
-                    .record_crash(&one.parts, one.crash, now_ms);
-            }
+        let (ended, others): (VecDeque<_>, VecDeque<_>) = suspected
+            .into_iter()
+            .partition(|one| one.endpoint == endpoint);
+        self.suspected_crashes = others;
+        let broken = ended
+            .into_iter()
+            .filter(|one| now_ms < one.broke_ms + CONFIRM_LIMIT_MS);
+        let broken: Vec<SuspectedCrash> = broken.collect();
+        let Some(first) = broken.first() else {
+            return;
+        };
+        let suspects = broken.iter().flat_map(|one| one.suspects.all());
+        let logged: Vec<String> = suspects.take(MAX_LOGGED).map(Suspect::to_string).collect();
+        tracing::info!(
+            endpoint,
+            crash = %first.crash,
+            requests = broken.len(),
+            suspects = ?logged,
+            "endpoint ended while requests were in progress"
+        );
+        for one in &broken {
+            let (sent_ms, broke_ms) = (one.sent_ms, one.broke_ms);
+            self.crash_records
+                .record_crash(one.suspects.all(), one.crash, sent_ms, broke_ms);
         }
     }
 
-    /// Records that a request has begun, once events have arrived for long enough or
-    /// `is_whole`.
-    pub(super) fn record_progress(&mut self, key: usize, is_whole: bool, now_ms: u64) {
-        let Some(exchange) = self.exchanges.get_mut(key) else {
-            return;
-        };
-        let Some(dispatch) = &mut exchange.dispatch else {
-            return;
-        };
-        let begun_ms = *dispatch.begun_ms.get_or_insert(now_ms);
-        if dispatch.is_sound || !(is_whole || now_ms >= begun_ms + SOUND_AFTER_MS) {
-            return;
+    /// Records that a request has ended well.
+    pub(super) fn record_sound(&mut self, key: usize, now_ms: u64) {
+        if let Some(exchange) = self.exchanges.get(key) {
+            let suspects = Rc::clone(&exchange.suspects);
+            self.crash_records.record_sound(suspects.all(), now_ms);
         }
-        dispatch.is_sound = true;
-        let parts = exchange.request.metadata.shared_parts();
-        self.crash_records.record_sound(parts, now_ms);
     }
 
-    /// Refuses a request with a part that crashes endpoints; returns false if it has none.
+    /// Refuses a request that crashes endpoints; returns false if it is not known to.
     pub(super) fn refuse_unservable(&mut self, key: usize, now_ms: u64) -> bool {
         let Some(exchange) = self.exchanges.get(key) else {
             return false;
         };
-        let parts = exchange.request.metadata.shared_parts();
-        let Some(part) = self.crash_records.refused_part(parts, now_ms) else {
+        let suspects = exchange.suspects.all();
+        let Some(suspect) = self.crash_records.refused(suspects, now_ms) else {
             return false;
         };
         tracing::debug!(
             request = %exchange.request.metadata.attempt_id,
-            %part,
-            "request has a prompt part that crashes endpoints"
+            %suspect,
+            "request crashes endpoints"
         );
         self.end_unservable(key);
         true
@@ -145,7 +168,7 @@
 
     /// Ends a request that no endpoint can serve.
     pub(super) fn end_unservable(&mut self, key: usize) {
-        const CAUSE: &str = "prompt part crashes endpoints";
+        const CAUSE: &str = "request crashes endpoints";
         let Some(exchange) = self.exchanges.get(key) else {
             return;
         };
@@ -162,16 +185,19 @@
         self.fail(key, CAUSE, response);
     }
 
-    /// Ends requests in progress that have not begun and have a part that crashes endpoints.
+    /// Ends requests in progress that crash endpoints. One that has begun goes on if only a
+    /// part of it that others share is known to.
     fn end_unservable_dispatches(&mut self, now_ms: u64) {
         let refused: Vec<(usize, usize)> = self
             .exchanges
             .iter()
             .filter_map(|(key, exchange)| {
                 let dispatch = exchange.dispatch.as_ref()?;
-                let parts = exchange.request.metadata.shared_parts();
-                let is_refused = self.crash_records.refused_part(parts, now_ms).is_some();
-                (is_refused && !dispatch.has_begun).then_some((key, dispatch.upstream))
+                let suspects = &exchange.suspects;
+                let is_refused = self.crash_records.refused(suspects.all(), now_ms).is_some();
+                let is_ended =
+                    !dispatch.has_begun || self.crash_records.has_verdict(suspects.own(), now_ms);
+                (is_refused && is_ended).then_some((key, dispatch.upstream))
             })
             .collect();
         for (key, upstream) in refused {
@@ -245,8 +271,9 @@
             return false;
         };
         let has_begun = exchange.events.complete_count() > 0;
-        let parts = exchange.request.metadata.shared_parts();
-        !has_begun && self.crash_records.is_suspect(parts)
+        let records = &self.crash_records;
+        records.is_suspect(exchange.suspects.own())
+            || (!has_begun && records.is_suspect(exchange.suspects.shared()))
     }
 
     /// Returns whether the host that a request was forwarded to refuses it as unservable.
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -196,8 +196,6 @@
             sent_ms: now_ms,
             has_begun: false,
             is_success: false,
-            begun_ms: None,
-            is_sound: false,
             progress_ms: now_ms,
             software_version,
             next_move_ms: now_ms,
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -19,6 +19,7 @@
         ConfigurationVersion,
         Service, //
     },
+    crash_records::Suspects,
     events::EventSplitter,
     exchange::{
         CallerRequest,
@@ -30,7 +31,8 @@
     fleet::EndpointQuery,
     hosts::HostInfo,
     reactor::Reactor,
-    serve_completion::UNREACHABLE_RETRY_MS, //
+    serve_completion::UNREACHABLE_RETRY_MS,
+    serve_crashes::call_hash, //
 };
 
 /// Time limit of requests that specify none.
@@ -68,11 +70,14 @@
         }
         self.limits.record_request(&route.service, now_ms);
         self.next_serial += 1;
+        let call = call_hash(&request.head, &request.body);
+        let suspects = Suspects::new(&request.metadata.parts, call);
         let exchange = Exchange {
             serial: self.next_serial,
             inbound: Some(inbound),
             is_forwarded,
             request: Rc::new(request),
+            suspects: Rc::new(suspects),
             configuration_version,
             arrived_ms: now_ms,
             goal_at_ms: now_ms + route.goal_ms,
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -170,7 +170,6 @@
         }
         let head = head.clone();
         self.record_first_event(key, now_ms);
-        self.record_progress(key, false, now_ms);
         self.record_origin(key, now_ms);
         self.write_head_once(key, &head);
         self.write_body_chunk(key, &complete_events);
@@ -309,7 +308,7 @@
     /// Ends a request whose response is complete; does nothing if its caller has
     /// disconnected in the meantime.
     pub(super) fn finish_success(&mut self, key: usize, head: &ResponseHead, now_ms: u64) {
-        self.record_progress(key, true, now_ms);
+        self.record_sound(key, now_ms);
         let Some(exchange) = self.exchanges.get(key) else {
             return;
         };
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -230,6 +230,7 @@
         }
         tracing::info!(
             request = %exchange.request.metadata.attempt_id,
+            suspect = %exchange.suspects.request(),
             route = %exchange.route.name,
             service = %exchange.route.service,
             configuration = exchange.configuration_version.0,
