Keep refusals of crashing requests in the store

After a restart of all hosts, a known request ended three more endpoints: what hosts tell each other is lost with them. A suspect that has reached the limit is written as an item of the store by one host, by the next if that does not, and read with all items before a host is ready. The item is deleted when the suspect is cleared or too old.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,5 +48,6 @@
 pub mod start;
 mod state_updates;
 pub mod store_replica;
+pub mod stored_verdicts;
 pub mod stream_origins;
 pub mod telemetry;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -80,6 +80,10 @@
         StoreReplica,
         Update, //
     },
+    stored_verdicts::{
+        VerdictItems,
+        VerdictWrite, //
+    },
     stream_origins::{
         PendingOrigins,
         StreamOrigins, //
@@ -171,6 +175,7 @@
     /// Requests whose endpoint may have ended because of them.
     pub(super) suspected_crashes: VecDeque<SuspectedCrash>,
     pub(super) next_crash_exchange_ms: u64,
+    pub(super) verdict_items: VerdictItems,
     pub(super) limits: LimitState,
     /// Number of live hosts in the region, for the thread that follows the store.
     host_count: Arc<AtomicU64>,
@@ -264,6 +269,7 @@
             crash_records: CrashRecords::new(),
             suspected_crashes: VecDeque::new(),
             next_crash_exchange_ms: 0,
+            verdict_items: VerdictItems::default(),
             limits: LimitState::default(),
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
@@ -297,6 +303,11 @@
         self.resync_requests = Some(resync_requests);
     }
 
+    /// Sets the channel of the thread that writes suspects that crash endpoints to the store.
+    pub fn set_verdict_writes(&mut self, writes: Sender<VerdictWrite>) {
+        self.verdict_items.set_writes(writes);
+    }
+
     /// Returns the monotonic time since the start of the reactor.
     pub(super) fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/src/gateway/serve_crashes.rs
+++ b/src/gateway/serve_crashes.rs
@@ -211,6 +211,7 @@
     pub(super) fn exchange_crash_reports(&mut self, now_ms: u64) {
         if self.crash_records.take_new_crash() {
             self.end_unservable_dispatches(now_ms);
+            self.store_verdicts(now_ms);
         }
         let reports = self.crash_records.take_local(MAX_REPORTS, now_ms);
         if !reports.is_empty() {
@@ -227,6 +228,7 @@
         }
         self.next_crash_exchange_ms = now_ms + EXCHANGE_INTERVAL_MS;
         self.crash_records.expire(now_ms);
+        self.store_verdicts(now_ms);
         let is_question = now_ms < ASK_MS;
         if is_question || !self.crash_records.is_empty() {
             let own_region = self.settings.host.region.clone();
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -47,12 +47,15 @@
         Update,
         UpdateSender, //
     },
+    stored_verdicts::write_verdicts,
     telemetry::Telemetry, //
 };
 use crate::logs;
 
 /// Capacity of the reactor's update queue: all endpoints of a region at once.
 const UPDATE_QUEUE_LEN: usize = 1_024;
+/// Capacity of the queue of suspects to be written to the store.
+const VERDICT_QUEUE_LEN: usize = 64;
 /// Exit code if requests were cut off at shutdown.
 const EXIT_CUT_OFF: u8 = 3;
 /// Interval at which the settings file is checked for changes. It may change
@@ -80,6 +83,12 @@
     let replica = StoreReplica::new(updates.clone());
     let (resync_requests, resync_receiver) = bounded(1);
     reactor.set_replica(replica.clone(), resync_requests);
+    let (verdict_writes, verdict_receiver) = bounded(VERDICT_QUEUE_LEN);
+    reactor.set_verdict_writes(verdict_writes);
+    let store_address = settings.store_address;
+    thread::Builder::new()
+        .name("verdicts".into())
+        .spawn(move || write_verdicts(store_address, &verdict_receiver))?;
     let is_stopping = Arc::new(AtomicBool::new(false));
     tracing::info!(
         host = %settings.host.name,
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -112,6 +112,18 @@
                 tracing::info!(host = %name, "host is no longer registered");
                 self.hosts.unregister(&name);
             }
+            Update::Verdict(suspect, verdict) => {
+                tracing::info!(
+                    %suspect,
+                    crashes = verdict.crashes.len(),
+                    "item of a crashing request read"
+                );
+                self.apply_stored_verdict(suspect, &verdict);
+            }
+            Update::VerdictRemoved(suspect) => {
+                tracing::info!(%suspect, "item of a crashing request was deleted");
+                self.forget_stored_verdict(suspect);
+            }
             Update::StoreReachable(is_reachable) => {
                 self.hosts.set_store_reachable(is_reachable);
                 self.store_recovered_ms = is_reachable.then_some(now_ms);
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -42,6 +42,7 @@
         Configuration,
         ConfigurationVersion, //
     },
+    crash_records::Suspect,
     endpoint::Announcement,
     hosts::{
         HOST_PREFIX,
@@ -51,6 +52,10 @@
     replica_entry::{
         Entry,
         Merge, //
+    },
+    stored_verdicts::{
+        StoredVerdict,
+        VERDICT_PREFIX, //
     }, //
 };
 use crate::{
@@ -68,7 +73,8 @@
         StoreEra,
         StorePosition,
         StoreRevision, //
-    }, //
+    },
+    types::ParseError, //
 };
 
 /// Deletions that are kept, so that other hosts can receive them.
@@ -93,6 +99,10 @@
     Host(HostInfo),
     /// A host, given by name, is no longer registered.
     HostRemoved(CompactString),
+    /// A suspect that crashes endpoints was written.
+    Verdict(Suspect, StoredVerdict),
+    /// A suspect is no longer stored.
+    VerdictRemoved(Suspect),
     /// Whether the store responds.
     StoreReachable(bool),
     /// The store returned from an older copy of itself.
@@ -441,10 +451,21 @@
     if let Some(name) = key.strip_prefix(EVACUATION_PREFIX) {
         return Some(Update::Evacuated(name.into(), false));
     }
+    if let Some(suspect) = key.strip_prefix(VERDICT_PREFIX) {
+        return suspect.parse().ok().map(Update::VerdictRemoved);
+    }
     let name = key.strip_prefix(HOST_PREFIX)?;
     Some(Update::HostRemoved(name.into()))
 }
 
+fn decode_verdict(suspect: &str, value: &[u8]) -> Result<Update, String> {
+    let suspect = suspect
+        .parse()
+        .map_err(|error: ParseError| error.to_string())?;
+    let verdict = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    Ok(Update::Verdict(suspect, verdict))
+}
+
 fn written_update(key: &str, entry: &Entry) -> Option<Update> {
     decode_update(key, entry.value.as_ref()?, entry.revision)
 }
@@ -471,6 +492,8 @@
         }
     } else if let Some(name) = key.strip_prefix(EVACUATION_PREFIX) {
         Ok(Update::Evacuated(name.into(), true))
+    } else if let Some(suspect) = key.strip_prefix(VERDICT_PREFIX) {
+        decode_verdict(suspect, value)
     } else if key.starts_with(HOST_PREFIX) {
         serde_json::from_slice(value)
             .map(Update::Host)
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -45,6 +45,9 @@
 /// Maximum size of a response: a page holds a megabyte of values in base64.
 const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Lease of items that stay until they are deleted.
+const NO_LEASE: LeaseId = LeaseId(0);
+
 /// Error of a call to the store.
 #[derive(Debug, Error)]
 pub enum StoreError {
@@ -167,8 +170,8 @@
 #[derive(Serialize)]
 struct WireTransaction<'a> {
     precondition: [(); 0],
-    writes: [WireWrite<'a>; 1],
-    remove: [(); 0],
+    writes: &'a [WireWrite<'a>],
+    remove: &'a [&'a str],
 }
 
 #[derive(Serialize)]
@@ -294,20 +297,47 @@
         self.call(Method::DELETE, &path, None).map(drop)
     }
 
+    /// Writes an item that stays until it is deleted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails.
+    pub fn put_lasting(&self, key: &str, value: &[u8]) -> Result<Answer<()>, StoreError> {
+        self.put(key, value, NO_LEASE)
+    }
+
+    /// Deletes an item.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails.
+    pub fn delete(&self, key: &str) -> Result<Answer<()>, StoreError> {
+        self.transact(&[], &[key])
+    }
+
     /// Writes an item that is deleted when `lease` ends.
     ///
     /// # Errors
     ///
     /// Fails if the lease has ended or the call fails.
     pub fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<Answer<()>, StoreError> {
+        let write = WireWrite {
+            key,
+            value: STANDARD.encode(value),
+            lease: lease.0,
+        };
+        self.transact(&[write], &[])
+    }
+
+    fn transact(
+        &self,
+        writes: &[WireWrite<'_>],
+        remove: &[&str],
+    ) -> Result<Answer<()>, StoreError> {
         let body = serde_json::to_vec(&WireTransaction {
             precondition: [],
-            writes: [WireWrite {
-                key,
-                value: STANDARD.encode(value),
-                lease: lease.0,
-            }],
-            remove: [],
+            writes,
+            remove,
         })?;
         let answer = self.call(Method::POST, "/cardamombridge/kv-txn", Some(body))?;
         Ok(answer.map(drop))
