--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -79,6 +79,9 @@
     /// Ends the endpoint as it begins its answer: it accepts no more connections, and all
     /// open ones break.
     Crash,
+    /// Closes the connection without an answer; the endpoint ends this much later, and accepts
+    /// connections until then.
+    LingeringCrash(Duration),
     /// Ends the endpoint after the first events of its answer.
     CrashAfterEvents {
         /// Number of events.
@@ -147,7 +150,7 @@
     fn crashes(&self) -> bool {
         match self {
             Self::After(_, next) => next.crashes(),
-            Self::Crash | Self::CrashAfterEvents { .. } => true,
+            Self::Crash | Self::CrashAfterEvents { .. } | Self::LingeringCrash(_) => true,
             _ => false,
         }
     }
@@ -156,7 +159,7 @@
         match self {
             Self::Events { is_whole, .. } => !is_whole,
             Self::Raw(_) | Self::Close | Self::Endless(..) => true,
-            Self::Crash | Self::CrashAfterEvents { .. } => true,
+            Self::Crash | Self::CrashAfterEvents { .. } | Self::LingeringCrash(_) => true,
             Self::After(_, next) => next.breaks_off(),
             Self::Unframed(unframed) => unframed.breaks_off(),
             _ => false,
@@ -309,9 +312,19 @@
             let version = lock(&own_version).clone();
             let version = version.as_deref();
             let crashes = script.crashes();
+            let linger = match &script {
+                Script::LingeringCrash(time) => *time,
+                _ => Duration::ZERO,
+            };
             let next = play(connection, &arrival, &own_id, version, &own_silence, script)?;
-            if crashes {
+            if crashes && linger.is_zero() {
                 end(&own_listener);
+            } else if crashes {
+                let listener = Arc::clone(&own_listener);
+                thread::spawn(move || {
+                    thread::sleep(linger);
+                    end(&listener);
+                });
             }
             Ok(next)
         })?;
@@ -494,7 +507,7 @@
             unframed.write(connection, sealed)?;
             return Ok(Next::Close);
         }
-        Script::Close | Script::Crash => return Ok(Next::Close),
+        Script::Close | Script::Crash | Script::LingeringCrash(_) => return Ok(Next::Close),
         Script::CrashAfterEvents { count, pause } => {
             let headers = sealed.with_field("content-type", EVENT_STREAM);
             start_chunked(connection, 200, headers, write_deadline())?;
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -278,6 +278,24 @@
     check(&endpoints, &sound, MAX_ENDED_BY_OVERLAPS);
 }
 
+/// Guards against a crash that is not recognised because the endpoint accepts connections
+/// for a moment longer.
+#[test]
+fn crash_is_recognised_if_the_listener_outlives_the_connections() {
+    let store = store_with_configuration();
+    let crash = Script::LingeringCrash(Duration::from_millis(150));
+    let endpoints = start_endpoints(&store, &["north"], &crash);
+    let hosts = start_hosts(&store, ["north"; 3]);
+
+    let sound = send_mixed(
+        &hosts,
+        |attempt| read("/read/bad", attempt),
+        |number| read("/read/1", &format!("{number:x}")),
+    );
+
+    check(&endpoints, &sound, MAX_ENDED_BY_OVERLAPS);
+}
+
 fn send_bad(address: SocketAddr, number: usize) -> Response {
     read("/read/bad", &format!("bad-{number}")).send(address)
 }
