Look again for the end of an endpoint whose connections broke

Sound requests were lost while one request ended 40 of 40 endpoints: where the listening socket outlives the connections by some 100 ms, the one connection that was tried at once succeeded, and nothing confirmed the crash later. Connections are tried again 150 ms, 600 ms and 2 s after the break. A refused connection of another host, another endpoint at the address and a new start under the same id confirm it as well.

--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -319,6 +319,10 @@
             self.fleet.record_peer_prompt(sent, now_ms);
         }
         for block in &update.blocks {
+            // Another host's connection was refused.
+            if let Some(id) = self.fleet.id_of(block.endpoint) {
+                self.confirm_crash(&id, now_ms);
+            }
             self.fleet.apply_peer_block(block, now_ms);
         }
         self.apply_peer_leaving(&update.leaving, &update.host);
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -434,6 +434,7 @@
         self.send_beacons(now_ms);
         self.update_peer_loads(now_ms);
         self.resync_from_seeds(now_ms);
+        self.look_for_crashes(now_ms);
         self.exchange_crash_reports(now_ms);
         self.check_exchanges(now_ms);
         self.follow_limits(now_ms);
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -166,7 +166,7 @@
     /// Records a failure of an endpoint; informs the hosts of the region if it is blocked
     /// because it cannot be reached.
     pub(super) fn record_endpoint_failure(&mut self, id: &str, failure: Failure, now_ms: u64) {
-        if failure == Failure::Unreachable {
+        if matches!(failure, Failure::Unreachable | Failure::Replaced) {
             self.confirm_crash(id, now_ms);
         }
         let Some(endpoint) = self.fleet.get_mut(id) else {
--- a/src/gateway/serve_crashes.rs
+++ b/src/gateway/serve_crashes.rs
@@ -34,6 +34,9 @@
 pub(super) const UNSERVABLE_STATUS: u16 = 400;
 /// Time after a broken connection in which the endpoint may turn out to have ended.
 const CONFIRM_LIMIT_MS: u64 = 3_000;
+/// Times after a broken connection at which a new one is tried: the listener of an endpoint
+/// may outlive its connections by some 100 ms.
+const LOOKS_MS: [u64; 4] = [0, 150, 600, 2_000];
 /// Broken requests that wait for that; the oldest are dropped first.
 const MAX_SUSPECTED: usize = 256;
 /// Interval at which a host sends all that it knows to others.
@@ -64,6 +67,15 @@
     suspects: Rc<Suspects>,
     sent_ms: u64,
     broke_ms: u64,
+    /// Number of connections that were tried since.
+    look_count: usize,
+}
+
+impl SuspectedCrash {
+    fn is_look_due(&self, now_ms: u64) -> bool {
+        let next = LOOKS_MS.get(self.look_count);
+        next.is_some_and(|after_ms| now_ms >= self.broke_ms + after_ms)
+    }
 }
 
 /// Returns the hash by which a request, but for its prompt parts, is recognised when it comes
@@ -96,18 +108,38 @@
             return;
         }
         let announcement = &endpoint.announcement;
-        let address = announcement.address;
         self.suspected_crashes.push_back(SuspectedCrash {
             endpoint: choice.endpoint.clone(),
             crash: CrashId::new(&choice.endpoint, announcement.order.started_ms),
             suspects: Rc::clone(&self.exchanges[key].suspects),
             sent_ms: dispatch.sent_ms,
             broke_ms: now_ms,
+            look_count: 0,
         });
         if self.suspected_crashes.len() > MAX_SUSPECTED {
             self.suspected_crashes.pop_front();
         }
-        self.connect_ahead(address, Some(choice.endpoint.clone()));
+        self.look_for_crashes(now_ms);
+    }
+
+    /// Tests whether endpoints whose connections broke have ended, where that is due.
+    pub(super) fn look_for_crashes(&mut self, now_ms: u64) {
+        self.suspected_crashes
+            .retain(|one| now_ms < one.broke_ms + CONFIRM_LIMIT_MS);
+        let mut due: Vec<CompactString> = Vec::new();
+        for one in &mut self.suspected_crashes {
+            if one.is_look_due(now_ms) {
+                one.look_count += 1;
+                if !due.contains(&one.endpoint) {
+                    due.push(one.endpoint.clone());
+                }
+            }
+        }
+        for id in due {
+            if let Some(endpoint) = self.fleet.get(&id) {
+                self.connect_ahead(endpoint.announcement.address, Some(id));
+            }
+        }
     }
 
     /// Records the crash of an endpoint that accepts no connections any more.
@@ -117,10 +149,10 @@
             .into_iter()
             .partition(|one| one.endpoint == endpoint);
         self.suspected_crashes = others;
-        let broken = ended
-            .into_iter()
-            .filter(|one| now_ms < one.broke_ms + CONFIRM_LIMIT_MS);
-        let broken: Vec<SuspectedCrash> = broken.collect();
+        let broken = ended.into_iter();
+        let broken: Vec<SuspectedCrash> = broken
+            .filter(|one| now_ms < one.broke_ms + CONFIRM_LIMIT_MS)
+            .collect();
         let Some(first) = broken.first() else {
             return;
         };
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -86,6 +86,14 @@
                         "endpoint announced"
                     );
                 }
+                let order = announcement.order;
+                if self
+                    .fleet
+                    .get(&id)
+                    .is_some_and(|known| known.announcement.order.started_ms != order.started_ms)
+                {
+                    self.confirm_crash(&id, now_ms);
+                }
                 if !self.fleet.apply_announcement(&id, announcement, now_ms) {
                     tracing::warn!(
                         endpoint = %id,
