--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -100,11 +100,22 @@
 impl Host {
     /// Starts a host and waits until it is ready.
     pub fn start(store: &MetadataStore, options: &HostOptions) -> Self {
-        let host = Self::start_only(store, options);
-        host.wait_ready();
+        let mut host = Self::start_only(store, options);
+        wait_until("the host is ready", || {
+            // On a busy machine, a host finds out late that one of its ports is taken.
+            if host.has_lost_port() {
+                host = Self::start_only(store, options);
+            }
+            host.is_ready()
+        });
         host
     }
 
+    fn has_lost_port(&mut self) -> bool {
+        let has_ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        has_ended && self.log().contains("Address already in use")
+    }
+
     /// Starts a host without waiting; retries with other ports if one of them has
     /// been taken by another process.
     pub fn start_only(store: &MetadataStore, options: &HostOptions) -> Self {
