Keep the order of the first fields of the line of an ended request

metrics_and_log_show_how_a_request_ended looks for the request next to its route, as tools may; the hash of the request stood between them and is now after the placing. The test failed on the code before and is run with the whole script.

--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -230,7 +230,6 @@
         }
         tracing::info!(
             request = %exchange.request.metadata.attempt_id,
-            suspect = %exchange.suspects.request(),
             route = %exchange.route.name,
             service = %exchange.route.service,
             configuration = exchange.configuration_version.0,
@@ -250,6 +249,7 @@
                 .as_ref()
                 .and_then(|placement| placement.software_version.as_ref())
                 .map(SoftwareVersion::as_str),
+            suspect = %exchange.suspects.request(),
             begun_by = exchange.request.metadata.begun_by.as_deref(),
             waited_ms = exchange
                 .placement
