--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -96,7 +96,6 @@
     /// and the retry budget allows it; returns whether it did.
     pub(super) fn try_retry(&mut self, key: usize, cause: &str) -> bool {
         let now_ms = self.now_ms();
-        let hosts = self.hosts.possible_count(now_ms);
         let may_crash_again = self.may_crash_again(key);
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return false;
@@ -110,7 +109,7 @@
         }
         let service = exchange.route.service.clone();
         let attempt = exchange.request.metadata.attempt_id.clone();
-        let is_allowed = self.retry_budget.try_take(&service, hosts, now_ms);
+        let is_allowed = self.try_take_retry(&service, now_ms);
         let usage = self.retry_budget.usage(&service);
         tracing::info!(
             request = %attempt,
@@ -119,7 +118,7 @@
             requests = usage.request_count,
             retries = usage.retry_count,
             slack_retries = usage.slack_retry_count,
-            hosts,
+            hosts = self.hosts.possible_count(now_ms),
             "retry decided"
         );
         if is_allowed {
@@ -130,6 +129,13 @@
         is_allowed
     }
 
+    /// Takes one retry of a service from this host's share of the limit; returns false if it
+    /// is used up.
+    pub(super) fn try_take_retry(&mut self, service: &str, now_ms: u64) -> bool {
+        let hosts = self.hosts.possible_count(now_ms);
+        self.retry_budget.try_take(service, hosts, now_ms)
+    }
+
     /// Ends the current dispatch of a request and records its result.
     pub(super) fn end_dispatch(&mut self, key: usize, failure: Option<Failure>, now_ms: u64) {
         let Some(exchange) = self.exchanges.get_mut(key) else {
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -364,16 +364,15 @@
 
     /// Takes a retry for a request that an endpoint of another region has refused.
     fn try_take_after_arrival(&mut self, key: usize, now_ms: u64) -> bool {
-        let hosts = self.hosts.possible_count(now_ms);
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return false;
         };
         exchange.has_arrived = true;
-        let is_allowed = self
-            .retry_budget
-            .try_take(&exchange.route.service, hosts, now_ms);
+        let service = exchange.route.service.clone();
+        let attempt = exchange.request.metadata.attempt_id.clone();
+        let is_allowed = self.try_take_retry(&service, now_ms);
         tracing::info!(
-            request = %exchange.request.metadata.attempt_id,
+            request = %attempt,
             has_arrived = true,
             is_allowed,
             "request refused in another region"
@@ -396,8 +395,7 @@
                 self.end_dispatch(key, Some(failure), now_ms);
                 let service = self.exchanges[key].route.service.clone();
                 let has_attempts_left = self.exchanges[key].skip_count < MAX_SKIPPED_PLACES;
-                let hosts = self.hosts.possible_count(now_ms);
-                if has_attempts_left && self.retry_budget.try_take(&service, hosts, now_ms) {
+                if has_attempts_left && self.try_take_retry(&service, now_ms) {
                     return self.place_exchange(key);
                 }
                 let retry_ms = self.fleet.unwanted_for_ms(&service, now_ms);
--- a/src/gateway/serve_stall.rs
+++ b/src/gateway/serve_stall.rs
@@ -48,14 +48,11 @@
         let Some(successor) = self.connected_successor(key, now_ms) else {
             return;
         };
-        let hosts = self.hosts.possible_count(now_ms);
-        let exchange = &mut self.exchanges[key];
-        if !self
-            .retry_budget
-            .try_take(&exchange.route.service, hosts, now_ms)
-        {
+        let service = self.exchanges[key].route.service.clone();
+        if !self.try_take_retry(&service, now_ms) {
             return;
         }
+        let exchange = &mut self.exchanges[key];
         tracing::info!(
             request = %exchange.request.metadata.attempt_id,
             silent_ms = now_ms.saturating_sub(dispatch.progress_ms),
