--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -658,11 +658,11 @@
     pub fn choose(&self, query: &EndpointQuery<'_>, now_ms: u64) -> Option<Choice> {
         let service = query.service;
         let caches = self.caches(query, now_ms);
-        let is_ahead = self.has_unclaimed_permit(query, now_ms);
+        let has_permit = self.has_unclaimed_permit(query, now_ms);
         self.candidates(query, now_ms)
             .filter(|endpoint| self.may_send_cold(endpoint, service, query.region, now_ms))
             .filter(|endpoint| {
-                endpoint.limit().is_none() || (is_ahead && endpoint.is_permitted(now_ms))
+                endpoint.limit().is_none() || (has_permit && endpoint.is_permitted(now_ms))
             })
             .map(|endpoint| {
                 let choice = self.predict(endpoint, query, &caches, now_ms);
@@ -724,11 +724,11 @@
 
     /// Returns an endpoint that a request may not be sent to because of its limit.
     pub fn kept_from(&self, query: &EndpointQuery<'_>, now_ms: u64) -> Option<KeptFrom> {
-        let is_ahead = self.has_unclaimed_permit(query, now_ms);
+        let has_permit = self.has_unclaimed_permit(query, now_ms);
         let mut candidates = self.candidates(query, now_ms);
         candidates.find_map(|endpoint| {
             let limit = endpoint.limit()?;
-            let is_kept = !is_ahead || !endpoint.is_permitted(now_ms);
+            let is_kept = !has_permit || !endpoint.is_permitted(now_ms);
             is_kept.then(|| KeptFrom {
                 endpoint: endpoint.id.clone(),
                 limit,
