Tell crashes of endpoints with short ids apart

The start of an endpoint was the seed of the hash of its id, and for ids of up to three bytes and starts that are close these cancel out: 290 crashes had 44 ids. The start is hashed before the id now, and the parts of a prompt with the rest of the request in one go.

--- a/src/gateway/crash_records.rs
+++ b/src/gateway/crash_records.rs
@@ -19,7 +19,10 @@
     Deserialize,
     Serialize, //
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{
+    Xxh3,
+    xxh3_64, //
+};
 
 use super::request::PromptPart;
 use crate::types::{
@@ -86,7 +89,11 @@
 impl CrashId {
     /// Returns the id of the crash of an endpoint that started at this Unix time.
     pub fn new(endpoint: &str, started_ms: u64) -> Self {
-        Self(xxh3_64_with_seed(endpoint.as_bytes(), started_ms))
+        // As a seed, the start would cancel out against the bytes of a short id.
+        let mut hash = Xxh3::new();
+        hash.update(&started_ms.to_le_bytes());
+        hash.update(endpoint.as_bytes());
+        Self(hash.digest())
     }
 }
 
@@ -142,9 +149,9 @@
         let ids = parts.iter().map(|part| part.id);
         let mut all: Vec<Suspect> = ids.clone().map(PartId).map(Suspect::Part).collect();
         let shared_count = all.len().saturating_sub(1);
-        let request = ids.fold(call.0, |hash, id| {
-            xxh3_64_with_seed(&id.to_le_bytes(), hash)
-        });
+        let numbers = [call.0].into_iter().chain(ids);
+        let bytes: Vec<u8> = numbers.flat_map(u64::to_le_bytes).collect();
+        let request = xxh3_64(&bytes);
         all.push(Suspect::Request(RequestHash(request)));
         if !parts.is_empty() {
             all.push(Suspect::Call(call));
--- a/tests/gateway_crash_records.rs
+++ b/tests/gateway_crash_records.rs
@@ -1,5 +1,7 @@
 //! Which prompt part or request is blamed for the crashes of endpoints, and for how long.
 
+use std::collections::BTreeSet;
+
 use cardamombridge::{
     gateway::{
         crash_records::{
@@ -229,3 +231,15 @@
         assert!(text.parse::<Suspect>().is_err(), "{text}");
     }
 }
+
+/// Guards against crashes of different endpoints, or starts, that count as the same one.
+#[test]
+fn crashes_of_short_ids_and_low_starts_differ() {
+    let starts = (0..10).flat_map(|endpoint| (1..30).map(move |start| (endpoint, start)));
+
+    let crashes: BTreeSet<CrashId> = starts
+        .map(|(endpoint, start)| CrashId::new(&format!("e-{endpoint}"), start))
+        .collect();
+
+    assert_eq!(crashes.len(), 10 * 29);
+}
