Give later coordinators of a limit a third of the rate each

Cause: a host that gets no answer to three questions asks the next coordinator of an endpoint for 3 s, at which other hosts still ask the first. Each hands out nine tenths of the limit, so that packets which are lost between the hosts bring an endpoint up to 1.8 times its limit without any cut that would excuse it.

Change: a coordinator hands out a third of its rate for each host that comes before it and was heard within a second. All together hand out at most 1.35 times the limit.

Ruled out: waiting longer for the first coordinator. It makes the same overlap rarer, and a frozen coordinator costs more permits.

--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -44,6 +44,9 @@
 /// while the store is unreachable. Several beacons of the longest interval fit
 /// into it.
 const SILENCE_LIMIT_MS: u64 = 3_000;
+/// Time without packets after which a host may no longer answer questions; one beacon of the
+/// longest interval fits into it.
+const PRESENCE_LIMIT_MS: u64 = 1_000;
 /// Time after the last packet of a host that is not registered in which it may be at work.
 const ABSENCE_LIMIT_MS: u64 = 60_000;
 /// Time after which the prompts that another host reported have been prefilled.
@@ -430,6 +433,20 @@
         heard.map(|peer| &peer.info).chain(own).cloned().collect()
     }
 
+    /// Returns the number of other hosts of the region that stay, sent a packet a moment ago
+    /// and match `is_counted` by their names.
+    pub fn count_present<F>(&self, is_counted: F, now_ms: u64) -> usize
+    where
+        F: Fn(&str) -> bool,
+    {
+        let is_present = |peer: &&PeerState| {
+            let seen_ms = peer.last_seen_ms;
+            !peer.is_leaving && seen_ms.is_some_and(|at_ms| now_ms < at_ms + PRESENCE_LIMIT_MS)
+        };
+        let present = self.region_peers().filter(is_present);
+        present.filter(|peer| is_counted(&peer.info.name)).count()
+    }
+
     /// Returns the address at which another host receives packets.
     pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
         self.peers.get(name).map(|peer| peer.info.peer_address)
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -10,14 +10,17 @@
 };
 
 use compact_str::CompactString;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::request_rate::RequestRate;
 
 /// Time in which a permit is used; what hosts hold while the limit falls is used by then.
 const PERMIT_LIFETIME_MS: u64 = 500;
-/// Share of the limit that is handed out, so that a second coordinator, which hosts with
-/// another view of the region ask, does not exceed the bound at once.
+/// Share of the limit that the first coordinator hands out; the rest is for the others.
 const HANDED_OUT_SHARE: f64 = 0.9;
+/// Share of the rate that a coordinator keeps for each one that comes before it. All of them
+/// together hand out up to 1.35 times the limit, which the bound of 1.5 times allows.
+const LATER_SHARE: f64 = 1.0 / 3.0;
 /// Time for which a coordinator collects permits that nobody asks for, beside the first.
 const COLLECTED_S: f64 = 0.1;
 /// Rate below which no limit is followed: without a request, no host learns that it ended.
@@ -31,14 +34,23 @@
 /// Age beyond which the time between two permits says nothing about the next.
 const INTERVAL_LIFETIME_MS: u64 = 1_000;
 
-/// Returns the requests a second that the hosts may send together, if a share of them is
-/// heard by the one that hands out permits.
-pub fn handed_out_rate(limit: RequestRate, heard_share: f64) -> RequestRate {
+/// Returns the rate at which a coordinator hands out permits.
+///
+/// `heard_share` is the share of the region's hosts that it hears, `earlier_count` the number
+/// of those that come before it as coordinators. Hosts ask it in spite of those if their
+/// answers are lost, while other hosts still get them.
+pub fn handed_out_rate(limit: RequestRate, heard_share: f64, earlier_count: usize) -> RequestRate {
     let least = RequestRate::new(LEAST_PER_S).unwrap_or_default();
     limit
         .share(HANDED_OUT_SHARE)
         .at_least(least)
         .share(heard_share)
+        .share(LATER_SHARE.powi(earlier_count as i32))
+}
+
+/// Returns the priority of a host as the coordinator of an endpoint; the highest comes first.
+pub fn coordinator_priority(endpoint: &str, host: &str) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), xxh3_64_with_seed(endpoint.as_bytes(), 1))
 }
 
 /// Permits of a host for one endpoint.
--- a/src/gateway/serve_limits.rs
+++ b/src/gateway/serve_limits.rs
@@ -11,7 +11,6 @@
     Deserialize,
     Serialize, //
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
     endpoint::EndpointHash,
@@ -22,6 +21,7 @@
     load_updates::Packet,
     permits::{
         PermitDesk,
+        coordinator_priority,
         handed_out_rate, //
     },
     reactor::Reactor,
@@ -340,7 +340,10 @@
             return;
         };
         let hash = endpoint.hash;
-        let rate = handed_out_rate(limit, self.hosts.heard_share(now_ms));
+        let own_priority = coordinator_priority(id, &self.settings.host.name);
+        let comes_before = |host: &str| coordinator_priority(id, host) > own_priority;
+        let earlier_count = self.hosts.count_present(comes_before, now_ms);
+        let rate = handed_out_rate(limit, self.hosts.heard_share(now_ms), earlier_count);
         let Some(desk) = self.limits.desks.get_mut(id) else {
             return;
         };
@@ -381,14 +384,8 @@
 where
     F: Fn(&str) -> bool,
 {
-    let hash_of = |host: &HostInfo| {
-        xxh3_64_with_seed(
-            host.name.as_bytes(),
-            xxh3_64_with_seed(endpoint.as_bytes(), 1),
-        )
-    };
     hosts
         .iter()
         .filter(|host| may_ask(&host.name))
-        .max_by_key(|host| hash_of(host))
+        .max_by_key(|host| coordinator_priority(endpoint, &host.name))
 }
