--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -493,13 +493,8 @@
         version: &SoftwareVersion,
         now_ms: u64,
     ) -> bool {
-        self.endpoints.values().any(|endpoint| {
-            endpoint.region == region
-                && endpoint.announcement.service == service
-                && endpoint.announcement.software_version == *version
-                && endpoint.is_staying(now_ms)
-                && !self.evacuated.contains(&endpoint.announcement.data_centre)
-        })
+        self.staying_in(region, service, now_ms)
+            .any(|endpoint| endpoint.announcement.software_version == *version)
     }
 
     /// Returns the only software version of a service's endpoints in all regions, those
@@ -521,14 +516,24 @@
         versions.all(|version| version == first).then_some(first)
     }
 
+    /// Returns the endpoints of a service in this region that are announced and stay.
     fn staying<'a>(
         &'a self,
         service: &'a str,
         now_ms: u64,
+    ) -> impl Iterator<Item = &'a Endpoint> + 'a {
+        self.staying_in(&self.region, service, now_ms)
+    }
+
+    fn staying_in<'a>(
+        &'a self,
+        region: &'a str,
+        service: &'a str,
+        now_ms: u64,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
         self.endpoints.values().filter(move |endpoint| {
             endpoint.announcement.service == service
-                && endpoint.region == self.region
+                && endpoint.region == region
                 && endpoint.is_staying(now_ms)
                 && !self.evacuated.contains(&endpoint.announcement.data_centre)
         })
