--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -59,7 +59,7 @@
     /// about it, and a refusal would end its response.
     pub has_run: bool,
     /// Time until an endpoint of this region that cannot be used now may be used; none if
-    /// there is no such endpoint.
+    /// there is no such endpoint, or if the request has not run.
     pub usable_in_ms: Option<f64>,
     /// Time until an endpoint of this region wants requests from this host again;
     /// none unless all of them asked it to stay away.
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -214,13 +214,14 @@
         .concat();
         let remote = self.best_remote_offer(exchange, &service, now_ms);
         let untried = is_home.then(|| choose(&skipped)).flatten();
+        // Requests that have not run are decided without it.
+        let is_needed = is_home && exchange.has_run();
         let usable_in_ms = |excluded: &[CompactString]| {
+            let fleet = is_needed.then_some(&self.fleet)?;
             let version = route.software_version.as_ref();
-            self.fleet
-                .usable_in_ms(&service.name, version, excluded, now_ms)
-                .filter(|_| is_home)
+            fleet.usable_in_ms(&service.name, version, excluded, now_ms)
         };
-        let untried_in_ms = usable_in_ms(&skipped).filter(|_| exchange.has_run());
+        let untried_in_ms = usable_in_ms(&skipped);
         // An endpoint that failed the request is only tried again if no other one is
         // usable soon, and no other region can be.
         let may_repeat = is_home
