--- a/src/gateway/crash_records.rs
+++ b/src/gateway/crash_records.rs
@@ -209,10 +209,11 @@
 }
 
 impl Crash {
-    fn lifetime_ms(&self, record: &Record) -> i64 {
+    /// Returns the time for which it is remembered if its suspect's are for `blamed_ms`.
+    fn lifetime_ms(&self, blamed_ms: i64) -> i64 {
         match self.is_cleared {
             true => CLEARANCE_LIFETIME_MS,
-            false => record.lifetime_ms(),
+            false => blamed_ms,
         }
     }
 }
@@ -443,14 +444,10 @@
     pub fn expire(&mut self, now_ms: u64) {
         let now_ms = now_ms as i64;
         for record in self.records.values_mut() {
-            let lifetime_ms = record.lifetime_ms();
-            record.crashes.retain(|_, crash| {
-                let lifetime_ms = match crash.is_cleared {
-                    true => CLEARANCE_LIFETIME_MS,
-                    false => lifetime_ms,
-                };
-                now_ms < crash.at_ms + lifetime_ms
-            });
+            let blamed_ms = record.lifetime_ms();
+            record
+                .crashes
+                .retain(|_, crash| now_ms < crash.at_ms + crash.lifetime_ms(blamed_ms));
         }
         self.records.retain(|_, record| !record.crashes.is_empty());
     }
@@ -519,7 +516,7 @@
             let record = self.records.get(&suspect)?;
             let crash = record.crashes.get(&id)?;
             let age_ms = now_ms - crash.at_ms;
-            let is_kept = age_ms < crash.lifetime_ms(record) - REPORT_MARGIN_MS;
+            let is_kept = age_ms < crash.lifetime_ms(record.lifetime_ms()) - REPORT_MARGIN_MS;
             is_kept.then(|| CrashReport {
                 suspect,
                 crash: id,
