--- a/src/gateway/crash_records.rs
+++ b/src/gateway/crash_records.rs
@@ -140,6 +140,7 @@
 pub struct Suspects {
     all: Vec<Suspect>,
     shared_count: usize,
+    request: Suspect,
 }
 
 impl Suspects {
@@ -151,21 +152,21 @@
         let shared_count = all.len().saturating_sub(1);
         let numbers = [call.0].into_iter().chain(ids);
         let bytes: Vec<u8> = numbers.flat_map(u64::to_le_bytes).collect();
-        let request = xxh3_64(&bytes);
-        all.push(Suspect::Request(RequestHash(request)));
+        let request = Suspect::Request(RequestHash(xxh3_64(&bytes)));
+        all.push(request);
         if !parts.is_empty() {
             all.push(Suspect::Call(call));
         }
-        Self { all, shared_count }
+        Self {
+            all,
+            shared_count,
+            request,
+        }
     }
 
     /// The request itself.
     pub fn request(&self) -> Suspect {
-        let own = self.own().iter().copied();
-        let mut requests = own.filter(|suspect| matches!(suspect, Suspect::Request(_)));
-        requests
-            .next()
-            .expect("each request has itself as a suspect")
+        self.request
     }
 
     /// All suspects.
