--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -145,6 +145,27 @@
     pub waiting_ahead: usize,
 }
 
+impl<'a> EndpointQuery<'a> {
+    /// Returns a query for any endpoint of a service, without time limits and ahead of all
+    /// waiting requests.
+    pub fn new(
+        service: &'a Service,
+        metadata: &'a RequestMetadata,
+        region: &'a RegionView,
+    ) -> Self {
+        Self {
+            service,
+            metadata,
+            excluded: &[],
+            software_version: None,
+            region,
+            goal_left_ms: 0.0,
+            time_left_ms: 0.0,
+            waiting_ahead: 0,
+        }
+    }
+}
+
 /// Predicted wait for a permit of a request that only endpoints with a limit can serve.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitWait {
@@ -995,16 +1016,8 @@
 impl Fleet {
     /// Predicts the time until an endpoint begins with a new request.
     pub fn backlog_ms(&self, endpoint: &Endpoint, service: &Service, now_ms: u64) -> f64 {
-        let query = EndpointQuery {
-            service,
-            metadata: &RequestMetadata::default(),
-            excluded: &[],
-            software_version: None,
-            region: &RegionView::default(),
-            goal_left_ms: 0.0,
-            time_left_ms: 0.0,
-            waiting_ahead: 0,
-        };
+        let (metadata, region) = (RequestMetadata::default(), RegionView::default());
+        let query = EndpointQuery::new(service, &metadata, &region);
         self.predict(endpoint, &query, &Caches::default(), now_ms)
             .backlog_ms
     }
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -364,14 +364,9 @@
             .service_ms(service, &exchange.request.metadata, now_ms);
         let first_event_ms = round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS) + wait_ms + work_ms;
         let query = EndpointQuery {
-            service,
-            metadata: &exchange.request.metadata,
-            excluded: &[],
-            software_version: None,
-            region: &self.region_view,
             goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms) as f64,
-            waiting_ahead: 0,
+            ..EndpointQuery::new(service, &exchange.request.metadata, &self.region_view)
         };
         Some(RemoteOffer {
             region: region.clone(),
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -394,15 +394,10 @@
 
     /// Returns the wait of a new request if all endpoints of a service have a limit.
     fn limit_wait_ms(&self, service: &Service, now_ms: u64) -> f64 {
+        let metadata = RequestMetadata::default();
         let query = EndpointQuery {
-            service,
-            metadata: &RequestMetadata::default(),
-            excluded: &[],
-            software_version: None,
-            region: &self.region_view,
-            goal_left_ms: 0.0,
-            time_left_ms: 0.0,
             waiting_ahead: self.waiting_count(&service.name, None, now_ms),
+            ..EndpointQuery::new(service, &metadata, &self.region_view)
         };
         let wait = self.fleet.limit_wait(&query, now_ms);
         wait.map_or(0.0, |wait| wait.wait_ms)
