Lose packets between hosts in the soak of limits

Hosts register their peer address through a store that replaces it by the address of a wire, so that all packets between them can be lost, duplicated or overtaken: one in five, twenty and ten, with every second seed. A check makes sure that the packets take the wires.

Endpoints also name a limit of 20 a second, since lower ones leave room for a second coordinator.

Seed 4 is kept.

--- a/src/standin/metadata_store.rs
+++ b/src/standin/metadata_store.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     io,
     net::SocketAddr,
     sync::{
@@ -82,10 +83,23 @@
     next_lease: u64,
 }
 
+/// Returns the value that is stored instead of one that a host writes under a key.
+type RewriteValue = dyn Fn(&str, &[u8]) -> Option<Vec<u8>> + Send + Sync;
+
+#[derive(Clone)]
+struct Rewrite(Arc<RewriteValue>);
+
+impl fmt::Debug for Rewrite {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Rewrite")
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     content: Content,
     copy: Content,
+    rewrite: Option<Rewrite>,
     era: u64,
     /// Value of the era's header if it is not the era; no header if empty.
     era_text: Option<String>,
@@ -198,6 +212,15 @@
         self.shared.changed.notify_all();
     }
 
+    /// Stores what `rewrite` returns instead of the values that hosts write, if it returns
+    /// something, as with a network that translates their addresses.
+    pub fn set_rewrite<F>(&self, rewrite: F)
+    where
+        F: Fn(&str, &[u8]) -> Option<Vec<u8>> + Send + Sync + 'static,
+    {
+        lock(&self.shared.state).rewrite = Some(Rewrite(Arc::new(rewrite)));
+    }
+
     /// Sets how the store misbehaves.
     pub fn set_fault(&self, fault: StoreFault) {
         lock(&self.shared.state).fault = fault;
@@ -290,11 +313,12 @@
         return watch(shared, query);
     }
     let mut state = lock(&shared.state);
+    let rewrite = state.rewrite.clone();
     let content = &mut state.content;
     content.expire(Instant::now());
     let answer = match call {
         "kv-range" => range(content, &parameter(query, "prefix")),
-        "kv-txn" => transact(content, &body),
+        "kv-txn" => transact(content, &body, rewrite.as_ref()),
         "kv-lease" => {
             let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
             content.next_lease += 1;
@@ -339,7 +363,7 @@
     (200, body)
 }
 
-fn transact(content: &mut Content, body: &Value) -> (u16, Value) {
+fn transact(content: &mut Content, body: &Value, rewrite: Option<&Rewrite>) -> (u16, Value) {
     let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
     let holds = rows("precondition").iter().all(|row| {
         let key = row["key"].as_str().unwrap_or_default();
@@ -357,11 +381,9 @@
         let value = STANDARD
             .decode(write["value"].as_str().unwrap_or_default())
             .unwrap_or_default();
-        content.write(
-            write["key"].as_str().unwrap_or_default(),
-            Some(value),
-            lease,
-        );
+        let key = write["key"].as_str().unwrap_or_default();
+        let rewritten = rewrite.and_then(|rewrite| rewrite.0(key, &value));
+        content.write(key, Some(rewritten.unwrap_or(value)), lease);
     }
     for key in rows("remove") {
         content.write(key.as_str().unwrap_or_default(), None, 0);
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -9,8 +9,10 @@
 //! configurations, evacuations and removals are interleaved. Another series consists
 //! mostly of planned work beside endpoints that are silent for a second or two, and a third
 //! one of restarts while requests with one prompt part crash endpoints, or while all
-//! endpoints fail. In a last one, endpoints name limits that rise, fall and end. Answers end with their connection, anywhere, or never. The
-//! checks use what callers received, what endpoints saw and what hosts logged.
+//! endpoints fail. In a last one, endpoints name limits that rise, fall and end; with every
+//! second seed of it, packets between hosts are lost, duplicated and overtaken. Answers end
+//! with their connection, anywhere, or never. The checks use what callers received, what
+//! endpoints saw and what hosts logged.
 //!
 //! `SOAK_SEEDS` lists seeds and `SOAK_SECONDS` sets the length of each, such as
 //! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak`.
@@ -44,18 +46,25 @@
     }, //
 };
 
-use cardamombridge::standin::{
-    metadata_store::{
-        MetadataStore,
-        StoreFault, //
-    },
-    scripted::{
-        Arrival,
-        Script,
-        ScriptedEndpoint,
-        versioned_event_text, //
-    },
-    wire::Wire, //
+use cardamombridge::{
+    gateway::hosts::HOST_PREFIX,
+    standin::{
+        metadata_store::{
+            MetadataStore,
+            StoreFault, //
+        },
+        scripted::{
+            Arrival,
+            Script,
+            ScriptedEndpoint,
+            versioned_event_text, //
+        },
+        wire::{
+            DatagramFaults,
+            Direction,
+            Wire, //
+        }, //
+    }, //
 };
 use gatewayenv::{
     Host,
@@ -163,8 +172,8 @@
 /// Seeds of the runs in which a part, or a request, crashes endpoints.
 const CRASH_SEEDS: [u64; 2] = [1, 2];
 /// Limits on requests a second that endpoints name: none let through, less than one for
-/// each host, and some.
-const LIMITS_PER_S: [&str; 5] = ["0", "0.4", "1.0", "2.5", "6"];
+/// each host, some, and most of what comes.
+const LIMITS_PER_S: [&str; 6] = ["0", "0.4", "1.0", "2.5", "6", "20"];
 /// Number of steps of the series in which an endpoint changes its limit once.
 const LIMIT_PERIOD: u64 = 5;
 /// Limit of all endpoints shortly before it ends.
@@ -181,8 +190,15 @@
 const UNLIMITED_PER_S: usize = 30;
 /// Shortest run with limits.
 const MIN_LIMIT_LENGTH: Duration = Duration::from_secs(14);
-/// Seeds of the runs with limits.
-const LIMIT_SEEDS: [u64; 2] = [1, 2];
+/// What packets between hosts suffer in the lossy runs.
+const LOSSY: DatagramFaults = DatagramFaults {
+    lost_permille: 200,
+    duplicated_permille: 50,
+    reordered_permille: 100,
+};
+/// Seeds of the runs with limits, and every seed that has ever failed there: 4, in which
+/// lost packets made hosts ask two coordinators.
+const LIMIT_SEEDS: [u64; 3] = [1, 2, 4];
 /// Part of an answer without a frame.
 const CUT_BODY: &str = "cut";
 /// Seeds of the runs in which all endpoints fail.
@@ -623,9 +639,37 @@
     Some(Duration::from_secs_f64(seconds).min(longest))
 }
 
+/// Wires between hosts, by the address to which each leads.
+type PeerWires = Arc<Mutex<HashMap<SocketAddr, Wire>>>;
+
+/// Makes hosts reach each other through wires on which packets are lost.
+fn lose_packets(store: &MetadataStore, seed: u64) -> PeerWires {
+    let wires = PeerWires::default();
+    let known = Arc::clone(&wires);
+    store.set_rewrite(move |key, value| {
+        let mut item: Value = serde_json::from_slice(value).ok()?;
+        if !key.starts_with(HOST_PREFIX) {
+            return None;
+        }
+        let address: SocketAddr = item["peer_address"].as_str()?.parse().ok()?;
+        let mut known = known.lock().expect("no panic");
+        let wire_seed = seed ^ known.len() as u64;
+        let wire = known.entry(address).or_insert_with(|| {
+            let wire = Wire::start(address, wire_seed).expect("the wire starts");
+            wire.set_datagram_faults(LOSSY);
+            wire
+        });
+        item["peer_address"] = json!(wire.address());
+        Some(item.to_string().into_bytes())
+    });
+    wires
+}
+
 struct Cluster {
     store: MetadataStore,
     wires: Vec<Wire>,
+    /// Wires between hosts, if packets are lost.
+    peer_wires: Option<PeerWires>,
     endpoints: Vec<ScriptedEndpoint>,
     hosts: Vec<Option<Host>>,
     caller_addresses: CallerAddresses,
@@ -651,8 +695,9 @@
 }
 
 impl Cluster {
-    fn new(seed: u64, host_count: usize) -> Self {
+    fn new(seed: u64, host_count: usize, is_lossy: bool) -> Self {
         let store = store_with_configuration();
+        let peer_wires = is_lossy.then(|| lose_packets(&store, seed));
         let is_failing = Arc::new(AtomicBool::new(false));
         let endpoints = ENDPOINTS
             .iter()
@@ -667,6 +712,7 @@
         let mut cluster = Self {
             store,
             wires,
+            peer_wires,
             endpoints,
             hosts: (0..host_count).map(|_| None).collect(),
             caller_addresses: Arc::new(Mutex::new(vec![None; host_count])),
@@ -926,6 +972,22 @@
         );
     }
 
+    /// Checks that the packets between hosts took the wires on which they are lost.
+    fn check_loss(&self, seed: u64) {
+        let Some(wires) = &self.peer_wires else {
+            return;
+        };
+        let wires = wires.lock().expect("no panic");
+        for host in self.hosts.iter().flatten() {
+            let wire = wires.get(&host.peer_address);
+            let passed = wire.map(|wire| wire.passed(Direction::ToTarget).0);
+            assert!(
+                passed.is_some_and(|bytes| bytes > 0),
+                "seed {seed}: packets reach a host past its wire"
+            );
+        }
+    }
+
     /// Returns the highest limit that holds for a window; none unless the endpoint named
     /// limits from [`CONTACT`] before it to its end.
     fn highest_limit(&self, endpoint: usize, window: &Range<Instant>) -> Option<f64> {
@@ -1650,7 +1712,8 @@
         true => HOSTS.len(),
         false => HOST_COUNT,
     };
-    let mut cluster = Cluster::new(seed, host_count);
+    let is_lossy = series.has_limits && seed.is_multiple_of(2);
+    let mut cluster = Cluster::new(seed, host_count, is_lossy);
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let is_ending = Arc::new(AtomicBool::new(false));
     let outcomes = Arc::new(Mutex::new(Vec::new()));
@@ -1727,6 +1790,7 @@
     cluster.check_crashes(seed);
     cluster.check_repeats(seed, &outcomes);
     cluster.check_memory(seed);
+    cluster.check_loss(seed);
     if series.crashes.is_none() && !series.is_failing && !series.has_limits {
         check_taken_up(seed, &cluster, &outcomes);
         Evidence::new(&cluster).check_answers(seed, &outcomes);
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -66,6 +66,8 @@
     pub directory_address: SocketAddr,
     /// Address of the readiness check.
     pub ready_address: SocketAddr,
+    /// Address for packets and connections of other hosts.
+    pub peer_address: SocketAddr,
     /// Address of the metrics.
     pub metrics_address: SocketAddr,
     log_path: PathBuf,
@@ -167,6 +169,7 @@
             caller_address: ports[0],
             ready_address: ports[1],
             directory_address: ports[2],
+            peer_address: ports[3],
             metrics_address: ports[4],
             log_path,
             settings,
