--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -9,10 +9,11 @@
 //! configurations, evacuations and removals are interleaved. Another series consists
 //! mostly of planned work beside endpoints that are silent for a second or two, and a third
 //! one of restarts while requests with one prompt part crash endpoints, or while all
-//! endpoints fail. In a last one, endpoints name limits that rise, fall and end; with every
-//! second seed of it, packets between hosts are lost, duplicated and overtaken. Answers end
-//! with their connection, anywhere, or never. The checks use what callers received, what
-//! endpoints saw and what hosts logged.
+//! endpoints fail. In a last one, endpoints name limits that rise, fall and end. With every
+//! second seed of that one, and of the one in which a request crashes endpoints, packets
+//! between hosts are lost, duplicated and overtaken. Answers end with their connection,
+//! anywhere, or never. The checks use what callers received, what endpoints saw and what
+//! hosts logged.
 //!
 //! `SOAK_SEEDS` lists seeds and `SOAK_SECONDS` sets the length of each, such as
 //! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak`.
@@ -1712,7 +1713,8 @@
         true => HOSTS.len(),
         false => HOST_COUNT,
     };
-    let is_lossy = series.has_limits && seed.is_multiple_of(2);
+    let can_lose = series.has_limits || matches!(series.crashes, Some(CrashCause::Request));
+    let is_lossy = can_lose && seed.is_multiple_of(2);
     let mut cluster = Cluster::new(seed, host_count, is_lossy);
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let is_ending = Arc::new(AtomicBool::new(false));
