Count what endpoints did not want by the time of sending in the soak

The check counted requests by the time at which the stand-in noted them. Requests are now counted by the time in the sender's log, or by their arrival where the line is missing.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -43,7 +43,9 @@
     thread,
     time::{
         Duration,
-        Instant, //
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
     }, //
 };
 
@@ -147,6 +149,7 @@
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Fewest taken-up streams of which a share is checked.
 const MIN_TAKEN_UP: usize = 12;
+const DAY: Duration = Duration::from_secs(24 * 3_600);
 /// Time limit for all hosts to serve again after the last fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(8);
 /// Part of a prompt that crashes the endpoints which begin to answer it.
@@ -1308,6 +1311,7 @@
     /// Checks that endpoints got no requests that they did not want: not from a host
     /// that they had asked to stay away, nor after they stated that they are leaving.
     fn check_statements(&self, seed: u64) {
+        let sends = Sends::new(self);
         for (index, endpoint) in self.all_endpoints() {
             let arrivals = endpoint.arrivals();
             for stated in &arrivals {
@@ -1326,8 +1330,8 @@
                 let span = self.latest_answer(index, stated.at) + slack..until;
                 let count = arrivals
                     .iter()
-                    .filter(|arrival| span.contains(&arrival.at))
                     .filter(|arrival| Sender::of(arrival, ENDPOINTS[index].1) == Some(sender))
+                    .filter(|arrival| span.contains(&sends.time_of(arrival, endpoint.id(), sender)))
                     .count();
                 assert!(
                     count <= most,
@@ -1405,6 +1409,65 @@
     }
 }
 
+/// Times at which processes sent requests to endpoints, by their logs. On a busy machine,
+/// endpoints note requests late.
+struct Sends {
+    /// By process, attempt and endpoint.
+    times: HashMap<(u64, String, String), Vec<Instant>>,
+}
+
+impl Sends {
+    fn new(cluster: &Cluster) -> Self {
+        let (now, now_of_day) = (Instant::now(), time_of_day(SystemTime::now()));
+        let mut times: HashMap<_, Vec<Instant>> = HashMap::new();
+        for (sender, log) in cluster.logs() {
+            for line in log.lines().filter(|line| line.contains("\"request sent\"")) {
+                let Ok(line) = serde_json::from_str::<Value>(line) else {
+                    continue;
+                };
+                let text = |name: &str| line[name].as_str().unwrap_or_default().to_owned();
+                let Some(of_day) = logged_time_of_day(&text("timestamp")) else {
+                    continue;
+                };
+                // The run may have passed midnight.
+                let ago = (now_of_day + DAY - of_day).as_secs_f64() % DAY.as_secs_f64();
+                let at = now - Duration::from_secs_f64(ago);
+                let key = (sender.process, text("request"), text("endpoint"));
+                times.entry(key).or_default().push(at);
+            }
+        }
+        Self { times }
+    }
+
+    /// Returns when a process sent a request; its arrival if the line was omitted.
+    fn time_of(&self, arrival: &Arrival, endpoint: &str, sender: Sender) -> Instant {
+        let attempt = arrival.attempt().to_owned();
+        let times = self
+            .times
+            .get(&(sender.process, attempt, endpoint.to_owned()));
+        let before = times.into_iter().flatten().filter(|at| **at <= arrival.at);
+        before.max().copied().unwrap_or(arrival.at)
+    }
+}
+
+/// Returns the time since midnight, in UTC.
+fn time_of_day(time: SystemTime) -> Duration {
+    let since = time.duration_since(UNIX_EPOCH).expect("a time after 1970");
+    Duration::from_secs(since.as_secs() % DAY.as_secs())
+        + Duration::from_nanos(since.subsec_nanos().into())
+}
+
+/// Returns the time since midnight of the timestamp of a log line.
+fn logged_time_of_day(timestamp: &str) -> Option<Duration> {
+    let (_, time) = timestamp.trim_end_matches('Z').split_once('T')?;
+    let mut fields = time.split(':').map(str::parse::<f64>);
+    let mut next = || fields.next()?.ok();
+    let (hours, minutes, seconds) = (next()?, next()?, next()?);
+    Some(Duration::from_secs_f64(
+        hours * 3_600.0 + minutes * 60.0 + seconds,
+    ))
+}
+
 /// What is known about the requests that ended without a complete response.
 struct Evidence<'a> {
     cluster: &'a Cluster,
