Share the sockets of a wire between its threads

Cause: a wire duplicated both sockets of a connection for each of its threads, 12 descriptors a connection. With eight tests of config_in_force in one process that is over 1,400; where a process may have 1,024, the wire accepts nothing, spins on the error, and callers see "no response from the platform".

Change: the threads share the sockets, and a failed connection is followed by a pause.

Evidence: the new test counted 797 descriptors for 64 connections before, 512 allowed. With 'ulimit -n 1024' three of eight tests of config_in_force failed before, with that message; now none in two runs.

--- a/src/standin/wire.rs
+++ b/src/standin/wire.rs
@@ -74,6 +74,8 @@
 /// By how much an overtaken datagram is held back.
 const REORDER_DELAY: Duration = Duration::from_millis(30);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a connection that failed, since the next one may fail at once.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
 const WIRE_STACK_BYTES: usize = 128 * 1024;
 /// Attempts to find a port that is free for TCP and for UDP.
 const PORT_ATTEMPTS: u32 = 20;
@@ -164,11 +166,11 @@
     }
 }
 
-/// Both sockets of one connection through the wire.
-#[derive(Debug)]
+/// Both sockets of one connection through the wire, shared by the threads of both directions.
+#[derive(Debug, Clone)]
 struct Ends {
-    caller: TcpStream,
-    target: TcpStream,
+    caller: Arc<TcpStream>,
+    target: Arc<TcpStream>,
 }
 
 impl Ends {
@@ -177,13 +179,6 @@
         let _ = self.caller.shutdown(Shutdown::Both);
         let _ = self.target.shutdown(Shutdown::Both);
     }
-
-    fn try_clone(&self) -> io::Result<Self> {
-        Ok(Self {
-            caller: self.caller.try_clone()?,
-            target: self.target.try_clone()?,
-        })
-    }
 }
 
 #[derive(Debug)]
@@ -430,6 +425,7 @@
         let result = accepted.and_then(|(caller, source)| connect(shared, caller, source, target));
         if let Err(error) = result {
             tracing::debug!(%error, %target, "wire could not pass a connection on");
+            thread::sleep(ACCEPT_RETRY_DELAY);
         }
     }
 }
@@ -446,7 +442,10 @@
     let target = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT)?;
     caller.set_nodelay(true)?;
     target.set_nodelay(true)?;
-    let ends = Ends { caller, target };
+    let ends = Ends {
+        caller: Arc::new(caller),
+        target: Arc::new(target),
+    };
     let id = {
         let mut state = lock(&shared.state);
         // A cut that came in between did not see this connection.
@@ -456,7 +455,7 @@
         }
         let id = state.connections;
         state.connections += 1;
-        state.streams.insert(id, ends.try_clone()?);
+        state.streams.insert(id, ends.clone());
         id
     };
     let alive = Arc::new(AliveConnection {
@@ -464,7 +463,7 @@
         id,
     });
     for direction in [Direction::ToTarget, Direction::ToCaller] {
-        start_pump(shared, &alive, ends.try_clone()?, direction)?;
+        start_pump(shared, &alive, ends.clone(), direction)?;
     }
     Ok(())
 }
@@ -495,15 +494,15 @@
     direction: Direction,
 ) -> io::Result<()> {
     let (source, sink) = match direction {
-        Direction::ToTarget => (ends.caller.try_clone()?, ends.target.try_clone()?),
-        Direction::ToCaller => (ends.target.try_clone()?, ends.caller.try_clone()?),
+        Direction::ToTarget => (Arc::clone(&ends.caller), Arc::clone(&ends.target)),
+        Direction::ToCaller => (Arc::clone(&ends.target), Arc::clone(&ends.caller)),
     };
     let (sender, receiver) = bounded(MAX_WAITING_PIECES);
     let for_reader = (Arc::clone(shared), Arc::clone(alive));
     let for_writer = (Arc::clone(shared), Arc::clone(alive));
     spawn(move || {
         let (shared, _alive) = for_reader;
-        read_pieces(&shared, source, &sender);
+        read_pieces(&shared, &source, &sender);
     })?;
     spawn(move || {
         let (shared, _alive) = for_writer;
@@ -512,12 +511,12 @@
             ends: &ends,
             direction,
         };
-        writer.write_pieces(sink, &receiver);
+        writer.write_pieces(&sink, &receiver);
     })?;
     Ok(())
 }
 
-fn read_pieces(shared: &Shared, mut source: TcpStream, queue: &Sender<Piece>) {
+fn read_pieces(shared: &Shared, mut source: &TcpStream, queue: &Sender<Piece>) {
     let mut buffer = vec![0; PIECE_BYTES];
     loop {
         // An empty piece stands for the end, which is delayed like the rest.
@@ -539,7 +538,7 @@
 }
 
 impl Writer<'_> {
-    fn write_pieces(&self, mut sink: TcpStream, queue: &Receiver<Piece>) {
+    fn write_pieces(&self, mut sink: &TcpStream, queue: &Receiver<Piece>) {
         for piece in queue {
             if !self.shared.wait_to_pass(self.direction, piece.due) {
                 self.ends.close();
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -4,6 +4,8 @@
 use std::{
     net::{
         SocketAddr,
+        TcpListener,
+        TcpStream,
         UdpSocket, //
     },
     thread,
@@ -474,6 +476,34 @@
     (service, wire)
 }
 
+/// Guards against tests that run out of file descriptors because of the wires between their
+/// processes.
+#[test]
+fn a_connection_through_a_wire_takes_few_file_descriptors() {
+    const CONNECTIONS: usize = 64;
+    let target = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let wire = Wire::start(target.local_addr().expect("address"), 1).expect("wire starts");
+    let open = || {
+        let entries = std::fs::read_dir("/proc/self/fd").expect("descriptors are listed");
+        entries.count()
+    };
+
+    let before = open();
+    let connections: Vec<(TcpStream, TcpStream)> = (0..CONNECTIONS)
+        .map(|_| {
+            let caller = TcpStream::connect(wire.address()).expect("the wire accepts");
+            (caller, target.accept().expect("the wire connects").0)
+        })
+        .collect();
+
+    // The wire and this test have two ends of each; other tests may open as many meanwhile.
+    let opened = open().saturating_sub(before);
+    assert!(
+        opened <= 8 * connections.len(),
+        "{opened} descriptors for {CONNECTIONS} connections"
+    );
+}
+
 /// Guards against a fault that stays after it was switched off, or never acts.
 #[test]
 fn a_wire_cuts_holds_and_delays_only_while_told() {
