--- a/tests/gateway_answer_framing.rs
+++ b/tests/gateway_answer_framing.rs
@@ -70,14 +70,7 @@
 fn host_without_endpoint(endpoint: &ScriptedEndpoint) -> (MetadataStore, Host, Host) {
     let store = store_with_configuration();
     announce(&store, endpoint, "south");
-    let remote = Host::start(
-        &store,
-        &HostOptions {
-            name: "host-2",
-            region: "south",
-            ..HostOptions::default()
-        },
-    );
+    let remote = Host::start(&store, &HostOptions::new("host-2", "south"));
     let host = Host::start(&store, &HostOptions::default());
     remote.wait_log("endpoint announced");
     host.wait_log("host registered");
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -91,11 +91,7 @@
 }
 
 fn start_host(store: &MetadataStore, name: &'static str, region: &'static str) -> Host {
-    let options = HostOptions {
-        name,
-        region,
-        ..HostOptions::default()
-    };
+    let options = HostOptions::new(name, region);
     let host = Host::start(store, &options);
     host.wait_log(&format!("\"e-{}\"", ENDPOINT_COUNT - 1));
     host
--- a/tests/gateway_endpoint_statements.rs
+++ b/tests/gateway_endpoint_statements.rs
@@ -57,10 +57,7 @@
         announce(&store, endpoint, "north");
     }
     let hosts = ["host-1", "host-2"].map(|name| {
-        let options = HostOptions {
-            name,
-            ..HostOptions::default()
-        };
+        let options = HostOptions::new(name, "north");
         Host::start(&store, &options)
     });
     for host in &hosts {
--- a/tests/gateway_forwards.rs
+++ b/tests/gateway_forwards.rs
@@ -40,11 +40,7 @@
     let store = store_with_configuration();
     announce(&store, endpoint, "south");
     let hosts = [("host-1", "north"), ("host-2", "south")].map(|(name, region)| {
-        let options = HostOptions {
-            name,
-            region,
-            ..HostOptions::default()
-        };
+        let options = HostOptions::new(name, region);
         Host::start(&store, &options)
     });
     let [home, other] = hosts;
@@ -117,11 +113,7 @@
     })
     .expect("the endpoint starts");
     let (store, home, first) = two_regions(&endpoint);
-    let options = HostOptions {
-        name: "host-3",
-        region: "south",
-        ..HostOptions::default()
-    };
+    let options = HostOptions::new("host-3", "south");
     let mut serving = [first, Host::start(&store, &options)];
     home.wait_log("\"host\":\"host-3\"");
     let address = home.caller_address;
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -82,11 +82,7 @@
         .iter()
         .zip(regions)
         .map(|(name, region)| {
-            let options = HostOptions {
-                name,
-                region,
-                ..HostOptions::default()
-            };
+            let options = HostOptions::new(name, region);
             Host::start(store, &options)
         })
         .collect();
@@ -419,10 +415,7 @@
         thread::sleep(Duration::from_secs(2));
         hosts[index].signal(Signal::SIGCONT);
         hosts[index].signal(Signal::SIGKILL);
-        let options = HostOptions {
-            name: HOST_NAMES[index],
-            ..HostOptions::default()
-        };
+        let options = HostOptions::new(HOST_NAMES[index], "north");
         hosts[index] = Host::start(&store, &options);
         senders.push(send(&hosts[index]));
         thread::sleep(Duration::from_secs(1));
--- a/tests/gateway_retry_budget.rs
+++ b/tests/gateway_retry_budget.rs
@@ -120,11 +120,7 @@
     let refusing = ["e-1", "e-2"]
         .map(|id| ScriptedEndpoint::start(id, |_, _| Script::NotRun).expect("the endpoint starts"));
     announce(&store, &refusing[0], "south");
-    let south = |name| HostOptions {
-        name,
-        region: "south",
-        ..HostOptions::default()
-    };
+    let south = |name| HostOptions::new(name, "south");
     let remote = Host::start(&store, &south("host-2"));
     let host = Host::start(&store, &HostOptions::default());
     remote.wait_log("endpoint announced");
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -68,11 +68,7 @@
 
 /// Returns a host's options.
 fn options(name: &'static str, region: &'static str) -> HostOptions {
-    HostOptions {
-        name,
-        region,
-        ..HostOptions::default()
-    }
+    HostOptions::new(name, region)
 }
 
 /// Starts hosts and waits until each receives beacons from the others.
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -88,17 +88,24 @@
     pub store: Option<SocketAddr>,
 }
 
-impl Default for HostOptions {
-    fn default() -> Self {
+impl HostOptions {
+    /// Returns the options of a host in a region, which reaches the store directly.
+    pub fn new(name: &'static str, region: &'static str) -> Self {
         Self {
-            name: "host-1",
-            region: "north",
+            name,
+            region,
             shutdown_s: 8,
             store: None,
         }
     }
 }
 
+impl Default for HostOptions {
+    fn default() -> Self {
+        Self::new("host-1", "north")
+    }
+}
+
 impl Host {
     /// Starts a host and waits until it is ready.
     pub fn start(store: &MetadataStore, options: &HostOptions) -> Self {
