Send callers to a leaving host before regions that are no homes

Cause: all hosts are restarted two seconds apart. The first ones wait up to eight seconds for their streams, so that at 7.0 s the three hosts of north and the one of east, the homes, are all leaving, and the directory names the hosts of west, which may not serve the routes. A leaving host, which callers still ask, did not know that another one is leaving either: it gets no beacons.

Change: if no host of the caller's region is live and the others serve fewer of the routes with homes, hosts that began to leave up to 1.7 s ago are named. Beacons also go to hosts of the region that are leaving.

Evidence: the test failed before.

--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -56,6 +56,9 @@
 const VIEW_SETTLE_MS: u64 = 3_000;
 /// Age beyond which another region's load is ignored; several beacon intervals.
 const MAX_REMOTE_LOAD_AGE_MS: u64 = 2_500;
+/// Time after the stop signal of a host in which callers are still sent to it if their region
+/// has no other: it accepts their requests for another second.
+const LAST_CALLERS_MS: u64 = 1_700;
 /// Most addresses in a response of the directory.
 const MAX_DIRECTORY_ADDRESSES: usize = 64;
 
@@ -140,7 +143,8 @@
 struct PeerState {
     info: HostInfo,
     is_registered: bool,
-    is_leaving: bool,
+    /// Since when this host knows that it is leaving.
+    leaving_since_ms: Option<u64>,
     /// Start time and sequence number of the newest packet.
     last_packet: (u64, u64),
     last_seen_ms: Option<u64>,
@@ -153,13 +157,17 @@
         Self {
             info,
             is_registered: false,
-            is_leaving: false,
+            leaving_since_ms: None,
             last_packet: (0, 0),
             last_seen_ms: None,
             shares: BTreeMap::new(),
             queues: Vec::new(),
         }
     }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving_since_ms.is_some()
+    }
 }
 
 /// Latest load of a service in another region.
@@ -175,7 +183,7 @@
 #[derive(Debug)]
 pub struct Hosts {
     own: HostInfo,
-    is_leaving: bool,
+    leaving_since_ms: Option<u64>,
     is_store_reachable: bool,
     peers: BTreeMap<CompactString, PeerState>,
     /// By region and service.
@@ -197,7 +205,7 @@
     pub fn new(own: HostInfo) -> Self {
         Self {
             own,
-            is_leaving: false,
+            leaving_since_ms: None,
             is_store_reachable: false,
             peers: BTreeMap::new(),
             remote_loads: BTreeMap::new(),
@@ -210,8 +218,8 @@
     }
 
     /// Records that this host is shutting down.
-    pub fn set_leaving(&mut self) {
-        self.is_leaving = true;
+    pub fn set_leaving(&mut self, now_ms: u64) {
+        self.leaving_since_ms = Some(now_ms);
     }
 
     /// Records whether the store responds.
@@ -255,7 +263,9 @@
         }
         peer.last_packet = packet;
         peer.last_seen_ms = Some(now_ms);
-        peer.is_leaving = beacon.is_leaving;
+        peer.leaving_since_ms = beacon
+            .is_leaving
+            .then(|| peer.leaving_since_ms.unwrap_or(now_ms));
         if beacon.host.region == self.own.region && beacon.services.is_empty() {
             peer.queues = beacon.queues;
             peer.shares = beacon
@@ -367,8 +377,16 @@
             .map(|peer| &peer.info)
     }
 
+    /// Returns the other hosts of this region that run: the live ones, and those that are
+    /// leaving and still answer queries for the directory.
+    pub fn running_in_region(&self, now_ms: u64) -> impl Iterator<Item = &HostInfo> {
+        self.region_peers()
+            .filter(move |peer| self.is_live(peer, now_ms) || is_recently_seen(peer, now_ms))
+            .map(|peer| &peer.info)
+    }
+
     fn is_live(&self, peer: &PeerState, now_ms: u64) -> bool {
-        if peer.is_leaving && is_recently_seen(peer, now_ms) {
+        if peer.is_leaving() && is_recently_seen(peer, now_ms) {
             return false;
         }
         if self.is_store_reachable {
@@ -428,8 +446,8 @@
     /// Returns the hosts of the region that this host hears and that stay, itself included.
     pub fn heard_in_region(&self, now_ms: u64) -> Vec<HostInfo> {
         let heard = self.region_peers();
-        let heard = heard.filter(|peer| is_recently_seen(peer, now_ms) && !peer.is_leaving);
-        let own = (!self.is_leaving).then_some(&self.own);
+        let heard = heard.filter(|peer| is_recently_seen(peer, now_ms) && !peer.is_leaving());
+        let own = self.leaving_since_ms.is_none().then_some(&self.own);
         heard.map(|peer| &peer.info).chain(own).cloned().collect()
     }
 
@@ -441,7 +459,7 @@
     {
         let is_present = |peer: &&PeerState| {
             let seen_ms = peer.last_seen_ms;
-            !peer.is_leaving && seen_ms.is_some_and(|at_ms| now_ms < at_ms + PRESENCE_LIMIT_MS)
+            !peer.is_leaving() && seen_ms.is_some_and(|at_ms| now_ms < at_ms + PRESENCE_LIMIT_MS)
         };
         let present = self.region_peers().filter(is_present);
         present.filter(|peer| is_counted(&peer.info.name)).count()
@@ -464,11 +482,27 @@
         1 + possible.count()
     }
 
+    /// Returns the hosts of a region that are leaving but still accept requests for a while.
+    fn accepting_leavers(&self, region: &str, now_ms: u64) -> Vec<&HostInfo> {
+        let peers = self.peers.values();
+        let peers = peers.map(|peer| (&peer.info, peer.leaving_since_ms));
+        let own = (&self.own, self.leaving_since_ms);
+        peers
+            .chain([own])
+            .filter(|(info, since_ms)| {
+                info.region == region && is_accepting_leaver(*since_ms, now_ms)
+            })
+            .map(|(info, _)| info)
+            .collect()
+    }
+
     /// Returns the addresses of the hosts that suit a caller in a region and data
     /// centre best.
     ///
     /// If the caller's region has no live host, they are hosts of the regions with
-    /// the most `home_routes`, because a route may be restricted to some regions.
+    /// the most `home_routes`, because a route may be restricted to some regions. If these
+    /// have fewer than the caller's region, hosts of that one which began to leave a moment
+    /// ago go before them.
     pub fn directory<F>(
         &self,
         region: &str,
@@ -479,7 +513,7 @@
     where
         F: Fn(&str) -> usize,
     {
-        let own = (!self.is_leaving).then_some(&self.own);
+        let own = self.leaving_since_ms.is_none().then_some(&self.own);
         let live: Vec<&HostInfo> = self.live(now_ms).chain(own).collect();
         let select = |keep: &dyn Fn(&HostInfo) -> bool| -> Vec<&HostInfo> {
             live.iter().copied().filter(|host| keep(host)).collect()
@@ -494,7 +528,14 @@
             in_region
         } else {
             let best = live.iter().map(|host| home_routes(&host.region)).max();
-            select(&|host| Some(home_routes(&host.region)) == best)
+            let accepting = match best < Some(home_routes(region)) {
+                true => self.accepting_leavers(region, now_ms),
+                false => Vec::new(),
+            };
+            match accepting.is_empty() {
+                true => select(&|host| Some(home_routes(&host.region)) == best),
+                false => accepting,
+            }
         };
         chosen
             .into_iter()
@@ -504,6 +545,10 @@
     }
 }
 
+fn is_accepting_leaver(leaving_since_ms: Option<u64>, now_ms: u64) -> bool {
+    leaving_since_ms.is_some_and(|since_ms| now_ms < since_ms + LAST_CALLERS_MS)
+}
+
 /// Estimates a share at `age_ms` after it was reported: its prompts are prefilled
 /// in the meantime.
 fn decayed(share: LoadShare, age_ms: u64) -> LoadShare {
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -202,7 +202,7 @@
             "shutting down; waiting for requests in progress"
         );
         self.shutdown_started_ms = Some(now_ms);
-        self.hosts.set_leaving();
+        self.hosts.set_leaving(now_ms);
         self.next_beacon_ms = 0;
         self.next_remote_beacon_ms = 0;
     }
@@ -210,8 +210,8 @@
     /// Sends the beacons that are due.
     pub(super) fn send_beacons(&mut self, now_ms: u64) {
         if now_ms >= self.next_beacon_ms {
-            let own_region = self.settings.host.region.clone();
-            let peers = self.peers_in(&own_region, now_ms);
+            let running = self.hosts.running_in_region(now_ms);
+            let peers: Vec<std::net::SocketAddr> = running.map(|host| host.peer_address).collect();
             let interval_ms = (peers.len() as u64 * BEACON_INTERVAL_PER_HOST_MS)
                 .clamp(MIN_BEACON_INTERVAL_MS, MAX_BEACON_INTERVAL_MS);
             self.next_beacon_ms = now_ms + interval_ms;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -868,6 +868,46 @@
     assert_eq!(addresses, vec![home.caller_address]);
 }
 
+/// All hosts of a region are restarted one after the other and wait for long streams, so that
+/// for a moment all of them are leaving. Guards against callers that are sent to a region that
+/// may not serve their requests although a host of theirs still accepts them.
+#[test]
+fn directory_names_a_host_that_leaves_before_regions_that_are_no_homes() {
+    let mut hosts = Hosts::new(host("host-0", "north"));
+    hosts.set_store_reachable(true);
+    let remote = HostInfo {
+        caller_address: "10.0.0.9:80".parse().expect("an address"),
+        ..host("host-9", "west")
+    };
+    let early = HostInfo {
+        caller_address: "10.0.0.2:80".parse().expect("an address"),
+        ..host("host-1", "north")
+    };
+    hosts.register(remote.clone());
+    let leaving = Beacon {
+        host: early,
+        is_leaving: true,
+        ..beacon("host-1", 1)
+    };
+    hosts.apply_beacon(leaving, 1_000);
+    hosts.set_leaving(3_000);
+
+    let running = hosts.running_in_region(3_000);
+    assert_eq!(
+        running.count(),
+        1,
+        "a leaving host is not told who else leaves"
+    );
+    let home_routes = |region: &str| usize::from(region == "north");
+    let directory = |now_ms| hosts.directory("north", "north-a", home_routes, now_ms);
+
+    let own = host("host-0", "north");
+    assert_eq!(directory(3_500), vec![own.caller_address]);
+    assert_eq!(directory(5_000), vec![remote.caller_address]);
+    let south = hosts.directory("south", "south-a", home_routes, 3_500);
+    assert_eq!(south, vec![remote.caller_address]);
+}
+
 /// Guards against a host that counts as live although it was killed while the
 /// store is unreachable, and against one that does not although its beacons arrive.
 #[test]
