Let stand-ins listen on a loopback address of their own

Cause: connections that callers have closed keep ports of 127.0.0.1 for a minute.

Change: stand-ins and hosts of the tests listen on 127.0.0.2, where only listeners and what they accepted have ports.

--- a/src/standin/listener.rs
+++ b/src/standin/listener.rs
@@ -51,6 +51,9 @@
     }, //
 };
 
+/// Loopback address of stand-ins. Connections that were closed keep ports of 127.0.0.1 for a
+/// minute; after a burst of them none is free there.
+pub const STANDIN_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
 /// Most connections to one stand-in.
 const MAX_CONNECTIONS: usize = 512;
 /// Largest request body that a stand-in reads.
@@ -103,7 +106,7 @@
     where
         S: Fn(&mut Connection, Request) -> Result<Next, MessageError> + Send + Sync + 'static,
     {
-        let socket = TcpListener::bind((Ipv4Addr::LOCALHOST, port))?;
+        let socket = TcpListener::bind((STANDIN_IP, port))?;
         let address = socket.local_addr()?;
         let acceptor = Acceptor::new(MAX_CONNECTIONS, Arc::new(AtomicBool::new(false)));
         let streams = Arc::new(Mutex::new(HashMap::new()));
--- a/src/standin/testbed.rs
+++ b/src/standin/testbed.rs
@@ -39,6 +39,7 @@
         EngineOptions,
         EngineStandin, //
     },
+    listener::STANDIN_IP,
     listener::lock,
     model::ModelOptions,
     platform::PlatformStandin,
@@ -272,7 +273,7 @@
 impl Testbed {
     /// Starts the stand-ins and makes the settings.
     pub fn start(options: &TestbedOptions) -> Result<Self, TestbedError> {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let any = SocketAddr::from((STANDIN_IP, 0));
         let mut testbed = Self {
             platform: PlatformStandin::start(any)?,
             seats: Vec::new(),
--- a/src/standin/wire.rs
+++ b/src/standin/wire.rs
@@ -58,7 +58,10 @@
 };
 use rand_pcg::Pcg64Mcg;
 
-use super::listener::lock;
+use super::listener::{
+    STANDIN_IP,
+    lock, //
+};
 use crate::types::Bytes;
 
 /// Bytes passed on at a time.
@@ -397,7 +400,7 @@
 fn bind_both() -> io::Result<(TcpListener, UdpSocket)> {
     let mut last_error = None;
     for _ in 0..PORT_ATTEMPTS {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = TcpListener::bind((STANDIN_IP, 0))?;
         match UdpSocket::bind(listener.local_addr()?) {
             Ok(socket) => return Ok((listener, socket)),
             Err(error) => last_error = Some(error),
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -30,6 +30,7 @@
 use cardamombridge::{
     gateway::head::Framing,
     standin::{
+        listener::STANDIN_IP,
         metadata_store::MetadataStore,
         scripted::ScriptedEndpoint, //
     }, //
@@ -275,7 +276,7 @@
 /// Returns loopback addresses with free ports.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
     let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .map(|_| TcpListener::bind((STANDIN_IP, 0)).expect("a free port"))
         .collect();
     listeners
         .iter()
