Count requests by the size of their prompt

Cause: neither logs nor metrics showed without a script that large prompts are refused more often than small ones. Change: a counter by route, relative size and result, and a histogram of the time until the first event by route and relative size. Sizes are relative to the moving mean of their route, since the large prompts of one route are the small ones of another. At most 64 routes are told apart.

--- /dev/null
+++ b/src/gateway/prompt_sizes.rs
@@ -0,0 +1,101 @@
+//! How prompts of different sizes are served, for the metrics.
+//!
+//! Prompts are compared with the mean of their route, so that a route whose large prompts are
+//! starved shows, whatever the length of its prompts. The number of routes that are told apart
+//! is bounded; the others count together.
+
+use std::{
+    collections::BTreeMap,
+    fmt::{
+        self,
+        Display, //
+    }, //
+};
+
+use compact_str::CompactString;
+use prometheus_client::encoding::{
+    EncodeLabelValue,
+    LabelValueEncoder, //
+};
+
+use crate::types::Tokens;
+
+/// Routes that are told apart.
+const MAX_ROUTES: usize = 64;
+/// Name under which all other routes count.
+const OTHER_ROUTES: &str = "other";
+/// Weight of a prompt in the moving mean of its route, after the first ones.
+const MEAN_WEIGHT: f64 = 0.01;
+
+/// Size of a prompt relative to the mean of its route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RelativeSize {
+    /// Up to half of the mean.
+    UpToHalf,
+    /// Up to the mean.
+    UpToMean,
+    /// Up to twice the mean.
+    UpToTwice,
+    /// Up to four times the mean.
+    UpToFourTimes,
+    /// More than four times the mean.
+    Larger,
+}
+
+impl RelativeSize {
+    /// Returns the class of a size that is `ratio` times the mean.
+    pub fn new(ratio: f64) -> Self {
+        match ratio {
+            ratio if ratio <= 0.5 => Self::UpToHalf,
+            ratio if ratio <= 1.0 => Self::UpToMean,
+            ratio if ratio <= 2.0 => Self::UpToTwice,
+            ratio if ratio <= 4.0 => Self::UpToFourTimes,
+            _ => Self::Larger,
+        }
+    }
+}
+
+impl Display for RelativeSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::UpToHalf => "up to 0.5",
+            Self::UpToMean => "up to 1",
+            Self::UpToTwice => "up to 2",
+            Self::UpToFourTimes => "up to 4",
+            Self::Larger => "over 4",
+        })
+    }
+}
+
+impl EncodeLabelValue for RelativeSize {
+    fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
+        self.to_string().encode(encoder)
+    }
+}
+
+/// Moving mean of the prompts of a route.
+#[derive(Debug, Clone, Copy, Default)]
+struct MeanSize {
+    tokens: f64,
+    count: u64,
+}
+
+/// Moving means of the prompt sizes of each route.
+#[derive(Debug, Default)]
+pub struct PromptSizes {
+    means: BTreeMap<CompactString, MeanSize>,
+}
+
+impl PromptSizes {
+    /// Records a prompt; returns the name under which its route counts, and its relative size.
+    pub fn record(&mut self, route: &str, prompt: Tokens) -> (CompactString, RelativeSize) {
+        let is_known = self.means.contains_key(route) || self.means.len() < MAX_ROUTES;
+        let name = CompactString::from(if is_known { route } else { OTHER_ROUTES });
+        let mean = self.means.entry(name.clone()).or_default();
+        mean.count += 1;
+        let weight = MEAN_WEIGHT.max(1.0 / mean.count as f64);
+        mean.tokens += weight * (prompt.0 as f64 - mean.tokens);
+        let ratio = prompt.0 as f64 / mean.tokens.max(1.0);
+        (name, RelativeSize::new(ratio))
+    }
+}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -21,6 +21,10 @@
 
 use super::{
     exchange::Exchange,
+    prompt_sizes::{
+        PromptSizes,
+        RelativeSize, //
+    },
     software_version::SoftwareVersion, //
 };
 
@@ -39,6 +43,21 @@
     status: u32,
 }
 
+/// Labels of what is recorded by the size of the prompt.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct SizeLabels {
+    route: String,
+    size: RelativeSize,
+}
+
+/// Labels of the counter of requests by the size of the prompt.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct SizeOutcomeLabels {
+    route: String,
+    size: RelativeSize,
+    result: &'static str,
+}
+
 #[derive(Debug, Default)]
 struct LineLimiter {
     second: u64,
@@ -63,6 +82,9 @@
     log_drop_counter: Option<ErrorCounter>,
     first_event_s: Histogram,
     duration_s: Histogram,
+    prompt_sizes: PromptSizes,
+    requests_by_size: Family<SizeOutcomeLabels, Counter>,
+    first_event_by_size_s: Family<SizeLabels, Histogram, fn() -> Histogram>,
     routine: LineLimiter,
     failures: LineLimiter,
 }
@@ -87,6 +109,9 @@
             log_drop_counter: None,
             first_event_s: Histogram::new(BUCKETS_S),
             duration_s: Histogram::new(BUCKETS_S),
+            prompt_sizes: PromptSizes::default(),
+            requests_by_size: Family::default(),
+            first_event_by_size_s: Family::new_with_constructor(|| Histogram::new(BUCKETS_S)),
             routine: LineLimiter::default(),
             failures: LineLimiter::default(),
             registry: Registry::default(),
@@ -161,6 +186,16 @@
             "Time until the end of the answer",
             telemetry.duration_s.clone(),
         );
+        registry.register(
+            "requests_by_size",
+            "Requests of callers by result and by prompt size relative to the mean of the route",
+            telemetry.requests_by_size.clone(),
+        );
+        registry.register(
+            "first_event_by_size_seconds",
+            "Time until the first event by prompt size relative to the mean of the route",
+            telemetry.first_event_by_size_s.clone(),
+        );
         Self {
             registry,
             ..telemetry
@@ -239,6 +274,34 @@
         self.first_event_s.observe(after_ms as f64 / 1_000.0);
     }
 
+    /// Records the result of a request with a prompt at the host of its caller.
+    fn record_size(&mut self, exchange: &Exchange, status: u16) {
+        let prompt = exchange.request.metadata.prompt_tokens;
+        if exchange.is_forwarded || prompt.0 == 0 {
+            return;
+        }
+        let (route, size) = self.prompt_sizes.record(&exchange.route.name, prompt);
+        let route = route.into_string();
+        let result = match status {
+            200..300 => "answered",
+            429 | 503 => "refused",
+            _ => "failed",
+        };
+        let labels = SizeOutcomeLabels {
+            route: route.clone(),
+            size,
+            result,
+        };
+        self.requests_by_size.get_or_create(&labels).inc();
+        if let Some(at_ms) = exchange.first_event_at_ms {
+            let after_ms = at_ms.saturating_sub(exchange.arrived_ms);
+            let histogram = self
+                .first_event_by_size_s
+                .get_or_create(&SizeLabels { route, size });
+            histogram.observe(after_ms as f64 / 1_000.0);
+        }
+    }
+
     /// Records the end of a request and writes its log line, within the limits.
     pub fn request_ended(
         &mut self,
@@ -255,6 +318,7 @@
             })
             .inc();
         self.duration_s.observe(total_ms as f64 / 1_000.0);
+        self.record_size(exchange, status);
         let is_routine = (200..300).contains(&status);
         let is_within_limit = match is_routine {
             true => self.routine.admit(ROUTINE_LINES_PER_S, now_ms),
