Predict the wait behind work that is at least as urgent

Callers saw urgent prompts refused at once, "no capacity in time", while less urgent ones were served. The backlog of an endpoint was predicted as the sum of all that waits there, but engines admit urgent requests first. The error comes on top of a prompt's own prefill, so the larger urgent ones were refused although they would be in time.

The part of the waiting work that is ahead is now taken to be that of the work which the host sent in the last seconds. It applies to the backlog of endpoints, the queues of other hosts and offers of other regions. Messages are unchanged.

The test failed before with Refuse in place of Send.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -45,12 +45,14 @@
         LeavingEndpoint,
         SentPrompt, //
     },
+    prefill_mix::PrefillMix,
     request::RequestMetadata,
     request_rate::RequestRate,
     software_version::SoftwareVersion,
     stored_versions::ServedVersions,
     stream_origins::ORIGIN_LIFETIME_MS, //
 };
+use crate::types::Tokens;
 
 /// Time until a first event without any prompt to prefill: the shortest that a
 /// batching engine needs for a step and its set-up.
@@ -139,6 +141,8 @@
     pub software_version: Option<&'a SoftwareVersion>,
     /// The hosts of the region.
     pub region: &'a RegionView,
+    /// Priority; 0 is the most urgent.
+    pub priority: Option<u8>,
     /// Time left until the response misses its latency goal.
     pub goal_left_ms: f64,
     /// Time left until the request's deadline.
@@ -161,6 +165,7 @@
             excluded: &[],
             software_version: None,
             region,
+            priority: None,
             goal_left_ms: 0.0,
             time_left_ms: 0.0,
             waiting_ahead: 0,
@@ -306,6 +311,8 @@
     evacuated: BTreeSet<CompactString>,
     mean_run_ms: BTreeMap<CompactString, f64>,
     prefill_ms_per_token: BTreeMap<CompactString, f64>,
+    /// Prefill work that this host sent, by service.
+    prefill_mix: BTreeMap<CompactString, PrefillMix>,
     /// When a prompt part was last sent to another region, by region and part.
     remote_parts: BTreeMap<(CompactString, u64), u64>,
     /// Endpoints that are no longer announced, in case they are announced again.
@@ -335,6 +342,7 @@
             evacuated: BTreeSet::new(),
             mean_run_ms: BTreeMap::new(),
             prefill_ms_per_token: BTreeMap::new(),
+            prefill_mix: BTreeMap::new(),
             remote_parts: BTreeMap::new(),
             former_endpoints: BTreeMap::new(),
             former_versions: BTreeMap::new(),
@@ -1005,8 +1013,9 @@
         let prefill_ms_per_token = self.prefill_ms_per_token(service, load);
         let wait_ms = (load + 1.0 - slots).max(0.0) / slots * run_ms;
         let backlog_tokens = endpoint.own_load.backlog_tokens + endpoint.peer_load.backlog_tokens;
+        let share_ahead = self.share_ahead(service, query.priority);
         let backlog_ms = endpoint.slowness()
-            * (backlog_tokens as f64 * prefill_ms_per_token + wait_ms)
+            * (backlog_tokens as f64 * prefill_ms_per_token * share_ahead + wait_ms)
             + self.memory_wait_ms(endpoint, service, work, run_ms);
         let request_ms = match service.engine {
             Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * prefill_ms_per_token,
@@ -1128,6 +1137,24 @@
         excess.max(0.0) * run_ms
     }
 
+    /// Records the prefill work of a request that this host sent.
+    pub fn record_prefill(
+        &mut self,
+        service: &CompactString,
+        priority: Option<u8>,
+        prefill: Tokens,
+        now_ms: u64,
+    ) {
+        let mix = self.prefill_mix.entry(service.clone()).or_default();
+        mix.record(priority, prefill, now_ms);
+    }
+
+    /// Returns the share of the work waiting for a service that is ahead of a request.
+    pub fn share_ahead(&self, service: &Service, priority: Option<u8>) -> f64 {
+        let mix = self.prefill_mix.get(&service.name);
+        mix.map_or(1.0, |mix| mix.share_ahead(priority))
+    }
+
     fn prefill_ms_per_token(&self, service: &Service, load: f64) -> f64 {
         let base = self
             .prefill_ms_per_token
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod peer_changes;
 pub mod permit_exchange;
 pub mod permits;
+pub mod prefill_mix;
 pub mod prompt_sizes;
 pub mod reactor;
 pub mod registration;
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -26,9 +26,12 @@
     serve_completion::UNREACHABLE_RETRY_MS,
     serve_upstream::UpstreamError, //
 };
-use crate::platform::headers::{
-    EndpointHeaders,
-    is_relayed, //
+use crate::{
+    platform::headers::{
+        EndpointHeaders,
+        is_relayed, //
+    },
+    types::Tokens,
 };
 
 /// Weight of a new sample in the moving average of a round trip.
@@ -47,10 +50,14 @@
             return;
         };
         endpoint.record_send(choice.work, now_ms);
+        let prefill = Tokens(choice.work.uncached_tokens);
+        let (service, priority) = (&exchange.route.service, exchange.route.priority);
         let metadata = &exchange.request.metadata;
         endpoint.record_prompt(metadata, now_ms + choice.first_event_ms as u64);
         self.pending_update
             .record_send(&choice, endpoint.hash, metadata);
+        self.fleet
+            .record_prefill(service, priority, prefill, now_ms);
         let headers = EndpointHeaders {
             endpoint: Some(choice.endpoint.clone()),
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -192,6 +192,7 @@
             excluded: &exchange.excluded_endpoints,
             software_version: route.software_version.as_ref(),
             region: &self.region_view,
+            priority: route.priority,
             goal_left_ms,
             time_left_ms,
             waiting_ahead,
@@ -283,7 +284,11 @@
         let own_ms = self.own_queue_ms(service, key, now_ms);
         // The other hosts of the region queue requests for the same endpoints,
         // which may be more or less urgent.
-        let others_ms = self.hosts.peer_queue_ms(&service.name, now_ms) / 2.0;
+        let priority = key
+            .and_then(|key| self.exchanges.get(key))
+            .and_then(|exchange| exchange.route.priority);
+        let share_ahead = self.fleet.share_ahead(service, priority);
+        let others_ms = self.hosts.peer_queue_ms(&service.name, now_ms) * share_ahead / 2.0;
         let capacity = self.fleet.capacity(service, now_ms);
         let capacity = if capacity > 0.0 { capacity } else { 1.0 };
         (own_ms + others_ms) / capacity
@@ -367,6 +372,8 @@
         let work_ms = self
             .fleet
             .service_ms(service, &exchange.request.metadata, now_ms);
+        let priority = exchange.route.priority;
+        let wait_ms = wait_ms * self.fleet.share_ahead(service, priority);
         let first_event_ms = round_trip_ms.unwrap_or(DEFAULT_ROUND_TRIP_MS) + wait_ms + work_ms;
         let query = EndpointQuery {
             goal_left_ms: exchange.goal_at_ms.saturating_sub(now_ms) as f64,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -160,6 +160,7 @@
         excluded: &[],
         software_version: None,
         region: &region,
+        priority: None,
         goal_left_ms: GOAL_MS,
         time_left_ms: 15_000.0,
         waiting_ahead: 0,
@@ -597,6 +598,50 @@
     assert!((1_000..=2_400).contains(&retry_ms), "{retry_ms}");
 }
 
+/// Engines admit urgent requests first. Guards against refusals of an urgent prompt because of
+/// work that its endpoint does after it.
+#[test]
+fn urgent_prompt_is_not_refused_for_work_behind_it() {
+    let mut fleet = fleet_of(1, 0);
+    let work = Work {
+        uncached_tokens: 12_000,
+        reserved_tokens: 12_400,
+    };
+    for _ in 0..4 {
+        let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+        endpoint.record_send(work, 0);
+        fleet.record_prefill(&"model".into(), Some(2), Tokens(12_000), 0);
+    }
+    fleet.record_prefill(&"model".into(), Some(0), Tokens(2_000), 0);
+    let metadata = RequestMetadata {
+        prompt_tokens: Tokens(5_000),
+        ..RequestMetadata::default()
+    };
+    let place_with = |priority: Option<u8>| {
+        let (service, region) = (model(), RegionView::default());
+        let query = EndpointQuery {
+            priority,
+            goal_left_ms: 800.0,
+            time_left_ms: 3_000.0,
+            ..EndpointQuery::new(&service, &metadata, &region)
+        };
+        place(PlacementContext {
+            local: fleet.choose(&query, 0),
+            time_left_ms: 3_000.0,
+            ..placement_context()
+        })
+    };
+
+    let urgent = place_with(Some(0));
+    let least_urgent = place_with(Some(2));
+
+    assert!(matches!(urgent, Placement::Send(_)), "{urgent:?}");
+    assert!(
+        matches!(least_urgent, Placement::Refuse(_)),
+        "{least_urgent:?}"
+    );
+}
+
 /// An endpoint was silent, so that it is predicted to be slower than a request may last.
 /// Guards against refusals of all requests from then on, after which nothing would
 /// correct the prediction.
