Count the longest answer in the size of a request

Cause: the users take the prompt with ten times the answer as the size of a request, and an engine needs about as long for an output token of a full batch as to prefill ten. The metric counted prompts alone, so long answers to short prompts did not show. Change: the size is the prompt and ten times the longest answer; the log line shows the longest answer. Each request is recorded on arrival, at the host of its caller. Measured: size_includes_the_longest_answer does not build without it; 4 tests of gateway_request_sizes pass.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,6 +30,7 @@
         RequestHead, //
     },
     request::RequestMetadata,
+    request_sizes::RequestSize,
     response::{
         BodyFrame,
         HostStatements, //
@@ -213,6 +214,8 @@
     pub configuration_version: ConfigurationVersion,
     /// Time at which the request had been received completely.
     pub arrived_ms: u64,
+    /// Size of the request; none without a prompt, and for a forwarded one.
+    pub size: Option<RequestSize>,
     /// Time after which the response misses its latency goal.
     pub goal_at_ms: u64,
     /// Time at which the caller's or the route's time limit ends.
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -74,6 +74,7 @@
     known_state::KnownState,
     load_updates::PendingUpdate,
     permit_exchange::PermitExchange,
+    request_sizes::RequestSizes,
     retry_budget::RetryBudget,
     serve_crashes::SuspectedCrash,
     serve_health::HealthChecks,
@@ -148,6 +149,7 @@
     pub(super) region_view: RegionView,
     pub(super) retry_budget: RetryBudget,
     pub(super) telemetry: Telemetry,
+    pub(super) request_sizes: RequestSizes,
     pub(super) random: Pcg64Mcg,
     /// Moving average of the round trip to each other region.
     pub(super) round_trip_ms: BTreeMap<CompactString, f64>,
@@ -256,6 +258,7 @@
             configuration: None,
             fleet,
             telemetry,
+            request_sizes: RequestSizes::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
             round_trip_ms: BTreeMap::new(),
             started: Instant::now(),
--- a/src/gateway/prompt_sizes.rs
+++ b/src/gateway/request_sizes.rs
@@ -1,7 +1,7 @@
-//! How prompts of different sizes are served, for the metrics.
+//! Sizes of requests relative to what is usual on their route, for the metrics.
 //!
-//! Prompts are compared with the mean of their route, so that a route whose large prompts are
-//! starved shows, whatever the length of its prompts. The number of routes that are told apart
+//! Requests are compared with the mean of their route, so that a route whose large requests are
+//! starved shows, whatever their length. The number of routes that are told apart
 //! is bounded; the others count together.
 
 use std::{
@@ -18,16 +18,16 @@
     LabelValueEncoder, //
 };
 
-use crate::types::Tokens;
+use super::request::RequestMetadata;
 
 /// Routes that are told apart.
 const MAX_ROUTES: usize = 64;
 /// Name under which all other routes count.
 const OTHER_ROUTES: &str = "other";
-/// Weight of a prompt in the moving mean of its route, after the first ones.
+/// Weight of a request in the moving means of its route, after the first ones.
 const MEAN_WEIGHT: f64 = 0.01;
 
-/// Size of a prompt relative to the mean of its route.
+/// Size of a request relative to the mean of its route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RelativeSize {
     /// Up to half of the mean.
@@ -73,29 +73,42 @@
     }
 }
 
-/// Moving mean of the prompts of a route.
+/// Size of a request, and the route that it counts for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestSize {
+    /// Name of the route, or the one under which others count.
+    pub route: CompactString,
+    /// Size relative to the mean.
+    pub relative: RelativeSize,
+}
+
+/// Moving means of the requests of a route.
 #[derive(Debug, Clone, Copy, Default)]
 struct MeanSize {
     tokens: f64,
     count: u64,
 }
 
-/// Moving means of the prompt sizes of each route.
+/// Moving means of the request sizes of each route.
 #[derive(Debug, Default)]
-pub struct PromptSizes {
+pub struct RequestSizes {
     means: BTreeMap<CompactString, MeanSize>,
 }
 
-impl PromptSizes {
-    /// Records a prompt; returns the name under which its route counts, and its relative size.
-    pub fn record(&mut self, route: &str, prompt: Tokens) -> (CompactString, RelativeSize) {
+impl RequestSizes {
+    /// Records a request and returns its size.
+    pub fn record(&mut self, route: &str, metadata: &RequestMetadata) -> RequestSize {
         let is_known = self.means.contains_key(route) || self.means.len() < MAX_ROUTES;
         let name = CompactString::from(if is_known { route } else { OTHER_ROUTES });
         let mean = self.means.entry(name.clone()).or_default();
         mean.count += 1;
         let weight = MEAN_WEIGHT.max(1.0 / mean.count as f64);
-        mean.tokens += weight * (prompt.0 as f64 - mean.tokens);
-        let ratio = prompt.0 as f64 / mean.tokens.max(1.0);
-        (name, RelativeSize::new(ratio))
+        let work = metadata.work().0 as f64;
+        mean.tokens += weight * (work - mean.tokens);
+        let ratio = work / mean.tokens.max(1.0);
+        RequestSize {
+            route: name,
+            relative: RelativeSize::new(ratio),
+        }
     }
 }
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -69,6 +69,9 @@
             self.retry_budget.record_request(&route.service, now_ms);
         }
         self.limits.record_request(&route.service, now_ms);
+        let prompt = request.metadata.prompt_tokens;
+        let has_size = !is_forwarded && prompt.0 > 0;
+        let size = has_size.then(|| self.request_sizes.record(&route.name, &request.metadata));
         self.next_serial += 1;
         let call = call_hash(&request.head, &request.body);
         let suspects = Suspects::new(&request.metadata.parts, call);
@@ -80,6 +83,7 @@
             suspects: Rc::new(suspects),
             configuration_version,
             arrived_ms: now_ms,
+            size,
             goal_at_ms: now_ms + route.goal_ms,
             deadline_ms: now_ms + time_limit_ms.min(route.timeout_ms),
             route,
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -21,10 +21,7 @@
 
 use super::{
     exchange::Exchange,
-    prompt_sizes::{
-        PromptSizes,
-        RelativeSize, //
-    },
+    request_sizes::RelativeSize,
     software_version::SoftwareVersion, //
 };
 
@@ -43,14 +40,14 @@
     status: u32,
 }
 
-/// Labels of what is recorded by the size of the prompt.
+/// Labels of what is recorded by the size of the request.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SizeLabels {
     route: String,
     size: RelativeSize,
 }
 
-/// Labels of the counter of requests by the size of the prompt.
+/// Labels of the counter of requests by the size of the request.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SizeOutcomeLabels {
     route: String,
@@ -82,7 +79,6 @@
     log_drop_counter: Option<ErrorCounter>,
     first_event_s: Histogram,
     duration_s: Histogram,
-    prompt_sizes: PromptSizes,
     requests_by_size: Family<SizeOutcomeLabels, Counter>,
     first_event_by_size_s: Family<SizeLabels, Histogram, fn() -> Histogram>,
     routine: LineLimiter,
@@ -109,7 +105,6 @@
             log_drop_counter: None,
             first_event_s: Histogram::new(BUCKETS_S),
             duration_s: Histogram::new(BUCKETS_S),
-            prompt_sizes: PromptSizes::default(),
             requests_by_size: Family::default(),
             first_event_by_size_s: Family::new_with_constructor(|| Histogram::new(BUCKETS_S)),
             routine: LineLimiter::default(),
@@ -188,12 +183,12 @@
         );
         registry.register(
             "requests_by_size",
-            "Requests of callers by result and by prompt size relative to the mean of the route",
+            "Requests of callers by result and by size relative to the mean of the route",
             telemetry.requests_by_size.clone(),
         );
         registry.register(
             "first_event_by_size_seconds",
-            "Time until the first event by prompt size relative to the mean of the route",
+            "Time until the first event by size relative to the mean of the route",
             telemetry.first_event_by_size_s.clone(),
         );
         Self {
@@ -275,13 +270,11 @@
     }
 
     /// Records the result of a request with a prompt at the host of its caller.
-    fn record_size(&mut self, exchange: &Exchange, status: u16) {
-        let prompt = exchange.request.metadata.prompt_tokens;
-        if exchange.is_forwarded || prompt.0 == 0 {
+    fn record_size(&self, exchange: &Exchange, status: u16) {
+        let Some(prompt) = &exchange.size else {
             return;
-        }
-        let (route, size) = self.prompt_sizes.record(&exchange.route.name, prompt);
-        let route = route.into_string();
+        };
+        let (route, size) = (prompt.route.to_string(), prompt.relative);
         let result = match status {
             200..300 => "answered",
             429 | 503 => "refused",
@@ -340,6 +333,7 @@
             answer_framing = exchange.answer_framing.map(tracing::field::display),
             cut_event_bytes = exchange.cut_event_bytes,
             prompt_tokens = exchange.request.metadata.prompt_tokens.0,
+            max_output_tokens = exchange.request.metadata.max_output_tokens.0,
             shared_tokens = exchange.request.metadata.shared_tokens(),
             shared_part = exchange.request.metadata.affinity_key(),
             goal_ms = exchange.route.goal_ms,
--- a/tests/gateway_prompt_sizes.rs
+++ b/tests/gateway_request_sizes.rs
@@ -1,11 +1,14 @@
-//! What operators see of how prompts of different sizes are served.
+//! What operators see of how requests of different sizes are served.
 
 mod gatewayenv;
 
 use cardamombridge::{
-    gateway::prompt_sizes::{
-        PromptSizes,
-        RelativeSize, //
+    gateway::{
+        request::RequestMetadata,
+        request_sizes::{
+            RelativeSize,
+            RequestSizes, //
+        }, //
     },
     standin::scripted::{
         Script,
@@ -21,30 +24,54 @@
 
 const LIMIT_MS: u64 = 5_000;
 
-/// Guards against large prompts of a short route that count as small.
+fn prompt(tokens: u64) -> RequestMetadata {
+    RequestMetadata {
+        prompt_tokens: Tokens(tokens),
+        ..RequestMetadata::default()
+    }
+}
+
+/// Guards against large requests of a short route that count as small.
 #[test]
 fn size_is_relative_to_the_mean_of_the_route() {
-    let mut sizes = PromptSizes::default();
+    let mut sizes = RequestSizes::default();
     for _ in 0..100 {
-        sizes.record("long", Tokens(10_000));
-        sizes.record("short", Tokens(100));
+        sizes.record("long", &prompt(10_000));
+        sizes.record("short", &prompt(100));
     }
 
-    let (_, of_long) = sizes.record("long", Tokens(900));
-    let (_, of_short) = sizes.record("short", Tokens(900));
+    let of_long = sizes.record("long", &prompt(900)).relative;
+    let of_short = sizes.record("short", &prompt(900)).relative;
 
     assert_eq!(of_long, RelativeSize::UpToHalf);
     assert_eq!(of_short, RelativeSize::Larger);
 }
 
+/// Guards against long answers to short prompts that count as small.
+#[test]
+fn size_includes_the_longest_answer() {
+    let mut sizes = RequestSizes::default();
+    for _ in 0..100 {
+        sizes.record("chat", &prompt(600));
+    }
+    let long_answer = RequestMetadata {
+        max_output_tokens: Tokens(800),
+        ..prompt(600)
+    };
+
+    let size = sizes.record("chat", &long_answer);
+
+    assert_eq!(size.relative, RelativeSize::Larger);
+}
+
 /// Guards against metrics that grow with the number of routes.
 #[test]
 fn routes_beyond_a_bound_count_together() {
-    let mut sizes = PromptSizes::default();
+    let mut sizes = RequestSizes::default();
     let names = (0..1_000).map(|number| format_compact!("route-{number}"));
 
     let mut counted: Vec<_> = names
-        .map(|name| sizes.record(&name, Tokens(100)).0)
+        .map(|name| sizes.record(&name, &prompt(100)).route)
         .collect();
     counted.sort_unstable();
     counted.dedup();
@@ -53,7 +80,7 @@
     assert!(counted.contains(&"other".into()));
 }
 
-/// Guards against refusals of large prompts that no metric shows.
+/// Guards against refusals of large requests that no metric shows.
 #[test]
 fn metrics_show_how_each_size_is_served() {
     let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
@@ -65,7 +92,7 @@
     let send = |attempt: &str, tokens: u64| {
         Request::get("/read/1")
             .with_attempt(attempt, LIMIT_MS)
-            .with_header("X-Token-Counts", &format!("{tokens},10"))
+            .with_header("X-Token-Counts", &format!("{tokens},0"))
             .send(host.caller_address)
     };
 
