--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -4,9 +4,6 @@
 
 use crate::types::Tokens;
 
-/// Prompt tokens that an engine can prefill in its time for one output token of a full batch.
-const OUTPUT_TOKEN_WORK: u64 = 10;
-
 /// A part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -49,12 +46,6 @@
 }
 
 impl RequestMetadata {
-    /// Returns the work that the request makes for an engine, in prompt tokens.
-    pub fn work(&self) -> Tokens {
-        let output = self.max_output_tokens.0.saturating_mul(OUTPUT_TOKEN_WORK);
-        Tokens(self.prompt_tokens.0.saturating_add(output))
-    }
-
     /// Returns the parts that other requests may share.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let count = self.parts.len().saturating_sub(1);
--- a/src/gateway/request_sizes.rs
+++ b/src/gateway/request_sizes.rs
@@ -1,4 +1,4 @@
-//! Sizes of requests relative to what is usual on their route, for the metrics.
+//! Sizes of requests relative to what is usual on their route, for metrics and admission.
 //!
 //! Requests are compared with the mean of their route, so that a route whose large requests are
 //! starved shows, whatever their length. The number of routes that are told apart
@@ -19,6 +19,7 @@
 };
 
 use super::request::RequestMetadata;
+use crate::types::Tokens;
 
 /// Routes that are told apart.
 const MAX_ROUTES: usize = 64;
@@ -78,6 +79,8 @@
 pub struct RequestSize {
     /// Name of the route, or the one under which others count.
     pub route: CompactString,
+    /// Mean prompt of the route.
+    pub usual_prompt: Tokens,
     /// Size relative to the mean.
     pub relative: RelativeSize,
 }
@@ -85,7 +88,7 @@
 /// Moving means of the requests of a route.
 #[derive(Debug, Clone, Copy, Default)]
 struct MeanSize {
-    tokens: f64,
+    prompt_tokens: f64,
     count: u64,
 }
 
@@ -103,11 +106,12 @@
         let mean = self.means.entry(name.clone()).or_default();
         mean.count += 1;
         let weight = MEAN_WEIGHT.max(1.0 / mean.count as f64);
-        let work = metadata.work().0 as f64;
-        mean.tokens += weight * (work - mean.tokens);
-        let ratio = work / mean.tokens.max(1.0);
+        let prompt = metadata.prompt_tokens.0 as f64;
+        mean.prompt_tokens += weight * (prompt - mean.prompt_tokens);
+        let ratio = prompt / mean.prompt_tokens.max(1.0);
         RequestSize {
             route: name,
+            usual_prompt: Tokens(mean.prompt_tokens as u64),
             relative: RelativeSize::new(ratio),
         }
     }
