Ask callers refused in a burst to come back later

They were told the time in which the backlog drains, but a burst lasts longer than the backlog that it makes, and new requests fill it again.

The time is now 0.3 of what the caller has left beyond the mean run of the service's requests, and at least the time in which the backlog drains. The caller's whole answer still fits, and callers keep their last attempt for a time when it is likely to be served.

The test failed before: 600 ms where 2,000 or more are expected.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -53,6 +53,8 @@
     pub goal_ms: f64,
     /// Time left until the deadline of the caller or the time limit of the route.
     pub time_left_ms: f64,
+    /// Mean time that the service's requests run.
+    pub usual_run_ms: f64,
     /// Whether the request is in this host's queue already.
     pub is_waiting: bool,
     /// Whether an endpoint may have run the request; the latency goal no longer decides
@@ -131,7 +133,7 @@
     let is_past_deadline = local_ms >= context.time_left_ms;
     let is_late = local_ms > context.goal_left_ms;
     if is_past_deadline || (is_late && !context.is_waiting && !context.has_run) {
-        return refuse(&context, local_ms);
+        return refuse_for_overload(&context, local_ms);
     }
     Placement::Wait
 }
@@ -187,6 +189,16 @@
     refuse(&context, context.goal_ms)
 }
 
+/// Refuses a request while more arrives than can be served.
+///
+/// A burst outlasts the backlog that it makes, so the caller comes back as late as leaves time
+/// for the usual answer.
+fn refuse_for_overload(context: &PlacementContext, local_ms: f64) -> Placement {
+    let drained_ms = local_ms - context.goal_ms / 2.0;
+    let spare_ms = context.time_left_ms - context.usual_run_ms;
+    refuse_for(context, drained_ms.max(spare_ms * MAX_RETRY_SHARE))
+}
+
 fn refuse(context: &PlacementContext, local_ms: f64) -> Placement {
     refuse_for(context, local_ms - context.goal_ms / 2.0)
 }
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -253,6 +253,7 @@
             goal_left_ms,
             goal_ms: route.goal_ms as f64,
             time_left_ms,
+            usual_run_ms: self.fleet.mean_run_ms(&service),
             is_waiting: exchange.is_waiting,
             has_run: exchange.has_run(),
             usable_in_ms: usable_in_ms.map(|in_ms| in_ms as f64),
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -573,6 +573,7 @@
         goal_left_ms: 800.0,
         goal_ms: 800.0,
         time_left_ms: 8_000.0,
+        usual_run_ms: 0.0,
         is_waiting: false,
         has_run: false,
         usable_in_ms: None,
@@ -642,6 +643,30 @@
     );
 }
 
+/// Guards against callers who are told to come back while the burst that got them refused
+/// lasts, and against callers who come back too late for their answer to end.
+#[test]
+fn refused_caller_comes_back_late_but_in_time_for_its_answer() {
+    let refused = |usual_run_ms: f64| {
+        let placement = place(PlacementContext {
+            queue_ms: 900.0,
+            time_left_ms: 10_000.0,
+            usual_run_ms,
+            ..placement_context()
+        });
+        match placement {
+            Placement::Refuse(retry_ms) => retry_ms,
+            other => panic!("a request that will be late was accepted: {other:?}"),
+        }
+    };
+
+    let short_answer_ms = refused(500.0);
+    let long_answer_ms = refused(8_000.0);
+
+    assert!(short_answer_ms >= 2_000, "{short_answer_ms}");
+    assert!(long_answer_ms < 2_000, "{long_answer_ms}");
+}
+
 /// An endpoint was silent, so that it is predicted to be slower than a request may last.
 /// Guards against refusals of all requests from then on, after which nothing would
 /// correct the prediction.
