Weigh a request that comes back as a small one of its route

Refusals on arrival, with their own prefill weighed against the latency goal, were the outcome that separated the sizes: shortest job first without ageing.

New requests are weighed as before, since that serves the most callers. The latency goal of one that comes back is extended by what its prompt takes beyond half of the usual one of its route, so it goes wherever a small request would. A caller comes back if it has less time left than callers of the route lately had; the hosts remember and tell nothing, and a forwarded request carries the goal as before.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -7,6 +7,9 @@
 //! time after which the backlog ahead of it will be processed, rather than after
 //! a useless wait. A request that has run already, and whose endpoint failed, is
 //! only refused if no endpoint can complete it before its deadline.
+//!
+//! In a burst, the largest prompts are the first that would be late. A caller that comes back
+//! after a refusal is therefore treated as if its prompt were a small one of its route.
 
 use compact_str::CompactString;
 
@@ -14,6 +17,7 @@
     Choice,
     LimitWait, //
 };
+use crate::types::Tokens;
 
 /// Largest backlog inside one endpoint. It is enough to keep the endpoint busy
 /// until this host has received a response and sent the next request.
@@ -26,6 +30,9 @@
 /// Callers follow a retry hint up to this share of the time that they have left.
 const MAX_RETRY_SHARE: f64 = 0.3;
 
+/// Size as which a prompt that comes back counts at most, relative to the usual one of its route.
+const RETURNING_SIZE: f64 = 0.5;
+
 /// Predicted latency and cost of a request in another region.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RemoteOffer {
@@ -94,6 +101,13 @@
     Refuse(u64),
 }
 
+/// Returns the time that a request that comes back gets beyond its latency goal, so that it is
+/// sent wherever a small request of its route would be.
+pub fn returning_allowance_ms(prompt: Tokens, usual: Tokens, prefill_ms_per_token: f64) -> u64 {
+    let counted = usual.0 as f64 * RETURNING_SIZE;
+    ((prompt.0 as f64 - counted).max(0.0) * prefill_ms_per_token) as u64
+}
+
 /// Decides what happens to a request at this moment.
 pub fn place(context: PlacementContext) -> Placement {
     let local_ms = context
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -216,6 +216,8 @@
     pub arrived_ms: u64,
     /// Size of the request; none without a prompt, and for a forwarded one.
     pub size: Option<RequestSize>,
+    /// Time that the request gets beyond its latency goal because it comes back.
+    pub allowance_ms: u64,
     /// Time after which the response misses its latency goal.
     pub goal_at_ms: u64,
     /// Time at which the caller's or the route's time limit ends.
--- a/src/gateway/request_sizes.rs
+++ b/src/gateway/request_sizes.rs
@@ -25,6 +25,11 @@
 const MAX_ROUTES: usize = 64;
 /// Name under which all other routes count.
 const OTHER_ROUTES: &str = "other";
+/// Decrease of the longest time limit of a route with each request.
+const LIMIT_DECAY: f64 = 0.000_5;
+/// Difference from the longest time limit above which a caller has tried before; smaller ones
+/// are the time that it took to connect.
+const MIN_AGE_MS: f64 = 150.0;
 /// Weight of a request in the moving means of its route, after the first ones.
 const MEAN_WEIGHT: f64 = 0.01;
 
@@ -79,6 +84,8 @@
 pub struct RequestSize {
     /// Name of the route, or the one under which others count.
     pub route: CompactString,
+    /// The caller comes back after a refusal: it waits for a shorter time than others.
+    pub is_returning: bool,
     /// Mean prompt of the route.
     pub usual_prompt: Tokens,
     /// Size relative to the mean.
@@ -89,6 +96,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct MeanSize {
     prompt_tokens: f64,
+    /// Longest time that callers lately waited for an answer.
+    limit_ms: f64,
     count: u64,
 }
 
@@ -109,8 +118,12 @@
         let prompt = metadata.prompt_tokens.0 as f64;
         mean.prompt_tokens += weight * (prompt - mean.prompt_tokens);
         let ratio = prompt / mean.prompt_tokens.max(1.0);
+        let limit_ms = metadata.time_limit_ms.unwrap_or(0) as f64;
+        mean.limit_ms = limit_ms.max(mean.limit_ms * (1.0 - LIMIT_DECAY));
+        let is_returning = limit_ms > 0.0 && limit_ms + MIN_AGE_MS <= mean.limit_ms;
         RequestSize {
             route: name,
+            is_returning,
             usual_prompt: Tokens(mean.prompt_tokens as u64),
             relative: RelativeSize::new(ratio),
         }
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -13,7 +13,8 @@
         Placement,
         PlacementContext,
         RemoteOffer,
-        place, //
+        place,
+        returning_allowance_ms, //
     },
     configuration::{
         ConfigurationVersion,
@@ -31,9 +32,11 @@
     fleet::EndpointQuery,
     hosts::HostInfo,
     reactor::Reactor,
+    request_sizes::RequestSize,
     serve_completion::UNREACHABLE_RETRY_MS,
     serve_crashes::call_hash, //
 };
+use crate::types::Tokens;
 
 /// Time limit of requests that specify none.
 const DEFAULT_TIME_LIMIT_MS: u64 = 30_000;
@@ -72,6 +75,10 @@
         let prompt = request.metadata.prompt_tokens;
         let has_size = !is_forwarded && prompt.0 > 0;
         let size = has_size.then(|| self.request_sizes.record(&route.name, &request.metadata));
+        let allowance_ms = match &size {
+            Some(size) if size.is_returning => self.allowance_ms(&route, size, prompt, now_ms),
+            _ => 0,
+        };
         self.next_serial += 1;
         let call = call_hash(&request.head, &request.body);
         let suspects = Suspects::new(&request.metadata.parts, call);
@@ -84,7 +91,8 @@
             configuration_version,
             arrived_ms: now_ms,
             size,
-            goal_at_ms: now_ms + route.goal_ms,
+            allowance_ms,
+            goal_at_ms: now_ms + route.goal_ms + allowance_ms,
             deadline_ms: now_ms + time_limit_ms.min(route.timeout_ms),
             route,
             run_count: 0,
@@ -122,6 +130,19 @@
         self.place_exchange(key);
     }
 
+    /// Returns the time that a request that comes back gets beyond its latency goal.
+    fn allowance_ms(
+        &self,
+        route: &ResolvedRoute,
+        size: &RequestSize,
+        prompt: Tokens,
+        now_ms: u64,
+    ) -> u64 {
+        let service = self.service(&route.service);
+        let prefill_ms = self.fleet.mean_prefill_ms_per_token(&service, now_ms);
+        returning_allowance_ms(prompt, size.usual_prompt, prefill_ms)
+    }
+
     /// Decides where a request goes and sends, queues or refuses it.
     pub(super) fn place_exchange(&mut self, key: usize) {
         let now_ms = self.now_ms();
@@ -251,7 +272,7 @@
             queue_ms,
             remote,
             goal_left_ms,
-            goal_ms: route.goal_ms as f64,
+            goal_ms: (route.goal_ms + exchange.allowance_ms) as f64,
             time_left_ms,
             usual_run_ms: self.fleet.mean_run_ms(&service),
             is_waiting: exchange.is_waiting,
--- a/tests/gateway_request_sizes.rs
+++ b/tests/gateway_request_sizes.rs
@@ -47,6 +47,23 @@
     assert_eq!(of_short, RelativeSize::Larger);
 }
 
+/// Guards against new requests that count as ones that come back, because operators grant a
+/// longer time than callers wait.
+#[test]
+fn caller_that_has_less_time_left_than_others_comes_back() {
+    let mut sizes = RequestSizes::default();
+    let limited = |limit_ms: u64| RequestMetadata {
+        time_limit_ms: Some(limit_ms),
+        ..prompt(600)
+    };
+    for limit_ms in [12_000, 11_990, 11_950, 12_000] {
+        assert!(!sizes.record("chat", &limited(limit_ms)).is_returning);
+    }
+
+    assert!(sizes.record("chat", &limited(11_200)).is_returning);
+    assert!(!sizes.record("tag", &limited(3_000)).is_returning);
+}
+
 /// Guards against metrics that grow with the number of routes.
 #[test]
 fn routes_beyond_a_bound_count_together() {
