Bound what one caller can shift of the usual request

Change: a prompt counts as at most ten times the mean, a deadline as at most the time limit of the route, and the allowance is bounded by it.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -102,10 +102,16 @@
 }
 
 /// Returns the time that a request that comes back gets beyond its latency goal, so that it is
-/// sent wherever a small request of its route would be.
-pub fn returning_allowance_ms(prompt: Tokens, usual: Tokens, prefill_ms_per_token: f64) -> u64 {
+/// sent wherever a small request of its route would be; at most `time_left_ms`.
+pub fn returning_allowance_ms(
+    prompt: Tokens,
+    usual: Tokens,
+    prefill_ms_per_token: f64,
+    time_left_ms: u64,
+) -> u64 {
     let counted = usual.0 as f64 * RETURNING_SIZE;
-    ((prompt.0 as f64 - counted).max(0.0) * prefill_ms_per_token) as u64
+    let allowance_ms = (prompt.0 as f64 - counted).max(0.0) * prefill_ms_per_token;
+    (allowance_ms as u64).min(time_left_ms)
 }
 
 /// Decides what happens to a request at this moment.
--- a/src/gateway/request_sizes.rs
+++ b/src/gateway/request_sizes.rs
@@ -1,8 +1,9 @@
 //! Sizes of requests relative to what is usual on their route, for metrics and admission.
 //!
 //! Requests are compared with the mean of their route, so that a route whose large requests are
-//! starved shows, whatever their length. The number of routes that are told apart
-//! is bounded; the others count together.
+//! starved shows, whatever their length. The number of routes that are told apart is bounded;
+//! the others count together. What callers state is bounded too, so that one of them can't
+//! shift what is usual.
 
 use std::{
     collections::BTreeMap,
@@ -30,8 +31,12 @@
 /// Difference from the longest time limit above which a caller has tried before; smaller ones
 /// are the time that it took to connect.
 const MIN_AGE_MS: f64 = 150.0;
-/// Weight of a request in the moving means of its route, after the first ones.
+/// Weight of a request in the moving mean of its route, after the first ones.
 const MEAN_WEIGHT: f64 = 0.01;
+/// Longest prompt that counts: several times the memory of an engine.
+const MAX_PROMPT_TOKENS: f64 = 4_000_000.0;
+/// Largest prompt relative to the mean, which a longer one counts as.
+const MAX_COUNTED_RATIO: f64 = 10.0;
 
 /// Size of a request relative to the mean of its route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -92,39 +97,60 @@
     pub relative: RelativeSize,
 }
 
-/// Moving means of the requests of a route.
+/// What is usual on a route.
 #[derive(Debug, Clone, Copy, Default)]
-struct MeanSize {
+struct UsualRequest {
+    /// Moving mean of the prompts.
     prompt_tokens: f64,
     /// Longest time that callers lately waited for an answer.
     limit_ms: f64,
     count: u64,
 }
 
-/// Moving means of the request sizes of each route.
+impl UsualRequest {
+    /// Records a prompt; returns its size relative to the mean.
+    fn record_prompt(&mut self, prompt: f64) -> f64 {
+        self.count += 1;
+        let weight = MEAN_WEIGHT.max(1.0 / self.count as f64);
+        let most = self.prompt_tokens * MAX_COUNTED_RATIO;
+        let counted = if most > 0.0 { prompt.min(most) } else { prompt };
+        self.prompt_tokens += weight * (counted - self.prompt_tokens);
+        prompt / self.prompt_tokens.max(1.0)
+    }
+
+    /// Records the time that a caller waits; returns whether it has tried before.
+    fn record_limit(&mut self, limit_ms: Option<u64>, timeout_ms: u64) -> bool {
+        let limit_ms = limit_ms.unwrap_or(timeout_ms).min(timeout_ms) as f64;
+        let lately_ms = (self.limit_ms * (1.0 - LIMIT_DECAY)).min(timeout_ms as f64);
+        self.limit_ms = limit_ms.max(lately_ms);
+        limit_ms + MIN_AGE_MS <= self.limit_ms
+    }
+}
+
+/// What is usual on each route.
 #[derive(Debug, Default)]
 pub struct RequestSizes {
-    means: BTreeMap<CompactString, MeanSize>,
+    usual: BTreeMap<CompactString, UsualRequest>,
 }
 
 impl RequestSizes {
-    /// Records a request and returns its size.
-    pub fn record(&mut self, route: &str, metadata: &RequestMetadata) -> RequestSize {
-        let is_known = self.means.contains_key(route) || self.means.len() < MAX_ROUTES;
+    /// Records a request of a route with a time limit, and returns its size.
+    pub fn record(
+        &mut self,
+        route: &str,
+        timeout_ms: u64,
+        metadata: &RequestMetadata,
+    ) -> RequestSize {
+        let is_known = self.usual.contains_key(route) || self.usual.len() < MAX_ROUTES;
         let name = CompactString::from(if is_known { route } else { OTHER_ROUTES });
-        let mean = self.means.entry(name.clone()).or_default();
-        mean.count += 1;
-        let weight = MEAN_WEIGHT.max(1.0 / mean.count as f64);
-        let prompt = metadata.prompt_tokens.0 as f64;
-        mean.prompt_tokens += weight * (prompt - mean.prompt_tokens);
-        let ratio = prompt / mean.prompt_tokens.max(1.0);
-        let limit_ms = metadata.time_limit_ms.unwrap_or(0) as f64;
-        mean.limit_ms = limit_ms.max(mean.limit_ms * (1.0 - LIMIT_DECAY));
-        let is_returning = limit_ms > 0.0 && limit_ms + MIN_AGE_MS <= mean.limit_ms;
+        let usual = self.usual.entry(name.clone()).or_default();
+        let prompt = (metadata.prompt_tokens.0 as f64).min(MAX_PROMPT_TOKENS);
+        let ratio = usual.record_prompt(prompt);
+        let is_returning = usual.record_limit(metadata.time_limit_ms, timeout_ms);
         RequestSize {
             route: name,
             is_returning,
-            usual_prompt: Tokens(mean.prompt_tokens as u64),
+            usual_prompt: Tokens(usual.prompt_tokens as u64),
             relative: RelativeSize::new(ratio),
         }
     }
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -74,7 +74,10 @@
         self.limits.record_request(&route.service, now_ms);
         let prompt = request.metadata.prompt_tokens;
         let has_size = !is_forwarded && prompt.0 > 0;
-        let size = has_size.then(|| self.request_sizes.record(&route.name, &request.metadata));
+        let size = has_size.then(|| {
+            self.request_sizes
+                .record(&route.name, route.timeout_ms, &request.metadata)
+        });
         let allowance_ms = match &size {
             Some(size) if size.is_returning => self.allowance_ms(&route, size, prompt, now_ms),
             _ => 0,
@@ -140,7 +143,7 @@
     ) -> u64 {
         let service = self.service(&route.service);
         let prefill_ms = self.fleet.mean_prefill_ms_per_token(&service, now_ms);
-        returning_allowance_ms(prompt, size.usual_prompt, prefill_ms)
+        returning_allowance_ms(prompt, size.usual_prompt, prefill_ms, route.timeout_ms)
     }
 
     /// Decides where a request goes and sends, queues or refuses it.
