Take the share of the work ahead once for each query

Cause: each placement looked the share up once for each endpoint that it compared, though it depends on the service and the priority alone. Change: the query of an endpoint carries the share; its maker asks for it once. The prediction is the same.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -141,8 +141,8 @@
     pub software_version: Option<&'a SoftwareVersion>,
     /// The hosts of the region.
     pub region: &'a RegionView,
-    /// Priority; 0 is the most urgent.
-    pub priority: Option<u8>,
+    /// Share of the work waiting for the service that is ahead; see [`Fleet::share_ahead`].
+    pub share_ahead: f64,
     /// Time left until the response misses its latency goal.
     pub goal_left_ms: f64,
     /// Time left until the request's deadline.
@@ -152,8 +152,8 @@
 }
 
 impl<'a> EndpointQuery<'a> {
-    /// Returns a query for any endpoint of a service, without time limits and ahead of all
-    /// waiting requests.
+    /// Returns a query for any endpoint of a service, without time limits, ahead of all requests
+    /// that wait at this host and behind all work that waits at endpoints.
     pub fn new(
         service: &'a Service,
         metadata: &'a RequestMetadata,
@@ -165,7 +165,7 @@
             excluded: &[],
             software_version: None,
             region,
-            priority: None,
+            share_ahead: 1.0,
             goal_left_ms: 0.0,
             time_left_ms: 0.0,
             waiting_ahead: 0,
@@ -1013,9 +1013,8 @@
         let prefill_ms_per_token = self.prefill_ms_per_token(service, load);
         let wait_ms = (load + 1.0 - slots).max(0.0) / slots * run_ms;
         let backlog_tokens = endpoint.own_load.backlog_tokens + endpoint.peer_load.backlog_tokens;
-        let share_ahead = self.share_ahead(service, query.priority);
         let backlog_ms = endpoint.slowness()
-            * (backlog_tokens as f64 * prefill_ms_per_token * share_ahead + wait_ms)
+            * (backlog_tokens as f64 * prefill_ms_per_token * query.share_ahead + wait_ms)
             + self.memory_wait_ms(endpoint, service, work, run_ms);
         let request_ms = match service.engine {
             Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * prefill_ms_per_token,
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -220,7 +220,7 @@
             excluded: &exchange.excluded_endpoints,
             software_version: route.software_version.as_ref(),
             region: &self.region_view,
-            priority: route.priority,
+            share_ahead: self.fleet.share_ahead(&service, route.priority),
             goal_left_ms,
             time_left_ms,
             waiting_ahead,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -160,7 +160,7 @@
         excluded: &[],
         software_version: None,
         region: &region,
-        priority: None,
+        share_ahead: 1.0,
         goal_left_ms: GOAL_MS,
         time_left_ms: 15_000.0,
         waiting_ahead: 0,
@@ -621,7 +621,7 @@
     let place_with = |priority: Option<u8>| {
         let (service, region) = (model(), RegionView::default());
         let query = EndpointQuery {
-            priority,
+            share_ahead: fleet.share_ahead(&service, priority),
             goal_left_ms: 800.0,
             time_left_ms: 3_000.0,
             ..EndpointQuery::new(&service, &metadata, &region)
--- a/tests/gateway_overload.rs
+++ b/tests/gateway_overload.rs
@@ -311,7 +311,7 @@
             .sum::<f64>();
         let view = RegionView { host_count: 1 };
         let query = EndpointQuery {
-            priority: Some(call.kind.priority),
+            share_ahead: self.fleet.share_ahead(&service, Some(call.kind.priority)),
             goal_left_ms: call.goal_left_ms(now_ms),
             time_left_ms: call.time_left_ms(now_ms),
             ..EndpointQuery::new(&service, &call.metadata, &view)
