Derive what a request gets beyond its goal

Cause: the exchange kept the allowance beside the time at which the goal ends, which says the same. Change: Exchange::goal_ms returns the goal with the allowance; the log line shows the difference from the route's, as before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -216,9 +216,7 @@
     pub arrived_ms: u64,
     /// Size of the request; none without a prompt, and for a forwarded one.
     pub size: Option<RequestSize>,
-    /// Time that the request gets beyond its latency goal because it comes back.
-    pub allowance_ms: u64,
-    /// Time after which the response misses its latency goal.
+    /// Time after which the response misses its latency goal, and what it gets beyond.
     pub goal_at_ms: u64,
     /// Time at which the caller's or the route's time limit ends.
     pub deadline_ms: u64,
@@ -266,6 +264,12 @@
 }
 
 impl Exchange {
+    /// Returns the latency goal, counted from the arrival, with what the request gets beyond the
+    /// one of its route because it comes back.
+    pub fn goal_ms(&self) -> u64 {
+        self.goal_at_ms - self.arrived_ms
+    }
+
     /// Returns the id of the event after which an endpoint has to continue.
     pub fn resume_after(&self) -> Option<CompactString> {
         let passed_on = self.events.last_id().cloned();
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -337,7 +337,7 @@
             shared_tokens = exchange.request.metadata.shared_tokens(),
             shared_part = exchange.request.metadata.affinity_key(),
             goal_ms = exchange.route.goal_ms,
-            allowance_ms = exchange.allowance_ms,
+            allowance_ms = exchange.goal_ms() - exchange.route.goal_ms,
             destination = exchange.placement.as_ref().map(|placement| placement.destination.as_str()),
             software_version = exchange
                 .placement
