Name the two refusals of admission by their reason

Cause: refuse() took a time that all of its callers set to the goal since overload has a refusal of its own, and the head of the module still said that a caller comes back when the backlog has drained. Change: refuse_without_endpoint() without the argument; the head says when callers come back, and that engines order their backlog by priority.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -1,12 +1,13 @@
 //! Decides whether a request is sent, queued, forwarded or refused.
 //!
 //! This matters when more prompts arrive than the endpoints of a region can
-//! prefill. A backlog inside an endpoint can be neither reordered nor moved, so
-//! requests are queued at the host instead, the most urgent first. A request
-//! whose first event would miss its latency goal is refused on arrival, with the
-//! time after which the backlog ahead of it will be processed, rather than after
-//! a useless wait. A request that has run already, and whose endpoint failed, is
-//! only refused if no endpoint can complete it before its deadline.
+//! prefill. A backlog inside an endpoint can't be moved and is ordered by priority
+//! alone, so requests are queued at the host instead, the most urgent first. A
+//! request whose first event would miss its latency goal is refused on arrival
+//! rather than after a useless wait, and asked to come back as late as its time
+//! limit allows, because a burst outlasts the backlog that it makes. A request that
+//! has run already, and whose endpoint failed, is only refused if no endpoint can
+//! complete it before its deadline.
 //!
 //! In a burst, the largest prompts are the first that would be late. A caller that comes back
 //! after a refusal is therefore treated as if its prompt were a small one of its route.
@@ -29,7 +30,6 @@
 const MIN_RETRY_MS: f64 = 150.0;
 /// Callers follow a retry hint up to this share of the time that they have left.
 const MAX_RETRY_SHARE: f64 = 0.3;
-
 /// Size as which a prompt that comes back counts at most, relative to the usual one of its route.
 const RETURNING_SIZE: f64 = 0.5;
 
@@ -185,7 +185,7 @@
         let is_in_time = |usable_ms| usable_ms < context.time_left_ms;
         return match context.usable_in_ms.is_some_and(is_in_time) {
             true => Placement::Wait,
-            false => refuse(&context, context.goal_ms),
+            false => refuse_without_endpoint(&context),
         };
     }
     if let Some(unwanted_ms) = context.unwanted_for_ms {
@@ -206,21 +206,19 @@
     if !context.is_cut_off && context.goal_left_ms > context.goal_ms - wait_ms {
         return Placement::Wait;
     }
-    refuse(&context, context.goal_ms)
+    refuse_without_endpoint(&context)
 }
 
-/// Refuses a request while more arrives than can be served.
-///
-/// A burst outlasts the backlog that it makes, so the caller comes back as late as leaves time
-/// for the usual answer.
+/// Refuses a request while more arrives than can be served; the caller comes back when the
+/// backlog has drained, or later if that leaves time for the usual answer.
 fn refuse_for_overload(context: &PlacementContext, local_ms: f64) -> Placement {
     let drained_ms = local_ms - context.goal_ms / 2.0;
     let spare_ms = context.time_left_ms - context.usual_run_ms;
     refuse_for(context, drained_ms.max(spare_ms * MAX_RETRY_SHARE))
 }
 
-fn refuse(context: &PlacementContext, local_ms: f64) -> Placement {
-    refuse_for(context, local_ms - context.goal_ms / 2.0)
+fn refuse_without_endpoint(context: &PlacementContext) -> Placement {
+    refuse_for(context, context.goal_ms / 2.0)
 }
 
 /// Refuses a request that may be served after `wait_ms`.
