Share the labels of the two metrics by size

Cause: the labels of the counter repeated those of the histogram. Change: one set of labels, flattened into the other; the text of the metrics is the same.

--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -50,8 +50,8 @@
 /// Labels of the counter of requests by the size of the request.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SizeOutcomeLabels {
-    route: String,
-    size: RelativeSize,
+    #[prometheus(flatten)]
+    size: SizeLabels,
     result: &'static str,
 }
 
@@ -271,28 +271,25 @@
 
     /// Records the result of a request with a prompt at the host of its caller.
     fn record_size(&self, exchange: &Exchange, status: u16) {
-        let Some(prompt) = &exchange.size else {
+        let Some(size) = &exchange.size else {
             return;
         };
-        let (route, size) = (prompt.route.to_string(), prompt.relative);
+        let size = SizeLabels {
+            route: size.route.to_string(),
+            size: size.relative,
+        };
         let result = match status {
             200..300 => "answered",
             429 | 503 => "refused",
             _ => "failed",
         };
-        let labels = SizeOutcomeLabels {
-            route: route.clone(),
-            size,
-            result,
-        };
-        self.requests_by_size.get_or_create(&labels).inc();
         if let Some(at_ms) = exchange.first_event_at_ms {
             let after_ms = at_ms.saturating_sub(exchange.arrived_ms);
-            let histogram = self
-                .first_event_by_size_s
-                .get_or_create(&SizeLabels { route, size });
+            let histogram = self.first_event_by_size_s.get_or_create(&size);
             histogram.observe(after_ms as f64 / 1_000.0);
         }
+        let labels = SizeOutcomeLabels { size, result };
+        self.requests_by_size.get_or_create(&labels).inc();
     }
 
     /// Records the end of a request and writes its log line, within the limits.
