Share the fixtures of two regions and of event texts

Cause: the tests of errors after events repeated what those of answers without a frame start and expect. Change: hosts_of_two_regions() and event_texts() in gatewayenv serve both files. No assertion changes.

--- a/tests/gateway_answer_framing.rs
+++ b/tests/gateway_answer_framing.rs
@@ -2,23 +2,21 @@
 
 mod gatewayenv;
 
-use std::time::Duration;
-
 use cardamombridge::standin::{
     metadata_store::MetadataStore,
     scripted::{
         Script,
-        ScriptedEndpoint,
-        event_text, //
+        ScriptedEndpoint, //
     }, //
 };
 use gatewayenv::{
     Host,
-    HostOptions,
     Request,
     Response,
     announce,
+    event_texts,
     host_with,
+    hosts_of_two_regions,
     store_with_configuration, //
 };
 
@@ -27,13 +25,9 @@
 /// Part of an event.
 const HALF_EVENT: &str = "id: 3\ndata: tok";
 
-fn events(first: u64, end: u64) -> String {
-    (first..end).map(event_text).collect()
-}
-
 /// Events without a frame, and a part of the next one.
 fn cut_stream() -> Script {
-    Script::unframed_events(events(0, 3) + HALF_EVENT)
+    Script::unframed_events(event_texts(0, 3) + HALF_EVENT)
 }
 
 /// Sends a cut stream first, and then what follows the caller's last event.
@@ -42,10 +36,10 @@
         let last = arrival.headers.get("last-event-id");
         match (index, last) {
             (0, _) => first.clone(),
-            (_, None) => Script::unframed_events(events(0, EVENT_COUNT)),
+            (_, None) => Script::unframed_events(event_texts(0, EVENT_COUNT)),
             (_, Some(last)) => {
                 let next = last.parse::<u64>().expect("a number") + 1;
-                Script::unframed_events(events(next, EVENT_COUNT))
+                Script::unframed_events(event_texts(next, EVENT_COUNT))
             }
         }
     })
@@ -70,11 +64,7 @@
 fn host_without_endpoint(endpoint: &ScriptedEndpoint) -> (MetadataStore, Host, Host) {
     let store = store_with_configuration();
     announce(&store, endpoint, "south");
-    let remote = Host::start(&store, &HostOptions::new("host-2", "south"));
-    let host = Host::start(&store, &HostOptions::default());
-    remote.wait_log("endpoint announced");
-    host.wait_log("host registered");
-    std::thread::sleep(Duration::from_millis(1_200));
+    let (host, remote) = hosts_of_two_regions(&store);
     (store, host, remote)
 }
 
@@ -86,7 +76,7 @@
 
     let response = send(&host, "/draft/1");
 
-    assert_eq!(response.text(), events(0, 3));
+    assert_eq!(response.text(), event_texts(0, 3));
     assert!(!response.is_complete, "framed as complete");
 }
 
@@ -98,7 +88,7 @@
 
     let response = send(&host, "/chat/1");
 
-    assert_eq!(response.text(), events(0, EVENT_COUNT));
+    assert_eq!(response.text(), event_texts(0, EVENT_COUNT));
     assert!(response.is_complete);
     assert_eq!(endpoint.runs().len(), 2);
 }
@@ -106,12 +96,12 @@
 /// Guards against a stream that is cut off or run again although it is whole.
 #[test]
 fn stream_that_ends_after_an_event_is_complete() {
-    let endpoint = endpoint_with(Script::unframed_events(events(0, EVENT_COUNT)));
+    let endpoint = endpoint_with(Script::unframed_events(event_texts(0, EVENT_COUNT)));
     let (_store, host) = host_with(&endpoint);
 
     let response = send(&host, "/chat/1");
 
-    assert_eq!(response.text(), events(0, EVENT_COUNT));
+    assert_eq!(response.text(), event_texts(0, EVENT_COUNT));
     assert!(response.is_complete);
     assert_eq!(endpoint.runs().len(), 1);
 }
@@ -119,7 +109,7 @@
 /// Guards against the last event of a stream with other line ends being taken for a part.
 #[test]
 fn stream_with_carriage_returns_is_complete() {
-    let text = events(0, EVENT_COUNT).replace('\n', "\r\n");
+    let text = event_texts(0, EVENT_COUNT).replace('\n', "\r\n");
     let endpoint = endpoint_with(Script::unframed_events(text.clone()));
     let (_store, host) = host_with(&endpoint);
 
@@ -137,7 +127,7 @@
 
     let response = send(&host, "/chat/1");
 
-    assert_eq!(response.text(), events(0, EVENT_COUNT));
+    assert_eq!(response.text(), event_texts(0, EVENT_COUNT));
     assert!(response.is_complete);
     assert_eq!(endpoint.runs().len(), 2);
 }
@@ -160,7 +150,7 @@
 /// Guards against a cut stream that is framed as complete although its frame is whole.
 #[test]
 fn chunked_stream_that_ends_within_an_event_is_cut_off() {
-    let text = events(0, 3) + HALF_EVENT;
+    let text = event_texts(0, 3) + HALF_EVENT;
     let whole_frame = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Server-Seal: s\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
@@ -172,7 +162,7 @@
 
     let response = send(&host, "/draft/1");
 
-    assert_eq!(response.text(), events(0, 3));
+    assert_eq!(response.text(), event_texts(0, 3));
     assert!(!response.is_complete, "framed as complete");
 }
 
@@ -184,7 +174,7 @@
 
     let response = send(&host, "/draft/1");
 
-    assert_eq!(response.text(), events(0, 3));
+    assert_eq!(response.text(), event_texts(0, 3));
     assert!(!response.is_complete, "framed as complete");
 }
 
@@ -227,7 +217,7 @@
 /// Guards against a stream that is framed as complete after its connection was reset.
 #[test]
 fn stream_is_cut_off_after_a_reset() {
-    let endpoint = endpoint_with(Script::unframed_events(events(0, 3)).with_reset());
+    let endpoint = endpoint_with(Script::unframed_events(event_texts(0, 3)).with_reset());
     let (_store, host) = host_with(&endpoint);
 
     let response = send(&host, "/draft/1");
--- a/tests/gateway_error_after_events.rs
+++ b/tests/gateway_error_after_events.rs
@@ -3,14 +3,22 @@
 
 mod gatewayenv;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
+};
 
 use cardamombridge::standin::{
     metadata_store::MetadataStore,
     scripted::{
         Script,
-        ScriptedEndpoint,
-        event_text, //
+        ScriptedEndpoint, //
     }, //
 };
 use gatewayenv::{
@@ -20,7 +28,9 @@
     Response,
     announce,
     configuration,
+    event_texts,
     host_with,
+    hosts_of_two_regions,
     store_with_configuration, //
 };
 use serde_json::json;
@@ -29,12 +39,6 @@
 const EVENT_COUNT: u64 = 8;
 /// Events before a stream breaks off.
 const BREAK_COUNT: u64 = 3;
-/// Time in which hosts learn of each other and of the endpoints.
-const SETTLE: Duration = Duration::from_millis(1_200);
-
-fn events(first: u64, end: u64) -> String {
-    (first..end).map(event_text).collect()
-}
 
 fn cut_stream() -> Script {
     Script::Events {
@@ -70,12 +74,12 @@
 /// Returns endpoints of which the first that is asked breaks a stream off, the second answers
 /// with `error`, and all others go on after the caller's last event.
 fn endpoints(error: &Script) -> Vec<ScriptedEndpoint> {
-    let asked = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let asked = Arc::new(AtomicUsize::new(0));
     (0..3)
         .map(|number| {
             let (asked, error) = (asked.clone(), error.clone());
             ScriptedEndpoint::start(&format!("e-{number}"), move |_, arrival| {
-                let order = asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                let order = asked.fetch_add(1, Ordering::SeqCst);
                 let last = arrival.headers.get("last-event-id");
                 match order {
                     0 => cut_stream(),
@@ -118,9 +122,16 @@
 /// Checks that a stream has nothing but its events, and all of them if it is complete.
 fn assert_pure(name: &str, response: &Response) {
     let text = response.text();
-    assert!(events(0, EVENT_COUNT).starts_with(&text), "{name}: {text}");
+    assert!(
+        event_texts(0, EVENT_COUNT).starts_with(&text),
+        "{name}: {text}"
+    );
     if response.is_complete {
-        assert_eq!(text, events(0, EVENT_COUNT), "{name}: ends as if complete");
+        assert_eq!(
+            text,
+            event_texts(0, EVENT_COUNT),
+            "{name}: ends as if complete"
+        );
     }
 }
 
@@ -155,11 +166,7 @@
     for (name, error) in errors() {
         let endpoints = endpoints(&error);
         let store = store_with_three_attempts(&endpoints, "south");
-        let remote = Host::start(&store, &HostOptions::new("host-2", "south"));
-        let host = Host::start(&store, &HostOptions::default());
-        remote.wait_log("endpoint announced");
-        host.wait_log("host registered");
-        std::thread::sleep(SETTLE);
+        let (host, _remote) = hosts_of_two_regions(&store);
 
         let response = send(&host, "/chat/1", "a-1");
 
@@ -183,11 +190,7 @@
             .expect("the endpoint starts");
         let store = store_with_configuration();
         announce(&store, &endpoint, "south");
-        let remote = Host::start(&store, &HostOptions::new("host-2", "south"));
-        let host = Host::start(&store, &HostOptions::default());
-        remote.wait_log("endpoint announced");
-        host.wait_log("host registered");
-        std::thread::sleep(SETTLE);
+        let (host, _remote) = hosts_of_two_regions(&store);
 
         for path in ["/book/1", "/read/1", "/draft/1", "/chat/1"] {
             let response = send(&host, path, path);
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -32,7 +32,10 @@
     standin::{
         listener::STANDIN_IP,
         metadata_store::MetadataStore,
-        scripted::ScriptedEndpoint, //
+        scripted::{
+            ScriptedEndpoint,
+            event_text, //
+        }, //
     }, //
 };
 use nix::{
@@ -502,6 +505,22 @@
     })
 }
 
+/// Returns the text of the events of a scripted endpoint from `first` up to `end`.
+pub fn event_texts(first: u64, end: u64) -> String {
+    (first..end).map(event_text).collect()
+}
+
+/// Starts a host of the region north and one of the region south; returns them once they know
+/// the endpoints of the store and each other.
+pub fn hosts_of_two_regions(store: &MetadataStore) -> (Host, Host) {
+    let south = Host::start(store, &HostOptions::new("host-2", "south"));
+    let north = Host::start(store, &HostOptions::default());
+    south.wait_log("endpoint announced");
+    north.wait_log("host registered");
+    thread::sleep(Duration::from_millis(1_200));
+    (north, south)
+}
+
 /// Announces an endpoint of the service `desk` in a region's data centre.
 pub fn announce(store: &MetadataStore, endpoint: &ScriptedEndpoint, region: &str) {
     announce_with(store, endpoint, region, &json!({}));
