--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -30,7 +30,8 @@
 const MIN_RETRY_MS: f64 = 150.0;
 /// Callers follow a retry hint up to this share of the time that they have left.
 const MAX_RETRY_SHARE: f64 = 0.3;
-/// Size as which a prompt that comes back counts at most, relative to the usual one of its route.
+/// Size as which a prompt that comes back counts at most, relative to the mean of its route: near
+/// the median, since a few prompts are much longer than most.
 const RETURNING_SIZE: f64 = 0.5;
 
 /// Predicted latency and cost of a request in another region.
--- a/src/gateway/request_sizes.rs
+++ b/src/gateway/request_sizes.rs
@@ -1,4 +1,5 @@
-//! Sizes of requests relative to what is usual on their route, for metrics and admission.
+//! Prompts and time limits of requests relative to what is usual on their route, for metrics and
+//! admission.
 //!
 //! Requests are compared with the mean of their route, so that a route whose large requests are
 //! starved shows, whatever their length. The number of routes that are told apart is bounded;
@@ -26,10 +27,11 @@
 const MAX_ROUTES: usize = 64;
 /// Name under which all other routes count.
 const OTHER_ROUTES: &str = "other";
-/// Decrease of the longest time limit of a route with each request.
+/// Share by which the longest time limit of a route decreases with each request, so that a rare
+/// one is forgotten within some thousand.
 const LIMIT_DECAY: f64 = 0.000_5;
-/// Difference from the longest time limit above which a caller has tried before; smaller ones
-/// are the time that it took to connect.
+/// Difference from the longest time limit from which on a caller has tried before: the shortest
+/// time after which one is asked to come back. Less passes while a caller connects.
 const MIN_AGE_MS: f64 = 150.0;
 /// Weight of a request in the moving mean of its route, after the first ones.
 const MEAN_WEIGHT: f64 = 0.01;
