Show the pace of streams, and answers that run out of time by length

Hosts now measure the time between the events of their streams at each endpoint, and the lengths of the answers of each route; metrics and the line 'request ended' show both, and the caller's estimate of the length. Nothing decides by them yet.

What is kept for each route moves to a table of its own, which the sizes of prompts used to have.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -34,7 +34,8 @@
         RequestMetadata, //
     },
     request_rate::RequestRate,
-    software_version::SoftwareVersion, //
+    software_version::SoftwareVersion,
+    stream_pace::PaceMeter, //
 };
 use crate::types::hex_id;
 
@@ -246,6 +247,8 @@
     cold_until_ms: u64,
     /// Latest load from a response, with the time at which it arrived.
     reported: Option<(u64, EndpointLoad)>,
+    /// Pace of this host's streams there.
+    pub pace: PaceMeter,
     slowness: f64,
     error_rate: f64,
     consecutive_failures: u32,
@@ -288,6 +291,7 @@
             spacious_ms: now_ms,
             recent_sends_ms: VecDeque::new(),
             reported: None,
+            pace: PaceMeter::default(),
             slowness: 1.0,
             error_rate: 0.0,
             consecutive_failures: 0,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    answer_lengths::EventCount,
     configuration::{
         ConfigurationVersion,
         RetryPolicy,
@@ -35,9 +36,14 @@
         BodyFrame,
         HostStatements, //
     },
-    software_version::SoftwareVersion, //
+    software_version::SoftwareVersion,
+    stream_pace::Pace, //
 };
 
+/// Most time that a caller's time limit ends before the one counted from the arrival of its
+/// request: callers also count the time to connect.
+const CALLER_HEAD_START_MS: u64 = 500;
+
 /// Parameters of a route for one request, also sent to the host of another
 /// region that serves the request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -156,6 +162,8 @@
     pub is_success: bool,
     /// Time at which response data last arrived.
     pub progress_ms: u64,
+    /// Time at which an event was last complete.
+    pub last_event_ms: Option<u64>,
     /// Software version of the endpoint; none until another region has stated it.
     pub software_version: Option<SoftwareVersion>,
     /// Time from which another place may be sought if the endpoint stalls.
@@ -195,6 +203,28 @@
     pub retry_ms: u64,
 }
 
+/// How an answer with events ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum StreamResult {
+    /// Its last event was passed on.
+    Whole,
+    /// The time limit of its caller or route ended before.
+    OutOfTime,
+    /// The caller left early, or no endpoint could complete it.
+    Interrupted,
+}
+
+impl StreamResult {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::OutOfTime => "out of time",
+            Self::Interrupted => "interrupted",
+        }
+    }
+}
+
 /// A request of a caller.
 #[derive(Debug)]
 pub struct Exchange {
@@ -247,6 +277,8 @@
     pub kept_from: Option<KeptFrom>,
     /// Time at which the first event, or the response, had arrived.
     pub first_event_at_ms: Option<u64>,
+    /// Time at which an event of any dispatch was last complete.
+    pub last_event_at_ms: Option<u64>,
     /// The response head has been written to the caller.
     pub has_response_begun: bool,
     /// Events relayed, for streams that another endpoint may continue.
@@ -345,6 +377,36 @@
         self.route.is_resumable && self.request.metadata.last_event_id.is_some()
     }
 
+    /// Returns the number of events that were passed on.
+    pub fn passed_events(&self) -> EventCount {
+        EventCount(self.events.complete_count())
+    }
+
+    /// Returns the mean time between the events that were passed on; none with fewer than two.
+    pub fn pace(&self) -> Option<Pace> {
+        let interval_count = self.passed_events().0.saturating_sub(1);
+        let lasted_ms = self
+            .last_event_at_ms?
+            .saturating_sub(self.first_event_at_ms?);
+        (interval_count > 0)
+            .then(|| lasted_ms as f64 / interval_count as f64)
+            .and_then(Pace::from_event_ms)
+    }
+
+    /// Returns how the answer ended that has begun, for a response with this status; none for
+    /// one without events.
+    pub fn stream_result(&self, status: u16, now_ms: u64) -> Option<StreamResult> {
+        if self.passed_events() == EventCount(0) {
+            return None;
+        }
+        let is_whole = (200..300).contains(&status);
+        Some(match is_whole {
+            true => StreamResult::Whole,
+            false if now_ms + CALLER_HEAD_START_MS >= self.deadline_ms => StreamResult::OutOfTime,
+            false => StreamResult::Interrupted,
+        })
+    }
+
     /// Returns whether an endpoint may have run the request, or runs it.
     pub fn has_run(&self) -> bool {
         self.run_count > 0 || self.dispatch.is_some()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! [`crate::platform`].
 
 pub mod admission;
+pub mod answer_lengths;
 pub mod body;
 pub mod bound;
 pub mod configuration;
@@ -37,6 +38,7 @@
 pub mod request_sizes;
 pub mod response;
 pub mod retry_budget;
+pub mod route_table;
 mod serve_caller;
 mod serve_completion;
 pub mod serve_crashes;
@@ -58,4 +60,5 @@
 pub mod stored_verdicts;
 pub mod stored_versions;
 pub mod stream_origins;
+pub mod stream_pace;
 pub mod telemetry;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -56,6 +56,7 @@
 use slab::Slab;
 
 use super::{
+    answer_lengths::AnswerLengths,
     configuration::Configuration,
     connection::{
         InboundConnection,
@@ -150,6 +151,7 @@
     pub(super) retry_budget: RetryBudget,
     pub(super) telemetry: Telemetry,
     pub(super) request_sizes: RequestSizes,
+    pub(super) answer_lengths: AnswerLengths,
     pub(super) random: Pcg64Mcg,
     /// Moving average of the round trip to each other region.
     pub(super) round_trip_ms: BTreeMap<CompactString, f64>,
@@ -259,6 +261,7 @@
             fleet,
             telemetry,
             request_sizes: RequestSizes::default(),
+            answer_lengths: AnswerLengths::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
             round_trip_ms: BTreeMap::new(),
             started: Instant::now(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -37,6 +37,8 @@
     pub prompt_tokens: Tokens,
     /// Maximum number of generated tokens.
     pub max_output_tokens: Tokens,
+    /// Caller's estimate of the number of generated tokens.
+    pub length_hint: Option<Tokens>,
     /// Parts of the prompt in order; the last one is specific to this request.
     pub parts: Vec<PromptPart>,
     /// Id of the event after which the caller resumes a stream.
--- a/src/gateway/request_sizes.rs
+++ b/src/gateway/request_sizes.rs
@@ -6,12 +6,9 @@
 //! the others count together. What callers state is bounded too, so that one of them can't
 //! shift what is usual.
 
-use std::{
-    collections::BTreeMap,
-    fmt::{
-        self,
-        Display, //
-    }, //
+use std::fmt::{
+    self,
+    Display, //
 };
 
 use compact_str::CompactString;
@@ -20,13 +17,12 @@
     LabelValueEncoder, //
 };
 
-use super::request::RequestMetadata;
+use super::{
+    request::RequestMetadata,
+    route_table::RouteTable, //
+};
 use crate::types::Tokens;
 
-/// Routes that are told apart.
-const MAX_ROUTES: usize = 64;
-/// Name under which all other routes count.
-const OTHER_ROUTES: &str = "other";
 /// Share by which the longest time limit of a route decreases with each request, so that a rare
 /// one is forgotten within some thousand.
 const LIMIT_DECAY: f64 = 0.000_5;
@@ -132,7 +128,7 @@
 /// What is usual on each route.
 #[derive(Debug, Default)]
 pub struct RequestSizes {
-    usual: BTreeMap<CompactString, UsualRequest>,
+    usual: RouteTable<UsualRequest>,
 }
 
 impl RequestSizes {
@@ -143,9 +139,7 @@
         timeout_ms: u64,
         metadata: &RequestMetadata,
     ) -> RequestSize {
-        let is_known = self.usual.contains_key(route) || self.usual.len() < MAX_ROUTES;
-        let name = CompactString::from(if is_known { route } else { OTHER_ROUTES });
-        let usual = self.usual.entry(name.clone()).or_default();
+        let (name, usual) = self.usual.entry(route);
         let prompt = (metadata.prompt_tokens.0 as f64).min(MAX_PROMPT_TOKENS);
         let ratio = usual.record_prompt(prompt);
         let is_returning = usual.record_limit(metadata.time_limit_ms, timeout_ms);
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -265,6 +265,8 @@
     }
 
     fn handle_metrics(&mut self, key: usize) {
+        self.telemetry
+            .set_endpoint_paces(&self.fleet, self.now_ms());
         let text = self.telemetry.render();
         self.respond_with_body(
             key,
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -8,9 +8,11 @@
     endpoint::Failure,
     exchange::{
         Destination,
-        Exchange, //
+        Exchange,
+        StreamResult, //
     },
     reactor::Reactor,
+    request_sizes::RelativeSize,
     response::{
         GatewayResponse,
         write_gateway_response, //
@@ -270,6 +272,7 @@
         };
         self.waiting.retain(|other| *other != key);
         let total_ms = now_ms.saturating_sub(exchange.arrived_ms);
+        self.record_answer(&exchange, status, now_ms);
         self.telemetry
             .request_ended(&exchange, outcome, status, total_ms, now_ms);
         if let Some(inbound) = exchange.inbound {
@@ -277,6 +280,27 @@
         }
     }
 
+    /// Records the length of an answer with events, at the host of its caller.
+    ///
+    /// One that ran out of time would have been longer than what was passed on of it.
+    fn record_answer(&mut self, exchange: &Exchange, status: u16, now_ms: u64) {
+        let Some(result) = exchange.stream_result(status, now_ms) else {
+            return;
+        };
+        if exchange.is_forwarded {
+            return;
+        }
+        let passed = exchange.passed_events();
+        let (route, answers) = self.answer_lengths.entry(&exchange.route.name);
+        if result != StreamResult::Interrupted {
+            answers.record(passed);
+        }
+        let mean_events = answers.mean_events().max(1.0);
+        let length = RelativeSize::new(passed.0 as f64 / mean_events);
+        self.telemetry
+            .observe_stream(&route, length, result, exchange);
+    }
+
     /// Handles the disconnection of a caller.
     pub(super) fn caller_disconnected(&mut self, key: usize) {
         let now_ms = self.now_ms();
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -211,6 +211,7 @@
             has_begun: false,
             is_success: false,
             progress_ms: now_ms,
+            last_event_ms: None,
             software_version,
             next_move_ms: now_ms,
         };
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -110,6 +110,7 @@
             refusal: None,
             kept_from: None,
             first_event_at_ms: None,
+            last_event_at_ms: None,
             has_response_begun: false,
             events: EventSplitter::new(),
             buffered: Vec::new(),
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -162,7 +162,9 @@
             return is_success;
         }
         let mut complete_events = Vec::new();
+        let earlier_count = exchange.events.complete_count();
         exchange.events.push(content, &mut complete_events);
+        let event_count = exchange.events.complete_count() - earlier_count;
         if exchange.events.partial().len() > MAX_EVENT_BYTES {
             return false;
         }
@@ -171,6 +173,7 @@
         }
         let head = head.clone();
         self.record_first_event(key, now_ms);
+        self.record_events(key, event_count, now_ms);
         self.record_origin(key, now_ms);
         self.write_head_once(key, &head);
         self.write_body_chunk(key, &complete_events);
@@ -208,6 +211,27 @@
         }
     }
 
+    /// Records events of the current dispatch, which show the pace of its endpoint.
+    fn record_events(&mut self, key: usize, event_count: u64, now_ms: u64) {
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            return;
+        };
+        exchange.last_event_at_ms = Some(now_ms);
+        let Some(dispatch) = &mut exchange.dispatch else {
+            return;
+        };
+        // Nothing is known of the time before the first event but that of the prompt.
+        let Some(last_ms) = dispatch.last_event_ms.replace(now_ms) else {
+            return;
+        };
+        if let Destination::Endpoint(choice) = &dispatch.destination
+            && let Some(endpoint) = self.fleet.get_mut(&choice.endpoint)
+        {
+            let waited_ms = now_ms.saturating_sub(last_ms);
+            endpoint.pace.record(event_count, waited_ms, now_ms);
+        }
+    }
+
     /// Writes the response head to the caller unless it has been written.
     pub(super) fn write_head_once(&mut self, key: usize, head: &ResponseHead) {
         let is_leaving = self.shutdown_started_ms.is_some();
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -3,6 +3,8 @@
 //! Log lines are limited to [`FAILURE_LINES_PER_S`] for failed requests and to
 //! [`ROUTINE_LINES_PER_S`] for successful ones; omitted lines are counted.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -20,7 +22,11 @@
 use tracing_appender::non_blocking::ErrorCounter;
 
 use super::{
-    exchange::Exchange,
+    exchange::{
+        Exchange,
+        StreamResult, //
+    },
+    fleet::Fleet,
     request_sizes::RelativeSize,
     software_version::SoftwareVersion, //
 };
@@ -33,6 +39,12 @@
 /// between a tenth of a second and some tens of seconds.
 const BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
+/// Upper bounds of the histogram buckets of the time between events: from a token of an idle
+/// engine to the pause after which callers leave.
+const INTERVAL_BUCKETS_S: [f64; 11] = [
+    0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.125, 0.16, 0.25, 0.5, 2.0,
+];
+
 /// Labels of the request counter.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct OutcomeLabels {
@@ -55,6 +67,27 @@
     result: &'static str,
 }
 
+/// Labels of the counter of answers by their length.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct LengthOutcomeLabels {
+    route: String,
+    length: RelativeSize,
+    result: &'static str,
+}
+
+/// Labels of what is recorded of the answers of a route.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RouteResultLabels {
+    route: String,
+    result: &'static str,
+}
+
+/// Labels of a value of an endpoint.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndpointLabels {
+    endpoint: String,
+}
+
 #[derive(Debug, Default)]
 struct LineLimiter {
     second: u64,
@@ -81,6 +114,10 @@
     duration_s: Histogram,
     requests_by_size: Family<SizeOutcomeLabels, Counter>,
     first_event_by_size_s: Family<SizeLabels, Histogram, fn() -> Histogram>,
+    streams_by_length: Family<LengthOutcomeLabels, Counter>,
+    wasted_events: Family<RouteResultLabels, Counter>,
+    event_interval_s: Family<RouteResultLabels, Histogram, fn() -> Histogram>,
+    endpoint_pace_s: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     routine: LineLimiter,
     failures: LineLimiter,
 }
@@ -107,6 +144,10 @@
             duration_s: Histogram::new(BUCKETS_S),
             requests_by_size: Family::default(),
             first_event_by_size_s: Family::new_with_constructor(|| Histogram::new(BUCKETS_S)),
+            streams_by_length: Family::default(),
+            wasted_events: Family::default(),
+            event_interval_s: Family::new_with_constructor(|| Histogram::new(INTERVAL_BUCKETS_S)),
+            endpoint_pace_s: Family::default(),
             routine: LineLimiter::default(),
             failures: LineLimiter::default(),
             registry: Registry::default(),
@@ -191,6 +232,26 @@
             "Time until the first event by size relative to the mean of the route",
             telemetry.first_event_by_size_s.clone(),
         );
+        registry.register(
+            "streams_by_length",
+            "Answers of callers by result and by length relative to the mean of the route",
+            telemetry.streams_by_length.clone(),
+        );
+        registry.register(
+            "wasted_events",
+            "Events of answers that were not whole",
+            telemetry.wasted_events.clone(),
+        );
+        registry.register(
+            "event_interval_seconds",
+            "Mean time between the events of an answer",
+            telemetry.event_interval_s.clone(),
+        );
+        registry.register(
+            "endpoint_pace_seconds",
+            "Time between the events of this host's streams at an endpoint",
+            telemetry.endpoint_pace_s.clone(),
+        );
         Self {
             registry,
             ..telemetry
@@ -203,6 +264,50 @@
         self
     }
 
+    /// Replaces the paces of the endpoints by those that are known now.
+    pub fn set_endpoint_paces(&self, fleet: &Fleet, now_ms: u64) {
+        self.endpoint_pace_s.clear();
+        for endpoint in fleet.iter() {
+            let Some(pace) = endpoint.pace.pace(now_ms) else {
+                continue;
+            };
+            let labels = EndpointLabels {
+                endpoint: endpoint.id.to_string(),
+            };
+            let gauge = self.endpoint_pace_s.get_or_create(&labels);
+            gauge.set(pace.event_ms() / 1_000.0);
+        }
+    }
+
+    /// Records the end of an answer with events, whose length is relative to the mean of `route`.
+    pub fn observe_stream(
+        &self,
+        route: &str,
+        length: RelativeSize,
+        result: StreamResult,
+        exchange: &Exchange,
+    ) {
+        let (route, result_name) = (route.to_string(), result.as_str());
+        let labels = LengthOutcomeLabels {
+            route: route.clone(),
+            length,
+            result: result_name,
+        };
+        self.streams_by_length.get_or_create(&labels).inc();
+        let labels = RouteResultLabels {
+            route,
+            result: result_name,
+        };
+        if result != StreamResult::Whole {
+            let wasted = self.wasted_events.get_or_create(&labels);
+            wasted.inc_by(exchange.passed_events().0);
+        }
+        if let Some(pace) = exchange.pace() {
+            let histogram = self.event_interval_s.get_or_create(&labels);
+            histogram.observe(pace.event_ms() / 1_000.0);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let dropped = self
@@ -331,6 +436,7 @@
             cut_event_bytes = exchange.cut_event_bytes,
             prompt_tokens = exchange.request.metadata.prompt_tokens.0,
             max_output_tokens = exchange.request.metadata.max_output_tokens.0,
+            length_hint = exchange.request.metadata.length_hint.map(|tokens| tokens.0),
             shared_tokens = exchange.request.metadata.shared_tokens(),
             shared_part = exchange.request.metadata.affinity_key(),
             goal_ms = exchange.route.goal_ms,
@@ -354,6 +460,10 @@
             first_event_ms = exchange
                 .first_event_at_ms
                 .map(|at_ms| at_ms.saturating_sub(exchange.arrived_ms)),
+            event_ms = exchange.pace().map(|pace| pace.event_ms() as u64),
+            stream_result = exchange
+                .stream_result(status, now_ms)
+                .map(StreamResult::as_str),
             here_ms = exchange.refusal.and_then(|refusal| refusal.local_ms),
             queue_ms = exchange.refusal.map(|refusal| refusal.queue_ms),
             away_ms = exchange.refusal.and_then(|refusal| refusal.remote_ms),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -27,6 +27,8 @@
 const MODEL: &str = "x-model";
 /// Prompt tokens and maximum output tokens, separated by a comma.
 const TOKENS: &str = "x-token-counts";
+/// Caller's estimate of the number of output tokens.
+const LENGTH_HINT: &str = "x-length-hint";
 const PROMPT_PARTS: &str = "x-prompt-prefix";
 const LAST_EVENT: &str = "last-event-id";
 /// Attempt that brought the first event of a stream that the caller takes up.
@@ -94,6 +96,8 @@
             let (prompt, output) = value.split_once(',').unwrap_or((value, "0"));
             metadata.prompt_tokens = decode_tokens(prompt).unwrap_or_default();
             metadata.max_output_tokens = decode_tokens(output).unwrap_or_default();
+        } else if header.is(LENGTH_HINT) {
+            metadata.length_hint = decode_tokens(value);
         } else if header.is(PROMPT_PARTS) {
             metadata.parts = decode_parts(value);
         } else if header.is(LAST_EVENT) {
