Hold prompts back where streams are slower than their goal

Cause: a host let 500 ms of prompts into an engine, whatever that did to the streams there, and weighed the first event alone. While there is always a prompt to prefill, an event takes three to four times as long.

Hosts take a pace goal from the lengths of the answers of each route, and an endpoint gets another prompt only while its streams can be delayed by its backlog. What is less urgent is held first. The cost of an answer at an endpoint follows from its expected events and the pace there.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -20,9 +20,6 @@
 };
 use crate::types::Tokens;
 
-/// Largest backlog inside one endpoint. It is enough to keep the endpoint busy
-/// until this host has received a response and sent the next request.
-const MAX_ENDPOINT_BACKLOG_MS: f64 = 500.0;
 /// Cost of a millisecond in the queue of this region. Most requests that wait
 /// there are close to the share of the goal beyond which waits are costly.
 const QUEUE_WEIGHT: f64 = 2.0;
@@ -120,17 +117,14 @@
     let local_ms = context
         .local
         .as_ref()
-        .map(|choice| choice.first_event_ms + context.queue_ms);
+        .map(|choice| choice.first_event_ms + choice.hold_ms() + context.queue_ms);
     if let Some(offer) = cheaper_remote(&context, local_ms) {
         return Placement::Forward(offer);
     }
     let Some(local_ms) = local_ms else {
         return without_endpoint(context);
     };
-    let has_room = context
-        .local
-        .as_ref()
-        .is_some_and(|choice| choice.backlog_ms <= MAX_ENDPOINT_BACKLOG_MS);
+    let has_room = context.local.as_ref().is_some_and(Choice::has_room);
     // A queued request is only considered while it is the most urgent one.
     let is_next = context.is_waiting || context.has_run || context.queue_ms <= 0.0;
     let sendable = context.local.clone().filter(|choice| {
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -35,7 +35,10 @@
     },
     request_rate::RequestRate,
     software_version::SoftwareVersion,
-    stream_pace::PaceMeter, //
+    stream_pace::{
+        Pace,
+        PaceMeter, //
+    }, //
 };
 use crate::types::hex_id;
 
@@ -70,6 +73,16 @@
 const MAX_FULL_PAUSE_MS: f64 = 1_500.0;
 /// Pause after an endpoint refused a request for lack of capacity.
 const SHED_PAUSE_MS: u64 = 60;
+/// Largest backlog inside one endpoint. It is enough to keep the endpoint busy
+/// until this host has received a response and sent the next request.
+const MAX_BACKLOG_MS: f64 = 500.0;
+/// Time over which the streams at an endpoint may be delayed by what they are ahead of the pace
+/// goal: that of the moving pace.
+const PACE_HORIZON_MS: f64 = 1_000.0;
+/// Share of its time that an engine may spend on prefill, however slow its streams are.
+const MIN_PREFILL_SHARE: f64 = 0.5;
+/// Largest share of its time that an engine is expected to spend on prefill.
+pub const MAX_PREFILL_SHARE: f64 = 0.9;
 /// Longest prompt that counts as short: two prefill chunks of a batching engine.
 const SHORT_PROMPT_TOKENS: u64 = 2_048;
 
@@ -620,6 +633,33 @@
         self.recent_prefill_tokens(now_ms) * prefill_ms_per_token / PREFILL_DECAY_MS
     }
 
+    /// Returns the largest backlog that the streams there can bear; negative while they need time
+    /// to get back to the pace goal.
+    ///
+    /// All streams of an engine wait while it prefills. Of the recent prefill, the part
+    /// `share_ahead` counts that is at least as urgent as the request: what is less urgent is held
+    /// first. Without a goal, or where the engine is slow by itself, prefill gets a fixed share of
+    /// its time.
+    pub fn backlog_limit_ms(
+        &self,
+        pace: Option<Pace>,
+        goal: Option<Pace>,
+        prefill_share: f64,
+        share_ahead: f64,
+    ) -> f64 {
+        let Some(pace) = pace else {
+            return MAX_BACKLOG_MS;
+        };
+        let prefill_share = prefill_share.min(MAX_PREFILL_SHARE);
+        let spare_share = MIN_PREFILL_SHARE - prefill_share * share_ahead;
+        let counted_share = 1.0 - prefill_share * (1.0 - share_ahead);
+        let spare_share = goal.map_or(spare_share, |goal| {
+            let counted_ms = pace.event_ms() * counted_share;
+            spare_share.max(1.0 - counted_ms / goal.event_ms())
+        });
+        (spare_share * PACE_HORIZON_MS).min(MAX_BACKLOG_MS)
+    }
+
     fn record_part(&mut self, part: u64, prefilled_at_ms: u64) {
         if self.parts.len() > MAX_PARTS {
             let uses = self.parts.values().map(|known| known.last_used_at_tokens);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -32,6 +32,7 @@
         EndpointHash,
         FormerEndpoint,
         LoadShare,
+        MAX_PREFILL_SHARE,
         Work,
         slots_of, //
     },
@@ -51,6 +52,7 @@
     software_version::SoftwareVersion,
     stored_versions::ServedVersions,
     stream_origins::ORIGIN_LIFETIME_MS, //
+    stream_pace::Pace,
 };
 use crate::types::Tokens;
 
@@ -105,12 +107,10 @@
 /// Time of an engine's step without prefill, in which each stream gets a token:
 /// the shortest that the platform states, with a usual batch.
 const DECODE_STEP_MS: f64 = 4.5;
-/// Largest share of its time that an engine is expected to spend on prefill.
-const MAX_PREFILL_SHARE: f64 = 0.9;
 /// Cost of a millisecond of a stream's predicted duration.
 const STREAM_TIME_WEIGHT: f64 = 0.08;
-/// Cost of a stream that will not end within its time limit.
-const OVERRUN_COST_MS: f64 = 600.0;
+/// Additional cost of a millisecond by which a stream is predicted to overrun its time limit.
+const OVERRUN_WEIGHT: f64 = 0.2;
 /// Weight of a new observation in the moving average of a request's run time.
 const RUN_EWMA_WEIGHT: f64 = 0.1;
 /// Weight of a new observation in the moving average of the prefill time per
@@ -149,6 +149,10 @@
     pub time_left_ms: f64,
     /// Waiting requests for the service that come first.
     pub waiting_ahead: usize,
+    /// Pace that the streams of the service need to end in time.
+    pub pace_goal: Option<Pace>,
+    /// Predicted number of events of the answer.
+    pub expected_events: Option<f64>,
 }
 
 impl<'a> EndpointQuery<'a> {
@@ -169,6 +173,8 @@
             goal_left_ms: 0.0,
             time_left_ms: 0.0,
             waiting_ahead: 0,
+            pace_goal: None,
+            expected_events: None,
         }
     }
 }
@@ -213,6 +219,8 @@
     pub copied_tokens: u64,
     /// Predicted time until the endpoint begins with the request.
     pub backlog_ms: f64,
+    /// Largest backlog at which the endpoint gets another prompt.
+    pub backlog_limit_ms: f64,
     /// Cost, comparable among endpoints and with offers of other regions.
     pub cost_ms: f64,
     /// Endpoint from which cached parts of the prompt are copied first.
@@ -221,6 +229,18 @@
     pub is_idle: bool,
 }
 
+impl Choice {
+    /// Returns whether the endpoint gets another prompt now.
+    pub fn has_room(&self) -> bool {
+        self.backlog_ms <= self.backlog_limit_ms
+    }
+
+    /// Returns the time for which it gets none after its backlog has drained.
+    pub fn hold_ms(&self) -> f64 {
+        (-self.backlog_limit_ms).max(0.0)
+    }
+}
+
 /// Where the start of a prompt is probably cached.
 #[derive(Debug, Default)]
 struct Caches {
@@ -272,6 +292,7 @@
     endpoint: &Endpoint,
     choice: &Choice,
     query: &EndpointQuery<'_>,
+    pace: Option<Pace>,
     prefill_ms_per_token: f64,
     now_ms: u64,
 ) -> f64 {
@@ -282,10 +303,12 @@
         .prefill_share(prefill_ms_per_token, now_ms)
         .min(MAX_PREFILL_SHARE);
     let tokens = query.metadata.max_output_tokens.0 as f64;
-    let stream_ms = endpoint.slowness() * tokens * DECODE_STEP_MS / (1.0 - prefill_share);
-    let is_overrun = choice.first_event_ms + stream_ms > query.time_left_ms;
-    let overrun_ms = if is_overrun { OVERRUN_COST_MS } else { 0.0 };
-    STREAM_TIME_WEIGHT * stream_ms + overrun_ms
+    let stream_ms = match (query.expected_events, pace) {
+        (Some(events), Some(pace)) => events * pace.event_ms(),
+        _ => endpoint.slowness() * tokens * DECODE_STEP_MS / (1.0 - prefill_share),
+    };
+    let overrun_ms = choice.first_event_ms + choice.hold_ms() + stream_ms - query.time_left_ms;
+    STREAM_TIME_WEIGHT * stream_ms + OVERRUN_WEIGHT * overrun_ms.max(0.0)
 }
 
 /// Returns the tokens that an endpoint is expected to have cached: the known ones
@@ -311,6 +334,8 @@
     evacuated: BTreeSet<CompactString>,
     mean_run_ms: BTreeMap<CompactString, f64>,
     prefill_ms_per_token: BTreeMap<CompactString, f64>,
+    /// Mean pace of this host's streams, by service.
+    mean_paces: BTreeMap<CompactString, Pace>,
     /// Prefill work that this host sent, by service.
     prefill_mix: BTreeMap<CompactString, PrefillMix>,
     /// When a prompt part was last sent to another region, by region and part.
@@ -342,6 +367,7 @@
             evacuated: BTreeSet::new(),
             mean_run_ms: BTreeMap::new(),
             prefill_ms_per_token: BTreeMap::new(),
+            mean_paces: BTreeMap::new(),
             prefill_mix: BTreeMap::new(),
             remote_parts: BTreeMap::new(),
             former_endpoints: BTreeMap::new(),
@@ -971,8 +997,15 @@
         let cost = PREFILL_WEIGHT * prefill_ms
             + DELAY_WEIGHT * prefill_ms * load
             + COPY_WEIGHT * copy_ms
-            + wait_cost(choice.first_event_ms, query.goal_left_ms)
-            + stream_cost(endpoint, choice, query, prefill_ms_per_token, now_ms)
+            + wait_cost(choice.first_event_ms + choice.hold_ms(), query.goal_left_ms)
+            + stream_cost(
+                endpoint,
+                choice,
+                query,
+                self.pace_at(endpoint, now_ms),
+                prefill_ms_per_token,
+                now_ms,
+            )
             + load_ms;
         let bound = endpoint.bound(now_ms);
         let credit_ms = match bound.and_then(|bound| bound.rate()) {
@@ -1020,9 +1053,18 @@
             Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * prefill_ms_per_token,
             None => run_ms,
         };
+        let prefill_share =
+            endpoint.slowness() * endpoint.prefill_share(prefill_ms_per_token, now_ms);
+        let pace = service.engine.and(self.pace_at(endpoint, now_ms));
         Choice {
             endpoint: endpoint.id.clone(),
             first_event_ms: backlog_ms + endpoint.slowness() * request_ms,
+            backlog_limit_ms: endpoint.backlog_limit_ms(
+                pace,
+                query.pace_goal,
+                prefill_share,
+                query.share_ahead,
+            ),
             cost_ms: 0.0,
             work,
             copied_tokens,
@@ -1036,6 +1078,31 @@
         }
     }
 
+    /// Returns the pace of the streams at an endpoint: the measured one, or the mean of the
+    /// others if this host has no streams there.
+    fn pace_at(&self, endpoint: &Endpoint, now_ms: u64) -> Option<Pace> {
+        let own = endpoint.pace.pace(now_ms);
+        own.or_else(|| self.mean_paces.get(&endpoint.announcement.service).copied())
+    }
+
+    /// Updates the mean paces of the services' endpoints.
+    pub fn update_paces(&mut self, now_ms: u64) {
+        let mut sums: BTreeMap<CompactString, (f64, f64)> = BTreeMap::new();
+        for endpoint in self.endpoints.values() {
+            let Some(pace) = endpoint.pace.pace(now_ms) else {
+                continue;
+            };
+            let service = endpoint.announcement.service.clone();
+            let (total_ms, count) = sums.entry(service).or_default();
+            *total_ms += pace.event_ms();
+            *count += 1.0;
+        }
+        let means = sums.into_iter().filter_map(|(service, (total_ms, count))| {
+            Some((service, Pace::from_event_ms(total_ms / count)?))
+        });
+        self.mean_paces = means.collect();
+    }
+
     /// Estimates where the start of the prompt is cached.
     fn caches(&self, query: &EndpointQuery<'_>, now_ms: u64) -> Caches {
         let service = query.service;
--- a/src/gateway/request_sizes.rs
+++ b/src/gateway/request_sizes.rs
@@ -89,6 +89,8 @@
     pub route: CompactString,
     /// The caller comes back after a refusal: it waits for a shorter time than others.
     pub is_returning: bool,
+    /// Longest time that callers of the route lately waited for an answer.
+    pub longest_limit_ms: u64,
     /// Mean prompt of the route.
     pub usual_prompt: Tokens,
     /// Size relative to the mean.
@@ -146,6 +148,7 @@
         RequestSize {
             route: name,
             is_returning,
+            longest_limit_ms: usual.limit_ms as u64,
             usual_prompt: Tokens(usual.prompt_tokens as u64),
             relative: RelativeSize::new(ratio),
         }
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -291,9 +291,23 @@
             return;
         }
         let passed = exchange.passed_events();
+        let hint = exchange.request.metadata.length_hint;
         let (route, answers) = self.answer_lengths.entry(&exchange.route.name);
         if result != StreamResult::Interrupted {
-            answers.record(passed);
+            let length = match result {
+                StreamResult::OutOfTime => answers.cut_length(passed),
+                _ => passed,
+            };
+            answers.record(length);
+            if let Some(hint) = hint {
+                answers.record_hint(hint, length);
+            }
+            let limit_ms = match &exchange.size {
+                Some(size) => size.longest_limit_ms,
+                None => exchange.deadline_ms - exchange.arrived_ms,
+            };
+            let span_ms = limit_ms.saturating_sub(exchange.route.goal_ms);
+            answers.set_pace_goal(&exchange.route.service, span_ms as f64);
         }
         let mean_events = answers.mean_events().max(1.0);
         let length = RelativeSize::new(passed.0 as f64 / mean_events);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -224,6 +224,10 @@
             goal_left_ms,
             time_left_ms,
             waiting_ahead,
+            pace_goal: self.answer_lengths.pace_goal(&service.name),
+            expected_events: self
+                .answer_lengths
+                .expected_events(&route.name, exchange.request.metadata.length_hint),
         };
         let choose = |excluded: &[CompactString]| {
             let query = EndpointQuery { excluded, ..query };
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -481,6 +481,7 @@
             .set_peer_loads(|hash| shares.get(&hash).copied().unwrap_or_default());
         self.fleet
             .set_host_count(self.region_view.host_count, now_ms);
+        self.fleet.update_paces(now_ms);
     }
 
     /// Applies all packets that have arrived.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -61,7 +61,8 @@
         stream_origins::{
             AttemptHash,
             StreamOrigin, //
-        }, //
+        },
+        stream_pace::Pace, //
     },
     store_position::{
         StoreEra,
@@ -164,6 +165,8 @@
         goal_left_ms: GOAL_MS,
         time_left_ms: 15_000.0,
         waiting_ahead: 0,
+        pace_goal: None,
+        expected_events: None,
     };
     fleet.choose(&query, now_ms)
 }
@@ -564,6 +567,7 @@
             },
             copied_tokens: 0,
             backlog_ms: 50.0,
+            backlog_limit_ms: 500.0,
             cost_ms: 200.0,
             fetch_from: None,
             is_idle: false,
@@ -1171,3 +1175,92 @@
     assert_eq!(hosts.remote_wait_ms("south", "desk", 3, 2_000), Some(300.0));
     assert_eq!(hosts.remote_wait_ms("south", "desk", 3, 3_000), None);
 }
+
+/// Returns a fleet in which streams at some endpoints are slower than the goal of 100 ms, while
+/// engines only prefill.
+fn fleet_with_slow_streams(endpoint_count: usize, slow: &[&str]) -> Fleet {
+    let mut fleet = fleet_of(endpoint_count, 0);
+    for number in 0..endpoint_count {
+        let id = format!("e-{number}");
+        let event_ms = if slow.contains(&id.as_str()) { 170 } else { 50 };
+        let endpoint = fleet.get_mut(&id).expect("the endpoint");
+        let work = Work {
+            uncached_tokens: 100_000,
+            reserved_tokens: 100_000,
+        };
+        endpoint.record_send(work, 1_000);
+        endpoint.record_first_event(work);
+        endpoint.pace.record(6, 6 * event_ms, 1_000);
+    }
+    fleet
+}
+
+fn paced_query<'a>(
+    service: &'a Service,
+    metadata: &'a RequestMetadata,
+    region: &'a RegionView,
+) -> EndpointQuery<'a> {
+    EndpointQuery {
+        goal_left_ms: 1_200.0,
+        time_left_ms: 15_000.0,
+        pace_goal: Pace::from_event_ms(100.0),
+        ..EndpointQuery::new(service, metadata, region)
+    }
+}
+
+/// Guards against prompts that an engine prefills although its streams run out of time.
+#[test]
+fn prompt_goes_where_streams_bear_it_or_waits() {
+    let (service, metadata, region) = (model(), prompt(2, 3), RegionView { host_count: 1 });
+    let query = paced_query(&service, &metadata, &region);
+    let placed = |fleet: &Fleet| {
+        place(PlacementContext {
+            local: fleet.choose(&query, 1_000),
+            goal_left_ms: query.goal_left_ms,
+            goal_ms: query.goal_left_ms,
+            time_left_ms: query.time_left_ms,
+            ..placement_context()
+        })
+    };
+
+    let one_fast = placed(&fleet_with_slow_streams(3, &["e-0", "e-2"]));
+    let all_slow = placed(&fleet_with_slow_streams(3, &["e-0", "e-1", "e-2"]));
+
+    let Placement::Send(choice) = one_fast else {
+        panic!("{one_fast:?}");
+    };
+    assert_eq!(choice.endpoint, "e-1");
+    assert_eq!(all_slow, Placement::Wait);
+}
+
+/// Guards against urgent prompts that are held because of prefill that yields to them.
+#[test]
+fn urgent_prompt_is_not_held_for_less_urgent_prefill() {
+    let fleet = fleet_with_slow_streams(1, &["e-0"]);
+    let (service, metadata, region) = (model(), prompt(2, 3), RegionView { host_count: 1 });
+    let has_room = |share_ahead: f64| {
+        let query = EndpointQuery {
+            share_ahead,
+            ..paced_query(&service, &metadata, &region)
+        };
+        let choice = fleet.choose(&query, 1_000).expect("an endpoint");
+        choice.has_room()
+    };
+
+    assert!(has_room(0.2));
+    assert!(!has_room(1.0));
+}
+
+/// Guards against an endpoint that is slow by itself and never gets a prompt.
+#[test]
+fn slow_engine_without_prefill_gets_prompts() {
+    let mut fleet = fleet_of(1, 0);
+    let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+    endpoint.pace.record(6, 1_800, 1_000);
+    let (service, metadata, region) = (model(), prompt(2, 3), RegionView { host_count: 1 });
+    let query = paced_query(&service, &metadata, &region);
+
+    let choice = fleet.choose(&query, 1_000).expect("an endpoint");
+
+    assert!(choice.has_room());
+}
