Refuse what would end after the host during a stop

Cause: arrivals were refused from 2.7 s on, whatever the grace, and nothing asked whether an answer ends before the process. Class of fault: a constant that stands for a prediction.

Change: after the signal, a request is placed, repeated or moved only if it ends before the exit: by its own time limit, or by the longest time that answers of its route took. Otherwise it is refused as not run at once. New requests are refused after 2.7 s or half of the time until the exit. Requests that wait, need a permit or are forwarded go through the same place. The product's other interface (src/host) is not changed.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod answer_lengths;
+pub mod answer_times;
 pub mod body;
 pub mod bound;
 pub mod configuration;
@@ -48,6 +49,7 @@
 mod serve_placement;
 mod serve_reach;
 mod serve_response;
+mod serve_shutdown;
 mod serve_stall;
 mod serve_streams;
 mod serve_upstream;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -57,6 +57,7 @@
 
 use super::{
     answer_lengths::AnswerLengths,
+    answer_times::AnswerTimes,
     configuration::Configuration,
     connection::{
         InboundConnection,
@@ -112,13 +113,6 @@
 /// Minimum time between the stop signal and the end of the process, in which
 /// callers with a cached directory response still reach the host.
 const MIN_SHUTDOWN_MS: u64 = 4_200;
-/// Time after the stop signal from which new requests are refused. The platform
-/// tolerates the failure of requests that arrive up to three seconds after the
-/// signal, and callers have queried the directory again by then.
-const REFUSE_AFTER_MS: u64 = 2_700;
-/// Time before the forced end of the process at which it exits by itself.
-const EXIT_BEFORE_KILL_MS: u64 = 500;
-
 /// How the reactor ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReactorExit {
@@ -152,6 +146,7 @@
     pub(super) telemetry: Telemetry,
     pub(super) request_sizes: RequestSizes,
     pub(super) answer_lengths: AnswerLengths,
+    pub(super) answer_times: AnswerTimes,
     pub(super) random: Pcg64Mcg,
     /// Moving average of the round trip to each other region.
     pub(super) round_trip_ms: BTreeMap<CompactString, f64>,
@@ -262,6 +257,7 @@
             telemetry,
             request_sizes: RequestSizes::default(),
             answer_lengths: AnswerLengths::default(),
+            answer_times: AnswerTimes::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
             round_trip_ms: BTreeMap::new(),
             started: Instant::now(),
@@ -499,18 +495,12 @@
         self.host_count.store(host_count, Ordering::Relaxed);
     }
 
-    /// Returns whether new requests are refused because the process ends soon.
-    pub(super) fn is_refusing_new(&self, now_ms: u64) -> bool {
-        self.shutdown_started_ms
-            .is_some_and(|started_ms| now_ms >= started_ms + REFUSE_AFTER_MS)
-    }
-
     /// Returns whether the process can end; before its forced end, ends the requests
     /// that are left.
     fn exit_if_done(&mut self) -> Option<ReactorExit> {
         let started_ms = self.shutdown_started_ms?;
         let now_ms = self.now_ms();
-        if now_ms + EXIT_BEFORE_KILL_MS >= started_ms + self.settings.shutdown_ms {
+        if self.exits_at_ms().is_some_and(|at_ms| now_ms >= at_ms) {
             let cut_off_count = self.end_all_exchanges();
             return Some(ReactorExit { cut_off_count });
         }
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -272,6 +272,10 @@
         };
         self.waiting.retain(|other| *other != key);
         let total_ms = now_ms.saturating_sub(exchange.arrived_ms);
+        if (200..300).contains(&status) {
+            let (_, time) = self.answer_times.entry(&exchange.route.name);
+            time.record(total_ms);
+        }
         self.record_answer(&exchange, status, now_ms);
         self.telemetry
             .request_ended(&exchange, outcome, status, total_ms, now_ms);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -149,7 +149,7 @@
     /// Decides where a request goes and sends, queues or refuses it.
     pub(super) fn place_exchange(&mut self, key: usize) {
         let now_ms = self.now_ms();
-        if self.refuse_unservable(key, now_ms) {
+        if self.refuse_unservable(key, now_ms) || self.refuse_before_exit(key, now_ms) {
             return;
         }
         let exchange = self.exchanges.get(key);
--- a/src/gateway/serve_stall.rs
+++ b/src/gateway/serve_stall.rs
@@ -47,6 +47,9 @@
         };
         dispatch.next_move_ms = now_ms + MOVE_INTERVAL_MS;
         let dispatch = dispatch.clone();
+        if !self.may_move(key, now_ms) {
+            return;
+        }
         let Some(successor) = self.connected_successor(key, now_ms) else {
             return;
         };
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -215,3 +215,115 @@
 
     assert!(host.is_ready());
 }
+
+/// Returns a host that ends this many seconds after its stop signal, and its store.
+fn host_with_grace(endpoint: &ScriptedEndpoint, shutdown_s: u64) -> (MetadataStore, Host) {
+    let store = MetadataStore::start().expect("the store starts");
+    store.put("op/config", &configuration(7));
+    announce(&store, endpoint, "north");
+    let options = HostOptions {
+        shutdown_s,
+        ..HostOptions::default()
+    };
+    let host = Host::start(&store, &options);
+    host.wait_log("endpoint announced");
+    (store, host)
+}
+
+/// Returns a host with a grace of 4 s, an endpoint whose drafts take 2 s, and their store; one
+/// draft has been answered.
+fn host_with_known_drafts() -> (MetadataStore, ScriptedEndpoint, Host) {
+    let endpoint = ScriptedEndpoint::start("e-1", |_, arrival| match arrival.path.as_str() {
+        "/draft/1" => Script::Events {
+            first: 0,
+            end: 20,
+            pause: Duration::from_millis(100),
+            is_whole: true,
+        },
+        _ => Script::Answer(200, b"ok".to_vec()),
+    })
+    .expect("the endpoint starts");
+    let (store, host) = host_with_grace(&endpoint, 4);
+    let draft = Request::post("/draft/1", b"text")
+        .with_attempt("a-0", 9_000)
+        .send(host.caller_address);
+    assert!(draft.is_complete);
+    (store, endpoint, host)
+}
+
+/// Guards against a stream that is taken during a stop and cut at its end, although the host
+/// knows how long such streams last.
+#[test]
+fn stream_that_outlasts_the_stop_is_refused_as_not_run() {
+    let (_store, endpoint, host) = host_with_known_drafts();
+    let send = |path: &str, attempt: &str| {
+        Request::post(path, b"text")
+            .with_attempt(attempt, 9_000)
+            .try_send(host.caller_address)
+            .expect("an answer")
+    };
+
+    host.signal(Signal::SIGTERM);
+    thread::sleep(Duration::from_millis(200));
+    let in_time = send("/draft/1", "a-1");
+    let late = send("/draft/1", "a-2");
+
+    assert!(in_time.is_complete);
+    assert_eq!(in_time.status, 200);
+    assert_eq!(late.status, 503);
+    assert!(late.header("retry-after").is_some());
+    assert!(!endpoint.runs().iter().any(|run| run.attempt() == "a-2"));
+}
+
+/// Guards against requests of unknown length that are cut at the end of a short grace.
+#[test]
+fn request_of_unknown_length_is_taken_only_if_its_time_limit_ends_before_the_host() {
+    let (_store, endpoint, host) = host_with_known_drafts();
+    let send = |attempt: &str, limit_ms: u64| {
+        Request::post("/book/1", b"parcel")
+            .with_attempt(attempt, limit_ms)
+            .try_send(host.caller_address)
+            .expect("an answer")
+    };
+
+    host.signal(Signal::SIGTERM);
+    wait_until("the host is not ready", || !host.is_ready());
+    let patient = send("a-1", 9_000);
+    let short = send("a-2", 1_000);
+
+    assert_eq!(patient.status, 503);
+    assert_eq!(short.status, 200);
+    assert!(!endpoint.runs().iter().any(|run| run.attempt() == "a-1"));
+}
+
+/// Guards against a repeat that is sent late in a stop and cut at its end.
+#[test]
+fn repeat_that_outlasts_the_stop_is_not_sent() {
+    let endpoint = ScriptedEndpoint::start("e-1", |index, _| match index {
+        0 => Script::After(
+            Duration::from_millis(1_500),
+            Box::new(Script::Answer(200, b"ok".to_vec())),
+        ),
+        _ => Script::After(Duration::from_millis(2_500), Box::new(Script::Close)),
+    })
+    .expect("the endpoint starts");
+    let (_store, host) = host_with_grace(&endpoint, 4);
+    host.earn_repeats(8);
+    let address = host.caller_address;
+    let read = move |attempt: &'static str| {
+        Request::get("/read/1")
+            .with_attempt(attempt, 9_000)
+            .try_send(address)
+    };
+    read("a-1").expect("an answer");
+    let caller = thread::spawn(move || read("a-2"));
+    wait_until("the request runs", || endpoint.runs().len() == 2);
+
+    host.signal(Signal::SIGTERM);
+    let answer = caller.join().expect("the caller ends");
+
+    // Its endpoint breaks off 1 s before the host exits; a repeat takes 1.5 s.
+    assert_eq!(answer.expect("an answer").status, 502);
+    assert_eq!(endpoint.runs().len(), 2);
+    assert!(host.log().contains("host stops before an answer"));
+}
