Refuse requests that are being received when a stopping host takes no more

Cause: the host exits as soon as no request is in progress, also while one is being received. Now such a request is refused as not run once new ones are refused.

request_that_is_received_during_the_stop_is_refused failed before and passes now.

--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -469,6 +469,7 @@
         self.check_health(now_ms);
         self.store_versions(now_ms);
         self.serve_waiting(now_ms);
+        self.refuse_unread(now_ms);
         self.send_load_update(now_ms);
         if now_ms >= self.next_sweep_ms {
             self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS;
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -281,7 +281,7 @@
         self.respond_with_body(key, response, "text/plain", b"");
     }
 
-    fn respond_and_close(&mut self, key: usize, response: GatewayResponse) {
+    pub(super) fn respond_and_close(&mut self, key: usize, response: GatewayResponse) {
         if let Some(inbound) = self.inbound.get_mut(key) {
             inbound.is_closing = true;
         }
--- a/src/gateway/serve_shutdown.rs
+++ b/src/gateway/serve_shutdown.rs
@@ -5,8 +5,10 @@
 //! route took; otherwise it is refused at once, so that its caller can go to another host.
 
 use super::{
+    connection::Role,
     exchange::Exchange,
     reactor::Reactor,
+    response::GatewayResponse,
     serve_caller::LEAVING_RETRY_MS, //
 };
 
@@ -70,4 +72,30 @@
         let exchange = self.exchanges.get(key);
         exchange.is_some_and(|exchange| self.ends_before_exit(exchange, now_ms))
     }
+
+    /// Refuses the requests that are being received once new ones are refused: the process may
+    /// end before the rest of them arrives.
+    pub(super) fn refuse_unread(&mut self, now_ms: u64) {
+        if !self.is_refusing_new(now_ms) {
+            return;
+        }
+        let is_unread = |role: Role| matches!(role, Role::Caller | Role::Peer);
+        let unread: Vec<usize> = self
+            .inbound
+            .iter()
+            .filter(|(_, inbound)| is_unread(inbound.role) && !inbound.is_closing)
+            .filter(|(_, inbound)| {
+                inbound.exchange.is_none() && inbound.request_started_ms.is_some()
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in unread {
+            tracing::info!(
+                retry_ms = LEAVING_RETRY_MS,
+                status = 503,
+                "host stops while a request is received; request is refused"
+            );
+            self.respond_and_close(key, GatewayResponse::refusal(LEAVING_RETRY_MS));
+        }
+    }
 }
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -296,6 +296,26 @@
     assert!(!endpoint.runs().iter().any(|run| run.attempt() == "a-1"));
 }
 
+/// Guards against a connection that closes without an answer while its request is received.
+#[test]
+fn request_that_is_received_during_the_stop_is_refused() {
+    let (_store, _endpoint, mut host) = host_with_known_drafts();
+    let mut caller = TcpStream::connect(host.caller_address).expect("a connection");
+    let request = Request::post("/book/1", &[b'x'; 400]).with_attempt("a-1", 9_000);
+    let bytes = request.bytes();
+    caller
+        .write_all(&bytes[..bytes.len() - 100])
+        .expect("the first part is sent");
+
+    host.signal(Signal::SIGTERM);
+    let answer = read_next_response(&mut caller, &mut Vec::new());
+
+    let answer = answer.expect("an answer before the connection closes");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(host.wait_end(Duration::from_secs(5)), Some(0));
+}
+
 /// Guards against a repeat that is sent late in a stop and cut at its end.
 #[test]
 fn repeat_that_outlasts_the_stop_is_not_sent() {
