Let a begun stream go on during a stop if its rest ends in time

A stream that was interrupted during a stop was cut at once, because its rest counted as a new answer of its route. It now counts from its arrival. interrupted_stream_goes_on_elsewhere_if_its_rest_ends_before_the_host fails before and passes now.

--- a/src/gateway/serve_shutdown.rs
+++ b/src/gateway/serve_shutdown.rs
@@ -43,13 +43,18 @@
         now_ms >= started_ms + REFUSE_AFTER_MS.min(latest_ms as u64)
     }
 
-    /// Returns whether the answer to a request that is sent now ends before the process.
+    /// Returns whether the answer to a request that is sent now ends before the process. One that
+    /// has begun goes on where it was interrupted.
     fn ends_before_exit(&self, exchange: &Exchange, now_ms: u64) -> bool {
         let Some(exits_at_ms) = self.exits_at_ms() else {
             return true;
         };
+        let begins_at_ms = match exchange.has_response_begun {
+            true => exchange.arrived_ms,
+            false => now_ms,
+        };
         let answer_ms = self.answer_times.bound_ms(&exchange.route.name);
-        let ends_at_ms = answer_ms.map_or(u64::MAX, |answer_ms| now_ms + answer_ms);
+        let ends_at_ms = answer_ms.map_or(u64::MAX, |answer_ms| begins_at_ms + answer_ms);
         ends_at_ms.min(exchange.deadline_ms) <= exits_at_ms
     }
 
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -347,3 +347,37 @@
     assert_eq!(endpoint.runs().len(), 2);
     assert!(host.log().contains("host stops before an answer"));
 }
+
+/// Guards against a stream that is cut during a stop because its rest counts as a new answer.
+#[test]
+fn interrupted_stream_goes_on_elsewhere_if_its_rest_ends_before_the_host() {
+    let events = |first, end, is_whole| Script::Events {
+        first,
+        end,
+        pause: Duration::from_millis(100),
+        is_whole,
+    };
+    let endpoint = ScriptedEndpoint::start("e-1", move |index, _| match index {
+        0 => events(0, 20, true),
+        1 => events(0, 16, false),
+        _ => events(16, 20, true),
+    })
+    .expect("the endpoint starts");
+    let (_store, host) = host_with_grace(&endpoint, 4);
+    host.earn_repeats(8);
+    let address = host.caller_address;
+    let chat = move |attempt: &'static str| {
+        Request::post("/chat/1", b"hello")
+            .with_attempt(attempt, 9_000)
+            .send(address)
+    };
+    assert!(chat("a-1").is_complete);
+    let caller = thread::spawn(move || chat("a-2"));
+    wait_until("the stream runs", || endpoint.runs().len() == 2);
+
+    host.signal(Signal::SIGTERM);
+    let answer = caller.join().expect("the caller ends");
+
+    assert!(answer.is_complete, "{}", answer.text());
+    assert_eq!(answer.text(), (0..20).map(event_text).collect::<String>());
+}
