--- a/src/gateway/answer_lengths.rs
+++ b/src/gateway/answer_lengths.rs
@@ -27,9 +27,7 @@
 const CLASS_COUNT: usize = 65;
 /// Share by which earlier answers count less with each new one of a route.
 const DECAY: f64 = 0.002;
-
-/// Share of a route's answers that are to end in time at the pace goal: the middle of the longest
-/// tenth.
+/// Share of a route's answers that are to end in time at the pace goal: nearly all.
 const PACED_SHARE: f64 = 0.99;
 /// Fewest answers of a route from which a pace goal is taken.
 const MIN_PACED_ANSWERS: f64 = 10.0;
