--- a/src/gateway/serve_shutdown.rs
+++ b/src/gateway/serve_shutdown.rs
@@ -16,7 +16,8 @@
 /// tolerates the failure of requests that arrive up to three seconds after the
 /// signal, and callers have queried the directory again by then.
 const REFUSE_AFTER_MS: u64 = 2_700;
-/// Share of the time until the exit after which new requests are refused at the latest.
+/// Share of the time until the exit after which new requests are refused at the latest, so that a
+/// short grace leaves time for their answers.
 const REFUSE_AFTER_SHARE: f64 = 0.5;
 /// Time before the forced end of the process at which it exits by itself.
 const EXIT_BEFORE_KILL_MS: u64 = 500;
@@ -72,7 +73,8 @@
         is_late
     }
 
-    /// Returns whether a request in progress may be sent to another place.
+    /// Returns whether a request in progress may be sent to another place: its answer would end
+    /// before the process.
     pub(super) fn may_move(&self, key: usize, now_ms: u64) -> bool {
         let exchange = self.exchanges.get(key);
         exchange.is_some_and(|exchange| self.ends_before_exit(exchange, now_ms))
--- a/src/gateway/stream_pace.rs
+++ b/src/gateway/stream_pace.rs
@@ -10,8 +10,7 @@
 
 use crate::types::ParseError;
 
-/// Time constant of the moving pace: several events, and less than the backlog of an endpoint
-/// takes to drain in a burst.
+/// Time constant of the moving pace: several events of a slow stream.
 const PACE_DECAY_MS: f64 = 1_000.0;
 /// Fewest recent events from which a pace is taken.
 const MIN_EVENTS: f64 = 0.5;
