--- a/src/gateway/answer_lengths.rs
+++ b/src/gateway/answer_lengths.rs
@@ -113,11 +113,6 @@
         Some(self.mean_events * factor)
     }
 
-    /// Returns the weight of the recorded answers: their number, less what has decayed.
-    pub fn weight(&self) -> f64 {
-        self.total_weight
-    }
-
     /// Returns the mean length in events; 0 if there was no answer.
     pub fn mean_events(&self) -> f64 {
         self.mean_events
