Review: proper requests with long heads are denied when forwarded

Cause: a host of another region parses a forwarded head, which is longer by the Bridge-Forward header, with the callers' max_header_bytes and answers 431, which the first host passes on.

Adds the script and its stand-in.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -39,6 +39,7 @@
     let record = Record::create(&PathBuf::from(record));
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
+        "heads" => cases::heads::play(&directory, has_trouble, &record),
         "pause" => cases::pause::play(&directory, has_trouble, &record),
         "stop" => cases::stop::play(&directory, has_trouble, &record),
         "leave" => cases::leave::play(&directory, has_trouble, &record),
