Review: streams are continued at another software version

Cause: a host takes a replica's version from its last entry, also after that start of the replica has ended, so a replica that comes back with another version while the store is away continues streams of the old one.

Adds the script and its server.

--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -5,3 +5,4 @@
 pub mod news;
 pub mod pause;
 pub mod stop;
+pub mod versions;
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod server;
 mod site;
+mod streams;
 
 use std::{
     env,
@@ -40,6 +41,7 @@
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "heads" => cases::heads::play(&directory, has_trouble, &record),
+        "versions" => cases::versions::play(&directory, has_trouble, &record),
         "pause" => cases::pause::play(&directory, has_trouble, &record),
         "stop" => cases::stop::play(&directory, has_trouble, &record),
         "leave" => cases::leave::play(&directory, has_trouble, &record),
