Review: an entry with fields missing brings a replica back that left

Cause: seq, born and cold_left_ms of a replica's entry default when they are missing, so an entry of another writer names a replica to use.

Adds the script.

--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -40,6 +40,7 @@
     let record = Record::create(&PathBuf::from(record));
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
+        "entry" => cases::entry::play(&directory, has_trouble, &record),
         "heads" => cases::heads::play(&directory, has_trouble, &record),
         "versions" => cases::versions::play(&directory, has_trouble, &record),
         "pause" => cases::pause::play(&directory, has_trouble, &record),
