Review: a host that is cut off joins streams from two versions

Cause: a host that is cut off silently trusts what it knows of the software versions until its watch times out, up to 4 s later, and takes a stream of an unknown beginning for one of the only version that it knows.

Adds the script with relays that can be cut; a host whose ports are taken is started again.

--- a/review/stand/src/cases/entry.rs
+++ b/review/stand/src/cases/entry.rs
@@ -78,7 +78,12 @@
     let late = leaving
         .runs()
         .iter()
-        .filter(|run| callers.sent.get(&run.attempt).is_some_and(|at| *at > gone_at + DRAIN))
+        .filter(|run| {
+            callers
+                .sent
+                .get(&run.attempt)
+                .is_some_and(|at| *at > gone_at + DRAIN)
+        })
         .inspect(|run| record.line(&format!("leaving ran {}", run.attempt)))
         .count();
     record.line(&format!(
@@ -86,7 +91,10 @@
          leaving; staying ran {}",
         callers.sent.len(),
         callers.served,
-        staying.iter().map(|server| server.runs().len()).sum::<usize>()
+        staying
+            .iter()
+            .map(|server| server.runs().len())
+            .sum::<usize>()
     ));
     if run_before == 0 {
         return Verdict::NotRun;
--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+pub mod apart;
 pub mod entry;
 pub mod heads;
 pub mod leave;
--- a/review/stand/src/host.rs
+++ b/review/stand/src/host.rs
@@ -35,6 +35,10 @@
 
 /// Time in which a host has to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
+/// Further starts of a host that ends at once.
+const START_TRIES: usize = 4;
+/// Time in which a host whose ports are taken has ended.
+const START_PAUSE: Duration = Duration::from_millis(200);
 /// Time between SIGTERM and SIGKILL, as in the small sites.
 pub const GRACE_S: u64 = 8;
 
@@ -59,8 +63,21 @@
 }
 
 impl Host {
-    /// Starts a host of a region of three, whose data centre is the region's name with `-a`.
+    /// Starts a host of a region of three, whose data centre is the region's name with `-a`; again
+    /// if it ends at once because another process has taken one of its ports.
     pub fn start(directory: &Path, store: SocketAddr, name: &str, region: &str) -> Self {
+        let mut host = Self::start_once(directory, store, name, region);
+        for _ in 0..START_TRIES {
+            thread::sleep(START_PAUSE);
+            if host.ended().is_none() {
+                break;
+            }
+            host = Self::start_once(directory, store, name, region);
+        }
+        host
+    }
+
+    fn start_once(directory: &Path, store: SocketAddr, name: &str, region: &str) -> Self {
         let ports = free_addresses(5);
         let text = format!(
             "[host]\nname = {name}\nregion = {region}\ndata_centre = {region}-a\ncapacity = 0.25\n\
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -10,6 +10,7 @@
 mod server;
 mod site;
 mod streams;
+mod wires;
 
 use std::{
     env,
@@ -40,6 +41,7 @@
     let record = Record::create(&PathBuf::from(record));
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
+        "apart" => cases::apart::play(&directory, has_trouble, &record),
         "entry" => cases::entry::play(&directory, has_trouble, &record),
         "heads" => cases::heads::play(&directory, has_trouble, &record),
         "versions" => cases::versions::play(&directory, has_trouble, &record),
--- a/review/stand/src/streams.rs
+++ b/review/stand/src/streams.rs
@@ -164,7 +164,10 @@
                 return;
             }
             for number in after.map_or(0, |after: u64| after + 1)..self.events {
-                let event = format!("id: {number}\ndata: token {number} of {}\n\n", start.version);
+                let event = format!(
+                    "id: {number}\ndata: token {number} of {}\n\n",
+                    start.version
+                );
                 let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                 if stream.write_all(chunk.as_bytes()).is_err() {
                     return;
