--- a/review/6/run.sh
+++ b/review/play.sh
@@ -1,9 +1,13 @@
 #!/usr/bin/env bash
+# Plays a case by its name and writes its record: play.sh CASE RECORD.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the disruption out.
 set -u
-here=$(cd "$(dirname "$0")" && pwd)
-top=$(cd "$here/../.." && pwd)
+top=$(cd "$(dirname "$0")/.." && pwd)
+if [ $# -ne 2 ]; then
+    echo "usage: play.sh CASE RECORD"
+    exit 2
+fi
 export GATEWAY="$top/target/release/cardamombridge"
 stand="$top/target/review/release/review-stand"
 if [ ! -x "$GATEWAY" ] || [ ! -x "$stand" ]; then
@@ -12,7 +16,7 @@
 fi
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 115 "$stand" heads "$folder" "$here/record.txt"
+timeout -k 2 115 "$stand" "$1" "$folder" "$2"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/stand/src/cases/apart.rs
+++ b/review/stand/src/cases/apart.rs
@@ -2,27 +2,14 @@
 //! began at another host, which is killed, are taken up at it.
 
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeSet,
     net::SocketAddr,
     path::Path,
-    sync::{
-        Arc,
-        Mutex, //
-    },
     thread,
     time::{
         Duration,
         Instant, //
-    },
-};
-
-use nix::sys::signal::Signal;
-use serde_json::{
-    Value,
-    json, //
+    }, //
 };
 
 use crate::{
@@ -34,11 +21,10 @@
     streams::StreamServer,
     wires::{
         Cut,
-        Target,
-        proxy_connections,
-        relay_packets, //
+        Paths, //
     },
 };
+use nix::sys::signal::Signal;
 
 /// `contact_ms` of the small sites.
 const CONTACT: Duration = Duration::from_millis(6_000);
@@ -70,41 +56,8 @@
 /// Plays the case.
 pub fn play(directory: &Path, has_trouble: bool, record: &Record) -> Verdict {
     let cut = Cut::default();
-    let whole = Cut::default();
     let store = start_store(TIME_LIMIT_MS, 800);
-    // The host that will be cut off is reached, and reaches the others, through relays.
-    let relays: BTreeMap<String, (SocketAddr, Target)> = HOSTS
-        .into_iter()
-        .map(|name| (name.to_owned(), relay_packets(&cut)))
-        .collect();
-    let apart = HOSTS[2];
-    let known = Arc::new(Mutex::new(BTreeMap::<String, Value>::new()));
-    let written = Arc::clone(&known);
-    let through = relays.clone();
-    store.set_rewrite(move |key, value| {
-        let name = key.strip_prefix("cardamombridge/hosts/")?;
-        let mut item: Value = serde_json::from_slice(value).ok()?;
-        let (address, target) = through.get(name)?;
-        let real: SocketAddr = item["peer_address"].as_str()?.parse().ok()?;
-        *target.lock().expect("no relay panics") = Some(real);
-        written
-            .lock()
-            .expect("no writer panics")
-            .insert(name.to_owned(), item.clone());
-        item["peer_address"] = json!(address.to_string());
-        Some(item.to_string().into_bytes())
-    });
-    // Hosts that are not cut off see each other without the relays.
-    let near = store
-        .view(move |key, _| {
-            let name = key.strip_prefix("cardamombridge/hosts/")?;
-            let known = known.lock().expect("no writer panics");
-            let item = known.get(name).filter(|_| name != apart)?;
-            Some(item.to_string().into_bytes())
-        })
-        .expect("the view starts");
-    let far = proxy_connections(&cut, store.address());
-    let near = proxy_connections(&whole, near.address());
+    let paths = Paths::new(&store, &HOSTS, HOSTS[2], &cut);
 
     let old: Vec<StreamServer> = ["old-1", "old-2"]
         .into_iter()
@@ -117,10 +70,8 @@
     for server in &old {
         store.put(&server.key(), &server.entry("north", 1));
     }
-    let hosts = HOSTS.map(|name| {
-        let store = if name == apart { far } else { near };
-        Host::start(directory, store, name, "north")
-    });
+    let apart = HOSTS[2];
+    let hosts = HOSTS.map(|name| Host::start(directory, paths.store_of(name), name, "north"));
     if !hosts.iter().all(Host::wait_ready) {
         return Verdict::NotRun;
     }
--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 pub mod apart;
+pub mod cold;
 pub mod entry;
 pub mod heads;
 pub mod leave;
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -42,6 +42,7 @@
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "apart" => cases::apart::play(&directory, has_trouble, &record),
+        "cold" => cases::cold::play(&directory, has_trouble, &record),
         "entry" => cases::entry::play(&directory, has_trouble, &record),
         "heads" => cases::heads::play(&directory, has_trouble, &record),
         "versions" => cases::versions::play(&directory, has_trouble, &record),
--- a/review/stand/src/site.rs
+++ b/review/stand/src/site.rs
@@ -27,6 +27,16 @@
     store
 }
 
+/// Like [`start_store`], with endpoints that are cold for some time after their start.
+pub fn start_store_of_cold(timeout_ms: u64, goal_ms: u64, cold_per_s: f64) -> MetadataStore {
+    let store = MetadataStore::start().expect("the store starts");
+    let mut configuration = configuration(7, timeout_ms, goal_ms);
+    configuration["backends"][0]["cold_s"] = json!(3.0);
+    configuration["backends"][0]["cold_per_s"] = json!(cold_per_s);
+    store.put("op/config", &configuration);
+    store
+}
+
 fn configuration(version: u64, timeout_ms: u64, goal_ms: u64) -> Value {
     let route = |name: &str, kind: &str, attempts: u32, is_resumable: bool| {
         json!({
--- a/review/stand/src/streams.rs
+++ b/review/stand/src/streams.rs
@@ -20,6 +20,7 @@
     thread,
     time::{
         Duration,
+        Instant,
         SystemTime,
         UNIX_EPOCH, //
     },
@@ -32,6 +33,7 @@
 };
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+const HEALTH_PATH: &str = "/healthz";
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(5);
 
 /// What a start of the server is.
@@ -51,6 +53,8 @@
     pub after: Option<u64>,
     /// Version of the start that ran it.
     pub version: String,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 /// A server that keeps its id and address over restarts.
@@ -60,6 +64,7 @@
     address: SocketAddr,
     start: Arc<Mutex<Start>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
+    cold_until: Arc<Mutex<Option<Instant>>>,
     runs: Arc<Mutex<Vec<StreamRun>>>,
     events: u64,
     pause: Duration,
@@ -83,6 +88,7 @@
                 is_running: true,
             })),
             open: Arc::default(),
+            cold_until: Arc::default(),
             runs: Arc::default(),
             events,
             pause,
@@ -149,11 +155,24 @@
                 }
                 continue;
             }
+            if head.path() == HEALTH_PATH {
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Cold-Ms: {}\r\n\
+                     Content-Length: 0\r\n\r\n",
+                    self.id,
+                    self.cold_left_ms()
+                );
+                if stream.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             let after = head.header("last-event-id").and_then(|id| id.parse().ok());
             self.runs.lock().expect("no server panics").push(StreamRun {
                 attempt: attempt.clone(),
                 after,
                 version: start.version.clone(),
+                at: Instant::now(),
             });
             let head = format!(
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal-{}\r\n\
@@ -202,13 +221,24 @@
         self.clone().accept(listener);
     }
 
+    /// Becomes cold for some time, which its entry and its health answers say.
+    pub fn become_cold(&self, time: Duration) {
+        *self.cold_until.lock().expect("no server panics") = Some(Instant::now() + time);
+    }
+
+    fn cold_left_ms(&self) -> u64 {
+        let until = *self.cold_until.lock().expect("no server panics");
+        let left = until.map(|until| until.saturating_duration_since(Instant::now()));
+        left.map_or(0, |left| left.as_millis() as u64)
+    }
+
     /// Returns its entry in the store.
     pub fn entry(&self, region: &str, seq: u64) -> Value {
         let start = self.now();
         json!({
             "backend": "desk", "addr": self.address.to_string(), "zone": format!("{region}-a"),
-            "version": start.version, "slots": 64, "state": "ready", "cold_left_ms": 0,
-            "seq": seq, "born": start.born_ms,
+            "version": start.version, "slots": 64, "state": "ready",
+            "cold_left_ms": self.cold_left_ms(), "seq": seq, "born": start.born_ms,
         })
     }
 
