Ask the store before a stream of unknown beginning goes on

Cause: the host concluded from the silence of its watch, up to 4 s old, that no other version had joined. Each answer of the store now covers the time at which it was asked for, and a stream of unknown beginning goes on only if that is after its arrival. Otherwise the host asks the store for what its copy lacks, with one watch that does not wait, and refuses the stream as not run without an answer. The answer is ordered with the announcement of the other version, so the version can't be missing. An answer that names a newer revision than its changes reach covers nothing.

Ruled out: a shorter time-out leaves the conclusion; messages between hosts say nothing once the host that knew more is gone.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -19,9 +19,14 @@
 };
 
 use crossbeam::channel::Receiver;
-use thiserror::Error;
 
 use super::{
+    copy_checks::{
+        Changes,
+        CopyCheck,
+        ReadChangesError,
+        read_changes, //
+    },
     era::{
         EraTracker,
         EraWentBack, //
@@ -36,15 +41,10 @@
 };
 use crate::{
     platform::store::{
-        Answer,
-        Page,
         StoreClient,
         StoreError, //
     },
-    store_position::{
-        StoreEra,
-        StorePosition, //
-    }, //
+    store_position::StorePosition, //
 };
 
 /// Longest wait of one watch. A watch whose connection is dead is detected after
@@ -64,17 +64,6 @@
 /// Time that each host of the region takes of the store to read all items.
 const READ_ALL_PER_HOST: Duration = Duration::from_millis(4);
 
-/// Why the replica could not be brought up to date.
-#[derive(Debug, Error)]
-enum FollowError {
-    /// The call failed.
-    #[error(transparent)]
-    Store(#[from] StoreError),
-    /// The answer is of an era that has ended.
-    #[error(transparent)]
-    Era(#[from] EraWentBack),
-}
-
 /// Where the next watch begins, or that all items have to be read first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Next {
@@ -127,7 +116,7 @@
                     next = Next::ReadAll;
                     thread::sleep(self.spread.delay(READ_ALL_PER_HOST));
                 }
-                Err(FollowError::Store(StoreError::HistoryDropped)) => {
+                Err(ReadChangesError::Store(StoreError::HistoryDropped)) => {
                     tracing::info!(?next, "store dropped its history; reading all items again");
                     next = Next::ReadAll;
                     thread::sleep(self.spread.delay(READ_ALL_PER_HOST));
@@ -141,7 +130,8 @@
     }
 
     /// Reads all items.
-    fn read_all(&mut self) -> Result<Next, FollowError> {
+    fn read_all(&mut self) -> Result<Next, ReadChangesError> {
+        let asked_at = Instant::now();
         let answer = match self.call_client.range("") {
             Ok(answer) => answer,
             Err(StoreError::MixedEras) => {
@@ -151,34 +141,47 @@
             Err(error) => return Err(error.into()),
         };
         let era = self.era.observe(&answer.era)?;
-        self.apply(page(answer, era, true))
+        let page = ReplicaPage {
+            changes: answer.value.changes,
+            revision: answer.value.revision,
+            era,
+            is_complete: true,
+        };
+        self.apply(page, asked_at, true)
     }
 
     /// Waits for changes after `known` and returns what comes next.
-    ///
-    /// While the store drops its history it may report a revision without the
-    /// changes up to it, so only the changes themselves advance the revision.
-    fn watch(&mut self, known: StorePosition) -> Result<Next, FollowError> {
+    fn watch(&mut self, known: StorePosition) -> Result<Next, ReadChangesError> {
         let wait = match self.replica.settles_in(Instant::now()) {
             Some(settles_in) => WATCH_WAIT.min(settles_in),
             None => WATCH_WAIT,
         };
-        let answer = self.watch_client.watch("", known.revision, wait)?;
-        let era = self.era.observe(&answer.era)?;
-        if era != known.era {
-            // The revisions of the answer are not comparable with the known one.
-            return Ok(Next::ReadAll);
+        let asked_at = Instant::now();
+        match read_changes(&self.watch_client, &mut self.era, known, wait)? {
+            Changes::OtherEra(_) => Ok(Next::ReadAll),
+            Changes::Page { page, is_complete } => self.apply(page, asked_at, is_complete),
         }
-        let mut page = page(answer, era, false);
-        let newest = page.changes.iter().map(|change| change.revision).max();
-        page.revision = newest.unwrap_or(known.revision).max(known.revision);
-        self.apply(page)
     }
 
-    fn apply(&self, page: ReplicaPage) -> Result<Next, FollowError> {
+    /// Applies a page that was asked for at `asked_at`, and that contains all changes from
+    /// before then if `is_complete`.
+    fn apply(
+        &self,
+        page: ReplicaPage,
+        asked_at: Instant,
+        is_complete: bool,
+    ) -> Result<Next, ReadChangesError> {
         let position = page.position();
         match self.replica.apply(page, Instant::now()) {
-            ApplyOutcome::Applied => Ok(Next::Watch(position)),
+            ApplyOutcome::Applied => {
+                if is_complete {
+                    self.replica.report_check(CopyCheck {
+                        asked_at,
+                        is_complete,
+                    });
+                }
+                Ok(Next::Watch(position))
+            }
             ApplyOutcome::NeedsAllItems => Ok(Next::ReadAll),
             ApplyOutcome::Outdated => {
                 let known = self.replica.position().era;
@@ -214,15 +217,6 @@
     }
 }
 
-fn page(answer: Answer<Page>, era: StoreEra, is_complete: bool) -> ReplicaPage {
-    ReplicaPage {
-        changes: answer.value.changes,
-        revision: answer.value.revision,
-        era,
-        is_complete,
-    }
-}
-
 /// Returns the pause between two watches, in which changes accumulate.
 ///
 /// Hosts watch at different times and send each other changes, so the more hosts
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod bound;
 pub mod configuration;
 pub mod connection;
+pub mod copy_checks;
 pub mod crash_records;
 pub mod endpoint;
 pub mod endpoint_limit;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -65,6 +65,7 @@
         UpstreamConnection,
         UpstreamPhase, //
     },
+    copy_checks::CopyChecks,
     crash_records::CrashRecords,
     endpoint_reach::EndpointReach,
     exchange::Exchange,
@@ -82,6 +83,7 @@
     serve_health::HealthChecks,
     serve_limits::LimitState,
     serve_reach::UnreachedEndpoint,
+    serve_streams::VersionSearch,
     settings::GatewaySettings,
     store_replica::{
         StoreReplica,
@@ -167,6 +169,10 @@
     pub(super) lag_since: Option<(u64, KnownState)>,
     /// Time at which the store became reachable; none while it is unreachable.
     pub(super) store_recovered_ms: Option<u64>,
+    /// Up to when the copy of the store is known to be complete.
+    pub(super) copy_checks: CopyChecks,
+    /// Taken-up streams that wait for a check of the copy.
+    pub(super) version_searches: Vec<VersionSearch>,
     pub(super) next_resync_ms: u64,
     /// Loads of other hosts have arrived since the last update of the peer loads.
     pub(super) has_new_peer_loads: bool,
@@ -273,6 +279,8 @@
             resync_requests: None,
             lag_since: None,
             store_recovered_ms: None,
+            copy_checks: CopyChecks::default(),
+            version_searches: Vec::new(),
             next_resync_ms: 0,
             has_new_peer_loads: false,
             next_peer_load_update_ms: 0,
@@ -321,6 +329,11 @@
         self.resync_requests = Some(resync_requests);
     }
 
+    /// Sets the channel of the thread that checks the copy of the store.
+    pub fn set_copy_questions(&mut self, questions: Sender<Instant>) {
+        self.copy_checks.set_questions(questions);
+    }
+
     /// Sets the channel of the thread that writes suspects that crash endpoints to the store.
     pub fn set_verdict_writes(&mut self, writes: Sender<StoredWrite>) {
         self.verdict_items.set_writes(writes);
@@ -465,6 +478,7 @@
         self.exchange_crash_reports(now_ms);
         self.follow_reach(now_ms);
         self.check_exchanges(now_ms);
+        self.continue_version_searches(now_ms);
         self.follow_limits(now_ms);
         self.check_health(now_ms);
         self.store_versions(now_ms);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -123,14 +123,7 @@
         if let Some(inbound) = self.inbound.get_mut(inbound) {
             inbound.exchange = Some(key);
         }
-        if !self.find_stream_version(key, now_ms) {
-            return self.refuse(
-                key,
-                "software version of the stream is unknown",
-                UNREACHABLE_RETRY_MS,
-            );
-        }
-        self.place_exchange(key);
+        self.place_at_version(key, now_ms);
     }
 
     /// Returns the time that a request that comes back gets beyond its latency goal.
--- a/src/gateway/serve_streams.rs
+++ b/src/gateway/serve_streams.rs
@@ -1,10 +1,14 @@
 //! Software versions of streams: which one began a stream, and where it may continue.
 
+use std::time::Instant;
+
 use compact_str::CompactString;
 
 use super::{
+    copy_checks::ANSWER_LIMIT,
     exchange::Exchange,
     reactor::Reactor,
+    serve_completion::UNREACHABLE_RETRY_MS,
     software_version::SoftwareVersion,
     stream_origins::{
         AttemptHash,
@@ -12,39 +16,116 @@
     }, //
 };
 
+/// A stream that its caller takes up and whose beginning is unknown, while the store is asked
+/// whether another software version may have begun it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VersionSearch {
+    key: usize,
+    serial: u64,
+    /// Versions that join later have not begun the stream.
+    arrived_at: Instant,
+}
+
+/// What is known of the software version that began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum StreamVersion {
+    /// The version.
+    Known(SoftwareVersion),
+    /// The version, unless the copy of the store lacks another one.
+    Only(SoftwareVersion),
+    /// Unknown.
+    Unknown,
+}
+
 impl Reactor {
-    /// Sets the software version of a stream that its caller takes up; returns false if
-    /// it is unknown.
-    pub(super) fn find_stream_version(&mut self, key: usize, now_ms: u64) -> bool {
+    /// Places a request, or refuses it if it takes up a stream whose software version is
+    /// unknown.
+    pub(super) fn place_at_version(&mut self, key: usize, now_ms: u64) {
         let Some(exchange) = self.exchanges.get(key) else {
-            return false;
+            return;
         };
         if !exchange.is_taken_up() || exchange.route.software_version.is_some() {
-            return true;
+            return self.place_exchange(key);
         }
+        let search = VersionSearch {
+            key,
+            serial: exchange.serial,
+            arrived_at: Instant::now(),
+        };
+        if !self.try_place_at_version(search, now_ms) {
+            self.version_searches.push(search);
+        }
+    }
+
+    /// Goes on with the streams whose software version the store was asked for.
+    pub(super) fn continue_version_searches(&mut self, now_ms: u64) {
+        let searches = std::mem::take(&mut self.version_searches);
+        for search in searches {
+            let exchange = self.exchanges.get(search.key);
+            let is_open = exchange.is_some_and(|exchange| exchange.serial == search.serial);
+            if is_open && !self.try_place_at_version(search, now_ms) {
+                self.version_searches.push(search);
+            }
+        }
+    }
+
+    /// Places or refuses a taken-up stream; returns false if the store has to be asked first.
+    fn try_place_at_version(&mut self, search: VersionSearch, now_ms: u64) -> bool {
+        let exchange = &self.exchanges[search.key];
         let begun_by = exchange.request.metadata.begun_by.as_deref();
-        let version = self.stream_version(begun_by, &exchange.route.service, now_ms);
-        self.exchanges[key].route.software_version = version;
-        self.exchanges[key].route.software_version.is_some()
+        let version = match self.stream_version(begun_by, &exchange.route.service, now_ms) {
+            StreamVersion::Known(version) => version,
+            StreamVersion::Only(version) if self.copy_checks.covers(search.arrived_at) => version,
+            StreamVersion::Only(_) if self.may_search(search) => return false,
+            StreamVersion::Only(_) | StreamVersion::Unknown => {
+                self.refuse_unknown_version(search);
+                return true;
+            }
+        };
+        self.exchanges[search.key].route.software_version = Some(version);
+        self.place_exchange(search.key);
+        true
     }
 
-    /// Returns the software version at which the stream of an attempt began.
+    fn refuse_unknown_version(&mut self, search: VersionSearch) {
+        let checked_at = self.copy_checks.complete_until();
+        let metadata = &self.exchanges[search.key].request.metadata;
+        tracing::info!(
+            request = %metadata.attempt_id,
+            begun_by = metadata.begun_by.as_deref(),
+            waited_ms = search.arrived_at.elapsed().as_millis() as u64,
+            copy_age_ms = checked_at.map(|at| at.elapsed().as_millis() as u64),
+            "software version that began a stream is unknown"
+        );
+        let cause = "software version of the stream is unknown";
+        self.refuse(search.key, cause, UNREACHABLE_RETRY_MS);
+    }
+
+    /// Asks the store whether the copy lacks a software version; returns false if no answer is
+    /// to be expected in time.
+    fn may_search(&mut self, search: VersionSearch) -> bool {
+        let now = Instant::now();
+        let is_late = now >= search.arrived_at + ANSWER_LIMIT;
+        let is_asked = self.copy_checks.begin(now);
+        is_asked && !is_late && !self.copy_checks.has_failed(now)
+    }
+
+    /// Returns the software version at which the stream of an attempt began, as far as this
+    /// host knows.
     ///
-    /// If the attempt is unknown, it is the only version that has served since, unless
-    /// this host may not know all versions.
-    fn stream_version(
-        &self,
-        begun_by: Option<&str>,
-        service: &str,
-        now_ms: u64,
-    ) -> Option<SoftwareVersion> {
+    /// If the attempt is unknown, it is the only version that has served since, unless the
+    /// host may not know all versions.
+    fn stream_version(&self, begun_by: Option<&str>, service: &str, now_ms: u64) -> StreamVersion {
         let known = begun_by.and_then(|attempt| self.origins.version_of(attempt));
         if let Some(version) = known {
-            return Some(version.clone());
+            return StreamVersion::Known(version.clone());
+        }
+        let only = self.fleet.only_version(service, now_ms);
+        let only = only.filter(|only| !self.origins.has_other(service, only, now_ms));
+        match only.filter(|_| self.store_recovered_ms.is_some()) {
+            Some(version) => StreamVersion::Only(version.clone()),
+            None => StreamVersion::Unknown,
         }
-        self.store_recovered_ms?;
-        let only = self.fleet.only_version(service, now_ms)?;
-        (!self.origins.has_other(service, only, now_ms)).then(|| only.clone())
     }
 
     /// Returns whether a region has an endpoint of the software version to which a request
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -34,6 +34,7 @@
 };
 
 use super::{
+    copy_checks::check_copy,
     follower::{
         StoreFollower,
         fetch_from_peers, //
@@ -83,12 +84,18 @@
     let replica = StoreReplica::new(updates.clone());
     let (resync_requests, resync_receiver) = bounded(1);
     reactor.set_replica(replica.clone(), resync_requests);
+    let (copy_questions, copy_receiver) = bounded(1);
+    reactor.set_copy_questions(copy_questions);
     let (verdict_writes, verdict_receiver) = bounded(VERDICT_QUEUE_LEN);
     reactor.set_verdict_writes(verdict_writes);
     let store_address = settings.store_address;
     thread::Builder::new()
         .name("verdicts".into())
         .spawn(move || write_items(store_address, &verdict_receiver))?;
+    let checked = replica.clone();
+    thread::Builder::new()
+        .name("copy-checks".into())
+        .spawn(move || check_copy(store_address, &checked, &copy_receiver))?;
     let is_stopping = Arc::new(AtomicBool::new(false));
     tracing::info!(
         host = %settings.host.name,
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -1,6 +1,9 @@
 //! Changes of the reactor's state: updates of the store replica, and beacons.
 
-use std::io::ErrorKind;
+use std::{
+    io::ErrorKind,
+    time::Instant, //
+};
 
 use compact_str::CompactString;
 
@@ -152,6 +155,10 @@
             }
             Update::ServedVersions(service, served) => self.apply_served_versions(service, served),
             Update::ServedVersionsRemoved(service) => self.forget_served_versions(&service),
+            Update::CopyChecked(check) => {
+                self.copy_checks.record(check, Instant::now());
+                self.continue_version_searches(now_ms);
+            }
             Update::RenewalFailed => self.record_failed_renewal(),
             Update::StoreReturned => {
                 // Announcements that the copy lacks are renewed as after an outage.
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -42,6 +42,7 @@
         Configuration,
         ConfigurationVersion, //
     },
+    copy_checks::CopyCheck,
     crash_records::Suspect,
     endpoint::Announcement,
     hosts::{
@@ -109,6 +110,8 @@
     VerdictRemoved(Suspect),
     /// Whether the store responds.
     StoreReachable(bool),
+    /// Result of a check of the copy, after the changes that it found.
+    CopyChecked(CopyCheck),
     /// The host's lease could not be renewed.
     RenewalFailed,
     /// Versions of a service whose streams may be taken up.
@@ -365,6 +368,11 @@
     pub fn report_store_reachable(&self, is_reachable: bool) {
         self.updates.send(Update::StoreReachable(is_reachable));
     }
+
+    /// Reports the result of a check to the reactor.
+    pub fn report_check(&self, check: CopyCheck) {
+        self.updates.send(Update::CopyChecked(check));
+    }
 }
 
 impl Content {
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -30,12 +30,16 @@
         head::parse_response, //
     },
     standin::{
-        metadata_store::MetadataStore,
+        metadata_store::{
+            MetadataStore,
+            StoreFault, //
+        },
         scripted::{
             Arrival,
             Script,
             ScriptedEndpoint, //
-        }, //
+        },
+        wire::Wire, //
     }, //
 };
 use gatewayenv::{
@@ -63,6 +67,8 @@
 const STREAM_COUNT: usize = 12;
 /// Time within which a refusal that waits for nothing arrives.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
+/// Time within which a refusal arrives that the store was asked about in vain.
+const SILENT_REFUSAL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time in which hosts receive beacons from each other.
 const BEACON_TIME: Duration = Duration::from_millis(1_000);
 
@@ -819,3 +825,95 @@
 
     assert_all_go_on(&begun, &responses);
 }
+
+/// Returns a request that takes up a stream which no host knows.
+fn take_up_unknown(attempt: &str) -> Request {
+    begin(attempt)
+        .with_header("Last-Event-Id", "2")
+        .with_header("Resumes", "a-unknown")
+}
+
+/// Starts a host whose path to the store can be frozen.
+fn host_behind_wire(store: &MetadataStore) -> (Wire, Vec<Host>) {
+    let wire = Wire::start(store.address(), 1).expect("the wire starts");
+    let options = HostOptions {
+        store: Some(wire.address()),
+        ..options("host-1", "north")
+    };
+    let hosts = vec![Host::start(store, &options)];
+    (wire, hosts)
+}
+
+/// Guards against a stream that goes on at another version because a host takes the silence of
+/// the store for "no other version has joined".
+#[test]
+fn stream_of_unknown_beginning_is_refused_while_the_store_is_silent() {
+    let store = store_with_configuration();
+    let old = whole_endpoint(&store, "e-old", "v1", "north");
+    let (wire, hosts) = host_behind_wire(&store);
+    wait_known(&hosts, &[&old]);
+    thread::sleep(BEACON_TIME);
+
+    wire.set_frozen(true);
+    let _new = whole_endpoint(&store, "e-new", "v2", "north");
+    let address = hosts[0].caller_address;
+    let (first, first_took) = timed(&take_up_unknown("a-1"), address);
+    let (second, second_took) = timed(&take_up_unknown("a-2"), address);
+
+    assert_eq!(first.status, 503, "events {:?}", versions(&first.text()));
+    assert!(first_took < SILENT_REFUSAL_LIMIT, "it took {first_took:?}");
+    assert_refused_at_once(&second, second_took);
+    assert!(old.arrivals().is_empty(), "a stream went on at v1");
+}
+
+/// Guards against a stream that goes on at another version because the store names a newer
+/// revision without the change that brought it.
+#[test]
+fn stream_of_unknown_beginning_is_refused_while_the_store_withholds_changes() {
+    let store = store_with_configuration();
+    let old = whole_endpoint(&store, "e-old", "v1", "north");
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &[&old]);
+
+    store.set_fault(StoreFault::DeafWatches);
+    let _new = whole_endpoint(&store, "e-new", "v2", "north");
+    let response = take_up_unknown("a-1").send(hosts[0].caller_address);
+
+    assert_eq!(response.status, 503, "{:?}", versions(&response.text()));
+    assert!(old.arrivals().is_empty(), "a stream went on at v1");
+}
+
+/// Guards against a refusal of streams that can go on safely while the store is silent: the
+/// host knows their beginning.
+#[test]
+fn stream_of_known_beginning_goes_on_while_the_store_is_silent() {
+    let store = store_with_configuration();
+    let old = ["old-1", "old-2"].map(|id| whole_endpoint(&store, id, "v1", "north"));
+    let (wire, hosts) = host_behind_wire(&store);
+    wait_known(&hosts, &[&old[0], &old[1]]);
+    let begun = begin_and_leave(&hosts[0], STREAM_COUNT, 3);
+
+    wire.set_frozen(true);
+    let _new = whole_endpoint(&store, "e-new", "v2", "north");
+    let responses = take_up_all(&begun, hosts[0].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a refusal of a stream of unknown beginning because the store answers late,
+/// as from another region.
+#[test]
+fn stream_of_unknown_beginning_waits_for_the_answer_of_the_store() {
+    const STORE_DELAY: Duration = Duration::from_millis(80);
+    let store = store_with_configuration();
+    let endpoint = whole_endpoint(&store, "e-1", "v1", "north");
+    let (wire, hosts) = host_behind_wire(&store);
+    wait_known(&hosts, &[&endpoint]);
+
+    wire.set_delay(STORE_DELAY);
+    let (response, took) = timed(&take_up_unknown("a-1"), hosts[0].caller_address);
+
+    assert_eq!(response.status, 200);
+    assert!(response.is_complete);
+    assert!(took > STORE_DELAY * 2, "it took {took:?}");
+}
