Promise "not run" only where that is stated

Callers got 408, 429 or 503 for requests that had run (rule REFUSED): an endpoint that answers so without X-Not-Run may have run the request, and hosts passed the status on, also through a forward. The OpenAI interface did the same with a service's status for a call that must not be repeated.

Cause: a status that promises something was relayed like any failure. Now only an endpoint's statement in the platform's words, or a host's in those of hosts, counts as not run; statements in the words of hosts that an endpoint sends, and 421 of the expected endpoint itself, don't. Without a statement the endpoint has failed: a request that may be repeated goes elsewhere, any other ends with 502.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -147,6 +147,16 @@
     },
 }
 
+impl Destination {
+    /// Returns the id of the endpoint, or the name of the host.
+    pub fn name(&self) -> &CompactString {
+        match self {
+            Self::Endpoint(choice) => &choice.endpoint,
+            Self::Region { host, .. } => host,
+        }
+    }
+}
+
 /// One dispatch of a request to an endpoint or to another region.
 #[derive(Debug, Clone)]
 pub struct Dispatch {
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -286,7 +286,7 @@
             return;
         };
         let (is_success, has_events) = (dispatch.is_success, exchange.has_events);
-        let is_not_run = metadata.is_not_run || head.header(NOT_RUN_HEADER).is_some();
+        let is_not_run = states_not_run(&dispatch.destination, head, &metadata);
         if is_not_run && is_refused_by_host {
             self.end_dispatch(key, Some(Failure::Shed), now_ms);
             return self.end_unservable(key);
@@ -296,10 +296,11 @@
                 true => Failure::Replaced,
                 false => Failure::Shed,
             };
-            if head.header(CUT_OFF_HEADER).is_some() {
+            let is_from_host = matches!(dispatch.destination, Destination::Region { .. });
+            if is_from_host && head.header(CUT_OFF_HEADER).is_some() {
                 return self.leave_cut_off_host(key, now_ms);
             }
-            let has_arrived = head.header(ARRIVED_HEADER).is_some();
+            let has_arrived = is_from_host && head.header(ARRIVED_HEADER).is_some();
             return self.handle_not_run(key, failure, has_arrived);
         }
         if has_events && exchange.is_stream_cut() {
@@ -314,7 +315,17 @@
         } else {
             Failure::Error
         };
-        let is_server_error = head.status >= 500 || failure == Failure::Broken;
+        let is_unstated_refusal = is_refusal(head.status);
+        if is_unstated_refusal {
+            tracing::warn!(
+                request = %exchange.request.metadata.attempt_id,
+                destination = %dispatch.destination.name(),
+                status = head.status,
+                "refusal without a statement that the request was not run; it may have run"
+            );
+        }
+        let is_server_error =
+            head.status >= 500 || failure == Failure::Broken || is_unstated_refusal;
         if is_server_error {
             self.avoid_destination(key);
             self.end_dispatch(key, Some(failure), now_ms);
@@ -330,6 +341,13 @@
         if failure == Failure::Broken {
             return self.fail(key, "unusable answer", GatewayResponse::new(502));
         }
+        if is_unstated_refusal {
+            return self.fail(
+                key,
+                "refusal without a statement",
+                GatewayResponse::new(502),
+            );
+        }
         self.relay_response(key, head);
     }
 
@@ -471,3 +489,24 @@
         && metadata.is_signed
         && head.header("content-encoding").is_none()
 }
+
+/// Returns whether a response states that its sender did not run the request: an endpoint in the
+/// words of the platform, a host in those of hosts.
+///
+/// An endpoint that is not the expected one states it by its status alone.
+fn states_not_run(sender: &Destination, head: &ResponseHead, metadata: &ResponseMetadata) -> bool {
+    match sender {
+        Destination::Endpoint(choice) => {
+            let is_other =
+                metadata.is_other_endpoint && metadata.endpoint.as_ref() != Some(&choice.endpoint);
+            metadata.is_not_run || is_other
+        }
+        Destination::Region { .. } => head.header(NOT_RUN_HEADER).is_some(),
+    }
+}
+
+/// Returns whether callers take a status as the promise that their request has not run and will
+/// not run.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -212,7 +212,6 @@
 /// Decodes the platform's headers of a response; ignores malformed values.
 pub fn decode_response_metadata(head: &ResponseHead) -> ResponseMetadata {
     let mut metadata = ResponseMetadata {
-        is_not_run: head.status == 421,
         is_other_endpoint: head.status == 421,
         ..ResponseMetadata::default()
     };
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -95,6 +95,10 @@
                 }
                 rejection(&head)
             }
+            UpstreamReply::Response(head) if self.is_unstated_refusal(&head) => {
+                tracing::warn!(request = %self.arrival.request, status = head.status, "refusal without a statement that the call was not run; it may have run");
+                self.interrupted()
+            }
             UpstreamReply::Response(head) => self.relay_response(attempt, upstream, &head),
         }
     }
@@ -198,6 +202,12 @@
             && matches!(upstream, Upstream::Endpoint { .. })
             && matches!(head.status, 429 | 503)
     }
+
+    /// Returns whether a service refuses a call that must not be repeated, which its caller
+    /// would take for the promise that the call has not run.
+    fn is_unstated_refusal(&self, head: &UpstreamHead) -> bool {
+        !self.arrival.is_repeatable && matches!(head.status, 408 | 421 | 429 | 503)
+    }
 }
 
 fn rejection(head: &UpstreamHead) -> AttemptOutcome {
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -396,6 +396,16 @@
         }
         (5, false) if index.is_multiple_of(2) => Script::unframed(arrival.attempt()),
         (5, false) => Script::unframed(CUT_BODY).with_reset(),
+        (6, _) if index.is_multiple_of(4) => {
+            // The request runs, and nothing states that it did not.
+            let status = [408, 429, 503][random_below(&mut random, 3) as usize];
+            Script::Answer(status, b"failed".to_vec())
+        }
+        (7, false) if index.is_multiple_of(4) => Script::Extra(
+            b"HTTP/1.1 503 Full\r\nX-Attempt-Id: other\r\nX-Not-Run: 1\r\n\
+              Content-Length: 0\r\n\r\n"
+                .to_vec(),
+        ),
         (_, true) => Script::Events {
             first,
             end: EVENT_COUNT,
