Bound the memory of a host's buffers as a whole

Other operators saw a host run out of memory, and with it the requests of all its callers, because an endpoint sent bytes without end.

Cause: every limit was one of a connection or a request, and output that a slow caller had read was kept until it had read all. All buffers now share a quarter of the memory in the settings (memory_mb, from the platform's ram_mb). An answer may hold a sixteenth of what is left, at least 16 KiB and at most what it could before; reading from its endpoint pauses beyond that. A body that does not fit is refused as not run.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -23,6 +23,7 @@
 
 use super::{
     body::BodyDecoder,
+    buffer_budget::ByteCount,
     head::{
         RequestHead,
         ResponseHead, //
@@ -46,8 +47,6 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Size of a single read from a socket.
 const READ_BYTES: usize = 32 * 1024;
-/// Bytes read from one connection before the reactor serves others.
-const READ_TURN_BYTES: usize = 512 * 1024;
 
 /// State of the read side of a connection after a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,8 +108,9 @@
         }
     }
 
-    /// Reads available bytes into the input buffer, up to [`READ_TURN_BYTES`].
-    pub fn fill(&mut self) -> ReadState {
+    /// Reads available bytes into the input buffer, until it has read more than `turn_limit`
+    /// and others have their turn.
+    pub fn fill(&mut self, turn_limit: ByteCount) -> ReadState {
         let mut turn = 0;
         loop {
             let start = self.input.len();
@@ -125,7 +125,7 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadState::Open,
                 Err(_) => return ReadState::Broken,
             }
-            if turn > READ_TURN_BYTES {
+            if turn > turn_limit.0 {
                 return ReadState::Partial;
             }
         }
@@ -153,7 +153,10 @@
                 Ok(0) => return false,
                 Ok(count) => self.written += count,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.drop_written();
+                    return true;
+                }
                 Err(_) => return false,
             }
         }
@@ -165,6 +168,21 @@
         true
     }
 
+    /// Drops written output once it is the larger part, so that a slow reader does not keep all
+    /// that it has read in memory.
+    fn drop_written(&mut self) {
+        if self.written < self.unwritten() {
+            return;
+        }
+        self.output.drain(..std::mem::take(&mut self.written));
+        self.output.shrink_to(self.output.len() + READ_BYTES);
+    }
+
+    /// Returns the memory of both buffers.
+    pub fn held(&self) -> ByteCount {
+        ByteCount(self.input.capacity() + self.output.capacity())
+    }
+
     /// Releases the memory of empty buffers.
     pub fn shrink(&mut self) {
         if self.input.is_empty() {
@@ -249,6 +267,15 @@
         }
     }
 
+    /// Returns the memory of its buffers and of the body that is being read.
+    pub fn held(&self) -> ByteCount {
+        let body = match &self.request_progress {
+            RequestProgress::Head => 0,
+            RequestProgress::Body { content, .. } => content.capacity(),
+        };
+        ByteCount(self.socket.held().0 + body)
+    }
+
     /// Records that the response which begins ends with the connection.
     pub fn begin_unframed_response(&mut self) {
         self.is_unframed = true;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 
 use super::{
     answer_lengths::EventCount,
+    buffer_budget::ByteCount,
     configuration::{
         ConfigurationVersion,
         RetryPolicy,
@@ -417,6 +418,12 @@
         })
     }
 
+    /// Returns the memory of the request and of what is held of its response.
+    pub fn held(&self) -> ByteCount {
+        let events = self.events.partial().len();
+        ByteCount(self.request.body.capacity() + self.buffered.capacity() + events)
+    }
+
     /// Returns whether an endpoint may have run the request, or runs it.
     pub fn has_run(&self) -> bool {
         self.run_count > 0 || self.dispatch.is_some()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod answer_times;
 pub mod body;
 pub mod bound;
+pub mod buffer_budget;
 pub mod configuration;
 pub mod connection;
 pub mod copy_checks;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -58,6 +58,10 @@
 use super::{
     answer_lengths::AnswerLengths,
     answer_times::AnswerTimes,
+    buffer_budget::{
+        BufferBudget,
+        ByteCount, //
+    },
     configuration::Configuration,
     connection::{
         InboundConnection,
@@ -139,6 +143,8 @@
     /// Keys of the exchanges that wait for an endpoint.
     pub(super) waiting: Vec<usize>,
     pub(super) settings: GatewaySettings,
+    /// Memory that connections and exchanges may use together.
+    pub(super) buffers: BufferBudget,
     pub(super) configuration: Option<Arc<Configuration>>,
     pub(super) fleet: Fleet,
     pub(super) hosts: Hosts,
@@ -257,6 +263,7 @@
             hosts: Hosts::new(settings.host.clone()),
             region_view: RegionView::default(),
             retry_budget: RetryBudget::new(settings.retry),
+            buffers: BufferBudget::new(settings.memory_mb),
             settings,
             configuration: None,
             fleet,
@@ -493,6 +500,7 @@
 
     /// Closes connections that have been idle for too long.
     fn sweep(&mut self, now_ms: u64) {
+        self.count_buffers();
         self.sweep_inbound(now_ms);
         self.fleet.drop_withdrawn(now_ms);
         let expired: Vec<usize> = self
@@ -510,6 +518,22 @@
         self.host_count.store(host_count, Ordering::Relaxed);
     }
 
+    /// Records bytes that were read, and counts all buffers if that is due.
+    pub(super) fn record_read(&mut self, count: ByteCount) {
+        self.buffers.record_read(count);
+        if self.buffers.is_count_due() {
+            self.count_buffers();
+        }
+    }
+
+    fn count_buffers(&mut self) {
+        let inbound = self.inbound.iter().map(|(_, one)| one.held().0);
+        let upstreams = self.upstreams.iter().map(|(_, one)| one.socket.held().0);
+        let exchanges = self.exchanges.iter().map(|(_, one)| one.held().0);
+        let held = inbound.chain(upstreams).chain(exchanges).sum();
+        self.buffers.set_held(ByteCount(held));
+    }
+
     /// Returns whether the process can end; before its forced end, ends the requests
     /// that are left.
     fn exit_if_done(&mut self) -> Option<ReactorExit> {
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -4,6 +4,11 @@
 
 use super::{
     body::BodyDecoder,
+    buffer_budget::{
+        BufferBudget,
+        ByteCount,
+        MAX_GRANT, //
+    },
     configuration::CallerLimits,
     connection::{
         InboundConnection,
@@ -47,8 +52,8 @@
 /// Retry time for callers of a host that shuts down; other hosts can serve the
 /// request immediately.
 pub(super) const LEAVING_RETRY_MS: u64 = 50;
-/// Pending output to a caller beyond which reading from the endpoint is paused.
-pub const MAX_OUTPUT_BYTES: usize = 512 * 1024;
+/// Retry time for callers whose body does not fit into the memory beside those of others.
+const NO_MEMORY_RETRY_MS: u64 = 300;
 /// Maximum buffered input of a connection while a request is in progress.
 const MAX_PIPELINED_BYTES: usize = 256 * 1024;
 
@@ -67,7 +72,9 @@
         let Some(inbound) = self.inbound.get_mut(key) else {
             return;
         };
-        let read_state = inbound.socket.fill();
+        let earlier = inbound.socket.input.len();
+        let read_state = inbound.socket.fill(MAX_GRANT);
+        let count = ByteCount(inbound.socket.input.len() - earlier);
         if !inbound.socket.input.is_empty() {
             inbound.last_active_ms = now_ms;
         }
@@ -77,6 +84,10 @@
             ReadState::Partial => self.unread_inbound.push(key),
             ReadState::Open => {}
         }
+        self.record_read(count);
+        let Some(inbound) = self.inbound.get_mut(key) else {
+            return;
+        };
         if inbound.exchange.is_some() {
             let is_abandoned =
                 inbound.is_read_closed || inbound.socket.input.len() > MAX_PIPELINED_BYTES;
@@ -102,7 +113,7 @@
             if !inbound.socket.input.is_empty() && inbound.request_started_ms.is_none() {
                 inbound.request_started_ms = Some(now_ms);
             }
-            match read_request(inbound, &limits) {
+            match read_request(inbound, &limits, &mut self.buffers) {
                 Ok(Some((head, body))) => self.handle_request(key, head, body),
                 Ok(None) if inbound.is_read_closed => return self.abort_inbound(key),
                 Ok(None) => {
@@ -111,9 +122,12 @@
                     }
                     return;
                 }
-                Err(status) => {
-                    tracing::info!(status, "request rejected: malformed or above a limit");
-                    self.respond_and_close(key, GatewayResponse::new(status));
+                Err(response) => {
+                    tracing::info!(
+                        status = response.status,
+                        "request rejected: malformed or above a limit"
+                    );
+                    self.respond_and_close(key, response);
                     return;
                 }
             }
@@ -324,7 +338,7 @@
             return self.close_inbound(key);
         }
         let exchange = inbound.exchange;
-        if inbound.socket.unwritten() < MAX_OUTPUT_BYTES / 2 {
+        if inbound.socket.unwritten() <= self.buffers.grant().0 / 2 {
             self.resume_reading(exchange);
         }
     }
@@ -402,25 +416,28 @@
 ///
 /// # Errors
 ///
-/// Fails with the status code of the response.
+/// Fails with the response of the gateway.
 fn read_request(
     inbound: &mut InboundConnection,
     limits: &CallerLimits,
-) -> Result<Option<(RequestHead, Vec<u8>)>, u16> {
+    buffers: &mut BufferBudget,
+) -> Result<Option<(RequestHead, Vec<u8>)>, GatewayResponse> {
     if let RequestProgress::Head = inbound.request_progress {
         let parsed = parse_request(&inbound.socket.input, limits.max_head_bytes);
-        let Some((head, length)) = parsed.map_err(status_of)? else {
+        let parsed = parsed.map_err(|error| GatewayResponse::new(status_of(error)))?;
+        let Some((head, length)) = parsed else {
             return Ok(None);
         };
         inbound.socket.input.drain(..length);
         let decoder = BodyDecoder::new(head.framing);
+        let content = room_for_body(&decoder, limits, buffers)?;
         if head.expects_continue && !decoder.is_done() && inbound.socket.input.is_empty() {
             inbound.socket.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
         inbound.request_progress = RequestProgress::Body {
             head: Box::new(head),
             decoder,
-            content: Vec::new(),
+            content,
         };
     }
     let RequestProgress::Body {
@@ -429,17 +446,16 @@
     else {
         return Ok(None);
     };
-    if let BodyDecoder::Length(left) = decoder
-        && *left > limits.max_body_bytes as u64
-    {
-        return Err(413);
-    }
     let used = decoder
         .decode(&inbound.socket.input, content)
-        .map_err(|_| 400_u16)?;
+        .map_err(|_| GatewayResponse::new(400))?;
     inbound.socket.input.drain(..used);
     if content.len() > limits.max_body_bytes {
-        return Err(413);
+        return Err(GatewayResponse::new(413));
+    }
+    let is_chunked = matches!(decoder, BodyDecoder::Chunked(_));
+    if is_chunked && !buffers.fits_body(ByteCount(content.len())) {
+        return Err(GatewayResponse::refusal(NO_MEMORY_RETRY_MS));
     }
     if !decoder.is_done() {
         return Ok(None);
@@ -450,6 +466,31 @@
     }
 }
 
+/// Returns a buffer for a body, with room for all of it if its length is known.
+///
+/// # Errors
+///
+/// Fails with the response of the gateway if the body is too large, for the limits or for what
+/// is left of the memory.
+fn room_for_body(
+    decoder: &BodyDecoder,
+    limits: &CallerLimits,
+    buffers: &mut BufferBudget,
+) -> Result<Vec<u8>, GatewayResponse> {
+    let BodyDecoder::Length(stated) = decoder else {
+        return Ok(Vec::new());
+    };
+    let fitting = usize::try_from(*stated).ok();
+    let Some(length) = fitting.filter(|length| *length <= limits.max_body_bytes) else {
+        return Err(GatewayResponse::new(413));
+    };
+    if !buffers.fits_body(ByteCount(length)) {
+        return Err(GatewayResponse::refusal(NO_MEMORY_RETRY_MS));
+    }
+    buffers.record_read(ByteCount(length));
+    Ok(Vec::with_capacity(length))
+}
+
 fn status_of(error: HeadError) -> u16 {
     match error {
         HeadError::Malformed => 400,
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -39,10 +39,6 @@
     decode_response_metadata, //
 };
 
-/// Size up to which responses are buffered until they are complete, so that the
-/// request can still be retried.
-const MAX_BUFFERED_BYTES: usize = 512 * 1024;
-
 /// Largest event of a stream; what is held of an event is not limited otherwise.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -133,6 +129,9 @@
     /// Handles a piece of a response body; returns false if the response exceeds a limit.
     pub(super) fn on_response_body(&mut self, key: usize, content: &[u8]) -> bool {
         let now_ms = self.now_ms();
+        // Up to this size, a response is buffered until it is complete, so that the request can
+        // still be retried.
+        let grant = self.buffers.grant();
         let Some(exchange) = self.exchanges.get_mut(key) else {
             return true;
         };
@@ -149,7 +148,7 @@
         };
         if !has_events {
             exchange.buffered.extend_from_slice(content);
-            if exchange.buffered.len() <= MAX_BUFFERED_BYTES {
+            if exchange.buffered.len() <= grant.0 {
                 return true;
             }
             if is_success {
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -7,6 +7,7 @@
 
 use super::{
     body::BodyDecoder,
+    buffer_budget::ByteCount,
     connection::{
         ReadState,
         ResponseProgress,
@@ -18,7 +19,6 @@
         parse_response, //
     },
     reactor::Reactor,
-    serve_caller::MAX_OUTPUT_BYTES, //
 };
 use crate::platform::headers::{
     ResponseMetadata,
@@ -129,6 +129,7 @@
     }
 
     pub(super) fn read_upstream(&mut self, key: usize) {
+        let grant = self.buffers.grant();
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
@@ -141,13 +142,16 @@
             .and_then(|exchange| exchange.inbound);
         let is_full = inbound
             .and_then(|inbound| self.inbound.get(inbound))
-            .is_some_and(|inbound| inbound.socket.unwritten() > MAX_OUTPUT_BYTES);
+            .is_some_and(|inbound| inbound.socket.unwritten() > grant.0);
         upstream.is_paused = is_full;
         if is_full {
+            upstream.socket.shrink();
             return;
         }
         let is_endpoint = upstream.endpoint.is_some();
-        let read = upstream.socket.fill();
+        let earlier = upstream.socket.input.len();
+        let read = upstream.socket.fill(grant);
+        let count = ByteCount(upstream.socket.input.len() - earlier);
         if is_endpoint && !upstream.socket.input.is_empty() {
             self.reach
                 .record_heard(self.started.elapsed().as_millis() as u64);
@@ -159,6 +163,10 @@
             }
             read_state => read_state,
         };
+        self.record_read(count);
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
         if upstream.phase == UpstreamPhase::Idle {
             // No request is in progress, so a close or any byte makes the
             // connection unusable.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -10,6 +10,7 @@
 
 use super::{
     bound::ColdBounds,
+    buffer_budget::DEFAULT_MEMORY_MB,
     hosts::HostInfo,
     retry_budget::RetryBounds, //
 };
@@ -45,6 +46,7 @@
     "retry_ratio",
     "retry_slack",
     "retry_window_s",
+    "memory_mb",
 ];
 /// Units of [`HostInfo::capacity`] per core.
 const CAPACITY_PER_CORE: f64 = 1_000.0;
@@ -75,6 +77,8 @@
     pub cold: ColdBounds,
     /// Limit on retries.
     pub retry: RetryBounds,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: u64,
     /// Filter for log lines, in the syntax of `tracing`.
     pub log_filter: CompactString,
 }
@@ -144,6 +148,7 @@
                 slack: non_negative(&file, limits, "retry_slack")?,
                 window_ms: seconds_to_ms(non_negative(&file, limits, "retry_window_s")?),
             },
+            memory_mb: memory_mb(&file, limits)?,
             log_filter,
         })
     }
@@ -158,6 +163,14 @@
         .collect())
 }
 
+/// Reads the memory of the process; a default without the key.
+fn memory_mb(file: &IniFile, limits: &Section) -> Result<u64, IniError> {
+    match file.optional::<CompactString>(limits, "memory_mb")? {
+        Some(_) => Ok(non_negative(file, limits, "memory_mb")? as u64),
+        None => Ok(DEFAULT_MEMORY_MB),
+    }
+}
+
 /// Reads a number that is at least 0.
 fn non_negative(file: &IniFile, section: &Section, key: &str) -> Result<f64, IniError> {
     let text: CompactString = file.value(section, key)?;
