Let buffered responses of the OpenAI interface share a pool

A host kept up to 16 MiB of each response of a faulty endpoint, so 20 of them take more memory than a small host has, and all its callers fail with it. Found by reading after the report on bytes without end; the memory of such a host was not measured.

Responses now take what they hold beyond 64 KiB from a pool of 64 MiB, and fail if nothing is left. Ordinary responses do not need it.

--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -47,6 +47,7 @@
     },
     announce::Announcer,
     burn_collector::BurnCollector,
+    byte_pool::BytePool,
     caller::{
         self,
         CallerContext, //
@@ -119,6 +120,8 @@
 };
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Memory for all buffered responses, beyond the first part of each: four of the largest.
+const RESPONSE_MEMORY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Keys of one host, read from files.
 #[derive(Clone)]
@@ -224,6 +227,7 @@
             peers: peers.clone(),
             host: config.host.clone(),
             region: config.region.clone(),
+            response_memory: BytePool::new(RESPONSE_MEMORY_BYTES),
         };
         let (tickets, ticket_thread) = start_tickets(&config, incarnation, keys, relay.clone())?;
         let gossip = Arc::new(gossip);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod auth;
 pub mod burn;
 pub mod burn_collector;
+pub mod byte_pool;
 pub mod caller;
 pub mod capacity;
 pub mod catch_up;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    byte_pool::BytePool,
     clock,
     decider::DeciderHandle,
     decision::{
@@ -89,6 +90,8 @@
     pub host: HostId,
     /// The region of this host.
     pub region: RegionId,
+    /// Memory that all buffered responses share.
+    pub response_memory: BytePool,
 }
 
 /// One request to be relayed.
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -12,6 +12,7 @@
     RelayError, //
 };
 use crate::{
+    byte_pool::PoolShare,
     decision::event::{
         AttemptOutcome,
         Event, //
@@ -90,6 +91,14 @@
         }
     }
 
+    /// Takes the memory for a buffer of this size.
+    fn hold(&self, memory: &mut PoolShare, bytes: usize) -> Result<(), RelayError> {
+        memory.grow_to(bytes).map_err(|error| {
+            tracing::warn!(request = %self.arrival.request, %error, "response given up");
+            RelayError::Upstream
+        })
+    }
+
     fn relay_complete_response(
         &mut self,
         attempt: Attempt,
@@ -97,11 +106,13 @@
         head: &UpstreamHead,
     ) -> Result<AttemptOutcome, RelayError> {
         let mut body = Vec::new();
+        let mut memory = self.context.response_memory.share();
         let mut last_byte = Some(Instant::now());
         while self.read_piece(&mut upstream, &mut body, &mut last_byte)? {
             if body.len() > MAX_RESPONSE_BYTES {
                 return Err(RelayError::Upstream);
             }
+            self.hold(&mut memory, body.len())?;
         }
         let status = head.status;
         let is_chat = matches!(self.payload, Payload::Chat(_));
@@ -131,6 +142,7 @@
             splitter: EventSplitter::new(),
         };
         let mut piece = Vec::new();
+        let mut memory = self.context.response_memory.share();
         let mut last_byte = None;
         loop {
             piece.clear();
@@ -148,6 +160,7 @@
             if reader.splitter.pending_bytes() > MAX_EVENT_BYTES {
                 return Err(RelayError::Upstream);
             }
+            self.hold(&mut memory, reader.splitter.pending_bytes())?;
         }
     }
 
