Let a taken-up stream wait for the check after the one in progress

A stream now waits for two answers. A check without an answer still ends the wait at once. The new test failed before and passes; tests/gateway_stream_versions.rs: 23 passed.

--- a/src/gateway/copy_checks.rs
+++ b/src/gateway/copy_checks.rs
@@ -44,7 +44,10 @@
 
 /// Longest wait for the answer to a check: two round trips between regions and one packet
 /// that is sent again.
-pub const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// Longest time for which a request waits for a check: one may be in progress that was asked for
+/// before the request came, and covers nothing for it.
+pub const WAIT_LIMIT: Duration = ANSWER_LIMIT.saturating_mul(2);
 /// Time after a check without an answer in which no request waits for the next one.
 const FAILURE_MEMORY: Duration = Duration::from_secs(1);
 /// Shortest wait of a watch.
--- a/src/gateway/serve_streams.rs
+++ b/src/gateway/serve_streams.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 use super::{
-    copy_checks::ANSWER_LIMIT,
+    copy_checks::WAIT_LIMIT,
     exchange::Exchange,
     reactor::Reactor,
     serve_completion::UNREACHABLE_RETRY_MS,
@@ -105,7 +105,7 @@
     /// to be expected in time.
     fn may_search(&mut self, search: VersionSearch) -> bool {
         let now = Instant::now();
-        let is_late = now >= search.arrived_at + ANSWER_LIMIT;
+        let is_late = now >= search.arrived_at + WAIT_LIMIT;
         let is_asked = self.copy_checks.begin(now);
         is_asked && !is_late && !self.copy_checks.has_failed(now)
     }
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -917,3 +917,23 @@
     assert!(response.is_complete);
     assert!(took > STORE_DELAY * 2, "it took {took:?}");
 }
+
+/// Guards against a refusal of a stream that comes while the store is being asked for another one:
+/// that answer covers nothing for it, so it waits for two answers.
+#[test]
+fn stream_of_unknown_beginning_waits_for_the_next_answer_of_the_store() {
+    const STORE_DELAY: Duration = Duration::from_millis(200);
+    let store = store_with_configuration();
+    let endpoint = whole_endpoint(&store, "e-1", "v1", "north");
+    let (wire, hosts) = host_behind_wire(&store);
+    wait_known(&hosts, &[&endpoint]);
+    let address = hosts[0].caller_address;
+
+    wire.set_delay(STORE_DELAY);
+    let first = thread::spawn(move || take_up_unknown("a-1").send(address));
+    thread::sleep(STORE_DELAY / 2);
+    let second = take_up_unknown("a-2").send(address);
+
+    let first = first.join().expect("a caller ends");
+    assert_eq!((first.status, second.status), (200, 200));
+}
