--- a/src/gateway/buffer_budget.rs
+++ b/src/gateway/buffer_budget.rs
@@ -70,6 +70,11 @@
         self.uncounted = ByteCount(0);
     }
 
+    /// Returns the use of all buffers.
+    pub fn held(&self) -> ByteCount {
+        self.held
+    }
+
     /// Returns the bytes that an answer may hold in each of its buffers.
     pub fn grant(&self) -> ByteCount {
         let left = self.limit.0.saturating_sub(self.held.0);
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -125,7 +125,7 @@
                 Err(response) => {
                     tracing::info!(
                         status = response.status,
-                        "request rejected: malformed or above a limit"
+                        "request rejected: malformed, above a limit, or without memory for it"
                     );
                     self.respond_and_close(key, response);
                     return;
@@ -430,7 +430,7 @@
         };
         inbound.socket.input.drain(..length);
         let decoder = BodyDecoder::new(head.framing);
-        let content = room_for_body(&decoder, limits, buffers)?;
+        let content = room_for_body(&head, &decoder, limits, buffers)?;
         if head.expects_continue && !decoder.is_done() && inbound.socket.input.is_empty() {
             inbound.socket.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -441,7 +441,9 @@
         };
     }
     let RequestProgress::Body {
-        decoder, content, ..
+        head,
+        decoder,
+        content,
     } = &mut inbound.request_progress
     else {
         return Ok(None);
@@ -454,8 +456,8 @@
         return Err(GatewayResponse::new(413));
     }
     let is_chunked = matches!(decoder, BodyDecoder::Chunked(_));
-    if is_chunked && !buffers.fits_body(ByteCount(content.len())) {
-        return Err(GatewayResponse::refusal(NO_MEMORY_RETRY_MS));
+    if is_chunked {
+        check_memory(head, ByteCount(content.len()), buffers)?;
     }
     if !decoder.is_done() {
         return Ok(None);
@@ -473,6 +475,7 @@
 /// Fails with the response of the gateway if the body is too large, for the limits or for what
 /// is left of the memory.
 fn room_for_body(
+    head: &RequestHead,
     decoder: &BodyDecoder,
     limits: &CallerLimits,
     buffers: &mut BufferBudget,
@@ -484,13 +487,33 @@
     let Some(length) = fitting.filter(|length| *length <= limits.max_body_bytes) else {
         return Err(GatewayResponse::new(413));
     };
-    if !buffers.fits_body(ByteCount(length)) {
-        return Err(GatewayResponse::refusal(NO_MEMORY_RETRY_MS));
-    }
+    check_memory(head, ByteCount(length), buffers)?;
     buffers.record_read(ByteCount(length));
     Ok(Vec::with_capacity(length))
 }
 
+/// Checks that a body fits into the memory beside what other requests hold.
+///
+/// # Errors
+///
+/// Fails with a refusal if it does not.
+fn check_memory(
+    head: &RequestHead,
+    body: ByteCount,
+    buffers: &BufferBudget,
+) -> Result<(), GatewayResponse> {
+    if buffers.fits_body(body) {
+        return Ok(());
+    }
+    tracing::info!(
+        request = %decode_request_metadata(&head.headers).attempt_id,
+        %body,
+        held = %buffers.held(),
+        "no memory for the body of a request beside others"
+    );
+    Err(GatewayResponse::refusal(NO_MEMORY_RETRY_MS))
+}
+
 fn status_of(error: HeadError) -> u16 {
     match error {
         HeadError::Malformed => 400,
