Log which answers a request got, and on which connections

A copy of a refusal could not be told from a true one: 'request ended' has the same runs and tried for both. The line now has, for each answer that was taken for one to the request, the connection, the number of the request on it, the status and the time since it was sent; a discarded answer has the same. A metric counts discarded answers. No decision changes.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -22,6 +22,10 @@
 };
 
 use super::{
+    answer_record::{
+        AnswerRecord,
+        ConnectionId, //
+    },
     body::BodyDecoder,
     buffer_budget::ByteCount,
     head::{
@@ -326,6 +330,8 @@
 /// A connection to an endpoint, or to a host of another region.
 #[derive(Debug)]
 pub struct UpstreamConnection {
+    /// Id in log lines.
+    pub id: ConnectionId,
     /// Socket and buffers.
     pub socket: BufferedSocket,
     /// Remote address.
@@ -370,6 +376,7 @@
     /// Returns a connection whose handshake is in progress.
     pub fn new(stream: TcpStream, address: SocketAddr, now_ms: u64) -> Self {
         Self {
+            id: ConnectionId::default(),
             socket: BufferedSocket::new(stream),
             address,
             phase: UpstreamPhase::Connecting,
@@ -392,6 +399,12 @@
         }
     }
 
+    /// Sets the id in log lines.
+    pub fn with_id(mut self, id: ConnectionId) -> Self {
+        self.id = id;
+        self
+    }
+
     /// Sets the endpoint at the remote end.
     pub fn with_endpoint(mut self, endpoint: Option<CompactString>) -> Self {
         if endpoint.is_some() {
@@ -401,6 +414,16 @@
         self
     }
 
+    /// Returns the record of an answer with a status to the latest request.
+    pub fn answer_record(&self, status: u16, now_ms: u64) -> AnswerRecord {
+        AnswerRecord {
+            connection: self.id,
+            send_number: self.request_count,
+            status,
+            after_ms: now_ms.saturating_sub(self.sent_ms),
+        }
+    }
+
     /// Records that a request is sent.
     pub fn begin_request(&mut self, now_ms: u64) {
         self.request_count += 1;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 
 use super::{
     answer_lengths::EventCount,
+    answer_record::AnswerRecords,
     buffer_budget::ByteCount,
     configuration::{
         ConfigurationVersion,
@@ -280,6 +281,8 @@
     pub next_placement_ms: u64,
     /// Dispatch in progress.
     pub dispatch: Option<Dispatch>,
+    /// Answers to its sends.
+    pub answers: AnswerRecords,
     /// Inputs of the latest placement.
     pub placement: Option<PlacementRecord>,
     /// Inputs of the refusal, if the request was refused.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod answer_lengths;
+pub mod answer_record;
 pub mod answer_times;
 pub mod body;
 pub mod bound;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -57,6 +57,7 @@
 
 use super::{
     answer_lengths::AnswerLengths,
+    answer_record::ConnectionId,
     answer_times::AnswerTimes,
     buffer_budget::{
         BufferBudget,
@@ -164,6 +165,7 @@
     pub(super) next_beacon_ms: u64,
     pub(super) next_remote_beacon_ms: u64,
     pub(super) next_serial: u64,
+    next_connection: u64,
     pub(super) is_synchronised: bool,
     pub(super) shutdown_started_ms: Option<u64>,
     pub(super) reload: Option<Box<dyn Fn() -> Option<GatewaySettings>>>,
@@ -279,6 +281,7 @@
             next_beacon_ms: 0,
             next_remote_beacon_ms: 0,
             next_serial: 0,
+            next_connection: 0,
             is_synchronised: false,
             shutdown_started_ms: None,
             reload: None,
@@ -458,7 +461,9 @@
                 return None;
             }
         };
-        let connection = UpstreamConnection::new(stream, address, now_ms);
+        self.next_connection += 1;
+        let id = ConnectionId(self.next_connection);
+        let connection = UpstreamConnection::new(stream, address, now_ms).with_id(id);
         let key = self
             .upstreams
             .insert(connection.with_endpoint(endpoint.cloned()));
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -16,6 +16,7 @@
         place,
         returning_allowance_ms, //
     },
+    answer_record::AnswerRecords,
     configuration::{
         ConfigurationVersion,
         Service, //
@@ -116,6 +117,7 @@
             buffered: Vec::new(),
             has_events: false,
             answer_framing: None,
+            answers: AnswerRecords::default(),
             cut_event_bytes: 0,
             has_arrived: false,
         };
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -219,6 +219,7 @@
     }
 
     fn begin_response(&mut self, key: usize, head: ResponseHead) {
+        let now_ms = self.now_ms();
         let metadata = decode_response_metadata(&head);
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
@@ -250,13 +251,19 @@
             decoder,
             is_stale,
         };
+        let record = upstream.answer_record(head.status, now_ms);
         if is_stale {
             tracing::info!(
                 address = %upstream.address,
                 attempt = ?metadata.attempt_id,
+                answer = %record,
                 "response to an earlier request discarded"
             );
+            self.telemetry.count_discarded_answer();
         } else if let Some(exchange) = exchange {
+            if let Some(exchange) = self.exchanges.get_mut(exchange) {
+                exchange.answers.push(record);
+            }
             self.on_response_head(exchange, &head, &metadata);
         }
     }
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -106,6 +106,7 @@
     permits: Counter,
     kept_from_limited: Counter,
     health_checks: Counter,
+    discarded_answers: Counter,
     limited_endpoints: Gauge,
     omitted_lines: Counter,
     dropped_lines: Gauge,
@@ -136,6 +137,7 @@
             permits: Counter::default(),
             kept_from_limited: Counter::default(),
             health_checks: Counter::default(),
+            discarded_answers: Counter::default(),
             limited_endpoints: Gauge::default(),
             omitted_lines: Counter::default(),
             dropped_lines: Gauge::default(),
@@ -197,6 +199,11 @@
             "Health checks of endpoints while the store does not respond",
             telemetry.health_checks.clone(),
         );
+        registry.register(
+            "discarded_answers",
+            "Answers that do not belong to the latest request on their connection",
+            telemetry.discarded_answers.clone(),
+        );
         registry.register(
             "limited_endpoints",
             "Endpoints of the region that name a limit",
@@ -363,6 +370,11 @@
         self.health_checks.inc();
     }
 
+    /// Counts an answer that does not belong to the latest request on its connection.
+    pub fn count_discarded_answer(&self) {
+        self.discarded_answers.inc();
+    }
+
     /// Sets the number of endpoints that name a limit.
     pub fn set_limited_endpoints(&self, count: usize) {
         self.limited_endpoints
@@ -431,6 +443,7 @@
             is_forwarded = exchange.is_forwarded,
             runs = exchange.run_count,
             tried = ?exchange.excluded_endpoints,
+            answers = %exchange.answers,
             events = exchange.events.complete_count(),
             answer_framing = exchange.answer_framing.map(tracing::field::display),
             cut_event_bytes = exchange.cut_event_bytes,
