Reproduce a refusal of what runs: copies of refusals

What callers see: 503, which promises that the request has not run and will not run, for a request that an endpoint runs (REFUSED).

The scripted endpoint can send its refusals once more, where the n-th answer after them on the connection is due.

--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -4,6 +4,7 @@
 //! break off at any point of an answer.
 
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{
@@ -50,6 +51,10 @@
 pub const HEALTH_PATH: &str = "/healthz";
 /// Content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
+/// Status of the answer to a request for another endpoint.
+const MISDIRECTED: u16 = 421;
+/// Status of a refusal.
+const FULL: u16 = 503;
 /// Time between the last byte of an answer and the reset of its connection.
 const RESET_DELAY: Duration = Duration::from_millis(50);
 
@@ -254,6 +259,81 @@
     }
 }
 
+/// Which answers an endpoint sends once more, and when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Copies {
+    kind: CopiedAnswer,
+    lag: usize,
+    pause: Duration,
+}
+
+/// Kind of the answers that are sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CopiedAnswer {
+    Refusal,
+    HealthCheck,
+}
+
+impl Copies {
+    /// Returns copies of refusals, each where the next answer on its connection is due.
+    pub fn of_refusals() -> Self {
+        Self {
+            kind: CopiedAnswer::Refusal,
+            lag: 1,
+            pause: Duration::ZERO,
+        }
+    }
+
+    /// Like [`Self::of_refusals`], of the answers to health checks.
+    pub fn of_health_checks() -> Self {
+        Self {
+            kind: CopiedAnswer::HealthCheck,
+            ..Self::of_refusals()
+        }
+    }
+
+    /// Sends a copy where the `lag`-th answer after the original is due.
+    pub fn with_lag(mut self, lag: usize) -> Self {
+        self.lag = lag;
+        self
+    }
+
+    /// Sets the time between a copy and the answer that is due.
+    pub fn with_pause(mut self, pause: Duration) -> Self {
+        self.pause = pause;
+        self
+    }
+}
+
+/// What an endpoint with copies has answered on its connections, by their remote address.
+#[derive(Debug, Default)]
+struct SentAnswers {
+    copies: Option<Copies>,
+    /// An answer that is not copied is none.
+    by_connection: HashMap<SocketAddr, Vec<Option<Vec<u8>>>>,
+}
+
+impl SentAnswers {
+    /// Returns the copy that is due before the next answer on a connection, and the pause after
+    /// it.
+    fn due_copy(&mut self, remote: SocketAddr) -> Option<(Vec<u8>, Duration)> {
+        let copies = self.copies?;
+        let sent = self.by_connection.get_mut(&remote)?;
+        let index = sent.len().checked_sub(copies.lag)?;
+        let copy = sent.get_mut(index)?.take()?;
+        Some((copy, copies.pause))
+    }
+
+    fn record(&mut self, remote: SocketAddr, kind: Option<CopiedAnswer>, bytes: &[u8]) {
+        let Some(copies) = self.copies else {
+            return;
+        };
+        let is_copied = kind == Some(copies.kind);
+        let sent = self.by_connection.entry(remote).or_default();
+        sent.push(is_copied.then(|| bytes.to_vec()));
+    }
+}
+
 /// The listener of an endpoint; none once it has ended.
 type SharedListener = Arc<Mutex<Option<Listener>>>;
 
@@ -278,6 +358,7 @@
     cold: SharedCold,
     health_checks: Arc<AtomicUsize>,
     occupancy: Arc<Mutex<Occupancy>>,
+    sent_answers: Arc<Mutex<SentAnswers>>,
 }
 
 impl ScriptedEndpoint {
@@ -302,15 +383,22 @@
         let own_health_checks = Arc::clone(&health_checks);
         let occupancy = Arc::new(Mutex::new(Occupancy::default()));
         let own_occupancy = Arc::clone(&occupancy);
+        let sent_answers = Arc::new(Mutex::new(SentAnswers::default()));
+        let own_sent_answers = Arc::clone(&sent_answers);
         let own_id = id.to_owned();
         let listener = SharedListener::default();
         let own_listener = Arc::clone(&listener);
         let started = Listener::start(0, move |connection, request| {
             let mut arrival = arrival(&request);
             own_silence.wait();
+            write_due_copy(connection, &own_sent_answers)?;
             if arrival.path == HEALTH_PATH {
                 own_health_checks.fetch_add(1, Ordering::Relaxed);
-                return answer_health_check(connection, &own_id, &own_cold);
+                let headers = health_headers(&own_id, &own_cold);
+                let kind = Some(CopiedAnswer::HealthCheck);
+                record_answer(connection, &own_sent_answers, kind, 200, &headers)?;
+                respond(connection, 200, headers, b"", write_deadline())?;
+                return Ok(Next::Keep);
             }
             arrival.is_cold = !cold_left(&own_cold).is_zero();
             let index = lock(&noted).len();
@@ -331,9 +419,16 @@
                 arrival.unwanted_s = Some(seconds);
             }
             lock(&noted).push(arrival.clone());
+            let refusal = match &script {
+                _ if is_misdirected => Some(MISDIRECTED),
+                script => script.is_refusal().then_some(FULL),
+            };
+            let headers = refusal_headers(&arrival, &own_id, &script);
+            let kind = refusal.map(|_| CopiedAnswer::Refusal);
+            let status = refusal.unwrap_or_default();
+            record_answer(connection, &own_sent_answers, kind, status, &headers)?;
             if is_misdirected {
-                let headers = answer_headers(&arrival, &own_id);
-                respond(connection, 421, headers, b"", write_deadline())?;
+                respond(connection, MISDIRECTED, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
             let version = lock(&own_version).clone();
@@ -377,6 +472,7 @@
             cold,
             health_checks,
             occupancy,
+            sent_answers,
         })
     }
 
@@ -418,6 +514,17 @@
         lock(&self.occupancy).has_fallen
     }
 
+    /// Sends some answers once more, on connections that are opened from now on.
+    pub fn set_copies(&self, copies: Copies) {
+        lock(&self.sent_answers).copies = Some(copies);
+    }
+
+    /// Number of open connections.
+    pub fn open_connections(&self) -> usize {
+        let listener = lock(&self.listener);
+        listener.as_ref().map_or(0, Listener::open_connections)
+    }
+
     /// Makes it cold for `time`, which its answers to health checks state.
     pub fn become_cold(&self, time: Duration) {
         *lock(&self.cold) = Some(Instant::now() + time);
@@ -534,17 +641,42 @@
     })
 }
 
-fn answer_health_check(
-    connection: &mut Connection,
-    id: &str,
-    cold: &SharedCold,
-) -> Result<Next, MessageError> {
+fn health_headers(id: &str, cold: &SharedCold) -> Headers {
     let cold_ms = cold_left(cold).as_millis();
-    let headers = Headers::new()
+    Headers::new()
         .with_field("x-instance-id", id)
-        .with_field("x-cold-ms", &cold_ms.to_string());
-    respond(connection, 200, headers, b"", write_deadline())?;
-    Ok(Next::Keep)
+        .with_field("x-cold-ms", &cold_ms.to_string())
+}
+
+/// Writes the copy of an earlier answer that is due on a connection, if any.
+fn write_due_copy(
+    connection: &mut Connection,
+    sent: &Mutex<SentAnswers>,
+) -> Result<(), MessageError> {
+    let remote = connection.stream().peer_addr()?;
+    let due = lock(sent).due_copy(remote);
+    if let Some((copy, pause)) = due {
+        connection.write_all(&copy, write_deadline())?;
+        thread::sleep(pause);
+    }
+    Ok(())
+}
+
+/// Records an answer without a body that is about to be sent; `kind` is none if it is not copied.
+fn record_answer(
+    connection: &Connection,
+    sent: &Mutex<SentAnswers>,
+    kind: Option<CopiedAnswer>,
+    status: u16,
+    headers: &Headers,
+) -> Result<(), MessageError> {
+    let head = ResponseHead {
+        status,
+        headers: headers.clone().with_field("content-length", "0"),
+    };
+    let remote = connection.stream().peer_addr()?;
+    lock(sent).record(remote, kind, head.encode().as_bytes());
+    Ok(())
 }
 
 fn answer_headers(arrival: &Arrival, id: &str) -> Headers {
@@ -565,6 +697,15 @@
     }
 }
 
+/// Returns the header fields of a refusal as the script says it.
+fn refusal_headers(arrival: &Arrival, id: &str, script: &Script) -> Headers {
+    let headers = answer_headers(arrival, id).with_field("x-not-run", "1");
+    match script {
+        Script::NotRunFor(seconds) => headers.with_field("retry-after", seconds),
+        _ => headers,
+    }
+}
+
 fn play(
     connection: &mut Connection,
     arrival: &Arrival,
@@ -574,23 +715,15 @@
     script: Script,
 ) -> Result<Next, MessageError> {
     let plain = answer_headers(arrival, id);
-    let sealed = plain
-        .clone()
-        .with_field("x-server-seal", &format!("seal-{id}"));
+    let sealed = plain.with_field("x-server-seal", &format!("seal-{id}"));
     silence.wait();
     match script {
         Script::Answer(status, body) => {
             respond(connection, status, sealed, &body, write_deadline())?;
         }
-        Script::NotRun => {
-            let headers = plain.with_field("x-not-run", "1");
-            respond(connection, 503, headers, b"", write_deadline())?;
-        }
-        Script::NotRunFor(seconds) => {
-            let headers = plain
-                .with_field("x-not-run", "1")
-                .with_field("retry-after", seconds);
-            respond(connection, 503, headers, b"", write_deadline())?;
+        Script::NotRun | Script::NotRunFor(_) => {
+            let headers = refusal_headers(arrival, id, &script);
+            respond(connection, FULL, headers, b"", write_deadline())?;
         }
         Script::Events {
             first,
