Send an attempt on a connection at most once

What callers saw: 503, a promise that the request has not run and will not run, for a request that an endpoint ran (REFUSED).

Cause: an answer was paired with a send by the id of the attempt, which names the attempt, on a connection, which names a place. An attempt that was refused could come to the same connection again: to another id at the same address, since exclusion goes by id and connections by address; for a caller that sends a refused request again; or after it had run elsewhere. The copy of the first refusal then bears the right id on the right connection.

A connection now remembers the attempts that it has carried and carries none twice, so id and connection together name one send, however late a copy comes. It carries 256 requests at most, which bounds what it remembers. An answer without an id counts only for the only request on a connection, which is not used again. If the idle connections to an address have all carried the attempt, one is closed and another opened in its place, so the endpoint sees no more of them. Answers are paired also when their caller is gone.

After a resent request the endpoint has one connection.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -31,7 +31,9 @@
     head::{
         RequestHead,
         ResponseHead, //
-    }, //
+    },
+    sent_requests::SentRequests,
+    stream_origins::AttemptHash, //
 };
 
 /// Time without an acknowledgement after which the kernel closes a connection.
@@ -350,16 +352,14 @@
     pub sent_ms: u64,
     /// See [`Self::sent_ms`].
     pub previous_sent_ms: u64,
-    /// Number of requests sent on it.
-    pub request_count: u32,
+    /// Requests sent on it.
+    pub sent: SentRequests,
     /// Time from which an idle connection is not reused.
     pub idle_deadline_ms: u64,
     /// The remote end is a host of another region.
     pub is_peer: bool,
     /// Reading is paused until the caller has received pending output.
     pub is_paused: bool,
-    /// A response to an earlier request arrived, so the connection is not reused.
-    pub had_stale_response: bool,
     /// Interim responses before the current response.
     pub interim_count: usize,
     /// Bytes of responses that were discarded.
@@ -386,11 +386,10 @@
             since_ms: now_ms,
             sent_ms: now_ms,
             previous_sent_ms: now_ms,
-            request_count: 0,
+            sent: SentRequests::default(),
             idle_deadline_ms: 0,
             is_peer: false,
             is_paused: false,
-            had_stale_response: false,
             interim_count: 0,
             discarded_bytes: 0,
             opened_ahead_for: None,
@@ -418,15 +417,28 @@
     pub fn answer_record(&self, status: u16, now_ms: u64) -> AnswerRecord {
         AnswerRecord {
             connection: self.id,
-            send_number: self.request_count,
+            send_number: self.sent.count(),
             status,
             after_ms: now_ms.saturating_sub(self.sent_ms),
         }
     }
 
-    /// Records that a request is sent.
-    pub fn begin_request(&mut self, now_ms: u64) {
-        self.request_count += 1;
+    /// Returns whether the connection is idle and may carry a request of an attempt.
+    pub fn is_usable(&self, attempt: Option<AttemptHash>, now_ms: u64) -> bool {
+        now_ms < self.idle_deadline_ms && self.sent.allows(attempt)
+    }
+
+    /// Returns whether a response belongs to the request in progress; `answered` is the attempt
+    /// that it states.
+    ///
+    /// A host sends one response to each request, and its refusals state no attempt.
+    pub fn pair(&mut self, answered: Option<AttemptHash>) -> bool {
+        (self.is_peer && answered.is_none()) || self.sent.pair(answered)
+    }
+
+    /// Records that a request of an attempt is sent.
+    pub fn begin_request(&mut self, attempt: Option<AttemptHash>, now_ms: u64) {
+        self.sent.push(attempt);
         self.previous_sent_ms = std::mem::replace(&mut self.sent_ms, now_ms);
         self.response_progress = ResponseProgress::Head;
         self.interim_count = 0;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod response;
 pub mod retry_budget;
 pub mod route_table;
+pub mod sent_requests;
 mod serve_caller;
 mod serve_completion;
 pub mod serve_crashes;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 
+use super::stream_origins::AttemptHash;
 use crate::types::Tokens;
 
 /// A part of a prompt that several requests may share.
@@ -48,6 +49,11 @@
 }
 
 impl RequestMetadata {
+    /// Returns the attempt; none if the request has no id.
+    pub fn attempt(&self) -> Option<AttemptHash> {
+        AttemptHash::of_stated(&self.attempt_id)
+    }
+
     /// Returns the parts that other requests may share.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let count = self.parts.len().saturating_sub(1);
--- /dev/null
+++ b/src/gateway/sent_requests.rs
@@ -0,0 +1,52 @@
+//! Pairs the answers on a connection with the requests that were sent on it.
+//!
+//! An endpoint may answer a request more than once, and the further answers arrive where later
+//! ones are due. An answer states the id of its attempt. However late it comes, that tells its
+//! request as long as the connection carries no attempt twice.
+
+use super::stream_origins::AttemptHash;
+
+/// Most requests on one connection, which bounds what it remembers of them.
+const MAX_SENT: usize = 256;
+
+/// Requests that were sent on one connection, in order.
+#[derive(Debug, Default)]
+pub struct SentRequests {
+    /// Attempts of the requests; none for a request without an id.
+    attempts: Vec<Option<AttemptHash>>,
+    has_extra_answers: bool,
+}
+
+impl SentRequests {
+    /// Returns whether a request of an attempt may be sent.
+    pub fn allows(&self, attempt: Option<AttemptHash>) -> bool {
+        attempt.is_none() || !self.attempts.contains(&attempt)
+    }
+
+    /// Returns whether no further request may be sent.
+    pub fn is_spent(&self) -> bool {
+        self.attempts.len() >= MAX_SENT || self.has_extra_answers
+    }
+
+    /// Records that a request of an attempt is sent.
+    pub fn push(&mut self, attempt: Option<AttemptHash>) {
+        self.attempts.push(attempt);
+    }
+
+    /// Returns the number of requests so far.
+    pub fn count(&self) -> u32 {
+        self.attempts.len() as u32
+    }
+
+    /// Returns whether an answer belongs to the latest request; `answered` is the attempt that
+    /// it states.
+    ///
+    /// An answer that states none belongs to the only request, and no further one is sent,
+    /// because a copy would pair with any.
+    pub fn pair(&mut self, answered: Option<AttemptHash>) -> bool {
+        let latest = self.attempts.last().copied().flatten();
+        let is_paired = answered == latest || answered.is_none() && self.attempts.len() == 1;
+        self.has_extra_answers |= !is_paired || answered != latest;
+        is_paired
+    }
+}
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -182,7 +182,11 @@
         let now_ms = self.now_ms();
         let bytes = self.encode_request(key, headers, forward.as_deref());
         let is_peer = forward.is_some();
-        let upstream = match self.take_idle(address, now_ms) {
+        let attempt = match self.exchanges.get(key) {
+            Some(exchange) => exchange.request.metadata.attempt(),
+            None => return,
+        };
+        let upstream = match self.take_idle(address, attempt, now_ms) {
             Some(upstream) => Some(upstream),
             None => {
                 self.telemetry.count_connection();
@@ -221,7 +225,7 @@
         };
         let is_head_request = exchange.request.head.method == "HEAD";
         let connection = &mut self.upstreams[upstream];
-        connection.begin_request(now_ms);
+        connection.begin_request(attempt, now_ms);
         connection.exchange = Some(key);
         connection.is_peer = is_peer;
         connection.is_head_request = is_head_request;
--- a/src/gateway/serve_health.rs
+++ b/src/gateway/serve_health.rs
@@ -115,7 +115,7 @@
         let Some(path) = service.health_path else {
             return;
         };
-        let upstream = match self.take_idle(address, now_ms) {
+        let upstream = match self.take_idle(address, None, now_ms) {
             Some(upstream) => upstream,
             None => match self.connect(address, Some(id)) {
                 Some(upstream) => {
@@ -127,7 +127,7 @@
         };
         self.telemetry.count_health_check();
         let connection = &mut self.upstreams[upstream];
-        connection.begin_request(now_ms);
+        connection.begin_request(None, now_ms);
         connection.health_check = Some(id.clone());
         let mut bytes = Vec::new();
         write_health_check(&path, address, &mut bytes);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -35,7 +35,8 @@
     reactor::Reactor,
     request_sizes::RequestSize,
     serve_completion::UNREACHABLE_RETRY_MS,
-    serve_crashes::call_hash, //
+    serve_crashes::call_hash,
+    stream_origins::AttemptHash, //
 };
 use crate::types::Tokens;
 
@@ -454,16 +455,17 @@
         (!hosts.is_empty()).then(|| hosts.swap_remove(index))
     }
 
-    /// Returns a host of a region to which a request may be moved: one with an idle
-    /// connection, otherwise one to which a connection is being opened, otherwise any.
+    /// Returns a host of a region to which a request of an attempt may be moved: one with an idle
+    /// connection for it, otherwise one to which a connection is being opened, otherwise any.
     pub(super) fn preferred_host(
         &mut self,
         region: &str,
         excluded: &[CompactString],
+        attempt: Option<AttemptHash>,
         now_ms: u64,
     ) -> Option<HostInfo> {
         let hosts = || self.reaching_hosts_in(region, excluded, now_ms);
-        let connected = hosts().find(|host| self.has_idle(host.peer_address, now_ms));
+        let connected = hosts().find(|host| self.has_idle(host.peer_address, attempt, now_ms));
         let known =
             connected.or_else(|| hosts().find(|host| self.is_connecting(host.peer_address)));
         match known.cloned() {
--- a/src/gateway/serve_stall.rs
+++ b/src/gateway/serve_stall.rs
@@ -78,11 +78,12 @@
     /// Returns where a request in progress can be moved, once a connection there is open;
     /// starts to connect otherwise.
     fn connected_successor(&mut self, key: usize, now_ms: u64) -> Option<Successor> {
+        let attempt = self.exchanges.get(key)?.request.metadata.attempt();
         let successor = match place(self.placement_context(key, now_ms)?) {
             Placement::Send(choice) => Successor::Endpoint(choice),
             Placement::Forward(offer) => {
                 let excluded = self.exchanges.get(key)?.excluded_hosts.clone();
-                let host = self.preferred_host(&offer.region, &excluded, now_ms)?;
+                let host = self.preferred_host(&offer.region, &excluded, attempt, now_ms)?;
                 Successor::Host(offer, host)
             }
             Placement::Wait | Placement::Refuse(_) => return None,
@@ -94,7 +95,7 @@
             }
             Successor::Host(_, host) => (host.peer_address, None),
         };
-        if self.has_idle(address, now_ms) {
+        if self.has_idle(address, attempt, now_ms) {
             return Some(successor);
         }
         self.connect_ahead(address, endpoint);
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -19,11 +19,9 @@
         parse_response, //
     },
     reactor::Reactor,
+    stream_origins::AttemptHash, //
 };
-use crate::platform::headers::{
-    ResponseMetadata,
-    decode_response_metadata, //
-};
+use crate::platform::headers::decode_response_metadata;
 
 /// Connect timeout for endpoints of the same region. Connecting takes a
 /// millisecond on the platform; a lost packet is retransmitted after a second.
@@ -225,14 +223,7 @@
             return;
         };
         let exchange = upstream.exchange;
-        let is_stale = match exchange.and_then(|exchange| self.exchanges.get(exchange)) {
-            Some(exchange) => is_stale(
-                &metadata,
-                &exchange.request.metadata.attempt_id,
-                upstream.request_count > 1 && !upstream.is_peer,
-            ),
-            None => false,
-        };
+        let is_stale = !upstream.pair(metadata.attempt());
         let sent_ms = match is_stale {
             true => upstream.previous_sent_ms,
             false => upstream.sent_ms,
@@ -299,7 +290,6 @@
         }
         if is_stale && is_done {
             upstream.response_progress = ResponseProgress::Head;
-            upstream.had_stale_response = true;
             return true;
         }
         if let Some(exchange) = exchange.filter(|_| !is_stale && !content.is_empty())
@@ -331,7 +321,7 @@
             return;
         };
         let is_reusable = head.is_keep_alive
-            && !upstream.had_stale_response
+            && !upstream.sent.is_spent()
             && upstream.socket.input.is_empty()
             && upstream.socket.unwritten() == 0
             && head.framing != super::head::Framing::UntilClose;
@@ -369,11 +359,16 @@
         }
     }
 
-    /// Returns whether an idle connection to an address can be used.
-    pub(super) fn has_idle(&self, address: SocketAddr, now_ms: u64) -> bool {
+    /// Returns whether an idle connection to an address can be used for a request of an attempt.
+    pub(super) fn has_idle(
+        &self,
+        address: SocketAddr,
+        attempt: Option<AttemptHash>,
+        now_ms: u64,
+    ) -> bool {
         let idle = self.idle_upstreams.get(&address).into_iter().flatten();
         idle.filter_map(|key| self.upstreams.get(*key))
-            .any(|upstream| now_ms < upstream.idle_deadline_ms)
+            .any(|upstream| upstream.is_usable(attempt, now_ms))
     }
 
     /// Returns whether a connection to an address is being opened.
@@ -409,21 +404,29 @@
         }
     }
 
-    /// Takes the most recently used idle connection to an address.
-    pub(super) fn take_idle(&mut self, address: SocketAddr, now_ms: u64) -> Option<usize> {
+    /// Takes the most recently used idle connection to an address that may carry a request of an
+    /// attempt.
+    ///
+    /// If there is none, one of the others is closed: the connection that takes its place does
+    /// not add to those that the endpoint accepts.
+    pub(super) fn take_idle(
+        &mut self,
+        address: SocketAddr,
+        attempt: Option<AttemptHash>,
+        now_ms: u64,
+    ) -> Option<usize> {
+        let upstreams = &self.upstreams;
         let idle = self.idle_upstreams.get_mut(&address)?;
-        while let Some(key) = idle.pop() {
-            let is_usable = self
-                .upstreams
-                .get(key)
-                .is_some_and(|upstream| now_ms < upstream.idle_deadline_ms);
-            if is_usable {
-                return Some(key);
-            }
-            if let Some(upstream) = self.upstreams.try_remove(key) {
-                drop(upstream);
-            }
+        let usable = idle.iter().rposition(|key| {
+            let upstream = upstreams.get(*key);
+            upstream.is_some_and(|upstream| upstream.is_usable(attempt, now_ms))
+        });
+        if let Some(index) = usable {
+            return Some(idle.remove(index));
         }
+        let replaced = *idle.last()?;
+        self.telemetry.count_replaced_connection();
+        self.close_upstream(replaced);
         None
     }
 
@@ -483,18 +486,6 @@
     }
 }
 
-/// Returns whether a response belongs to an earlier request.
-///
-/// An endpoint may send a second response to the previous request of a connection. On
-/// such a connection, `may_be_late`, a response is accepted only with the attempt's id.
-/// A host sends one response to each request, and its refusals carry no id.
-fn is_stale(metadata: &ResponseMetadata, attempt: &str, may_be_late: bool) -> bool {
-    match &metadata.attempt_id {
-        Some(answered) => answered != attempt,
-        None => may_be_late,
-    }
-}
-
 /// Returns the idle time in milliseconds for which a connection is reused after
 /// a response.
 fn idle_ms(head: &ResponseHead) -> u64 {
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -43,6 +43,11 @@
     pub fn new(attempt: &str) -> Self {
         Self(xxh3_64(attempt.as_bytes()))
     }
+
+    /// Returns the hash of an attempt's id; none if the id is empty.
+    pub fn of_stated(attempt: &str) -> Option<Self> {
+        (!attempt.is_empty()).then(|| Self::new(attempt))
+    }
 }
 
 impl fmt::Display for AttemptHash {
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -107,6 +107,7 @@
     kept_from_limited: Counter,
     health_checks: Counter,
     discarded_answers: Counter,
+    replaced_connections: Counter,
     limited_endpoints: Gauge,
     omitted_lines: Counter,
     dropped_lines: Gauge,
@@ -138,6 +139,7 @@
             kept_from_limited: Counter::default(),
             health_checks: Counter::default(),
             discarded_answers: Counter::default(),
+            replaced_connections: Counter::default(),
             limited_endpoints: Gauge::default(),
             omitted_lines: Counter::default(),
             dropped_lines: Gauge::default(),
@@ -204,6 +206,11 @@
             "Answers that do not belong to the latest request on their connection",
             telemetry.discarded_answers.clone(),
         );
+        registry.register(
+            "replaced_connections",
+            "Idle connections closed because the next request could not be sent on them",
+            telemetry.replaced_connections.clone(),
+        );
         registry.register(
             "limited_endpoints",
             "Endpoints of the region that name a limit",
@@ -375,6 +382,11 @@
         self.discarded_answers.inc();
     }
 
+    /// Counts an idle connection that is closed because the next request could not be sent on it.
+    pub fn count_replaced_connection(&self) {
+        self.replaced_connections.inc();
+    }
+
     /// Sets the number of endpoints that name a limit.
     pub fn set_limited_endpoints(&self, count: usize) {
         self.limited_endpoints
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -17,7 +17,8 @@
             PromptPart,
             RequestMetadata, //
         },
-        request_rate::RequestRate, //
+        request_rate::RequestRate,
+        stream_origins::AttemptHash, //
     },
     types::Tokens, //
 };
@@ -209,6 +210,13 @@
     pub unwanted_for_ms: Option<u64>,
 }
 
+impl ResponseMetadata {
+    /// Returns the attempt that the response belongs to, if stated.
+    pub fn attempt(&self) -> Option<AttemptHash> {
+        self.attempt_id.as_deref().and_then(AttemptHash::of_stated)
+    }
+}
+
 /// Decodes the platform's headers of a response; ignores malformed values.
 pub fn decode_response_metadata(head: &ResponseHead) -> ResponseMetadata {
     let mut metadata = ResponseMetadata {
--- a/tests/gateway_answer_copies.rs
+++ b/tests/gateway_answer_copies.rs
@@ -51,23 +51,31 @@
     endpoint.expect("the endpoint starts")
 }
 
-fn answer() -> Script {
-    Script::Answer(200, b"answer".to_vec())
+fn answer(arrival: &Arrival) -> Script {
+    match arrival.path.starts_with("/draft/") {
+        true => Script::Events {
+            first: 0,
+            end: 3,
+            pause: Duration::ZERO,
+            is_whole: true,
+        },
+        false => Script::Answer(200, b"answer".to_vec()),
+    }
 }
 
 /// Returns an endpoint that answers everything, slowly on [`SLOW_PATH`].
 fn returned_endpoint() -> ScriptedEndpoint {
     endpoint(|_, arrival| match arrival.path == SLOW_PATH {
-        true => Script::After(SLOW_TIME, Box::new(answer())),
-        false => answer(),
+        true => Script::After(SLOW_TIME, Box::new(answer(arrival))),
+        false => answer(arrival),
     })
 }
 
 /// Returns an endpoint that refuses its first request.
 fn refusing_endpoint() -> ScriptedEndpoint {
-    endpoint(|index, _| match index {
+    endpoint(|index, arrival| match index {
         0 => Script::NotRun,
-        _ => answer(),
+        _ => answer(arrival),
     })
 }
 
@@ -142,6 +150,7 @@
         .map(|(name, region)| Host::start(&store, &HostOptions::new(name, region)));
     other.wait_log("endpoint announced");
     home.wait_log("endpoint announced");
+    home.earn_repeats(RETURNED_REQUESTS as u32);
 
     let statuses =
         requests_to_a_returned_endpoint(&store, &endpoint, "south", (&home, &other), "/book/1");
@@ -162,6 +171,7 @@
 
             assert_eq!((refused.status, again.status), (503, 200), "{path}");
             assert_eq!(endpoint.runs().len(), 1, "{path}");
+            assert!(endpoint.open_connections() <= 1, "{path}");
         }
     }
 }
