Ignore what a copied answer states beside its status

What callers saw: requests that wait for permits, or are refused, because of a limit that the endpoint had ended.

Cause: the limit, the brittleness and the leaving that a discarded answer states were recorded as of the send before the latest. A copy may come several answers later, when that is a send after the one it answers. Its original has stated the same before, as of the right send, so a copy states nothing new and is ignored.

copy_of_a_refusal_does_not_bring_back_a_limit failed before: the limit changed 4 times, where it is named once and ends once; now twice. In copy_of_a_refusal_does_not_refuse_the_same_request_again, the check that the endpoint has one connection waits until the stand-in has seen the close of the replaced one: it failed once, because it was read 0 ms after the answer.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -348,10 +348,8 @@
     pub is_head_request: bool,
     /// Time at which the connection was opened or became idle.
     pub since_ms: u64,
-    /// Times at which the latest request and the one before it were sent.
+    /// Time at which the latest request was sent.
     pub sent_ms: u64,
-    /// See [`Self::sent_ms`].
-    pub previous_sent_ms: u64,
     /// Requests sent on it.
     pub sent: SentRequests,
     /// Time from which an idle connection is not reused.
@@ -385,7 +383,6 @@
             is_head_request: false,
             since_ms: now_ms,
             sent_ms: now_ms,
-            previous_sent_ms: now_ms,
             sent: SentRequests::default(),
             idle_deadline_ms: 0,
             is_peer: false,
@@ -439,7 +436,7 @@
     /// Records that a request of an attempt is sent.
     pub fn begin_request(&mut self, attempt: Option<AttemptHash>, now_ms: u64) {
         self.sent.push(attempt);
-        self.previous_sent_ms = std::mem::replace(&mut self.sent_ms, now_ms);
+        self.sent_ms = now_ms;
         self.response_progress = ResponseProgress::Head;
         self.interim_count = 0;
         self.is_head_request = false;
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -224,25 +224,14 @@
         };
         let exchange = upstream.exchange;
         let is_stale = !upstream.pair(metadata.attempt());
-        let sent_ms = match is_stale {
-            true => upstream.previous_sent_ms,
-            false => upstream.sent_ms,
-        };
-        if let Some(exchange) = exchange {
-            self.record_leaving(exchange, &metadata);
-            self.record_limit(exchange, &metadata, sent_ms);
-        }
-        self.record_health(key, &metadata);
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return;
-        };
-        let decoder = BodyDecoder::new(head.framing);
+        let record = upstream.answer_record(head.status, now_ms);
+        let sent_ms = upstream.sent_ms;
         upstream.response_progress = ResponseProgress::Body {
             head: Box::new(head.clone()),
-            decoder,
+            decoder: BodyDecoder::new(head.framing),
             is_stale,
         };
-        let record = upstream.answer_record(head.status, now_ms);
+        // What a copy states, its original has stated before.
         if is_stale {
             tracing::info!(
                 address = %upstream.address,
@@ -250,13 +239,18 @@
                 answer = %record,
                 "response to an earlier request discarded"
             );
-            self.telemetry.count_discarded_answer();
-        } else if let Some(exchange) = exchange {
-            if let Some(exchange) = self.exchanges.get_mut(exchange) {
-                exchange.answers.push(record);
-            }
-            self.on_response_head(exchange, &head, &metadata);
+            return self.telemetry.count_discarded_answer();
+        }
+        self.record_health(key, &metadata);
+        let Some(exchange) = exchange else {
+            return;
+        };
+        if let Some(exchange) = self.exchanges.get_mut(exchange) {
+            exchange.answers.push(record);
         }
+        self.record_leaving(exchange, &metadata);
+        self.record_limit(exchange, &metadata, sent_ms);
+        self.on_response_head(exchange, &head, &metadata);
     }
 
     /// Decodes body content; false if there is nothing more to process.
--- a/tests/gateway_answer_copies.rs
+++ b/tests/gateway_answer_copies.rs
@@ -171,7 +171,9 @@
 
             assert_eq!((refused.status, again.status), (503, 200), "{path}");
             assert_eq!(endpoint.runs().len(), 1, "{path}");
-            assert!(endpoint.open_connections() <= 1, "{path}");
+            wait_until("the endpoint has one connection", || {
+                endpoint.open_connections() <= 1
+            });
         }
     }
 }
@@ -195,3 +197,19 @@
         assert_eq!(endpoint.runs().len(), lag, "lag {lag}");
     }
 }
+
+#[test]
+fn copy_of_a_refusal_does_not_bring_back_a_limit() {
+    let endpoint = refusing_endpoint();
+    endpoint.set_limit(Some("5"));
+    endpoint.set_copies(Copies::of_refusals().with_lag(2));
+    let (_store, host) = host_with(&endpoint);
+    let refused = post(&host, "/book/1", "a-1");
+    endpoint.set_limit(None);
+
+    let served = ["a-2", "a-3"].map(|attempt| post(&host, "/book/1", attempt).status);
+
+    assert_eq!((refused.status, served), (503, [200, 200]));
+    let changes = host.log().matches("endpoint changed what it takes").count();
+    assert_eq!(changes, 2, "the limit is named once and ends once");
+}
