Send one health check on a connection at most

What callers saw: an endpoint that counts as cold, and gets few requests, after it has become warm, while the store is down.

Cause: health checks have no id, and their answers were taken by the id of the endpoint alone, so the copy of an answer to an earlier check on the connection counted as one to the latest. Requests without an id now count as one attempt, which a connection carries once.

copy_of_an_answer_to_a_health_check_does_not_count failed before: an endpoint that was cold 5 times counted as cold 8 times; now 5 times.

--- a/src/gateway/sent_requests.rs
+++ b/src/gateway/sent_requests.rs
@@ -18,9 +18,10 @@
 }
 
 impl SentRequests {
-    /// Returns whether a request of an attempt may be sent.
+    /// Returns whether a request of an attempt may be sent; requests without an id count as one
+    /// attempt.
     pub fn allows(&self, attempt: Option<AttemptHash>) -> bool {
-        attempt.is_none() || !self.attempts.contains(&attempt)
+        !self.attempts.contains(&attempt)
     }
 
     /// Returns whether no further request may be sent.
--- a/tests/gateway_cold_news.rs
+++ b/tests/gateway_cold_news.rs
@@ -17,6 +17,7 @@
         StoreFault, //
     },
     scripted::{
+        Copies,
         Script,
         ScriptedEndpoint, //
     }, //
@@ -194,3 +195,30 @@
     let cold = cold.iter().filter(|arrival| arrival.is_cold).count();
     assert!(cold <= ALLOWED, "{cold} requests while it was cold");
 }
+
+/// Guards against the copy of an answer to an earlier check, after which a warm endpoint counts
+/// as cold again.
+#[test]
+fn copy_of_an_answer_to_a_health_check_does_not_count() {
+    const ROUNDS: usize = 5;
+    const SHORT_COLD_TIME: Duration = Duration::from_millis(600);
+    let store = store_with_cold_service();
+    let endpoint = &start_endpoints(&store)[0];
+    endpoint.set_copies(Copies::of_health_checks().with_lag(2));
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("\"e-1\"");
+    store.set_fault(StoreFault::Busy);
+    host.wait_log("dependency lost");
+    wait_until("the endpoint is checked", || {
+        endpoint.health_check_count() > 0
+    });
+
+    for _ in 0..ROUNDS {
+        endpoint.become_cold(SHORT_COLD_TIME);
+        thread::sleep(SHORT_COLD_TIME * 3);
+    }
+
+    let log = host.log();
+    let cold_lines = log.lines().filter(|line| line.contains("\"health check\""));
+    assert_eq!(cold_lines.count(), ROUNDS);
+}
--- a/tests/gateway_sent_requests.rs
+++ b/tests/gateway_sent_requests.rs
@@ -26,6 +26,13 @@
     assert!(sent.allows(attempt("a-3")));
 }
 
+/// Guards against two requests without an id on a connection, whose answers can't be told apart.
+#[test]
+fn connection_carries_one_request_without_an_id() {
+    assert!(sent(&["a-1"]).allows(None));
+    assert!(!sent(&["a-1", "", "a-2"]).allows(None));
+}
+
 /// Guards against an answer to an earlier request that is taken for one to the latest.
 #[test]
 fn answer_is_paired_by_the_attempt_that_it_states() {
