Wait until hosts of two regions know each other before a forward

The host's log shows that nothing was sent: the request came 60 ms after the host had started, before it had heard a host of the other region, so it was refused truly, 'no capacity in time'. The test waits for that now, with the fixture of the other tests of forwards; its checks are unchanged. The same fixture for the copies through a forward.

--- a/tests/gateway_answer_copies.rs
+++ b/tests/gateway_answer_copies.rs
@@ -19,12 +19,12 @@
 };
 use gatewayenv::{
     Host,
-    HostOptions,
     Request,
     Response,
     announce,
     announce_as,
     host_with,
+    hosts_of_two_regions,
     store_with_configuration,
     wait_until, //
 };
@@ -146,10 +146,7 @@
     endpoint.set_copies(Copies::of_refusals());
     let store = store_with_configuration();
     announce(&store, &endpoint, "south");
-    let [home, other] = [("host-1", "north"), ("host-2", "south")]
-        .map(|(name, region)| Host::start(&store, &HostOptions::new(name, region)));
-    other.wait_log("endpoint announced");
-    home.wait_log("endpoint announced");
+    let (home, other) = hosts_of_two_regions(&store);
     home.earn_repeats(RETURNED_REQUESTS as u32);
 
     let statuses =
--- a/tests/gateway_refusals.rs
+++ b/tests/gateway_refusals.rs
@@ -19,6 +19,7 @@
     Response,
     announce,
     host_with,
+    hosts_of_two_regions,
     store_with_configuration, //
 };
 
@@ -50,10 +51,7 @@
 fn forwarding_hosts(endpoint: &ScriptedEndpoint) -> (MetadataStore, Host, Host) {
     let store = store_with_configuration();
     announce(&store, endpoint, "south");
-    let [home, other] = [("host-1", "north"), ("host-2", "south")]
-        .map(|(name, region)| Host::start(&store, &HostOptions::new(name, region)));
-    other.wait_log("endpoint announced");
-    home.wait_log("endpoint announced");
+    let (home, other) = hosts_of_two_regions(&store);
     (store, home, other)
 }
 
