Wait for log lines that tests read

The log that the test printed has it: a thread of the host writes lines later. The test now waits for the line. The same in copy_of_a_refusal_does_not_bring_back_a_limit.

--- a/tests/gateway_answer_copies.rs
+++ b/tests/gateway_answer_copies.rs
@@ -207,6 +207,7 @@
     let served = ["a-2", "a-3"].map(|attempt| post(&host, "/book/1", attempt).status);
 
     assert_eq!((refused.status, served), (503, [200, 200]));
+    host.wait_log("\"request ended\",\"request\":\"a-3\"");
     let changes = host.log().matches("endpoint changed what it takes").count();
     assert_eq!(changes, 2, "the limit is named once and ends once");
 }
--- a/tests/gateway_shutdown.rs
+++ b/tests/gateway_shutdown.rs
@@ -345,7 +345,7 @@
     // Its endpoint breaks off 1 s before the host exits; a repeat takes 1.5 s.
     assert_eq!(answer.expect("an answer").status, 502);
     assert_eq!(endpoint.runs().len(), 2);
-    assert!(host.log().contains("host stops before an answer"));
+    host.wait_log("host stops before an answer");
 }
 
 /// Guards against a stream that is cut during a stop because its rest counts as a new answer.
