Reproduce floods of endpoints that start again under their id

Callers saw answers break off once more: a cold endpoint falls over under the requests of hosts that take it for the start that they knew.

The scripted endpoint starts again under its address, closes its connections, and reports its start.

--- a/src/standin/listener.rs
+++ b/src/standin/listener.rs
@@ -145,6 +145,11 @@
         self.acceptor.stop(self.address);
         // The thread ends with the acceptor; a panic there was printed.
         let _ = thread.join();
+        self.close_connections();
+    }
+
+    /// Breaks all open connections and goes on listening.
+    pub fn close_connections(&self) {
         for stream in lock(&self.streams).values() {
             // An error means that the connection is closed already.
             let _ = stream.shutdown(Shutdown::Both);
--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -30,6 +30,7 @@
     Next,
     Request,
     lock,
+    respond_json,
     write_deadline, //
 };
 use crate::http::{
@@ -49,6 +50,8 @@
 
 /// Path of health checks.
 pub const HEALTH_PATH: &str = "/healthz";
+/// Path of the report of an endpoint on itself.
+const REPORT_PATH: &str = "/cardamombridge/report";
 /// Content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 /// Status of the answer to a request for another endpoint.
@@ -336,6 +339,8 @@
 
 /// The listener of an endpoint; none once it has ended.
 type SharedListener = Arc<Mutex<Option<Listener>>>;
+/// Answers one request on a connection of an endpoint.
+type Serve = Arc<dyn Fn(&mut Connection, Request) -> Result<Next, MessageError> + Send + Sync>;
 
 fn end(listener: &SharedListener) {
     let running = lock(listener).take();
@@ -344,12 +349,17 @@
     }
 }
 
+fn listen(port: u16, serve: &Serve) -> io::Result<Listener> {
+    let serve = Arc::clone(serve);
+    Listener::start(port, move |connection, request| serve(connection, request))
+}
+
 /// A running endpoint.
-#[derive(Debug)]
 pub struct ScriptedEndpoint {
     id: String,
     address: SocketAddr,
     listener: SharedListener,
+    serve: Serve,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_leaving: Arc<AtomicBool>,
     limit: Arc<Mutex<Option<String>>>,
@@ -359,6 +369,7 @@
     health_checks: Arc<AtomicUsize>,
     occupancy: Arc<Mutex<Occupancy>>,
     sent_answers: Arc<Mutex<SentAnswers>>,
+    reported_start: Arc<Mutex<Option<u64>>>,
 }
 
 impl ScriptedEndpoint {
@@ -385,10 +396,12 @@
         let own_occupancy = Arc::clone(&occupancy);
         let sent_answers = Arc::new(Mutex::new(SentAnswers::default()));
         let own_sent_answers = Arc::clone(&sent_answers);
+        let reported_start = Arc::new(Mutex::new(None));
+        let own_reported_start = Arc::clone(&reported_start);
         let own_id = id.to_owned();
         let listener = SharedListener::default();
         let own_listener = Arc::clone(&listener);
-        let started = Listener::start(0, move |connection, request| {
+        let serve: Serve = Arc::new(move |connection: &mut Connection, request: Request| {
             let mut arrival = arrival(&request);
             own_silence.wait();
             write_due_copy(connection, request.connection, &own_sent_answers)?;
@@ -400,6 +413,10 @@
                 respond(connection, 200, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
+            if arrival.path == REPORT_PATH {
+                let start = *lock(&own_reported_start);
+                return respond_report(connection, start);
+            }
             arrival.is_cold = !cold_left(&own_cold).is_zero();
             let index = lock(&noted).len();
             let expected = arrival.headers.get("x-expect-instance");
@@ -463,13 +480,15 @@
                 });
             }
             Ok(next)
-        })?;
+        });
+        let started = listen(0, &serve)?;
         let address = started.address();
         *lock(&listener) = Some(started);
         Ok(Self {
             id: id.into(),
             address,
             listener,
+            serve,
             arrivals,
             is_leaving,
             limit,
@@ -479,6 +498,7 @@
             health_checks,
             occupancy,
             sent_answers,
+            reported_start,
         })
     }
 
@@ -525,6 +545,11 @@
         lock(&self.sent_answers).copies = Some(copies);
     }
 
+    /// Reports this Unix time in milliseconds as its start; without, it has no report.
+    pub fn set_reported_start(&self, start: u64) {
+        *lock(&self.reported_start) = Some(start);
+    }
+
     /// Makes it cold for `time`, which its answers to health checks state.
     pub fn become_cold(&self, time: Duration) {
         *lock(&self.cold) = Some(Instant::now() + time);
@@ -560,10 +585,28 @@
     }
 
     /// Ends it as a crash would.
-    pub fn stop(&mut self) {
+    pub fn stop(&self) {
         end(&self.listener);
     }
 
+    /// Starts it again under its id and address after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound again.
+    pub fn start_again(&self) -> io::Result<()> {
+        let started = listen(self.address.port(), &self.serve)?;
+        *lock(&self.listener) = Some(started);
+        Ok(())
+    }
+
+    /// Closes all open connections and goes on.
+    pub fn close_connections(&self) {
+        if let Some(listener) = lock(&self.listener).as_ref() {
+            listener.close_connections();
+        }
+    }
+
     /// Returns whether it accepts connections.
     pub fn is_running(&self) -> bool {
         lock(&self.listener).is_some()
@@ -648,6 +691,15 @@
         .with_field("x-cold-ms", &cold_ms.to_string())
 }
 
+/// Answers a request for the report on the endpoint, which states when it started.
+fn respond_report(connection: &mut Connection, start: Option<u64>) -> Result<Next, MessageError> {
+    let (status, report) = match start {
+        Some(start) => (200, serde_json::json!({ "stage": "both", "born": start })),
+        None => (404, serde_json::Value::Null),
+    };
+    respond_json(connection, status, Headers::new(), &report)
+}
+
 /// Writes the copy of an earlier answer that is due on a connection, if any.
 fn write_due_copy(
     connection: &mut Connection,
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -407,7 +407,7 @@
 #[test]
 fn broken_stream_is_cut_off_if_only_another_version_is_left() {
     let store = store_with_configuration();
-    let mut old = whole_endpoint(&store, "old-1", "v1", "north");
+    let old = whole_endpoint(&store, "old-1", "v1", "north");
     let hosts = start_hosts(&store, &[("host-1", "north")]);
     wait_known(&hosts, &[&old]);
     let mut stream = Stream::open(&begin("a-1"), hosts[0].caller_address).expect("a stream");
