--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -84,6 +84,7 @@
                         service = %announcement.service,
                         address = %announcement.address,
                         software_version = %announcement.software_version,
+                        start = announcement.order.started_ms,
                         stage = ?stage,
                         cold_left_ms = announcement.cold_left_ms,
                         "endpoint announced"
