Doubt the start of an endpoint that closed or refused a connection

Cause: an id names an endpoint, not one start of it. Until a host had read the new entry, 0.4 to 2.9 s after the start, all that it had learned of the earlier start held for the new one.

Change: what is known of a start holds up to the first sign of its end, a connection that it closed without notice or did not accept. From then on requests go there at the rate of a cold endpoint, with permits, until it is known how long it stays cold, and none that are bound to a version. The host that saw the sign asks the endpoint at once (an engine for its report, which states its start, others for their health) and tells the region unless the endpoint denies the sign. Bytes on a connection that the start accepted, its own statement, its next entry or the store end the doubt.

Ruled out: a block after each break (a sound endpoint loses half a second), waiting for the entry, telling the region of each sign (all would doubt sound endpoints).

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -28,11 +28,16 @@
     },
     body::BodyDecoder,
     buffer_budget::ByteCount,
+    endpoint_start::{
+        Arrival,
+        EndSign, //
+    },
     head::{
         RequestHead,
         ResponseHead, //
     },
     sent_requests::SentRequests,
+    serve_starts::StartCheck,
     stream_origins::AttemptHash, //
 };
 
@@ -368,6 +373,18 @@
     pub endpoint: Option<CompactString>,
     /// Endpoint whose health is being checked.
     pub health_check: Option<CompactString>,
+    /// Check of the start of the endpoint.
+    pub(super) start_check: Option<StartCheck>,
+    /// Time at which the connection was established; none until then.
+    pub established_ms: Option<u64>,
+    /// Time up to which all that had arrived was read.
+    pub drained_ms: u64,
+    /// Time at which the remote end is known to have lived.
+    pub alive_ms: u64,
+    /// Bytes may have arrived that were not read.
+    pub has_unread: bool,
+    /// It has carried a request, and not only checks.
+    pub has_carried_request: bool,
 }
 
 impl UpstreamConnection {
@@ -392,6 +409,12 @@
             opened_ahead_for: None,
             endpoint: None,
             health_check: None,
+            start_check: None,
+            established_ms: None,
+            drained_ms: now_ms,
+            alive_ms: now_ms,
+            has_unread: false,
+            has_carried_request: false,
         }
     }
 
@@ -410,6 +433,54 @@
         self
     }
 
+    /// Records that the connection is established.
+    pub fn record_established(&mut self, now_ms: u64) {
+        self.established_ms = Some(now_ms);
+        self.drained_ms = now_ms;
+        self.alive_ms = now_ms;
+    }
+
+    /// Records a read that brought `count` bytes; returns what is known of them, if there are any.
+    ///
+    /// They arrived after the read that found nothing left, whenever they are read.
+    pub fn record_read(
+        &mut self,
+        count: ByteCount,
+        state: ReadState,
+        now_ms: u64,
+    ) -> Option<Arrival> {
+        let arrival = Arrival {
+            established_ms: self.established_ms?,
+            sent_ms: self.sent_ms,
+            drained_ms: self.drained_ms,
+        };
+        if state != ReadState::Partial {
+            self.drained_ms = now_ms;
+        }
+        self.has_unread = match state {
+            ReadState::Open => false,
+            ReadState::Partial => true,
+            ReadState::Closed | ReadState::Broken => self.has_unread,
+        };
+        if count.0 == 0 {
+            return None;
+        }
+        self.alive_ms = arrival.drained_ms;
+        Some(arrival)
+    }
+
+    /// Returns the sign that its end is for the start of its endpoint; none if it was not
+    /// established.
+    ///
+    /// Its close had not arrived at `polled_ms`. A reset may come from a host that knows nothing
+    /// of the connection any more.
+    pub fn end_sign(&self, state: ReadState, polled_ms: u64, now_ms: u64) -> Option<EndSign> {
+        let sign = EndSign::new(now_ms).with_connection(self.established_ms?);
+        let is_seen_open = state == ReadState::Closed && !self.has_unread;
+        let sign = sign.with_alive_until(Some(self.alive_ms));
+        Some(sign.with_seen_open(is_seen_open.then_some(polled_ms)))
+    }
+
     /// Returns the record of an answer with a status to the latest request.
     pub fn answer_record(&self, status: u16, now_ms: u64) -> AnswerRecord {
         AnswerRecord {
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -27,6 +27,11 @@
     },
     configuration::Service,
     endpoint_limit::KnownLimit,
+    endpoint_start::{
+        EndSign,
+        StartDoubt,
+        StartTime, //
+    },
     load_updates::SentPrompt,
     permits::HeldPermits,
     request::{
@@ -71,6 +76,12 @@
 const FULL_PAUSE_FACTOR: f64 = 1.5;
 /// Longest such pause, in milliseconds.
 const MAX_FULL_PAUSE_MS: f64 = 1_500.0;
+/// Time after a sign that an endpoint has ended in which requests wait for what a check says:
+/// several round trips to it.
+const START_CHECK_MS: u64 = 250;
+/// Time for which it is remembered that the start of an endpoint without an entry is in doubt:
+/// longer than outages of the store in which entries lapse.
+const FORMER_DOUBT_MS: u64 = 60_000;
 /// Pause after an endpoint refused a request for lack of capacity.
 const SHED_PAUSE_MS: u64 = 60;
 /// Largest backlog inside one endpoint. It is enough to keep the endpoint busy
@@ -199,6 +210,7 @@
     /// What it stated.
     statements: Statements,
     cold_until_ms: u64,
+    start_doubt: Option<StartDoubt>,
 }
 
 impl FormerEndpoint {
@@ -208,12 +220,16 @@
             started_ms: endpoint.announcement.order.started_ms,
             statements: endpoint.statements,
             cold_until_ms: endpoint.cold_until_ms,
+            start_doubt: endpoint.start_doubt,
         }
     }
 
     /// Returns whether it says more than a new announcement would.
     pub fn is_remembered(&self, now_ms: u64) -> bool {
-        self.statements != Statements::default() || now_ms < self.cold_until_ms
+        let is_doubt_recent = |doubt: StartDoubt| now_ms < doubt.signed_ms() + FORMER_DOUBT_MS;
+        self.statements != Statements::default()
+            || now_ms < self.cold_until_ms
+            || self.start_doubt.is_some_and(is_doubt_recent)
     }
 }
 
@@ -251,6 +267,8 @@
     pub cold_rate: Option<RequestRate>,
     /// Requests that it runs at the same time, if its service sets that.
     pub service_slots: Option<u32>,
+    /// Its service has streams that may go on at another endpoint.
+    pub has_resumable_streams: bool,
     /// Live hosts of its region.
     host_count: u32,
     /// Time at which each of these last saw room for a request.
@@ -258,6 +276,10 @@
     /// Times of this host's latest sends, which other hosts may not know of.
     recent_sends_ms: VecDeque<u64>,
     cold_until_ms: u64,
+    /// Doubt whether it is the start that it announced; none if it is.
+    start_doubt: Option<StartDoubt>,
+    /// Time at which the announced start was last known to live, after a doubt.
+    proven_alive_ms: Option<u64>,
     /// Latest load from a response, with the time at which it arrived.
     reported: Option<(u64, EndpointLoad)>,
     /// Pace of this host's streams there.
@@ -300,6 +322,9 @@
             peer_load: LoadShare::default(),
             cold_rate: None,
             service_slots: None,
+            has_resumable_streams: false,
+            start_doubt: None,
+            proven_alive_ms: None,
             host_count: 1,
             spacious_ms: now_ms,
             recent_sends_ms: VecDeque::new(),
@@ -326,19 +351,19 @@
         let is_restarted = announcement.order.started_ms != self.announcement.order.started_ms
             || announcement.address != self.announcement.address;
         if is_restarted {
-            let own = self.own_load;
-            let (cold_rate, slots, host_count) =
-                (self.cold_rate, self.service_slots, self.host_count);
             let former = FormerEndpoint::new(self);
             let is_same_start = announcement.order.started_ms == former.started_ms;
-            *self = Self::new(self.id.clone(), self.region.clone(), announcement, now_ms);
-            self.own_load = own;
-            (self.cold_rate, self.service_slots, self.host_count) = (cold_rate, slots, host_count);
+            self.forget_learned(announcement, now_ms);
             match is_same_start {
                 true => self.restore(&former),
                 false => {
                     self.statements.limit = KnownLimit::new(now_ms);
                     self.statements.brittle = KnownLimit::new(now_ms);
+                    self.start_doubt = former.start_doubt.and_then(StartDoubt::after_announcement);
+                    // A host may have learned of the start before it was announced.
+                    if former.start_doubt.is_some() {
+                        self.cold_until_ms = self.cold_until_ms.max(former.cold_until_ms);
+                    }
                 }
             }
             return;
@@ -350,9 +375,133 @@
         self.announcement = announcement;
     }
 
+    /// Drops what was learned from the responses of a start, but for this host's own load.
+    fn forget_learned(&mut self, announcement: Announcement, now_ms: u64) {
+        let fresh = Self::new(self.id.clone(), self.region.clone(), announcement, now_ms);
+        *self = Self {
+            own_load: self.own_load,
+            cold_rate: self.cold_rate,
+            service_slots: self.service_slots,
+            has_resumable_streams: self.has_resumable_streams,
+            host_count: self.host_count,
+            ..fresh
+        };
+    }
+
+    /// Unix time of the announced start.
+    pub fn start(&self) -> StartTime {
+        StartTime(self.announcement.order.started_ms)
+    }
+
+    /// Returns the doubt whether it is the start that it announced, if there is one.
+    pub fn start_doubt(&self) -> Option<&StartDoubt> {
+        self.start_doubt.as_ref()
+    }
+
+    /// Returns that doubt for changes.
+    pub fn start_doubt_mut(&mut self) -> Option<&mut StartDoubt> {
+        self.start_doubt.as_mut()
+    }
+
+    /// Returns whether it is the announced start, as far as this host can know.
+    pub fn is_start_known(&self) -> bool {
+        !self.start_doubt.is_some_and(|doubt| doubt.has_sign())
+    }
+
+    /// Returns whether it matters which start it is: another one may be cold, or write streams of
+    /// another version.
+    pub fn depends_on_start(&self) -> bool {
+        self.cold_rate.is_some() || self.has_resumable_streams
+    }
+
+    /// Applies a sign that the announced start has ended.
+    pub fn add_end_sign(&mut self, sign: EndSign) {
+        match &mut self.start_doubt {
+            Some(doubt) => doubt.add_sign(sign),
+            None => self.start_doubt = Some(StartDoubt::new(sign)),
+        }
+        // Permits of before were for the announced start.
+        if self.cold_rate.is_some() {
+            self.permits = HeldPermits::default();
+        }
+    }
+
+    /// Begins the doubt of a host that has just started.
+    pub fn doubt_until(&mut self, lapses_ms: u64, now_ms: u64) {
+        self.start_doubt = Some(StartDoubt::of_new_host(lapses_ms, now_ms));
+    }
+
+    /// Ends the doubt, because the announced start lived at `alive_ms`.
+    pub fn settle_start(&mut self, alive_ms: u64) {
+        self.start_doubt = None;
+        self.proven_alive_ms = self.proven_alive_ms.max(Some(alive_ms));
+    }
+
+    /// Returns whether the announced start lived after a time.
+    pub fn is_proven_alive_since(&self, at_ms: u64) -> bool {
+        self.proven_alive_ms
+            .is_some_and(|alive_ms| alive_ms >= at_ms)
+    }
+
+    /// Records that a process listens that is not the announced start, whose own announcement
+    /// this host has not read.
+    pub fn record_other_start(&mut self, cold_left_ms: u64, now_ms: u64) {
+        let (doubt, former) = (self.start_doubt, FormerEndpoint::new(self));
+        let withdrawn_at_ms = self.withdrawn_at_ms;
+        let announcement = Announcement {
+            cold_left_ms: 0,
+            ..self.announcement.clone()
+        };
+        self.forget_learned(announcement, now_ms);
+        self.restore(&former);
+        self.withdrawn_at_ms = withdrawn_at_ms;
+        self.start_doubt = Some(doubt.unwrap_or(StartDoubt::new(EndSign::new(now_ms))));
+        self.set_cold(cold_left_ms, now_ms);
+        if let Some(doubt) = &mut self.start_doubt {
+            doubt.record_other_start();
+            doubt.record_cold_time();
+        }
+    }
+
+    /// Records how long the process that listens stays cold, whichever start it is.
+    pub fn record_listening(&mut self, cold_left_ms: u64, now_ms: u64) {
+        self.set_cold(cold_left_ms, now_ms);
+        if let Some(doubt) = &mut self.start_doubt {
+            doubt.record_cold_time();
+        }
+    }
+
+    /// Returns whether the process that listens may be cold without this host's knowledge.
+    pub fn may_be_cold(&self) -> bool {
+        let is_unknown = |doubt: StartDoubt| !doubt.is_cold_time_known();
+        self.cold_rate.is_some() && self.start_doubt.is_some_and(is_unknown)
+    }
+
+    /// Returns whether it is about to be known whether the process that listens is cold.
+    fn is_cold_time_due(&self, now_ms: u64) -> bool {
+        let is_recent = |doubt: StartDoubt| now_ms < doubt.signed_ms() + START_CHECK_MS;
+        self.may_be_cold() && self.start_doubt.is_some_and(is_recent)
+    }
+
+    /// Predicts the time until there is a permit, or none is needed any more.
+    pub fn permit_due_in_ms(&self, now_ms: u64) -> f64 {
+        match self.is_cold_time_due(now_ms) {
+            true => 0.0,
+            false => self.permits.due_in_ms(now_ms),
+        }
+    }
+
+    /// Returns the time between two permits; none if it is not known, or if none may be needed
+    /// soon.
+    pub fn permit_interval_ms(&self, now_ms: u64) -> Option<f64> {
+        let interval_ms = self.permits.interval_ms(now_ms);
+        interval_ms.filter(|_| !self.is_cold_time_due(now_ms))
+    }
+
     /// Applies what was known of this start of the endpoint before.
     pub fn restore(&mut self, former: &FormerEndpoint) {
         self.statements = former.statements;
+        self.start_doubt = former.start_doubt;
         self.cold_until_ms = self.cold_until_ms.max(former.cold_until_ms);
     }
 
@@ -403,7 +552,8 @@
 
     /// Returns what it lets all hosts send together; none if it is not bound.
     pub fn bound(&self, now_ms: u64) -> Option<Bound> {
-        let cold = self.cold_rate.filter(|_| self.is_cold(now_ms));
+        let is_cold = self.is_cold(now_ms) || self.may_be_cold();
+        let cold = self.cold_rate.filter(|_| is_cold);
         let room = self.crowded_room(now_ms);
         Bound::new(self.limit(), cold, room)
     }
--- a/src/gateway/endpoint_reach.rs
+++ b/src/gateway/endpoint_reach.rs
@@ -112,6 +112,12 @@
         self.heard_ms = now_ms;
     }
 
+    /// Returns whether a byte of an endpoint arrived, or a connection was established, after a
+    /// time.
+    pub fn has_heard_since(&self, at_ms: u64) -> bool {
+        self.heard_ms > at_ms
+    }
+
     /// Records that a connection to an endpoint could not be established.
     pub fn record_unreachable(&mut self, endpoint: &CompactString) {
         if !self.failed.contains(endpoint) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
     },
     crash_records::Suspects,
     endpoint::Failure,
+    endpoint_start::StartTime,
     events::EventSplitter,
     fleet::{
         Choice,
@@ -176,8 +177,11 @@
     pub progress_ms: u64,
     /// Time at which an event was last complete.
     pub last_event_ms: Option<u64>,
-    /// Software version of the endpoint; none until another region has stated it.
+    /// Software version of the endpoint; none until another region has stated it, and while it is
+    /// not known whether the endpoint is the start that announced it.
     pub software_version: Option<SoftwareVersion>,
+    /// Announced start of the endpoint when it was sent; none for a host.
+    pub start: Option<StartTime>,
     /// Time from which another place may be sought if the endpoint stalls.
     pub next_move_ms: u64,
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -24,6 +24,7 @@
     },
     configuration::{
         Configuration,
+        RetryPolicy,
         Service, //
     },
     endpoint::{
@@ -40,6 +41,7 @@
         LimitReport,
         LimitStatement, //
     },
+    endpoint_start::StartReport,
     hosts::RegionView,
     load_updates::{
         EndpointBlock,
@@ -329,6 +331,8 @@
     cold_rates: BTreeMap<CompactString, RequestRate>,
     /// Requests that endpoints run at the same time, by service.
     service_slots: BTreeMap<CompactString, u32>,
+    /// Services with streams that may go on at another endpoint.
+    resumable_services: BTreeSet<CompactString>,
     regions: BTreeMap<CompactString, CompactString>,
     endpoints: BTreeMap<CompactString, Endpoint>,
     evacuated: BTreeSet<CompactString>,
@@ -362,6 +366,7 @@
             cold,
             cold_rates: BTreeMap::new(),
             service_slots: BTreeMap::new(),
+            resumable_services: BTreeSet::new(),
             regions,
             endpoints: BTreeMap::new(),
             evacuated: BTreeSet::new(),
@@ -386,13 +391,27 @@
         let slots =
             services.filter_map(|service| Some((service.name.clone(), service.engine?.slots)));
         self.service_slots = slots.collect();
-        for endpoint in self.endpoints.values_mut() {
-            let service = &endpoint.announcement.service;
-            endpoint.cold_rate = self.cold_rates.get(service).copied();
-            endpoint.service_slots = self.service_slots.get(service).copied();
+        let routes = configuration.routes.iter();
+        let resumable = routes.filter(|route| route.retry_policy == RetryPolicy::Resume);
+        let targets = resumable.flat_map(|route| &route.targets);
+        self.resumable_services = targets.map(|target| target.service.clone()).collect();
+        let ids: Vec<CompactString> = self.endpoints.keys().cloned().collect();
+        for id in ids {
+            self.apply_service(&id);
         }
     }
 
+    /// Applies the parameters of its service to an endpoint.
+    fn apply_service(&mut self, id: &str) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let service = &endpoint.announcement.service;
+        endpoint.cold_rate = self.cold_rates.get(service).copied();
+        endpoint.service_slots = self.service_slots.get(service).copied();
+        endpoint.has_resumable_streams = self.resumable_services.contains(service);
+    }
+
     /// Applies an announcement; returns false if its data centre is unknown.
     pub fn apply_announcement(
         &mut self,
@@ -403,16 +422,12 @@
         let Some(region) = self.regions.get(&announcement.data_centre) else {
             return false;
         };
-        let cold_rate = self.cold_rates.get(&announcement.service).copied();
-        let service_slots = self.service_slots.get(&announcement.service).copied();
         match self.endpoints.get_mut(id) {
             Some(endpoint) => {
                 let key = version_key(&endpoint.announcement);
                 self.former_versions
                     .insert(key, now_ms + ORIGIN_LIFETIME_MS);
                 endpoint.apply_announcement(announcement, now_ms);
-                endpoint.cold_rate = cold_rate;
-                endpoint.service_slots = service_slots;
             }
             None => {
                 let started_ms = announcement.order.started_ms;
@@ -421,11 +436,10 @@
                 if let Some(former) = former.filter(|former| former.started_ms == started_ms) {
                     endpoint.restore(&former);
                 }
-                endpoint.cold_rate = cold_rate;
-                endpoint.service_slots = service_slots;
                 self.endpoints.insert(id.into(), endpoint);
             }
         }
+        self.apply_service(id);
         true
     }
 
@@ -594,6 +608,21 @@
         (!was_cold).then(|| endpoint.id.clone())
     }
 
+    /// Returns the reports of this region's endpoints whose start is in doubt.
+    pub fn start_reports(&self, now_ms: u64) -> impl Iterator<Item = StartReport> + '_ {
+        let own_region = self.endpoints.values();
+        own_region
+            .filter(|endpoint| endpoint.region == self.region)
+            .filter_map(move |endpoint| StartReport::of_doubt(endpoint, now_ms))
+    }
+
+    /// Returns the endpoint that a report of another host is about; none if this host knows of a
+    /// later start.
+    pub fn reported_start(&mut self, report: &StartReport) -> Option<&mut Endpoint> {
+        let endpoint = self.get_by_hash(report.endpoint)?;
+        (endpoint.start() <= report.start).then_some(endpoint)
+    }
+
     /// Returns the id of the endpoint with this hash.
     pub fn id_of(&self, hash: EndpointHash) -> Option<CompactString> {
         let mut endpoints = self.endpoints.values();
@@ -617,7 +646,7 @@
             })
             .map(|endpoint| {
                 let permit_ms = match endpoint.bound(now_ms) {
-                    Some(_) => endpoint.permits.due_in_ms(now_ms) as u64,
+                    Some(_) => endpoint.permit_due_in_ms(now_ms) as u64,
                     None => 0,
                 };
                 permit_ms.max(endpoint.usable_at_ms().saturating_sub(now_ms))
@@ -906,7 +935,8 @@
             .filter(|endpoint| !query.excluded.contains(&endpoint.id))
             .filter(|endpoint| {
                 let version = &endpoint.announcement.software_version;
-                query.software_version.is_none_or(|bound| bound == version)
+                let is_bound_to = |bound| bound == version && endpoint.is_start_known();
+                query.software_version.is_none_or(is_bound_to)
             })
     }
 
@@ -927,10 +957,10 @@
         let mut permits_per_ms = 0.0;
         for endpoint in self.candidates(query, now_ms) {
             endpoint.bound(now_ms)?;
-            let next_ms = endpoint.permits.due_in_ms(now_ms);
+            let next_ms = endpoint.permit_due_in_ms(now_ms);
             due_ms = Some(due_ms.map_or(next_ms, |known_ms| known_ms.min(next_ms)));
             // Before the first answer of the coordinator, a permit may come at once.
-            let interval_ms = endpoint.permits.interval_ms(now_ms).unwrap_or(0.0);
+            let interval_ms = endpoint.permit_interval_ms(now_ms).unwrap_or(0.0);
             permits_per_ms += 1.0 / interval_ms;
         }
         let interval_ms = 1.0 / permits_per_ms;
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -20,6 +20,7 @@
         EndpointHash,
         LoadShare, //
     },
+    endpoint_start::EndSign,
     fleet::Choice,
     hosts::Beacon,
     permit_exchange::{
@@ -30,6 +31,7 @@
     request::RequestMetadata,
     serve_crashes::CrashReports,
     serve_limits::LimitReports,
+    serve_starts::StartReports,
     stream_origins::StreamOrigin, //
 };
 
@@ -68,6 +70,9 @@
     PermitQuestion(PermitQuestion),
     /// Permits for the host that asked.
     PermitAnswer(PermitAnswer),
+    /// What the sender has found out about the starts of endpoints; sent to its region only. The
+    /// build before does not read it.
+    StartReports(StartReports),
 }
 
 /// Changes of the load that a host places at endpoints.
@@ -338,6 +343,7 @@
             // Another host's connection was refused.
             if let Some(id) = self.fleet.id_of(block.endpoint) {
                 self.confirm_crash(&id, now_ms);
+                self.hear_of_block(&id, &update.host, now_ms);
             }
             self.fleet.apply_peer_block(block, now_ms);
         }
@@ -345,6 +351,15 @@
         true
     }
 
+    /// Doubts the start of an endpoint that another host could not reach, unless this host has
+    /// requests in progress there: that one alone may have lost its connection.
+    fn hear_of_block(&mut self, id: &CompactString, host: &str, now_ms: u64) {
+        let endpoint = self.fleet.get(id);
+        if endpoint.is_some_and(|endpoint| endpoint.own_load.active == 0) {
+            self.hear_of_sign(id, EndSign::new(now_ms), host, now_ms);
+        }
+    }
+
     /// Stops sending requests to endpoints that stated to another host that they are
     /// leaving.
     pub(super) fn apply_peer_leaving(&mut self, leaving: &[LeavingEndpoint], host: &str) {
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -88,6 +88,7 @@
     serve_health::HealthChecks,
     serve_limits::LimitState,
     serve_reach::UnreachedEndpoint,
+    serve_starts::StartChecks,
     serve_streams::VersionSearch,
     settings::GatewaySettings,
     store_replica::{
@@ -198,12 +199,16 @@
     pub(super) limits: LimitState,
     pub(super) permits: PermitExchange,
     pub(super) health_checks: HealthChecks,
+    pub(super) start_checks: StartChecks,
     pub(super) reach: EndpointReach,
     /// Endpoints that could not be reached, which other hosts have not been told.
     pub(super) unreached: Vec<UnreachedEndpoint>,
     /// Number of live hosts in the region, for the thread that follows the store.
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
+    latest_poll_ms: u64,
+    /// Time of the poll before the latest one; events that are handled came after it.
+    pub(super) earlier_poll_ms: u64,
 }
 
 impl Reactor {
@@ -305,10 +310,13 @@
             limits: LimitState::default(),
             permits,
             health_checks: HealthChecks::default(),
+            start_checks: StartChecks::default(),
             reach: EndpointReach::new(),
             unreached: Vec::new(),
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
+            latest_poll_ms: 0,
+            earlier_poll_ms: 0,
         })
     }
 
@@ -373,6 +381,8 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) => return Err(error),
             }
+            self.earlier_poll_ms = self.latest_poll_ms;
+            self.latest_poll_ms = self.now_ms();
             for event in &events {
                 self.handle_event(event);
             }
@@ -493,6 +503,7 @@
         self.continue_version_searches(now_ms);
         self.follow_limits(now_ms);
         self.check_health(now_ms);
+        self.check_starts(now_ms);
         self.store_versions(now_ms);
         self.serve_waiting(now_ms);
         self.refuse_unread(now_ms);
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -6,6 +6,7 @@
 
 use super::{
     endpoint::Failure,
+    endpoint_start::EndSign,
     exchange::{
         Destination,
         Exchange,
@@ -176,6 +177,11 @@
     pub(super) fn record_endpoint_failure(&mut self, id: &str, failure: Failure, now_ms: u64) {
         if failure == Failure::Replaced {
             self.confirm_crash(id, now_ms);
+            self.record_end_sign(
+                &id.into(),
+                EndSign::new(now_ms),
+                "another endpoint answered",
+            );
         }
         let Some(endpoint) = self.fleet.get_mut(id) else {
             return;
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -45,6 +45,8 @@
         };
         let address = endpoint.announcement.address;
         let software_version = endpoint.announcement.software_version.clone();
+        let start = endpoint.start();
+        let known_version = endpoint.is_start_known().then(|| software_version.clone());
         let cold_left_ms = endpoint.cold_left_ms(now_ms);
         let Some(exchange) = self.exchanges.get(key) else {
             return;
@@ -86,6 +88,11 @@
         );
         let destination = Destination::Endpoint(choice);
         self.send(key, address, destination, &headers, None);
+        let exchange = self.exchanges.get_mut(key);
+        if let Some(dispatch) = exchange.and_then(|exchange| exchange.dispatch.as_mut()) {
+            dispatch.software_version = known_version;
+            dispatch.start = Some(start);
+        }
     }
 
     pub(super) fn send_to_region(&mut self, key: usize, offer: RemoteOffer) {
@@ -204,10 +211,6 @@
             exchange.is_waiting = false;
             self.waiting.retain(|other| *other != key);
         }
-        let software_version = exchange
-            .placement
-            .as_ref()
-            .and_then(|placement| placement.software_version.clone());
         let dispatch = Dispatch {
             destination,
             upstream: upstream.unwrap_or(usize::MAX),
@@ -216,7 +219,8 @@
             is_success: false,
             progress_ms: now_ms,
             last_event_ms: None,
-            software_version,
+            software_version: None,
+            start: None,
             next_move_ms: now_ms,
         };
         exchange.dispatch = Some(dispatch);
@@ -227,6 +231,7 @@
         let connection = &mut self.upstreams[upstream];
         connection.begin_request(attempt, now_ms);
         connection.exchange = Some(key);
+        connection.has_carried_request = true;
         connection.is_peer = is_peer;
         connection.is_head_request = is_head_request;
         connection.socket.queue(&bytes);
--- a/src/gateway/serve_limits.rs
+++ b/src/gateway/serve_limits.rs
@@ -96,6 +96,11 @@
         demand.current += 1;
     }
 
+    /// Returns whether requests for a service have come.
+    pub(super) fn has_demand(&self, service: &str) -> bool {
+        self.demand.contains_key(service)
+    }
+
     /// Returns the time after which the next refused caller of a service comes back, behind
     /// those that were refused before.
     pub(super) fn return_in_ms(&self, service: &str, wait: LimitWait, now_ms: u64) -> f64 {
@@ -184,6 +189,7 @@
     fn send_known_limits(&mut self, is_question: bool, peers: &[SocketAddr], now_ms: u64) {
         let reports = self.fleet.limit_reports(now_ms).take(MAX_REPORTS).collect();
         self.send_limit_reports(reports, is_question, peers);
+        self.send_known_starts(peers, now_ms);
     }
 
     fn send_limit_reports(
--- a/src/gateway/serve_streams.rs
+++ b/src/gateway/serve_streams.rs
@@ -6,7 +6,11 @@
 
 use super::{
     copy_checks::WAIT_LIMIT,
-    exchange::Exchange,
+    exchange::{
+        Destination,
+        Dispatch,
+        Exchange, //
+    },
     reactor::Reactor,
     serve_completion::UNREACHABLE_RETRY_MS,
     software_version::SoftwareVersion,
@@ -148,19 +152,40 @@
         exchange.route.software_version.is_none() || regions.any(is_served_in)
     }
 
+    /// Returns the software version that serves a dispatch, if it is known by now.
+    fn served_version(&self, dispatch: &Dispatch) -> Option<SoftwareVersion> {
+        let stated = dispatch.software_version.clone();
+        let Destination::Endpoint(choice) = &dispatch.destination else {
+            return stated;
+        };
+        let endpoint = self.fleet.get(&choice.endpoint)?;
+        if dispatch.start != Some(endpoint.start()) {
+            return stated;
+        }
+        let upstream = self.upstreams.get(dispatch.upstream);
+        let established_ms = upstream.and_then(|upstream| upstream.established_ms);
+        let is_served_by_start = match endpoint.start_doubt().filter(|doubt| doubt.has_sign()) {
+            Some(doubt) => established_ms.is_some_and(|at_ms| doubt.is_before_sign(at_ms)),
+            None => true,
+        };
+        is_served_by_start.then(|| endpoint.announcement.software_version.clone())
+    }
+
     /// Binds a stream that can be taken up to the software version of its first event,
     /// and informs the other hosts.
     pub(super) fn record_origin(&mut self, key: usize, now_ms: u64) {
-        let Some(exchange) = self.exchanges.get_mut(key) else {
+        let Some(exchange) = self.exchanges.get(key) else {
             return;
         };
         if !exchange.route.is_resumable || exchange.route.software_version.is_some() {
             return;
         }
         let dispatch = exchange.dispatch.as_ref();
-        let Some(version) = dispatch.and_then(|dispatch| dispatch.software_version.clone()) else {
+        let version = dispatch.and_then(|dispatch| self.served_version(dispatch));
+        let Some(version) = version else {
             return;
         };
+        let exchange = &mut self.exchanges[key];
         exchange.route.software_version = Some(version.clone());
         let origin = StreamOrigin {
             attempt: AttemptHash::new(&exchange.request.metadata.attempt_id),
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -14,11 +14,16 @@
         UpstreamPhase, //
     },
     endpoint::Failure,
+    endpoint_start::{
+        EndSign,
+        StartDoubt, //
+    },
     head::{
         ResponseHead,
         parse_response, //
     },
     reactor::Reactor,
+    serve_starts::MAX_REPORT_BYTES,
     stream_origins::AttemptHash, //
 };
 use crate::platform::headers::decode_response_metadata;
@@ -35,6 +40,8 @@
 const IDLE_SHARE: f64 = 0.6;
 /// Longest idle time after which a connection is reused, whatever the endpoint states.
 const MAX_IDLE_MS: u64 = 60_000;
+/// Idle time after which the close of a connection that carried only checks is no sign of an end.
+const CHECK_LINGER_MS: u64 = 500;
 /// Idle time after which a connection to another host is not reused.
 const PEER_IDLE_MS: u64 = 5_000;
 /// Maximum number of interim responses before a response.
@@ -92,8 +99,10 @@
         };
         let connect_ms = now_ms.saturating_sub(upstream.since_ms);
         let exchange = upstream.exchange;
-        if upstream.endpoint.is_some() {
+        upstream.record_established(now_ms);
+        if let Some(id) = upstream.endpoint.clone() {
             self.record_reached();
+            self.record_accepted(&id, now_ms);
         }
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
@@ -143,6 +152,7 @@
             .is_some_and(|inbound| inbound.socket.unwritten() > grant.0);
         upstream.is_paused = is_full;
         if is_full {
+            upstream.has_unread = true;
             upstream.socket.shrink();
             return;
         }
@@ -150,9 +160,10 @@
         let earlier = upstream.socket.input.len();
         let read = upstream.socket.fill(grant);
         let count = ByteCount(upstream.socket.input.len() - earlier);
-        if is_endpoint && !upstream.socket.input.is_empty() {
-            self.reach
-                .record_heard(self.started.elapsed().as_millis() as u64);
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        let arrival = upstream.record_read(count, read, now_ms);
+        if is_endpoint && count.0 > 0 {
+            self.reach.record_heard(now_ms);
         }
         let read_state = match read {
             ReadState::Partial => {
@@ -162,13 +173,20 @@
             read_state => read_state,
         };
         self.record_read(count);
+        if let Some(arrival) = arrival.filter(|_| is_endpoint) {
+            self.record_arrival(key, arrival);
+        }
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
         if upstream.phase == UpstreamPhase::Idle {
             // No request is in progress, so a close or any byte makes the
             // connection unusable.
-            if read_state != ReadState::Open || !upstream.socket.input.is_empty() {
+            let has_input = !upstream.socket.input.is_empty();
+            if read_state != ReadState::Open && !has_input {
+                self.record_idle_closed(key, read_state);
+            }
+            if read_state != ReadState::Open || has_input {
                 self.close_upstream(key);
             }
             return;
@@ -193,6 +211,7 @@
                         return self.upstream_broken(key, UpstreamError::Broken);
                     }
                     Ok(None) if read_state != ReadState::Open => {
+                        self.record_closed(key, read_state, "connection broke");
                         return self.upstream_broken(key, UpstreamError::Broken);
                     }
                     Ok(None) => return,
@@ -275,7 +294,10 @@
             matches!(decoder, BodyDecoder::UntilClose) && read_state == ReadState::Closed;
         let is_done = decoder.is_done() || ends_with_connection;
         let exchange = upstream.exchange;
-        if is_stale || exchange.is_none() {
+        if let Some(check) = upstream.start_check.as_mut().filter(|_| !is_stale) {
+            let room = MAX_REPORT_BYTES.saturating_sub(check.report.len());
+            check.report.extend(content.iter().take(room));
+        } else if is_stale || exchange.is_none() {
             upstream.discarded_bytes += content.len();
             if upstream.discarded_bytes > MAX_DISCARDED_BYTES {
                 self.upstream_broken(key, UpstreamError::Broken);
@@ -294,31 +316,77 @@
             return false;
         }
         if is_done {
-            self.complete_response(key);
+            self.complete_response(key, read_state);
             return false;
         }
         if read_state != ReadState::Open {
+            self.record_closed(key, read_state, "connection broke");
             self.upstream_broken(key, UpstreamError::Broken);
         }
         false
     }
 
+    /// Records that an endpoint accepts connections.
+    fn record_accepted(&mut self, id: &CompactString, now_ms: u64) {
+        let endpoint = self.fleet.get_mut(id);
+        if let Some(doubt) = endpoint.and_then(|endpoint| endpoint.start_doubt_mut()) {
+            doubt.record_reached(now_ms);
+        }
+    }
+
+    /// Records that an endpoint closed an idle connection.
+    ///
+    /// One on which it only answered checks may be closed when it has been idle for a while:
+    /// otherwise each close would lead to the next check.
+    fn record_idle_closed(&mut self, key: usize, state: ReadState) {
+        let now_ms = self.now_ms();
+        let is_sign = self.upstreams.get(key).is_some_and(|upstream| {
+            upstream.has_carried_request || now_ms < upstream.since_ms + CHECK_LINGER_MS
+        });
+        if is_sign {
+            self.record_closed(key, state, "idle connection closed before its time");
+        }
+    }
+
+    /// Records that an endpoint closed a connection without notice.
+    fn record_closed(&mut self, key: usize, state: ReadState, cause: &str) {
+        let now_ms = self.now_ms();
+        let polled_ms = self.earlier_poll_ms;
+        let Some(upstream) = self.upstreams.get(key) else {
+            return;
+        };
+        let sign = upstream.end_sign(state, polled_ms, now_ms);
+        if let (Some(id), Some(sign)) = (upstream.endpoint.clone(), sign) {
+            self.record_end_sign(&id, sign, cause);
+        }
+    }
+
     /// Handles the end of a response; keeps the connection for reuse if possible.
-    fn complete_response(&mut self, key: usize) {
+    fn complete_response(&mut self, key: usize, read_state: ReadState) {
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
+        let is_closed = matches!(read_state, ReadState::Closed | ReadState::Broken);
         let exchange = upstream.exchange.take();
+        let start_check = upstream.start_check.take();
         let response_progress =
             std::mem::replace(&mut upstream.response_progress, ResponseProgress::Head);
         let ResponseProgress::Body { head, .. } = response_progress else {
             return;
         };
+        let ends_with_connection = head.framing == super::head::Framing::UntilClose;
+        if is_closed && head.is_keep_alive && !ends_with_connection {
+            self.record_closed(key, read_state, "connection closed after an answer");
+        }
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
         let is_reusable = head.is_keep_alive
+            && !is_closed
             && !upstream.sent.is_spent()
             && upstream.socket.input.is_empty()
             && upstream.socket.unwritten() == 0
-            && head.framing != super::head::Framing::UntilClose;
+            && !ends_with_connection;
         if is_reusable {
             let idle_ms = if upstream.is_peer {
                 PEER_IDLE_MS
@@ -329,6 +397,9 @@
         } else {
             self.close_upstream(key);
         }
+        if let Some(check) = start_check {
+            self.apply_start_check(&check, head.status, &decode_response_metadata(&head));
+        }
         if let Some(exchange) = exchange {
             self.on_response_end(exchange, &head);
         }
@@ -424,6 +495,27 @@
         None
     }
 
+    /// Takes an idle connection for a check that the announced start of an endpoint accepted
+    /// before a sign of its end.
+    pub(super) fn take_idle_of_start(
+        &mut self,
+        address: SocketAddr,
+        doubt: StartDoubt,
+        now_ms: u64,
+    ) -> Option<usize> {
+        let upstreams = &self.upstreams;
+        let idle = self.idle_upstreams.get_mut(&address)?;
+        let of_start = idle.iter().rposition(|key| {
+            let upstream = upstreams.get(*key);
+            upstream.is_some_and(|upstream| {
+                let established_ms = upstream.established_ms;
+                upstream.is_usable(None, now_ms)
+                    && established_ms.is_some_and(|at_ms| doubt.is_before_sign(at_ms))
+            })
+        });
+        Some(idle.remove(of_start?))
+    }
+
     /// Closes an upstream connection.
     pub(super) fn close_upstream(&mut self, key: usize) {
         let Some(mut upstream) = self.upstreams.try_remove(key) else {
@@ -451,6 +543,8 @@
         if let Some(id) = endpoint.filter(|_| error == UpstreamError::Unreachable) {
             let now_ms = self.now_ms();
             self.record_unreached(&id, now_ms);
+            let cause = "connection refused or not accepted in time";
+            self.record_end_sign(&id, EndSign::new(now_ms), cause);
         }
         match exchange {
             Some(exchange) => self.dispatch_failed(exchange, error),
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -99,6 +99,7 @@
                     self.confirm_crash(&id, now_ms);
                 }
                 let was_cold = self.is_cold(&id, now_ms);
+                let was_known = self.fleet.get(&id).is_some();
                 if !self.fleet.apply_announcement(&id, announcement, now_ms) {
                     tracing::warn!(
                         endpoint = %id,
@@ -108,6 +109,10 @@
                 if !was_cold {
                     self.log_cold(&id, "announcement", now_ms);
                 }
+                if !was_known {
+                    self.doubt_as_new_host(&id, now_ms);
+                }
+                self.resume_start_check(&id, now_ms);
             }
             Update::EndpointRemoved(id) => {
                 let delay_ms = self.withdrawal_delay_ms(now_ms);
@@ -513,6 +518,7 @@
                     Ok(Packet::LimitReports(sent)) => self.apply_limit_reports(sent, from),
                     Ok(Packet::PermitQuestion(asked)) => self.answer_permit_question(&asked),
                     Ok(Packet::PermitAnswer(answer)) => self.apply_permit_answer(&answer),
+                    Ok(Packet::StartReports(sent)) => self.apply_start_reports(&sent),
                     Err(error) => tracing::debug!(%error, "could not decode a packet"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -106,6 +106,8 @@
     permits: Counter,
     kept_from_limited: Counter,
     health_checks: Counter,
+    start_checks: Counter,
+    start_doubts: Counter,
     discarded_answers: Counter,
     replaced_connections: Counter,
     limited_endpoints: Gauge,
@@ -138,6 +140,8 @@
             permits: Counter::default(),
             kept_from_limited: Counter::default(),
             health_checks: Counter::default(),
+            start_checks: Counter::default(),
+            start_doubts: Counter::default(),
             discarded_answers: Counter::default(),
             replaced_connections: Counter::default(),
             limited_endpoints: Gauge::default(),
@@ -201,6 +205,16 @@
             "Health checks of endpoints while the store does not respond",
             telemetry.health_checks.clone(),
         );
+        registry.register(
+            "start_checks",
+            "Questions to endpoints whether they are the start that they announced",
+            telemetry.start_checks.clone(),
+        );
+        registry.register(
+            "start_doubts",
+            "Endpoints that this host saw signs of an end of",
+            telemetry.start_doubts.clone(),
+        );
         registry.register(
             "discarded_answers",
             "Answers that do not belong to the latest request on their connection",
@@ -377,6 +391,16 @@
         self.health_checks.inc();
     }
 
+    /// Counts a question to an endpoint whether it is the start that it announced.
+    pub fn count_start_check(&self) {
+        self.start_checks.inc();
+    }
+
+    /// Counts an endpoint of which a sign of its end was seen.
+    pub fn count_start_doubt(&self) {
+        self.start_doubts.inc();
+    }
+
     /// Counts an answer that does not belong to the latest request on its connection.
     pub fn count_discarded_answer(&self) {
         self.discarded_answers.inc();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
+use serde::Deserialize;
 
 use super::MAX_STATED_MS;
 use crate::{
     gateway::{
         endpoint_limit::LimitStatement,
+        endpoint_start::StartTime,
         head::{
             Header,
             ResponseHead, //
@@ -75,6 +77,8 @@
     DEADLINE,
 ];
 
+/// Path of an endpoint's report on itself.
+const REPORT_PATH: &str = "/cardamombridge/report";
 /// Path of the platform's readiness check.
 pub const READY_PATH: &str = "/cardamombridge/readyz";
 /// Path on which callers query the directory for hosts.
@@ -142,6 +146,13 @@
     !is_reserved && !is_replaced
 }
 
+/// What is read of an endpoint's report on itself.
+#[derive(Deserialize)]
+struct WireReport {
+    /// Unix time of the endpoint's start in milliseconds.
+    born: u64,
+}
+
 /// Headers that the gateway adds to a request for an endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointHeaders {
@@ -284,6 +295,17 @@
     out.extend_from_slice(request.as_bytes());
 }
 
+/// Appends a request for the report of the endpoint at `address` to `out`.
+pub fn write_report_question(address: SocketAddr, out: &mut Vec<u8>) {
+    write_health_check(REPORT_PATH, address, out);
+}
+
+/// Decodes the time at which an endpoint started from its report; none if it states none.
+pub fn decode_report(report: &[u8]) -> Option<StartTime> {
+    let wire: WireReport = serde_json::from_slice(report).ok()?;
+    Some(StartTime(wire.born))
+}
+
 /// Query to the directory.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct DirectoryQuery {
