Soak endpoints that start again under their id and address

Endpoints end, one or several at once, and start again under their id and address: cold, sometimes of another version, their entry 0.6 to 2.9 s later, beside faults of hosts and of the store.

Arrivals state the version of the endpoint, so that answers of the script follow it.

--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -228,6 +228,8 @@
     pub is_cold: bool,
     /// Requests a second that the endpoint said it can turn away.
     pub brittle: Option<u32>,
+    /// Software version of the endpoint.
+    pub version: Option<String>,
 }
 
 impl Arrival {
@@ -418,6 +420,7 @@
                 return respond_report(connection, start);
             }
             arrival.is_cold = !cold_left(&own_cold).is_zero();
+            arrival.version = lock(&own_version).clone();
             let index = lock(&noted).len();
             let expected = arrival.headers.get("x-expect-instance");
             let is_misdirected = expected.is_some_and(|expected| expected != own_id);
@@ -454,8 +457,7 @@
                 respond(connection, MISDIRECTED, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
-            let version = lock(&own_version).clone();
-            let version = version.as_deref();
+            let version = arrival.version.as_deref();
             let crashes = script.crashes();
             let linger = match &script {
                 Script::LingeringCrash(time) => *time,
@@ -633,6 +635,7 @@
         unwanted_s: None,
         is_cold: false,
         brittle: None,
+        version: None,
     }
 }
 
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -11,7 +11,8 @@
 //! one of restarts while requests with one prompt part crash endpoints, or while all
 //! endpoints fail. In a last one, endpoints name limits that rise, fall and end. With every
 //! second seed of that one, and of the one in which a request crashes endpoints, packets
-//! between hosts are lost, duplicated and overtaken. Answers end with their connection,
+//! between hosts are lost, duplicated and overtaken. In another one, endpoints end and start again
+//! under their id, cold and sometimes of another version. Answers end with their connection,
 //! anywhere, or never. Endpoints repeat their refusals where later answers are due, some
 //! callers send again what was refused, and entries of former ids lead to endpoints. The
 //! checks use what callers received, what endpoints saw and what hosts logged.
@@ -227,6 +228,25 @@
 const IDLE_TIMEOUTS_MS: [u64; 3] = [400, 1_000, 15_000];
 /// Time limit of routes in all other configurations.
 const DEFAULT_ROUTE_TIMEOUT_MS: u64 = 5_000;
+/// Seeds of the runs in which endpoints start again under their id.
+const START_SEEDS: [u64; 2] = [1, 2];
+/// Time for which an endpoint is cold after a start, and requests a second that it takes then.
+const COLD_TIME: Duration = Duration::from_secs(3);
+const COLD_PER_S: f64 = 2.0;
+/// Factor on that rate and further requests that reach a cold endpoint in a second at most, as
+/// in the settings of the hosts.
+const COLD_FACTOR: f64 = 1.5;
+const COLD_SLACK: f64 = 3.0;
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Times for which an endpoint is down, and after which its new entry stands.
+const DOWN_MS: Range<u64> = 30..4_000;
+const ENTRY_DELAY_MS: Range<u64> = 600..2_900;
+/// Longest time up to the entry of a start that has ended: the next start's is to follow.
+const MAX_FORMER_ENTRY: Duration = Duration::from_millis(ENTRY_DELAY_MS.end - 100);
+/// Kinds of faults of [`Cluster::inject_fault`] that concern hosts and the store only, and of
+/// all of them.
+const HOST_FAULT_COUNT: u64 = 9;
+const FAULT_COUNT: u64 = 14;
 /// Time between the stop signal and the forced end of a host.
 const SHUTDOWN_S: u64 = 6;
 /// Requests sent up to this time after the stop signal may be interrupted if they still
@@ -361,6 +381,10 @@
     starts: Vec<Instant>,
     /// Index of its software version.
     version: usize,
+    /// Time at which the entry of the latest start stands.
+    known: Instant,
+    /// Time from which it is known and warm.
+    recovered: Instant,
 }
 
 impl Announced {
@@ -372,8 +396,48 @@
             sequence: 0,
             starts: vec![Instant::now()],
             version: index % VERSIONS.len(),
+            known: Instant::now(),
+            recovered: Instant::now(),
         }
     }
+
+    /// Returns what tells its latest start from others, and from those of former ids, which
+    /// state 1.
+    fn born(&self) -> u64 {
+        1 + self.starts.len() as u64
+    }
+}
+
+/// A time at which an endpoint closed all its connections, with or without its end.
+struct Closing {
+    endpoint: usize,
+    at: Instant,
+}
+
+/// A start of an endpoint under its id that is due.
+struct DueStart {
+    down: Duration,
+    entry_delay: Duration,
+    born: u64,
+    version: &'static str,
+}
+
+impl DueStart {
+    /// Starts an endpoint that has ended again, cold, and announces it.
+    fn run(&self, endpoint: &ScriptedEndpoint, region: &str, store: &MetadataStore) {
+        thread::sleep(self.down);
+        endpoint.set_version(self.version);
+        endpoint.set_reported_start(self.born);
+        endpoint.become_cold(COLD_TIME);
+        endpoint.start_again().expect("the address is free");
+        thread::sleep(self.entry_delay);
+        let cold_left = COLD_TIME.saturating_sub(self.entry_delay);
+        let fields = json!({
+            "seq": 1, "born": self.born, "version": self.version,
+            "cold_left_ms": cold_left.as_millis() as u64,
+        });
+        announce_with(store, endpoint, region, &fields);
+    }
 }
 
 /// Starts an endpoint that answers as the seed says, or with an error while `is_failing`.
@@ -383,11 +447,10 @@
     id: &str,
     version: &str,
 ) -> ScriptedEndpoint {
-    let own_version = version.to_owned();
     let is_failing = Arc::clone(is_failing);
     let answer = move |index, arrival: &Arrival| match is_failing.load(Ordering::Relaxed) {
         true => Script::Answer(500, b"failed".to_vec()),
-        false => script(seed, arrival, index, &own_version),
+        false => script(seed, arrival, index),
     };
     let endpoint = ScriptedEndpoint::start(id, answer).expect("the endpoint starts");
     endpoint.set_copies(copies(seed, id));
@@ -408,9 +471,13 @@
     random.next_u64() % count
 }
 
-/// Returns what an endpoint of a software version does with a request, from the seed and
-/// the index of the request.
-fn script(seed: u64, arrival: &Arrival, index: usize, version: &str) -> Script {
+fn duration_in(range_ms: Range<u64>, random: &mut Pcg64Mcg) -> Duration {
+    let length_ms = range_ms.end - range_ms.start;
+    Duration::from_millis(range_ms.start + random_below(random, length_ms))
+}
+
+/// Returns what an endpoint does with a request, from the seed and the index of the request.
+fn script(seed: u64, arrival: &Arrival, index: usize) -> Script {
     let mut random = Pcg64Mcg::seed_from_u64(seed ^ (index as u64) << 32);
     let first = arrival
         .headers
@@ -441,6 +508,7 @@
         ),
         (5, true) => {
             // Ends after any byte; the version of the first event decides what is whole.
+            let version = arrival.version.as_deref().unwrap_or_default();
             let events = (first..EVENT_COUNT).map(|number| versioned_event_text(version, number));
             let text: String = events.collect();
             let cut = random_below(&mut random, text.len() as u64 + 1) as usize;
@@ -760,11 +828,13 @@
 }
 
 struct Cluster {
-    store: MetadataStore,
+    store: Arc<MetadataStore>,
+    /// Fields of the service that differ from those of [`configuration`].
+    service: Value,
     wires: Vec<Wire>,
     /// Wires between hosts, if packets are lost.
     peer_wires: Option<PeerWires>,
-    endpoints: Vec<ScriptedEndpoint>,
+    endpoints: Vec<Arc<ScriptedEndpoint>>,
     hosts: Vec<Option<Host>>,
     caller_addresses: CallerAddresses,
     ended_logs: Vec<(Sender, String)>,
@@ -781,7 +851,10 @@
     /// All endpoints answer with errors.
     is_failing: Arc<AtomicBool>,
     /// Endpoints that others have replaced, with their indexes.
-    former: Vec<(usize, ScriptedEndpoint)>,
+    former: Vec<(usize, Arc<ScriptedEndpoint>)>,
+    /// Threads on which endpoints start again.
+    due_starts: Vec<thread::JoinHandle<()>>,
+    closings: Vec<Closing>,
     serving: Vec<Serving>,
     stops: Vec<Stop>,
     silences: Vec<Silence>,
@@ -793,8 +866,8 @@
 }
 
 impl Cluster {
-    fn new(seed: u64, host_count: usize, is_lossy: bool) -> Self {
-        let store = store_with_configuration();
+    fn new(seed: u64, host_count: usize, is_lossy: bool, service: Value) -> Self {
+        let store = Arc::new(store_with_configuration());
         let peer_wires = is_lossy.then(|| lose_packets(&store, seed));
         let is_failing = Arc::new(AtomicBool::new(false));
         let endpoints = ENDPOINTS
@@ -803,12 +876,14 @@
             .map(|(index, (id, _))| {
                 start_endpoint(seed, &is_failing, id, VERSIONS[index % VERSIONS.len()])
             })
+            .map(Arc::new)
             .collect();
         let wires = (0..host_count as u64)
             .map(|index| Wire::start(store.address(), seed ^ index).expect("the wire starts"))
             .collect();
         let mut cluster = Self {
             store,
+            service,
             wires,
             peer_wires,
             endpoints,
@@ -824,6 +899,8 @@
             seed,
             is_failing,
             former: Vec::new(),
+            due_starts: Vec::new(),
+            closings: Vec::new(),
             serving: Vec::new(),
             stops: Vec::new(),
             silences: Vec::new(),
@@ -831,7 +908,9 @@
             common_restarts: 0,
             route_timeouts_ms: HashMap::new(),
         };
+        cluster.store.put("op/config", &cluster.configuration());
         for index in 0..ENDPOINTS.len() {
+            cluster.endpoints[index].set_reported_start(cluster.announced[index].born());
             cluster.announce_again(index);
         }
         for index in 0..host_count {
@@ -893,17 +972,26 @@
         self.ended_logs.push((sender, host.log()));
     }
 
+    /// Returns the configuration of the current version.
+    fn configuration(&self) -> Value {
+        let mut current = configuration(self.version);
+        for (name, value) in self.service.as_object().into_iter().flatten() {
+            current["backends"][0][name] = value.clone();
+        }
+        current
+    }
+
     fn write_configuration(&mut self) {
         self.version += 1;
-        self.store.put("op/config", &configuration(self.version));
+        self.store.put("op/config", &self.configuration());
     }
 
     /// Overwrites the newest configuration with an older one, as a second operator
     /// may do.
     fn write_older_configuration(&mut self) {
+        let older = self.configuration();
         self.write_configuration();
-        self.store
-            .put("op/config", &configuration(self.version - 1));
+        self.store.put("op/config", &older);
     }
 
     /// Writes a configuration with other limits.
@@ -911,7 +999,7 @@
         self.version += 1;
         let timeout_ms = ROUTE_TIMEOUTS_MS[random_below(random, 3) as usize];
         let idle_timeout_ms = IDLE_TIMEOUTS_MS[random_below(random, 3) as usize];
-        let mut changed = configuration(self.version);
+        let mut changed = self.configuration();
         for route in changed["routes"].as_array_mut().into_iter().flatten() {
             route["timeout_ms"] = json!(timeout_ms);
         }
@@ -980,7 +1068,7 @@
                 let version = VERSIONS[self.announced[index].version];
                 let id = ENDPOINTS[index].0;
                 let started = start_endpoint(self.seed, &self.is_failing, id, version);
-                let former = std::mem::replace(&mut self.endpoints[index], started);
+                let former = std::mem::replace(&mut self.endpoints[index], Arc::new(started));
                 self.former.push((index, former));
                 self.announced[index].starts.push(Instant::now());
                 self.announced[index].sequence = 0;
@@ -1239,9 +1327,14 @@
 
     /// Injects a random fault and removes it.
     fn inject_fault(&mut self, random: &mut Pcg64Mcg) {
+        self.inject_fault_of(FAULT_COUNT, random);
+    }
+
+    /// Injects a random one of the first kinds of faults and removes it.
+    fn inject_fault_of(&mut self, kind_count: u64, random: &mut Pcg64Mcg) {
         let index = random_below(random, self.hosts.len() as u64) as usize;
         let pause = Duration::from_millis(100 + random_below(random, 900));
-        match random_below(random, 14) {
+        match random_below(random, kind_count) {
             0 => self.restart(index, Signal::SIGKILL),
             1 => self.restart(index, Signal::SIGTERM),
             2 => {
@@ -1297,6 +1390,126 @@
         }
     }
 
+    /// Ends endpoints that start again under their id, or closes connections of one, and injects
+    /// faults of hosts and of the store in the meantime. One endpoint is warm and known, in the
+    /// region with more than one host.
+    fn inject_endpoint_starts(&mut self, random: &mut Pcg64Mcg) {
+        self.record_serving(|_, _| true);
+        let first = random_below(random, ENDPOINTS.len() as u64) as usize;
+        let count = 1 + random_below(random, 3) as usize;
+        if random_below(random, 4) == 0 {
+            self.note_closing(first);
+            self.endpoints[first].close_connections();
+        }
+        for index in (first..first + count).map(|index| index % ENDPOINTS.len()) {
+            let now = Instant::now();
+            let others = (0..ENDPOINTS.len()).filter(|other| *other != index);
+            let mut others = others.filter(|other| ENDPOINTS[*other].1 == HOSTS[0].1);
+            let is_one_sound = others.any(|other| self.announced[other].recovered < now);
+            let unknown = self.announced[index].known.saturating_duration_since(now);
+            let is_early = unknown < MAX_FORMER_ENTRY && random_below(random, 3) == 0;
+            let may_end = unknown.is_zero() || is_early;
+            if is_one_sound && may_end && self.endpoints[index].is_running() {
+                self.begin_start(index, random);
+            }
+        }
+        thread::sleep(Duration::from_millis(random_below(random, 500)));
+        if random_below(random, 2) == 0 {
+            self.inject_fault_of(HOST_FAULT_COUNT, random);
+        }
+    }
+
+    fn note_closing(&mut self, endpoint: usize) {
+        let at = Instant::now();
+        self.closings.push(Closing { endpoint, at });
+    }
+
+    /// Ends an endpoint, which starts again, sometimes with another version.
+    fn begin_start(&mut self, index: usize, random: &mut Pcg64Mcg) {
+        let announced = &mut self.announced[index];
+        let down = duration_in(DOWN_MS, random);
+        let now = Instant::now();
+        // The entry of a start that has ended stands before the one of the next start.
+        let former_entry = announced.known.saturating_duration_since(now + down);
+        let entry_delay = duration_in(ENTRY_DELAY_MS, random).max(former_entry + CLOCK_SLACK);
+        announced.sequence = 1;
+        announced.starts.push(now + down);
+        announced.known = now + down + entry_delay;
+        announced.recovered = announced.known.max(now + down + COLD_TIME);
+        announced.version ^= usize::from(random_below(random, 4) == 0);
+        let start = DueStart {
+            down,
+            entry_delay,
+            born: announced.born(),
+            version: VERSIONS[announced.version],
+        };
+        self.record_serving(|_, _| true);
+        self.note_closing(index);
+        self.endpoints[index].stop();
+        let endpoint = Arc::clone(&self.endpoints[index]);
+        let store = Arc::clone(&self.store);
+        let region = ENDPOINTS[index].1;
+        let thread = thread::spawn(move || start.run(&endpoint, region, &store));
+        self.due_starts.push(thread);
+    }
+
+    /// Waits until all endpoints are warm and known, and checks that requests reach them then.
+    fn check_starts(&mut self, seed: u64) {
+        for thread in self.due_starts.drain(..) {
+            thread.join().expect("an endpoint starts");
+        }
+        let recovered = self.announced.iter().map(|one| one.recovered).max();
+        let recovered = recovered.expect("there are endpoints").max(Instant::now());
+        thread::sleep(recovered.saturating_duration_since(Instant::now()));
+        for endpoint in &self.endpoints {
+            let is_used = || endpoint.arrivals().iter().any(|one| one.at > recovered);
+            while !is_used() {
+                let id = endpoint.id();
+                assert!(recovered.elapsed() < CONTACT, "seed {seed}: {id} is unused");
+                thread::sleep(CLOCK_SLACK);
+            }
+        }
+        let waited = recovered.elapsed();
+        println!("seed {seed}: endpoints are used again {waited:?} after they are warm and known");
+    }
+
+    /// Checks that no cold endpoint got more requests in a second than it takes, all hosts
+    /// together. Counted are those that were sent and arrived within it.
+    fn check_cold(&self, seed: u64) {
+        let allowed = (COLD_PER_S * COLD_FACTOR + COLD_SLACK) as usize;
+        let sends = Sends::new(self);
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            let cold = self.cold_requests(index, &sends);
+            let in_window = |start: Instant| {
+                let end = start + COLD_WINDOW;
+                let counted = cold.iter().filter(|(sent, at)| *sent >= start && *at < end);
+                counted.count()
+            };
+            let most = cold.iter().map(|(sent, _)| in_window(*sent)).max();
+            let (most, count) = (most.unwrap_or(0), cold.len());
+            let (id, starts) = (endpoint.id(), self.announced[index].starts.len() - 1);
+            println!("seed {seed}: {id}: {starts} starts, {most} of {count} in a second");
+            assert!(
+                most <= allowed,
+                "seed {seed}: {id} got {most} requests in a second, {allowed} allowed"
+            );
+        }
+    }
+
+    /// Returns when the requests that an endpoint got while it was cold were sent and arrived.
+    /// Those for a former id get 421 and do not count.
+    fn cold_requests(&self, index: usize, sends: &Sends) -> Vec<(Instant, Instant)> {
+        let endpoint = &self.endpoints[index];
+        let arrivals = endpoint.arrivals().into_iter();
+        let cold = arrivals.filter(|one| one.is_cold);
+        let own = cold.filter(|one| ["", endpoint.id()].contains(&expected_id(one)));
+        let times = own.map(|one| match Sender::of(&one, ENDPOINTS[index].1) {
+            Some(sender) => (sends.time_of(&one, endpoint.id(), sender), one.at),
+            None => (one.at, one.at),
+        });
+        times.collect()
+    }
+
     /// Returns the store from a copy that lacks a configuration and the leaving of an
     /// endpoint; afterwards, everything is written again.
     fn return_from_copy(&mut self, random: &mut Pcg64Mcg, pause: Duration) {
@@ -1311,7 +1524,7 @@
         self.store.return_from_copy();
         self.store.set_fault(StoreFault::None);
         thread::sleep(pause);
-        self.store.put("op/config", &configuration(self.version));
+        self.store.put("op/config", &self.configuration());
         for endpoint in 0..ENDPOINTS.len() {
             self.announce_again(endpoint);
         }
@@ -1328,7 +1541,7 @@
             "ready"
         };
         let fields = json!({
-            "state": state, "seq": announced.sequence, "born": announced.starts.len(),
+            "state": state, "seq": announced.sequence, "born": announced.born(),
             "version": VERSIONS[announced.version],
         });
         let region = ENDPOINTS[index].1;
@@ -1361,13 +1574,14 @@
     where
         F: Fn(usize, &str) -> bool,
     {
+        let at = Instant::now();
         let mut counts = [0; VERSIONS.len()];
         for (index, announced) in self.announced.iter().enumerate() {
-            if !announced.is_draining && is_in_use(index, ENDPOINTS[index].1) {
+            let is_serving = !announced.is_draining && announced.recovered <= at;
+            if is_serving && is_in_use(index, ENDPOINTS[index].1) {
                 counts[announced.version] += 1;
             }
         }
-        let at = Instant::now();
         self.serving.push(Serving { at, counts });
     }
 
@@ -1388,7 +1602,7 @@
         self.announced[index].version = version;
         let id = format!("{}-{start}", ENDPOINTS[index].0);
         let released = start_endpoint(self.seed, &self.is_failing, &id, VERSIONS[version]);
-        let former = std::mem::replace(&mut self.endpoints[index], released);
+        let former = std::mem::replace(&mut self.endpoints[index], Arc::new(released));
         self.store.delete(&format!("servers/{}", former.id()));
         self.former.push((index, former));
     }
@@ -1396,8 +1610,9 @@
     /// Returns all endpoints with their indexes, including those that were replaced.
     fn all_endpoints(&self) -> impl Iterator<Item = (usize, &ScriptedEndpoint)> {
         let former = self.former.iter();
-        let former = former.map(|(index, endpoint)| (*index, endpoint));
-        self.endpoints.iter().enumerate().chain(former)
+        let former = former.map(|(index, endpoint)| (*index, endpoint.as_ref()));
+        let current = self.endpoints.iter().map(Arc::as_ref);
+        current.enumerate().chain(former)
     }
 
     fn restart_endpoint(&mut self, index: usize) {
@@ -1498,6 +1713,15 @@
         serves_twice && *sent >= start + SETTLE_TIME && !was_interrupted
     }
 
+    /// Returns whether an endpoint closed its connections after a request arrived, by `until`.
+    fn was_closed(&self, id: &str, arrival: &Arrival, until: Instant) -> bool {
+        self.closings.iter().any(|closing| {
+            ENDPOINTS[closing.endpoint].0 == id
+                && closing.at + CLOCK_SLACK >= arrival.at
+                && closing.at <= until
+        })
+    }
+
     /// Returns the latest time at which an endpoint begins to answer a request that
     /// arrived at `at`: after a silence.
     fn latest_answer(&self, endpoint: usize, at: Instant) -> Instant {
@@ -1661,7 +1885,10 @@
     fn broke_off(&self, outcome: &Outcome) -> bool {
         let arrivals = self.arrivals.get(&outcome.send_id());
         let mut arrivals = arrivals.into_iter().flatten();
-        arrivals.any(|(_, arrival)| arrival.breaks_off)
+        arrivals.any(|(endpoint, arrival)| {
+            let cluster = self.cluster;
+            arrival.breaks_off || cluster.was_closed(endpoint, arrival, outcome.ended)
+        })
     }
 
     fn reached_time_limit(&self, outcome: &Outcome) -> bool {
@@ -1832,11 +2059,22 @@
     counts
 }
 
-/// Returns the attempts that ran at an endpoint which has crashed.
+/// Returns the attempts that ran at an endpoint which has crashed, or which closed its
+/// connections then.
 fn crashed_attempts(cluster: &Cluster) -> HashSet<String> {
-    let crashed = cluster.all_endpoints().filter(|(_, one)| !one.is_running());
-    let runs = crashed.flat_map(|(_, endpoint)| endpoint.runs());
-    runs.map(|run| run.attempt().to_owned()).collect()
+    let limit = Duration::from_millis(LIMIT_MS);
+    let endpoints = cluster.all_endpoints();
+    let crashed = endpoints.flat_map(|(_, endpoint)| {
+        let is_cut = |run: &Arrival| {
+            !endpoint.is_running() || cluster.was_closed(endpoint.id(), run, run.at + limit)
+        };
+        endpoint
+            .runs()
+            .into_iter()
+            .filter(is_cut)
+            .collect::<Vec<_>>()
+    });
+    crashed.map(|run| run.attempt().to_owned()).collect()
 }
 
 /// Returns whether nothing in a response states its end.
@@ -1920,6 +2158,23 @@
     is_failing: bool,
     /// Endpoints name limits.
     has_limits: bool,
+    /// Endpoints start again under their id, and are cold then.
+    has_starts: bool,
+}
+
+impl Series {
+    /// Returns the fields of the service that differ from those of [`configuration`]: with
+    /// starts, a bound on cold endpoints, and engines with every second seed.
+    fn service(&self, seed: u64) -> Value {
+        let mut service = json!({});
+        if self.has_starts {
+            service = json!({ "cold_s": COLD_TIME.as_secs_f64(), "cold_per_s": COLD_PER_S });
+        }
+        if self.has_starts && seed.is_multiple_of(2) {
+            service["engine"] = json!({ "slots": 8, "kv_cap_tokens": 100_000 });
+        }
+        service
+    }
 }
 
 fn soak(seed: u64, length: Duration, series: &Series) {
@@ -1929,7 +2184,7 @@
     };
     let can_lose = series.has_limits || matches!(series.crashes, Some(CrashCause::Request));
     let is_lossy = can_lose && seed.is_multiple_of(2);
-    let mut cluster = Cluster::new(seed, host_count, is_lossy);
+    let mut cluster = Cluster::new(seed, host_count, is_lossy, series.service(seed));
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let is_ending = Arc::new(AtomicBool::new(false));
     let outcomes = Arc::new(Mutex::new(Vec::new()));
@@ -1978,6 +2233,10 @@
         cluster.end_limits();
         cluster.check_limits(seed, Instant::now());
     }
+    if series.has_starts {
+        cluster.check_starts(seed);
+        cluster.check_cold(seed);
+    }
     let recovery = Instant::now() + RECOVERY_LIMIT;
     for (index, address) in cluster
         .caller_addresses
@@ -2073,6 +2332,7 @@
         crashes: None,
         is_failing: false,
         has_limits: false,
+        has_starts: false,
     });
 }
 
@@ -2087,6 +2347,7 @@
         crashes: None,
         is_failing: false,
         has_limits: false,
+        has_starts: false,
     });
 }
 
@@ -2101,6 +2362,7 @@
         crashes: Some(CrashCause::Part),
         is_failing: false,
         has_limits: false,
+        has_starts: false,
     });
 }
 
@@ -2114,6 +2376,7 @@
         crashes: None,
         is_failing: true,
         has_limits: false,
+        has_starts: false,
     });
 }
 
@@ -2128,6 +2391,7 @@
         crashes: None,
         is_failing: false,
         has_limits: true,
+        has_starts: false,
     });
 }
 
@@ -2142,5 +2406,21 @@
         crashes: Some(CrashCause::Request),
         is_failing: false,
         has_limits: false,
+        has_starts: false,
+    });
+}
+
+/// Guards against endpoints that are flooded, or get streams of their former version, after
+/// they start again under their id, and against ones that are not used any more.
+#[test]
+fn endpoints_that_start_again_are_not_flooded() {
+    soak_all_seeds(&Series {
+        seeds: &START_SEEDS,
+        inject: Cluster::inject_endpoint_starts,
+        caller_count: PLANNED_WORK_CALLER_COUNT,
+        crashes: None,
+        is_failing: false,
+        has_limits: false,
+        has_starts: true,
     });
 }
