--- a/src/gateway/endpoint_start.rs
+++ b/src/gateway/endpoint_start.rs
@@ -6,7 +6,8 @@
 //! sign of its end, which is a connection that the endpoint closed without notice, or refused.
 //! From then on the start is in doubt until
 //!
-//! - something arrives on a connection that the start accepted before the sign,
+//! - something arrives on a connection that the start accepted, which it has not sent before the
+//!   sign,
 //! - the endpoint states when it started, or
 //! - the store shows what the process announced that has accepted a connection since.
 //!
--- a/src/gateway/serve_reach.rs
+++ b/src/gateway/serve_reach.rs
@@ -134,7 +134,7 @@
 
     fn report_unreached(&mut self, unreached: &UnreachedEndpoint, now_ms: u64) {
         self.confirm_crash(&unreached.endpoint, now_ms);
-        self.tell_end_sign(&unreached.endpoint, now_ms);
+        self.allow_telling(&unreached.endpoint, now_ms);
         if let Some((hash, until_ms)) = unreached.block
             && until_ms > now_ms
         {
--- a/src/gateway/serve_starts.rs
+++ b/src/gateway/serve_starts.rs
@@ -139,7 +139,8 @@
 }
 
 impl StartChecks {
-    fn expect(&mut self, id: &CompactString, next_ms: u64) -> &mut PendingCheck {
+    /// Makes the next check of an endpoint due at `next_ms`, unless it is due earlier.
+    fn schedule(&mut self, id: &CompactString, next_ms: u64) -> &mut PendingCheck {
         let pending = self.pending.entry(id.clone()).or_insert(PendingCheck {
             next_ms,
             unanswered_count: 0,
@@ -183,7 +184,7 @@
             );
             self.telemetry.count_start_doubt();
         }
-        let pending = self.start_checks.expect(id, now_ms);
+        let pending = self.start_checks.schedule(id, now_ms);
         pending.next_ms = now_ms;
         pending.is_shared &= !is_finding_outdated;
         // That a connection was not accepted may be due to the path of this host.
@@ -219,12 +220,12 @@
     pub(super) fn resume_start_check(&mut self, id: &CompactString, now_ms: u64) {
         let endpoint = self.fleet.get(id);
         if endpoint.is_some_and(|endpoint| endpoint.start_doubt().is_some()) {
-            self.start_checks.expect(id, now_ms);
+            self.start_checks.schedule(id, now_ms);
         }
     }
 
-    /// Tells the region of a sign, once it is clear that the path of this host is not its cause.
-    pub(super) fn tell_end_sign(&mut self, id: &CompactString, now_ms: u64) {
+    /// Lets the region be told of a sign, since the path of this host is not its cause.
+    pub(super) fn allow_telling(&mut self, id: &CompactString, now_ms: u64) {
         if let Some(pending) = self.start_checks.pending.get_mut(id)
             && !pending.is_shared
         {
@@ -304,7 +305,7 @@
             .take(MAX_CHECKS_AT_ONCE)
             .collect();
         for id in due {
-            self.start_check(&id, now_ms);
+            self.send_check(&id, now_ms);
         }
     }
 
@@ -341,7 +342,7 @@
     }
 
     /// Asks an endpoint whether it is the start that it announced.
-    fn start_check(&mut self, id: &CompactString, now_ms: u64) {
+    fn send_check(&mut self, id: &CompactString, now_ms: u64) {
         let Some(pending) = self.start_checks.pending.get_mut(id) else {
             return;
         };
@@ -449,7 +450,7 @@
             || check.sent_ms < doubt.signed_ms()
             || now_ms >= check.sent_ms + ANSWER_LIMIT_MS;
         if is_outdated {
-            self.start_checks.expect(id, now_ms);
+            self.start_checks.schedule(id, now_ms);
             return;
         }
         match check.kind {
@@ -463,7 +464,7 @@
     fn apply_report(&mut self, check: &StartCheck, now_ms: u64) {
         let id = &check.endpoint;
         let Some(stated) = decode_report(&check.report) else {
-            let pending = self.start_checks.expect(id, now_ms);
+            let pending = self.start_checks.schedule(id, now_ms);
             pending.has_no_report = true;
             return;
         };
@@ -667,7 +668,7 @@
             );
         }
         let jitter_ms = check_jitter_ms(&self.settings.host.name, id);
-        let pending = self.start_checks.expect(id, now_ms);
+        let pending = self.start_checks.schedule(id, now_ms);
         pending.next_ms = now_ms + HEARSAY_DELAY_MS + jitter_ms;
     }
 
