Tell a reset right after bytes from the end of a start

Streams that their callers took up were refused more often at services without reports: an endpoint that breaks an answer off with a reset stayed in doubt for 3.6 s, and streams begun there were bound to no version.

A connection that brought bytes within 100 ms before its reset had not been dead for long, so whoever accepts another one within 30 ms is the same start, as after a close.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -56,6 +56,10 @@
 /// Unanswered keep-alive probes after which the kernel closes a connection, where
 /// [`UNACKNOWLEDGED_LIMIT`] does not decide.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Time without bytes on a connection after which its close may have been on the way for long.
+const MAX_QUIET_BEFORE_CLOSE_MS: u64 = 500;
+/// The same for a reset, which may come from a later start that does not know the connection.
+const MAX_QUIET_BEFORE_RESET_MS: u64 = 100;
 /// Size of a single read from a socket.
 const READ_BYTES: usize = 32 * 1024;
 
@@ -472,13 +476,16 @@
     /// Returns the sign that its end is for the start of its endpoint; none if it was not
     /// established.
     ///
-    /// Its close had not arrived at `polled_ms`. A reset may come from a host that knows nothing
-    /// of the connection any more.
+    /// Its close had not arrived at `polled_ms`.
     pub fn end_sign(&self, state: ReadState, polled_ms: u64, now_ms: u64) -> Option<EndSign> {
         let sign = EndSign::new(now_ms).with_connection(self.established_ms?);
-        let is_seen_open = state == ReadState::Closed && !self.has_unread;
+        let seen_open_ms = (!self.has_unread).then_some(polled_ms);
+        let max_quiet_ms = match state {
+            ReadState::Broken => MAX_QUIET_BEFORE_RESET_MS,
+            _ => MAX_QUIET_BEFORE_CLOSE_MS,
+        };
         let sign = sign.with_alive_until(Some(self.alive_ms));
-        Some(sign.with_seen_open(is_seen_open.then_some(polled_ms)))
+        Some(sign.with_seen_open(seen_open_ms, max_quiet_ms))
     }
 
     /// Returns the record of an answer with a status to the latest request.
--- a/src/gateway/endpoint_start.rs
+++ b/src/gateway/endpoint_start.rs
@@ -37,8 +37,6 @@
 const IN_FLIGHT_MS: u64 = 50;
 /// Shortest time in which an endpoint ends and listens again.
 const MIN_RESTART_MS: u64 = 30;
-/// Time without bytes on a connection after which its end may have been on the way for long.
-const MAX_QUIET_MS: u64 = 500;
 /// Time within which a new start announces itself: three heartbeats, after which the store removes
 /// the entry of an endpoint that is silent.
 const ANNOUNCED_WITHIN_MS: u64 = 3_600;
@@ -93,13 +91,13 @@
         self
     }
 
-    /// Sets the time at which the connection that ended was last seen open, if its end is not
-    /// that of a connection that had long been dead.
+    /// Sets the time at which the connection that ended was last seen open, unless it had been
+    /// quiet for longer than `max_quiet_ms`: it may have been dead for long then.
     ///
     /// Whoever accepts a connection within the shortest time of a restart is the same start.
-    pub fn with_seen_open(mut self, seen_open_ms: Option<u64>) -> Self {
+    pub fn with_seen_open(mut self, seen_open_ms: Option<u64>, max_quiet_ms: u64) -> Self {
         let alive_until_ms = self.alive_until_ms.unwrap_or(0);
-        let is_recent = |seen_ms: &u64| *seen_ms <= alive_until_ms.saturating_add(MAX_QUIET_MS);
+        let is_recent = |seen_ms: &u64| *seen_ms <= alive_until_ms.saturating_add(max_quiet_ms);
         if let Some(seen_ms) = seen_open_ms.filter(is_recent) {
             self.alive_until_ms = Some(alive_until_ms.max(seen_ms + MIN_RESTART_MS));
         }
