Let a new connection settle the doubt also after a reset, and the report decide

A machine that went silent and is back within half a second under its id is no case of the platform; should one be, an engine's report decides instead of the connection, and a check that says cold counts although the doubt is over.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -56,10 +56,9 @@
 /// Unanswered keep-alive probes after which the kernel closes a connection, where
 /// [`UNACKNOWLEDGED_LIMIT`] does not decide.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Time without bytes on a connection after which its close may have been on the way for long.
-const MAX_QUIET_BEFORE_CLOSE_MS: u64 = 500;
-/// The same for a reset, which may come from a later start that does not know the connection.
-const MAX_QUIET_BEFORE_RESET_MS: u64 = 100;
+/// Time without bytes on a connection after which its end may have been on the way for long, or
+/// may be the answer of a later start that does not know the connection.
+const MAX_QUIET_MS: u64 = 500;
 /// Size of a single read from a socket.
 const READ_BYTES: usize = 32 * 1024;
 
@@ -477,15 +476,11 @@
     /// established.
     ///
     /// Its close had not arrived at `polled_ms`.
-    pub fn end_sign(&self, state: ReadState, polled_ms: u64, now_ms: u64) -> Option<EndSign> {
+    pub fn end_sign(&self, polled_ms: u64, now_ms: u64) -> Option<EndSign> {
         let sign = EndSign::new(now_ms).with_connection(self.established_ms?);
         let seen_open_ms = (!self.has_unread).then_some(polled_ms);
-        let max_quiet_ms = match state {
-            ReadState::Broken => MAX_QUIET_BEFORE_RESET_MS,
-            _ => MAX_QUIET_BEFORE_CLOSE_MS,
-        };
         let sign = sign.with_alive_until(Some(self.alive_ms));
-        Some(sign.with_seen_open(seen_open_ms, max_quiet_ms))
+        Some(sign.with_seen_open(seen_open_ms, MAX_QUIET_MS))
     }
 
     /// Returns the record of an answer with a status to the latest request.
--- a/src/gateway/serve_starts.rs
+++ b/src/gateway/serve_starts.rs
@@ -240,8 +240,15 @@
         if self.start_checks.is_empty() {
             return;
         }
-        let upstream = self.upstreams.get(key);
-        let Some(id) = upstream.and_then(|upstream| upstream.endpoint.clone()) else {
+        let Some(upstream) = self.upstreams.get(key) else {
+            return;
+        };
+        let check = upstream.start_check.as_ref();
+        // What the report states decides.
+        if check.is_some_and(|check| check.kind == CheckKind::Report) {
+            return;
+        }
+        let Some(id) = upstream.endpoint.clone() else {
             return;
         };
         let endpoint = self.fleet.get_mut(&id);
@@ -444,7 +451,7 @@
             return;
         };
         let Some(doubt) = endpoint.start_doubt() else {
-            return;
+            return self.apply_cold_answer(check, metadata, now_ms);
         };
         let is_outdated = endpoint.start() != check.start
             || check.sent_ms < doubt.signed_ms()
@@ -461,6 +468,22 @@
         }
     }
 
+    /// Applies an answer which says that an endpoint is cold whose start is no longer in doubt.
+    fn apply_cold_answer(&mut self, check: &StartCheck, metadata: &ResponseMetadata, now_ms: u64) {
+        let id = &check.endpoint;
+        let is_own = check.kind == CheckKind::Health && metadata.endpoint.as_ref() == Some(id);
+        let cold_left_ms = metadata.cold_left_ms.filter(|_| is_own).unwrap_or(0);
+        if cold_left_ms == 0 || self.is_cold(id, now_ms) {
+            return;
+        }
+        if let Some(endpoint) = self.fleet.get_mut(id) {
+            endpoint.set_cold(cold_left_ms, now_ms);
+            let report = LimitReport::new(endpoint, now_ms);
+            self.log_cold(id, "start check", now_ms);
+            self.tell_region(vec![report], now_ms);
+        }
+    }
+
     fn apply_report(&mut self, check: &StartCheck, now_ms: u64) {
         let id = &check.endpoint;
         let Some(stated) = decode_report(&check.report) else {
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -184,7 +184,7 @@
             // connection unusable.
             let has_input = !upstream.socket.input.is_empty();
             if read_state != ReadState::Open && !has_input {
-                self.record_idle_closed(key, read_state);
+                self.record_idle_closed(key);
             }
             if read_state != ReadState::Open || has_input {
                 self.close_upstream(key);
@@ -211,7 +211,7 @@
                         return self.upstream_broken(key, UpstreamError::Broken);
                     }
                     Ok(None) if read_state != ReadState::Open => {
-                        self.record_closed(key, read_state, "connection broke");
+                        self.record_closed(key, "connection broke");
                         return self.upstream_broken(key, UpstreamError::Broken);
                     }
                     Ok(None) => return,
@@ -320,7 +320,7 @@
             return false;
         }
         if read_state != ReadState::Open {
-            self.record_closed(key, read_state, "connection broke");
+            self.record_closed(key, "connection broke");
             self.upstream_broken(key, UpstreamError::Broken);
         }
         false
@@ -338,24 +338,24 @@
     ///
     /// One on which it only answered checks may be closed when it has been idle for a while:
     /// otherwise each close would lead to the next check.
-    fn record_idle_closed(&mut self, key: usize, state: ReadState) {
+    fn record_idle_closed(&mut self, key: usize) {
         let now_ms = self.now_ms();
         let is_sign = self.upstreams.get(key).is_some_and(|upstream| {
             upstream.has_carried_request || now_ms < upstream.since_ms + CHECK_LINGER_MS
         });
         if is_sign {
-            self.record_closed(key, state, "idle connection closed before its time");
+            self.record_closed(key, "idle connection closed before its time");
         }
     }
 
     /// Records that an endpoint closed a connection without notice.
-    fn record_closed(&mut self, key: usize, state: ReadState, cause: &str) {
+    fn record_closed(&mut self, key: usize, cause: &str) {
         let now_ms = self.now_ms();
         let polled_ms = self.earlier_poll_ms;
         let Some(upstream) = self.upstreams.get(key) else {
             return;
         };
-        let sign = upstream.end_sign(state, polled_ms, now_ms);
+        let sign = upstream.end_sign(polled_ms, now_ms);
         if let (Some(id), Some(sign)) = (upstream.endpoint.clone(), sign) {
             self.record_end_sign(&id, sign, cause);
         }
@@ -376,7 +376,7 @@
         };
         let ends_with_connection = head.framing == super::head::Framing::UntilClose;
         if is_closed && head.is_keep_alive && !ends_with_connection {
-            self.record_closed(key, read_state, "connection closed after an answer");
+            self.record_closed(key, "connection closed after an answer");
         }
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
