--- a/src/gateway/endpoint_start.rs
+++ b/src/gateway/endpoint_start.rs
@@ -11,9 +11,9 @@
 //! - the endpoint states when it started, or
 //! - the store shows what the process announced that has accepted a connection since.
 //!
-//! An endpoint whose start is in doubt may be another one, which is cold and of any software version. It gets
-//! requests at the rate of a cold endpoint until it is known how long it stays cold, and none
-//! that are bound to a version.
+//! An endpoint whose start is in doubt may be another one, which is cold and of any software
+//! version. It gets requests at the rate of a cold endpoint until it is known how long it stays
+//! cold, and none that are bound to a version.
 
 use std::{
     fmt,
