Check the keys of client accounts and apply their terms

A configuration may hold client accounts with keys, a priority and homes, which the gateway did not read: it ran each request, whatever key it bore, and passed the key on to endpoints.

The host that receives a request from its caller now looks the key up, by digests that are compared in constant time, and answers 401 without one that an account holds, unless the route is public. Endpoints get the name of the account and never the key. A forwarded request carries the account in Bridge-Account, which callers cannot set; a host that gets a request without it, from the build before, checks the key itself. The priority of an account replaces that of the route; its homes bind beside those of the route. Without accounts nothing changes.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -6,6 +6,10 @@
 
 use compact_str::CompactString;
 
+use super::account::{
+    Account,
+    account_of_key, //
+};
 use crate::types::counter;
 
 counter!(
@@ -60,6 +64,10 @@
     pub targets: Vec<RouteTarget>,
     /// Regions that may serve the route; any region if empty.
     pub home_regions: Vec<CompactString>,
+    /// Whether requests need no key of a client account.
+    pub is_public: bool,
+    /// Longest pause between events of an answer that is on time; none if any is.
+    pub gap_goal_ms: Option<u64>,
 }
 
 /// A group of endpoints that serve the same requests.
@@ -125,9 +133,21 @@
     pub services: Vec<Service>,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
+    /// Client accounts; if there are none, requests need no key.
+    pub accounts: Vec<Account>,
 }
 
 impl Configuration {
+    /// Returns the client account that holds a key.
+    pub fn account_of_key(&self, key: &str) -> Option<&Account> {
+        account_of_key(&self.accounts, key)
+    }
+
+    /// Returns the client account with this name.
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        self.accounts.iter().find(|account| account.name == name)
+    }
+
     /// Returns the route of the host with the longest matching prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -39,6 +39,7 @@
         BodyFrame,
         HostStatements, //
     },
+    serve_accounts::CallerAccount,
     software_version::SoftwareVersion,
     stream_pace::Pace, //
 };
@@ -134,6 +135,8 @@
     pub metadata: RequestMetadata,
     /// Body with the transfer coding removed.
     pub body: Vec<u8>,
+    /// Client account for which it runs.
+    pub account: CallerAccount,
 }
 
 /// Destination of a dispatch.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! out their decisions. Names that the platform defines occur only in
 //! [`crate::platform`].
 
+pub mod account;
 pub mod admission;
 pub mod answer_lengths;
 pub mod answer_record;
@@ -45,6 +46,7 @@
 pub mod retry_budget;
 pub mod route_table;
 pub mod sent_requests;
+pub mod serve_accounts;
 mod serve_caller;
 mod serve_completion;
 pub mod serve_crashes;
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -18,6 +18,9 @@
 pub const CUT_OFF_HEADER: &str = "Bridge-Cut-Off";
 /// Header that carries the resolved route of a forwarded request.
 pub const FORWARD_HEADER: &str = "Bridge-Forward";
+/// Header by which a host states the client account of a forwarded request; empty for a public
+/// request without one.
+pub const ACCOUNT_HEADER: &str = "Bridge-Account";
 /// Header by which a host states the software version of the endpoint that serves a
 /// forwarded stream.
 pub const SOFTWARE_VERSION_HEADER: &str = "Bridge-Software-Version";
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -34,6 +34,10 @@
         FORWARD_HEADER,
         GatewayResponse,
         write_gateway_response, //
+    },
+    serve_accounts::{
+        identify_caller,
+        identify_forwarded, //
     }, //
 };
 use crate::platform::headers::{
@@ -183,17 +187,20 @@
                 NOT_READY_RETRY_MS,
             );
         };
-        let route = match forwarded {
-            Some(route) => route,
+        let (route, account) = match forwarded {
+            Some(mut route) => {
+                let account = identify_forwarded(&configuration, &head, &mut route);
+                (route, account)
+            }
             None => {
                 let host = head.header("host").unwrap_or_default();
                 let configured = configuration.route(host, head.path());
                 let fraction = self.random_fraction();
                 let resolved = configured.and_then(|route| {
                     let service = route.pick_service(fraction)?;
-                    Some(ResolvedRoute::new(route, service.clone()))
+                    Some((ResolvedRoute::new(route, service.clone()), route.is_public))
                 });
-                let Some(route) = resolved else {
+                let Some((mut route, is_public)) = resolved else {
                     tracing::info!(
                         request = %metadata.attempt_id,
                         configuration = configuration.version.0,
@@ -203,13 +210,19 @@
                     );
                     return self.respond(key, GatewayResponse::new(404));
                 };
-                route
+                let account = identify_caller(&configuration, &head, is_public, &mut route);
+                (route, account)
             }
         };
+        let account = match account {
+            Ok(account) => account,
+            Err(rejection) => return self.reject_request(key, &metadata.attempt_id, rejection),
+        };
         let request = CallerRequest {
             head,
             metadata,
             body,
+            account,
         };
         self.start_exchange(key, request, route, configuration.version, is_forwarded);
     }
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -20,6 +20,7 @@
     hosts::HostInfo,
     reactor::Reactor,
     response::{
+        ACCOUNT_HEADER,
         FORWARD_HEADER,
         write_request_start, //
     },
@@ -29,6 +30,7 @@
 use crate::{
     platform::headers::{
         EndpointHeaders,
+        is_of_account,
         is_relayed, //
     },
     types::Tokens,
@@ -69,6 +71,7 @@
                 .filter(|_| !exchange.request.metadata.parts.is_empty()),
             last_event_id: self.resume_header(key),
             fetch_from: choice.fetch_from,
+            account: exchange.request.account.name().cloned(),
         };
         self.exchanges[key].placement = Some(PlacementRecord {
             destination: choice.endpoint.clone(),
@@ -136,6 +139,7 @@
             priority: None,
             last_event_id: self.resume_header(key),
             fetch_from: None,
+            account: exchange.request.account.name().cloned(),
         };
         let service = exchange.route.service.clone();
         tracing::debug!(
@@ -253,15 +257,19 @@
         };
         let request = &exchange.request;
         let is_resumed = headers.last_event_id.is_some();
+        let is_checked = request.account.is_checked();
         let mut bytes = Vec::with_capacity(request.body.len() + 768);
         write_request_start(
             &request.head,
-            |header| is_relayed(header, is_resumed),
+            |header| is_relayed(header, is_resumed) && !(is_checked && is_of_account(header)),
             &mut bytes,
         );
         headers.write(&mut bytes);
         if let Some(encoded_route) = forward {
             bytes.extend_from_slice(format!("{FORWARD_HEADER}: {encoded_route}\r\n").as_bytes());
+            if let Some(account) = request.account.header_value() {
+                bytes.extend_from_slice(format!("{ACCOUNT_HEADER}: {account}\r\n").as_bytes());
+            }
         }
         let had_length = request.head.header("content-length").is_some();
         if !request.body.is_empty() || had_length || request.head.framing == Framing::Chunked {
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -5,6 +5,7 @@
 
 use std::sync::atomic::AtomicU64;
 
+use compact_str::CompactString;
 use prometheus_client::{
     encoding::{
         EncodeLabelSet,
@@ -52,6 +53,13 @@
     status: u32,
 }
 
+/// Labels of the counter of requests by client account.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct AccountLabels {
+    account: String,
+    result: &'static str,
+}
+
 /// Labels of what is recorded by the size of the request.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SizeLabels {
@@ -98,6 +106,7 @@
 pub struct Telemetry {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
+    requests_by_account: Family<AccountLabels, Counter>,
     retries: Counter,
     connections: Counter,
     remote: Counter,
@@ -132,6 +141,7 @@
         let mut registry = Registry::with_prefix("cardamombridge");
         let telemetry = Self {
             requests: Family::default(),
+            requests_by_account: Family::default(),
             retries: Counter::default(),
             connections: Counter::default(),
             remote: Counter::default(),
@@ -165,6 +175,11 @@
             "Requests by outcome",
             telemetry.requests.clone(),
         );
+        registry.register(
+            "requests_by_account",
+            "Requests of callers by client account and result",
+            telemetry.requests_by_account.clone(),
+        );
         registry.register(
             "repeats",
             "Requests sent to a second endpoint",
@@ -431,11 +446,7 @@
             route: size.route.to_string(),
             size: size.relative,
         };
-        let result = match status {
-            200..300 => "answered",
-            429 | 503 => "refused",
-            _ => "failed",
-        };
+        let result = result_of(status);
         if let Some(at_ms) = exchange.first_event_at_ms {
             let after_ms = at_ms.saturating_sub(exchange.arrived_ms);
             let histogram = self.first_event_by_size_s.get_or_create(&size);
@@ -445,6 +456,29 @@
         self.requests_by_size.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was not started.
+    pub fn count_rejected(&self, status: u16) {
+        let outcome = "rejected";
+        let status = u32::from(status);
+        let labels = OutcomeLabels { outcome, status };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Records the result of a request of a client account at the host of its caller.
+    fn record_account(&self, exchange: &Exchange, status: u16) {
+        let Some(account) = exchange.request.account.name() else {
+            return;
+        };
+        if exchange.is_forwarded {
+            return;
+        }
+        let labels = AccountLabels {
+            account: account.to_string(),
+            result: result_of(status),
+        };
+        self.requests_by_account.get_or_create(&labels).inc();
+    }
+
     /// Records the end of a request and writes its log line, within the limits.
     pub fn request_ended(
         &mut self,
@@ -462,6 +496,7 @@
             .inc();
         self.duration_s.observe(total_ms as f64 / 1_000.0);
         self.record_size(exchange, status);
+        self.record_account(exchange, status);
         let is_routine = (200..300).contains(&status);
         let is_within_limit = match is_routine {
             true => self.routine.admit(ROUTINE_LINES_PER_S, now_ms),
@@ -475,6 +510,7 @@
             request = %exchange.request.metadata.attempt_id,
             route = %exchange.route.name,
             service = %exchange.route.service,
+            account = exchange.request.account.name().map(CompactString::as_str),
             configuration = exchange.configuration_version.0,
             is_forwarded = exchange.is_forwarded,
             runs = exchange.run_count,
@@ -540,6 +576,15 @@
     }
 }
 
+/// Returns the result of a request as metrics name it.
+fn result_of(status: u16) -> &'static str {
+    match status {
+        200..300 => "answered",
+        429 | 503 => "refused",
+        _ => "failed",
+    }
+}
+
 impl LineLimiter {
     fn admit(&mut self, per_second: u32, now_ms: u64) -> bool {
         let second = now_ms / 1_000;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -64,6 +64,11 @@
 /// Most parts of a prompt that are read.
 const MAX_PARTS: usize = 1_024;
 
+/// Key of a client account; holds nothing else.
+const API_KEY: &str = "api-key";
+/// Name of the client account for which a request runs.
+const ACCOUNT: &str = "X-Tenant";
+
 /// Headers that only the gateway may set; those of callers are dropped.
 const RESERVED: [&str; 9] = [
     "x-hold",
@@ -146,6 +151,22 @@
     !is_reserved && !is_replaced
 }
 
+/// Returns whether a caller's header concerns client accounts. Where requests are checked for
+/// keys, these headers are not passed on.
+pub fn is_of_account(header: &Header) -> bool {
+    header.is(API_KEY) || header.is(ACCOUNT)
+}
+
+/// Returns the key of a client account that a caller sent; none if it sent several.
+pub fn api_key(headers: &[Header]) -> Option<&str> {
+    let mut keys = headers.iter().filter(|header| header.is(API_KEY));
+    let key = keys.next()?;
+    match keys.next() {
+        None => key.text(),
+        Some(_) => None,
+    }
+}
+
 /// What is read of an endpoint's report on itself.
 #[derive(Deserialize)]
 struct WireReport {
@@ -166,6 +187,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// Id of the event after which a resumed stream continues.
     pub last_event_id: Option<CompactString>,
+    /// Client account for which the request runs.
+    pub account: Option<CompactString>,
 }
 
 impl EndpointHeaders {
@@ -190,6 +213,9 @@
         if let Some(event) = &self.last_event_id {
             write_header("Last-Event-Id", event);
         }
+        if let Some(account) = &self.account {
+            write_header(ACCOUNT, account);
+        }
     }
 }
 
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -12,6 +12,12 @@
 
 use super::MAX_STATED_MS;
 use crate::gateway::{
+    account::{
+        Account,
+        Allotment,
+        AllotmentUnit,
+        ApiKey, //
+    },
     configuration::{
         CallerLimits,
         Configuration,
@@ -40,6 +46,8 @@
 const MAX_WEIGHT: f64 = 1e9;
 /// Highest rate of a cold endpoint: more than all hosts of a region can send.
 const MAX_COLD_PER_S: f64 = 1e6;
+/// Highest rate and burst of an allotment: more tokens than any installation generates.
+const MAX_ALLOTMENT_PER_S: f64 = 1e15;
 /// Largest memory of an engine: more than any has.
 const MAX_MEMORY_TOKENS: u64 = 1_000_000_000_000;
 
@@ -66,6 +74,9 @@
     /// Services; the platform uses "backend" for both services and endpoints.
     backends: Vec<WireService>,
     limits: WireLimits,
+    /// Client accounts.
+    #[serde(default)]
+    tenants: Vec<WireAccount>,
 }
 
 #[derive(Deserialize)]
@@ -86,6 +97,9 @@
     home_regions: Vec<CompactString>,
     #[serde(default)]
     resumable: bool,
+    #[serde(default)]
+    public: bool,
+    gap_goal_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -125,6 +139,24 @@
     idle_timeout_ms: f64,
 }
 
+#[derive(Deserialize)]
+struct WireAccount {
+    name: CompactString,
+    #[serde(default)]
+    api_keys: Vec<CompactString>,
+    prio: Option<u8>,
+    /// What the allotment counts: "requests" if absent, or "tokens".
+    unit: Option<CompactString>,
+    #[serde(default)]
+    plain_tokens: u64,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+    #[serde(default)]
+    home_regions: Vec<CompactString>,
+}
+
 #[derive(Deserialize)]
 struct WireEndpoint {
     /// Name of the endpoint's service.
@@ -156,6 +188,8 @@
 pub fn decode_configuration(text: &[u8]) -> Result<Configuration, ItemError> {
     let wire: WireConfiguration = serde_json::from_slice(text)?;
     let routes: Result<Vec<Route>, ItemError> = wire.routes.into_iter().map(decode_route).collect();
+    let accounts: Result<Vec<Account>, ItemError> =
+        wire.tenants.into_iter().map(decode_account).collect();
     Ok(Configuration {
         version: ConfigurationVersion(wire.version),
         routes: routes?,
@@ -166,6 +200,47 @@
             head_timeout_ms: ceil_ms(wire.limits.header_timeout_ms),
             idle_timeout_ms: ceil_ms(wire.limits.idle_timeout_ms),
         },
+        accounts: accounts?,
+    })
+}
+
+fn decode_account(wire: WireAccount) -> Result<Account, ItemError> {
+    let unit = match wire.unit.as_deref() {
+        None | Some("requests") => AllotmentUnit::Requests,
+        Some("tokens") => AllotmentUnit::Tokens {
+            plain_tokens: wire.plain_tokens,
+        },
+        Some(unit) => {
+            return Err(ItemError::UnknownValue {
+                field: "unit",
+                value: unit.into(),
+            });
+        }
+    };
+    // The name is sent in headers.
+    if wire.name.is_empty() || !wire.name.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(ItemError::UnknownValue {
+            field: "name",
+            value: wire.name,
+        });
+    }
+    let allotment = Allotment {
+        unit,
+        rate_per_s: wire.rate_per_s.min(MAX_ALLOTMENT_PER_S),
+        burst: wire.burst.clamp(0.0, MAX_ALLOTMENT_PER_S),
+    };
+    Ok(Account {
+        // An empty key would be held by every caller without one.
+        keys: wire
+            .api_keys
+            .iter()
+            .filter(|key| !key.is_empty())
+            .map(|key| ApiKey::new(key))
+            .collect(),
+        name: wire.name,
+        priority: wire.prio,
+        home_regions: wire.home_regions,
+        allotment: (wire.rate_per_s > 0.0).then_some(allotment),
     })
 }
 
@@ -203,6 +278,8 @@
         priority: wire.prio,
         targets: single.into_iter().chain(shares).collect(),
         home_regions: wire.home_regions,
+        is_public: wire.public,
+        gap_goal_ms: wire.gap_goal_ms.map(ceil_ms),
     })
 }
 
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -952,6 +952,8 @@
             },
         ],
         home_regions: Vec::new(),
+        is_public: false,
+        gap_goal_ms: None,
     };
     let configuration = Configuration {
         routes: vec![route("short", "/a/"), route("long", "/a/b/")],
