Keep client accounts within their allotments over all hosts

A configuration may give an account a rate and a burst for all hosts of all regions together; nothing enforced it. Hosts now hold replicas of each account's token bucket, report what they use to two relays of their region, and learn from these what all others used. What is used is taken off before anything else is admitted, so late reports cannot raise the use over some seconds. A host that hears no relay keeps to its share. Requests beyond get 429 with the time until the account has room; what is refused for another reason is given back, and a repeated attempt is not charged.

Messages are new variants at the end of Packet, which the build before drops.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -40,6 +40,7 @@
         HostStatements, //
     },
     serve_accounts::CallerAccount,
+    serve_allotments::Charge,
     software_version::SoftwareVersion,
     stream_pace::Pace, //
 };
@@ -137,6 +138,8 @@
     pub body: Vec<u8>,
     /// Client account for which it runs.
     pub account: CallerAccount,
+    /// What it was charged of the allotment of the account.
+    pub charge: Option<Charge>,
 }
 
 /// Destination of a dispatch.
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -15,6 +15,11 @@
 };
 
 use super::{
+    allotment_exchange::{
+        RegionUsage,
+        UsageReport,
+        UsageSummary, //
+    },
     endpoint::{
         Endpoint,
         EndpointHash,
@@ -73,6 +78,13 @@
     /// What the sender has found out about the starts of endpoints; sent to its region only. The
     /// build before does not read it.
     StartReports(StartReports),
+    /// What a host used of the allotments of accounts; sent to the relays of its region. The build
+    /// before reads neither this nor the next two.
+    UsageReport(UsageReport),
+    /// What all other hosts used; sent by a relay to the hosts of its region.
+    UsageSummary(UsageSummary),
+    /// What a region used; sent by its relays to those of the other regions.
+    RegionUsage(RegionUsage),
 }
 
 /// Changes of the load that a host places at endpoints.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,8 @@
 
 pub mod account;
 pub mod admission;
+pub mod allotment;
+pub mod allotment_exchange;
 pub mod answer_lengths;
 pub mod answer_record;
 pub mod answer_times;
@@ -47,6 +49,7 @@
 pub mod route_table;
 pub mod sent_requests;
 pub mod serve_accounts;
+pub mod serve_allotments;
 mod serve_caller;
 mod serve_completion;
 pub mod serve_crashes;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -84,6 +84,7 @@
     permit_exchange::PermitExchange,
     request_sizes::RequestSizes,
     retry_budget::RetryBudget,
+    serve_allotments::AllotmentState,
     serve_crashes::SuspectedCrash,
     serve_health::HealthChecks,
     serve_limits::LimitState,
@@ -197,6 +198,7 @@
     pub(super) verdict_items: VerdictItems,
     pub(super) version_items: VersionItems,
     pub(super) limits: LimitState,
+    pub(super) allotments: AllotmentState,
     pub(super) permits: PermitExchange,
     pub(super) health_checks: HealthChecks,
     pub(super) start_checks: StartChecks,
@@ -308,6 +310,7 @@
             verdict_items: VerdictItems::default(),
             version_items: VersionItems::default(),
             limits: LimitState::default(),
+            allotments: AllotmentState::default(),
             permits,
             health_checks: HealthChecks::default(),
             start_checks: StartChecks::default(),
@@ -502,6 +505,7 @@
         self.check_exchanges(now_ms);
         self.continue_version_searches(now_ms);
         self.follow_limits(now_ms);
+        self.follow_allotments(now_ms);
         self.check_health(now_ms);
         self.check_starts(now_ms);
         self.store_versions(now_ms);
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -218,11 +218,18 @@
             Ok(account) => account,
             Err(rejection) => return self.reject_request(key, &metadata.attempt_id, rejection),
         };
+        let charged = account.name().filter(|_| !is_forwarded);
+        let charged = charged.and_then(|name| configuration.account(name));
+        let charge = match self.charge_account(charged, &metadata) {
+            Ok(charge) => charge,
+            Err(rejection) => return self.reject_request(key, &metadata.attempt_id, rejection),
+        };
         let request = CallerRequest {
             head,
             metadata,
             body,
             account,
+            charge,
         };
         self.start_exchange(key, request, route, configuration.version, is_forwarded);
     }
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -283,6 +283,10 @@
             time.record(total_ms);
         }
         self.record_answer(&exchange, status, now_ms);
+        // These statuses promise that the request has not run.
+        if let (408 | 421 | 429 | 503, Some(charge)) = (status, &exchange.request.charge) {
+            self.allotments.refund(charge);
+        }
         self.telemetry
             .request_ended(&exchange, outcome, status, total_ms, now_ms);
         if let Some(inbound) = exchange.inbound {
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -229,6 +229,8 @@
             "configuration in force"
         );
         self.fleet.configure(&configuration);
+        let now_ms = self.now_ms();
+        self.allotments.configure(&configuration, now_ms);
         self.configuration = Some(configuration);
     }
 
@@ -519,6 +521,9 @@
                     Ok(Packet::PermitQuestion(asked)) => self.answer_permit_question(&asked),
                     Ok(Packet::PermitAnswer(answer)) => self.apply_permit_answer(&answer),
                     Ok(Packet::StartReports(sent)) => self.apply_start_reports(&sent),
+                    Ok(Packet::UsageReport(report)) => self.apply_usage_report(&report),
+                    Ok(Packet::UsageSummary(summary)) => self.apply_usage_summary(&summary),
+                    Ok(Packet::RegionUsage(sent)) => self.apply_region_usage(&sent),
                     Err(error) => tracing::debug!(%error, "could not decode a packet"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -60,6 +60,12 @@
     result: &'static str,
 }
 
+/// Labels of a value of a client account.
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct AccountLevelLabels {
+    account: String,
+}
+
 /// Labels of what is recorded by the size of the request.
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SizeLabels {
@@ -107,6 +113,8 @@
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     requests_by_account: Family<AccountLabels, Counter>,
+    account_units: Family<AccountLabels, Counter>,
+    account_level: Family<AccountLevelLabels, Gauge<f64, AtomicU64>>,
     retries: Counter,
     connections: Counter,
     remote: Counter,
@@ -142,6 +150,8 @@
         let telemetry = Self {
             requests: Family::default(),
             requests_by_account: Family::default(),
+            account_units: Family::default(),
+            account_level: Family::default(),
             retries: Counter::default(),
             connections: Counter::default(),
             remote: Counter::default(),
@@ -180,6 +190,16 @@
             "Requests of callers by client account and result",
             telemetry.requests_by_account.clone(),
         );
+        registry.register(
+            "account_units",
+            "Units of allotments that callers of this host asked for, by account and result",
+            telemetry.account_units.clone(),
+        );
+        registry.register(
+            "account_level",
+            "Units of its allotment that an account has left, as this host knows it",
+            telemetry.account_level.clone(),
+        );
         registry.register(
             "repeats",
             "Requests sent to a second endpoint",
@@ -456,6 +476,23 @@
         self.requests_by_size.get_or_create(&labels).inc();
     }
 
+    /// Counts what a request costs of the allotment of its account.
+    pub fn count_units(&self, account: &str, units: u64, is_admitted: bool) {
+        let labels = AccountLabels {
+            account: account.to_string(),
+            result: if is_admitted { "admitted" } else { "refused" },
+        };
+        self.account_units.get_or_create(&labels).inc_by(units);
+    }
+
+    /// Sets what an account has left of its allotment.
+    pub fn set_level(&self, account: &str, level: f64) {
+        let labels = AccountLevelLabels {
+            account: account.to_string(),
+        };
+        self.account_level.get_or_create(&labels).set(level);
+    }
+
     /// Counts a request that was not started.
     pub fn count_rejected(&self, status: u16) {
         let outcome = "rejected";
