Take no answer whose status is not 100 to 599

Cause: the parsers of response heads accepted any three digits as a status. An answer of status 999 reached the caller, also through a host of another region, and 000 and 099 were written as statuses of one and two digits. An invalid answer to a health check made an endpoint count as cold, and an invalid report made it count as started again. The OpenAI interface took such an answer as well.

Change: both parsers reject the head as malformed, so the answer counts as a broken one: the request is repeated where that is allowed, and otherwise ends with 502. A response head in a frame of another host must be 200 to 599. ScriptedEndpoint::set_check_status sets the status of the answers to health checks and of reports.

--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -4,7 +4,10 @@
 //! smuggling: they reject a line feed without a carriage return, two lengths,
 //! and a length beside a transfer encoding.
 
-use std::fmt;
+use std::{
+    fmt,
+    ops::RangeInclusive, //
+};
 
 use compact_str::CompactString;
 use memchr::{
@@ -17,6 +20,8 @@
 const MAX_HEADERS: usize = 96;
 /// Maximum size of a response head; endpoints send a few hundred bytes.
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 16 * 1024;
+/// Status codes that HTTP defines; others have no meaning that a caller could rely on.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// A header field.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -211,6 +216,9 @@
     }
     let headers = copy_headers(parsed.headers);
     let status = parsed.code.unwrap_or(0);
+    if !STATUSES.contains(&status) {
+        return Err(HeadError::Malformed);
+    }
     let version = parsed.version.unwrap_or(0);
     let declared = body_framing(&headers)?.unwrap_or(Framing::UntilClose);
     let has_no_body = is_head_request || status < 200 || status == 204 || status == 304;
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fmt::Write as _,
-    io, //
+    io,
+    ops::RangeInclusive, //
 };
 
 use compact_str::CompactString;
@@ -10,6 +11,8 @@
 
 /// Maximum number of header fields in one message.
 const MAX_HEADERS: usize = 64;
+/// Status codes that HTTP defines; others have no meaning that a caller could rely on.
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// Why a message could not be read or written.
 #[derive(Debug, Error)]
@@ -186,6 +189,9 @@
             status: parsed.code.unwrap_or_default(),
             headers: Headers::from_parsed(parsed.headers)?,
         };
+        if !STATUSES.contains(&head.status) {
+            return Err(MessageError::Malformed("status is not 100 to 599"));
+        }
         Ok(Some((head, length)))
     }
 
--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -12,6 +12,7 @@
         Mutex,
         atomic::{
             AtomicBool,
+            AtomicU16,
             AtomicUsize,
             Ordering, //
         }, //
@@ -372,6 +373,7 @@
     occupancy: Arc<Mutex<Occupancy>>,
     sent_answers: Arc<Mutex<SentAnswers>>,
     reported_start: Arc<Mutex<Option<u64>>>,
+    check_status: Arc<AtomicU16>,
 }
 
 impl ScriptedEndpoint {
@@ -400,6 +402,8 @@
         let own_sent_answers = Arc::clone(&sent_answers);
         let reported_start = Arc::new(Mutex::new(None));
         let own_reported_start = Arc::clone(&reported_start);
+        let check_status = Arc::new(AtomicU16::new(200));
+        let own_check_status = Arc::clone(&check_status);
         let own_id = id.to_owned();
         let listener = SharedListener::default();
         let own_listener = Arc::clone(&listener);
@@ -411,13 +415,21 @@
                 own_health_checks.fetch_add(1, Ordering::Relaxed);
                 let headers = health_headers(&own_id, &own_cold);
                 let kind = Some(CopiedAnswer::HealthCheck);
-                record_answer(request.connection, &own_sent_answers, kind, 200, &headers);
-                respond(connection, 200, headers, b"", write_deadline())?;
+                let status = own_check_status.load(Ordering::Relaxed);
+                record_answer(
+                    request.connection,
+                    &own_sent_answers,
+                    kind,
+                    status,
+                    &headers,
+                );
+                respond(connection, status, headers, b"", write_deadline())?;
                 return Ok(Next::Keep);
             }
             if arrival.path == REPORT_PATH {
                 let start = *lock(&own_reported_start);
-                return respond_report(connection, start);
+                let status = own_check_status.load(Ordering::Relaxed);
+                return respond_report(connection, status, start);
             }
             arrival.is_cold = !cold_left(&own_cold).is_zero();
             arrival.version = lock(&own_version).clone();
@@ -501,6 +513,7 @@
             occupancy,
             sent_answers,
             reported_start,
+            check_status,
         })
     }
 
@@ -552,6 +565,11 @@
         *lock(&self.reported_start) = Some(start);
     }
 
+    /// Sets the status of its answers to health checks and of its reports.
+    pub fn set_check_status(&self, status: u16) {
+        self.check_status.store(status, Ordering::Relaxed);
+    }
+
     /// Makes it cold for `time`, which its answers to health checks state.
     pub fn become_cold(&self, time: Duration) {
         *lock(&self.cold) = Some(Instant::now() + time);
@@ -694,10 +712,18 @@
         .with_field("x-cold-ms", &cold_ms.to_string())
 }
 
-/// Answers a request for the report on the endpoint, which states when it started.
-fn respond_report(connection: &mut Connection, start: Option<u64>) -> Result<Next, MessageError> {
+/// Answers a request for the report on the endpoint, which states when it started, with `status`
+/// if there is a report.
+fn respond_report(
+    connection: &mut Connection,
+    status: u16,
+    start: Option<u64>,
+) -> Result<Next, MessageError> {
     let (status, report) = match start {
-        Some(start) => (200, serde_json::json!({ "stage": "both", "born": start })),
+        Some(start) => (
+            status,
+            serde_json::json!({ "stage": "both", "born": start }),
+        ),
         None => (404, serde_json::Value::Null),
     };
     respond_json(connection, status, Headers::new(), &report)
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -161,6 +161,10 @@
                 let message = exchange.next_message(until)?;
                 *is_ended = message.frame.is_final();
                 match message.frame {
+                    // Only final responses are forwarded.
+                    Frame::ResponseHead { status, .. } if !(200..=599).contains(&status) => {
+                        Err(ReadError::Failed)
+                    }
                     Frame::ResponseHead { status, headers } => {
                         Ok(UpstreamReply::Response(UpstreamHead {
                             status,
