Take no interim response and no switch of protocols for an answer

Cause: the OpenAI interface took any head as the answer, so an endpoint's 100 or 103 reached the caller as the final status. The gateway skips interim responses, but took 101 for one as well: it waited for HTTP on a connection that no longer carries it, until the time limit of the request, or passed on what followed.

Change: Connection::read_response_head skips up to 16 interim responses, like the gateway. Both take 101, which no request asks for, as a broken answer.

--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -46,6 +46,8 @@
 const PEER_IDLE_MS: u64 = 5_000;
 /// Maximum number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: usize = 16;
+/// Status after which a connection no longer carries HTTP/1.1. No request asks for that.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Maximum size of the responses that are discarded on a connection.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 /// Maximum number of idle connections per address.
@@ -217,6 +219,10 @@
                     Ok(None) => return,
                     Ok(Some((head, length))) => {
                         upstream.socket.input.drain(..length);
+                        if head.status == SWITCHING_PROTOCOLS {
+                            tracing::debug!(address = %upstream.address, "protocol switched without a request for it; connection is closed");
+                            return self.upstream_broken(key, UpstreamError::Broken);
+                        }
                         if (100..200).contains(&head.status) {
                             upstream.interim_count += 1;
                             if upstream.interim_count > MAX_INTERIM_RESPONSES {
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -24,6 +24,8 @@
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum length of a chunk size line.
 const MAX_CHUNK_LINE_BYTES: usize = 128;
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
 const READ_SIZE_BYTES: usize = 16 * 1024;
 /// Shortest socket timeout; the kernel rejects zero.
 const MIN_TIMEOUT: Duration = Duration::from_millis(1);
@@ -34,6 +36,8 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     consumed: usize,
+    /// Interim responses since the last final one; a read that timed out may be repeated.
+    interim_count: usize,
 }
 
 impl Connection {
@@ -44,6 +48,7 @@
             stream,
             buffer: Vec::new(),
             consumed: 0,
+            interim_count: 0,
         })
     }
 
@@ -101,12 +106,20 @@
         }
     }
 
-    /// Reads the head of a response.
+    /// Reads the head of a final response and skips interim ones.
     pub fn read_response_head(&mut self, deadline: Instant) -> Result<ResponseHead, MessageError> {
         loop {
             if let Some((head, length)) = ResponseHead::parse(self.unread())? {
                 self.consume(length);
-                return Ok(head);
+                if !head.is_interim() {
+                    self.interim_count = 0;
+                    return Ok(head);
+                }
+                self.interim_count += 1;
+                if self.interim_count > MAX_INTERIM_RESPONSES {
+                    return Err(MessageError::Malformed("too many interim responses"));
+                }
+                continue;
             }
             self.check_head_size()?;
             self.fill_or_fail(deadline)?;
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -13,6 +13,8 @@
 const MAX_HEADERS: usize = 64;
 /// Status codes that HTTP defines; others have no meaning that a caller could rely on.
 const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Status after which a connection no longer carries HTTP/1.1.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Why a message could not be read or written.
 #[derive(Debug, Error)]
@@ -192,9 +194,18 @@
         if !STATUSES.contains(&head.status) {
             return Err(MessageError::Malformed("status is not 100 to 599"));
         }
+        // No request of this crate asks for another protocol.
+        if head.status == SWITCHING_PROTOCOLS {
+            return Err(MessageError::Malformed("protocol switched unasked"));
+        }
         Ok(Some((head, length)))
     }
 
+    /// Returns whether the final response is still to follow.
+    pub fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status)
+    }
+
     /// Returns the framing of the response body; fails if it is ambiguous or
     /// unsupported.
     pub fn framing(&self) -> Result<Framing, MessageError> {
--- a/src/standin/scripted.rs
+++ b/src/standin/scripted.rs
@@ -84,6 +84,8 @@
     },
     /// Writes these bytes and closes the connection.
     Raw(Vec<u8>),
+    /// Writes these bytes and keeps the connection open.
+    RawKept(Vec<u8>),
     /// Writes these bytes after a whole answer, on the same connection.
     Extra(Vec<u8>),
     /// Runs the request and closes the connection without an answer.
@@ -170,7 +172,7 @@
     fn breaks_off(&self) -> bool {
         match self {
             Self::Events { is_whole, .. } => !is_whole,
-            Self::Raw(_) | Self::Close | Self::Endless(..) => true,
+            Self::Raw(_) | Self::RawKept(_) | Self::Close | Self::Endless(..) => true,
             Self::Crash | Self::CrashAfterEvents { .. } | Self::LingeringCrash(_) => true,
             Self::After(_, next) => next.breaks_off(),
             Self::Unframed(unframed) => unframed.breaks_off(),
@@ -830,6 +832,7 @@
             connection.write_all(&bytes, write_deadline())?;
             return Ok(Next::Close);
         }
+        Script::RawKept(bytes) => connection.write_all(&bytes, write_deadline())?,
         Script::Extra(bytes) => {
             respond(connection, 200, sealed, b"answer", write_deadline())?;
             silence.wait();
--- a/tests/gateway_invalid_answers.rs
+++ b/tests/gateway_invalid_answers.rs
@@ -61,6 +61,8 @@
 };
 
 const LIMIT_MS: u64 = 3_000;
+/// Time in which an invalid answer is given up; a request without any answer takes [`LIMIT_MS`].
+const GIVE_UP_LIMIT: Duration = Duration::from_millis(1_500);
 const INVALID_STATUSES: [&str; 6] = ["000", "001", "099", "600", "700", "999"];
 /// Those that are sent to hosts, each of which takes seconds to start.
 const SENT_STATUSES: [&str; 3] = ["000", "099", "999"];
@@ -251,6 +253,25 @@
     assert_eq!((response.status, &*response.text()), (200, "text"));
 }
 
+/// Guards against a change of protocols that no host asks for: what follows is not HTTP, and the
+/// connection may stay open.
+#[test]
+fn switch_of_protocols_is_not_an_answer() {
+    for rest in [Vec::new(), answer("200")] {
+        let script = Script::RawKept([interim("101"), rest].concat());
+        let endpoint = ScriptedEndpoint::start("e-1", move |_, _| script.clone());
+        let endpoint = endpoint.expect("the endpoint starts");
+        let (_store, host) = host_with(&endpoint);
+        let started = Instant::now();
+
+        let response = send(&host, "/book/1");
+
+        assert_eq!((response.status, &*response.text()), (502, ""));
+        let took = started.elapsed();
+        assert!(took < GIVE_UP_LIMIT, "{took:?}");
+    }
+}
+
 /// Returns a configuration whose endpoints may be cold.
 fn cold_configuration() -> Value {
     let mut known = configuration(7);
@@ -347,3 +368,19 @@
         assert_eq!(read, Err(ReadError::Failed), "{status}");
     }
 }
+
+/// Guards against an interim response that callers of the OpenAI interface get as the answer.
+#[test]
+fn openai_interface_takes_no_interim_response_for_an_answer() {
+    for status in ["100", "101", "103", "199"] {
+        let read = read_openai_head(answer(status));
+
+        assert_eq!(read, Err(ReadError::Failed), "{status}");
+    }
+    let switched = [interim("101"), answer("200")].concat();
+    assert_eq!(read_openai_head(switched), Err(ReadError::Failed));
+    let followed = [interim("100"), interim("103"), answer("200")].concat();
+    assert_eq!(read_openai_head(followed), Ok(200));
+    let endless = interim("100").repeat(64);
+    assert_eq!(read_openai_head(endless), Err(ReadError::Failed));
+}
