Keep the pauses of streams below the strictest gap goal of their routes

Cause: prompts were held by the mean pace that long answers need to end in time. A stream pauses longest while an engine prefills without a break, which the mean does not show, and short prompts passed by the limit.

Change: the pace meter shows the pauses that few exceed (mean and two standard deviations; a pause of a single stream counts up to four times the mean). Where a route of the service sets gap_goal_ms, an endpoint gets a prompt only while these are within 0.9 of the strictest goal, and from 0.75 on only if its prefill fits into the rest of a pause. Prefill keeps a quarter of an engine's time, since an engine that is slow by itself gets no faster by a hold. Pauses near the goal cost, so that other endpoints and regions are preferred. Short prompts are held as others while the goal is missed. A held prompt that would be late is refused with the time to return. Without a gap goal nothing changes.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -128,8 +128,10 @@
     // A queued request is only considered while it is the most urgent one.
     let is_next = context.is_waiting || context.has_run || context.queue_ms <= 0.0;
     let sendable = context.local.clone().filter(|choice| {
-        let is_short_and_on_time =
-            choice.work.is_short_prompt() && choice.first_event_ms <= context.goal_left_ms;
+        // Many short prompts delay the streams as a long one does.
+        let is_short_and_on_time = choice.work.is_short_prompt()
+            && choice.is_gap_goal_kept
+            && choice.first_event_ms <= context.goal_left_ms;
         (is_short_and_on_time || (has_room && is_next))
             && choice.first_event_ms < context.time_left_ms
     });
@@ -147,7 +149,14 @@
     }
     let is_past_deadline = local_ms >= context.time_left_ms;
     let is_late = local_ms > context.goal_left_ms;
-    if is_past_deadline || (is_late && !context.is_waiting && !context.has_run) {
+    // A prompt that is held for the pauses of the streams there keeps others waiting. Its caller
+    // learns at once that it misses its goal, and can come back in time for a new one.
+    let is_held = context
+        .local
+        .as_ref()
+        .is_some_and(|choice| !choice.is_gap_goal_kept && !choice.has_room());
+    let is_kept_waiting = context.is_waiting && !is_held;
+    if is_past_deadline || (is_late && !is_kept_waiting && !context.has_run) {
         return refuse_for_overload(&context, local_ms);
     }
     Placement::Wait
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -6,9 +6,12 @@
 
 use compact_str::CompactString;
 
-use super::account::{
-    Account,
-    account_of_key, //
+use super::{
+    account::{
+        Account,
+        account_of_key, //
+    },
+    gap_goal::GapGoal, //
 };
 use crate::types::counter;
 
@@ -167,6 +170,19 @@
             .count()
     }
 
+    /// Returns the strictest goal for pauses of the routes that a service serves; none if no
+    /// route sets one.
+    pub fn gap_goal(&self, service: &str) -> Option<GapGoal> {
+        let serves = |route: &&Route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.service == service)
+        };
+        let goals = self.routes.iter().filter(serves);
+        goals
+            .filter_map(|route| GapGoal::from_ms(route.gap_goal_ms?))
+            .min_by(|left, right| left.ms().total_cmp(&right.ms()))
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -42,6 +42,11 @@
         LimitStatement, //
     },
     endpoint_start::StartReport,
+    gap_goal::{
+        GapGoal,
+        Pauses,
+        PrefillState, //
+    },
     hosts::RegionView,
     load_updates::{
         EndpointBlock,
@@ -153,6 +158,8 @@
     pub waiting_ahead: usize,
     /// Pace that the streams of the service need to end in time.
     pub pace_goal: Option<Pace>,
+    /// Longest pause of the streams of the service.
+    pub gap_goal: Option<GapGoal>,
     /// Predicted number of events of the answer.
     pub expected_events: Option<f64>,
 }
@@ -176,6 +183,7 @@
             time_left_ms: 0.0,
             waiting_ahead: 0,
             pace_goal: None,
+            gap_goal: None,
             expected_events: None,
         }
     }
@@ -223,6 +231,8 @@
     pub backlog_ms: f64,
     /// Largest backlog at which the endpoint gets another prompt.
     pub backlog_limit_ms: f64,
+    /// Whether the streams there keep the longest pause that their routes allow, if any does.
+    pub is_gap_goal_kept: bool,
     /// Cost, comparable among endpoints and with offers of other regions.
     pub cost_ms: f64,
     /// Endpoint from which cached parts of the prompt are copied first.
@@ -338,8 +348,8 @@
     evacuated: BTreeSet<CompactString>,
     mean_run_ms: BTreeMap<CompactString, f64>,
     prefill_ms_per_token: BTreeMap<CompactString, f64>,
-    /// Mean pace of this host's streams, by service.
-    mean_paces: BTreeMap<CompactString, Pace>,
+    /// Mean of the pauses at the endpoints of this host's streams, by service.
+    mean_paces: BTreeMap<CompactString, Pauses>,
     /// Prefill work that this host sent, by service.
     prefill_mix: BTreeMap<CompactString, PrefillMix>,
     /// When a prompt part was last sent to another region, by region and part.
@@ -1036,7 +1046,8 @@
                 prefill_ms_per_token,
                 now_ms,
             )
-            + load_ms;
+            + load_ms
+            + self.pause_cost(endpoint, query, now_ms);
         let bound = endpoint.bound(now_ms);
         let credit_ms = match bound.and_then(|bound| bound.rate()) {
             Some(_) => PERMIT_CREDIT_MS,
@@ -1085,16 +1096,26 @@
         };
         let prefill_share =
             endpoint.slowness() * endpoint.prefill_share(prefill_ms_per_token, now_ms);
-        let pace = service.engine.and(self.pace_at(endpoint, now_ms));
+        let pauses = service.engine.and(self.pauses_at(endpoint, now_ms));
+        let pace_limit_ms = endpoint.backlog_limit_ms(
+            pauses.and_then(|pauses| Pace::from_event_ms(pauses.mean_ms)),
+            query.pace_goal,
+            prefill_share,
+            query.share_ahead,
+        );
+        let prefill = PrefillState {
+            share: prefill_share,
+            share_ahead: query.share_ahead,
+            request_ms: endpoint.slowness() * work.uncached_tokens as f64 * prefill_ms_per_token,
+        };
+        let gap_goal = query.gap_goal.zip(pauses);
         Choice {
             endpoint: endpoint.id.clone(),
             first_event_ms: backlog_ms + endpoint.slowness() * request_ms,
-            backlog_limit_ms: endpoint.backlog_limit_ms(
-                pace,
-                query.pace_goal,
-                prefill_share,
-                query.share_ahead,
-            ),
+            backlog_limit_ms: gap_goal.map_or(pace_limit_ms, |(goal, pauses)| {
+                pace_limit_ms.min(goal.backlog_limit_ms(pauses, prefill))
+            }),
+            is_gap_goal_kept: gap_goal.is_none_or(|(goal, pauses)| goal.is_kept(pauses)),
             cost_ms: 0.0,
             work,
             copied_tokens,
@@ -1111,25 +1132,45 @@
     /// Returns the pace of the streams at an endpoint: the measured one, or the mean of the
     /// others if this host has no streams there.
     fn pace_at(&self, endpoint: &Endpoint, now_ms: u64) -> Option<Pace> {
-        let own = endpoint.pace.pace(now_ms);
+        let pauses = self.pauses_at(endpoint, now_ms)?;
+        Pace::from_event_ms(pauses.mean_ms)
+    }
+
+    /// Returns the pauses of the streams at an endpoint, as [`Fleet::pace_at`] does.
+    fn pauses_at(&self, endpoint: &Endpoint, now_ms: u64) -> Option<Pauses> {
+        let own = endpoint.pace.pauses(now_ms);
         own.or_else(|| self.mean_paces.get(&endpoint.announcement.service).copied())
     }
 
+    /// Returns the cost of a prompt to the streams at an endpoint whose pauses are near the goal.
+    fn pause_cost(&self, endpoint: &Endpoint, query: &EndpointQuery<'_>, now_ms: u64) -> f64 {
+        let goal = query.gap_goal.filter(|_| query.service.engine.is_some());
+        goal.and_then(|goal| Some(goal.cost_ms(self.pauses_at(endpoint, now_ms)?)))
+            .unwrap_or(0.0)
+    }
+
     /// Updates the mean paces of the services' endpoints.
     pub fn update_paces(&mut self, now_ms: u64) {
-        let mut sums: BTreeMap<CompactString, (f64, f64)> = BTreeMap::new();
+        let mut sums: BTreeMap<CompactString, (f64, f64, f64)> = BTreeMap::new();
         for endpoint in self.endpoints.values() {
-            let Some(pace) = endpoint.pace.pace(now_ms) else {
+            let Some(pauses) = endpoint.pace.pauses(now_ms) else {
                 continue;
             };
             let service = endpoint.announcement.service.clone();
-            let (total_ms, count) = sums.entry(service).or_default();
-            *total_ms += pace.event_ms();
+            let (mean_ms, long_ms, count) = sums.entry(service).or_default();
+            *mean_ms += pauses.mean_ms;
+            *long_ms += pauses.long_ms;
             *count += 1.0;
         }
-        let means = sums.into_iter().filter_map(|(service, (total_ms, count))| {
-            Some((service, Pace::from_event_ms(total_ms / count)?))
-        });
+        let means = sums
+            .into_iter()
+            .map(|(service, (mean_ms, long_ms, count))| {
+                let pauses = Pauses {
+                    mean_ms: mean_ms / count,
+                    long_ms: long_ms / count,
+                };
+                (service, pauses)
+            });
         self.mean_paces = means.collect();
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod follower;
+pub mod gap_goal;
 pub mod head;
 pub mod hosts;
 pub mod known_state;
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -31,6 +31,7 @@
         ResolvedRoute, //
     },
     fleet::EndpointQuery,
+    gap_goal::GapGoal,
     hosts::HostInfo,
     reactor::Reactor,
     request_sizes::RequestSize,
@@ -221,6 +222,7 @@
             time_left_ms,
             waiting_ahead,
             pace_goal: self.answer_lengths.pace_goal(&service.name),
+            gap_goal: self.gap_goal(&service.name),
             expected_events: self
                 .answer_lengths
                 .expected_events(&route.name, exchange.request.metadata.length_hint),
@@ -292,6 +294,12 @@
         Some(context)
     }
 
+    /// Returns the strictest goal for pauses of the routes of a service.
+    pub(super) fn gap_goal(&self, service: &str) -> Option<GapGoal> {
+        let configuration = self.configuration.as_ref()?;
+        configuration.gap_goal(service)
+    }
+
     /// Returns the service with this name, or one with default parameters.
     pub(super) fn service(&self, name: &str) -> Service {
         let known = self
--- a/src/gateway/stream_pace.rs
+++ b/src/gateway/stream_pace.rs
@@ -8,12 +8,20 @@
     str::FromStr, //
 };
 
+use super::gap_goal::Pauses;
 use crate::types::ParseError;
 
 /// Time constant of the moving pace: several events of a slow stream.
 const PACE_DECAY_MS: f64 = 1_000.0;
 /// Fewest recent events from which a pace is taken.
 const MIN_EVENTS: f64 = 0.5;
+/// Standard deviations above the mean of a pause that few exceed. Pauses are either those of steps
+/// with prefill or of steps without, so this is about the longest of them.
+const LONG_PAUSE_DEVIATIONS: f64 = 2.0;
+/// Largest pause that counts for the deviation, relative to the mean. Steps with prefill take
+/// about four times as long as those without; a longer pause is one of a single stream, such as
+/// one that was preempted.
+const MAX_RELATIVE_PAUSE: f64 = 4.0;
 
 /// Mean time between two events of a stream; finite and not negative.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -56,6 +64,8 @@
     waited_ms: f64,
     /// Number of these events; decays.
     event_count: f64,
+    /// Sum of the squares of the waits; decays.
+    squared_ms: f64,
     updated_ms: u64,
 }
 
@@ -65,6 +75,9 @@
         let kept_share = self.kept_share(now_ms);
         self.waited_ms = self.waited_ms * kept_share + waited_ms as f64;
         self.event_count = self.event_count * kept_share + event_count as f64;
+        let mean_ms = self.waited_ms / self.event_count.max(1.0);
+        let counted_ms = (waited_ms as f64).min(mean_ms * MAX_RELATIVE_PAUSE);
+        self.squared_ms = self.squared_ms * kept_share + counted_ms * counted_ms;
         self.updated_ms = now_ms;
     }
 
@@ -74,6 +87,16 @@
         (recent >= MIN_EVENTS).then_some(Pace(self.waited_ms / self.event_count))
     }
 
+    /// Returns the pauses between events; none if there were no events lately.
+    pub fn pauses(&self, now_ms: u64) -> Option<Pauses> {
+        let mean_ms = self.pace(now_ms)?.event_ms();
+        let variance = (self.squared_ms / self.event_count - mean_ms * mean_ms).max(0.0);
+        Some(Pauses {
+            mean_ms,
+            long_ms: mean_ms + LONG_PAUSE_DEVIATIONS * variance.sqrt(),
+        })
+    }
+
     fn kept_share(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.updated_ms) as f64;
         (-age_ms / PACE_DECAY_MS).exp()
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -166,6 +166,7 @@
         time_left_ms: 15_000.0,
         waiting_ahead: 0,
         pace_goal: None,
+        gap_goal: None,
         expected_events: None,
     };
     fleet.choose(&query, now_ms)
@@ -568,6 +569,7 @@
             copied_tokens: 0,
             backlog_ms: 50.0,
             backlog_limit_ms: 500.0,
+            is_gap_goal_kept: true,
             cost_ms: 200.0,
             fetch_from: None,
             is_idle: false,
