Let timers look only at endpoints that need attention

Cause: the timers of a host run every 15 ms and after each event. Each run collected the ids of all endpoints, asked each one for its bound and its load, and wrote the number of hosts and the load of other hosts to each; packets of other hosts found their endpoint by a scan.

Change: endpoints are kept in a table that lists them by concern (bound, brittle, busy, busy with requests of other hosts, with streams, in doubt, leaving, withdrawn, reported), by service and region, and by hash. The table looks at a changed endpoint again before the next change. The number of hosts is applied to brittle endpoints at once and to others before they change, as of the time at which it was set. Ids of staying endpoints are collected only in doubt of the host's paths. A scan once a second finds what the lists miss, and logs it.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -532,6 +532,11 @@
         self.withdrawn_at_ms.is_none_or(|at_ms| now_ms < at_ms)
     }
 
+    /// Returns whether its announcement has ended or ends at a time that is known.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn_at_ms.is_some()
+    }
+
     /// Records that the endpoint wants no requests from this host for `for_ms`.
     pub fn record_unwanted(&mut self, for_ms: u64, now_ms: u64) {
         let until_ms = now_ms.saturating_add(for_ms);
--- a/src/gateway/endpoint_reach.rs
+++ b/src/gateway/endpoint_reach.rs
@@ -125,6 +125,23 @@
         }
     }
 
+    /// Returns whether there may be something to try or to decide, for which the endpoints that
+    /// stay have to be known.
+    pub fn is_due(&self, busy_count: usize, now_ms: u64) -> bool {
+        match self.state {
+            State::CutOff { .. } => true,
+            State::Doubtful if !self.failed.is_empty() => true,
+            State::Sound | State::Doubtful => {
+                self.is_in_doubt(busy_count, now_ms) && now_ms >= self.next_doubt_ms
+            }
+        }
+    }
+
+    fn is_in_doubt(&self, busy_count: usize, now_ms: u64) -> bool {
+        let is_silent = busy_count >= SILENT_ENDPOINTS && now_ms >= self.heard_ms + SILENCE_MS;
+        is_silent || !self.failed.is_empty()
+    }
+
     /// Returns the endpoints, of those that stay, to which connections are tried now.
     ///
     /// `busy_count` endpoints have requests of this host in progress.
@@ -147,10 +164,7 @@
                 self.last_probe.iter().cloned().collect()
             }
             State::Sound | State::Doubtful => {
-                let is_silent =
-                    busy_count >= SILENT_ENDPOINTS && now_ms >= self.heard_ms + SILENCE_MS;
-                let is_in_doubt = is_silent || !self.failed.is_empty();
-                if !is_in_doubt || now_ms < self.next_doubt_ms {
+                if !self.is_in_doubt(busy_count, now_ms) || now_ms < self.next_doubt_ms {
                     return Vec::new();
                 }
                 self.next_doubt_ms = now_ms + DOUBT_INTERVAL_MS;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,7 +9,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashMap, //
     },
     net::SocketAddr, //
 };
@@ -42,6 +43,10 @@
         LimitStatement, //
     },
     endpoint_start::StartReport,
+    endpoint_table::{
+        Concern,
+        EndpointTable, //
+    },
     hosts::RegionView,
     load_updates::{
         EndpointBlock,
@@ -334,7 +339,7 @@
     /// Services with streams that may go on at another endpoint.
     resumable_services: BTreeSet<CompactString>,
     regions: BTreeMap<CompactString, CompactString>,
-    endpoints: BTreeMap<CompactString, Endpoint>,
+    endpoints: EndpointTable,
     evacuated: BTreeSet<CompactString>,
     mean_run_ms: BTreeMap<CompactString, f64>,
     prefill_ms_per_token: BTreeMap<CompactString, f64>,
@@ -368,7 +373,7 @@
             service_slots: BTreeMap::new(),
             resumable_services: BTreeSet::new(),
             regions,
-            endpoints: BTreeMap::new(),
+            endpoints: EndpointTable::default(),
             evacuated: BTreeSet::new(),
             mean_run_ms: BTreeMap::new(),
             prefill_ms_per_token: BTreeMap::new(),
@@ -395,10 +400,11 @@
         let resumable = routes.filter(|route| route.retry_policy == RetryPolicy::Resume);
         let targets = resumable.flat_map(|route| &route.targets);
         self.resumable_services = targets.map(|target| target.service.clone()).collect();
-        let ids: Vec<CompactString> = self.endpoints.keys().cloned().collect();
+        let ids: Vec<CompactString> = self.endpoints.ids().cloned().collect();
         for id in ids {
             self.apply_service(&id);
         }
+        self.endpoints.settle();
     }
 
     /// Applies the parameters of its service to an endpoint.
@@ -436,10 +442,11 @@
                 if let Some(former) = former.filter(|former| former.started_ms == started_ms) {
                     endpoint.restore(&former);
                 }
-                self.endpoints.insert(id.into(), endpoint);
+                self.endpoints.insert(endpoint);
             }
         }
         self.apply_service(id);
+        self.endpoints.settle();
         true
     }
 
@@ -458,18 +465,21 @@
         let former_versions = &mut self.former_versions;
         let former = &mut self.former_endpoints;
         former.retain(|_, former| former.is_remembered(now_ms));
-        self.endpoints.retain(|id, endpoint| {
-            let is_kept = endpoint.is_announced(now_ms) || endpoint.own_load.active > 0;
-            if !is_kept {
-                let key = version_key(&endpoint.announcement);
-                former_versions.insert(key, now_ms + ORIGIN_LIFETIME_MS);
-            }
-            let known = FormerEndpoint::new(endpoint);
-            if !is_kept && known.is_remembered(now_ms) && former.len() < MAX_FORMER_ENDPOINTS {
-                former.insert(id.clone(), known);
+        let withdrawn = self.endpoints.concerned(Concern::Withdrawn);
+        let gone = withdrawn
+            .filter(|endpoint| !endpoint.is_announced(now_ms) && endpoint.own_load.active == 0);
+        let gone: Vec<CompactString> = gone.map(|endpoint| endpoint.id.clone()).collect();
+        for id in gone {
+            let Some(endpoint) = self.endpoints.remove(&id) else {
+                continue;
+            };
+            let key = version_key(&endpoint.announcement);
+            former_versions.insert(key, now_ms + ORIGIN_LIFETIME_MS);
+            let known = FormerEndpoint::new(&endpoint);
+            if known.is_remembered(now_ms) && former.len() < MAX_FORMER_ENDPOINTS {
+                former.insert(id, known);
             }
-            is_kept
-        });
+        }
     }
 
     /// Records that an endpoint states that it is leaving; returns whether this was
@@ -493,9 +503,8 @@
 
     /// Returns the endpoints of this region that state that they are leaving.
     pub fn leaving(&self) -> impl Iterator<Item = LeavingEndpoint> + '_ {
-        let own_region = self
-            .endpoints
-            .values()
+        let leaving = self.endpoints.concerned(Concern::Leaving);
+        let own_region = leaving
             .filter(|endpoint| endpoint.statements.is_leaving && endpoint.region == self.region);
         own_region.map(LeavingEndpoint::new)
     }
@@ -557,18 +566,16 @@
 
     /// Returns the limits of this region's endpoints for another host.
     pub fn limit_reports(&self, now_ms: u64) -> impl Iterator<Item = LimitReport> + '_ {
-        let own_region = self.endpoints.values();
-        own_region
+        let reported = self.endpoints.concerned(Concern::Reported);
+        reported
             .filter(|endpoint| endpoint.region == self.region)
             .filter_map(move |endpoint| LimitReport::of_limited(endpoint, now_ms))
     }
 
     /// Returns the endpoints of this region that stay and are bound.
     pub fn bounded(&self, now_ms: u64) -> impl Iterator<Item = (&Endpoint, Bound)> {
-        let bounded = self
-            .endpoints
-            .values()
-            .filter_map(move |endpoint| Some((endpoint, endpoint.bound(now_ms)?)));
+        let bounded = self.endpoints.concerned(Concern::Bound);
+        let bounded = bounded.filter_map(move |endpoint| Some((endpoint, endpoint.bound(now_ms)?)));
         bounded.filter(move |(endpoint, _)| {
             endpoint.region == self.region
                 && endpoint.is_staying(now_ms)
@@ -610,8 +617,8 @@
 
     /// Returns the reports of this region's endpoints whose start is in doubt.
     pub fn start_reports(&self, now_ms: u64) -> impl Iterator<Item = StartReport> + '_ {
-        let own_region = self.endpoints.values();
-        own_region
+        let doubted = self.endpoints.concerned(Concern::Doubted);
+        doubted
             .filter(|endpoint| endpoint.region == self.region)
             .filter_map(move |endpoint| StartReport::of_doubt(endpoint, now_ms))
     }
@@ -625,8 +632,7 @@
 
     /// Returns the id of the endpoint with this hash.
     pub fn id_of(&self, hash: EndpointHash) -> Option<CompactString> {
-        let mut endpoints = self.endpoints.values();
-        let endpoint = endpoints.find(|endpoint| endpoint.hash == hash)?;
+        let endpoint = self.endpoints.get_by_hash(hash)?;
         Some(endpoint.id.clone())
     }
 
@@ -670,12 +676,8 @@
     /// Returns the only software version of a service's endpoints in all regions, those
     /// included that are gone but may have begun streams that callers still take up.
     pub fn only_version(&self, service: &str, now_ms: u64) -> Option<&SoftwareVersion> {
-        let current = self
-            .endpoints
-            .values()
-            .map(|endpoint| &endpoint.announcement)
-            .filter(|announcement| announcement.service == service)
-            .map(|announcement| &announcement.software_version);
+        let current = self.endpoints.versions().get(service);
+        let current = current.into_iter().flat_map(BTreeMap::keys);
         let former = self
             .former_versions
             .iter()
@@ -696,13 +698,16 @@
     /// Returns the versions of each service, those included that are gone but may have begun
     /// streams that callers still take up.
     pub fn served_versions(&self, now_ms: u64) -> BTreeMap<CompactString, ServedVersions> {
-        let current = self.endpoints.values();
-        let current = current.map(|endpoint| version_key(&endpoint.announcement));
+        let current = self.endpoints.versions().iter();
+        let current = current.map(|(service, versions)| {
+            let versions = versions.keys().cloned().collect();
+            (service.clone(), ServedVersions { versions })
+        });
+        let mut served: BTreeMap<CompactString, ServedVersions> = current.collect();
         let former = self.former_versions.iter();
-        let former = former.filter(|(_, until_ms)| now_ms < **until_ms);
-        let mut served: BTreeMap<CompactString, ServedVersions> = BTreeMap::new();
-        for (service, version) in current.chain(former.map(|(key, _)| key.clone())) {
-            served.entry(service).or_default().versions.insert(version);
+        for ((service, version), _) in former.filter(|(_, until_ms)| now_ms < **until_ms) {
+            let served = served.entry(service.clone()).or_default();
+            served.versions.insert(version.clone());
         }
         served
     }
@@ -722,10 +727,9 @@
         service: &'a str,
         now_ms: u64,
     ) -> impl Iterator<Item = &'a Endpoint> + 'a {
-        self.endpoints.values().filter(move |endpoint| {
-            endpoint.announcement.service == service
-                && endpoint.region == region
-                && endpoint.is_staying(now_ms)
+        let endpoints = self.endpoints.of_service(region, service);
+        endpoints.filter(move |endpoint| {
+            endpoint.is_staying(now_ms)
                 && !self.evacuated.contains(&endpoint.announcement.data_centre)
         })
     }
@@ -760,13 +764,13 @@
             return 0;
         }
         let mut cold_count = 0;
-        for endpoint in self.endpoints.values_mut() {
+        self.endpoints.change_all(|endpoint| {
             if endpoint.announcement.data_centre == data_centre {
                 let service = configuration.service(&endpoint.announcement.service);
                 endpoint.set_cold(service.map_or(0, |service| service.cold_ms), now_ms);
                 cold_count += usize::from(endpoint.is_cold(now_ms));
             }
-        }
+        });
         cold_count
     }
 
@@ -777,9 +781,7 @@
 
     /// Forgets failures of endpoints, which were this host's own.
     pub fn forget_failures(&mut self) {
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.forget_failures();
-        }
+        self.endpoints.change_all(Endpoint::forget_failures);
     }
 
     /// Returns the ids of this region's endpoints that stay, in order.
@@ -794,10 +796,35 @@
 
     /// Returns the number of endpoints with requests of this host in progress.
     pub fn busy_count(&self) -> usize {
-        let endpoints = self.endpoints.values();
-        endpoints
-            .filter(|endpoint| endpoint.own_load.active > 0)
-            .count()
+        self.endpoints.busy_count()
+    }
+
+    /// Returns the endpoints with requests of this host in progress.
+    pub fn busy(&self) -> impl Iterator<Item = &Endpoint> {
+        let busy = self.endpoints.concerned(Concern::Busy);
+        busy.filter(|endpoint| endpoint.own_load.active > 0)
+    }
+
+    /// Returns the endpoints with streams of this host that have a pace.
+    pub fn paced(&self, now_ms: u64) -> impl Iterator<Item = (&Endpoint, Pace)> {
+        let paced = self.endpoints.concerned(Concern::Paced);
+        paced.filter_map(move |endpoint| Some((endpoint, endpoint.pace.pace(now_ms)?)))
+    }
+
+    /// Looks at all endpoints in case that the change of one was missed; returns the number of
+    /// those.
+    pub fn rescan(&mut self, now_ms: u64) -> usize {
+        self.endpoints.rescan(now_ms)
+    }
+
+    /// Returns the endpoints that a concern may apply to.
+    pub fn concerned(&self, concern: Concern) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.concerned(concern)
+    }
+
+    /// Returns how many endpoints were looked at or changed, for a measure of the work.
+    pub fn visit_count(&self) -> u64 {
+        self.endpoints.visit_count()
     }
 
     /// Returns an endpoint by its id.
@@ -817,9 +844,7 @@
 
     /// Sets the number of live hosts of the region.
     pub fn set_host_count(&mut self, host_count: usize, now_ms: u64) {
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.set_host_count(host_count as u32, now_ms);
-        }
+        self.endpoints.set_host_count(host_count as u32, now_ms);
     }
 
     /// Applies another host's statement that a brittle endpoint turned a request away.
@@ -838,20 +863,14 @@
         run_ms.copied().unwrap_or(INITIAL_CALL_MS) / f64::from(slots.max(1))
     }
 
-    /// Replaces the load that the other hosts of the region place at the endpoints;
-    /// `share_at` returns it for the hash of an endpoint's id.
-    pub fn set_peer_loads<F>(&mut self, share_at: F)
-    where
-        F: Fn(EndpointHash) -> LoadShare,
-    {
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.peer_load = share_at(endpoint.hash);
-        }
+    /// Replaces the load that the other hosts of the region place at the endpoints, by the hashes
+    /// of the endpoints' ids.
+    pub fn set_peer_loads(&mut self, shares: &HashMap<EndpointHash, LoadShare>) {
+        self.endpoints.set_peer_loads(shares);
     }
 
     fn get_by_hash(&mut self, hash: EndpointHash) -> Option<&mut Endpoint> {
-        let mut endpoints = self.endpoints.values_mut();
-        endpoints.find(|endpoint| endpoint.hash == hash)
+        self.endpoints.get_mut_by_hash(hash)
     }
 
     /// Applies another host's block of an endpoint.
@@ -1118,10 +1137,7 @@
     /// Updates the mean paces of the services' endpoints.
     pub fn update_paces(&mut self, now_ms: u64) {
         let mut sums: BTreeMap<CompactString, (f64, f64)> = BTreeMap::new();
-        for endpoint in self.endpoints.values() {
-            let Some(pace) = endpoint.pace.pace(now_ms) else {
-                continue;
-            };
+        for (endpoint, pace) in self.paced(now_ms) {
             let service = endpoint.announcement.service.clone();
             let (total_ms, count) = sums.entry(service).or_default();
             *total_ms += pace.event_ms();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod endpoint_limit;
 pub mod endpoint_reach;
 pub mod endpoint_start;
+pub mod endpoint_table;
 pub mod era;
 pub mod events;
 pub mod exchange;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -119,6 +119,8 @@
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Interval at which connections are checked for timeouts.
 const SWEEP_INTERVAL_MS: u64 = 250;
+/// Interval at which all endpoints are looked at in case that the change of one was missed.
+const RESCAN_INTERVAL_MS: u64 = 1_000;
 /// Minimum time between the stop signal and the end of the process, in which
 /// callers with a cached directory response still reach the host.
 const MIN_SHUTDOWN_MS: u64 = 4_200;
@@ -208,6 +210,7 @@
     /// Number of live hosts in the region, for the thread that follows the store.
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
+    next_rescan_ms: u64,
     latest_poll_ms: u64,
     /// Time of the poll before the latest one; events that are handled came after it.
     pub(super) earlier_poll_ms: u64,
@@ -318,6 +321,7 @@
             unreached: Vec::new(),
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
+            next_rescan_ms: 0,
             latest_poll_ms: 0,
             earlier_poll_ms: 0,
         })
@@ -512,12 +516,27 @@
         self.serve_waiting(now_ms);
         self.refuse_unread(now_ms);
         self.send_load_update(now_ms);
+        if now_ms >= self.next_rescan_ms {
+            self.next_rescan_ms = now_ms + RESCAN_INTERVAL_MS;
+            self.rescan_endpoints(now_ms);
+        }
         if now_ms >= self.next_sweep_ms {
             self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS;
             self.sweep(now_ms);
         }
     }
 
+    /// Looks at all endpoints, so that a missed change hides nothing for long.
+    fn rescan_endpoints(&mut self, now_ms: u64) {
+        let missed_count = self.fleet.rescan(now_ms);
+        if missed_count > 0 {
+            tracing::warn!(
+                endpoints = missed_count,
+                "changes of endpoints were missed; found by looking at all"
+            );
+        }
+    }
+
     /// Closes connections that have been idle for too long.
     fn sweep(&mut self, now_ms: u64) {
         self.count_buffers();
--- a/src/gateway/serve_reach.rs
+++ b/src/gateway/serve_reach.rs
@@ -64,8 +64,15 @@
     /// Tries connections to endpoints where that is due, and decides whether this host is cut
     /// off.
     pub(super) fn follow_reach(&mut self, now_ms: u64) {
-        let staying = self.fleet.staying_ids(now_ms);
         let busy_count = self.fleet.busy_count();
+        if self.reach.is_due(busy_count, now_ms) {
+            self.try_endpoints(busy_count, now_ms);
+        }
+        self.settle_unreached(now_ms);
+    }
+
+    fn try_endpoints(&mut self, busy_count: usize, now_ms: u64) {
+        let staying = self.fleet.staying_ids(now_ms);
         for id in self.reach.probes(&staying, busy_count, now_ms) {
             if let Some(endpoint) = self.fleet.get(&id) {
                 self.connect_ahead(endpoint.announcement.address, Some(id));
@@ -73,7 +80,6 @@
         }
         let change = self.reach.decide(&staying, now_ms);
         self.apply_reach_change(change, now_ms);
-        self.settle_unreached(now_ms);
     }
 
     fn apply_reach_change(&mut self, change: Option<ReachChange>, now_ms: u64) {
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -381,8 +381,7 @@
         let mut beacon = self.new_beacon();
         beacon.shares = self
             .fleet
-            .iter()
-            .filter(|endpoint| endpoint.own_load.active > 0)
+            .busy()
             .map(|endpoint| EndpointLoadShare::new(endpoint.hash, endpoint.own_load))
             .collect();
         beacon.queues = self.own_queues();
@@ -492,8 +491,7 @@
         self.next_peer_load_update_ms = now_ms + interval_ms;
         self.region_view = self.hosts.region_view(now_ms);
         let shares = self.hosts.peer_load_shares(now_ms);
-        self.fleet
-            .set_peer_loads(|hash| shares.get(&hash).copied().unwrap_or_default());
+        self.fleet.set_peer_loads(&shares);
         self.fleet
             .set_host_count(self.region_view.host_count, now_ms);
         self.fleet.update_paces(now_ms);
--- a/src/gateway/telemetry.rs
+++ b/src/gateway/telemetry.rs
@@ -330,10 +330,7 @@
     /// Replaces the paces of the endpoints by those that are known now.
     pub fn set_endpoint_paces(&self, fleet: &Fleet, now_ms: u64) {
         self.endpoint_pace_s.clear();
-        for endpoint in fleet.iter() {
-            let Some(pace) = endpoint.pace.pace(now_ms) else {
-                continue;
-            };
+        for (endpoint, pace) in fleet.paced(now_ms) {
             let labels = EndpointLabels {
                 endpoint: endpoint.id.to_string(),
             };
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -1,6 +1,9 @@
 //! Tests of the gateway's decisions, without a network.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
 
 use cardamombridge::{
     gateway::{
@@ -25,7 +28,6 @@
             AnnouncementOrder,
             EndpointHash,
             Failure,
-            LoadShare,
             Stage,
             Work, //
         },
@@ -239,8 +241,7 @@
             self.fleet.record_peer_prompt(sent, now_ms);
         }
         let shares = self.hosts.peer_load_shares(now_ms);
-        self.fleet
-            .set_peer_loads(|hash| shares.get(&hash).copied().unwrap_or_default());
+        self.fleet.set_peer_loads(&shares);
     }
 }
 
@@ -353,7 +354,7 @@
         });
         rest[0].apply_update(&update, 1_005);
         // The first prompt has been prefilled in the meantime.
-        rest[0].fleet.set_peer_loads(|_| LoadShare::default());
+        rest[0].fleet.set_peer_loads(&HashMap::new());
 
         let choice = choose(&rest[0].fleet, &longer, &[], 2_000).expect("an endpoint");
 
