--- a/src/gateway/allotment.rs
+++ b/src/gateway/allotment.rs
@@ -8,7 +8,8 @@
 //! only its share of the level, by its share of the demand.
 //!
 //! A host that hears no relay of its region refills its replica at a static share of the rate, so that
-//! parts of the system that are cut off from each other together stay within it.
+//! parts of the system that are cut off from each other together stay within it. Hosts that are not
+//! relays adopt the level of their relay, so that replicas do not drift apart.
 
 use super::account::Allotment;
 
@@ -20,8 +21,20 @@
 /// Requests of the usual size that a host may always admit ahead of reports, while the account
 /// has that much.
 const FLOOR_REQUESTS: f64 = 4.0;
-/// Shortest time after which a refused caller is asked to retry.
-const MIN_RETRY_MS: f64 = 50.0;
+/// Shortest time after which a refused caller is asked to retry: that between a request and
+/// its confirmation by a relay.
+const MIN_RETRY_MS: f64 = 150.0;
+/// Time until use at one host is known at all: two reports, two ticks and the way between regions.
+const REPORT_LAG_MS: u64 = 300;
+/// Least burst, as a time at the rate: nothing could be admitted from a bucket that holds nothing.
+const MIN_BURST_S: f64 = 0.25;
+/// Longest time for which a bucket is refilled at once; after a longer one, the process was
+/// paused, and others have used what the account had.
+const MAX_REFILL_MS: u64 = 1_000;
+/// Difference of two replicas that late reports explain, as a time at the rate.
+const USUAL_DIFFERENCE_S: f64 = 1.0;
+/// Part of a larger difference of two replicas that is corrected with each packet.
+const CORRECTION: f64 = 0.05;
 /// Weight of a new request in the moving average of their cost.
 const COST_EWMA_WEIGHT: f64 = 0.1;
 
@@ -94,10 +107,17 @@
         }
     }
 
-    /// Applies a new configuration; a lower burst binds at once.
-    pub fn set_allotment(&mut self, allotment: Allotment) {
+    /// Applies a new configuration; the time before counts at the old rate, and a lower burst
+    /// binds at once.
+    pub fn set_allotment(&mut self, allotment: Allotment, view: &AllotmentView, now_ms: u64) {
+        self.refill(view, now_ms);
         self.allotment = allotment;
-        self.level = self.level.min(allotment.burst);
+        self.level = self.level.min(self.burst());
+    }
+
+    fn burst(&self) -> f64 {
+        let least = MIN_BURST_S * self.allotment.rate_per_s;
+        self.allotment.burst.max(least)
     }
 
     /// Returns the units that are left.
@@ -107,11 +127,11 @@
 
     /// Refills the bucket for the time since the last refill.
     pub fn refill(&mut self, view: &AllotmentView, now_ms: u64) {
-        let passed_s = now_ms.saturating_sub(self.refilled_ms) as f64 / 1_000.0;
+        let passed_ms = now_ms.saturating_sub(self.refilled_ms).min(MAX_REFILL_MS);
         self.refilled_ms = now_ms;
         let share = view.reachable_share.clamp(0.0, 1.0);
-        let most = (self.allotment.burst * share).max(self.level.min(self.allotment.burst));
-        self.level = (self.level + passed_s * self.allotment.rate_per_s * share).min(most);
+        let refill = self.allotment.rate_per_s * share * passed_ms as f64 / 1_000.0;
+        self.level = (self.level + refill).min(self.burst() * share);
     }
 
     /// Decides about a request that costs `cost` units.
@@ -119,14 +139,15 @@
         self.refill(view, now_ms);
         self.record_demand(cost, now_ms);
         let has_room = self.level > 0.0;
-        let is_first = self.unconfirmed <= 0.0;
+        // A host that is alone, or cut off, shares its level with no other.
+        let is_first = self.unconfirmed <= 0.0 || view.host_count <= 1;
         if has_room && (is_first || self.unconfirmed + cost <= self.ahead_limit(view, now_ms)) {
             self.level -= cost;
             self.unconfirmed += cost;
             return Admission::Admitted;
         }
         Admission::Refused {
-            retry_ms: self.retry_ms(cost, view),
+            retry_ms: self.retry_ms(cost, view, now_ms),
         }
     }
 
@@ -144,13 +165,25 @@
 
     /// Returns the time until the account has room for a request behind the debt, in
     /// milliseconds.
-    fn retry_ms(&self, cost: f64, view: &AllotmentView) -> u64 {
-        let missing = (cost.min(self.allotment.burst) - self.level).max(0.0);
+    fn retry_ms(&self, cost: f64, view: &AllotmentView, now_ms: u64) -> u64 {
+        let missing = (cost.min(self.burst()) - self.level).max(0.0);
+        let missing = missing + self.unreported(view, now_ms);
         let per_ms = self.allotment.rate_per_s * view.reachable_share / 1_000.0;
         let wait_ms = missing / per_ms.max(f64::MIN_POSITIVE);
         wait_ms.clamp(MIN_RETRY_MS, f64::from(u32::MAX)).ceil() as u64
     }
 
+    /// Returns what other hosts have used that this one has not been told: over some seconds, what
+    /// they ask for, and at most the rate.
+    fn unreported(&self, view: &AllotmentView, now_ms: u64) -> f64 {
+        if view.host_count <= 1 {
+            return 0.0;
+        }
+        let others = self.all_demand.value(now_ms) - self.own_demand.value(now_ms);
+        let per_s = others.clamp(0.0, self.allotment.rate_per_s);
+        per_s * REPORT_LAG_MS as f64 / 1_000.0
+    }
+
     fn record_demand(&mut self, cost: f64, now_ms: u64) {
         self.own_demand.add(cost, now_ms);
         self.all_demand.add(cost, now_ms);
@@ -162,18 +195,53 @@
 
     /// Gives the cost of an admitted request back that has not run.
     pub fn refund(&mut self, cost: f64) {
-        self.level = (self.level + cost).min(self.allotment.burst);
+        self.level = (self.level + cost).min(self.burst());
         self.unconfirmed = (self.unconfirmed - cost).max(0.0);
     }
 
+    /// Takes off what other hosts used; negative if they were given more back than they used.
+    pub fn record_others(&mut self, used: f64) {
+        self.level = (self.level - used).min(self.burst());
+    }
+
+    /// Records what other hosts asked for.
+    pub fn record_demand_of_others(&mut self, demand: f64, now_ms: u64) {
+        self.all_demand.add(demand.max(0.0), now_ms);
+    }
+
+    /// Returns what all hosts have lately asked for.
+    pub fn demand(&self, now_ms: u64) -> f64 {
+        self.all_demand.value(now_ms)
+    }
+
     /// Sets the own use that no relay has confirmed yet.
     pub fn set_unconfirmed(&mut self, units: f64) {
         self.unconfirmed = units.max(0.0);
     }
 
-    /// Takes off what other hosts used; negative if they were given more back than they used.
-    pub fn record_others(&mut self, used: f64, demand: f64, now_ms: u64) {
-        self.level = (self.level - used).min(self.allotment.burst);
-        self.all_demand.add(demand.max(0.0), now_ms);
+    /// Takes over the level and the demand that a relay states, which include what it has
+    /// confirmed of the own use; `unconfirmed` is the rest.
+    pub fn adopt(&mut self, level: f64, demand: f64, unconfirmed: f64, now_ms: u64) {
+        self.level = (level - unconfirmed).min(self.burst());
+        self.refilled_ms = now_ms;
+        self.set_unconfirmed(unconfirmed);
+        let own = self.own_demand.value(now_ms);
+        self.all_demand = DecayingSum {
+            value: demand.max(own),
+            updated_ms: now_ms,
+        };
+    }
+
+    /// Returns by how much the level that another relay states exceeds the own one beyond what late
+    /// reports explain; negative if it is lower.
+    pub fn excess_of(&self, level: f64) -> f64 {
+        let usual = USUAL_DIFFERENCE_S * self.allotment.rate_per_s;
+        let difference = level - self.level;
+        difference - difference.clamp(-usual, usual)
+    }
+
+    /// Corrects a part of a lasting difference from another relay.
+    pub fn approach(&mut self, excess: f64) {
+        self.level = (self.level + CORRECTION * excess).min(self.burst());
     }
 }
--- a/src/gateway/allotment_exchange.rs
+++ b/src/gateway/allotment_exchange.rs
@@ -1,10 +1,13 @@
 //! Reports of what client accounts use, collected and passed on by the relays of each region.
 //!
 //! Two hosts of a region are its relays. Every host reports its own use to both. A relay tells
-//! each host of its region what all others used, and the relays of the other regions what its
-//! region used. All numbers are cumulative since the start of their sender, so that a packet that
-//! is lost, copied or late does no harm. If one relay is silent, receivers go on with the
-//! other, from what that one had counted when the first was last heard.
+//! each host of its region the levels of its own buckets, and the relays of the other regions
+//! what its region used. Use is cumulative since the start of the sender, so that a packet that
+//! is lost, copied or late does no harm. If one relay of another region is silent, receivers go
+//! on with the other, from what that one had counted when the first was last heard.
+//!
+//! What a host or region used while it was out of reach is not counted when it is heard again: it
+//! kept to its share of the rate, which was set aside for it.
 
 use std::collections::BTreeMap;
 
@@ -21,15 +24,13 @@
 /// Relays of a region: a second one takes over if the first ends.
 pub const RELAY_COUNT: usize = 2;
 /// Silence of a relay after which receivers go on with the other one: several of its intervals.
-const RELAY_SILENCE_MS: u64 = 500;
+pub const RELAY_SILENCE_MS: u64 = 500;
 /// Silence of hosts and regions after which what they may use is set aside for them.
 pub const REACH_LIMIT_MS: u64 = 1_500;
-/// Time for which the use of a silent host is remembered, in case it is heard again.
-const REPORTER_LIFETIME_MS: u64 = 60_000;
 /// Time in which a sender states the use of all accounts at least once.
-pub const COMPLETE_MS: u64 = 1_000;
-/// Accounts in one packet, so that it does not exceed the largest size.
-pub const MAX_ACCOUNTS: usize = 48;
+pub const COMPLETE_MS: u64 = 500;
+/// Accounts in one packet, so that it does not exceed the largest size with numbers of any size.
+pub const MAX_ACCOUNTS: usize = 20;
 
 hex_id!(
     /// Hash of an account's name, which identifies it in packets between hosts.
@@ -87,7 +88,8 @@
 }
 
 impl UsageSender {
-    fn place(&self) -> (u64, u64) {
+    /// Returns the place of the packet among all of the sender's.
+    pub fn place(&self) -> (u64, u64) {
         (self.started_ms, self.sequence)
     }
 }
@@ -101,15 +103,26 @@
     pub usages: Usages,
 }
 
-/// What all other hosts used; sent by a relay to one host of its region.
+/// An account as a relay states it to one host of its region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RelayedAccount {
+    /// Thousandths of units that are left, from the view of the relay.
+    pub level_milli: i64,
+    /// Units that all hosts have lately asked for.
+    pub demand: i64,
+    /// What the relay has counted of the receiver's own use.
+    pub confirmed: i64,
+}
+
+/// What is left of the allotments; sent by a relay to one host of its region.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageSummary {
     /// The relay.
     pub sender: UsageSender,
-    /// Use of some accounts by all hosts but the receiver.
-    pub others: Usages,
-    /// The receiver's own use of these accounts, as far as the relay knows it.
-    pub confirmed: Usages,
+    /// Start of the receiver to which the confirmations refer.
+    pub receiver_started_ms: u64,
+    /// Some accounts.
+    pub accounts: BTreeMap<AccountHash, RelayedAccount>,
     /// Hosts in reach of the relay, in its own region and in others.
     pub reachable_count: u32,
     /// Hosts that may be at work.
@@ -125,6 +138,8 @@
     pub region: CompactString,
     /// Use of some accounts by all hosts of the region.
     pub usages: Usages,
+    /// Thousandths of units of these accounts that are left, from the view of the relay.
+    pub levels: BTreeMap<AccountHash, i64>,
     /// Hosts of the region that the relay hears.
     pub host_count: u32,
 }
@@ -162,26 +177,34 @@
     /// Applies what a relay stated; returns the changes since what was followed before, and whether
     /// this relay is followed.
     pub fn apply(&mut self, sender: &UsageSender, stated: &Usages, now_ms: u64) -> Option<Usages> {
+        // A relay that is heard again after long counts as a new one.
+        self.sources
+            .retain(|_, source| now_ms < source.heard_ms + REACH_LIMIT_MS);
         let is_known = self.sources.contains_key(&sender.host);
         let source = self.sources.entry(sender.host.clone()).or_default();
         if is_known && sender.place() <= source.place {
             return None;
         }
-        if !is_known || sender.started_ms != source.place.0 {
-            source.latest.clear();
-            source.followed.clear();
-            source.first_heard_ms = now_ms;
+        let is_restarted = sender.started_ms != source.place.0;
+        if is_restarted {
+            *source = SourceState {
+                first_heard_ms: now_ms,
+                ..SourceState::default()
+            };
         }
         source.place = sender.place();
         source.heard_ms = now_ms;
         // What a relay counted before it was heard may have been followed through another one.
-        let is_new = now_ms < source.first_heard_ms + COMPLETE_MS;
+        let is_new = now_ms < source.first_heard_ms + 2 * COMPLETE_MS;
         for (account, usage) in stated {
             let before = source.latest.insert(*account, *usage);
             if is_new && before.is_none() {
                 source.followed.insert(*account, *usage);
             }
         }
+        if is_known && is_restarted {
+            self.leave(&sender.host, now_ms);
+        }
         if !self.is_followed(&sender.host, now_ms) {
             return None;
         }
@@ -195,6 +218,18 @@
         self.sources.get(current).map(|source| source.heard_ms)
     }
 
+    /// Goes on with another relay than one that has started again, if there is one.
+    fn leave(&mut self, relay: &CompactString, now_ms: u64) {
+        if self.current.as_ref() != Some(relay) {
+            return;
+        }
+        let mut others = self
+            .sources
+            .iter()
+            .filter(|(host, source)| *host != relay && now_ms < source.heard_ms + RELAY_SILENCE_MS);
+        self.current = others.next().map(|(host, _)| host.clone());
+    }
+
     /// Returns whether a relay goes on being followed, or takes over.
     fn is_followed(&self, relay: &CompactString, now_ms: u64) -> bool {
         let current = self.current.as_ref().filter(|current| *current != relay);
@@ -225,17 +260,15 @@
 #[derive(Debug, Clone, Default)]
 struct Reporter {
     place: (u64, u64),
+    first_heard_ms: u64,
     heard_ms: u64,
     latest: Usages,
-    /// What of its use is in the total of the region.
-    counted: Usages,
 }
 
 /// Another region, as a relay knows it.
 #[derive(Debug, Clone, Default)]
 struct OtherRegion {
     tracker: UsageTracker,
-    total: Usages,
     host_count: u32,
 }
 
@@ -248,61 +281,68 @@
 }
 
 impl UsageRelay {
-    /// Counts what a host of the region used; returns whether anything has changed.
-    pub fn apply_report(&mut self, report: &UsageReport, now_ms: u64) -> bool {
+    /// Counts what a host of the region used; returns what was not counted before.
+    pub fn apply_report(&mut self, report: &UsageReport, now_ms: u64) -> Usages {
         let sender = &report.sender;
+        self.reporters
+            .retain(|_, reporter| now_ms < reporter.heard_ms + REACH_LIMIT_MS);
         let is_known = self.reporters.contains_key(&sender.host);
         let reporter = self.reporters.entry(sender.host.clone()).or_default();
         if is_known && sender.place() <= reporter.place {
-            return false;
+            return Usages::new();
+        }
+        if !is_known {
+            reporter.first_heard_ms = now_ms;
         }
-        // What a host used before this relay knew it was counted by another one; a host that
-        // started again counts from 0.
-        let is_first = !is_known;
         if is_known && sender.started_ms != reporter.place.0 {
+            // A host that started again counts from 0.
             reporter.latest.clear();
+            reporter.first_heard_ms = 0;
         }
         reporter.place = sender.place();
         reporter.heard_ms = now_ms;
-        let mut is_changed = false;
+        // What a host used before this relay knew it was counted by another one.
+        let is_new = now_ms < reporter.first_heard_ms + 2 * COMPLETE_MS;
+        let is_new = is_new && reporter.first_heard_ms > 0;
+        let mut changes = Usages::new();
         for (account, usage) in &report.usages {
             let before = reporter.latest.insert(*account, *usage);
-            let change = match (is_first, before) {
-                (true, _) => Usage::default(),
-                (false, before) => usage.since(before.unwrap_or_default()),
+            let change = match before {
+                None if is_new => Usage::default(),
+                before => usage.since(before.unwrap_or_default()),
             };
-            reporter.counted.entry(*account).or_default().add(change);
+            // Also an account without use is stated, so that other regions hear this one.
             self.total.entry(*account).or_default().add(change);
-            is_changed |= change != Usage::default();
+            if change != Usage::default() {
+                changes.insert(*account, change);
+            }
         }
-        is_changed
+        changes
     }
 
-    /// Counts what another region used; returns whether anything has changed.
-    pub fn apply_region(&mut self, sent: &RegionUsage, now_ms: u64) -> bool {
+    /// Counts what another region used; returns what was not counted before.
+    pub fn apply_region(&mut self, sent: &RegionUsage, now_ms: u64) -> Usages {
         let region = self.regions.entry(sent.region.clone()).or_default();
-        let Some(changes) = region.tracker.apply(&sent.sender, &sent.usages, now_ms) else {
-            return false;
-        };
-        region.host_count = sent.host_count;
-        for (account, change) in &changes {
-            region.total.entry(*account).or_default().add(*change);
+        let changes = region.tracker.apply(&sent.sender, &sent.usages, now_ms);
+        if changes.is_some() {
+            region.host_count = sent.host_count;
         }
-        !changes.is_empty()
+        changes.unwrap_or_default()
     }
 
     /// Returns the hosts of the region that the relay hears.
-    pub fn heard(&self, now_ms: u64) -> impl Iterator<Item = &CompactString> {
+    pub fn heard(&self, now_ms: u64) -> Vec<CompactString> {
         let heard = self.reporters.iter();
         heard
-            .filter(move |(_, reporter)| now_ms < reporter.heard_ms + REACH_LIMIT_MS)
-            .map(|(host, _)| host)
+            .filter(|(_, reporter)| now_ms < reporter.heard_ms + REACH_LIMIT_MS)
+            .map(|(host, _)| host.clone())
+            .collect()
     }
 
     /// Returns the number of hosts in reach: those of the region that the relay hears, and those
     /// that the relays of other regions hear.
     pub fn reachable_count(&self, now_ms: u64) -> u32 {
-        let own = self.heard(now_ms).count() as u32;
+        let own = self.heard(now_ms).len() as u32;
         let others = self.regions.values().filter(|region| {
             let heard_ms = region.tracker.heard_ms();
             heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + REACH_LIMIT_MS)
@@ -315,35 +355,16 @@
         &self.total
     }
 
-    /// Returns the use of all hosts but one of the region, and what is known of that one's own.
-    pub fn summary_for(&self, host: &str) -> (Usages, Usages) {
-        let reporter = self.reporters.get(host);
-        let mut others = self.total.clone();
-        for region in self.regions.values() {
-            for (account, usage) in &region.total {
-                others.entry(*account).or_default().add(*usage);
-            }
-        }
-        if let Some(reporter) = reporter {
-            for (account, counted) in &reporter.counted {
-                let other = others.entry(*account).or_default();
-                *other = other.since(*counted);
-            }
-        }
-        let confirmed = reporter.map(|reporter| reporter.latest.clone());
-        (others, confirmed.unwrap_or_default())
-    }
-
-    /// Forgets hosts that have been silent for long.
-    pub fn drop_silent(&mut self, now_ms: u64) {
-        self.reporters
-            .retain(|_, reporter| now_ms < reporter.heard_ms + REPORTER_LIFETIME_MS);
+    /// Returns what is counted of a host's use, and the start of the host.
+    pub fn confirmed(&self, host: &str) -> Option<(u64, &Usages)> {
+        let reporter = self.reporters.get(host)?;
+        Some((reporter.place.0, &reporter.latest))
     }
 }
 
-/// Splits usages into parts that fit into a packet.
-pub fn parts_of(usages: &Usages) -> Vec<Usages> {
-    let entries: Vec<(AccountHash, Usage)> = usages.iter().map(|(k, v)| (*k, *v)).collect();
+/// Splits a map by accounts into parts that fit into a packet.
+pub fn parts_of<T: Copy>(accounts: &BTreeMap<AccountHash, T>) -> Vec<BTreeMap<AccountHash, T>> {
+    let entries: Vec<(AccountHash, T)> = accounts.iter().map(|(k, v)| (*k, *v)).collect();
     let parts = entries.chunks(MAX_ACCOUNTS);
     parts.map(|part| part.iter().copied().collect()).collect()
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    allotment_state::Charge,
     answer_lengths::EventCount,
     answer_record::AnswerRecords,
     buffer_budget::ByteCount,
@@ -40,7 +41,6 @@
         HostStatements, //
     },
     serve_accounts::CallerAccount,
-    serve_allotments::Charge,
     software_version::SoftwareVersion,
     stream_pace::Pace, //
 };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod admission;
 pub mod allotment;
 pub mod allotment_exchange;
+pub mod allotment_state;
 pub mod answer_lengths;
 pub mod answer_record;
 pub mod answer_times;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -56,6 +56,7 @@
 use slab::Slab;
 
 use super::{
+    allotment_state::AllotmentState,
     answer_lengths::AnswerLengths,
     answer_record::ConnectionId,
     answer_times::AnswerTimes,
@@ -84,7 +85,6 @@
     permit_exchange::PermitExchange,
     request_sizes::RequestSizes,
     retry_budget::RetryBudget,
-    serve_allotments::AllotmentState,
     serve_crashes::SuspectedCrash,
     serve_health::HealthChecks,
     serve_limits::LimitState,
@@ -199,6 +199,7 @@
     pub(super) version_items: VersionItems,
     pub(super) limits: LimitState,
     pub(super) allotments: AllotmentState,
+    pub(super) next_relay_choice_ms: u64,
     pub(super) permits: PermitExchange,
     pub(super) health_checks: HealthChecks,
     pub(super) start_checks: StartChecks,
@@ -256,6 +257,7 @@
             .duration_since(std::time::UNIX_EPOCH)
             .unwrap_or_default()
             .as_millis() as u64;
+        let allotments = AllotmentState::new(settings.host.clone(), instance_started_ms);
         let seed = xxhash_rust::xxh3::xxh3_64(settings.host.name.as_bytes()) ^ instance_started_ms;
         Ok(Self {
             poll,
@@ -310,7 +312,8 @@
             verdict_items: VerdictItems::default(),
             version_items: VersionItems::default(),
             limits: LimitState::default(),
-            allotments: AllotmentState::default(),
+            allotments,
+            next_relay_choice_ms: 0,
             permits,
             health_checks: HealthChecks::default(),
             start_checks: StartChecks::default(),
@@ -379,6 +382,7 @@
                 false if self.exchanges.is_empty() => IDLE_TICK,
                 false => BUSY_TICK,
             };
+            let timeout = timeout.min(self.allotment_wait());
             match self.poll.poll(&mut events, Some(timeout)) {
                 Ok(()) => {}
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
--- a/src/gateway/serve_limits.rs
+++ b/src/gateway/serve_limits.rs
@@ -281,7 +281,7 @@
         }
     }
 
-    pub(super) fn send_to_peer(&mut self, host: &str, packet: &Packet) {
+    fn send_to_peer(&mut self, host: &str, packet: &Packet) {
         if let Some(address) = self.hosts.peer_address(host) {
             self.send_packet(packet, &[address]);
         }
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -230,7 +230,9 @@
         );
         self.fleet.configure(&configuration);
         let now_ms = self.now_ms();
-        self.allotments.configure(&configuration, now_ms);
+        let possible_count = self.hosts.possible_count(now_ms);
+        let accounts = &configuration.accounts;
+        self.allotments.configure(accounts, possible_count, now_ms);
         self.configuration = Some(configuration);
     }
 
@@ -521,9 +523,13 @@
                     Ok(Packet::PermitQuestion(asked)) => self.answer_permit_question(&asked),
                     Ok(Packet::PermitAnswer(answer)) => self.apply_permit_answer(&answer),
                     Ok(Packet::StartReports(sent)) => self.apply_start_reports(&sent),
-                    Ok(Packet::UsageReport(report)) => self.apply_usage_report(&report),
-                    Ok(Packet::UsageSummary(summary)) => self.apply_usage_summary(&summary),
-                    Ok(Packet::RegionUsage(sent)) => self.apply_region_usage(&sent),
+                    Ok(Packet::UsageReport(report)) => {
+                        self.allotments.apply_report(&report, now_ms);
+                    }
+                    Ok(Packet::UsageSummary(summary)) => {
+                        self.allotments.apply_summary(&summary, now_ms);
+                    }
+                    Ok(Packet::RegionUsage(sent)) => self.allotments.apply_region(&sent, now_ms),
                     Err(error) => tracing::debug!(%error, "could not decode a packet"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
