Send requests only where the memory lasts until the running ones end

Cause: the memory that requests reserve only lengthened the predicted wait, so short prompts and small excesses passed; shared parts that an endpoint has cached counted for no request, and answers counted with the most tokens that they may have.

Change: where a route of the service sets gap_goal_ms, a request needs its own part of the prompt and the expected tokens of its answer (learned lengths and hint, at most the stated maximum). Shared parts that requests used within twice the mean run time count once; their lengths are learned from this host's own prompts, since load updates name them by id. A request that does not fit into PREEMPTION_MEMORY_SHARE with those that run goes to another endpoint, waits, or is refused when it would be late. Idle endpoints and requests that have run are exempt. Without a gap goal nothing changes.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -132,7 +132,10 @@
         let is_short_and_on_time = choice.work.is_short_prompt()
             && choice.is_gap_goal_kept
             && choice.first_event_ms <= context.goal_left_ms;
+        // A stream that goes on elsewhere pauses while it waits as one that is preempted does.
+        let has_memory = choice.has_memory || context.has_run;
         (is_short_and_on_time || (has_room && is_next))
+            && has_memory
             && choice.first_event_ms < context.time_left_ms
     });
     if let Some(choice) = sendable {
@@ -149,12 +152,11 @@
     }
     let is_past_deadline = local_ms >= context.time_left_ms;
     let is_late = local_ms > context.goal_left_ms;
-    // A prompt that is held for the pauses of the streams there keeps others waiting. Its caller
-    // learns at once that it misses its goal, and can come back in time for a new one.
-    let is_held = context
-        .local
-        .as_ref()
-        .is_some_and(|choice| !choice.is_gap_goal_kept && !choice.has_room());
+    // A prompt that is held for the streams there keeps others waiting. Its caller learns at once
+    // that it misses its goal, and can come back in time for a new one.
+    let is_held = context.local.as_ref().is_some_and(|choice| {
+        !choice.has_memory || (!choice.is_gap_goal_kept && !choice.has_room())
+    });
     let is_kept_waiting = context.is_waiting && !is_held;
     if is_past_deadline || (is_late && !is_kept_waiting && !context.has_run) {
         return refuse_for_overload(&context, local_ms);
--- a/src/gateway/answer_lengths.rs
+++ b/src/gateway/answer_lengths.rs
@@ -113,6 +113,17 @@
         Some(self.mean_events * factor)
     }
 
+    /// Predicts the number of tokens of an answer; none before an answer with an estimate has
+    /// ended, since the tokens of an event are not known otherwise.
+    pub fn expected_tokens(&self, hint: Option<Tokens>) -> Option<Tokens> {
+        let events = self.expected_events(hint)?;
+        let is_known = self.hinted_events > 0.0 && self.hinted_tokens > 0.0;
+        is_known.then(|| {
+            let tokens_per_event = self.hinted_tokens / self.hinted_events;
+            Tokens((events * tokens_per_event).ceil() as u64)
+        })
+    }
+
     /// Returns the mean length in events; 0 if there was no answer.
     pub fn mean_events(&self) -> f64 {
         self.mean_events
@@ -148,6 +159,11 @@
     pub fn expected_events(&self, route: &str, hint: Option<Tokens>) -> Option<f64> {
         self.get(route)?.expected_events(hint)
     }
+
+    /// Predicts the number of tokens of an answer on a route.
+    pub fn expected_tokens(&self, route: &str, hint: Option<Tokens>) -> Option<Tokens> {
+        self.get(route)?.expected_tokens(hint)
+    }
 }
 
 fn class_of(length: EventCount) -> usize {
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -45,7 +45,10 @@
         PaceMeter, //
     }, //
 };
-use crate::types::hex_id;
+use crate::types::{
+    Tokens,
+    hex_id, //
+};
 
 /// Weight of a new observation in a moving average.
 const EWMA_WEIGHT: f64 = 0.15;
@@ -94,6 +97,9 @@
 const MIN_PREFILL_SHARE: f64 = 0.5;
 /// Largest share of its time that an engine is expected to spend on prefill.
 pub const MAX_PREFILL_SHARE: f64 = 0.9;
+/// Most shared parts of running requests that are remembered for one endpoint: more than its
+/// memory holds beside the prompts that use them.
+const MAX_USED_PARTS: usize = 24;
 /// Longest prompt that counts as short: two prefill chunks of a batching engine.
 const SHORT_PROMPT_TOKENS: u64 = 2_048;
 
@@ -242,6 +248,14 @@
     prefilled_at_ms: u64,
 }
 
+/// A shared prompt part that requests at an endpoint used lately.
+#[derive(Debug, Clone, Copy)]
+struct UsedPart {
+    part: u64,
+    tokens: u64,
+    used_ms: u64,
+}
+
 /// An endpoint with this host's view of its load, speed and health.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
@@ -292,6 +306,8 @@
     /// After a block, only one request is sent at a time until one succeeds.
     is_probing: bool,
     parts: HashMap<u64, CachedPart>,
+    /// Shared parts that its requests use; at most [`MAX_USED_PARTS`].
+    used_parts: Vec<UsedPart>,
     /// Prompt tokens that all hosts sent recently; decays exponentially with
     /// [`PREFILL_DECAY_MS`].
     recent_prefill_tokens: f64,
@@ -337,6 +353,7 @@
             next_block_ms: INITIAL_BLOCK_MS,
             is_probing: false,
             parts: HashMap::new(),
+            used_parts: Vec::new(),
             recent_prefill_tokens: 0.0,
             recent_prefill_at_ms: 0,
             total_reserved_tokens: 0,
@@ -649,7 +666,7 @@
         self.own_load.active += 1;
         self.own_load.backlog_tokens += work.uncached_tokens;
         self.own_load.reserved_tokens += work.reserved_tokens;
-        self.total_reserved_tokens += work.reserved_tokens;
+        self.total_reserved_tokens += work.reserved_tokens.max(work.uncached_tokens);
         self.record_prefill(work.uncached_tokens, now_ms);
     }
 
@@ -756,11 +773,47 @@
         for part in &metadata.parts {
             self.record_part(part.id, prefilled_at_ms);
         }
+        for part in metadata.shared_parts() {
+            self.record_used_part(part.id, part.tokens.0, prefilled_at_ms);
+        }
+    }
+
+    /// Remembers that a request uses a shared part, which takes memory until it ends.
+    pub fn record_used_part(&mut self, part: u64, tokens: u64, used_ms: u64) {
+        let new = UsedPart {
+            part,
+            tokens,
+            used_ms,
+        };
+        let known = self.used_parts.iter_mut().find(|used| used.part == part);
+        if let Some(known) = known {
+            known.used_ms = known.used_ms.max(used_ms);
+        } else if self.used_parts.len() < MAX_USED_PARTS {
+            self.used_parts.push(new);
+        } else if let Some(oldest) = self.used_parts.iter_mut().min_by_key(|used| used.used_ms) {
+            *oldest = new;
+        }
+    }
+
+    /// Returns the tokens of the shared parts that requests use which run for `run_ms`, those of
+    /// a new request included, each part once.
+    pub fn shared_tokens_in_use(
+        &self,
+        metadata: &RequestMetadata,
+        run_ms: f64,
+        now_ms: u64,
+    ) -> u64 {
+        let shared = metadata.shared_parts();
+        let is_new = |used: &UsedPart| shared.iter().any(|part| part.id == used.part);
+        let since_ms = now_ms.saturating_sub(run_ms as u64);
+        let used = self.used_parts.iter();
+        let used = used.filter(|used| used.used_ms >= since_ms && !is_new(used));
+        used.map(|used| used.tokens).sum::<u64>() + metadata.shared_tokens()
     }
 
     /// Remembers a prompt that another host sent.
     pub fn record_peer_prompt(&mut self, sent: &SentPrompt, now_ms: u64) {
-        self.total_reserved_tokens += u64::from(sent.reserved_tokens);
+        self.total_reserved_tokens += u64::from(sent.reserved_tokens.max(sent.prefill_tokens));
         self.record_prefill(u64::from(sent.prefill_tokens), now_ms);
         for part in &sent.parts {
             self.record_part(*part, now_ms + u64::from(sent.prefill_ms));
@@ -898,6 +951,22 @@
     }
 }
 
+impl Work {
+    /// Replaces the memory by what the request is expected to need until it ends: its own part of
+    /// the prompt and `output`. Shared parts are counted once for all requests that use them; see
+    /// [`Endpoint::shared_tokens_in_use`].
+    pub fn with_expected_memory(self, metadata: &RequestMetadata, output: Option<Tokens>) -> Self {
+        let most = metadata.max_output_tokens;
+        let output = output.map_or(most, |output| output.min(most));
+        let prompt = metadata.prompt_tokens.0;
+        let own_tokens = prompt.saturating_sub(metadata.shared_tokens());
+        Self {
+            reserved_tokens: own_tokens + output.0,
+            ..self
+        }
+    }
+}
+
 impl Work {
     /// Returns whether an engine prefills the prompt within a few steps, so that it
     /// delays other requests little.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,7 +9,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashMap, //
     },
     net::SocketAddr, //
 };
@@ -127,6 +128,9 @@
 const ERROR_RATE_WEIGHT: f64 = 6.0;
 /// Share of an engine's memory beyond which requests are preempted.
 const PREEMPTION_MEMORY_SHARE: f64 = 0.85;
+/// Time for which a request with a shared part runs, relative to the mean of its service: long
+/// prompts have the longer answers.
+const SHARED_USE_RUNS: f64 = 2.0;
 
 /// Time that a report of a cold endpoint may be under way. Without it, reports that hosts pass
 /// on would lengthen the cold time.
@@ -134,6 +138,8 @@
 
 /// Endpoints that are no longer announced and are remembered.
 const MAX_FORMER_ENDPOINTS: usize = 1_024;
+/// Shared parts whose length is remembered, for the prompts of other hosts, before all are dropped.
+const MAX_KNOWN_PARTS: usize = 4_096;
 
 /// A request that needs an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -162,6 +168,8 @@
     pub gap_goal: Option<GapGoal>,
     /// Predicted number of events of the answer.
     pub expected_events: Option<f64>,
+    /// Predicted number of tokens of the answer.
+    pub expected_output: Option<Tokens>,
 }
 
 impl<'a> EndpointQuery<'a> {
@@ -185,6 +193,7 @@
             pace_goal: None,
             gap_goal: None,
             expected_events: None,
+            expected_output: None,
         }
     }
 }
@@ -233,6 +242,9 @@
     pub backlog_limit_ms: f64,
     /// Whether the streams there keep the longest pause that their routes allow, if any does.
     pub is_gap_goal_kept: bool,
+    /// Whether the request fits into the memory with those that run there, until they end; true
+    /// where no route sets a goal for pauses.
+    pub has_memory: bool,
     /// Cost, comparable among endpoints and with offers of other regions.
     pub cost_ms: f64,
     /// Endpoint from which cached parts of the prompt are copied first.
@@ -323,6 +335,31 @@
     STREAM_TIME_WEIGHT * stream_ms + OVERRUN_WEIGHT * overrun_ms.max(0.0)
 }
 
+/// Returns the share by which a request would exceed the memory of an engine; running requests
+/// free that in the same share of their time.
+fn memory_excess(
+    endpoint: &Endpoint,
+    query: &EndpointQuery<'_>,
+    work: Work,
+    run_ms: f64,
+    now_ms: u64,
+) -> f64 {
+    let Some(engine) = query.service.engine else {
+        return 0.0;
+    };
+    let shared_tokens = match query.gap_goal {
+        Some(_) => endpoint.shared_tokens_in_use(query.metadata, run_ms * SHARED_USE_RUNS, now_ms),
+        None => 0,
+    };
+    let memory = engine.memory_tokens;
+    let reserved = endpoint.own_load.reserved_tokens
+        + endpoint.peer_load.reserved_tokens
+        + shared_tokens
+        + work.reserved_tokens;
+    let excess = reserved as f64 / (memory as f64 * PREEMPTION_MEMORY_SHARE) - 1.0;
+    excess.max(0.0)
+}
+
 /// Returns the tokens that an endpoint is expected to have cached: the known ones
 /// or, at the endpoint that all hosts prefer, those that they probably sent there.
 fn expected_cached(known: u64, metadata: &RequestMetadata, is_preferred: bool) -> u64 {
@@ -352,6 +389,8 @@
     mean_paces: BTreeMap<CompactString, Pauses>,
     /// Prefill work that this host sent, by service.
     prefill_mix: BTreeMap<CompactString, PrefillMix>,
+    /// Tokens of the shared parts of prompts that this host sent.
+    part_tokens: HashMap<u64, u64>,
     /// When a prompt part was last sent to another region, by region and part.
     remote_parts: BTreeMap<(CompactString, u64), u64>,
     /// Endpoints that are no longer announced, in case they are announced again.
@@ -384,6 +423,7 @@
             prefill_ms_per_token: BTreeMap::new(),
             mean_paces: BTreeMap::new(),
             prefill_mix: BTreeMap::new(),
+            part_tokens: HashMap::new(),
             remote_parts: BTreeMap::new(),
             former_endpoints: BTreeMap::new(),
             former_versions: BTreeMap::new(),
@@ -873,8 +913,25 @@
 
     /// Remembers a prompt that another host of the region sent.
     pub fn record_peer_prompt(&mut self, sent: &SentPrompt, now_ms: u64) {
-        if let Some(endpoint) = self.get_by_hash(sent.endpoint) {
-            endpoint.record_peer_prompt(sent, now_ms);
+        let mut endpoints = self.endpoints.values_mut();
+        let Some(endpoint) = endpoints.find(|endpoint| endpoint.hash == sent.endpoint) else {
+            return;
+        };
+        endpoint.record_peer_prompt(sent, now_ms);
+        for part in &sent.parts {
+            if let Some(tokens) = self.part_tokens.get(part) {
+                endpoint.record_used_part(*part, *tokens, now_ms);
+            }
+        }
+    }
+
+    /// Remembers the lengths of a prompt's shared parts, which other hosts do not state.
+    pub fn record_shared_parts(&mut self, metadata: &RequestMetadata) {
+        if self.part_tokens.len() > MAX_KNOWN_PARTS {
+            self.part_tokens.clear();
+        }
+        for part in metadata.shared_parts() {
+            self.part_tokens.insert(part.id, part.tokens.0);
         }
     }
 
@@ -932,7 +989,10 @@
                     ..choice
                 }
             })
-            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
+            .min_by(|left, right| {
+                let by_memory = right.has_memory.cmp(&left.has_memory);
+                by_memory.then_with(|| left.cost_ms.total_cmp(&right.cost_ms))
+            })
     }
 
     /// Returns the usable endpoints that a request may be sent to, regardless of bounds.
@@ -1081,15 +1141,20 @@
         let cached = caches.tokens_at(&endpoint.id);
         let copied_tokens = caches.copied_to(endpoint, cached);
         let work = Work::new(query.metadata, cached + copied_tokens);
+        let work = match query.gap_goal {
+            Some(_) => work.with_expected_memory(query.metadata, query.expected_output),
+            None => work,
+        };
         let load = endpoint.load(now_ms);
         let slots = slots_of(endpoint, Some(service));
         let run_ms = self.mean_run_ms(service);
         let prefill_ms_per_token = self.prefill_ms_per_token(service, load);
         let wait_ms = (load + 1.0 - slots).max(0.0) / slots * run_ms;
+        let memory_excess = memory_excess(endpoint, query, work, run_ms, now_ms);
         let backlog_tokens = endpoint.own_load.backlog_tokens + endpoint.peer_load.backlog_tokens;
         let backlog_ms = endpoint.slowness()
             * (backlog_tokens as f64 * prefill_ms_per_token * query.share_ahead + wait_ms)
-            + self.memory_wait_ms(endpoint, service, work, run_ms);
+            + memory_excess * run_ms;
         let request_ms = match service.engine {
             Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * prefill_ms_per_token,
             None => run_ms,
@@ -1115,6 +1180,7 @@
             backlog_limit_ms: gap_goal.map_or(pace_limit_ms, |(goal, pauses)| {
                 pace_limit_ms.min(goal.backlog_limit_ms(pauses, prefill))
             }),
+            has_memory: query.gap_goal.is_none() || memory_excess <= 0.0,
             is_gap_goal_kept: gap_goal.is_none_or(|(goal, pauses)| goal.is_kept(pauses)),
             cost_ms: 0.0,
             work,
@@ -1255,25 +1321,6 @@
         }
     }
 
-    /// Predicts the wait until running requests free enough engine memory.
-    fn memory_wait_ms(
-        &self,
-        endpoint: &Endpoint,
-        service: &Service,
-        work: Work,
-        run_ms: f64,
-    ) -> f64 {
-        let Some(engine) = service.engine else {
-            return 0.0;
-        };
-        let memory = engine.memory_tokens;
-        let reserved = endpoint.own_load.reserved_tokens
-            + endpoint.peer_load.reserved_tokens
-            + work.reserved_tokens;
-        let excess = reserved as f64 / (memory as f64 * PREEMPTION_MEMORY_SHARE) - 1.0;
-        excess.max(0.0) * run_ms
-    }
-
     /// Records the prefill work of a request that this host sent.
     pub fn record_prefill(
         &mut self,
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -62,6 +62,7 @@
             .record_send(&choice, endpoint.hash, metadata);
         self.fleet
             .record_prefill(service, priority, prefill, now_ms);
+        self.fleet.record_shared_parts(metadata);
         let headers = EndpointHeaders {
             endpoint: Some(choice.endpoint.clone()),
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -226,6 +226,9 @@
             expected_events: self
                 .answer_lengths
                 .expected_events(&route.name, exchange.request.metadata.length_hint),
+            expected_output: self
+                .answer_lengths
+                .expected_tokens(&route.name, exchange.request.metadata.length_hint),
         };
         let choose = |excluded: &[CompactString]| {
             let query = EndpointQuery { excluded, ..query };
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -168,6 +168,7 @@
         pace_goal: None,
         gap_goal: None,
         expected_events: None,
+        expected_output: None,
     };
     fleet.choose(&query, now_ms)
 }
@@ -570,6 +571,7 @@
             backlog_ms: 50.0,
             backlog_limit_ms: 500.0,
             is_gap_goal_kept: true,
+            has_memory: true,
             cost_ms: 200.0,
             fetch_from: None,
             is_idle: false,
--- a/tests/gateway_expected_work.rs
+++ b/tests/gateway_expected_work.rs
@@ -17,7 +17,8 @@
         },
         answer_lengths::{
             AnswerLengths,
-            EventCount, //
+            EventCount,
+            RouteAnswers, //
         },
         bound::ColdBounds,
         configuration::{
@@ -45,6 +46,7 @@
             PrefillState, //
         },
         hosts::RegionView,
+        load_updates::SentPrompt,
         request::{
             PromptPart,
             RequestMetadata, //
@@ -183,6 +185,7 @@
     parts: BTreeMap<u64, u64>,
     step_ends_ms: f64,
     slowness: Vec<f64>,
+    preempted_count: usize,
 }
 
 impl EngineModel {
@@ -202,6 +205,30 @@
     gap_goal: Option<GapGoal>,
     /// Arriving prompt tokens relative to what the endpoints can prefill without a break.
     load: f64,
+    /// Memory of an engine.
+    memory_tokens: u64,
+}
+
+impl Setting {
+    fn new(load: f64) -> Self {
+        Self {
+            gap_goal: None,
+            load,
+            memory_tokens: MEMORY_TOKENS,
+        }
+    }
+
+    fn with_gap_goal(self) -> Self {
+        let gap_goal = gap_goal();
+        Self { gap_goal, ..self }
+    }
+
+    fn with_memory(self, memory_tokens: u64) -> Self {
+        Self {
+            memory_tokens,
+            ..self
+        }
+    }
 }
 
 struct Region {
@@ -222,9 +249,14 @@
     served_count: usize,
     on_time_count: usize,
     late_gap_count: usize,
+    preempted_count: usize,
 }
 
 fn model() -> Service {
+    model_with(MEMORY_TOKENS)
+}
+
+fn model_with(memory_tokens: u64) -> Service {
     Service {
         name: "model".into(),
         health_path: None,
@@ -232,7 +264,7 @@
         cold_per_s: 0.0,
         engine: Some(Engine {
             slots: SLOTS as u32,
-            memory_tokens: MEMORY_TOKENS,
+            memory_tokens,
             copy_ms_per_token: None,
         }),
     }
@@ -387,11 +419,13 @@
         let count = |is_counted: &dyn Fn(&&Call) -> bool| {
             self.calls.iter().filter(|call| is_counted(call)).count()
         };
+        let engines = self.engines.values();
         Outcome {
             call_count: self.calls.len(),
             served_count: count(&|call| call.is_served),
             on_time_count: count(&|call| call.is_on_time()),
             late_gap_count: count(&|call| call.longest_gap_ms > GAP_GOAL_MS),
+            preempted_count: engines.map(|engine| engine.preempted_count).sum(),
         }
     }
 
@@ -421,7 +455,7 @@
     }
 
     fn context(&self, index: usize, now_ms: u64) -> PlacementContext {
-        let service = model();
+        let service = model_with(self.setting.memory_tokens);
         let call = &self.calls[index];
         let rank = call.rank(index);
         let ahead = self.queue.iter().filter(|other| **other != index);
@@ -442,6 +476,7 @@
             pace_goal: self.lengths.pace_goal(&service.name),
             gap_goal: self.setting.gap_goal,
             expected_events: self.lengths.expected_events(call.kind.name, hint),
+            expected_output: self.lengths.expected_tokens(call.kind.name, hint),
             ..EndpointQuery::new(&service, &call.metadata, &view)
         };
         PlacementContext {
@@ -486,6 +521,7 @@
         let priority = Some(call.kind.priority);
         self.fleet
             .record_prefill(&"model".into(), priority, prefill, now_ms);
+        self.fleet.record_shared_parts(&call.metadata);
         let engine = self.engines.get_mut(&choice.endpoint).expect("the engine");
         let mut tokens = call.metadata.prompt_tokens.0;
         if let Some(part) = call.part() {
@@ -552,7 +588,7 @@
     /// Drops unused shared parts and preempts streams until an engine's memory suffices.
     fn free_memory(&mut self, name: &CompactString) {
         let engine = self.engines.get_mut(name).expect("the engine");
-        while engine.used_tokens() > MEMORY_TOKENS {
+        while engine.used_tokens() > self.setting.memory_tokens {
             let calls = &self.calls;
             let is_used = |part: &u64| {
                 let streams = engine.streams.iter().map(|(index, _)| index);
@@ -568,6 +604,7 @@
             let Some((index, tokens)) = engine.streams.pop() else {
                 return;
             };
+            engine.preempted_count += 1;
             engine.waiting.push((index, tokens));
         }
     }
@@ -903,18 +940,10 @@
 #[test]
 fn more_answers_are_on_time_with_a_goal_for_pauses() {
     for seed in 1..=3 {
-        let play = |gap_goal| {
-            Region::new(
-                seed,
-                Setting {
-                    gap_goal,
-                    load: 0.9,
-                },
-            )
-            .play()
-        };
+        let setting = Setting::new(0.9);
 
-        let (without, with) = (play(None), play(gap_goal()));
+        let without = Region::new(seed, setting).play();
+        let with = Region::new(seed, setting.with_gap_goal()).play();
 
         let figures = format!("{seed}: {without:?}, {with:?}");
         assert_eq!(with.call_count, without.call_count);
@@ -932,3 +961,187 @@
         );
     }
 }
+
+/// Requests of the usual mix come to engines with memory for about twenty long prompts. Guards
+/// against streams that are preempted because more requests run than the memory holds until they
+/// end, and against answers that the limit costs.
+#[test]
+fn streams_are_hardly_preempted_where_memory_is_short() {
+    let mut preempted = (0, 0);
+    let mut served = (0, 0);
+    for seed in 1..=3 {
+        let setting = Setting::new(0.9).with_memory(170_000);
+
+        let without = Region::new(seed, setting).play();
+        let with = Region::new(seed, setting.with_gap_goal()).play();
+
+        preempted = (
+            preempted.0 + without.preempted_count,
+            preempted.1 + with.preempted_count,
+        );
+        served = (
+            served.0 + without.served_count,
+            served.1 + with.served_count,
+        );
+    }
+
+    assert!(preempted.0 >= 100, "the load preempts none: {preempted:?}");
+    assert!(preempted.1 * 10 <= preempted.0, "{preempted:?}");
+    assert!(served.1 >= served.0, "{served:?}");
+}
+
+/// Returns a fleet in which an endpoint runs requests that need this memory in all.
+fn fleet_with_memory(endpoint_count: usize, id: &str, reserved_tokens: u64) -> Fleet {
+    let mut fleet = fleet_of(endpoint_count);
+    let endpoint = fleet.get_mut(id).expect("the endpoint");
+    let work = Work {
+        uncached_tokens: 0,
+        reserved_tokens,
+    };
+    endpoint.record_send(work, 1_000);
+    endpoint.record_first_event(work);
+    fleet
+}
+
+/// The requests at an engine need 380,000 of its 450,000 tokens until they end, and requests are
+/// preempted from 382,500 on. Guards against a request that is sent there, also as a short prompt,
+/// while another engine has memory or none has.
+#[test]
+fn request_goes_where_the_memory_suffices_or_waits() {
+    let two = fleet_with_memory(2, "e-0", 380_000);
+    let one = fleet_with_memory(1, "e-0", 382_000);
+
+    for prompt in [long_prompt(), short_prompt()] {
+        let elsewhere = place(context_at(&two, &prompt, gap_goal()));
+        let waiting = place(context_at(&one, &prompt, gap_goal()));
+
+        let Placement::Send(choice) = elsewhere else {
+            panic!("{elsewhere:?}");
+        };
+        assert_eq!(choice.endpoint, "e-1");
+        assert_eq!(waiting, Placement::Wait);
+    }
+}
+
+/// Guards against a request that waits for memory until its goal is missed, with a caller that is
+/// not told to come back.
+#[test]
+fn request_that_gets_no_memory_in_time_is_refused() {
+    let fleet = fleet_with_memory(1, "e-0", 460_000);
+
+    let on_arrival = place(context_at(&fleet, &long_prompt(), gap_goal()));
+    let after_a_wait = place(PlacementContext {
+        is_waiting: true,
+        goal_left_ms: 200.0,
+        ..context_at(&fleet, &long_prompt(), gap_goal())
+    });
+
+    assert!(matches!(after_a_wait, Placement::Refuse(_)));
+    // Of the mean time of a request, which is 3 s before one has ended, a quarter.
+    assert_eq!(on_arrival, Placement::Wait);
+}
+
+/// Guards against a prompt that is longer than the memory of an engine and is never sent.
+#[test]
+fn idle_endpoint_takes_a_request_of_any_size() {
+    let fleet = fleet_of(1);
+    let tokens = Tokens(500_000);
+    let prompt = RequestMetadata {
+        prompt_tokens: tokens,
+        parts: vec![PromptPart { id: 1, tokens }],
+        ..RequestMetadata::default()
+    };
+
+    let placement = place(context_at(&fleet, &prompt, gap_goal()));
+
+    assert!(matches!(placement, Placement::Send(_)), "{placement:?}");
+}
+
+/// Guards against running streams that count with the most that they may generate, of which most
+/// use a third, and against a shared part that counts for each request or for none.
+#[test]
+fn memory_counts_shared_parts_once_and_expected_answers() {
+    let mut fleet = fleet_of(1);
+    let shared = PromptPart {
+        id: 7,
+        tokens: Tokens(PART_TOKENS),
+    };
+    let metadata = RequestMetadata {
+        prompt_tokens: Tokens(12_000),
+        max_output_tokens: Tokens(1_400),
+        parts: vec![
+            shared,
+            PromptPart {
+                id: 8,
+                tokens: Tokens(12_000 - PART_TOKENS),
+            },
+        ],
+        ..RequestMetadata::default()
+    };
+    let work = Work::new(&metadata, PART_TOKENS);
+
+    let expected = work.with_expected_memory(&metadata, Some(Tokens(400)));
+    let unknown = work.with_expected_memory(&metadata, None);
+    let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+    let before = endpoint.shared_tokens_in_use(&metadata, 6_000.0, 1_000);
+    endpoint.record_prompt(&metadata, 1_000);
+    endpoint.record_prompt(&metadata, 1_500);
+    let while_used = endpoint.shared_tokens_in_use(&metadata, 6_000.0, 2_000);
+    let of_others = endpoint.shared_tokens_in_use(&short_prompt(), 6_000.0, 2_000);
+    let afterwards = endpoint.shared_tokens_in_use(&short_prompt(), 6_000.0, 9_000);
+
+    assert_eq!(expected.reserved_tokens, 12_000 - PART_TOKENS + 400);
+    assert_eq!(unknown.reserved_tokens, 12_000 - PART_TOKENS + 1_400);
+    assert_eq!(expected.uncached_tokens, work.uncached_tokens);
+    assert_eq!((before, while_used), (PART_TOKENS, PART_TOKENS));
+    assert_eq!((of_others, afterwards), (PART_TOKENS, 0));
+}
+
+/// Other hosts send the prompts with a shared part. Guards against parts that take memory unseen,
+/// because load updates name them without their lengths.
+#[test]
+fn shared_parts_of_other_hosts_count() {
+    let mut fleet = fleet_of(1);
+    let shared = PromptPart {
+        id: 7,
+        tokens: Tokens(PART_TOKENS),
+    };
+    let own = RequestMetadata {
+        prompt_tokens: Tokens(PART_TOKENS + 1),
+        parts: vec![shared, shared],
+        ..RequestMetadata::default()
+    };
+    fleet.record_shared_parts(&own);
+    let sent = SentPrompt {
+        endpoint: fleet.get("e-0").expect("the endpoint").hash,
+        reserved_tokens: 7_000,
+        prefill_tokens: 12_000,
+        prefill_ms: 200,
+        parts: vec![7, 9],
+    };
+
+    fleet.record_peer_prompt(&sent, 1_000);
+
+    let endpoint = fleet.get("e-0").expect("the endpoint");
+    let tokens = endpoint.shared_tokens_in_use(&short_prompt(), 6_000.0, 1_500);
+    assert_eq!(tokens, PART_TOKENS);
+}
+
+/// Callers estimate the tokens of their answers, and engines send them in events. Guards against a length that
+/// is guessed where nothing tells how many tokens an event holds.
+#[test]
+fn expected_tokens_follow_the_estimates_of_callers() {
+    let mut unhinted = RouteAnswers::default();
+    let mut hinted = RouteAnswers::default();
+    for _ in 0..50 {
+        unhinted.record(EventCount(36));
+        hinted.record(EventCount(36));
+        hinted.record_hint(Tokens(400), EventCount(36));
+    }
+
+    let tokens = hinted.expected_tokens(None).expect("a length");
+
+    assert!((395..=405).contains(&tokens.0), "{tokens}");
+    assert!(hinted.expected_tokens(Some(Tokens(800))) > Some(tokens));
+    assert_eq!(unhinted.expected_tokens(Some(Tokens(400))), None);
+}
