Use the slowness that answers state, as far as measured times bear it out

Cause: the speed of a machine may change many times a second, faster than an average of answer times follows. Endpoints state it as the fourth figure of X-Server-Load.

Change: the figure is decoded if it is there. The first one sets an endpoint's slowness; later ones count relative to the mean of those that the endpoint stated, fade within a second, and are used only as far as measured times come closer with them than without. Each host uses the answers to its own requests alone. Without the figure nothing changes.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -40,6 +40,10 @@
     },
     request_rate::RequestRate,
     software_version::SoftwareVersion,
+    stated_slowness::{
+        SlownessEstimate,
+        StatedSlowness, //
+    },
     stream_pace::{
         Pace,
         PaceMeter, //
@@ -299,6 +303,8 @@
     /// Pace of this host's streams there.
     pub pace: PaceMeter,
     slowness: f64,
+    /// What it states about its slowness.
+    stated_slowness: StatedSlowness,
     error_rate: f64,
     consecutive_failures: u32,
     blocked_until_ms: u64,
@@ -347,6 +353,7 @@
             reported: None,
             pace: PaceMeter::default(),
             slowness: 1.0,
+            stated_slowness: StatedSlowness::default(),
             error_rate: 0.0,
             consecutive_failures: 0,
             blocked_until_ms: 0,
@@ -693,9 +700,26 @@
     /// Records a successful response that began after `actual_ms` instead of
     /// `predicted_ms`.
     pub fn record_success(&mut self, actual_ms: f64, predicted_ms: f64) {
-        let ratio = self.slowness * actual_ms / predicted_ms.max(1.0);
+        self.record_success_of(
+            actual_ms,
+            predicted_ms,
+            SlownessEstimate::new(self.slowness),
+        );
+    }
+
+    /// Like [`Endpoint::record_success`], for a prediction that is based on `used`.
+    pub fn record_success_of(&mut self, actual_ms: f64, predicted_ms: f64, used: SlownessEstimate) {
         let (low, high) = SLOWNESS_RANGE;
-        self.slowness += EWMA_WEIGHT * (ratio.clamp(low, high) - self.slowness);
+        // What is learned from times alone is compared with what is known now: several answers
+        // may have come since the prediction.
+        let (factor, stated_part) = match used.relative {
+            Some(_) => (used.factor, used.stated_part),
+            None => (self.slowness, 1.0),
+        };
+        let measured = (factor * actual_ms / predicted_ms.max(1.0)).clamp(low, high);
+        self.stated_slowness.record_measured(measured, used);
+        let learned = (measured / stated_part).clamp(low, high);
+        self.slowness += EWMA_WEIGHT * (learned - self.slowness);
         self.error_rate -= EWMA_WEIGHT * self.error_rate;
         self.consecutive_failures = 0;
         self.is_probing = false;
@@ -752,6 +776,14 @@
     /// Records the load that a response carries.
     pub fn record_reported_load(&mut self, load: EndpointLoad, now_ms: u64) {
         self.reported = Some((now_ms, load));
+        let first = load
+            .slowness
+            .and_then(|stated| self.stated_slowness.record(stated, now_ms));
+        // Nothing was measured before the first answer.
+        if let Some(factor) = first {
+            let (low, high) = SLOWNESS_RANGE;
+            self.slowness = factor.clamp(low, high);
+        }
     }
 
     /// Returns the estimated number of requests at the endpoint.
@@ -908,6 +940,12 @@
             .sum()
     }
 
+    /// Returns the slowness on which predictions are based: what is learned from responses, with
+    /// what they state lately.
+    pub fn slowness_estimate(&self, now_ms: u64) -> SlownessEstimate {
+        self.stated_slowness.estimate(self.slowness, now_ms)
+    }
+
     /// Returns the factor on predicted times, learned from responses.
     pub fn slowness(&self) -> f64 {
         self.slowness
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -58,6 +58,7 @@
     request::RequestMetadata,
     request_rate::RequestRate,
     software_version::SoftwareVersion,
+    stated_slowness::SlownessEstimate,
     stored_versions::ServedVersions,
     stream_origins::ORIGIN_LIFETIME_MS, //
     stream_pace::Pace,
@@ -236,6 +237,8 @@
     pub work: Work,
     /// Prompt tokens that are copied from another endpoint.
     pub copied_tokens: u64,
+    /// Slowness on which the prediction is based.
+    pub slowness: SlownessEstimate,
     /// Predicted time until the endpoint begins with the request.
     pub backlog_ms: f64,
     /// Largest backlog at which the endpoint gets another prompt.
@@ -329,7 +332,7 @@
     let tokens = query.metadata.max_output_tokens.0 as f64;
     let stream_ms = match (query.expected_events, pace) {
         (Some(events), Some(pace)) => events * pace.event_ms(),
-        _ => endpoint.slowness() * tokens * DECODE_STEP_MS / (1.0 - prefill_share),
+        _ => choice.slowness.factor * tokens * DECODE_STEP_MS / (1.0 - prefill_share),
     };
     let overrun_ms = choice.first_event_ms + choice.hold_ms() + stream_ms - query.time_left_ms;
     STREAM_TIME_WEIGHT * stream_ms + OVERRUN_WEIGHT * overrun_ms.max(0.0)
@@ -1152,15 +1155,15 @@
         let wait_ms = (load + 1.0 - slots).max(0.0) / slots * run_ms;
         let memory_excess = memory_excess(endpoint, query, work, run_ms, now_ms);
         let backlog_tokens = endpoint.own_load.backlog_tokens + endpoint.peer_load.backlog_tokens;
-        let backlog_ms = endpoint.slowness()
+        let slowness = endpoint.slowness_estimate(now_ms);
+        let backlog_ms = slowness.factor
             * (backlog_tokens as f64 * prefill_ms_per_token * query.share_ahead + wait_ms)
             + memory_excess * run_ms;
         let request_ms = match service.engine {
             Some(_) => FIRST_EVENT_MS + work.uncached_tokens as f64 * prefill_ms_per_token,
             None => run_ms,
         };
-        let prefill_share =
-            endpoint.slowness() * endpoint.prefill_share(prefill_ms_per_token, now_ms);
+        let prefill_share = slowness.factor * endpoint.prefill_share(prefill_ms_per_token, now_ms);
         let pauses = service.engine.and(self.pauses_at(endpoint, now_ms));
         let pace_limit_ms = endpoint.backlog_limit_ms(
             pauses.and_then(|pauses| Pace::from_event_ms(pauses.mean_ms)),
@@ -1171,15 +1174,16 @@
         let prefill = PrefillState {
             share: prefill_share,
             share_ahead: query.share_ahead,
-            request_ms: endpoint.slowness() * work.uncached_tokens as f64 * prefill_ms_per_token,
+            request_ms: slowness.factor * work.uncached_tokens as f64 * prefill_ms_per_token,
         };
         let gap_goal = query.gap_goal.zip(pauses);
         Choice {
             endpoint: endpoint.id.clone(),
-            first_event_ms: backlog_ms + endpoint.slowness() * request_ms,
+            first_event_ms: backlog_ms + slowness.factor * request_ms,
             backlog_limit_ms: gap_goal.map_or(pace_limit_ms, |(goal, pauses)| {
                 pace_limit_ms.min(goal.backlog_limit_ms(pauses, prefill))
             }),
+            slowness,
             has_memory: query.gap_goal.is_none() || memory_excess <= 0.0,
             is_gap_goal_kept: gap_goal.is_none_or(|(goal, pauses)| goal.is_kept(pauses)),
             cost_ms: 0.0,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -70,6 +70,7 @@
 pub mod spread;
 pub mod start;
 mod state_updates;
+pub mod stated_slowness;
 pub mod store_replica;
 pub mod stored_verdicts;
 pub mod stored_versions;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,6 +14,27 @@
     pub tokens: Tokens,
 }
 
+/// Smallest and largest slowness that is believed, in percent.
+const SLOWNESS_RANGE: (f64, f64) = (10.0, 10_000.0);
+
+/// Time that work takes at an endpoint, in percent of the usual time; 100 is as usual.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SlownessPercent(u32);
+
+impl SlownessPercent {
+    /// Returns a slowness, cut to the range that is believed; none if it is no positive number.
+    pub fn new(percent: f64) -> Option<Self> {
+        let (low, high) = SLOWNESS_RANGE;
+        let is_valid = percent.is_finite() && percent > 0.0;
+        is_valid.then(|| Self(percent.clamp(low, high) as u32))
+    }
+
+    /// Returns the factor on the usual time.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
 /// Load that an endpoint reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct EndpointLoad {
@@ -23,6 +44,8 @@
     pub waiting: u32,
     /// Number of requests that can run concurrently.
     pub slots: u32,
+    /// Time that work currently takes there, if stated.
+    pub slowness: Option<SlownessPercent>,
 }
 
 /// Metadata that a caller sends with one attempt of a request.
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -201,7 +201,7 @@
             if let Some(endpoint) = self.fleet.get_mut(&choice.endpoint) {
                 endpoint.record_first_event(choice.work);
                 self.pending_update.record_change(&choice.endpoint);
-                endpoint.record_success(actual_ms, choice.first_event_ms);
+                endpoint.record_success_of(actual_ms, choice.first_event_ms, choice.slowness);
             }
             if exchange.route.is_stream {
                 self.fleet
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -17,7 +17,8 @@
         request::{
             EndpointLoad,
             PromptPart,
-            RequestMetadata, //
+            RequestMetadata,
+            SlownessPercent, //
         },
         request_rate::RequestRate,
         stream_origins::AttemptHash, //
@@ -42,7 +43,8 @@
 const PRIORITY: &str = "X-Request-Priority";
 const SIGNATURE: &str = "x-server-seal";
 const NOT_RUN: &str = "x-not-run";
-/// Running requests, queued requests and slots, separated by commas.
+/// Running requests, queued requests, slots and, if stated, slowness in percent, separated by
+/// commas.
 const LOAD: &str = "x-server-load";
 const COLD_TIME: &str = "x-cold-ms";
 /// Id of the endpoint, in answers to health checks.
@@ -307,11 +309,15 @@
 }
 
 fn decode_load(value: &str) -> Option<EndpointLoad> {
-    let mut fields = value.split(',').map(|field| field.trim().parse().ok());
+    let mut fields = value.split(',').map(str::trim);
+    let mut next_count = || fields.next()?.parse().ok();
+    let (running, waiting, slots) = (next_count()?, next_count()?, next_count()?);
+    let percent: Option<f64> = fields.next().and_then(|field| field.parse().ok());
     Some(EndpointLoad {
-        running: fields.next()??,
-        waiting: fields.next()??,
-        slots: fields.next()??,
+        running,
+        waiting,
+        slots,
+        slowness: percent.and_then(SlownessPercent::new),
     })
 }
 
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -58,6 +58,7 @@
             RetryBounds,
             RetryBudget, //
         },
+        stated_slowness::SlownessEstimate,
         stream_origins::{
             AttemptHash,
             StreamOrigin, //
@@ -568,6 +569,7 @@
                 reserved_tokens: 8_400,
             },
             copied_tokens: 0,
+            slowness: SlownessEstimate::new(1.0),
             backlog_ms: 50.0,
             backlog_limit_ms: 500.0,
             is_gap_goal_kept: true,
--- a/tests/gateway_expected_work.rs
+++ b/tests/gateway_expected_work.rs
@@ -45,15 +45,20 @@
             Pauses,
             PrefillState, //
         },
+        head::parse_response,
         hosts::RegionView,
         load_updates::SentPrompt,
         request::{
+            EndpointLoad,
             PromptPart,
-            RequestMetadata, //
+            RequestMetadata,
+            SlownessPercent, //
         },
         request_sizes::RequestSizes,
+        stated_slowness::StatedSlowness,
         stream_pace::PaceMeter, //
     },
+    platform::headers::decode_response_metadata,
     types::Tokens, //
 };
 use compact_str::{
@@ -207,6 +212,17 @@
     load: f64,
     /// Memory of an engine.
     memory_tokens: u64,
+    /// What answers state of the slowness of their engine.
+    statement: Statement,
+}
+
+/// Fourth figure of the load that answers state.
+#[derive(Clone, Copy, PartialEq)]
+enum Statement {
+    Absent,
+    True,
+    /// The opposite of the truth.
+    False,
 }
 
 impl Setting {
@@ -215,6 +231,7 @@
             gap_goal: None,
             load,
             memory_tokens: MEMORY_TOKENS,
+            statement: Statement::Absent,
         }
     }
 
@@ -223,6 +240,10 @@
         Self { gap_goal, ..self }
     }
 
+    fn with_statement(self, statement: Statement) -> Self {
+        Self { statement, ..self }
+    }
+
     fn with_memory(self, memory_tokens: u64) -> Self {
         Self {
             memory_tokens,
@@ -615,10 +636,24 @@
             return;
         }
         let (choice, sent_ms) = call.choice.clone().expect("it was sent");
+        let engine = &self.engines[&choice.endpoint];
+        let factor = engine.slowness_at(now_ms);
+        let stated = match self.setting.statement {
+            Statement::Absent => None,
+            Statement::True => Some(factor),
+            Statement::False => Some(SLOWNESS.0 + SLOWNESS.1 - factor),
+        };
+        let load = EndpointLoad {
+            running: engine.streams.len() as u32,
+            waiting: engine.waiting.len() as u32,
+            slots: SLOTS as u32,
+            slowness: stated.and_then(|factor| SlownessPercent::new(factor * 100.0)),
+        };
         let endpoint = self.fleet.get_mut(&choice.endpoint).expect("the endpoint");
+        endpoint.record_reported_load(load, now_ms);
         let actual_ms = (now_ms - sent_ms) as f64;
         endpoint.record_first_event(choice.work);
-        endpoint.record_success(actual_ms, choice.first_event_ms);
+        endpoint.record_success_of(actual_ms, choice.first_event_ms, choice.slowness);
         call.last_event_ms = Some(now_ms);
         call.is_first_in_time = now_ms <= call.arrived_ms + call.kind.goal_ms;
         self.fleet
@@ -1145,3 +1180,125 @@
     assert!(hinted.expected_tokens(Some(Tokens(800))) > Some(tokens));
     assert_eq!(unhinted.expected_tokens(Some(Tokens(400))), None);
 }
+
+fn percent(value: f64) -> SlownessPercent {
+    SlownessPercent::new(value).expect("a slowness")
+}
+
+fn load_of(header: &str) -> Option<EndpointLoad> {
+    let head = format!("HTTP/1.1 200 OK\r\nX-Server-Load: {header}\r\n\r\n");
+    let (head, _) = parse_response(head.as_bytes(), false)
+        .expect("a valid head")
+        .expect("a whole head");
+    decode_response_metadata(&head).load
+}
+
+/// Guards against a load that is lost because an endpoint states a fourth figure, or none, or an
+/// odd one.
+#[test]
+fn fourth_figure_of_the_load_is_optional() {
+    let load = |slowness| {
+        Some(EndpointLoad {
+            running: 3,
+            waiting: 1,
+            slots: 48,
+            slowness,
+        })
+    };
+
+    assert_eq!(load_of("3,1,48"), load(None));
+    assert_eq!(load_of("3,1,48,170"), load(Some(percent(170.0))));
+    assert_eq!(load_of(" 3, 1, 48, 99.5 "), load(Some(percent(99.5))));
+    for odd in ["0", "-5", "nan", "inf", "fast", ""] {
+        assert_eq!(load_of(&format!("3,1,48,{odd}")), load(None), "{odd}");
+    }
+    assert_eq!(load_of("3,1"), None);
+}
+
+/// The speed of machines changes several times a second. Guards against a statement that is
+/// ignored until times are measured, and against one that is used for long.
+#[test]
+fn stated_slowness_holds_for_a_moment() {
+    let mut stated = StatedSlowness::default();
+
+    let first = stated.record(percent(120.0), 1_000);
+    let second = stated.record(percent(200.0), 2_000);
+
+    let factor = |now_ms| stated.estimate(1.2, now_ms).factor;
+    assert_eq!((first, second), (Some(1.2), None));
+    assert!(factor(2_000) > 1.7, "{}", factor(2_000));
+    assert!((1.4..1.6).contains(&factor(2_500)), "{}", factor(2_500));
+    assert_eq!(factor(3_000), 1.2);
+}
+
+/// Guards against an endpoint that states once that it is slow, or fast, and is avoided, or gets
+/// all prompts, for good.
+#[test]
+fn constant_statement_yields_to_measured_times() {
+    for percents in [20.0, 400.0] {
+        let mut fleet = fleet_of(1);
+        let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+        for answer in 0..30 {
+            let now_ms = 1_000 + answer * 100;
+            let used = endpoint.slowness_estimate(now_ms);
+            endpoint.record_reported_load(
+                EndpointLoad {
+                    slowness: Some(percent(percents)),
+                    ..EndpointLoad::default()
+                },
+                now_ms,
+            );
+            // The endpoint is as fast as usual.
+            endpoint.record_success_of(200.0, 200.0 * used.factor, used);
+        }
+
+        let factor = endpoint.slowness_estimate(4_000).factor;
+
+        assert!((0.9..1.1).contains(&factor), "{percents}: {factor}");
+    }
+}
+
+/// Guards against an endpoint whose statements vary without a reason and make its predictions
+/// worse for good.
+#[test]
+fn statement_that_times_do_not_bear_out_is_ignored() {
+    let learn = |is_true: bool| {
+        let mut stated = StatedSlowness::default();
+        for answer in 0..20 {
+            let now_ms = 1_000 + answer * 100;
+            let value = if answer % 2 == 0 { 60.0 } else { 160.0 };
+            stated.record(percent(value), now_ms);
+            let used = stated.estimate(1.0, now_ms);
+            let measured = match is_true {
+                true => used.relative.unwrap_or(1.0),
+                false => 1.0,
+            };
+            stated.record_measured(measured, used);
+        }
+        stated.record(percent(160.0), 4_000);
+        stated.estimate(1.0, 4_000).factor
+    };
+
+    assert!(learn(true) > 1.3, "{}", learn(true));
+    assert!((0.95..1.05).contains(&learn(false)), "{}", learn(false));
+}
+
+/// Engines state their true slowness, or its opposite. Guards against statements that cost answers,
+/// whether they are true or false.
+#[test]
+fn true_statements_help_and_false_ones_hardly_harm() {
+    let on_time = |statement| -> usize {
+        let plays = (1..=3).map(|seed| {
+            let setting = Setting::new(0.9).with_statement(statement);
+            Region::new(seed, setting.with_gap_goal()).play()
+        });
+        plays.map(|outcome| outcome.on_time_count).sum()
+    };
+
+    let absent = on_time(Statement::Absent);
+    let (stated, opposite) = (on_time(Statement::True), on_time(Statement::False));
+
+    let figures = format!("{absent} without, {stated} true, {opposite} false");
+    assert!(stated >= absent, "{figures}");
+    assert!(opposite * 100 >= absent * 95, "{figures}");
+}
