--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -40,12 +40,19 @@
     },
     request_rate::RequestRate,
     software_version::SoftwareVersion,
+    stated_slowness::{
+        SlownessEstimate,
+        StatedSlowness, //
+    },
     stream_pace::{
         Pace,
         PaceMeter, //
     }, //
 };
-use crate::types::hex_id;
+use crate::types::{
+    Tokens,
+    hex_id, //
+};
 
 /// Weight of a new observation in a moving average.
 const EWMA_WEIGHT: f64 = 0.15;
@@ -94,6 +101,9 @@
 const MIN_PREFILL_SHARE: f64 = 0.5;
 /// Largest share of its time that an engine is expected to spend on prefill.
 pub const MAX_PREFILL_SHARE: f64 = 0.9;
+/// Most shared parts of running requests that are remembered for one endpoint: more than its
+/// memory holds beside the prompts that use them.
+const MAX_USED_PARTS: usize = 24;
 /// Longest prompt that counts as short: two prefill chunks of a batching engine.
 const SHORT_PROMPT_TOKENS: u64 = 2_048;
 
@@ -242,6 +252,14 @@
     prefilled_at_ms: u64,
 }
 
+/// A shared prompt part that requests at an endpoint used lately.
+#[derive(Debug, Clone, Copy)]
+struct UsedPart {
+    part: u64,
+    tokens: u64,
+    used_ms: u64,
+}
+
 /// An endpoint with this host's view of its load, speed and health.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
@@ -285,6 +303,8 @@
     /// Pace of this host's streams there.
     pub pace: PaceMeter,
     slowness: f64,
+    /// What it states about its slowness.
+    stated_slowness: StatedSlowness,
     error_rate: f64,
     consecutive_failures: u32,
     blocked_until_ms: u64,
@@ -292,6 +312,8 @@
     /// After a block, only one request is sent at a time until one succeeds.
     is_probing: bool,
     parts: HashMap<u64, CachedPart>,
+    /// Shared parts that its requests use; at most [`MAX_USED_PARTS`].
+    used_parts: Vec<UsedPart>,
     /// Prompt tokens that all hosts sent recently; decays exponentially with
     /// [`PREFILL_DECAY_MS`].
     recent_prefill_tokens: f64,
@@ -331,12 +353,14 @@
             reported: None,
             pace: PaceMeter::default(),
             slowness: 1.0,
+            stated_slowness: StatedSlowness::default(),
             error_rate: 0.0,
             consecutive_failures: 0,
             blocked_until_ms: 0,
             next_block_ms: INITIAL_BLOCK_MS,
             is_probing: false,
             parts: HashMap::new(),
+            used_parts: Vec::new(),
             recent_prefill_tokens: 0.0,
             recent_prefill_at_ms: 0,
             total_reserved_tokens: 0,
@@ -654,7 +678,7 @@
         self.own_load.active += 1;
         self.own_load.backlog_tokens += work.uncached_tokens;
         self.own_load.reserved_tokens += work.reserved_tokens;
-        self.total_reserved_tokens += work.reserved_tokens;
+        self.total_reserved_tokens += work.reserved_tokens.max(work.uncached_tokens);
         self.record_prefill(work.uncached_tokens, now_ms);
     }
 
@@ -681,9 +705,26 @@
     /// Records a successful response that began after `actual_ms` instead of
     /// `predicted_ms`.
     pub fn record_success(&mut self, actual_ms: f64, predicted_ms: f64) {
-        let ratio = self.slowness * actual_ms / predicted_ms.max(1.0);
+        self.record_success_of(
+            actual_ms,
+            predicted_ms,
+            SlownessEstimate::new(self.slowness),
+        );
+    }
+
+    /// Like [`Endpoint::record_success`], for a prediction that is based on `used`.
+    pub fn record_success_of(&mut self, actual_ms: f64, predicted_ms: f64, used: SlownessEstimate) {
         let (low, high) = SLOWNESS_RANGE;
-        self.slowness += EWMA_WEIGHT * (ratio.clamp(low, high) - self.slowness);
+        // What is learned from times alone is compared with what is known now: several answers
+        // may have come since the prediction.
+        let (factor, stated_part) = match used.relative {
+            Some(_) => (used.factor, used.stated_part),
+            None => (self.slowness, 1.0),
+        };
+        let measured = (factor * actual_ms / predicted_ms.max(1.0)).clamp(low, high);
+        self.stated_slowness.record_measured(measured, used);
+        let learned = (measured / stated_part).clamp(low, high);
+        self.slowness += EWMA_WEIGHT * (learned - self.slowness);
         self.error_rate -= EWMA_WEIGHT * self.error_rate;
         self.consecutive_failures = 0;
         self.is_probing = false;
@@ -740,6 +781,14 @@
     /// Records the load that a response carries.
     pub fn record_reported_load(&mut self, load: EndpointLoad, now_ms: u64) {
         self.reported = Some((now_ms, load));
+        let first = load
+            .slowness
+            .and_then(|stated| self.stated_slowness.record(stated, now_ms));
+        // Nothing was measured before the first answer.
+        if let Some(factor) = first {
+            let (low, high) = SLOWNESS_RANGE;
+            self.slowness = factor.clamp(low, high);
+        }
     }
 
     /// Returns the estimated number of requests at the endpoint.
@@ -761,11 +810,47 @@
         for part in &metadata.parts {
             self.record_part(part.id, prefilled_at_ms);
         }
+        for part in metadata.shared_parts() {
+            self.record_used_part(part.id, part.tokens.0, prefilled_at_ms);
+        }
+    }
+
+    /// Remembers that a request uses a shared part, which takes memory until it ends.
+    pub fn record_used_part(&mut self, part: u64, tokens: u64, used_ms: u64) {
+        let new = UsedPart {
+            part,
+            tokens,
+            used_ms,
+        };
+        let known = self.used_parts.iter_mut().find(|used| used.part == part);
+        if let Some(known) = known {
+            known.used_ms = known.used_ms.max(used_ms);
+        } else if self.used_parts.len() < MAX_USED_PARTS {
+            self.used_parts.push(new);
+        } else if let Some(oldest) = self.used_parts.iter_mut().min_by_key(|used| used.used_ms) {
+            *oldest = new;
+        }
+    }
+
+    /// Returns the tokens of the shared parts that requests use which run for `run_ms`, those of
+    /// a new request included, each part once.
+    pub fn shared_tokens_in_use(
+        &self,
+        metadata: &RequestMetadata,
+        run_ms: f64,
+        now_ms: u64,
+    ) -> u64 {
+        let shared = metadata.shared_parts();
+        let is_new = |used: &UsedPart| shared.iter().any(|part| part.id == used.part);
+        let since_ms = now_ms.saturating_sub(run_ms as u64);
+        let used = self.used_parts.iter();
+        let used = used.filter(|used| used.used_ms >= since_ms && !is_new(used));
+        used.map(|used| used.tokens).sum::<u64>() + metadata.shared_tokens()
     }
 
     /// Remembers a prompt that another host sent.
     pub fn record_peer_prompt(&mut self, sent: &SentPrompt, now_ms: u64) {
-        self.total_reserved_tokens += u64::from(sent.reserved_tokens);
+        self.total_reserved_tokens += u64::from(sent.reserved_tokens.max(sent.prefill_tokens));
         self.record_prefill(u64::from(sent.prefill_tokens), now_ms);
         for part in &sent.parts {
             self.record_part(*part, now_ms + u64::from(sent.prefill_ms));
@@ -860,6 +945,12 @@
             .sum()
     }
 
+    /// Returns the slowness on which predictions are based: what is learned from responses, with
+    /// what they state lately.
+    pub fn slowness_estimate(&self, now_ms: u64) -> SlownessEstimate {
+        self.stated_slowness.estimate(self.slowness, now_ms)
+    }
+
     /// Returns the factor on predicted times, learned from responses.
     pub fn slowness(&self) -> f64 {
         self.slowness
@@ -903,6 +994,22 @@
     }
 }
 
+impl Work {
+    /// Replaces the memory by what the request is expected to need until it ends: its own part of
+    /// the prompt and `output`. Shared parts are counted once for all requests that use them; see
+    /// [`Endpoint::shared_tokens_in_use`].
+    pub fn with_expected_memory(self, metadata: &RequestMetadata, output: Option<Tokens>) -> Self {
+        let most = metadata.max_output_tokens;
+        let output = output.map_or(most, |output| output.min(most));
+        let prompt = metadata.prompt_tokens.0;
+        let own_tokens = prompt.saturating_sub(metadata.shared_tokens());
+        Self {
+            reserved_tokens: own_tokens + output.0,
+            ..self
+        }
+    }
+}
+
 impl Work {
     /// Returns whether an engine prefills the prompt within a few steps, so that it
     /// delays other requests little.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -60,6 +60,7 @@
             RetryBounds,
             RetryBudget, //
         },
+        stated_slowness::SlownessEstimate,
         stream_origins::{
             AttemptHash,
             StreamOrigin, //
@@ -170,6 +171,7 @@
         pace_goal: None,
         gap_goal: None,
         expected_events: None,
+        expected_output: None,
     };
     fleet.choose(&query, now_ms)
 }
@@ -568,9 +570,11 @@
                 reserved_tokens: 8_400,
             },
             copied_tokens: 0,
+            slowness: SlownessEstimate::new(1.0),
             backlog_ms: 50.0,
             backlog_limit_ms: 500.0,
             is_gap_goal_kept: true,
+            has_memory: true,
             cost_ms: 200.0,
             fetch_from: None,
             is_idle: false,
--- a/tests/gateway_expected_work.rs
+++ b/tests/gateway_expected_work.rs
@@ -17,7 +17,8 @@
         },
         answer_lengths::{
             AnswerLengths,
-            EventCount, //
+            EventCount,
+            RouteAnswers, //
         },
         bound::ColdBounds,
         configuration::{
@@ -44,14 +45,20 @@
             Pauses,
             PrefillState, //
         },
+        head::parse_response,
         hosts::RegionView,
+        load_updates::SentPrompt,
         request::{
+            EndpointLoad,
             PromptPart,
-            RequestMetadata, //
+            RequestMetadata,
+            SlownessPercent, //
         },
         request_sizes::RequestSizes,
+        stated_slowness::StatedSlowness,
         stream_pace::PaceMeter, //
     },
+    platform::headers::decode_response_metadata,
     types::Tokens, //
 };
 use compact_str::{
@@ -183,6 +190,7 @@
     parts: BTreeMap<u64, u64>,
     step_ends_ms: f64,
     slowness: Vec<f64>,
+    preempted_count: usize,
 }
 
 impl EngineModel {
@@ -202,6 +210,46 @@
     gap_goal: Option<GapGoal>,
     /// Arriving prompt tokens relative to what the endpoints can prefill without a break.
     load: f64,
+    /// Memory of an engine.
+    memory_tokens: u64,
+    /// What answers state of the slowness of their engine.
+    statement: Statement,
+}
+
+/// Fourth figure of the load that answers state.
+#[derive(Clone, Copy, PartialEq)]
+enum Statement {
+    Absent,
+    True,
+    /// The opposite of the truth.
+    False,
+}
+
+impl Setting {
+    fn new(load: f64) -> Self {
+        Self {
+            gap_goal: None,
+            load,
+            memory_tokens: MEMORY_TOKENS,
+            statement: Statement::Absent,
+        }
+    }
+
+    fn with_gap_goal(self) -> Self {
+        let gap_goal = gap_goal();
+        Self { gap_goal, ..self }
+    }
+
+    fn with_statement(self, statement: Statement) -> Self {
+        Self { statement, ..self }
+    }
+
+    fn with_memory(self, memory_tokens: u64) -> Self {
+        Self {
+            memory_tokens,
+            ..self
+        }
+    }
 }
 
 struct Region {
@@ -222,9 +270,14 @@
     served_count: usize,
     on_time_count: usize,
     late_gap_count: usize,
+    preempted_count: usize,
 }
 
 fn model() -> Service {
+    model_with(MEMORY_TOKENS)
+}
+
+fn model_with(memory_tokens: u64) -> Service {
     Service {
         name: "model".into(),
         health_path: None,
@@ -232,7 +285,7 @@
         cold_per_s: 0.0,
         engine: Some(Engine {
             slots: SLOTS as u32,
-            memory_tokens: MEMORY_TOKENS,
+            memory_tokens,
             copy_ms_per_token: None,
         }),
     }
@@ -387,11 +440,13 @@
         let count = |is_counted: &dyn Fn(&&Call) -> bool| {
             self.calls.iter().filter(|call| is_counted(call)).count()
         };
+        let engines = self.engines.values();
         Outcome {
             call_count: self.calls.len(),
             served_count: count(&|call| call.is_served),
             on_time_count: count(&|call| call.is_on_time()),
             late_gap_count: count(&|call| call.longest_gap_ms > GAP_GOAL_MS),
+            preempted_count: engines.map(|engine| engine.preempted_count).sum(),
         }
     }
 
@@ -421,7 +476,7 @@
     }
 
     fn context(&self, index: usize, now_ms: u64) -> PlacementContext {
-        let service = model();
+        let service = model_with(self.setting.memory_tokens);
         let call = &self.calls[index];
         let rank = call.rank(index);
         let ahead = self.queue.iter().filter(|other| **other != index);
@@ -442,6 +497,7 @@
             pace_goal: self.lengths.pace_goal(&service.name),
             gap_goal: self.setting.gap_goal,
             expected_events: self.lengths.expected_events(call.kind.name, hint),
+            expected_output: self.lengths.expected_tokens(call.kind.name, hint),
             ..EndpointQuery::new(&service, &call.metadata, &view)
         };
         PlacementContext {
@@ -486,6 +542,7 @@
         let priority = Some(call.kind.priority);
         self.fleet
             .record_prefill(&"model".into(), priority, prefill, now_ms);
+        self.fleet.record_shared_parts(&call.metadata);
         let engine = self.engines.get_mut(&choice.endpoint).expect("the engine");
         let mut tokens = call.metadata.prompt_tokens.0;
         if let Some(part) = call.part() {
@@ -552,7 +609,7 @@
     /// Drops unused shared parts and preempts streams until an engine's memory suffices.
     fn free_memory(&mut self, name: &CompactString) {
         let engine = self.engines.get_mut(name).expect("the engine");
-        while engine.used_tokens() > MEMORY_TOKENS {
+        while engine.used_tokens() > self.setting.memory_tokens {
             let calls = &self.calls;
             let is_used = |part: &u64| {
                 let streams = engine.streams.iter().map(|(index, _)| index);
@@ -568,6 +625,7 @@
             let Some((index, tokens)) = engine.streams.pop() else {
                 return;
             };
+            engine.preempted_count += 1;
             engine.waiting.push((index, tokens));
         }
     }
@@ -578,10 +636,24 @@
             return;
         }
         let (choice, sent_ms) = call.choice.clone().expect("it was sent");
+        let engine = &self.engines[&choice.endpoint];
+        let factor = engine.slowness_at(now_ms);
+        let stated = match self.setting.statement {
+            Statement::Absent => None,
+            Statement::True => Some(factor),
+            Statement::False => Some(SLOWNESS.0 + SLOWNESS.1 - factor),
+        };
+        let load = EndpointLoad {
+            running: engine.streams.len() as u32,
+            waiting: engine.waiting.len() as u32,
+            slots: SLOTS as u32,
+            slowness: stated.and_then(|factor| SlownessPercent::new(factor * 100.0)),
+        };
         let endpoint = self.fleet.get_mut(&choice.endpoint).expect("the endpoint");
+        endpoint.record_reported_load(load, now_ms);
         let actual_ms = (now_ms - sent_ms) as f64;
         endpoint.record_first_event(choice.work);
-        endpoint.record_success(actual_ms, choice.first_event_ms);
+        endpoint.record_success_of(actual_ms, choice.first_event_ms, choice.slowness);
         call.last_event_ms = Some(now_ms);
         call.is_first_in_time = now_ms <= call.arrived_ms + call.kind.goal_ms;
         self.fleet
@@ -903,18 +975,10 @@
 #[test]
 fn more_answers_are_on_time_with_a_goal_for_pauses() {
     for seed in 1..=3 {
-        let play = |gap_goal| {
-            Region::new(
-                seed,
-                Setting {
-                    gap_goal,
-                    load: 0.9,
-                },
-            )
-            .play()
-        };
+        let setting = Setting::new(0.9);
 
-        let (without, with) = (play(None), play(gap_goal()));
+        let without = Region::new(seed, setting).play();
+        let with = Region::new(seed, setting.with_gap_goal()).play();
 
         let figures = format!("{seed}: {without:?}, {with:?}");
         assert_eq!(with.call_count, without.call_count);
@@ -932,3 +996,309 @@
         );
     }
 }
+
+/// Requests of the usual mix come to engines with memory for about twenty long prompts. Guards
+/// against streams that are preempted because more requests run than the memory holds until they
+/// end, and against answers that the limit costs.
+#[test]
+fn streams_are_hardly_preempted_where_memory_is_short() {
+    let mut preempted = (0, 0);
+    let mut served = (0, 0);
+    for seed in 1..=3 {
+        let setting = Setting::new(0.9).with_memory(170_000);
+
+        let without = Region::new(seed, setting).play();
+        let with = Region::new(seed, setting.with_gap_goal()).play();
+
+        preempted = (
+            preempted.0 + without.preempted_count,
+            preempted.1 + with.preempted_count,
+        );
+        served = (
+            served.0 + without.served_count,
+            served.1 + with.served_count,
+        );
+    }
+
+    assert!(preempted.0 >= 100, "the load preempts none: {preempted:?}");
+    assert!(preempted.1 * 10 <= preempted.0, "{preempted:?}");
+    assert!(served.1 >= served.0, "{served:?}");
+}
+
+/// Returns a fleet in which an endpoint runs requests that need this memory in all.
+fn fleet_with_memory(endpoint_count: usize, id: &str, reserved_tokens: u64) -> Fleet {
+    let mut fleet = fleet_of(endpoint_count);
+    let endpoint = fleet.get_mut(id).expect("the endpoint");
+    let work = Work {
+        uncached_tokens: 0,
+        reserved_tokens,
+    };
+    endpoint.record_send(work, 1_000);
+    endpoint.record_first_event(work);
+    fleet
+}
+
+/// The requests at an engine need 380,000 of its 450,000 tokens until they end, and requests are
+/// preempted from 382,500 on. Guards against a request that is sent there, also as a short prompt,
+/// while another engine has memory or none has.
+#[test]
+fn request_goes_where_the_memory_suffices_or_waits() {
+    let two = fleet_with_memory(2, "e-0", 380_000);
+    let one = fleet_with_memory(1, "e-0", 382_000);
+
+    for prompt in [long_prompt(), short_prompt()] {
+        let elsewhere = place(context_at(&two, &prompt, gap_goal()));
+        let waiting = place(context_at(&one, &prompt, gap_goal()));
+
+        let Placement::Send(choice) = elsewhere else {
+            panic!("{elsewhere:?}");
+        };
+        assert_eq!(choice.endpoint, "e-1");
+        assert_eq!(waiting, Placement::Wait);
+    }
+}
+
+/// Guards against a request that waits for memory until its goal is missed, with a caller that is
+/// not told to come back.
+#[test]
+fn request_that_gets_no_memory_in_time_is_refused() {
+    let fleet = fleet_with_memory(1, "e-0", 460_000);
+
+    let on_arrival = place(context_at(&fleet, &long_prompt(), gap_goal()));
+    let after_a_wait = place(PlacementContext {
+        is_waiting: true,
+        goal_left_ms: 200.0,
+        ..context_at(&fleet, &long_prompt(), gap_goal())
+    });
+
+    assert!(matches!(after_a_wait, Placement::Refuse(_)));
+    // Of the mean time of a request, which is 3 s before one has ended, a quarter.
+    assert_eq!(on_arrival, Placement::Wait);
+}
+
+/// Guards against a prompt that is longer than the memory of an engine and is never sent.
+#[test]
+fn idle_endpoint_takes_a_request_of_any_size() {
+    let fleet = fleet_of(1);
+    let tokens = Tokens(500_000);
+    let prompt = RequestMetadata {
+        prompt_tokens: tokens,
+        parts: vec![PromptPart { id: 1, tokens }],
+        ..RequestMetadata::default()
+    };
+
+    let placement = place(context_at(&fleet, &prompt, gap_goal()));
+
+    assert!(matches!(placement, Placement::Send(_)), "{placement:?}");
+}
+
+/// Guards against running streams that count with the most that they may generate, of which most
+/// use a third, and against a shared part that counts for each request or for none.
+#[test]
+fn memory_counts_shared_parts_once_and_expected_answers() {
+    let mut fleet = fleet_of(1);
+    let shared = PromptPart {
+        id: 7,
+        tokens: Tokens(PART_TOKENS),
+    };
+    let metadata = RequestMetadata {
+        prompt_tokens: Tokens(12_000),
+        max_output_tokens: Tokens(1_400),
+        parts: vec![
+            shared,
+            PromptPart {
+                id: 8,
+                tokens: Tokens(12_000 - PART_TOKENS),
+            },
+        ],
+        ..RequestMetadata::default()
+    };
+    let work = Work::new(&metadata, PART_TOKENS);
+
+    let expected = work.with_expected_memory(&metadata, Some(Tokens(400)));
+    let unknown = work.with_expected_memory(&metadata, None);
+    let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+    let before = endpoint.shared_tokens_in_use(&metadata, 6_000.0, 1_000);
+    endpoint.record_prompt(&metadata, 1_000);
+    endpoint.record_prompt(&metadata, 1_500);
+    let while_used = endpoint.shared_tokens_in_use(&metadata, 6_000.0, 2_000);
+    let of_others = endpoint.shared_tokens_in_use(&short_prompt(), 6_000.0, 2_000);
+    let afterwards = endpoint.shared_tokens_in_use(&short_prompt(), 6_000.0, 9_000);
+
+    assert_eq!(expected.reserved_tokens, 12_000 - PART_TOKENS + 400);
+    assert_eq!(unknown.reserved_tokens, 12_000 - PART_TOKENS + 1_400);
+    assert_eq!(expected.uncached_tokens, work.uncached_tokens);
+    assert_eq!((before, while_used), (PART_TOKENS, PART_TOKENS));
+    assert_eq!((of_others, afterwards), (PART_TOKENS, 0));
+}
+
+/// Other hosts send the prompts with a shared part. Guards against parts that take memory unseen,
+/// because load updates name them without their lengths.
+#[test]
+fn shared_parts_of_other_hosts_count() {
+    let mut fleet = fleet_of(1);
+    let shared = PromptPart {
+        id: 7,
+        tokens: Tokens(PART_TOKENS),
+    };
+    let own = RequestMetadata {
+        prompt_tokens: Tokens(PART_TOKENS + 1),
+        parts: vec![shared, shared],
+        ..RequestMetadata::default()
+    };
+    fleet.record_shared_parts(&own);
+    let sent = SentPrompt {
+        endpoint: fleet.get("e-0").expect("the endpoint").hash,
+        reserved_tokens: 7_000,
+        prefill_tokens: 12_000,
+        prefill_ms: 200,
+        parts: vec![7, 9],
+    };
+
+    fleet.record_peer_prompt(&sent, 1_000);
+
+    let endpoint = fleet.get("e-0").expect("the endpoint");
+    let tokens = endpoint.shared_tokens_in_use(&short_prompt(), 6_000.0, 1_500);
+    assert_eq!(tokens, PART_TOKENS);
+}
+
+/// Callers estimate the tokens of their answers, and engines send them in events. Guards against a length that
+/// is guessed where nothing tells how many tokens an event holds.
+#[test]
+fn expected_tokens_follow_the_estimates_of_callers() {
+    let mut unhinted = RouteAnswers::default();
+    let mut hinted = RouteAnswers::default();
+    for _ in 0..50 {
+        unhinted.record(EventCount(36));
+        hinted.record(EventCount(36));
+        hinted.record_hint(Tokens(400), EventCount(36));
+    }
+
+    let tokens = hinted.expected_tokens(None).expect("a length");
+
+    assert!((395..=405).contains(&tokens.0), "{tokens}");
+    assert!(hinted.expected_tokens(Some(Tokens(800))) > Some(tokens));
+    assert_eq!(unhinted.expected_tokens(Some(Tokens(400))), None);
+}
+
+fn percent(value: f64) -> SlownessPercent {
+    SlownessPercent::new(value).expect("a slowness")
+}
+
+fn load_of(header: &str) -> Option<EndpointLoad> {
+    let head = format!("HTTP/1.1 200 OK\r\nX-Server-Load: {header}\r\n\r\n");
+    let (head, _) = parse_response(head.as_bytes(), false)
+        .expect("a valid head")
+        .expect("a whole head");
+    decode_response_metadata(&head).load
+}
+
+/// Guards against a load that is lost because an endpoint states a fourth figure, or none, or an
+/// odd one.
+#[test]
+fn fourth_figure_of_the_load_is_optional() {
+    let load = |slowness| {
+        Some(EndpointLoad {
+            running: 3,
+            waiting: 1,
+            slots: 48,
+            slowness,
+        })
+    };
+
+    assert_eq!(load_of("3,1,48"), load(None));
+    assert_eq!(load_of("3,1,48,170"), load(Some(percent(170.0))));
+    assert_eq!(load_of(" 3, 1, 48, 99.5 "), load(Some(percent(99.5))));
+    for odd in ["0", "-5", "nan", "inf", "fast", ""] {
+        assert_eq!(load_of(&format!("3,1,48,{odd}")), load(None), "{odd}");
+    }
+    assert_eq!(load_of("3,1"), None);
+}
+
+/// The speed of machines changes several times a second. Guards against a statement that is
+/// ignored until times are measured, and against one that is used for long.
+#[test]
+fn stated_slowness_holds_for_a_moment() {
+    let mut stated = StatedSlowness::default();
+
+    let first = stated.record(percent(120.0), 1_000);
+    let second = stated.record(percent(200.0), 2_000);
+
+    let factor = |now_ms| stated.estimate(1.2, now_ms).factor;
+    assert_eq!((first, second), (Some(1.2), None));
+    assert!(factor(2_000) > 1.7, "{}", factor(2_000));
+    assert!((1.4..1.6).contains(&factor(2_500)), "{}", factor(2_500));
+    assert_eq!(factor(3_000), 1.2);
+}
+
+/// Guards against an endpoint that states once that it is slow, or fast, and is avoided, or gets
+/// all prompts, for good.
+#[test]
+fn constant_statement_yields_to_measured_times() {
+    for percents in [20.0, 400.0] {
+        let mut fleet = fleet_of(1);
+        let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+        for answer in 0..30 {
+            let now_ms = 1_000 + answer * 100;
+            let used = endpoint.slowness_estimate(now_ms);
+            endpoint.record_reported_load(
+                EndpointLoad {
+                    slowness: Some(percent(percents)),
+                    ..EndpointLoad::default()
+                },
+                now_ms,
+            );
+            // The endpoint is as fast as usual.
+            endpoint.record_success_of(200.0, 200.0 * used.factor, used);
+        }
+
+        let factor = endpoint.slowness_estimate(4_000).factor;
+
+        assert!((0.9..1.1).contains(&factor), "{percents}: {factor}");
+    }
+}
+
+/// Guards against an endpoint whose statements vary without a reason and make its predictions
+/// worse for good.
+#[test]
+fn statement_that_times_do_not_bear_out_is_ignored() {
+    let learn = |is_true: bool| {
+        let mut stated = StatedSlowness::default();
+        for answer in 0..20 {
+            let now_ms = 1_000 + answer * 100;
+            let value = if answer % 2 == 0 { 60.0 } else { 160.0 };
+            stated.record(percent(value), now_ms);
+            let used = stated.estimate(1.0, now_ms);
+            let measured = match is_true {
+                true => used.relative.unwrap_or(1.0),
+                false => 1.0,
+            };
+            stated.record_measured(measured, used);
+        }
+        stated.record(percent(160.0), 4_000);
+        stated.estimate(1.0, 4_000).factor
+    };
+
+    assert!(learn(true) > 1.3, "{}", learn(true));
+    assert!((0.95..1.05).contains(&learn(false)), "{}", learn(false));
+}
+
+/// Engines state their true slowness, or its opposite. Guards against statements that cost answers,
+/// whether they are true or false.
+#[test]
+fn true_statements_help_and_false_ones_hardly_harm() {
+    let on_time = |statement| -> usize {
+        let plays = (1..=3).map(|seed| {
+            let setting = Setting::new(0.9).with_statement(statement);
+            Region::new(seed, setting.with_gap_goal()).play()
+        });
+        plays.map(|outcome| outcome.on_time_count).sum()
+    };
+
+    let absent = on_time(Statement::Absent);
+    let (stated, opposite) = (on_time(Statement::True), on_time(Statement::False));
+
+    let figures = format!("{absent} without, {stated} true, {opposite} false");
+    assert!(stated >= absent, "{figures}");
+    assert!(opposite * 100 >= absent * 95, "{figures}");
+}
