--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -934,8 +934,7 @@
 
     /// Remembers a prompt that another host of the region sent.
     pub fn record_peer_prompt(&mut self, sent: &SentPrompt, now_ms: u64) {
-        let mut endpoints = self.endpoints.values_mut();
-        let Some(endpoint) = endpoints.find(|endpoint| endpoint.hash == sent.endpoint) else {
+        let Some(endpoint) = self.endpoints.get_mut_by_hash(sent.endpoint) else {
             return;
         };
         endpoint.record_peer_prompt(sent, now_ms);
