Do not take a reset during an upload for the end of an answer

Cause: the kernel reports the reset of a connection once. While a host still writes a request, the write gets the report, and the read after it finds what looks like an orderly close. An answer without a length, which ends with its connection, was then passed on as complete, also one of which only the head had arrived. serve_upstream.rs assumed that a write error shows up as a read error as well.

Change: BufferedSocket remembers that a write failed, and the end of the input is then a broken connection, not a closed one. The pending error of the socket counts too, for a reset after an orderly end.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -84,6 +84,9 @@
     pub input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
+    /// Writing failed. The kernel reports a reset once, and if a write got the report, the end of
+    /// what can be read looks like an orderly close.
+    has_write_failed: bool,
 }
 
 impl BufferedSocket {
@@ -94,6 +97,7 @@
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
+            has_write_failed: false,
         };
         if let Err(error) = socket.set_options() {
             tracing::debug!(%error, "could not set socket options; the connection uses the defaults");
@@ -133,6 +137,7 @@
             let count = *result.as_ref().unwrap_or(&0);
             self.input.truncate(start + count);
             match result {
+                Ok(0) if self.is_reset() => return ReadState::Broken,
                 Ok(0) => return ReadState::Closed,
                 Ok(_) => turn += count,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -145,6 +150,12 @@
         }
     }
 
+    /// Returns whether the connection has failed, also if the peer had closed its write side
+    /// before.
+    fn is_reset(&self) -> bool {
+        self.has_write_failed || !matches!(self.stream.take_error(), Ok(None))
+    }
+
     /// Appends bytes to the output buffer.
     pub fn queue(&mut self, bytes: &[u8]) {
         self.output.extend_from_slice(bytes);
@@ -162,6 +173,12 @@
 
     /// Writes as much output as the socket accepts; false if writing failed.
     pub fn flush(&mut self) -> bool {
+        let is_written = self.write_output();
+        self.has_write_failed |= !is_written;
+        is_written
+    }
+
+    fn write_output(&mut self) -> bool {
         while self.written < self.output.len() {
             match self.stream.write(&self.output[self.written..]) {
                 Ok(0) => return false,
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -85,7 +85,7 @@
             let Some(upstream) = self.upstreams.get_mut(key) else {
                 return;
             };
-            // A write error also shows up as a read error, after the data that
+            // A write error makes the next read end as broken, after the data that
             // has already arrived.
             upstream.socket.flush();
         }
