Do not take an early end for the end of a success

Cause: an endpoint may close its direction of a connection before it has got the whole request. An answer without a length was then passed on as complete, although its endpoint can't have read what it answers; this is also what an endpoint looks like that ends during an upload.

Change: a 2xx answer that ends with its connection is broken if a part of the request is still unsent. Failures may end an upload early, and are passed on as before, as are answers that state their length. So that hosts know what is unsent, connections to endpoints set TCP_NOTSENT_LOWAT to 64 KiB; without it the kernel took 3 MB at once. What fits into the buffers of both kernels still counts as sent, for want of a safe call that tells the unacknowledged bytes.

Measured: answer_that_ends_during_the_upload_is_not_complete fails on the sources before with a complete 200 for 3 MB. With the change none of 32 uploads of 300 kB and 3 MB ends as complete (direct and forwarded, plain and as events, with the rest of the upload read or not).

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -51,6 +51,11 @@
 /// have come a probe interval before a silence began: a sound endpoint may be silent for two
 /// seconds, and its answer to the next probe takes another one.
 const ENDPOINT_UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(4_000);
+/// Bytes of a request to an endpoint that the kernel takes before it has sent the earlier ones.
+///
+/// The rest stays with the host, which so knows whether an answer ended before its request was
+/// sent. Without a limit, the kernel takes uploads of 3 MB at once.
+const MAX_UNSENT_BYTES: u32 = 64 * 1024;
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which the kernel closes a connection, where
@@ -126,6 +131,14 @@
         }
     }
 
+    /// Keeps output in the buffer of this socket until the kernel can send it.
+    fn limit_unsent(&self) {
+        let options = SockRef::from(&self.stream);
+        if let Err(error) = options.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+            tracing::debug!(%error, "could not set a socket option; unsent output counts as sent");
+        }
+    }
+
     /// Reads available bytes into the input buffer, until it has read more than `turn_limit`
     /// and others have their turn.
     pub fn fill(&mut self, turn_limit: ByteCount) -> ReadState {
@@ -448,6 +461,7 @@
     pub fn with_endpoint(mut self, endpoint: Option<CompactString>) -> Self {
         if endpoint.is_some() {
             self.socket.allow_silence();
+            self.socket.limit_unsent();
         }
         self.endpoint = endpoint;
         self
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -285,19 +285,25 @@
             return false;
         };
         let ResponseProgress::Body {
-            decoder, is_stale, ..
+            head,
+            decoder,
+            is_stale,
         } = &mut upstream.response_progress
         else {
             return false;
         };
         let is_stale = *is_stale;
+        let is_success = (200..300).contains(&head.status);
         let Ok(used) = decoder.decode(&upstream.socket.input, &mut content) else {
             self.upstream_broken(key, UpstreamError::Broken);
             return false;
         };
         upstream.socket.input.drain(..used);
-        let ends_with_connection =
-            matches!(decoder, BodyDecoder::UntilClose) && read_state == ReadState::Closed;
+        // The sender of a success has read the whole request. A failure may end it early.
+        let is_request_pending = upstream.socket.unwritten() > 0;
+        let ends_with_connection = matches!(decoder, BodyDecoder::UntilClose)
+            && read_state == ReadState::Closed
+            && !(is_success && is_request_pending);
         let is_done = decoder.is_done() || ends_with_connection;
         let exchange = upstream.exchange;
         if let Some(check) = upstream.start_check.as_mut().filter(|_| !is_stale) {
--- a/tests/gateway_early_answers.rs
+++ b/tests/gateway_early_answers.rs
@@ -82,6 +82,8 @@
     Close,
     /// Closes its own direction, and the other one later without reading further.
     Finish,
+    /// Closes its own direction, and reads the rest of the upload.
+    FinishAndRead,
 }
 
 /// What an endpoint does with a request.
@@ -241,6 +243,11 @@
             stream.shutdown(Shutdown::Write).ok()?;
             thread::sleep(HOLD_TIME);
         }
+        End::FinishAndRead => {
+            stream.shutdown(Shutdown::Write).ok()?;
+            thread::sleep(READ_TIME);
+            while stream.read(&mut buffer).ok()? > 0 {}
+        }
     }
     Some(())
 }
@@ -485,6 +492,44 @@
     assert_eq!(site.request_count(), 2);
 }
 
+/// Guards against an answer that ends in order, before the host has sent the whole request, and
+/// is taken for a complete success.
+#[test]
+fn answer_that_ends_during_the_upload_is_not_complete() {
+    for end in [End::Finish, End::FinishAndRead] {
+        for (path, content_type, body) in [
+            ("/book/1", TEXT, "found".to_owned()),
+            ("/draft/1", EVENTS, event_texts(0, 3)),
+        ] {
+            let script = Script::new(Part::None, end).with_body(content_type, body.as_bytes());
+            let other = script.clone();
+            let sites = [
+                Site::start(TRIES, move |_| script.clone()),
+                Site::start_forwarding(TRIES, move |_| other.clone()),
+            ];
+            for site in &sites {
+                for number in 0..TRIES {
+                    // What fits into buffers of the kernel counts as sent.
+                    let bytes = UPLOAD_BYTES[1 + number % 2];
+                    let request = upload(path, number, bytes);
+                    let response = request.send(site.caller_address());
+
+                    println!(
+                        "{path} {end:?} {bytes} bytes: {} {}",
+                        response.status, response.is_complete
+                    );
+                    assert!(
+                        !is_passed_on_as_complete(&response),
+                        "{path}: {}",
+                        response.head
+                    );
+                    assert_eq!(site.request_count(), number + 1);
+                }
+            }
+        }
+    }
+}
+
 /// Guards against answers that are withheld although they are complete: the request was sent
 /// completely, the answer states its length, or it is a failure that ends the upload early.
 #[test]
