Keep pauses of streams farther below the gap goal

Cause: with nine tenths of the goal as the limit, a change of an engine's speed takes the next pause beyond the goal before it is measured.

Change: the limit is 0.7 of the goal, single bursts count from 0.5 of it on, and prefill is held for half a second at most. The unit tests that name pauses follow the new shares (260 ms passes where 340 ms did, 240 ms for a burst where 330 ms was); the play asks for 1.3 times as many answers on time and 0.4 of the late gaps, where it asked for 1.2 and 0.8.

--- a/src/gateway/gap_goal.rs
+++ b/src/gateway/gap_goal.rs
@@ -8,17 +8,19 @@
 use super::endpoint::MAX_PREFILL_SHARE;
 
 /// Share of the goal that the longest pauses may take; the rest is for an engine that becomes
-/// slower between two measurements.
-const PAUSE_SHARE: f64 = 0.9;
+/// slower between two measurements. With 0.9, more than twice as many pauses exceed the goal where
+/// the speed of engines varies by a factor of two.
+const PAUSE_SHARE: f64 = 0.7;
 /// Share of the goal from which a single burst of prefill may exceed it.
-const ALERT_SHARE: f64 = 0.75;
+const ALERT_SHARE: f64 = 0.5;
 /// Share of its time that an engine may spend on prefill, however long its pauses are. One that is
 /// slow by itself would otherwise get no prompt, although a hold does not make it faster.
 const MIN_PREFILL_SHARE: f64 = 0.25;
-/// Time over which prefill is held back for pauses that are too long: that of the moving pace.
-const HORIZON_MS: f64 = 1_000.0;
+/// Time over which prefill is held back for pauses that are too long: that of a stream's next
+/// event.
+const HORIZON_MS: f64 = 500.0;
 /// Cost of a millisecond by which the pauses at an endpoint exceed [`ALERT_SHARE`] of the goal.
-/// At the goal it is that of prefilling a shared part of about 5,000 tokens again.
+/// At the goal it is more than that of prefilling a shared part of about 5,000 tokens again.
 const PAUSE_WEIGHT: f64 = 2.0;
 
 /// Longest pause between two events with which an answer is on time; positive.
--- a/tests/gateway_expected_work.rs
+++ b/tests/gateway_expected_work.rs
@@ -819,7 +819,7 @@
     };
 
     assert_eq!(placed(420), Placement::Wait);
-    assert!(matches!(placed(340), Placement::Send(_)));
+    assert!(matches!(placed(260), Placement::Send(_)));
 }
 
 /// Guards against a prompt that is held for the pauses of others until its own first event is late,
@@ -906,14 +906,14 @@
     assert!((350.0..500.0).contains(&pauses.long_ms), "{pauses:?}");
 }
 
-/// A prompt of 12,000 tokens takes 200 ms at an engine whose streams pause for 330 ms. Guards
+/// A prompt of 12,000 tokens takes 200 ms at an engine whose streams pause for 240 ms. Guards
 /// against a backlog that adds its prefill to the same pause.
 #[test]
 fn prompt_waits_until_its_prefill_fits_into_a_pause() {
     let goal = gap_goal().expect("a goal");
     let pauses = Pauses {
-        mean_ms: 180.0,
-        long_ms: 330.0,
+        mean_ms: 130.0,
+        long_ms: 240.0,
     };
     let limit_ms = |request_ms| {
         let prefill = PrefillState {
@@ -983,11 +983,11 @@
         let figures = format!("{seed}: {without:?}, {with:?}");
         assert_eq!(with.call_count, without.call_count);
         assert!(
-            with.on_time_count * 10 >= without.on_time_count * 12,
+            with.on_time_count * 10 >= without.on_time_count * 13,
             "{figures}"
         );
         assert!(
-            with.late_gap_count * 10 <= without.late_gap_count * 8,
+            with.late_gap_count * 10 <= without.late_gap_count * 4,
             "{figures}"
         );
         assert!(
