Frame a copy of an answer by the method of its own request

Cause: the body of an answer was left out if the latest request on the connection was HEAD. A further answer to an earlier POST was framed by that, and its body taken for the next head: 502, and the request had run.

Change: SentRequests records which attempts are HEAD requests, and an answer is framed by the attempt that it states. Without one, or with one that the connection has not carried, the latest request decides as before.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -33,6 +33,7 @@
         EndSign, //
     },
     head::{
+        Framing,
         RequestHead,
         ResponseHead, //
     },
@@ -40,6 +41,7 @@
     serve_starts::StartCheck,
     stream_origins::AttemptHash, //
 };
+use crate::platform::headers::decode_response_metadata;
 
 /// Time without an acknowledgement after which the kernel closes a connection.
 /// The round trip between regions is up to a fifth of a second, and a lost
@@ -382,8 +384,6 @@
     pub exchange: Option<usize>,
     /// Parsing progress of the response.
     pub response_progress: ResponseProgress,
-    /// The request method is HEAD, so the response has no body.
-    pub is_head_request: bool,
     /// Time at which the connection was opened or became idle.
     pub since_ms: u64,
     /// Time at which the latest request was sent.
@@ -430,7 +430,6 @@
             phase: UpstreamPhase::Connecting,
             exchange: None,
             response_progress: ResponseProgress::Head,
-            is_head_request: false,
             since_ms: now_ms,
             sent_ms: now_ms,
             sent: SentRequests::default(),
@@ -537,13 +536,24 @@
         (self.is_peer && answered.is_none()) || self.sent.pair(answered)
     }
 
+    /// Returns the head of a response with the framing that the method of its request implies.
+    pub fn frame_by_request(&self, head: ResponseHead) -> ResponseHead {
+        let attempt = decode_response_metadata(&head).attempt();
+        match self.sent.is_head(attempt) {
+            true => ResponseHead {
+                framing: Framing::Length(0),
+                ..head
+            },
+            false => head,
+        }
+    }
+
     /// Records that a request of an attempt is sent.
     pub fn begin_request(&mut self, attempt: Option<AttemptHash>, now_ms: u64) {
         self.sent.push(attempt);
         self.sent_ms = now_ms;
         self.response_progress = ResponseProgress::Head;
         self.interim_count = 0;
-        self.is_head_request = false;
         self.is_paused = false;
     }
 }
--- a/src/gateway/sent_requests.rs
+++ b/src/gateway/sent_requests.rs
@@ -14,6 +14,8 @@
 pub struct SentRequests {
     /// Attempts of the requests; none for a request without an id.
     attempts: Vec<Option<AttemptHash>>,
+    /// Those of them whose method is HEAD.
+    head_attempts: Vec<Option<AttemptHash>>,
     /// An answer came that did not state the attempt of the latest request.
     is_ambiguous: bool,
 }
@@ -35,6 +37,25 @@
         self.attempts.push(attempt);
     }
 
+    /// Records that the method of the latest request is HEAD.
+    pub fn record_head(&mut self) {
+        let latest = self.attempts.last().copied().flatten();
+        self.head_attempts.push(latest);
+    }
+
+    /// Returns whether an answer is to a HEAD request, so that it has no body; `answered` is the
+    /// attempt that it states.
+    ///
+    /// A further answer to an earlier request is framed by that one's method.
+    pub fn is_head(&self, answered: Option<AttemptHash>) -> bool {
+        let latest = self.attempts.last().copied().flatten();
+        let request = match self.attempts.contains(&answered) {
+            true => answered,
+            false => latest,
+        };
+        self.head_attempts.contains(&request)
+    }
+
     /// Returns the number of requests so far.
     pub fn count(&self) -> u32 {
         self.attempts.len() as u32
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -234,10 +234,12 @@
         let is_head_request = exchange.request.head.method == "HEAD";
         let connection = &mut self.upstreams[upstream];
         connection.begin_request(attempt, now_ms);
+        if is_head_request {
+            connection.sent.record_head();
+        }
         connection.exchange = Some(key);
         connection.has_carried_request = true;
         connection.is_peer = is_peer;
-        connection.is_head_request = is_head_request;
         connection.socket.queue(&bytes);
         if connection.phase == UpstreamPhase::Idle {
             connection.phase = UpstreamPhase::Busy;
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -206,7 +206,7 @@
                 return;
             }
             if let ResponseProgress::Head = upstream.response_progress {
-                let parsed = parse_response(&upstream.socket.input, upstream.is_head_request);
+                let parsed = parse_response(&upstream.socket.input, false);
                 match parsed {
                     Err(error) => {
                         tracing::debug!(address = %upstream.address, %error, "malformed response head; connection is closed");
@@ -230,6 +230,7 @@
                             }
                             continue;
                         }
+                        let head = upstream.frame_by_request(head);
                         self.begin_response(key, head);
                         continue;
                     }
