Forward requests where streams and memory have room

Cause: regions state the time to a first event alone, so requests are forwarded to where streams pause for too long or memory is full, and a region whose own streams fall behind holds requests while another one has room.

Change: where routes set gap_goal_ms, a new packet with the beacons for other regions states the mean pause, the free memory and the largest free memory at one endpoint, by service. It is the last variant of Packet, since ServiceLoad can gain no field. A region without room gets no request that an endpoint at home may serve; a held request goes to a region with room. Memory of forwarded requests is taken off until the next statement; after 2.5 s a statement is unknown, and so is that of the build before. Without any endpoint at home, a region without room is still better than a refusal. RemoteOffer gained a field, so serve_reach.rs and one test of gateway_decisions.rs name it.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -12,11 +12,17 @@
 //! In a burst, the largest prompts are the first that would be late. A caller that comes back
 //! after a refusal is therefore treated as if its prompt were a small one of its route.
 
+use std::cmp::Ordering;
+
 use compact_str::CompactString;
 
-use super::fleet::{
-    Choice,
-    LimitWait, //
+use super::{
+    fleet::{
+        Choice,
+        LimitWait, //
+    },
+    gap_goal::GapGoal,
+    service_room::ServiceRoom, //
 };
 use crate::types::Tokens;
 
@@ -40,6 +46,40 @@
     pub first_event_ms: f64,
     /// Cost, comparable to that of an endpoint of this region.
     pub cost_ms: f64,
+    /// Its room for streams.
+    pub room: RemoteRoom,
+}
+
+/// What a region states about its room for the streams of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RemoteRoom {
+    /// Nothing, or nothing lately.
+    Unknown,
+    /// Its streams keep the goal for pauses, and it has memory for the request.
+    Free,
+    /// Its streams pause for too long, or it has too little memory.
+    Full,
+}
+
+impl RemoteOffer {
+    /// Applies the room that the region states for a request that needs `needed_tokens` of memory.
+    pub fn with_room(self, goal: GapGoal, room: &ServiceRoom, needed_tokens: u64) -> Self {
+        Self {
+            cost_ms: self.cost_ms + goal.cost_ms(room.pauses()),
+            room: match room.fits(goal, needed_tokens) {
+                true => RemoteRoom::Free,
+                false => RemoteRoom::Full,
+            },
+            ..self
+        }
+    }
+
+    /// Orders offers, the best one first; regions without room come last.
+    pub fn compare(&self, other: &Self) -> Ordering {
+        let is_full = |offer: &Self| offer.room == RemoteRoom::Full;
+        let by_room = is_full(self).cmp(&is_full(other));
+        by_room.then_with(|| self.cost_ms.total_cmp(&other.cost_ms))
+    }
 }
 
 /// Inputs of the decision about a request.
@@ -154,16 +194,20 @@
     let is_late = local_ms > context.goal_left_ms;
     // A prompt that is held for the streams there keeps others waiting. Its caller learns at once
     // that it misses its goal, and can come back in time for a new one.
-    let is_held = context.local.as_ref().is_some_and(|choice| {
-        !choice.has_memory || (!choice.is_gap_goal_kept && !choice.has_room())
-    });
-    let is_kept_waiting = context.is_waiting && !is_held;
+    let is_kept_waiting = context.is_waiting && !is_held(&context);
     if is_past_deadline || (is_late && !is_kept_waiting && !context.has_run) {
         return refuse_for_overload(&context, local_ms);
     }
     Placement::Wait
 }
 
+/// Returns whether a request is held at this host for the streams at the endpoint, or for memory.
+fn is_held(context: &PlacementContext) -> bool {
+    context.local.as_ref().is_some_and(|choice| {
+        !choice.has_memory || (!choice.is_gap_goal_kept && !choice.has_room())
+    })
+}
+
 fn cheaper_remote(context: &PlacementContext, local_ms: Option<f64>) -> Option<RemoteOffer> {
     let offer = context.remote.clone()?;
     if offer.first_event_ms >= context.time_left_ms {
@@ -179,7 +223,13 @@
             let queue_cost_ms = context.queue_ms * QUEUE_WEIGHT;
             let is_cheaper = offer.cost_ms < local_cost_ms + queue_cost_ms;
             let is_in_time = context.has_run || offer.first_event_ms <= context.goal_left_ms;
-            (is_cheaper && is_in_time).then_some(offer)
+            let is_better = match offer.room {
+                RemoteRoom::Unknown => is_cheaper,
+                RemoteRoom::Free => is_cheaper || is_held(context),
+                // A stream that has begun goes on wherever it can.
+                RemoteRoom::Full => is_cheaper && context.has_run,
+            };
+            (is_better && is_in_time).then_some(offer)
         }
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -57,6 +57,7 @@
     prefill_mix::PrefillMix,
     request::RequestMetadata,
     request_rate::RequestRate,
+    service_room::ServiceRoom,
     software_version::SoftwareVersion,
     stated_slowness::SlownessEstimate,
     stored_versions::ServedVersions,
@@ -1219,6 +1220,38 @@
             .unwrap_or(0.0)
     }
 
+    /// Returns the room for streams of a service in this region; none if it has no engines or
+    /// no endpoint may be used.
+    pub fn room(&self, service: &Service, now_ms: u64) -> Option<ServiceRoom> {
+        let engine = service.engine?;
+        let memory_tokens = (engine.memory_tokens as f64 * PREEMPTION_MEMORY_SHARE) as u64;
+        let use_ms = self.mean_run_ms(service) * SHARED_USE_RUNS;
+        let no_prompt = RequestMetadata::default();
+        let (mut count, mut pause_ms) = (0.0, 0.0);
+        let (mut free_tokens, mut largest_free_tokens) = (0, 0);
+        for endpoint in self.usable(&service.name, now_ms) {
+            count += 1.0;
+            // An idle endpoint has no streams that pause.
+            if endpoint.load(now_ms) > 0.0
+                && let Some(pauses) = self.pauses_at(endpoint, now_ms)
+            {
+                pause_ms += pauses.long_ms;
+            }
+            let needed_tokens = endpoint.own_load.reserved_tokens
+                + endpoint.peer_load.reserved_tokens
+                + endpoint.shared_tokens_in_use(&no_prompt, use_ms, now_ms);
+            let free = memory_tokens.saturating_sub(needed_tokens);
+            free_tokens += free;
+            largest_free_tokens = free.max(largest_free_tokens);
+        }
+        (count > 0.0).then(|| ServiceRoom {
+            service: service.name.clone(),
+            pause_ms: (pause_ms / count) as u32,
+            free_tokens,
+            largest_free_tokens,
+        })
+    }
+
     /// Updates the mean paces of the services' endpoints.
     pub fn update_paces(&mut self, now_ms: u64) {
         let mut sums: BTreeMap<CompactString, (f64, f64, f64)> = BTreeMap::new();
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -30,6 +30,10 @@
         LeavingEndpoint,
         LoadUpdate, //
     },
+    service_room::{
+        RegionRoom,
+        ServiceRoom, //
+    },
     stream_origins::StreamOrigin, //
 };
 use crate::store_position::{
@@ -186,6 +190,15 @@
     forwarded_work_ms: f64,
 }
 
+/// Latest room for the streams of a service in another region.
+#[derive(Debug, Clone)]
+struct RemoteRoom {
+    received_ms: u64,
+    room: ServiceRoom,
+    /// Memory of the requests that this host forwarded since the room was received, in tokens.
+    forwarded_tokens: u64,
+}
+
 /// All hosts that this host knows, itself included.
 #[derive(Debug)]
 pub struct Hosts {
@@ -195,6 +208,8 @@
     peers: BTreeMap<CompactString, PeerState>,
     /// By region and service.
     remote_loads: BTreeMap<(CompactString, CompactString), RemoteLoad>,
+    /// By region and service.
+    remote_rooms: BTreeMap<(CompactString, CompactString), RemoteRoom>,
 }
 
 /// The hosts of this host's region, from its own view.
@@ -213,6 +228,7 @@
             is_store_reachable: false,
             peers: BTreeMap::new(),
             remote_loads: BTreeMap::new(),
+            remote_rooms: BTreeMap::new(),
         }
     }
 
@@ -370,6 +386,51 @@
         Some(f64::from(remote.load.backlog_ms) + sent_ms.max(0.0))
     }
 
+    /// Applies what another region states about its room for streams.
+    pub fn apply_region_room(&mut self, stated: RegionRoom, now_ms: u64) {
+        if stated.region == self.own.region {
+            return;
+        }
+        for room in stated.services {
+            let key = (stated.region.clone(), room.service.clone());
+            let remote_room = RemoteRoom {
+                received_ms: now_ms,
+                room,
+                forwarded_tokens: 0,
+            };
+            self.remote_rooms.insert(key, remote_room);
+        }
+    }
+
+    /// Returns the room for the streams of a service in another region, without the memory of
+    /// the requests that were forwarded since it was stated; none if it is unknown or too old.
+    ///
+    /// `sender_count` hosts of this region are assumed to forward as much as this one.
+    pub fn remote_room(
+        &self,
+        region: &str,
+        service: &str,
+        sender_count: usize,
+        now_ms: u64,
+    ) -> Option<ServiceRoom> {
+        let remote = self.remote_rooms.get(&(region.into(), service.into()))?;
+        if now_ms.saturating_sub(remote.received_ms) > MAX_REMOTE_LOAD_AGE_MS {
+            return None;
+        }
+        let forwarded_tokens = remote.forwarded_tokens * sender_count as u64;
+        Some(ServiceRoom {
+            free_tokens: remote.room.free_tokens.saturating_sub(forwarded_tokens),
+            ..remote.room.clone()
+        })
+    }
+
+    /// Records the memory that a request forwarded to another region needs there.
+    pub fn record_remote_memory(&mut self, region: &str, service: &str, tokens: u64) {
+        if let Some(remote) = self.remote_rooms.get_mut(&(region.into(), service.into())) {
+            remote.forwarded_tokens = remote.forwarded_tokens.saturating_add(tokens);
+        }
+    }
+
     /// Records a request forwarded to another region, which needs `work_ms` there.
     pub fn record_remote_work(&mut self, region: &str, service: &str, work_ms: f64) {
         if let Some(remote) = self.remote_loads.get_mut(&(region.into(), service.into())) {
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -37,6 +37,7 @@
     serve_crashes::CrashReports,
     serve_limits::LimitReports,
     serve_starts::StartReports,
+    service_room::RegionRoom,
     stream_origins::StreamOrigin, //
 };
 
@@ -85,6 +86,9 @@
     UsageSummary(UsageSummary),
     /// What a region used; sent by its relays to those of the other regions.
     RegionUsage(RegionUsage),
+    /// Room for streams in the sender's region; sent to other regions. The build before does not
+    /// read it.
+    RegionRoom(RegionRoom),
 }
 
 /// Changes of the load that a host places at endpoints.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 pub mod serve_starts;
 mod serve_streams;
 mod serve_upstream;
+pub mod service_room;
 pub mod settings;
 pub mod software_version;
 pub mod spread;
--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -164,6 +164,9 @@
         let work_ms = self.fleet.service_ms(&service, &request.metadata, now_ms);
         self.hosts
             .record_remote_work(&offer.region, &service.name, work_ms);
+        let needed_tokens = self.expected_memory(&self.exchanges[key]);
+        self.hosts
+            .record_remote_memory(&offer.region, &service.name, needed_tokens);
         self.fleet
             .record_remote_prompt(&offer.region, &request.metadata, now_ms);
         match offer.region == self.settings.host.region {
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -13,6 +13,7 @@
         Placement,
         PlacementContext,
         RemoteOffer,
+        RemoteRoom,
         place,
         returning_allowance_ms, //
     },
@@ -22,6 +23,7 @@
         Service, //
     },
     crash_records::Suspects,
+    endpoint::Work,
     events::EventSplitter,
     exchange::{
         CallerRequest,
@@ -394,7 +396,7 @@
             })
             .filter_map(|region| self.remote_offer(region, exchange, service, now_ms))
             .chain(self.neighbour_offer(exchange, service, now_ms))
-            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
+            .min_by(RemoteOffer::compare)
     }
 
     pub(super) fn remote_offer(
@@ -420,15 +422,37 @@
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms) as f64,
             ..EndpointQuery::new(service, &exchange.request.metadata, &self.region_view)
         };
-        Some(RemoteOffer {
+        let cost_ms = self
+            .fleet
+            .remote_cost(region, first_event_ms, &query, now_ms);
+        let offer = RemoteOffer {
             region: region.clone(),
             first_event_ms,
-            cost_ms: self
-                .fleet
-                .remote_cost(region, first_event_ms, &query, now_ms),
+            cost_ms,
+            room: RemoteRoom::Unknown,
+        };
+        let goal = service.engine.and(self.gap_goal(&service.name));
+        let room = self
+            .hosts
+            .remote_room(region, &service.name, sender_count, now_ms);
+        Some(match goal.zip(room) {
+            Some((goal, room)) => offer.with_room(goal, &room, self.expected_memory(exchange)),
+            None => offer,
         })
     }
 
+    /// Returns the memory that a request needs until it ends at an endpoint that has cached none
+    /// of its prompt, in tokens.
+    pub(super) fn expected_memory(&self, exchange: &Exchange) -> u64 {
+        let metadata = &exchange.request.metadata;
+        let hint = metadata.length_hint;
+        let output = self
+            .answer_lengths
+            .expected_tokens(&exchange.route.name, hint);
+        let work = Work::new(metadata, 0).with_expected_memory(metadata, output);
+        work.reserved_tokens + metadata.shared_tokens()
+    }
+
     /// Returns the live hosts of a region that reach endpoints, without the excluded ones.
     pub(super) fn reaching_hosts_in<'a>(
         &'a self,
--- a/src/gateway/serve_reach.rs
+++ b/src/gateway/serve_reach.rs
@@ -4,7 +4,10 @@
 use compact_str::CompactString;
 
 use super::{
-    admission::RemoteOffer,
+    admission::{
+        RemoteOffer,
+        RemoteRoom, //
+    },
     configuration::Service,
     endpoint::EndpointHash,
     endpoint_reach::ReachChange,
@@ -173,6 +176,7 @@
             ..EndpointQuery::new(service, metadata, &self.region_view)
         };
         Some(RemoteOffer {
+            room: RemoteRoom::Unknown,
             region: region.clone(),
             first_event_ms,
             cost_ms: self
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -27,6 +27,10 @@
     },
     reactor::Reactor,
     request::RequestMetadata,
+    service_room::{
+        RegionRoom,
+        ServiceRoom, //
+    },
     store_replica::{
         StoreReplica,
         Update, //
@@ -281,6 +285,9 @@
             if !peers.is_empty() {
                 let beacon = self.remote_beacon(now_ms);
                 self.send_packet(&Packet::Beacon(beacon), &peers);
+                if let Some(room) = self.region_room(now_ms) {
+                    self.send_packet(&Packet::RegionRoom(room), &peers);
+                }
             }
         }
     }
@@ -417,6 +424,22 @@
         beacon
     }
 
+    /// Returns the room for streams in this region, as other regions are told; none if no route
+    /// sets a goal for pauses.
+    fn region_room(&self, now_ms: u64) -> Option<RegionRoom> {
+        let is_cut_off = self.is_cut_off();
+        let configuration = self.configuration.as_ref().filter(|_| !is_cut_off)?;
+        let services = configuration.services.iter();
+        let paced = services.filter(|service| configuration.gap_goal(&service.name).is_some());
+        let rooms: Vec<ServiceRoom> = paced
+            .filter_map(|service| self.fleet.room(service, now_ms))
+            .collect();
+        (!rooms.is_empty()).then(|| RegionRoom {
+            region: self.settings.host.region.clone(),
+            services: rooms,
+        })
+    }
+
     /// Returns the load of a service in this region, as other regions are told.
     ///
     /// Endpoints with a limit are offered to them only if there is no other.
@@ -524,6 +547,7 @@
                     Ok(Packet::UsageReport(report)) => self.apply_usage_report(&report),
                     Ok(Packet::UsageSummary(summary)) => self.apply_usage_summary(&summary),
                     Ok(Packet::RegionUsage(sent)) => self.apply_region_usage(&sent),
+                    Ok(Packet::RegionRoom(sent)) => self.hosts.apply_region_room(sent, now_ms),
                     Err(error) => tracing::debug!(%error, "could not decode a packet"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -8,6 +8,7 @@
             Placement,
             PlacementContext,
             RemoteOffer,
+            RemoteRoom,
             place, //
         },
         bound::ColdBounds,
@@ -764,6 +765,7 @@
         region: "south".into(),
         first_event_ms: 300.0,
         cost_ms: 500.0,
+        room: RemoteRoom::Unknown,
     };
     let busy = PlacementContext {
         queue_ms: 900.0,
--- a/tests/gateway_expected_work.rs
+++ b/tests/gateway_expected_work.rs
@@ -5,13 +5,18 @@
 //! It keeps shared prompt parts while it has memory for them, and preempts a stream when it has
 //! none for the next token. How long a step takes changes several times a second.
 
-use std::collections::BTreeMap;
+use std::{
+    cmp::Ordering,
+    collections::BTreeMap, //
+};
 
 use cardamombridge::{
     gateway::{
         admission::{
             Placement,
             PlacementContext,
+            RemoteOffer,
+            RemoteRoom,
             place,
             returning_allowance_ms, //
         },
@@ -46,8 +51,15 @@
             PrefillState, //
         },
         head::parse_response,
-        hosts::RegionView,
-        load_updates::SentPrompt,
+        hosts::{
+            HostInfo,
+            Hosts,
+            RegionView, //
+        },
+        load_updates::{
+            Packet,
+            SentPrompt, //
+        },
         request::{
             EndpointLoad,
             PromptPart,
@@ -55,6 +67,10 @@
             SlownessPercent, //
         },
         request_sizes::RequestSizes,
+        service_room::{
+            RegionRoom,
+            ServiceRoom, //
+        },
         stated_slowness::StatedSlowness,
         stream_pace::PaceMeter, //
     },
@@ -1302,3 +1318,172 @@
     assert!(stated >= absent, "{figures}");
     assert!(opposite * 100 >= absent * 95, "{figures}");
 }
+
+fn room(pause_ms: u32, free_tokens: u64, largest_free_tokens: u64) -> ServiceRoom {
+    ServiceRoom {
+        service: "model".into(),
+        pause_ms,
+        free_tokens,
+        largest_free_tokens,
+    }
+}
+
+fn offer_with(room: &ServiceRoom) -> RemoteOffer {
+    let offer = RemoteOffer {
+        region: "south".into(),
+        first_event_ms: 400.0,
+        cost_ms: 500.0,
+        room: RemoteRoom::Unknown,
+    };
+    offer.with_room(gap_goal().expect("a goal"), room, 12_400)
+}
+
+/// A region is at its peak while another one is idle. Guards against forwards to a region whose
+/// streams are too slow or whose memory is full, though its time to the first event is short.
+#[test]
+fn region_without_room_gets_no_forwards() {
+    let fleet = fleet_with_pauses(1, &["e-0"], 420);
+    let is_forwarded = |room: &ServiceRoom| {
+        let placement = place(PlacementContext {
+            queue_ms: 900.0,
+            remote: Some(offer_with(room)),
+            ..context_at(&fleet, &long_prompt(), gap_goal())
+        });
+        matches!(placement, Placement::Forward(_))
+    };
+
+    assert!(is_forwarded(&room(120, 900_000, 200_000)));
+    assert!(!is_forwarded(&room(390, 900_000, 200_000)));
+    assert!(!is_forwarded(&room(120, 900_000, 12_000)));
+    assert!(!is_forwarded(&room(120, 12_000, 12_400)));
+}
+
+/// Guards against requests that are held for the streams of their region, which cost little there,
+/// while another region has room.
+#[test]
+fn held_request_moves_to_a_region_with_room() {
+    let paused = fleet_with_pauses(1, &["e-0"], 420);
+    let full = fleet_with_memory(1, "e-0", 382_000);
+    let free = fleet_with_pauses(1, &[], 0);
+    let placed = |fleet: &Fleet, remote: RemoteOffer| {
+        place(PlacementContext {
+            remote: Some(remote),
+            ..context_at(fleet, &long_prompt(), gap_goal())
+        })
+    };
+    let with_room = RemoteOffer {
+        cost_ms: 100_000.0,
+        ..offer_with(&room(120, 900_000, 200_000))
+    };
+    let unknown = RemoteOffer {
+        room: RemoteRoom::Unknown,
+        ..with_room.clone()
+    };
+
+    for held in [&paused, &full] {
+        let placement = placed(held, with_room.clone());
+        assert!(matches!(placement, Placement::Forward(_)), "{placement:?}");
+        assert_eq!(placed(held, unknown.clone()), Placement::Wait);
+    }
+    assert!(matches!(placed(&free, with_room), Placement::Send(_)));
+}
+
+/// The endpoints of a region are lost while the others are loaded. Guards against requests that are
+/// refused though another region could serve them with some long pauses.
+#[test]
+fn request_without_an_endpoint_goes_to_a_region_without_room() {
+    let lost = PlacementContext {
+        local: None,
+        remote: Some(offer_with(&room(390, 0, 0))),
+        ..placement_context()
+    };
+
+    let placement = place(lost);
+
+    assert!(matches!(placement, Placement::Forward(_)), "{placement:?}");
+}
+
+/// Guards against the cheaper one of two regions that has no room, while the other one has.
+#[test]
+fn region_with_room_is_preferred() {
+    let full = RemoteOffer {
+        cost_ms: 1.0,
+        ..offer_with(&room(390, 0, 0))
+    };
+    let free = offer_with(&room(120, 900_000, 200_000));
+
+    assert_eq!(free.compare(&full), Ordering::Less);
+}
+
+/// Several hosts forward to the region that stated room. Guards against all of them sending until
+/// the next statement, and against a statement that is too old.
+#[test]
+fn room_of_a_region_shrinks_with_forwards_and_lapses() {
+    let address = "10.0.0.1:80".parse().expect("an address");
+    let mut hosts = Hosts::new(HostInfo {
+        name: "host-0".into(),
+        region: "north".into(),
+        data_centre: "north-a".into(),
+        caller_address: address,
+        peer_address: address,
+        capacity: 1,
+    });
+    let stated = |region: &str| RegionRoom {
+        region: region.into(),
+        services: vec![room(120, 100_000, 50_000)],
+    };
+    hosts.apply_region_room(stated("south"), 1_000);
+    hosts.apply_region_room(stated("north"), 1_000);
+
+    hosts.record_remote_memory("south", "model", 12_000);
+
+    let free = |region: &str, now_ms| {
+        let known = hosts.remote_room(region, "model", 4, now_ms);
+        known.map(|room| room.free_tokens)
+    };
+    assert_eq!(free("south", 1_500), Some(52_000));
+    assert_eq!(free("south", 3_600), None);
+    assert_eq!(free("north", 1_500), None);
+}
+
+/// Guards against a region that states room by the latest streams of endpoints that are idle, or
+/// states memory that running requests will need.
+#[test]
+fn room_of_a_region_is_that_of_its_endpoints() {
+    let paused = fleet_with_pauses(2, &["e-0"], 400);
+    let idle = fleet_of(2);
+    let large = {
+        let mut fleet = fleet_of(2);
+        let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+        let work = Work {
+            uncached_tokens: 0,
+            reserved_tokens: 300_000,
+        };
+        endpoint.record_send(work, 1_000);
+        fleet
+    };
+
+    let room_of = |fleet: &Fleet| fleet.room(&model(), 1_000).expect("room");
+
+    assert_eq!(room_of(&paused).pause_ms, 250);
+    assert_eq!(room_of(&idle).pause_ms, 0);
+    assert_eq!(room_of(&idle).largest_free_tokens, 382_500);
+    assert_eq!(room_of(&large).free_tokens, 382_500 + 82_500);
+    assert_eq!(fleet_of(0).room(&model(), 1_000), None);
+}
+
+/// Guards against a packet that the build before takes for one that it knows: its variants keep
+/// their numbers, of which the last one is 9.
+#[test]
+fn room_travels_in_a_packet_of_its_own() {
+    let packet = Packet::RegionRoom(RegionRoom {
+        region: "south".into(),
+        services: vec![room(120, 900_000, 200_000)],
+    });
+
+    let bytes = postcard::to_allocvec(&packet).expect("it is encoded");
+    let read: Packet = postcard::from_bytes(&bytes).expect("it is decoded");
+
+    assert_eq!(bytes[0], 10);
+    assert_eq!(read, packet);
+}
