Keep the levels of regions together while an account is at its limit

Cause: relays corrected their levels only beyond one second of the rate.

Relays now correct 0.2% of the mean difference with each packet.

A second new test has 80 hosts that stall for up to 300 ms twice a second.

--- a/src/gateway/allotment.rs
+++ b/src/gateway/allotment.rs
@@ -24,18 +24,24 @@
 /// Shortest time after which a refused caller is asked to retry: that between a request and
 /// its confirmation by a relay.
 const MIN_RETRY_MS: f64 = 150.0;
-/// Time in which others use what this host does not know of: reports take up to 250 ms. With 300 ms,
-/// 13 of 306 refused callers were refused again, with 400 ms 2.
-const REPORT_LAG_MS: u64 = 400;
+/// Time in which others use, at the rate, what this host does not know of while something is left:
+/// reports take up to 250 ms, and hosts admit more than the rate then.
+const MAX_UNREPORTED_MS: u64 = 650;
+/// The same once nothing has been left for some time. With 200 ms, 6 of 300 refused callers were refused
+/// again.
+const MIN_UNREPORTED_MS: u64 = 350;
 /// Least burst, as a time at the rate: nothing could be admitted from a bucket that holds nothing.
 const MIN_BURST_S: f64 = 0.25;
 /// Longest time for which a bucket is refilled at once; after a longer one, the process was
 /// paused, and others have used what the account had.
 const MAX_REFILL_MS: u64 = 1_000;
-/// Difference of two replicas that late reports explain, as a time at the rate.
-const USUAL_DIFFERENCE_S: f64 = 1.0;
-/// Part of a larger difference of two replicas that is corrected with each packet.
-const CORRECTION: f64 = 0.05;
+/// Largest difference of two replicas that is averaged, as a time at the rate: one large request is not
+/// known to all relays at once.
+const MAX_DIFFERENCE_S: f64 = 1.0;
+/// Part of the mean difference from another relay that is corrected with each of its packets. What
+/// another region states does not include the latest use of this one, so its level seems higher: with
+/// 0.005 an account that is flooded used 1.01 of its rate.
+const CORRECTION: f64 = 0.002;
 /// Weight of a new request in the moving average of their cost.
 const COST_EWMA_WEIGHT: f64 = 0.1;
 
@@ -87,6 +93,8 @@
     /// Units that are left; negative while more was used than the allotment.
     level: f64,
     refilled_ms: u64,
+    /// Time at which something was last left.
+    positive_ms: u64,
     /// Own use that no relay has confirmed.
     unconfirmed: f64,
     own_demand: DecayingSum,
@@ -101,6 +109,7 @@
             allotment,
             level: 0.0,
             refilled_ms: now_ms,
+            positive_ms: 0,
             unconfirmed: 0.0,
             own_demand: DecayingSum::default(),
             all_demand: DecayingSum::default(),
@@ -133,6 +142,13 @@
         let share = view.reachable_share.clamp(0.0, 1.0);
         let refill = self.allotment.rate_per_s * share * passed_ms as f64 / 1_000.0;
         self.level = (self.level + refill).min(self.burst() * share);
+        self.note_positive(now_ms);
+    }
+
+    fn note_positive(&mut self, now_ms: u64) {
+        if self.level > 0.0 {
+            self.positive_ms = now_ms;
+        }
     }
 
     /// Decides about a request that costs `cost` units.
@@ -174,15 +190,17 @@
         wait_ms.clamp(MIN_RETRY_MS, f64::from(u32::MAX)).ceil() as u64
     }
 
-    /// Returns what other hosts have used that this one has not been told: over some seconds, what
-    /// they ask for, and at most the rate.
+    /// Returns what other hosts have used that this one has not been told: what they ask for, and
+    /// at most the rate, for a time that is shorter the longer nothing has been left.
     fn unreported(&self, view: &AllotmentView, now_ms: u64) -> f64 {
         if view.host_count <= 1 {
             return 0.0;
         }
         let others = self.all_demand.value(now_ms) - self.own_demand.value(now_ms);
         let per_s = others.clamp(0.0, self.allotment.rate_per_s);
-        per_s * REPORT_LAG_MS as f64 / 1_000.0
+        let empty_ms = now_ms.saturating_sub(self.positive_ms);
+        let unreported_ms = MAX_UNREPORTED_MS.saturating_sub(empty_ms);
+        per_s * unreported_ms.max(MIN_UNREPORTED_MS) as f64 / 1_000.0
     }
 
     fn record_demand(&mut self, cost: f64, now_ms: u64) {
@@ -225,6 +243,7 @@
     pub fn adopt(&mut self, level: f64, demand: f64, unconfirmed: f64, now_ms: u64) {
         self.level = (level - unconfirmed).min(self.burst());
         self.refilled_ms = now_ms;
+        self.note_positive(now_ms);
         self.set_unconfirmed(unconfirmed);
         let own = self.own_demand.value(now_ms);
         self.all_demand = DecayingSum {
@@ -233,16 +252,14 @@
         };
     }
 
-    /// Returns by how much the level that another relay states exceeds the own one beyond what late
-    /// reports explain; negative if it is lower.
-    pub fn excess_of(&self, level: f64) -> f64 {
-        let usual = USUAL_DIFFERENCE_S * self.allotment.rate_per_s;
-        let difference = level - self.level;
-        difference - difference.clamp(-usual, usual)
+    /// Returns the difference of the level that another relay states, within bounds.
+    pub fn difference(&self, level: f64) -> f64 {
+        let most = MAX_DIFFERENCE_S * self.allotment.rate_per_s;
+        (level - self.level).clamp(-most, most)
     }
 
-    /// Corrects a part of a lasting difference from another relay.
-    pub fn approach(&mut self, excess: f64) {
-        self.level = (self.level + CORRECTION * excess).min(self.burst());
+    /// Corrects a part of the mean difference from another relay.
+    pub fn approach(&mut self, mean_difference: f64) {
+        self.level = (self.level + CORRECTION * mean_difference).min(self.burst());
     }
 }
--- a/src/gateway/allotment_state.rs
+++ b/src/gateway/allotment_state.rs
@@ -51,8 +51,9 @@
 const JOIN_MS: u64 = 1_500;
 /// Time without a tick after which a host counts as one that was paused; several idle ticks.
 const PAUSE_MS: u64 = 750;
-/// Time for which levels of two relays differ before they are corrected: a report takes less.
-const DIFFERENCE_MS: u64 = 1_000;
+/// Weight of a new difference in the moving average of those from another relay, which sends up to
+/// 20 a second: levels swing within a second while an account is at its limit.
+const DIFFERENCE_EWMA_WEIGHT: f64 = 0.05;
 /// Time for which an attempt that comes again is not charged again.
 const ATTEMPT_LIFETIME_MS: u64 = 10_000;
 /// Attempts that are remembered before expired ones are dropped.
@@ -117,9 +118,8 @@
     /// Since when this host is a relay.
     relay_since_ms: Option<u64>,
     heard_relays: BTreeMap<CompactString, HeardRelay>,
-    /// Relays whose levels differ from the own ones beyond what late reports explain, and since
-    /// when.
-    differing: BTreeMap<(CompactString, AccountHash), u64>,
+    /// Mean differences of the levels of other relays from the own ones.
+    differences: BTreeMap<(CompactString, AccountHash), f64>,
     /// Time at which a relay was last followed.
     followed_ms: Option<u64>,
     /// Hosts in reach of the followed relay, and those that may be at work.
@@ -148,7 +148,7 @@
             other_relays: Vec::new(),
             relay_since_ms: None,
             heard_relays: BTreeMap::new(),
-            differing: BTreeMap::new(),
+            differences: BTreeMap::new(),
             followed_ms: None,
             reach: (1, 1),
             last_tick_ms: 0,
@@ -216,7 +216,7 @@
         self.relays = relays;
         self.other_relays = others;
         let (relays, others) = (&self.relays, &self.other_relays);
-        self.differing
+        self.differences
             .retain(|(relay, _), _| relays.contains(relay) || others.contains(relay));
     }
 
@@ -336,25 +336,20 @@
         if self.is_active_relay(now_ms) {
             for (account, level_milli) in &sent.levels {
                 let level = *level_milli as f64 / MILLI;
-                self.compare(&sent.sender.host, *account, level, now_ms);
+                self.compare(&sent.sender.host, *account, level);
             }
         }
     }
 
-    /// Corrects the own level if that of another relay differs for longer than reports take.
-    fn compare(&mut self, relay: &CompactString, account: AccountHash, level: f64, now_ms: u64) {
-        let Some(state) = self.accounts.get_mut(&account) else {
-            return;
-        };
-        let key = (relay.clone(), account);
-        let excess = state.bucket.excess_of(level);
-        if excess == 0.0 {
-            self.differing.remove(&key);
-            return;
-        }
-        let since_ms = *self.differing.entry(key).or_insert(now_ms);
-        if now_ms >= since_ms + DIFFERENCE_MS {
-            state.bucket.approach(excess);
+    /// Corrects the own level if that of another relay differs from it in the mean: a region whose
+    /// level is lower would be refused what the others use.
+    fn compare(&mut self, relay: &CompactString, account: AccountHash, level: f64) {
+        if let Some(state) = self.accounts.get_mut(&account) {
+            let difference = state.bucket.difference(level);
+            let mean = self.differences.entry((relay.clone(), account));
+            let mean = mean.or_default();
+            *mean += DIFFERENCE_EWMA_WEIGHT * (difference - *mean);
+            state.bucket.approach(*mean);
         }
     }
 
@@ -416,7 +411,7 @@
             let unconfirmed = usage.used.wrapping_sub(stated.confirmed) as f64;
             let level = stated.level_milli as f64 / MILLI;
             if is_active {
-                self.compare(&sender.host, *account, level - unconfirmed, now_ms);
+                self.compare(&sender.host, *account, level - unconfirmed);
             } else if let Some(state) = self.accounts.get_mut(account) {
                 let demand = stated.demand as f64;
                 state.bucket.adopt(level, demand, unconfirmed, now_ms);
--- a/tests/allotmentenv/mod.rs
+++ b/tests/allotmentenv/mod.rs
@@ -64,6 +64,7 @@
     started_ms: u64,
     next_tick_ms: u64,
     next_choice_ms: u64,
+    stalled_until_ms: u64,
     silent_since_ms: Option<u64>,
     inbox: VecDeque<Packet>,
 }
@@ -82,6 +83,8 @@
     pub now_ms: u64,
     pub asked: Vec<Asked>,
     pub loss: f64,
+    /// Longest time for which a host gets no processor, about twice a second.
+    pub stall_ms: u64,
     /// Region that is cut off, and since when.
     pub cut: Option<(&'static str, u64)>,
     account: Account,
@@ -111,6 +114,7 @@
                 started_ms: 0,
                 next_tick_ms: 0,
                 next_choice_ms: 0,
+                stalled_until_ms: 0,
                 silent_since_ms: None,
                 inbox: VecDeque::new(),
             }
@@ -120,6 +124,7 @@
             now_ms: 1_000,
             asked: Vec::new(),
             loss: 0.0,
+            stall_ms: 0,
             cut: None,
             account: account.clone(),
             queue: BTreeMap::new(),
@@ -210,6 +215,7 @@
             self.now_ms += 1;
             self.deliver();
             for host in 0..self.hosts.len() {
+                self.stall(host);
                 if !self.is_running(host) {
                     continue;
                 }
@@ -225,8 +231,16 @@
         }
     }
 
+    fn stall(&mut self, host: usize) {
+        if self.stall_ms > 0 && self.random.random::<f64>() < 0.002 {
+            let for_ms = self.random.random_range(0..self.stall_ms);
+            self.hosts[host].stalled_until_ms = self.now_ms + for_ms;
+        }
+    }
+
     fn is_running(&self, host: usize) -> bool {
-        self.hosts[host].is_up && !self.hosts[host].is_paused
+        let one = &self.hosts[host];
+        one.is_up && !one.is_paused && self.now_ms >= one.stalled_until_ms
     }
 
     fn is_cut(&self, one: usize, other: usize, for_ms: u64) -> bool {
--- a/tests/gateway_allotments.rs
+++ b/tests/gateway_allotments.rs
@@ -171,6 +171,50 @@
     }
 }
 
+/// Guards against hosts with a small part of a processor, which read and report late.
+#[test]
+fn hosts_that_stall_keep_to_the_allotment() {
+    let mut net = settled_with(80, 73);
+    net.stall_ms = 300;
+    net.run(20_000, load_of(0.8, 80, |_| true));
+    let calm = net.asked.clone();
+    let start_ms = net.now_ms;
+
+    let end_ms = flood(&mut net, 30_000);
+
+    let (refused, inevitable) = refused(&calm, 0, RATE, BURST);
+    println!("refused below the rate: {refused:.4}");
+    assert!(refused < inevitable + 0.01, "{refused} of all are refused");
+    assert_within(&net, 0, RATE, BURST);
+    assert_used(&net, start_ms + 2_000, end_ms, 0.9);
+}
+
+/// Guards against a region that gets nothing while others use all of the rate.
+#[test]
+fn every_region_gets_a_part_of_the_rate() {
+    for seed in 0..5 {
+        let mut net = settled(80 + seed);
+        // The replicas of a region whose hosts start later have another level at first.
+        flood(&mut net, 5_000);
+        let west: Vec<usize> = (0..HOSTS).filter(|host| host % 3 == 2).collect();
+        west.iter().for_each(|host| net.kill(*host));
+        flood(&mut net, 8_000);
+        west.iter().for_each(|host| net.start(*host));
+        flood(&mut net, 10_000);
+        let start_ms = net.now_ms;
+
+        flood(&mut net, 20_000);
+
+        for region in 0..3 {
+            let of_region = net.asked.iter().filter(|one| one.host % 3 == region);
+            let of_region: Vec<Asked> = of_region.copied().collect();
+            let used = admitted(&of_region, start_ms, net.now_ms) / 20.0 / RATE;
+            println!("seed {seed}: region {region} used {used:.3} of the rate");
+            assert!(used > 0.1, "region {region} used {used:.3} of the rate");
+        }
+    }
+}
+
 /// Guards against lost and overtaking reports that count twice or not at all.
 #[test]
 fn lost_packets_change_nothing() {
@@ -347,6 +391,10 @@
     net.cut = None;
     let end_ms = flood(&mut net, 20_000);
 
+    // Each side has the whole rate until it knows of the cut.
+    let at_first = most_in_window(&net.asked, 0) / (RATE * 8.0 + BURST);
+    println!("most in a window, also at first: {at_first:.3}");
+    assert!(at_first <= 1.5, "{at_first:.3} of the allotment");
     assert_within(&net, cut_ms + 2_000, RATE, BURST);
     assert_used(&net, cut_ms + 4_000, healed_ms, 0.9);
     assert_used(&net, healed_ms, healed_ms + 3_000, 0.9);
@@ -469,7 +517,7 @@
     excess_ms.sort_unstable();
     println!("{failed} of {all} are refused again; too long: {excess_ms:?} ms");
     assert_eq!(failed, 0);
-    // What others have used is allowed for with 0.4 seconds of the rate, so refused callers wait about that much longer.
+    // What others have used is allowed for with at least 0.35 seconds of the rate, so refused callers wait about that much longer.
     assert!(excess_ms[all / 2] < 500);
 }
 
