Charge idle endpoints for no pauses

Cause: an endpoint at which a host has no streams is taken to have the mean pauses of the service's others. An idle one was therefore charged for pauses that no stream there has, and its short prompts were held.

Change: the goal for pauses counts where requests run. The test of it fails without the change by reading; it was not run without.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1177,7 +1177,7 @@
             share_ahead: query.share_ahead,
             request_ms: slowness.factor * work.uncached_tokens as f64 * prefill_ms_per_token,
         };
-        let gap_goal = query.gap_goal.zip(pauses);
+        let gap_goal = self.paced(endpoint, query, now_ms);
         Choice {
             endpoint: endpoint.id.clone(),
             first_event_ms: backlog_ms + slowness.factor * request_ms,
@@ -1213,11 +1213,24 @@
         own.or_else(|| self.mean_paces.get(&endpoint.announcement.service).copied())
     }
 
+    /// Returns the goal for the pauses at an endpoint, with those pauses; none if no stream there
+    /// can pause, or if the pauses are not known.
+    fn paced(
+        &self,
+        endpoint: &Endpoint,
+        query: &EndpointQuery<'_>,
+        now_ms: u64,
+    ) -> Option<(GapGoal, Pauses)> {
+        let goal = query.gap_goal.filter(|_| query.service.engine.is_some())?;
+        let has_streams = endpoint.load(now_ms) > 0.0;
+        let pauses = self.pauses_at(endpoint, now_ms);
+        pauses.filter(|_| has_streams).map(|pauses| (goal, pauses))
+    }
+
     /// Returns the cost of a prompt to the streams at an endpoint whose pauses are near the goal.
     fn pause_cost(&self, endpoint: &Endpoint, query: &EndpointQuery<'_>, now_ms: u64) -> f64 {
-        let goal = query.gap_goal.filter(|_| query.service.engine.is_some());
-        goal.and_then(|goal| Some(goal.cost_ms(self.pauses_at(endpoint, now_ms)?)))
-            .unwrap_or(0.0)
+        let paced = self.paced(endpoint, query, now_ms);
+        paced.map_or(0.0, |(goal, pauses)| goal.cost_ms(pauses))
     }
 
     /// Returns the room for streams of a service in this region; none if it has no engines or
--- a/tests/gateway_expected_work.rs
+++ b/tests/gateway_expected_work.rs
@@ -561,10 +561,10 @@
         self.fleet.record_shared_parts(&call.metadata);
         let engine = self.engines.get_mut(&choice.endpoint).expect("the engine");
         let mut tokens = call.metadata.prompt_tokens.0;
-        if let Some(part) = call.part() {
-            if engine.parts.insert(part, now_ms).is_some() {
-                tokens -= PART_TOKENS;
-            }
+        if let Some(part) = call.part()
+            && engine.parts.insert(part, now_ms).is_some()
+        {
+            tokens -= PART_TOKENS;
         }
         engine.waiting.push((index, tokens));
         call.choice = Some((choice, now_ms));
@@ -824,6 +824,33 @@
     assert_eq!(without, Placement::Wait);
 }
 
+/// This host has streams at one endpoint alone, which pause for too long; the pauses at others are
+/// taken to be the same. Guards against an idle endpoint that is avoided, or whose short prompts
+/// are held, for pauses that no stream there has.
+#[test]
+fn idle_endpoint_has_no_pauses() {
+    let mut fleet = fleet_of(2);
+    let work = Work {
+        uncached_tokens: 0,
+        reserved_tokens: 1_000,
+    };
+    let endpoint = fleet.get_mut("e-0").expect("the endpoint");
+    endpoint.record_send(work, 1_000);
+    endpoint.record_first_event(work);
+    endpoint.pace.record(10, 10 * 500, 1_000);
+    fleet.update_paces(1_000);
+
+    let choice = |gap_goal| {
+        let context = context_at(&fleet, &short_prompt(), gap_goal);
+        context.local.expect("an endpoint")
+    };
+
+    let with_goal = choice(gap_goal());
+    assert_eq!(with_goal.endpoint, "e-1");
+    assert!(with_goal.is_gap_goal_kept);
+    assert_eq!(with_goal.cost_ms, choice(None).cost_ms);
+}
+
 /// Chat prompts arrive where the streams pause for too long already. Guards against short prompts
 /// that pass by the limit for pauses, and against ones that are held while the pauses are short.
 #[test]
