--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1194,7 +1194,7 @@
             share_ahead: query.share_ahead,
             request_ms: slowness.factor * work.uncached_tokens as f64 * prefill_ms_per_token,
         };
-        let gap_goal = self.paced(endpoint, query, now_ms);
+        let gap_goal = self.goal_and_pauses(endpoint, query, now_ms);
         Choice {
             endpoint: endpoint.id.clone(),
             first_event_ms: backlog_ms + slowness.factor * request_ms,
@@ -1232,7 +1232,7 @@
 
     /// Returns the goal for the pauses at an endpoint, with those pauses; none if no stream there
     /// can pause, or if the pauses are not known.
-    fn paced(
+    fn goal_and_pauses(
         &self,
         endpoint: &Endpoint,
         query: &EndpointQuery<'_>,
@@ -1246,7 +1246,7 @@
 
     /// Returns the cost of a prompt to the streams at an endpoint whose pauses are near the goal.
     fn pause_cost(&self, endpoint: &Endpoint, query: &EndpointQuery<'_>, now_ms: u64) -> f64 {
-        let paced = self.paced(endpoint, query, now_ms);
+        let paced = self.goal_and_pauses(endpoint, query, now_ms);
         paced.map_or(0.0, |(goal, pauses)| goal.cost_ms(pauses))
     }
 
