Compute once per moment what placements of a service share

Cause: each placement copied its service, sorted the names of all regions, and computed the mean load and the capacity of the endpoints again for each request ahead in the queue and for each region. Bounds were asked of all endpoints several times. Each read of an answer copied its head, and each run of the timers looked at all connections for late ones.

Change: mean load and capacity are kept for one moment, until an endpoint or a mean changes. Permits and the endpoints that a request is kept from are looked for among the bound ones. Known services are borrowed, other regions are sorted at the start, hosts are filtered by region first. A head is copied only until it is written. Connections are looked at when the first may be late.

--- a/src/gateway/endpoint_table.rs
+++ b/src/gateway/endpoint_table.rs
@@ -111,6 +111,8 @@
     /// Service and version under which it is listed.
     service: CompactString,
     software_version: SoftwareVersion,
+    /// Whether it is listed under these.
+    is_listed: bool,
     /// Latest round of host counts that was applied to it.
     room_round: u64,
 }
@@ -136,6 +138,8 @@
     room_ms: u64,
     room_round: u64,
     visit_count: Cell<u64>,
+    /// Number of times that an endpoint was changed, added or removed.
+    change_count: u64,
 }
 
 impl EndpointTable {
@@ -168,11 +172,13 @@
     /// Adds an endpoint, which replaces one with the same id.
     pub fn insert(&mut self, endpoint: Endpoint) {
         self.remove(&endpoint.id.clone());
+        self.change_count += 1;
         let id = endpoint.id.clone();
         let entry = Entry {
             concerns: 0,
             service: endpoint.announcement.service.clone(),
             software_version: endpoint.announcement.software_version.clone(),
+            is_listed: false,
             room_round: self.room_round,
             endpoint,
         };
@@ -188,6 +194,7 @@
     pub fn remove(&mut self, id: &str) -> Option<Endpoint> {
         let key = *self.ids.get(id)?;
         self.settle();
+        self.change_count += 1;
         self.unlist_announcement(key);
         self.ids.remove(id);
         let entry = self.entries.remove(key);
@@ -303,6 +310,7 @@
         for key in &keys {
             self.apply_host_count(*key);
         }
+        self.change_count += 1;
         self.host_count = host_count;
         self.room_ms = now_ms;
         self.room_round += 1;
@@ -339,6 +347,11 @@
         self.visit_count.get()
     }
 
+    /// Returns a number that is another one after each change of an endpoint.
+    pub fn change_count(&self) -> u64 {
+        self.change_count
+    }
+
     fn count_visits(&self, count: u64) {
         self.visit_count.set(self.visit_count.get() + count);
     }
@@ -362,6 +375,7 @@
             self.touched = Some(key);
         }
         self.apply_host_count(key);
+        self.change_count += 1;
         self.count_visits(1);
         &mut self.entries[key].endpoint
     }
@@ -395,12 +409,12 @@
         let announcement = &entry.endpoint.announcement;
         let is_same = entry.service == announcement.service
             && entry.software_version == announcement.software_version;
-        let members = self.members_of(key);
-        if is_same && members.is_some_and(|members| members.contains_key(&entry.endpoint.id)) {
+        if entry.is_listed && is_same {
             return false;
         }
         self.unlist_announcement(key);
         let entry = &mut self.entries[key];
+        entry.is_listed = true;
         let endpoint = &entry.endpoint;
         entry.service = endpoint.announcement.service.clone();
         entry.software_version = endpoint.announcement.software_version.clone();
@@ -412,19 +426,15 @@
         true
     }
 
-    fn members_of(&self, key: usize) -> Option<&Members> {
-        let entry = &self.entries[key];
-        let regions = self.groups.get(&entry.service)?;
-        regions.get(&entry.endpoint.region)
-    }
-
     fn unlist_announcement(&mut self, key: usize) {
-        let entry = &self.entries[key];
-        let id = &entry.endpoint.id;
+        let entry = &mut self.entries[key];
+        if !std::mem::take(&mut entry.is_listed) {
+            return;
+        }
         let regions = self.groups.get_mut(&entry.service);
         let members = regions.and_then(|regions| regions.get_mut(&entry.endpoint.region));
-        if members.and_then(|members| members.remove(id)).is_none() {
-            return;
+        if let Some(members) = members {
+            members.remove(&entry.endpoint.id);
         }
         let Some(versions) = self.versions.get_mut(&entry.service) else {
             return;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,6 +7,7 @@
 //! next request to another one, even if the part has to be prefilled again there.
 
 use std::{
+    cell::RefCell,
     collections::{
         BTreeMap,
         BTreeSet,
@@ -318,6 +319,14 @@
     STREAM_TIME_WEIGHT * stream_ms + OVERRUN_WEIGHT * overrun_ms.max(0.0)
 }
 
+/// Returns whether a request may be sent to a usable endpoint of its service, regardless of
+/// bounds.
+fn is_candidate(endpoint: &Endpoint, query: &EndpointQuery<'_>) -> bool {
+    let version = &endpoint.announcement.software_version;
+    let is_bound_to = |bound| bound == version && endpoint.is_start_known();
+    !query.excluded.contains(&endpoint.id) && query.software_version.is_none_or(is_bound_to)
+}
+
 /// Returns the tokens that an endpoint is expected to have cached: the known ones
 /// or, at the endpoint that all hosts prefer, those that they probably sent there.
 fn expected_cached(known: u64, metadata: &RequestMetadata, is_preferred: bool) -> u64 {
@@ -327,6 +336,23 @@
     known.max((metadata.shared_tokens() as f64 * PREFERRED_CACHED_SHARE) as u64)
 }
 
+/// What is the same for all requests of a service at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mean {
+    /// Mean load of the usable endpoints.
+    Load,
+    /// Usable endpoints, bound ones as the part of one that they can serve.
+    Capacity,
+}
+
+/// Values that were computed at one moment, for as long as nothing changes.
+#[derive(Debug, Default)]
+struct Memo {
+    change_count: u64,
+    now_ms: u64,
+    values: Vec<(Mean, CompactString, f64)>,
+}
+
 /// All endpoints that this host knows.
 #[derive(Debug)]
 pub struct Fleet {
@@ -356,6 +382,7 @@
     former_versions: BTreeMap<(CompactString, SoftwareVersion), u64>,
     /// This host reaches endpoints.
     is_reached: bool,
+    memo: RefCell<Memo>,
 }
 
 impl Fleet {
@@ -383,11 +410,13 @@
             former_endpoints: BTreeMap::new(),
             former_versions: BTreeMap::new(),
             is_reached: true,
+            memo: RefCell::default(),
         }
     }
 
     /// Applies the operators' configuration of services.
     pub fn configure(&mut self, configuration: &Configuration) {
+        self.forget_memo();
         let services = configuration.services.iter();
         let rates =
             services.filter_map(|service| Some((service.name.clone(), self.cold.rate(service)?)));
@@ -737,11 +766,15 @@
     /// Returns the time until the first endpoint of `service` in this region wants
     /// requests from this host again; none if there is another one, or none at all.
     pub fn unwanted_for_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
-        let until_ms = self
-            .staying(service, now_ms)
-            .map(|endpoint| endpoint.statements.unwanted_until_ms)
-            .min()?;
-        (until_ms > now_ms).then(|| until_ms - now_ms)
+        let mut first_ms: Option<u64> = None;
+        for endpoint in self.staying(service, now_ms) {
+            let until_ms = endpoint.statements.unwanted_until_ms;
+            if until_ms <= now_ms {
+                return None;
+            }
+            first_ms = Some(first_ms.map_or(until_ms, |known_ms| known_ms.min(until_ms)));
+        }
+        first_ms.map(|until_ms| until_ms - now_ms)
     }
 
     /// Stops or resumes the use of a data centre's endpoints; returns the number of those that
@@ -756,6 +789,7 @@
         configuration: &Configuration,
         now_ms: u64,
     ) -> usize {
+        self.forget_memo();
         if is_evacuated {
             self.evacuated.insert(data_centre.into());
             return 0;
@@ -776,6 +810,7 @@
 
     /// Sets whether this host reaches endpoints; without, none may be used.
     pub fn set_reached(&mut self, is_reached: bool) {
+        self.forget_memo();
         self.is_reached = is_reached;
     }
 
@@ -889,6 +924,7 @@
 
     /// Records how long a request of a service ran.
     pub fn record_run_time(&mut self, service: &str, run_ms: f64) {
+        self.forget_memo();
         let known = self.mean_run_ms.entry(service.into()).or_insert(run_ms);
         *known += RUN_EWMA_WEIGHT * (run_ms - *known);
     }
@@ -903,6 +939,7 @@
         if !is_significant {
             return;
         }
+        self.forget_memo();
         let observed = ((actual_ms - FIRST_EVENT_MS) / tokens).clamp(
             INITIAL_PREFILL_MS_PER_TOKEN / 20.0,
             INITIAL_PREFILL_MS_PER_TOKEN * 20.0,
@@ -951,21 +988,30 @@
         now_ms: u64,
     ) -> impl Iterator<Item = &'a Endpoint> {
         self.usable(&query.service.name, now_ms)
-            .filter(|endpoint| !query.excluded.contains(&endpoint.id))
-            .filter(|endpoint| {
-                let version = &endpoint.announcement.software_version;
-                let is_bound_to = |bound| bound == version && endpoint.is_start_known();
-                query.software_version.is_none_or(is_bound_to)
-            })
+            .filter(|endpoint| is_candidate(endpoint, query))
+    }
+
+    /// Returns the bound ones of the endpoints of `service` in this region that may be used.
+    fn bound_usable<'a>(
+        &'a self,
+        service: &'a str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&'a Endpoint, Bound)> + 'a {
+        let bounded = self.bounded(now_ms);
+        bounded.filter(move |(endpoint, _)| {
+            endpoint.announcement.service == service
+                && self.is_reached
+                && endpoint.is_usable(now_ms)
+        })
     }
 
     /// Returns whether this host holds more permits for a service than the waiting requests
     /// that come first will use.
     fn has_unclaimed_permit(&self, query: &EndpointQuery<'_>, now_ms: u64) -> bool {
-        let bounded = self
-            .usable(&query.service.name, now_ms)
-            .filter(|endpoint| endpoint.bound(now_ms).is_some());
-        let held: usize = bounded.map(|endpoint| endpoint.permits.count(now_ms)).sum();
+        let bounded = self.bound_usable(&query.service.name, now_ms);
+        let held: usize = bounded
+            .map(|(endpoint, _)| endpoint.permits.count(now_ms))
+            .sum();
         held > query.waiting_ahead
     }
 
@@ -996,9 +1042,9 @@
     /// Returns an endpoint that a request may not be sent to because of its bound.
     pub fn kept_from(&self, query: &EndpointQuery<'_>, now_ms: u64) -> Option<KeptFrom> {
         let has_permit = self.has_unclaimed_permit(query, now_ms);
-        let mut candidates = self.candidates(query, now_ms);
-        candidates.find_map(|endpoint| {
-            let bound = endpoint.bound(now_ms)?;
+        let bounded = self.bound_usable(&query.service.name, now_ms);
+        let mut candidates = bounded.filter(|(endpoint, _)| is_candidate(endpoint, query));
+        candidates.find_map(|(endpoint, bound)| {
             let is_kept = !has_permit || !endpoint.is_permitted(now_ms);
             is_kept.then(|| KeptFrom {
                 endpoint: endpoint.id.clone(),
@@ -1014,15 +1060,48 @@
     /// Returns the usable endpoints of a service, bound ones as the part of one that they can
     /// serve.
     pub fn capacity(&self, service: &Service, now_ms: u64) -> f64 {
-        let one_ms = self.service_ms(service, &RequestMetadata::default(), now_ms);
-        self.usable(&service.name, now_ms)
-            .map(|endpoint| match endpoint.bound(now_ms) {
-                Some(bound) => bound
-                    .rate()
-                    .map_or(1.0, |rate| (rate.per_s() * one_ms / 1_000.0).min(1.0)),
-                None => 1.0,
-            })
-            .sum()
+        self.memoised(Mean::Capacity, &service.name, now_ms, || {
+            let one_ms = self.service_ms(service, &RequestMetadata::default(), now_ms);
+            self.usable(&service.name, now_ms)
+                .map(|endpoint| match endpoint.bound(now_ms) {
+                    Some(bound) => bound
+                        .rate()
+                        .map_or(1.0, |rate| (rate.per_s() * one_ms / 1_000.0).min(1.0)),
+                    None => 1.0,
+                })
+                .sum()
+        })
+    }
+
+    /// Returns a value of a service, which is computed once for each moment and state.
+    ///
+    /// The requests that wait are placed at the same moment, and each of them needs it for all
+    /// those ahead of it and for each region.
+    fn memoised<F>(&self, mean: Mean, service: &str, now_ms: u64, compute: F) -> f64
+    where
+        F: FnOnce() -> f64,
+    {
+        let change_count = self.endpoints.change_count();
+        let mut memo = self.memo.borrow_mut();
+        if memo.change_count != change_count || memo.now_ms != now_ms {
+            memo.change_count = change_count;
+            memo.now_ms = now_ms;
+            memo.values.clear();
+        }
+        let mut values = memo.values.iter();
+        let known = values.find(|(known, name, _)| *known == mean && name == service);
+        if let Some((_, _, value)) = known {
+            return *value;
+        }
+        drop(memo);
+        let value = compute();
+        let mut memo = self.memo.borrow_mut();
+        memo.values.push((mean, service.into(), value));
+        value
+    }
+
+    fn forget_memo(&mut self) {
+        self.memo.get_mut().values.clear();
     }
 
     /// Returns the cost of a choice in milliseconds.
@@ -1311,13 +1390,16 @@
 
     /// Returns the time to prefill a prompt token at an endpoint with the mean load.
     pub fn mean_prefill_ms_per_token(&self, service: &Service, now_ms: u64) -> f64 {
-        let mut count = 0.0;
-        let mut load = 0.0;
-        for endpoint in self.usable(&service.name, now_ms) {
-            count += 1.0;
-            load += endpoint.load(now_ms);
-        }
-        self.prefill_ms_per_token(service, load / f64::max(count, 1.0))
+        let load = self.memoised(Mean::Load, &service.name, now_ms, || {
+            let mut count = 0.0;
+            let mut load = 0.0;
+            for endpoint in self.usable(&service.name, now_ms) {
+                count += 1.0;
+                load += endpoint.load(now_ms);
+            }
+            load / f64::max(count, 1.0)
+        });
+        self.prefill_ms_per_token(service, load)
     }
 
     /// Returns the time that an endpoint spends on a request before it can begin
--- a/src/gateway/hosts.rs
+++ b/src/gateway/hosts.rs
@@ -385,6 +385,18 @@
             .map(|peer| &peer.info)
     }
 
+    /// Returns the live hosts of a region other than this one.
+    pub fn live_in<'a>(
+        &'a self,
+        region: &'a str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a HostInfo> + 'a {
+        self.peers
+            .values()
+            .filter(move |peer| peer.info.region == region && self.is_live(peer, now_ms))
+            .map(|peer| &peer.info)
+    }
+
     /// Returns the other hosts of this region that run: the live ones, and those that are
     /// leaving and still answer queries for the directory.
     pub fn running_in_region(&self, now_ms: u64) -> impl Iterator<Item = &HostInfo> {
@@ -408,9 +420,8 @@
 
     /// Returns the live hosts of this region.
     pub fn region_view(&self, now_ms: u64) -> RegionView {
-        let live = self.live(now_ms);
         RegionView {
-            host_count: 1 + live.filter(|host| host.region == self.own.region).count(),
+            host_count: 1 + self.live_in(&self.own.region, now_ms).count(),
         }
     }
 
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -91,6 +91,7 @@
     serve_reach::UnreachedEndpoint,
     serve_starts::StartChecks,
     serve_streams::VersionSearch,
+    serve_upstream::CONNECT_LIMIT_MS,
     settings::GatewaySettings,
     store_replica::{
         StoreReplica,
@@ -161,6 +162,8 @@
     pub(super) answer_lengths: AnswerLengths,
     pub(super) answer_times: AnswerTimes,
     pub(super) random: Pcg64Mcg,
+    /// Regions other than this host's, in order.
+    pub(super) other_regions: Vec<CompactString>,
     /// Moving average of the round trip to each other region.
     pub(super) round_trip_ms: BTreeMap<CompactString, f64>,
     pub(super) started: Instant,
@@ -211,6 +214,8 @@
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
     next_rescan_ms: u64,
+    /// Earliest time at which a connection may not have been established in time.
+    pub(super) next_connecting_check_ms: u64,
     latest_poll_ms: u64,
     /// Time of the poll before the latest one; events that are handled came after it.
     pub(super) earlier_poll_ms: u64,
@@ -259,6 +264,10 @@
             .duration_since(std::time::UNIX_EPOCH)
             .unwrap_or_default()
             .as_millis() as u64;
+        let mut other_regions: Vec<CompactString> = settings.regions.values().cloned().collect();
+        other_regions.sort_unstable();
+        other_regions.dedup();
+        other_regions.retain(|region| *region != settings.host.region);
         let seed = xxhash_rust::xxh3::xxh3_64(settings.host.name.as_bytes()) ^ instance_started_ms;
         Ok(Self {
             poll,
@@ -272,6 +281,7 @@
             unread_inbound: Vec::new(),
             unread_upstreams: Vec::new(),
             waiting: Vec::new(),
+            other_regions,
             hosts: Hosts::new(settings.host.clone()),
             region_view: RegionView::default(),
             retry_budget: RetryBudget::new(settings.retry),
@@ -322,6 +332,7 @@
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
             next_rescan_ms: 0,
+            next_connecting_check_ms: u64::MAX,
             latest_poll_ms: 0,
             earlier_poll_ms: 0,
         })
@@ -484,6 +495,8 @@
         let key = self
             .upstreams
             .insert(connection.with_endpoint(endpoint.cloned()));
+        let check_ms = now_ms + CONNECT_LIMIT_MS;
+        self.next_connecting_check_ms = self.next_connecting_check_ms.min(check_ms);
         let token = Token(FIRST_CONNECTION + key * 2 + 1);
         if !register(&self.poll, &mut self.upstreams[key].socket.stream, token) {
             self.upstreams.remove(key);
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -3,7 +3,10 @@
 //! [`place`] makes the decision; this module gathers its inputs and carries out
 //! the result.
 
-use std::rc::Rc;
+use std::{
+    borrow::Cow,
+    rc::Rc, //
+};
 
 use compact_str::CompactString;
 
@@ -137,7 +140,7 @@
         prompt: Tokens,
         now_ms: u64,
     ) -> u64 {
-        let service = self.service(&route.service);
+        let service = self.known_service(&route.service);
         let prefill_ms = self.fleet.mean_prefill_ms_per_token(&service, now_ms);
         returning_allowance_ms(prompt, size.usual_prompt, prefill_ms, route.timeout_ms)
     }
@@ -205,7 +208,7 @@
     ) -> Option<PlacementContext> {
         let exchange = self.exchanges.get(key)?;
         let route = &exchange.route;
-        let service = self.service(&route.service);
+        let service = self.known_service(&route.service);
         let is_home = route.allows_region(&self.settings.host.region);
         let goal_left_ms = exchange.goal_at_ms.saturating_sub(now_ms) as f64;
         let time_left_ms = exchange.deadline_ms.saturating_sub(now_ms) as f64;
@@ -294,17 +297,27 @@
 
     /// Returns the service with this name, or one with default parameters.
     pub(super) fn service(&self, name: &str) -> Service {
+        self.known_service(name).into_owned()
+    }
+
+    /// Like [`Self::service`], without a copy of a known one.
+    fn known_service(&self, name: &str) -> Cow<'_, Service> {
         let known = self
             .configuration
             .as_ref()
             .and_then(|known| known.service(name));
-        known.cloned().unwrap_or_else(|| Service {
-            name: name.into(),
-            health_path: None,
-            cold_ms: 0,
-            cold_per_s: 0.0,
-            engine: None,
-        })
+        known.map_or_else(
+            || {
+                Cow::Owned(Service {
+                    name: name.into(),
+                    health_path: None,
+                    cold_ms: 0,
+                    cold_per_s: 0.0,
+                    engine: None,
+                })
+            },
+            Cow::Borrowed,
+        )
     }
 
     /// Returns the predicted time that the queue ahead of `key` takes, or the
@@ -365,13 +378,9 @@
         if exchange.is_forwarded {
             return None;
         }
-        let own_region = &self.settings.host.region;
-        let mut regions: Vec<&CompactString> = self.settings.regions.values().collect();
-        regions.sort_unstable();
-        regions.dedup();
-        regions
-            .into_iter()
-            .filter(|region| *region != own_region && exchange.route.allows_region(region))
+        self.other_regions
+            .iter()
+            .filter(|region| exchange.route.allows_region(region))
             .filter(|region| !exchange.excluded_regions.contains(region))
             .filter(|region| !exchange.is_in_region(region))
             .filter(|region| self.serves_version_of(exchange, region, now_ms))
@@ -426,15 +435,14 @@
         now_ms: u64,
     ) -> impl Iterator<Item = &'a HostInfo> {
         self.hosts
-            .live(now_ms)
-            .filter(move |host| host.region == region && !excluded.contains(&host.name))
+            .live_in(region, now_ms)
+            .filter(move |host| !excluded.contains(&host.name))
             .filter(move |host| !self.hosts.is_cut_off(&host.name, now_ms))
     }
 
     /// Returns a random live host of a region.
     pub(super) fn random_host(&mut self, region: &str, now_ms: u64) -> Option<HostInfo> {
-        let live = self.hosts.live(now_ms);
-        let hosts = live.filter(|host| host.region == region).cloned().collect();
+        let hosts = self.hosts.live_in(region, now_ms).cloned().collect();
         self.random_of(hosts)
     }
 
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -170,11 +170,13 @@
         if complete_events.is_empty() {
             return true;
         }
-        let head = head.clone();
+        let unwritten_head = (!exchange.has_response_begun).then(|| head.clone());
         self.record_first_event(key, now_ms);
         self.record_events(key, event_count, now_ms);
         self.record_origin(key, now_ms);
-        self.write_head_once(key, &head);
+        if let Some(head) = unwritten_head {
+            self.write_head_once(key, &head);
+        }
         self.write_body_chunk(key, &complete_events);
         true
     }
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -554,6 +554,9 @@
 
     /// Closes connections that were not established within the connect timeout.
     pub(super) fn check_connecting(&mut self, now_ms: u64) {
+        if now_ms < self.next_connecting_check_ms {
+            return;
+        }
         let late: Vec<usize> = self
             .upstreams
             .iter()
@@ -571,6 +574,12 @@
         for key in late {
             self.upstream_broken(key, UpstreamError::Unreachable);
         }
+        let connecting = self.upstreams.iter();
+        let connecting =
+            connecting.filter(|(_, upstream)| upstream.phase == UpstreamPhase::Connecting);
+        // Connections to hosts of other regions are looked at before their limit.
+        let due_ms = connecting.map(|(_, upstream)| upstream.since_ms + CONNECT_LIMIT_MS);
+        self.next_connecting_check_ms = due_ms.min().unwrap_or(u64::MAX);
     }
 }
 
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -5,8 +5,6 @@
     time::Instant, //
 };
 
-use compact_str::CompactString;
-
 use super::{
     configuration::{
         Configuration,
@@ -288,17 +286,13 @@
     /// Returns the peer addresses of the other live hosts of a region.
     pub(super) fn peers_in(&self, region: &str, now_ms: u64) -> Vec<std::net::SocketAddr> {
         self.hosts
-            .live(now_ms)
-            .filter(|host| host.region == region)
+            .live_in(region, now_ms)
             .map(|host| host.peer_address)
             .collect()
     }
 
     pub(super) fn one_host_of_each_region(&mut self, now_ms: u64) -> Vec<std::net::SocketAddr> {
-        let mut regions: Vec<CompactString> = self.settings.regions.values().cloned().collect();
-        regions.sort_unstable();
-        regions.dedup();
-        regions.retain(|region| *region != self.settings.host.region);
+        let regions = self.other_regions.clone();
         regions
             .iter()
             .filter_map(|region| self.random_host(region, now_ms))
--- a/src/gateway/stream_pace.rs
+++ b/src/gateway/stream_pace.rs
@@ -70,6 +70,10 @@
 
     /// Returns the moving pace; none if there were no events lately.
     pub fn pace(&self, now_ms: u64) -> Option<Pace> {
+        // The count only decays.
+        if self.event_count < MIN_EVENTS {
+            return None;
+        }
         let recent = self.event_count * self.kept_share(now_ms);
         (recent >= MIN_EVENTS).then_some(Pace(self.waited_ms / self.event_count))
     }
