--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -91,7 +91,10 @@
     serve_reach::UnreachedEndpoint,
     serve_starts::StartChecks,
     serve_streams::VersionSearch,
-    serve_upstream::UpstreamError,
+    serve_upstream::{
+        CONNECT_LIMIT_MS,
+        UpstreamError, //
+    },
     settings::GatewaySettings,
     store_replica::{
         StoreReplica,
@@ -162,6 +165,8 @@
     pub(super) answer_lengths: AnswerLengths,
     pub(super) answer_times: AnswerTimes,
     pub(super) random: Pcg64Mcg,
+    /// Regions other than this host's, in order.
+    pub(super) other_regions: Vec<CompactString>,
     /// Moving average of the round trip to each other region.
     pub(super) round_trip_ms: BTreeMap<CompactString, f64>,
     pub(super) started: Instant,
@@ -213,6 +218,8 @@
     host_count: Arc<AtomicU64>,
     next_sweep_ms: u64,
     next_rescan_ms: u64,
+    /// Earliest time at which a connection may not have been established in time.
+    pub(super) next_connecting_check_ms: u64,
     latest_poll_ms: u64,
     /// Time of the poll before the latest one; events that are handled came after it.
     pub(super) earlier_poll_ms: u64,
@@ -262,6 +269,10 @@
             .unwrap_or_default()
             .as_millis() as u64;
         let allotments = AllotmentState::new(settings.host.clone(), instance_started_ms);
+        let mut other_regions: Vec<CompactString> = settings.regions.values().cloned().collect();
+        other_regions.sort_unstable();
+        other_regions.dedup();
+        other_regions.retain(|region| *region != settings.host.region);
         let seed = xxhash_rust::xxh3::xxh3_64(settings.host.name.as_bytes()) ^ instance_started_ms;
         Ok(Self {
             poll,
@@ -275,6 +286,7 @@
             unread_inbound: Vec::new(),
             unread_upstreams: Vec::new(),
             waiting: Vec::new(),
+            other_regions,
             hosts: Hosts::new(settings.host.clone()),
             region_view: RegionView::default(),
             retry_budget: RetryBudget::new(settings.retry),
@@ -326,6 +338,7 @@
             host_count: Arc::new(AtomicU64::new(1)),
             next_sweep_ms: 0,
             next_rescan_ms: 0,
+            next_connecting_check_ms: u64::MAX,
             latest_poll_ms: 0,
             earlier_poll_ms: 0,
         })
@@ -489,6 +502,7 @@
         let key = self
             .upstreams
             .insert(connection.with_endpoint(endpoint.cloned()));
+        self.check_connecting_by(now_ms + CONNECT_LIMIT_MS);
         let token = Token(FIRST_CONNECTION + key * 2 + 1);
         if !register(&self.poll, &mut self.upstreams[key].socket.stream, token) {
             self.upstreams.remove(key);
@@ -523,6 +537,7 @@
         // Closing the socket deregisters it in any case.
         let _ = self.poll.registry().deregister(&mut closed.socket.stream);
         drop(closed);
+        self.check_connecting_by(now_ms + CONNECT_LIMIT_MS);
         let token = Token(FIRST_CONNECTION + key * 2 + 1);
         if !register(&self.poll, &mut self.upstreams[key].socket.stream, token) {
             self.upstream_broken(key, UpstreamError::Unreachable);
--- a/src/gateway/serve_upstream.rs
+++ b/src/gateway/serve_upstream.rs
@@ -115,6 +115,8 @@
         upstream.socket.input.clear();
         if matches!(read, ReadState::Closed | ReadState::Broken) {
             upstream.reopen_at_ms = upstream.reopen_at_ms.min(now_ms + REOPEN_PAUSE_MS);
+            let reopen_at_ms = upstream.reopen_at_ms;
+            self.check_connecting_by(reopen_at_ms);
         }
     }
 
@@ -555,6 +557,7 @@
         let upstream = self.upstreams.get_mut(replaced)?;
         upstream.begin_close(now_ms + CLOSE_LIMIT_MS);
         upstream.endpoint = Some(endpoint.clone());
+        self.check_connecting_by(now_ms + CLOSE_LIMIT_MS);
         Some(replaced)
     }
 
@@ -615,9 +618,17 @@
         }
     }
 
+    /// Lets connections be checked at `at_ms` at the latest.
+    pub(super) fn check_connecting_by(&mut self, at_ms: u64) {
+        self.next_connecting_check_ms = self.next_connecting_check_ms.min(at_ms);
+    }
+
     /// Gives up connections that were not established within the connect timeout, and requests'
     /// wait for the close of earlier ones.
     pub(super) fn check_connecting(&mut self, now_ms: u64) {
+        if now_ms < self.next_connecting_check_ms {
+            return;
+        }
         let late: Vec<usize> = self
             .upstreams
             .iter()
@@ -642,6 +653,15 @@
         for key in unclosed {
             self.reconnect(key);
         }
+        let due_ms = self.upstreams.iter().filter_map(|(_, upstream)| {
+            match upstream.phase {
+                // Connections to hosts of other regions are looked at before their limit.
+                UpstreamPhase::Connecting => Some(upstream.since_ms + CONNECT_LIMIT_MS),
+                UpstreamPhase::Closing => Some(upstream.reopen_at_ms),
+                _ => None,
+            }
+        });
+        self.next_connecting_check_ms = due_ms.min().unwrap_or(u64::MAX);
     }
 }
 
--- a/tests/gateway_accounts.rs
+++ b/tests/gateway_accounts.rs
@@ -121,8 +121,8 @@
     let accounts: Vec<Option<&str>> = runs.iter().map(|run| run.headers.get("x-tenant")).collect();
     assert_eq!(accounts, [Some("bolt"), Some("bolt"), None, None]);
     assert!(runs.iter().all(|run| run.headers.get("api-key").is_none()));
+    host.wait_log("\"account\":\"bolt\"");
     let log = host.log();
-    assert!(log.contains("\"account\":\"bolt\""));
     let metrics = Request::get("/metrics").send(host.metrics_address).text();
     assert!(metrics.contains(r#"requests_by_account_total{account="bolt",result="answered"} 2"#));
     for key in [KEY, SECOND_KEY, OTHER_KEY, "k9-of-nobody"] {
