Do not ask engines with a gap goal to preempt streams

Cause: engines preempt running streams for requests with a higher X-Request-Priority. A preempted stream pauses until it has been read in again, for longer than its route allows, and the engine reads its prompt twice.

Change: where a route of the service sets gap_goal_ms, requests carry no priority. Hosts still send the most urgent of the waiting requests first.

--- a/src/gateway/serve_dispatch.rs
+++ b/src/gateway/serve_dispatch.rs
@@ -66,13 +66,16 @@
         self.fleet
             .record_prefill(service, priority, prefill, now_ms);
         self.fleet.record_shared_parts(metadata);
+        // Engines preempt running streams for more urgent requests, which pauses these for longer
+        // than a gap goal allows. Hosts send the most urgent of the waiting requests first.
+        let may_preempt = self.gap_goal(&exchange.route.service).is_none();
         let headers = EndpointHeaders {
             endpoint: Some(choice.endpoint.clone()),
             time_left_ms: exchange.deadline_ms.saturating_sub(now_ms).max(1),
             priority: exchange
                 .route
                 .priority
-                .filter(|_| !exchange.request.metadata.parts.is_empty()),
+                .filter(|_| may_preempt && !exchange.request.metadata.parts.is_empty()),
             last_event_id: self.resume_header(key),
             fetch_from: choice.fetch_from,
             account: exchange.request.account.name().cloned(),
