Keep the statuses that HTTP defines, and those that promise no run, in one place

The range of statuses stood in both parsers of heads, and the list of statuses that promise that a request has not run in three places. Both are now in src/http/message.rs. No behaviour changes: clippy, not_run, gateway_refusals, gateway_invalid_answers, gateway_account_limits, gateway_answer_copies and bad_input pass.

--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -4,10 +4,7 @@
 //! smuggling: they reject a line feed without a carriage return, two lengths,
 //! and a length beside a transfer encoding.
 
-use std::{
-    fmt,
-    ops::RangeInclusive, //
-};
+use std::fmt;
 
 use compact_str::CompactString;
 use memchr::{
@@ -16,12 +13,12 @@
 };
 use thiserror::Error;
 
+use crate::http::message::STATUSES;
+
 /// Maximum number of header fields in a head.
 const MAX_HEADERS: usize = 96;
 /// Maximum size of a response head; endpoints send a few hundred bytes.
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 16 * 1024;
-/// Status codes that HTTP defines; others have no meaning that a caller could rely on.
-const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// A header field.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/gateway/serve_completion.rs
+++ b/src/gateway/serve_completion.rs
@@ -22,6 +22,7 @@
     serve_stall::is_stalled,
     serve_upstream::UpstreamError, //
 };
+use crate::http::message::is_refusal;
 
 /// Maximum number of endpoints and regions tried for a request that none of them runs.
 /// Endpoints that no longer exist refuse connections within milliseconds.
@@ -283,8 +284,8 @@
             time.record(total_ms);
         }
         self.record_answer(&exchange, status, now_ms);
-        // These statuses promise that the request has not run.
-        if let (408 | 421 | 429 | 503, Some(charge)) = (status, &exchange.request.charge) {
+        let charge = exchange.request.charge.as_ref();
+        if let Some(charge) = charge.filter(|_| is_refusal(status)) {
             self.allotments.refund(charge);
         }
         self.telemetry
--- a/src/gateway/serve_response.rs
+++ b/src/gateway/serve_response.rs
@@ -34,9 +34,12 @@
     },
     serve_upstream::UpstreamError, //
 };
-use crate::platform::headers::{
-    ResponseMetadata,
-    decode_response_metadata, //
+use crate::{
+    http::message::is_refusal,
+    platform::headers::{
+        ResponseMetadata,
+        decode_response_metadata, //
+    }, //
 };
 
 /// Largest event of a stream; what is held of an event is not limited otherwise.
@@ -505,9 +508,3 @@
         Destination::Region { .. } => head.header(NOT_RUN_HEADER).is_some(),
     }
 }
-
-/// Returns whether callers take a status as the promise that their request has not run and will
-/// not run.
-fn is_refusal(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -12,7 +12,7 @@
 /// Maximum number of header fields in one message.
 const MAX_HEADERS: usize = 64;
 /// Status codes that HTTP defines; others have no meaning that a caller could rely on.
-const STATUSES: RangeInclusive<u16> = 100..=599;
+pub const STATUSES: RangeInclusive<u16> = 100..=599;
 /// Status after which a connection no longer carries HTTP/1.1.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
@@ -273,6 +273,12 @@
     })
 }
 
+/// Returns whether callers take a status as the promise that their request has not run and will
+/// not run.
+pub fn is_refusal(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Returns the reason phrase of a status code.
 pub fn reason_phrase(status: u16) -> &'static str {
     match status {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -27,7 +27,10 @@
         },
         residency::AllowedRegions, //
     },
-    http::client::HttpRequest,
+    http::{
+        client::HttpRequest,
+        message::is_refusal, //
+    },
     outcome::{
         Claim,
         RunStateWord,
@@ -206,7 +209,7 @@
     /// Returns whether a service refuses a call that must not be repeated, which its caller
     /// would take for the promise that the call has not run.
     fn is_unstated_refusal(&self, head: &UpstreamHead) -> bool {
-        !self.arrival.is_repeatable && matches!(head.status, 408 | 421 | 429 | 503)
+        !self.arrival.is_repeatable && is_refusal(head.status)
     }
 }
 
