Take the goals for pauses from a configuration once, not at each placement

Each placement, each offer of a region and each send looked through all routes and their services for the strictest goal, so their cost grew with the number of routes. The goals are now collected when a configuration comes into force. No decision changes: gateway_expected_work, gateway_accounts, gateway_decisions and gateway_overload pass.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -4,6 +4,8 @@
 //! with a higher version, so that it never handles a request according to an older
 //! version after a newer one took effect.
 
+use std::collections::BTreeMap;
+
 use compact_str::CompactString;
 
 use super::{
@@ -170,17 +172,22 @@
             .count()
     }
 
-    /// Returns the strictest goal for pauses of the routes that a service serves; none if no
-    /// route sets one.
-    pub fn gap_goal(&self, service: &str) -> Option<GapGoal> {
-        let serves = |route: &&Route| {
-            let mut targets = route.targets.iter();
-            targets.any(|target| target.service == service)
-        };
-        let goals = self.routes.iter().filter(serves);
+    /// Returns the strictest goal for pauses of the routes that each service serves; nothing for
+    /// a service without one.
+    pub fn gap_goals(&self) -> BTreeMap<CompactString, GapGoal> {
+        let mut goals: BTreeMap<CompactString, GapGoal> = BTreeMap::new();
+        for route in &self.routes {
+            let Some(goal) = route.gap_goal_ms.and_then(GapGoal::from_ms) else {
+                continue;
+            };
+            for target in &route.targets {
+                let strictest = goals.entry(target.service.clone()).or_insert(goal);
+                if goal < *strictest {
+                    *strictest = goal;
+                }
+            }
+        }
         goals
-            .filter_map(|route| GapGoal::from_ms(route.gap_goal_ms?))
-            .min_by(|left, right| left.ms().total_cmp(&right.ms()))
     }
 
     /// Returns the service with this name.
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -76,6 +76,7 @@
     endpoint_reach::EndpointReach,
     exchange::Exchange,
     fleet::Fleet,
+    gap_goal::GapGoal,
     hosts::{
         Hosts,
         RegionView, //
@@ -155,6 +156,8 @@
     /// Memory that connections and exchanges may use together.
     pub(super) buffers: BufferBudget,
     pub(super) configuration: Option<Arc<Configuration>>,
+    /// Goals for pauses of the configuration, by service; each placement needs them.
+    pub(super) gap_goals: BTreeMap<CompactString, GapGoal>,
     pub(super) fleet: Fleet,
     pub(super) hosts: Hosts,
     /// View of this region from `hosts`, updated together with the peer loads.
@@ -293,6 +296,7 @@
             buffers: BufferBudget::new(settings.memory_mb),
             settings,
             configuration: None,
+            gap_goals: BTreeMap::new(),
             fleet,
             telemetry,
             request_sizes: RequestSizes::default(),
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -304,8 +304,7 @@
 
     /// Returns the strictest goal for pauses of the routes of a service.
     pub(super) fn gap_goal(&self, service: &str) -> Option<GapGoal> {
-        let configuration = self.configuration.as_ref()?;
-        configuration.gap_goal(service)
+        self.gap_goals.get(service).copied()
     }
 
     /// Returns the service with this name, or one with default parameters.
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -235,6 +235,7 @@
         let possible_count = self.hosts.possible_count(now_ms);
         let accounts = &configuration.accounts;
         self.allotments.configure(accounts, possible_count, now_ms);
+        self.gap_goals = configuration.gap_goals();
         self.configuration = Some(configuration);
     }
 
@@ -425,7 +426,7 @@
         let is_cut_off = self.is_cut_off();
         let configuration = self.configuration.as_ref().filter(|_| !is_cut_off)?;
         let services = configuration.services.iter();
-        let paced = services.filter(|service| configuration.gap_goal(&service.name).is_some());
+        let paced = services.filter(|service| self.gap_goal(&service.name).is_some());
         let rooms: Vec<ServiceRoom> = paced
             .filter_map(|service| self.fleet.room(service, now_ms))
             .collect();
--- a/tests/gateway_expected_work.rs
+++ b/tests/gateway_expected_work.rs
@@ -1007,9 +1007,10 @@
         ..Configuration::default()
     };
 
-    assert_eq!(configuration.gap_goal("model"), GapGoal::from_ms(400));
-    assert_eq!(configuration.gap_goal("small"), GapGoal::from_ms(100));
-    assert_eq!(configuration.gap_goal("large"), None);
+    let goals = configuration.gap_goals();
+    assert_eq!(goals.get("model").copied(), GapGoal::from_ms(400));
+    assert_eq!(goals.get("small").copied(), GapGoal::from_ms(100));
+    assert_eq!(goals.get("large"), None);
 }
 
 /// Engines whose speed changes several times a second get nearly as many prompts as they can
