Encode keys in the queries of the store, so that any key may end a page

One entry of another writer stopped the service: hosts that started beside it answered almost no request until it was gone. A read of all items names the last key of a page in the query of the next one, and put it there as it was. `&` and `#` cut it off, `+` became a blank and `%7A` another letter, so the store began the page elsewhere: the same pages were read again without end, or the entries between were skipped in silence. With a blank, a line end or a quote no request could be built, and the read began again every 250 ms. The prefix of the key does not matter, only that it ends a page. Hosts that run and lose the history of the store read the same pages.

Prefix and key are now percent-encoded, which every server decodes to the same text, whether or not it takes `+` for a blank. The stand-in of the store lists its items in pages and decodes its query as forms are; it knew one page and `%2F` alone.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,6 +26,12 @@
         header::CONTENT_TYPE, //
     }, //
 };
+use percent_encoding::{
+    AsciiSet,
+    NON_ALPHANUMERIC,
+    PercentEncode,
+    utf8_percent_encode, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -44,6 +50,14 @@
 const ERA_HEADER: &str = "store-era";
 /// Maximum size of a response: a page holds a megabyte of values in base64.
 const MAX_ANSWER_BYTES: u64 = 8 * 1024 * 1024;
+/// Characters that are encoded in a parameter: all that have a meaning in a query string, and
+/// `+`, which some servers decode as a blank.
+const PARAMETER_ENCODED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
 
 /// Lease of items that stay until they are deleted.
 const NO_LEASE: LeaseId = LeaseId(0);
@@ -210,10 +224,12 @@
         let mut after: Option<CompactString> = None;
         let mut first_era: Option<StatedEra> = None;
         loop {
-            let mut path = format!("/cardamombridge/kv-range?prefix={prefix}");
+            let mut path = format!(
+                "/cardamombridge/kv-range?prefix={}",
+                encode_parameter(prefix)
+            );
             if let Some(key) = &after {
-                path.push_str("&after=");
-                path.push_str(key);
+                path.push_str(&format!("&after={}", encode_parameter(key)));
             }
             let answer = self.call(Method::GET, &path, None)?;
             let page: WirePage = serde_json::from_slice(&answer.value)?;
@@ -248,8 +264,8 @@
         wait: Duration,
     ) -> Result<Answer<Page>, StoreError> {
         let path = format!(
-            "/cardamombridge/kv-watch?prefix={prefix}&after={}&wait_ms={}",
-            revision,
+            "/cardamombridge/kv-watch?prefix={}&after={revision}&wait_ms={}",
+            encode_parameter(prefix),
             wait.as_millis()
         );
         let answer = self.call(Method::GET, &path, None)?;
@@ -374,6 +390,11 @@
     }
 }
 
+/// Encodes the value of a parameter of a query string.
+fn encode_parameter(value: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(value, PARAMETER_ENCODED)
+}
+
 fn decode_era(response: &Response<Body>) -> StatedEra {
     let Some(value) = response.headers().get(ERA_HEADER) else {
         return StatedEra::Missing;
--- a/src/standin/metadata_store.rs
+++ b/src/standin/metadata_store.rs
@@ -2,13 +2,14 @@
 //!
 //! Speaks the published calls: range, watch, transactions and leases. It can be
 //! down, forget its history, lose answers and return from an older copy, as the
-//! platform's store does.
+//! platform's store does. Items are listed page by page, in the order of their keys.
 
 use std::{
     collections::BTreeMap,
     fmt,
     io,
     net::SocketAddr,
+    ops::Bound,
     sync::{
         Arc,
         Condvar,
@@ -24,6 +25,7 @@
     Engine,
     engine::general_purpose::STANDARD, //
 };
+use percent_encoding::percent_decode_str;
 use serde_json::{
     Value,
     json, //
@@ -48,6 +50,8 @@
 const ERA_HEADER: &str = "store-era";
 /// Longest wait of a watch, as published.
 const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Most items of a page, as published.
+const MAX_PAGE_ITEMS: usize = 500;
 
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -98,6 +102,9 @@
 #[derive(Debug, Default)]
 struct State {
     content: Content,
+    page_items: usize,
+    /// Calls that list items.
+    range_calls: u64,
     copy: Content,
     rewrite: Option<Rewrite>,
     era: u64,
@@ -198,6 +205,7 @@
         let shared = Arc::new(Shared::default());
         let mut state = lock(&shared.state);
         state.content.revision = 1;
+        state.page_items = MAX_PAGE_ITEMS;
         state.era = 1;
         drop(state);
         let served = Arc::clone(&shared);
@@ -262,6 +270,16 @@
         self.shared.changed.notify_all();
     }
 
+    /// Sets the most items of a page.
+    pub fn set_page_items(&self, page_items: usize) {
+        lock(&self.shared.state).page_items = page_items;
+    }
+
+    /// Number of calls so far that list items.
+    pub fn range_calls(&self) -> u64 {
+        lock(&self.shared.state).range_calls
+    }
+
     /// Drops all history, so that watches from earlier revisions fail.
     pub fn drop_history(&self) {
         let content = &mut lock(&self.shared.state).content;
@@ -378,10 +396,12 @@
     }
     let mut state = lock(&shared.state);
     let rewrite = state.rewrite.clone();
+    let page_items = state.page_items;
+    state.range_calls += u64::from(call == "kv-range");
     let content = &mut state.content;
     content.expire(Instant::now());
     let answer = match call {
-        "kv-range" => range(content, &parameter(query, "prefix")),
+        "kv-range" => range(content, query, page_items),
         "kv-txn" => transact(content, &body, rewrite.as_ref()),
         "kv-lease" => {
             let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
@@ -411,11 +431,20 @@
     answer
 }
 
-fn range(content: &Content, prefix: &str) -> (u16, Value) {
-    let items: Vec<Value> = content
+fn range(content: &Content, query: &str, page_items: usize) -> (u16, Value) {
+    let prefix = parameter(query, "prefix");
+    let after = parameter(query, "after");
+    let first = match after.is_empty() {
+        true => Bound::Unbounded,
+        false => Bound::Excluded(after),
+    };
+    let mut found = content
         .items
-        .iter()
-        .filter(|(key, _)| key.starts_with(prefix))
+        .range((first, Bound::Unbounded))
+        .filter(|(key, _)| key.starts_with(&prefix));
+    let items: Vec<Value> = found
+        .by_ref()
+        .take(page_items)
         .map(|(key, (revision, value, lease))| {
             json!({
                 "key": key, "rev": revision, "created": revision, "lease": lease,
@@ -423,7 +452,8 @@
             })
         })
         .collect();
-    let body = json!({ "items": items, "has_more": false, "current_rev": content.revision });
+    let has_more = found.next().is_some();
+    let body = json!({ "items": items, "has_more": has_more, "current_rev": content.revision });
     (200, body)
 }
 
@@ -487,11 +517,13 @@
     }
 }
 
+/// Returns a parameter, decoded like a field of a form.
 fn parameter(query: &str, name: &str) -> String {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs
         .filter(|(key, _)| *key == name)
-        .map(|(_, value)| value.replace("%2F", "/"))
+        .map(|(_, value)| value.replace('+', " "))
+        .map(|value| percent_decode_str(&value).decode_utf8_lossy().into_owned())
         .next()
         .unwrap_or_default()
 }
--- /dev/null
+++ b/tests/gateway_store_pages.rs
@@ -0,0 +1,120 @@
+//! Hosts beside entries of other writers, in a store that lists its items in pages.
+
+mod gatewayenv;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use cardamombridge::standin::{
+    metadata_store::MetadataStore,
+    scripted::{
+        Script,
+        ScriptedEndpoint, //
+    }, //
+};
+use gatewayenv::{
+    Host,
+    HostOptions,
+    Request,
+    announce,
+    configuration,
+    store_with_configuration, //
+};
+
+const LIMIT_MS: u64 = 2_000;
+/// Requests of one case, to two hosts in turn.
+const REQUESTS: usize = 60;
+/// Time for hosts to be ready and to know all endpoints; without an odd entry they do within a
+/// tenth of it.
+const READY_LIMIT: Duration = Duration::from_secs(3);
+
+fn sound_endpoints(store: &MetadataStore) -> [ScriptedEndpoint; 3] {
+    ["e-1", "e-5", "e-9"].map(|id| {
+        let endpoint = ScriptedEndpoint::start(id, |_, _| Script::Answer(200, b"answer".to_vec()));
+        let endpoint = endpoint.expect("the endpoint starts");
+        announce(store, &endpoint, "north");
+        endpoint
+    })
+}
+
+/// Returns whether the host knows all endpoints within [`READY_LIMIT`].
+fn wait_known(host: &Host) -> bool {
+    let deadline = Instant::now() + READY_LIMIT;
+    while Instant::now() < deadline {
+        if host.log().matches("endpoint announced").count() >= 3 {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+/// Returns the number of requests that are served by the hosts.
+fn served(hosts: &[Host]) -> usize {
+    (0..REQUESTS)
+        .filter(|index| {
+            let request = Request::get("/read/1").with_attempt(&format!("a-{index}"), LIMIT_MS);
+            let answer = request.try_send(hosts[index % hosts.len()].caller_address);
+            answer.is_some_and(|answer| answer.status == 200)
+        })
+        .count()
+}
+
+/// Guards against hosts that read no endpoint, or only some, when they start beside an entry
+/// of another writer whose key ends a page of the list.
+#[test]
+fn hosts_that_start_beside_an_odd_key_use_all_endpoints() {
+    let mut failed = Vec::new();
+    for odd in [
+        "servers/e-3",
+        "servers/e-3&x=1",
+        "servers/e-3+x",
+        "servers/e-3#x",
+        "servers/e-3 x",
+        "servers/e-%7A",
+        "servers/e-3\nx",
+        "servers/e-\u{e9}\"",
+        "op/evacuate/x&+#% y",
+    ] {
+        let store = store_with_configuration();
+        store.set_page_items(1);
+        let _endpoints = sound_endpoints(&store);
+        store.put_text(odd, "not an entry");
+
+        let names = ["host-1", "host-2"];
+        let hosts = names.map(|name| {
+            let options = HostOptions::new(name, "north");
+            Host::start_only(&store, &options)
+        });
+        let is_known = hosts.iter().filter(|host| wait_known(host)).count() == hosts.len();
+        let served = served(&hosts);
+
+        if !is_known || served < REQUESTS {
+            let calls = store.range_calls();
+            failed.push(format!(
+                "{odd:?}: {served} of {REQUESTS} served, {calls} list calls"
+            ));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Guards against a running host that stops following the store when it has to read the same
+/// pages because the store dropped its history.
+#[test]
+fn running_host_reads_all_items_anew_beside_an_odd_key() {
+    let store = store_with_configuration();
+    store.set_page_items(1);
+    let _endpoints = sound_endpoints(&store);
+    let host = Host::start(&store, &HostOptions::default());
+    store.put_text("op/a&+#% y", "not an entry");
+    store.put_text("op/config&+#% y", "not an entry");
+
+    store.drop_history();
+    store.put("op/config", &configuration(8));
+
+    host.wait_log("\"configuration in force\",\"version\":8");
+    assert_eq!(served(&[host]), REQUESTS);
+}
