End a read of the store whose pages do not go on

A store that answered the call for the next page with the page before was asked again without end and without a pause, and what was read grew meanwhile; no host became ready. Any cause in the store or in between has this effect, and the calls of the store are limited and priced. A page without items that said that there were more ended the read, so the items after it counted as deleted.

A page that names further items has to end with a key with which no page of the read has ended. Otherwise the read fails, and the next one begins after the pause of a failed call. Keys are compared for equality only, because their order is the store's.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,6 +4,7 @@
 //! may still have been executed, so only idempotent calls are to be retried.
 
 use std::{
+    collections::BTreeSet,
     fmt,
     io::Read,
     net::SocketAddr,
@@ -83,6 +84,16 @@
     /// The store returned from an older copy between two pages.
     #[error("pages of one read state different eras; all items have to be read again")]
     MixedEras,
+    /// The page says that there are more items, but does not go beyond the pages before.
+    #[error(
+        "page of {items} items after key {after:?} does not go beyond it, expected further items"
+    )]
+    NoProgress {
+        /// Key after which the page begins; empty for the first page.
+        after: CompactString,
+        /// Number of items of the page.
+        items: usize,
+    },
 }
 
 /// Id of a lease; the store may give it out again in a later era.
@@ -217,11 +228,13 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`StoreError::MixedEras`] if the pages are of different eras, or if
-    /// one of the calls fails.
+    /// Fails with [`StoreError::MixedEras`] if the pages are of different eras, with
+    /// [`StoreError::NoProgress`] if the store repeats a page, or if one of the calls fails.
     pub fn range(&self, prefix: &str) -> Result<Answer<Page>, StoreError> {
         let mut all = Page::default();
         let mut after: Option<CompactString> = None;
+        // The order of the keys is the store's own, so that none is greater by itself.
+        let mut page_ends = BTreeSet::new();
         let mut first_era: Option<StatedEra> = None;
         loop {
             let mut path = format!(
@@ -239,9 +252,20 @@
             if after.is_none() {
                 all.revision = StoreRevision(page.current_rev);
             }
-            after = page.items.last().map(|item| item.key.clone());
+            if page.has_more {
+                let last = page.items.last().map(|item| item.key.clone());
+                match last.filter(|key| page_ends.insert(key.clone())) {
+                    Some(key) => after = Some(key),
+                    None => {
+                        return Err(StoreError::NoProgress {
+                            after: after.unwrap_or_default(),
+                            items: page.items.len(),
+                        });
+                    }
+                }
+            }
             all.changes.extend(page.items.into_iter().map(decode_item));
-            if !page.has_more || after.is_none() {
+            if !page.has_more {
                 return Ok(Answer {
                     era: answer.era,
                     value: all,
--- a/src/standin/metadata_store.rs
+++ b/src/standin/metadata_store.rs
@@ -67,6 +67,20 @@
     LosesAnswers,
     /// Its watches report no changes, although they tell the newest revision.
     DeafWatches,
+    /// It answers each call for the next page with the first one.
+    RepeatsPages,
+    /// Its pages are empty, although they say that there are more.
+    EmptyPages,
+}
+
+impl StoreFault {
+    /// Whether calls are answered with a result.
+    fn is_answering(self) -> bool {
+        match self {
+            Self::None | Self::DeafWatches | Self::RepeatsPages | Self::EmptyPages => true,
+            Self::Busy | Self::Down | Self::LosesAnswers => false,
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -362,12 +376,12 @@
     match fault {
         StoreFault::Down => return Ok(Next::Close),
         StoreFault::Busy => return respond_json(connection, 503, era_header(shared), &refused),
-        StoreFault::None | StoreFault::LosesAnswers | StoreFault::DeafWatches => {}
+        _ => {}
     }
     let (status, mut body) = answer(shared, request);
     change(&mut body);
     let fault = lock(&shared.state).fault;
-    if !matches!(fault, StoreFault::None | StoreFault::DeafWatches) {
+    if !fault.is_answering() {
         return Ok(Next::Close);
     }
     respond_json(connection, status, era_header(shared), &body)
@@ -396,12 +410,12 @@
     }
     let mut state = lock(&shared.state);
     let rewrite = state.rewrite.clone();
-    let page_items = state.page_items;
+    let (fault, page_items) = (state.fault, state.page_items);
     state.range_calls += u64::from(call == "kv-range");
     let content = &mut state.content;
     content.expire(Instant::now());
     let answer = match call {
-        "kv-range" => range(content, query, page_items),
+        "kv-range" => range(content, query, page_items, fault),
         "kv-txn" => transact(content, &body, rewrite.as_ref()),
         "kv-lease" => {
             let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
@@ -431,9 +445,13 @@
     answer
 }
 
-fn range(content: &Content, query: &str, page_items: usize) -> (u16, Value) {
+fn range(content: &Content, query: &str, page_items: usize, fault: StoreFault) -> (u16, Value) {
     let prefix = parameter(query, "prefix");
-    let after = parameter(query, "after");
+    let (after, page_items) = match fault {
+        StoreFault::RepeatsPages => (String::new(), page_items),
+        StoreFault::EmptyPages => (String::new(), 0),
+        _ => (parameter(query, "after"), page_items),
+    };
     let first = match after.is_empty() {
         true => Bound::Unbounded,
         false => Bound::Excluded(after),
@@ -495,9 +513,7 @@
         state.content.expire(Instant::now());
         let content = &state.content;
         let is_deaf = state.fault == StoreFault::DeafWatches;
-        if after < content.history_start
-            || after > content.revision
-            || (!is_deaf && state.fault != StoreFault::None)
+        if after < content.history_start || after > content.revision || !state.fault.is_answering()
         {
             return (410, json!({}));
         }
--- a/tests/gateway_store_pages.rs
+++ b/tests/gateway_store_pages.rs
@@ -8,7 +8,10 @@
 };
 
 use cardamombridge::standin::{
-    metadata_store::MetadataStore,
+    metadata_store::{
+        MetadataStore,
+        StoreFault, //
+    },
     scripted::{
         Script,
         ScriptedEndpoint, //
@@ -118,3 +121,27 @@
     host.wait_log("\"configuration in force\",\"version\":8");
     assert_eq!(served(&[host]), REQUESTS);
 }
+
+/// Guards against a host that asks a store for the same page without a pause, or that does not
+/// read the items once the store lists them all.
+#[test]
+fn host_pauses_between_reads_that_a_store_does_not_finish() {
+    const OBSERVED_MS: u64 = 2_000;
+    const RETRY_PAUSE_MS: u64 = 250;
+    const CALLS_PER_READ: u64 = 2;
+    let store = store_with_configuration();
+    store.set_page_items(1);
+    let _endpoints = sound_endpoints(&store);
+    store.set_fault(StoreFault::RepeatsPages);
+    let host = Host::start_only(&store, &HostOptions::default());
+
+    let calls_before = store.range_calls();
+    std::thread::sleep(Duration::from_millis(OBSERVED_MS));
+    let calls = store.range_calls() - calls_before;
+    store.set_fault(StoreFault::None);
+
+    let most_calls = CALLS_PER_READ * (OBSERVED_MS / RETRY_PAUSE_MS + 1);
+    assert!((1..=most_calls).contains(&calls), "{calls} list calls");
+    assert!(wait_known(&host), "the endpoints are not read");
+    assert_eq!(served(&[host]), REQUESTS);
+}
--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -14,7 +14,10 @@
         StoreClient,
         StoreError, //
     },
-    standin::metadata_store::MetadataStore, //
+    standin::metadata_store::{
+        MetadataStore,
+        StoreFault, //
+    }, //
 };
 use proptest::prelude::*;
 
@@ -98,6 +101,21 @@
     assert_eq!(read, ["a&b", "a&b+c"]);
 }
 
+/// Guards against a read that asks for the same page without end, or that takes the items before
+/// an empty page for all there are.
+#[test]
+fn read_ends_when_a_page_does_not_go_beyond_the_one_before() {
+    for (fault, most_calls) in [(StoreFault::RepeatsPages, 2), (StoreFault::EmptyPages, 1)] {
+        let store = store_with(["a", "b", "c"], 1);
+        store.set_fault(fault);
+
+        let result = read(&store, "");
+
+        assert!(matches!(result, Some(Err(_))), "{fault:?}: {result:?}");
+        assert_eq!(store.range_calls(), most_calls, "{fault:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
 
