Read the items of the store that stand beside an odd one

One item with a field of another type made its whole page unreadable: hosts that started applied no item at all, and running hosts no change any more, because a watch returns the odd change again.

The items of a page are now decoded one by one. A key and a revision are needed; items without them are passed over, counted and logged. A value that cannot be read is empty, as one that is no base64 was before: it names no endpoint, and it replaces the value before. The next page begins after the last key that can be read, so that an item without one stops no read unless it has a page to itself. Bytes that are not UTF-8 make only the key unreadable in which they stand.

While the newest change has a revision that cannot be read, watches go on from the one before and return at once, with the pause of watches between them.

--- a/src/gateway/copy_checks.rs
+++ b/src/gateway/copy_checks.rs
@@ -97,6 +97,12 @@
     if stated != known.era {
         return Ok(Changes::OtherEra(stated));
     }
+    if answer.value.unreadable > 0 {
+        tracing::debug!(
+            changes = answer.value.unreadable,
+            "changes of the store cannot be read and are passed over"
+        );
+    }
     let changes = answer.value.changes;
     let newest = changes.iter().map(|change| change.revision).max();
     let revision: StoreRevision = newest.unwrap_or(known.revision).max(known.revision);
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -141,6 +141,12 @@
             Err(error) => return Err(error.into()),
         };
         let era = self.era.observe(&answer.era)?;
+        if answer.value.unreadable > 0 {
+            tracing::warn!(
+                items = answer.value.unreadable,
+                "items of the store cannot be read and are passed over"
+            );
+        }
         let page = ReplicaPage {
             changes: answer.value.changes,
             revision: answer.value.revision,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,8 +2,12 @@
 //!
 //! Calls are blocking and sequential, over `oxhttp`. A call that gets no response
 //! may still have been executed, so only idempotent calls are to be retried.
+//!
+//! Other writers put items into the store as well. An item or a field of one that
+//! cannot be read says nothing about the items beside it, so each is decoded alone.
 
 use std::{
+    borrow::Cow,
     collections::BTreeSet,
     fmt,
     io::Read,
@@ -37,6 +41,7 @@
     Deserialize,
     Serialize, //
 };
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 use crate::{
@@ -166,27 +171,39 @@
     pub changes: Vec<ItemChange>,
     /// Revision of the store at the time of the answer.
     pub revision: StoreRevision,
+    /// Items that were passed over because their key or revision cannot be read.
+    pub unreadable: usize,
 }
 
+/// An item of which only the key has to be readable.
 #[derive(Deserialize)]
-struct WireItem {
+struct WireItem<'a> {
     key: CompactString,
-    #[serde(default)]
-    value: String,
-    rev: u64,
-    #[serde(default)]
-    deleted: bool,
+    #[serde(borrow)]
+    value: Option<&'a RawValue>,
+    #[serde(borrow)]
+    rev: Option<&'a RawValue>,
+    #[serde(borrow)]
+    deleted: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
-struct WirePage {
-    #[serde(default, alias = "events")]
-    items: Vec<WireItem>,
+struct WirePage<'a> {
+    #[serde(borrow, default, alias = "events")]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     has_more: bool,
     current_rev: u64,
 }
 
+/// A page with what is needed to ask for the next one.
+struct DecodedPage {
+    page: Page,
+    /// Key of the last item whose key can be read.
+    last_key: Option<CompactString>,
+    has_more: bool,
+}
+
 #[derive(Deserialize)]
 struct WireLease {
     lease: u64,
@@ -237,43 +254,47 @@
         let mut page_ends = BTreeSet::new();
         let mut first_era: Option<StatedEra> = None;
         loop {
-            let mut path = format!(
-                "/cardamombridge/kv-range?prefix={}",
-                encode_parameter(prefix)
-            );
-            if let Some(key) = &after {
-                path.push_str(&format!("&after={}", encode_parameter(key)));
-            }
-            let answer = self.call(Method::GET, &path, None)?;
-            let page: WirePage = serde_json::from_slice(&answer.value)?;
-            if *first_era.get_or_insert_with(|| answer.era.clone()) != answer.era {
+            let Answer { era, value: next } = self.read_page(prefix, after.as_deref())?;
+            if *first_era.get_or_insert_with(|| era.clone()) != era {
                 return Err(StoreError::MixedEras);
             }
             if after.is_none() {
-                all.revision = StoreRevision(page.current_rev);
+                all.revision = next.page.revision;
             }
-            if page.has_more {
-                let last = page.items.last().map(|item| item.key.clone());
-                match last.filter(|key| page_ends.insert(key.clone())) {
-                    Some(key) => after = Some(key),
-                    None => {
-                        return Err(StoreError::NoProgress {
-                            after: after.unwrap_or_default(),
-                            items: page.items.len(),
-                        });
-                    }
-                }
+            let items = next.page.changes.len() + next.page.unreadable;
+            all.unreadable += next.page.unreadable;
+            all.changes.extend(next.page.changes);
+            if !next.has_more {
+                return Ok(Answer { era, value: all });
             }
-            all.changes.extend(page.items.into_iter().map(decode_item));
-            if !page.has_more {
-                return Ok(Answer {
-                    era: answer.era,
-                    value: all,
-                });
+            match next.last_key.filter(|key| page_ends.insert(key.clone())) {
+                Some(key) => after = Some(key),
+                None => {
+                    let after = after.unwrap_or_default();
+                    return Err(StoreError::NoProgress { after, items });
+                }
             }
         }
     }
 
+    /// Reads the items under `prefix` that follow the key `after`, as many as fit into a page.
+    fn read_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<Answer<DecodedPage>, StoreError> {
+        let mut path = format!(
+            "/cardamombridge/kv-range?prefix={}",
+            encode_parameter(prefix)
+        );
+        if let Some(key) = after {
+            path.push_str(&format!("&after={}", encode_parameter(key)));
+        }
+        let answer = self.call(Method::GET, &path, None)?;
+        let page = decode_page(&answer.value)?;
+        Ok(answer.map(|_| page))
+    }
+
     /// Returns changes after `revision` under `prefix`; waits up to `wait` for the
     /// first one.
     ///
@@ -293,11 +314,8 @@
             wait.as_millis()
         );
         let answer = self.call(Method::GET, &path, None)?;
-        let page: WirePage = serde_json::from_slice(&answer.value)?;
-        Ok(answer.map(|_| Page {
-            revision: StoreRevision(page.current_rev),
-            changes: page.items.into_iter().map(decode_item).collect(),
-        }))
+        let decoded = decode_page(&answer.value)?;
+        Ok(answer.map(|_| decoded.page))
     }
 
     /// Creates a lease that ends unless it is renewed within `ttl`.
@@ -430,11 +448,48 @@
     }
 }
 
-fn decode_item(wire: WireItem) -> ItemChange {
-    let value = (!wire.deleted).then(|| STANDARD.decode(&wire.value).unwrap_or_default());
-    ItemChange {
-        key: wire.key,
-        revision: StoreRevision(wire.rev),
-        value,
+/// Decodes a page; items whose key or revision cannot be read are counted only.
+fn decode_page(bytes: &[u8]) -> Result<DecodedPage, serde_json::Error> {
+    let text = String::from_utf8_lossy(bytes);
+    let wire: WirePage<'_> = serde_json::from_str(&text)?;
+    // A key in which bytes were replaced is another key.
+    let is_replaced =
+        |key: &str| matches!(text, Cow::Owned(_)) && key.contains(char::REPLACEMENT_CHARACTER);
+    let mut decoded = DecodedPage {
+        page: Page {
+            revision: StoreRevision(wire.current_rev),
+            ..Page::default()
+        },
+        last_key: None,
+        has_more: wire.has_more,
+    };
+    for raw in wire.items {
+        let item = serde_json::from_str::<WireItem<'_>>(raw.get()).ok();
+        let Some(item) = item.filter(|item| !is_replaced(&item.key)) else {
+            decoded.page.unreadable += 1;
+            continue;
+        };
+        match decode_item(&item) {
+            Some(change) => decoded.page.changes.push(change),
+            None => decoded.page.unreadable += 1,
+        }
+        decoded.last_key = Some(item.key);
     }
+    Ok(decoded)
+}
+
+/// Decodes an item; none if its revision cannot be read. A value that cannot be read is empty,
+/// so that it replaces the one before.
+fn decode_item(wire: &WireItem<'_>) -> Option<ItemChange> {
+    let is_deleted = wire.deleted.is_some_and(|raw| raw.get() == "true");
+    Some(ItemChange {
+        key: wire.key.clone(),
+        revision: StoreRevision(serde_json::from_str(wire.rev?.get()).ok()?),
+        value: (!is_deleted).then(|| wire.value.and_then(decode_value).unwrap_or_default()),
+    })
+}
+
+fn decode_value(raw: &RawValue) -> Option<Vec<u8>> {
+    let text: Cow<'_, str> = serde_json::from_str(raw.get()).ok()?;
+    STANDARD.decode(text.as_bytes()).ok()
 }
--- a/src/standin/metadata_store.rs
+++ b/src/standin/metadata_store.rs
@@ -119,6 +119,8 @@
     page_items: usize,
     /// Calls that list items.
     range_calls: u64,
+    /// Items by key, as they are shown instead of what they are.
+    shown: BTreeMap<String, Value>,
     copy: Content,
     rewrite: Option<Rewrite>,
     era: u64,
@@ -284,6 +286,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Shows `item` instead of the item with this key, whatever `item` is.
+    pub fn show_instead(&self, key: &str, item: &Value) {
+        let shown = &mut lock(&self.shared.state).shown;
+        shown.insert(key.into(), item.clone());
+    }
+
     /// Sets the most items of a page.
     pub fn set_page_items(&self, page_items: usize) {
         lock(&self.shared.state).page_items = page_items;
@@ -354,6 +362,19 @@
     }
 }
 
+/// Replaces items and events by what is shown instead of them.
+fn replace_items(body: &mut Value, shown: &BTreeMap<String, Value>) {
+    for name in ["items", "events"] {
+        let items = body.get_mut(name).and_then(Value::as_array_mut);
+        for item in items.into_iter().flatten() {
+            let replacement = item["key"].as_str().and_then(|key| shown.get(key));
+            if let Some(replacement) = replacement {
+                *item = replacement.clone();
+            }
+        }
+    }
+}
+
 fn serve(
     shared: &Shared,
     connection: &mut Connection,
@@ -380,6 +401,7 @@
     }
     let (status, mut body) = answer(shared, request);
     change(&mut body);
+    replace_items(&mut body, &lock(&shared.state).shown);
     let fault = lock(&shared.state).fault;
     if !fault.is_answering() {
         return Ok(Next::Close);
--- a/tests/gateway_store_pages.rs
+++ b/tests/gateway_store_pages.rs
@@ -25,6 +25,7 @@
     configuration,
     store_with_configuration, //
 };
+use serde_json::json;
 
 const LIMIT_MS: u64 = 2_000;
 /// Requests of one case, to two hosts in turn.
@@ -145,3 +146,24 @@
     assert!(wait_known(&host), "the endpoints are not read");
     assert_eq!(served(&[host]), REQUESTS);
 }
+
+/// Guards against a host that applies no item of a page, or no change of a watch, because a
+/// field of one of them has another type.
+#[test]
+fn host_applies_what_stands_beside_an_odd_item() {
+    let store = store_with_configuration();
+    let _endpoints = sound_endpoints(&store);
+    store.put_text("servers/e-3", "{}");
+    store.show_instead(
+        "servers/e-3",
+        &json!({ "key": "servers/e-3", "rev": "x", "value": [] }),
+    );
+    let host = Host::start_only(&store, &HostOptions::default());
+
+    assert!(wait_known(&host), "the items beside it are not applied");
+    store.put_text("servers/e-3", "{ }");
+    store.put("op/config", &configuration(8));
+
+    host.wait_log("\"configuration in force\",\"version\":8");
+    assert_eq!(served(&[host]), REQUESTS);
+}
--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -2,6 +2,11 @@
 
 use std::{
     collections::BTreeSet,
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpListener,
     sync::mpsc,
     thread,
     time::Duration, //
@@ -10,16 +15,25 @@
 use cardamombridge::{
     platform::store::{
         Answer,
+        ItemChange,
         Page,
         StoreClient,
         StoreError, //
     },
-    standin::metadata_store::{
-        MetadataStore,
-        StoreFault, //
-    }, //
+    standin::{
+        listener::STANDIN_IP,
+        metadata_store::{
+            MetadataStore,
+            StoreFault, //
+        }, //
+    },
+    store_position::StoreRevision, //
 };
 use proptest::prelude::*;
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// Keys that a query string does not carry as they are.
 const ODD_KEYS: [&str; 12] = [
@@ -116,6 +130,135 @@
     }
 }
 
+/// Items that no store lists, of which the key cannot be read.
+fn items_without_key() -> Vec<Value> {
+    vec![
+        json!(null),
+        json!(7),
+        json!("text"),
+        json!([]),
+        json!({}),
+        json!({ "key": 7, "rev": 3, "value": "e30=" }),
+        json!({ "rev": 3, "value": "e30=" }),
+    ]
+}
+
+/// Items that no store lists, with a key.
+fn items_with_key(key: &str) -> Vec<Value> {
+    vec![
+        json!({ "key": key, "rev": "3", "value": "e30=" }),
+        json!({ "key": key, "rev": -1, "value": "e30=" }),
+        json!({ "key": key, "value": "e30=" }),
+        json!({ "key": key, "rev": 3, "value": 5 }),
+        json!({ "key": key, "rev": 3, "value": null }),
+        json!({ "key": key, "rev": 3, "value": "e30=", "deleted": "no" }),
+        json!({ "key": key, "rev": 3, "value": { "key": [] }, "deleted": 1 }),
+    ]
+}
+
+/// Checks that all items but an odd one are read, for each place that it may have in a page.
+fn check_others_are_read(page_items: usize, odd_items: &[Value]) {
+    const KEYS: [&str; 5] = ["a", "b", "c", "d", "e"];
+    for odd in KEYS {
+        for item in odd_items {
+            let store = store_with(KEYS, page_items);
+            let mut item = item.clone();
+            if item["key"].is_string() {
+                item["key"] = odd.into();
+            }
+            store.show_instead(odd, &item);
+
+            let read = read_keys(&store, "");
+
+            let others = read.iter().filter(|key| *key != odd);
+            let expected = KEYS.iter().filter(|key| **key != odd);
+            assert!(
+                others.eq(expected),
+                "{odd} of pages of {page_items}, {item}: {read:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a page of which no item is read because one of them is odd.
+#[test]
+fn items_beside_an_odd_one_are_read() {
+    for page_items in [1, 2, 3, 10] {
+        check_others_are_read(page_items, &items_with_key("c"));
+    }
+}
+
+/// Guards against the same where the key of the item cannot be read, so that no page can begin
+/// after it.
+#[test]
+fn items_beside_one_without_a_key_are_read() {
+    for page_items in [2, 3, 10] {
+        check_others_are_read(page_items, &items_without_key());
+    }
+}
+
+/// Guards against a page of which no item is read because a key is no valid text: one has bytes
+/// that are not UTF-8, the other one half of a surrogate pair.
+#[test]
+fn items_beside_keys_that_are_no_text_are_read() {
+    let body = b"{\"items\":[{\"key\":\"a\",\"rev\":2},{\"key\":\"b\xff\",\"rev\":3},\
+        {\"key\":\"\\ud800\",\"rev\":4},{\"key\":\"c\",\"rev\":5}],\"current_rev\":5}";
+    let listener = TcpListener::bind((STANDIN_IP, 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let read = stream.read(&mut [0; 4_096]).expect("a request");
+        assert!(read > 0);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        let response = [head.as_bytes(), body].concat();
+        stream.write_all(&response).expect("the response is sent");
+    });
+
+    let answer = StoreClient::new(address, READ_LIMIT).range("");
+
+    let page = answer.expect("the page is read").value;
+    let keys = page.changes.iter().map(|change| change.key.as_str());
+    assert!(keys.eq(["a", "c"]), "{page:?}");
+    assert_eq!(page.unreadable, 2);
+}
+
+/// Guards against changes that are lost because one of them is odd.
+#[test]
+fn changes_beside_an_odd_one_are_read() {
+    for item in [items_with_key("b"), items_without_key()].concat() {
+        let store = store_with(["a", "b", "c"], 10);
+        store.show_instead("b", &item);
+        let client = StoreClient::new(store.address(), Duration::from_secs(2));
+
+        let answer = client.watch("", StoreRevision(1), Duration::ZERO);
+
+        let changes = answer.expect("the changes are read").value.changes;
+        let others = changes.iter().map(|change| change.key.as_str());
+        assert!(
+            others.filter(|key| *key != "b").eq(["a", "c"]),
+            "{item}: {changes:?}"
+        );
+    }
+}
+
+/// Guards against a value that cannot be read and leaves the one before in effect.
+#[test]
+fn value_of_another_type_replaces_the_one_before() {
+    let store = store_with(["a"], 10);
+    store.show_instead("a", &json!({ "key": "a", "rev": 2, "value": 5 }));
+    let client = StoreClient::new(store.address(), Duration::from_secs(2));
+
+    let answer = client.watch("", StoreRevision(1), Duration::ZERO);
+
+    let changes = answer.expect("the changes are read").value.changes;
+    let expected = ItemChange {
+        key: "a".into(),
+        revision: StoreRevision(2),
+        value: Some(Vec::new()),
+    };
+    assert_eq!(changes, [expected]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
 
