List the services that stand beside an odd entry

A list of services of the own interface was given up whole when one of its entries could not be read, for instance with a port above 65535 or without its service, so a host knew none of the sound endpoints. An entry that could be read and had an odd value was passed over before.

Each entry is now read alone, and one that cannot be read is counted and logged like one with an odd value.

entries_beside_an_odd_one_are_listed failed before ("invalid response for /v1/health/service/cardamombridge-endpoint: invalid type: null, expected struct ListAnswer"); now two of two sound endpoints are listed beside each of 15 odd entries.

--- a/src/consul.rs
+++ b/src/consul.rs
@@ -45,6 +45,7 @@
     Serialize,
     de::DeserializeOwned, //
 };
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 use crate::{
@@ -677,14 +678,27 @@
         let reply = self
             .transport
             .read(&path, index, wait, MAX_LIST_ANSWER_BYTES)?;
-        let answers: Vec<ListAnswer> = self.transport.decode(&path, &reply.body)?;
+        // An entry that cannot be read says nothing about the entries beside it.
+        let text = String::from_utf8_lossy(&reply.body);
+        let answers: Vec<Box<RawValue>> = self.transport.decode(&path, text.as_bytes())?;
         let mut listed = Listed {
             index: reply.index,
             entries: Vec::new(),
             invalid: 0,
         };
-        for answer in answers.iter().filter(|answer| answer.is_live()) {
-            match parse(answer) {
+        for raw in answers {
+            let answer: ListAnswer = match serde_json::from_str(raw.get()) {
+                Ok(answer) => answer,
+                Err(error) => {
+                    listed.invalid += 1;
+                    tracing::warn!(list = name, %error, "list entry cannot be read");
+                    continue;
+                }
+            };
+            if !answer.is_live() {
+                continue;
+            }
+            match parse(&answer) {
                 Ok(entry) => listed.entries.push(entry),
                 Err(error) => {
                     listed.invalid += 1;
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -24,7 +24,18 @@
         ServiceList, //
     },
     decision::view::EndpointInfo,
-    standin::platform::PlatformStandin, //
+    http::message::Headers,
+    standin::{
+        listener::{
+            Listener,
+            respond_json, //
+        },
+        platform::PlatformStandin, //
+    }, //
+};
+use serde_json::{
+    Value,
+    json, //
 };
 
 const WAIT: Duration = Duration::from_secs(5);
@@ -218,6 +229,69 @@
     assert_eq!((listed.invalid, hosts.entries.len()), (0, 0));
 }
 
+/// Starts a list that consists of these entries, of each service.
+fn list_of(entries: Value) -> (Listener, ServiceList) {
+    let listener = Listener::start(0, move |connection, _| {
+        respond_json(connection, 200, Headers::new(), &entries)
+    });
+    let listener = listener.expect("the list starts");
+    let list = ServiceList::new(listener.address());
+    (listener, list)
+}
+
+fn list_entry(id: &str) -> Value {
+    json!({
+        "Service": {
+            "ID": id, "Address": "127.0.0.1", "Port": 9_000,
+            "Meta": {
+                "region": "stred", "data_centre": "stred-1", "target": "service/orders",
+                "version": "2.1", "slots": "8", "can_continue": "true",
+            },
+        },
+        "Checks": [],
+    })
+}
+
+/// Guards against a list that is given up because of one entry of another writer.
+#[test]
+fn entries_beside_an_odd_one_are_listed() {
+    let with_service = |name: &str, value: Value| {
+        let mut entry = list_entry("odd");
+        entry["Service"][name] = value;
+        entry
+    };
+    let odd_entries = [
+        json!(null),
+        json!(7),
+        json!({}),
+        json!({ "Service": null, "Checks": [] }),
+        json!({ "Service": list_entry("odd")["Service"], "Checks": null }),
+        json!({ "Service": list_entry("odd")["Service"], "Checks": [{ "Status": 1 }] }),
+        with_service("ID", json!(7)),
+        with_service("ID", json!("odd\r\nX: y")),
+        with_service("Address", json!(null)),
+        with_service("Address", json!("odd.example")),
+        with_service("Port", json!(70_000)),
+        with_service("Port", json!(-1)),
+        with_service("Port", json!("9000")),
+        with_service("Meta", json!({ "slots": 8 })),
+        with_service("Meta", json!([])),
+    ];
+    for odd in odd_entries {
+        let entries = json!([list_entry("e-1"), odd, list_entry("e-2")]);
+        let (_listener, list) = list_of(entries);
+
+        let endpoints = list.list_endpoints(Index(0), WAIT);
+        let hosts = list.list_hosts(Index(0), WAIT);
+
+        let endpoints = endpoints.unwrap_or_else(|error| panic!("{odd}: {error}"));
+        let ids = endpoints.entries.iter().map(|entry| entry.id.as_str());
+        assert!(ids.eq(["e-1", "e-2"]), "{odd}");
+        assert_eq!(endpoints.invalid, 1, "{odd}");
+        assert!(hosts.is_ok(), "{odd}");
+    }
+}
+
 /// Guards against a stand-in that does not simulate list lag, which would hide
 /// faults.
 #[test]
