Take no entry for an endpoint whose name no header can carry

An entry of another writer with sound fields and a line end in its name put a header of its own into each request for its endpoint, because the name is sent as the expected endpoint. With a blank, letters outside ASCII or no name at all, requests went out with a name that no endpoint states.

An id is now at least one visible ASCII character, as the names of client accounts and software versions are; an entry under another name names no endpoint, like one with a value that cannot be decoded. Names such as e&3+#%7A are sent as they are, and stay in use.

entry_whose_name_no_header_can_carry_names_no_endpoint failed before in five of seven cases, for "e-3\r\nX-Injected: 1" with 7 requests that had the header x-injected. It passes now, and so does the test of the name of any visible characters, which passed before as well.

--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -394,7 +394,7 @@
             return None;
         }
         let order = match (&change.value, change.key.strip_prefix(ENDPOINT_PREFIX)) {
-            (Some(value), Some(_)) => decode_endpoint(value).ok().map(|known| known.order),
+            (Some(value), Some(id)) => decode_endpoint(id, value).ok().map(|known| known.order),
             _ => None,
         };
         let is_endpoint = change.key.starts_with(ENDPOINT_PREFIX);
@@ -499,7 +499,7 @@
     } else if let Some(id) = key.strip_prefix(ENDPOINT_PREFIX) {
         // An item that cannot be decoded describes no endpoint, and it replaces any
         // earlier item, so the endpoint counts as removed.
-        match decode_endpoint(value) {
+        match decode_endpoint(id, value) {
             Ok(announcement) => Ok(Update::Endpoint(id.into(), announcement)),
             Err(error) => {
                 tracing::warn!(
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -217,8 +217,7 @@
             });
         }
     };
-    // The name is sent in headers.
-    if wire.name.is_empty() || !wire.name.bytes().all(|byte| byte.is_ascii_graphic()) {
+    if !is_header_word(&wire.name) {
         return Err(ItemError::UnknownValue {
             field: "name",
             value: wire.name,
@@ -304,12 +303,19 @@
     is_possible.then(|| engine.kv_token_bytes * 8.0 / (engine.link_mbps * 1_000.0))
 }
 
-/// Decodes the announcement of an endpoint.
+/// Decodes the announcement of the endpoint `id`.
 ///
 /// # Errors
 ///
-/// Fails if the value is not JSON of the expected form or has an unknown state.
-pub fn decode_endpoint(text: &[u8]) -> Result<Announcement, ItemError> {
+/// Fails if the id cannot be sent in a header, or if the value is not JSON of the expected form
+/// or has an unknown state.
+pub fn decode_endpoint(id: &str, text: &[u8]) -> Result<Announcement, ItemError> {
+    if !is_header_word(id) {
+        return Err(ItemError::UnknownValue {
+            field: "id",
+            value: id.into(),
+        });
+    }
     let wire: WireEndpoint = serde_json::from_slice(text)?;
     let stage = match wire.state.as_str() {
         "ready" => Stage::Ready,
@@ -337,6 +343,11 @@
     })
 }
 
+/// Returns whether a header can carry the text: visible ASCII characters, at least one.
+fn is_header_word(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// Rounds a duration up to full milliseconds; negative ones become 0.
 fn ceil_ms(ms: f64) -> u64 {
     (ms.ceil().max(0.0) as u64).min(MAX_STATED_MS)
--- a/tests/gateway_store_pages.rs
+++ b/tests/gateway_store_pages.rs
@@ -22,6 +22,7 @@
     HostOptions,
     Request,
     announce,
+    announce_as,
     configuration,
     store_with_configuration, //
 };
@@ -55,9 +56,14 @@
     false
 }
 
-/// Returns the number of requests that are served by the hosts.
+/// Returns the number of [`REQUESTS`] that are served by the hosts.
 fn served(hosts: &[Host]) -> usize {
-    (0..REQUESTS)
+    served_of(REQUESTS, hosts)
+}
+
+/// Returns the number of `requests` that are served by the hosts.
+fn served_of(requests: usize, hosts: &[Host]) -> usize {
+    (0..requests)
         .filter(|index| {
             let request = Request::get("/read/1").with_attempt(&format!("a-{index}"), LIMIT_MS);
             let answer = request.try_send(hosts[index % hosts.len()].caller_address);
@@ -167,3 +173,55 @@
     host.wait_log("\"configuration in force\",\"version\":8");
     assert_eq!(served(&[host]), REQUESTS);
 }
+
+/// Guards against an entry whose name puts a header of its own into requests for an endpoint, or
+/// cannot be sent in a header at all.
+#[test]
+fn entry_whose_name_no_header_can_carry_names_no_endpoint() {
+    let mut failed = Vec::new();
+    for id in [
+        "e-3\r\nX-Injected: 1",
+        "e-3\nX-Injected: 1",
+        "e-3\rX-Injected: 1",
+        "e-3 x",
+        "e-3\u{0}",
+        "e-\u{e9}",
+        "",
+    ] {
+        let store = store_with_configuration();
+        let odd = ScriptedEndpoint::start("e-3", |_, _| Script::Answer(200, b"answer".to_vec()));
+        let odd = odd.expect("the endpoint starts");
+        announce_as(&store, id, &odd, "north", &json!({}));
+        let host = Host::start(&store, &HostOptions::default());
+        let hosts = [host];
+
+        let served_alone = served_of(6, &hosts);
+        let _endpoints = sound_endpoints(&store);
+        let is_known = wait_known(&hosts[0]);
+        let served = served(&hosts);
+
+        let arrivals = odd.arrivals();
+        if served_alone > 0 || !arrivals.is_empty() || !is_known || served < REQUESTS {
+            let first = arrivals.first().map(|arrival| &arrival.headers);
+            failed.push(format!(
+                "{id:?}: {} requests, {served} of {REQUESTS} served beside it; {first:?}",
+                arrivals.len()
+            ));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Guards against an endpoint that is not used because of a name that a header can carry.
+#[test]
+fn entry_with_a_name_of_any_visible_characters_names_an_endpoint() {
+    const ID: &str = "e&3+#%7A\"<>/~";
+    let store = store_with_configuration();
+    let endpoint = ScriptedEndpoint::start(ID, |_, _| Script::Answer(200, b"answer".to_vec()));
+    let endpoint = endpoint.expect("the endpoint starts");
+    announce(&store, &endpoint, "north");
+    let host = Host::start(&store, &HostOptions::default());
+    host.wait_log("endpoint announced");
+
+    assert_eq!(served(&[host]), REQUESTS);
+}
