End the id of an event at a carriage return

A host sends the id of the last event of a stream as a header when another endpoint has to go on with it. Only a line feed ended the id, so an endpoint whose event held "id: 5\rX-Injected: 1" put the rest of the line behind a bare carriage return into a request for another endpoint. In events a carriage return ends a line by itself.

id_of_an_event_ends_with_its_line failed before (Some("5\rX-Injected: 1") instead of Some("5")) and passes now, with the other tests of gateway_messages.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -68,8 +68,9 @@
 }
 
 fn event_id(event: &[u8]) -> Option<CompactString> {
+    // A carriage return ends a line as well, and an id is sent in a header.
     event
-        .split(|byte| *byte == b'\n')
+        .split(|byte| matches!(byte, b'\r' | b'\n'))
         .filter_map(|line| line.strip_prefix(b"id:"))
         .filter_map(|value| std::str::from_utf8(value).ok())
         .map(|value| CompactString::from(value.trim()))
--- a/tests/gateway_messages.rs
+++ b/tests/gateway_messages.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// Guards against an event whose id puts a header of its own into the request that goes on with
+/// the stream. A carriage return ends a line of an event by itself.
+#[test]
+fn id_of_an_event_ends_with_its_line() {
+    let mut splitter = EventSplitter::new();
+
+    splitter.push(b"id: 5\rX-Injected: 1\ndata: x\n\n", &mut Vec::new());
+
+    assert_eq!(splitter.last_id().map(|id| id.as_str()), Some("5"));
+}
+
 proptest! {
     /// Guards against a decoded body that depends on how the network splits it,
     /// and against the next message being read as part of it.
