Take a host only from the item under its own name

An item under one host's key that named another host replaced the addresses of that one: the host was taken from the name in the value, and its deletion from the key. One entry of another writer could so make a sound host unreachable for forwarded requests and messages. Such an item is now ignored and logged, like one that cannot be decoded.

--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -479,6 +479,16 @@
     Some(Update::HostRemoved(name.into()))
 }
 
+/// Decodes the item of the host `name`.
+fn decode_host(name: &str, value: &[u8]) -> Result<Update, String> {
+    let info: HostInfo = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    if info.name != name {
+        let error = ParseError::new("host name", &info.name, "the name in the key");
+        return Err(error.to_string());
+    }
+    Ok(Update::Host(info))
+}
+
 fn decode_verdict(suspect: &str, value: &[u8]) -> Result<Update, String> {
     let suspect = suspect
         .parse()
@@ -519,10 +529,8 @@
         serde_json::from_slice(value)
             .map(|served| Update::ServedVersions(service.into(), served))
             .map_err(|error| error.to_string())
-    } else if key.starts_with(HOST_PREFIX) {
-        serde_json::from_slice(value)
-            .map(Update::Host)
-            .map_err(|error| error.to_string())
+    } else if let Some(name) = key.strip_prefix(HOST_PREFIX) {
+        decode_host(name, value)
     } else {
         return None;
     };
--- a/tests/gateway_replica.rs
+++ b/tests/gateway_replica.rs
@@ -592,6 +592,31 @@
     Ok(())
 }
 
+/// Guards against an item of another writer that replaces the addresses of a host.
+#[test]
+fn item_under_another_name_does_not_change_a_host() {
+    let subject = Subject::new();
+    let host = |address: &str| {
+        let item = json!({
+            "name": "host-9", "region": "north", "data_centre": "north-a",
+            "caller_address": address, "peer_address": address, "capacity": 1,
+        });
+        Some(item.to_string().into_bytes())
+    };
+    let own = change("cardamombridge/hosts/host-9", 2, host("127.0.0.1:80"));
+    let odd = change("cardamombridge/hosts/odd", 3, host("127.0.0.1:81"));
+    subject.apply(complete(1, 2, vec![own]));
+    let registered = subject.updates();
+
+    subject.apply(changes(1, 3, vec![odd]));
+
+    assert!(matches!(
+        registered[..],
+        [Update::Host(_), Update::Synchronised]
+    ));
+    assert_eq!(subject.updates(), Vec::new());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
