Use a health path only if a request line can carry it

The health path of a service goes into the request line of health checks as the configuration states it. One with a line end put a header of its own into them, and one with a blank made them malformed. A service whose health path does not begin with a slash, or has other than visible ASCII characters, now counts as one without; the rest of the configuration holds.

health_path_that_is_no_path_is_not_used failed before for "/healthz HTTP/1.1\r\nX-Injected: 1" and passes now, with the other tests of gateway_odd_values and gateway_cold_news.

--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -285,7 +285,7 @@
 fn decode_service(wire: WireService) -> Service {
     Service {
         name: wire.name,
-        health_path: wire.health_path,
+        health_path: wire.health_path.filter(|path| is_path(path)),
         cold_ms: ceil_ms(wire.cold_s * 1_000.0),
         cold_per_s: wire.cold_per_s.min(MAX_COLD_PER_S),
         engine: wire.engine.map(|engine| Engine {
@@ -348,6 +348,11 @@
     !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic())
 }
 
+/// Returns whether a request line can carry the text as a path.
+fn is_path(text: &str) -> bool {
+    text.starts_with('/') && is_header_word(text)
+}
+
 /// Rounds a duration up to full milliseconds; negative ones become 0.
 fn ceil_ms(ms: f64) -> u64 {
     (ms.ceil().max(0.0) as u64).min(MAX_STATED_MS)
--- a/tests/gateway_odd_values.rs
+++ b/tests/gateway_odd_values.rs
@@ -12,12 +12,15 @@
     time::Duration, //
 };
 
-use cardamombridge::standin::{
-    listener::STANDIN_IP,
-    metadata_store::MetadataStore,
-    scripted::{
-        Script,
-        ScriptedEndpoint, //
+use cardamombridge::{
+    platform::items::decode_configuration,
+    standin::{
+        listener::STANDIN_IP,
+        metadata_store::MetadataStore,
+        scripted::{
+            Script,
+            ScriptedEndpoint, //
+        }, //
     }, //
 };
 use gatewayenv::{
@@ -149,6 +152,28 @@
     check_follows(&mut host, &store, "large numbers");
 }
 
+/// Guards against a health path that puts a header of its own into health checks.
+#[test]
+fn health_path_that_is_no_path_is_not_used() {
+    for (path, is_used) in [
+        ("/healthz", true),
+        ("/healthz?full=1&x=%20", true),
+        ("/healthz HTTP/1.1\r\nX-Injected: 1", false),
+        ("/health z", false),
+        ("/h\u{e9}", false),
+        ("healthz", false),
+        ("", false),
+    ] {
+        let mut known = configuration(8);
+        known["backends"][0]["health_path"] = json!(path);
+
+        let decoded = decode_configuration(known.to_string().as_bytes());
+
+        let services = decoded.expect("the configuration is valid").services;
+        assert_eq!(services[0].health_path.is_some(), is_used, "{path:?}");
+    }
+}
+
 /// Guards against headers of a caller with numbers too large to add.
 #[test]
 fn large_numbers_of_a_caller_end_no_host() {
