--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -175,7 +175,7 @@
     pub unreadable: usize,
 }
 
-/// An item of which only the key has to be readable.
+/// An item, whose other fields are decoded once its key is known.
 #[derive(Deserialize)]
 struct WireItem<'a> {
     key: CompactString,
@@ -490,6 +490,6 @@
 }
 
 fn decode_value(raw: &RawValue) -> Option<Vec<u8>> {
-    let text: Cow<'_, str> = serde_json::from_str(raw.get()).ok()?;
-    STANDARD.decode(text.as_bytes()).ok()
+    let text: String = serde_json::from_str(raw.get()).ok()?;
+    STANDARD.decode(text).ok()
 }
