--- a/review/stand-2/case_gone.rs
+++ b/review/stand-2/case_gone.rs
@@ -24,9 +24,9 @@
 const WORK: Duration = Duration::from_millis(30);
 /// Silence of a sound replica.
 const SILENCE: Duration = Duration::from_millis(1_300);
-const REQUESTS: usize = 60;
+const REQUESTS: usize = 150;
 /// Time between two requests.
-const BETWEEN: Duration = Duration::from_millis(2);
+const BETWEEN: Duration = Duration::from_millis(1);
 /// Time after which clients leave: half the objective.
 const LEAVE: Duration = Duration::from_millis(250);
 
@@ -77,7 +77,9 @@
         let (key, value) = replica::item(&id, "desk", address, zone, SLOTS as u32);
         store.put(&key, &value);
     }
-    let hosts = places.iter().zip(1..).map(|((zone, region), number)| {
+    // Three machines where the silent replica is, and one in another region.
+    let machines = [places[0], places[0], places[0], places[1]];
+    let hosts = machines.iter().zip(1..).map(|((zone, region), number)| {
         let options = Options::default();
         Host::start(net, number, zone, region, store.address, &run.folder, &options)
     });
@@ -86,13 +88,14 @@
         return Verdict::CouldNotRun("a host did not become ready".into());
     }
     // The machines are in touch, and traffic has run for some seconds.
-    let front = hosts[0].front;
-    for number in 0..140 {
+    let fronts: Vec<_> = hosts[..3].iter().map(|host| host.front).collect();
+    for number in 0..240 {
+        let front = fronts[number % fronts.len()];
         let seen = client::call(front, "POST", "/order/2f", &format!("w{number:04}"), 8_000, "", b"{}");
         if !seen.is_served() {
             return Verdict::CouldNotRun(format!("not served before: {}", seen.text()));
         }
-        thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(40));
     }
     if run.has_trouble {
         record.line("desk-0 falls silent");
@@ -106,7 +109,7 @@
     }
     let calls = (0..REQUESTS).map(|number| {
         thread::sleep(BETWEEN);
-        let record = record.clone();
+        let (record, front) = (record.clone(), fronts[number % fronts.len()]);
         thread::spawn(move || {
             let attempt = format!("g{number:04}");
             let Ok(mut wire) = client::open(front) else {
--- a/review/stand-2/host.rs
+++ b/review/stand-2/host.rs
@@ -79,6 +79,7 @@
     });
 }
 
+pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -13,9 +13,11 @@
 
 mod case_caller;
 mod case_gone;
+mod case_idle;
 mod case_many;
 mod case_pipeline;
 mod case_slow_reader;
+mod case_steady;
 mod case_unframed;
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
@@ -57,8 +59,10 @@
     let verdict = match case.as_str() {
         "caller" => case_caller::run(&run),
         "gone" => case_gone::run(&run),
+        "idle" => case_idle::run(&run),
         "many" => case_many::run(&run),
         "pipeline" => case_pipeline::run(&run),
+        "steady" => case_steady::run(&run),
         "slow-reader" => case_slow_reader::run(&run),
         "unframed" => case_unframed::run(&run),
         _ => Verdict::CouldNotRun(format!("unknown case {case}")),
