--- a/review/stand-2/case_slow_reader.rs
+++ b/review/stand-2/case_slow_reader.rs
@@ -3,12 +3,12 @@
 use std::{thread, time::Duration};
 
 use crate::{
+    Run, Verdict,
     client::{self, Seen},
     host::{Host, Options, SIGTERM},
     http::End,
     replica::{self, SEAL},
     store::Store,
-    Run, Verdict,
 };
 
 /// Lengths of the answers, one for each host. How much of an answer the kernel takes differs
@@ -29,11 +29,19 @@
     let (net, record) = (&run.net, &run.record);
     let store = Store::start(net.address(200, 0));
     let route = replica::route("/export/", "idempotent", "desk", TIMEOUT_MS, 4_000, 1);
-    store.put("op/config", &replica::configuration(7, &[route], &["desk"], ""));
+    store.put(
+        "op/config",
+        &replica::configuration(7, &[route], &["desk"], ""),
+    );
     let seen_by_replica = record.clone();
     let address = replica::start("desk-0", net.address(210, 0), move |arrived| {
         let attempt = arrived.attempt();
-        let length = arrived.head.target().rsplit('/').next().and_then(|text| text.parse().ok());
+        let length = arrived
+            .head
+            .target()
+            .rsplit('/')
+            .next()
+            .and_then(|text| text.parse().ok());
         seen_by_replica.line(&format!("desk-0 runs {attempt}"));
         let is_sent = arrived.answer(200, SEAL, &vec![b'x'; length.unwrap_or(0)]);
         seen_by_replica.line(&format!("desk-0 has ended {attempt}, all sent {is_sent}"));
@@ -43,10 +51,21 @@
     store.put(&key, &value);
     let hosts = (1..=BODIES.len() as u8).map(|number| {
         let options = Options::default();
-        Host::start(net, number, "ba-palermo", "buenos-aires", store.address, &run.folder, &options)
+        Host::start(
+            net,
+            number,
+            "ba-palermo",
+            "buenos-aires",
+            store.address,
+            &run.folder,
+            &options,
+        )
     });
     let mut hosts: Vec<Host> = hosts.collect();
-    if !hosts.iter().all(|host| host.wait_ready(Duration::from_secs(10))) {
+    if !hosts
+        .iter()
+        .all(|host| host.wait_ready(Duration::from_secs(10)))
+    {
         return Verdict::CouldNotRun("a host did not become ready".into());
     }
     let calls = BODIES.iter().zip(&hosts).map(|(length, host)| {
@@ -92,7 +111,10 @@
         let is_within = at_ms < stopped_ms + GRACE_MS;
         lost += usize::from(is_lost && is_within);
     }
-    record.line(&format!("answers that were lost: {lost} of {}", BODIES.len()));
+    record.line(&format!(
+        "answers that were lost: {lost} of {}",
+        BODIES.len()
+    ));
     if !run.has_trouble && lost > 0 {
         return Verdict::CouldNotRun("an answer was lost without the disruption".into());
     }
--- a/review/stand-2/case_unframed.rs
+++ b/review/stand-2/case_unframed.rs
@@ -3,12 +3,12 @@
 use std::{thread, time::Duration};
 
 use crate::{
+    Run, Verdict,
     client::{self, Seen},
     host::{Host, Options, SIGKILL},
     http::End,
     replica::{self, SEAL},
     store::Store,
-    Run, Verdict,
 };
 
 /// Length of the replica's answers; the configuration lets clients send as much.
@@ -24,12 +24,19 @@
     let (net, record) = (&run.net, &run.record);
     let store = Store::start(net.address(200, 0));
     let route = replica::route("/export/", "idempotent", "desk", 8_000, 4_000, 2);
-    store.put("op/config", &replica::configuration(7, &[route], &["desk"], ""));
+    store.put(
+        "op/config",
+        &replica::configuration(7, &[route], &["desk"], ""),
+    );
     let seen_by_replica = record.clone();
     let address = replica::start("desk-0", net.address(210, 0), move |arrived| {
         let attempt = arrived.attempt();
-        seen_by_replica.line(&format!("desk-0 runs {attempt}, sends {BODY} bytes without a length"));
-        let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{SEAL}Content-Type: text/csv\r\n\r\n");
+        seen_by_replica.line(&format!(
+            "desk-0 runs {attempt}, sends {BODY} bytes without a length"
+        ));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{SEAL}Content-Type: text/csv\r\n\r\n"
+        );
         let mut is_sent = arrived.wire.write(head.as_bytes()).is_ok();
         for _ in 0..BODY / PIECE {
             is_sent = is_sent && arrived.wire.write(&[b'x'; PIECE]).is_ok();
@@ -41,7 +48,15 @@
     let (key, value) = replica::item("desk-0", "desk", address, "ba-palermo", 6);
     store.put(&key, &value);
     let options = Options::default();
-    let mut host = Host::start(net, 1, "ba-palermo", "buenos-aires", store.address, &run.folder, &options);
+    let mut host = Host::start(
+        net,
+        1,
+        "ba-palermo",
+        "buenos-aires",
+        store.address,
+        &run.folder,
+        &options,
+    );
     if !host.wait_ready(Duration::from_secs(10)) {
         return Verdict::CouldNotRun("the host did not become ready".into());
     }
@@ -64,12 +79,12 @@
     let seen = calls.into_iter().map(|call| call.join().expect("a client"));
     let seen: Vec<Seen> = seen.collect();
     record.line(&format!("the host has ended: {:?}", host.end()));
-    let is_short = |seen: &&Seen| {
-        matches!(seen, Seen::Answer { status: 200..=299, body, end: End::Complete, .. } if body.len() < BODY)
-    };
+    let is_short = |seen: &&Seen| matches!(seen, Seen::Answer { status: 200..=299, body, end: End::Complete, .. } if body.len() < BODY);
     let short = seen.iter().filter(is_short).count();
     let whole = seen.iter().filter(|seen| seen.is_served()).count() - short;
-    record.line(&format!("whole answers {whole}, answers that look complete and are not {short}"));
+    record.line(&format!(
+        "whole answers {whole}, answers that look complete and are not {short}"
+    ));
     if !run.has_trouble && whole < REQUESTS {
         return Verdict::CouldNotRun("not all answers were whole without the disruption".into());
     }
--- a/review/stand-2/client.rs
+++ b/review/stand-2/client.rs
@@ -24,13 +24,29 @@
 
 impl Seen {
     pub fn is_served(&self) -> bool {
-        matches!(self, Self::Answer { status: 200..=299, is_signed: true, end: End::Complete, .. })
+        matches!(
+            self,
+            Self::Answer {
+                status: 200..=299,
+                is_signed: true,
+                end: End::Complete,
+                ..
+            }
+        )
     }
 
     pub fn text(&self) -> String {
         match self {
-            Self::Answer { status, is_signed, body, end } => {
-                format!("status {status}, signed {is_signed}, {} bytes, {end:?}", body.len())
+            Self::Answer {
+                status,
+                is_signed,
+                body,
+                end,
+            } => {
+                format!(
+                    "status {status}, signed {is_signed}, {} bytes, {end:?}",
+                    body.len()
+                )
             }
             Self::Nothing(cause) => format!("no answer: {cause}"),
         }
@@ -39,10 +55,19 @@
 
 pub fn open(address: SocketAddr) -> Result<Wire, String> {
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1));
-    stream.map(Wire::new).map_err(|error| error.kind().to_string())
+    stream
+        .map(Wire::new)
+        .map_err(|error| error.kind().to_string())
 }
 
-pub fn head(method: &str, path: &str, attempt: &str, deadline_ms: u64, more: &str, length: usize) -> String {
+pub fn head(
+    method: &str,
+    path: &str,
+    attempt: &str,
+    deadline_ms: u64,
+    more: &str,
+    length: usize,
+) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {attempt}\r\n\
          X-Deadline-Ms: {deadline_ms}\r\n{more}Content-Length: {length}\r\n\r\n"
@@ -70,7 +95,15 @@
 }
 
 /// Sends one request on a new connection and waits for its answer, for its time limit at most.
-pub fn call(address: SocketAddr, method: &str, path: &str, attempt: &str, deadline_ms: u64, more: &str, body: &[u8]) -> Seen {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    attempt: &str,
+    deadline_ms: u64,
+    more: &str,
+    body: &[u8],
+) -> Seen {
     let mut wire = match open(address) {
         Ok(wire) => wire,
         Err(cause) => return Seen::Nothing(cause),
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -4,16 +4,15 @@
 //! Usage: `stand CASE RECORD`, in the repository. `TROUBLE=0` leaves the disruption out.
 
 mod client;
+mod host;
 mod http;
 mod json;
 mod record;
 mod replica;
 mod store;
-mod host;
 
 mod case_caller;
 mod case_gone;
-mod case_idle;
 mod case_many;
 mod case_pipeline;
 mod case_slow_reader;
@@ -59,7 +58,6 @@
     let verdict = match case.as_str() {
         "caller" => case_caller::run(&run),
         "gone" => case_gone::run(&run),
-        "idle" => case_idle::run(&run),
         "many" => case_many::run(&run),
         "pipeline" => case_pipeline::run(&run),
         "steady" => case_steady::run(&run),
