--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -15,7 +15,6 @@
 mod case_gone;
 mod case_many;
 mod case_pipeline;
-mod case_slow_reader;
 mod case_steady;
 mod case_unframed;
 
@@ -61,7 +60,6 @@
         "many" => case_many::run(&run),
         "pipeline" => case_pipeline::run(&run),
         "steady" => case_steady::run(&run),
-        "slow-reader" => case_slow_reader::run(&run),
         "unframed" => case_unframed::run(&run),
         _ => Verdict::CouldNotRun(format!("unknown case {case}")),
     };
