Send updates of the replica after its content is unlocked

Cause: `StoreReplica::apply` sent each update under the lock of the replica, through a queue of 1,024, and waited there while the queue was full. The reactor alone empties the queue, and takes the same lock for each beacon (`known`) and for each host that asks for changes (`changes_for`). A page with more changes than the queue has room for let each thread wait for the other.

Evidence: stacks of three hung hosts, taken with a debugger, are alike: the thread `store` is in `UpdateSender::send` below `apply`, the main thread in the lock of the replica below `known`; all other threads are idle. Ruled out by these: the store, the log (it drops lines), and the other queues of the reactor, which it only tries to send to.

Change: the content, in a module of its own, returns updates instead of sending them; the threads that change it send them once it is unlocked, in the order of changes, under a second lock that the reactor has no way to reach. The queue stays bounded, so a thread that changes the replica still waits for the reactor, which needs nothing that it holds. Updates of a page wake the reactor once, not each.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod prefill_mix;
 pub mod reactor;
 pub mod registration;
+mod replica_content;
 pub mod replica_entry;
 pub mod request;
 pub mod request_rate;
--- a/src/gateway/peer_changes.rs
+++ b/src/gateway/peer_changes.rs
@@ -23,7 +23,7 @@
     known_state::KnownState,
     store_replica::{
         ReplicaPage,
-        StoreReplica, //
+        ReplicaReader, //
     }, //
 };
 
@@ -108,7 +108,7 @@
 /// # Errors
 ///
 /// Fails if the changes cannot be serialised.
-pub fn encode_changes(replica: &StoreReplica, query: &str) -> Result<Vec<u8>, PeerChangesError> {
+pub fn encode_changes(replica: &ReplicaReader, query: &str) -> Result<Vec<u8>, PeerChangesError> {
     Ok(postcard::to_allocvec(
         &replica.changes_for(decode_query(query)),
     )?)
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -98,7 +98,7 @@
     },
     settings::GatewaySettings,
     store_replica::{
-        StoreReplica,
+        ReplicaReader,
         Update, //
     },
     stored_verdicts::{
@@ -183,7 +183,7 @@
     pub(super) shutdown_started_ms: Option<u64>,
     pub(super) reload: Option<Box<dyn Fn() -> Option<GatewaySettings>>>,
     /// Local copy of the store's items, also served to other hosts.
-    pub(super) replica: Option<StoreReplica>,
+    pub(super) replica: Option<ReplicaReader>,
     /// Requests to fetch store changes from the host at an address.
     pub(super) resync_requests: Option<Sender<SocketAddr>>,
     /// Time at which this host fell behind another one, and what it knew then.
@@ -370,7 +370,7 @@
 
     /// Sets the store replica and the channel for requests to fetch changes from
     /// other hosts.
-    pub fn set_replica(&mut self, replica: StoreReplica, resync_requests: Sender<SocketAddr>) {
+    pub fn set_replica(&mut self, replica: ReplicaReader, resync_requests: Sender<SocketAddr>) {
         self.replica = Some(replica);
         self.resync_requests = Some(resync_requests);
     }
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -53,7 +53,8 @@
 };
 use crate::logs;
 
-/// Capacity of the reactor's update queue: all endpoints of a region at once.
+/// Capacity of the reactor's queue of updates. The threads that change the replica wait while it
+/// is full.
 const UPDATE_QUEUE_LEN: usize = 1_024;
 /// Capacity of the queue of suspects to be written to the store.
 const VERDICT_QUEUE_LEN: usize = 64;
@@ -83,7 +84,7 @@
     let updates = UpdateSender::new(sender, reactor.waker()?);
     let replica = StoreReplica::new(updates.clone());
     let (resync_requests, resync_receiver) = bounded(1);
-    reactor.set_replica(replica.clone(), resync_requests);
+    reactor.set_replica(replica.reader(), resync_requests);
     let (copy_questions, copy_receiver) = bounded(1);
     reactor.set_copy_questions(copy_questions);
     let (verdict_writes, verdict_receiver) = bounded(VERDICT_QUEUE_LEN);
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -30,7 +30,7 @@
         ServiceRoom, //
     },
     store_replica::{
-        StoreReplica,
+        ReplicaReader,
         Update, //
     },
 };
@@ -313,7 +313,7 @@
     /// Returns the state of the store that this host knows.
     fn known(&self) -> KnownState {
         let replica = self.replica.as_ref();
-        replica.map_or_else(KnownState::default, StoreReplica::known)
+        replica.map_or_else(KnownState::default, ReplicaReader::known)
     }
 
     /// Requests changes from the sender of a beacon if this host has lagged behind for
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -9,14 +9,17 @@
 //! hosts ask for the changes after their own position, so a change that is missing
 //! below it would never reach them.
 //!
+//! The reactor reads the replica and is the only receiver of its updates, so no thread may wait for
+//! it while the content is locked. The threads that change the replica therefore use two locks:
+//! `updates` from a change until its updates are sent, which keeps them in the order of changes,
+//! and `content` only for the change itself. The reactor has a [`ReplicaReader`], which cannot
+//! reach the first lock.
+//!
 //! A new era begins with a page of all items; [`super::replica_entry`] decides how
 //! these are merged with what was known before.
 
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeMap,
     sync::{
         Arc,
         Mutex,
@@ -30,7 +33,10 @@
 };
 
 use compact_str::CompactString;
-use crossbeam::channel::Sender;
+use crossbeam::channel::{
+    Sender,
+    TrySendError, //
+};
 use mio::Waker;
 use serde::{
     Deserialize,
@@ -38,56 +44,26 @@
 };
 
 use super::{
-    configuration::{
-        Configuration,
-        ConfigurationVersion, //
-    },
+    configuration::Configuration,
     copy_checks::CopyCheck,
     crash_records::Suspect,
     endpoint::Announcement,
-    hosts::{
-        HOST_PREFIX,
-        HostInfo, //
-    },
+    hosts::HostInfo,
     known_state::KnownState,
-    replica_entry::{
-        Entry,
-        Merge, //
-    },
-    stored_verdicts::{
-        StoredVerdict,
-        VERDICT_PREFIX, //
-    },
-    stored_versions::{
-        ServedVersions,
-        VERSIONS_PREFIX, //
-    }, //
+    replica_content::Content,
+    stored_verdicts::StoredVerdict,
+    stored_versions::ServedVersions, //
 };
 use crate::{
-    platform::{
-        items::{
-            CONFIGURATION_KEY,
-            ENDPOINT_PREFIX,
-            EVACUATION_PREFIX,
-            decode_configuration,
-            decode_endpoint, //
-        },
-        store::ItemChange, //
-    },
+    platform::store::ItemChange,
     store_position::{
         StoreEra,
         StorePosition,
         StoreRevision, //
-    },
-    types::ParseError, //
+    }, //
 };
 
-/// Deletions that are kept, so that other hosts can receive them.
-const MAX_DELETIONS: usize = 1_024;
-/// Time after the begin of an era in which items that its first page contradicts
-/// are kept. The writers of live items have written them again by then, and items
-/// whose writers are gone have expired.
-pub const SETTLE_TIME: Duration = Duration::from_millis(4_000);
+pub use super::replica_content::SETTLE_TIME;
 
 /// A message to the reactor: a change of the replica or a command to the process.
 #[derive(Debug, Clone, PartialEq)]
@@ -141,18 +117,46 @@
         Self { sender, waker }
     }
 
-    /// Sends an update; returns false if the reactor has ended.
+    /// Sends an update, and waits until there is room for it; returns false if the reactor
+    /// has ended.
     pub fn send(&self, update: Update) -> bool {
-        if self.sender.send(update).is_err() {
-            return false;
+        self.send_all([update])
+    }
+
+    /// Sends updates in order, and waits until there is room for all; returns false if the
+    /// reactor has ended.
+    pub fn send_all<I>(&self, updates: I) -> bool
+    where
+        I: IntoIterator<Item = Update>,
+    {
+        let mut is_any_sent = false;
+        for update in updates {
+            is_any_sent = true;
+            let is_sent = match self.sender.try_send(update) {
+                Ok(()) => true,
+                Err(TrySendError::Full(update)) => {
+                    self.wake();
+                    self.sender.send(update).is_ok()
+                }
+                Err(TrySendError::Disconnected(_)) => false,
+            };
+            if !is_sent {
+                return false;
+            }
         }
+        if is_any_sent {
+            self.wake();
+        }
+        true
+    }
+
+    fn wake(&self) {
         if let Err(error) = self.waker.wake() {
             tracing::warn!(
                 %error,
-                "could not wake the reactor; it applies the update at its next tick"
+                "could not wake the reactor; it applies the updates at its next tick"
             );
         }
-        true
     }
 }
 
@@ -188,22 +192,11 @@
     NeedsAllItems,
 }
 
-#[derive(Debug, Default)]
-struct Content {
-    position: StorePosition,
-    entries: BTreeMap<CompactString, Entry>,
-    is_synchronised: bool,
-    /// Revision from which on the replica contains every deletion.
-    history_start: StoreRevision,
-    /// When the items that are kept from the previous era are given up.
-    settles_at: Option<Instant>,
-}
-
 /// A host's copy of the store, shared by the threads that change it.
 #[derive(Clone)]
 pub struct StoreReplica {
     content: Arc<Mutex<Content>>,
-    updates: UpdateSender,
+    updates: Arc<Mutex<UpdateSender>>,
 }
 
 impl StoreReplica {
@@ -211,36 +204,30 @@
     pub fn new(updates: UpdateSender) -> Self {
         Self {
             content: Arc::default(),
-            updates,
+            updates: Arc::new(Mutex::new(updates)),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Content> {
-        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the replica as the reactor uses it.
+    pub fn reader(&self) -> ReplicaReader {
+        ReplicaReader {
+            content: Arc::clone(&self.content),
+        }
     }
 
     /// Returns the position up to which the replica contains all changes.
     pub fn position(&self) -> StorePosition {
-        self.lock().position
+        lock(&self.content).position()
     }
 
     /// Returns the state of the store that the replica contains.
     pub fn known(&self) -> KnownState {
-        let content = self.lock();
-        let entry = content.entries.get(CONFIGURATION_KEY);
-        KnownState {
-            position: content.position,
-            configuration: entry.map_or_else(ConfigurationVersion::default, Entry::version),
-        }
+        lock(&self.content).known()
     }
 
     /// Returns the items of the replica, by key.
     pub fn items(&self) -> BTreeMap<CompactString, Vec<u8>> {
-        let content = self.lock();
-        let entries = content.entries.iter();
-        entries
-            .filter_map(|(key, entry)| Some((key.clone(), entry.value.clone()?)))
-            .collect()
+        lock(&self.content).items()
     }
 
     /// Returns what another host that has `known` is missing.
@@ -248,302 +235,69 @@
     /// The configuration is compared by version, because a host that started after
     /// the store returned from a copy has only the one of the copy.
     pub fn changes_for(&self, known: KnownState) -> ReplicaPage {
-        let content = self.lock();
-        let is_same_era = known.position.era == content.position.era;
-        let lacks_history = is_same_era && known.position.revision < content.history_start;
-        let is_complete = known.position.era < content.position.era || lacks_history;
-        let changes = content
-            .entries
-            .iter()
-            .filter(|(key, entry)| {
-                let is_missing = match is_complete {
-                    true => entry.is_shown_item(),
-                    false => is_same_era && entry.revision > known.position.revision,
-                };
-                is_missing || (*key == CONFIGURATION_KEY && entry.version() > known.configuration)
-            })
-            .map(|(key, entry)| ItemChange {
-                key: key.clone(),
-                revision: entry.revision,
-                value: entry.shown_value().cloned(),
-            })
-            .collect();
-        ReplicaPage {
-            changes,
-            revision: content.position.revision,
-            era: content.position.era,
-            is_complete,
-        }
+        lock(&self.content).changes_for(known)
     }
 
-    /// Applies a page of the store or of another host at the time `now`.
+    /// Applies a page of the store or of another host at the time `now`, and waits until the
+    /// reactor has room for the updates.
     ///
     /// Changes that are not newer than the replica's item are ignored.
     pub fn apply(&self, page: ReplicaPage, now: Instant) -> ApplyOutcome {
-        let mut content = self.lock();
-        let is_older_read = page.is_complete && page.position() < content.position;
-        if page.era < content.position.era || is_older_read {
-            return ApplyOutcome::Outdated;
-        }
-        if page.era > content.position.era {
-            if !page.is_complete {
-                return ApplyOutcome::NeedsAllItems;
-            }
-            self.begin_era(&mut content, &page, now);
-        }
-        // Updates are sent under the lock, so that they arrive in the order of changes.
-        if page.is_complete {
-            for update in content.drop_absent(&page) {
-                self.updates.send(update);
-            }
-            // Items may have been written and deleted since the previous position.
-            content.history_start = page.revision;
-        }
-        let position = page.position();
-        for change in page.changes {
-            if let Some(update) = content.merge(change, page.is_complete) {
-                self.updates.send(update);
-            }
-        }
-        let pruned_up_to = prune_deletions(&mut content.entries);
-        content.history_start = content.history_start.max(pruned_up_to);
-        content.position = content.position.max(position);
-        if !content.is_synchronised {
-            content.is_synchronised = true;
-            self.updates.send(Update::Synchronised);
-        }
-        ApplyOutcome::Applied
-    }
-
-    fn begin_era(&self, content: &mut Content, page: &ReplicaPage, now: Instant) {
-        if content.is_synchronised {
-            tracing::warn!(
-                before = %content.position,
-                after = %page.position(),
-                items = page.changes.len(),
-                "store returned from an older copy; known state is kept until it is written again"
-            );
-            self.updates.send(Update::StoreReturned);
-            content.settles_at = Some(now + SETTLE_TIME);
-            for entry in content.entries.values_mut() {
-                entry.begin_era();
-            }
-        }
-        content.position = StorePosition::new(page.era, StoreRevision(0));
+        self.change(|content| content.apply(page, now))
     }
 
     /// Returns the time left until the items kept from the previous era are given up,
     /// if there are any.
     pub fn settles_in(&self, now: Instant) -> Option<Duration> {
-        let settles_at = self.lock().settles_at?;
-        Some(settles_at.saturating_duration_since(now))
+        lock(&self.content).settles_in(now)
     }
 
     /// Gives up the items kept from the previous era, if it is time.
     pub fn settle(&self, now: Instant) {
-        let mut content = self.lock();
-        if content.settles_at.is_none_or(|at| now < at) {
-            return;
-        }
-        content.settles_at = None;
-        let revision = content.position.revision;
-        for (key, entry) in &mut content.entries {
-            let is_kept = key == CONFIGURATION_KEY;
-            let update = match entry.settle(is_kept, revision) {
-                Merge::Write => written_update(key, entry),
-                Merge::Delete => deletion_update(key),
-                Merge::None => None,
-            };
-            if let Some(update) = update {
-                tracing::info!(
-                    %key,
-                    "item was not written again after the store returned; its state in the store is in effect"
-                );
-                self.updates.send(update);
-            }
-        }
+        self.change(|content| ((), content.settle(now)));
     }
 
     /// Reports to the reactor whether the store responds.
     pub fn report_store_reachable(&self, is_reachable: bool) {
-        self.updates.send(Update::StoreReachable(is_reachable));
+        lock(&self.updates).send(Update::StoreReachable(is_reachable));
     }
 
     /// Reports the result of a check to the reactor.
     pub fn report_check(&self, check: CopyCheck) {
-        self.updates.send(Update::CopyChecked(check));
+        lock(&self.updates).send(Update::CopyChecked(check));
     }
-}
 
-impl Content {
-    /// Merges one change and returns the update that follows from it.
-    fn merge(&mut self, change: ItemChange, is_complete: bool) -> Option<Update> {
-        if change.key == CONFIGURATION_KEY {
-            return merge_configuration(
-                self.entries.entry(change.key.clone()).or_default(),
-                change,
-            );
-        }
-        let is_known = self.entries.contains_key(&change.key);
-        if !is_known && !is_complete && change.revision <= self.position.revision {
-            // A later change, which the replica contains, deleted the item.
-            return None;
-        }
-        let entry = self.entries.entry(change.key.clone()).or_default();
-        if entry.revision >= change.revision {
-            return None;
-        }
-        let order = match (&change.value, change.key.strip_prefix(ENDPOINT_PREFIX)) {
-            (Some(value), Some(id)) => decode_endpoint(id, value).ok().map(|known| known.order),
-            _ => None,
-        };
-        let is_endpoint = change.key.starts_with(ENDPOINT_PREFIX);
-        let merge = match is_complete && entry.knows_newer(&change, is_endpoint, order) {
-            true => entry.hold_back(change.revision, change.value),
-            false => entry.write(change.revision, change.value, order),
-        };
-        match merge {
-            Merge::Write => written_update(&change.key, entry),
-            Merge::Delete => deletion_update(&change.key),
-            Merge::None => None,
-        }
-    }
-
-    /// Records that the items that a page of all items lacks do not exist, and returns
-    /// the updates that follow from it.
-    fn drop_absent(&mut self, page: &ReplicaPage) -> Vec<Update> {
-        let present: BTreeSet<&str> = page.changes.iter().map(|item| item.key.as_str()).collect();
-        let entries = self.entries.iter_mut();
-        let absent = entries.filter(|(key, _)| {
-            !present.contains(key.as_str()) && key.as_str() != CONFIGURATION_KEY
-        });
-        let updates = absent.filter_map(|(key, entry)| {
-            // The reactor keeps an endpoint in use for some time after its removal.
-            let is_kept = !key.starts_with(ENDPOINT_PREFIX);
-            match entry.mark_absent(page.revision, is_kept) {
-                Merge::Delete => deletion_update(key),
-                Merge::Write | Merge::None => None,
-            }
-        });
-        updates.collect()
+    /// Changes the content, and sends the updates that follow once it is unlocked again.
+    fn change<F, T>(&self, change: F) -> T
+    where
+        F: FnOnce(&mut Content) -> (T, Vec<Update>),
+    {
+        let sender = lock(&self.updates);
+        let (result, updates) = change(&mut lock(&self.content));
+        sender.send_all(updates);
+        result
     }
 }
 
-/// Merges a change of the configuration, of which the highest version is kept.
-fn merge_configuration(entry: &mut Entry, change: ItemChange) -> Option<Update> {
-    let value = change.value.as_ref()?;
-    let is_other_write = change.revision > entry.revision && change.value != entry.value;
-    let update = decode_update(&change.key, value, change.revision);
-    let Some(Update::Configuration(configuration)) = &update else {
-        return None;
-    };
-    let is_higher = entry.value.is_none() || configuration.version > entry.version();
-    entry.revision = entry.revision.max(change.revision);
-    if is_higher {
-        entry.set_configuration(change.value, configuration.version);
-    }
-    update.filter(|_| is_higher || is_other_write)
-}
-
-/// Drops the oldest deletions beyond [`MAX_DELETIONS`]; returns the revision from which
-/// on there are all.
-fn prune_deletions(entries: &mut BTreeMap<CompactString, Entry>) -> StoreRevision {
-    let mut deleted: Vec<StoreRevision> = entries
-        .values()
-        .filter(|entry| entry.value.is_none())
-        .map(|entry| entry.revision)
-        .collect();
-    if deleted.len() <= MAX_DELETIONS {
-        return StoreRevision(0);
-    }
-    deleted.sort_unstable();
-    let limit = deleted[deleted.len() - MAX_DELETIONS];
-    entries.retain(|_, entry| entry.value.is_some() || entry.revision >= limit);
-    limit
+/// A host's copy of the store, as the reactor reads it.
+#[derive(Clone)]
+pub struct ReplicaReader {
+    content: Arc<Mutex<Content>>,
 }
 
-fn deletion_update(key: &str) -> Option<Update> {
-    if let Some(id) = key.strip_prefix(ENDPOINT_PREFIX) {
-        return Some(Update::EndpointRemoved(id.into()));
-    }
-    if let Some(name) = key.strip_prefix(EVACUATION_PREFIX) {
-        return Some(Update::Evacuated(name.into(), false));
-    }
-    if let Some(suspect) = key.strip_prefix(VERDICT_PREFIX) {
-        return suspect.parse().ok().map(Update::VerdictRemoved);
-    }
-    if let Some(service) = key.strip_prefix(VERSIONS_PREFIX) {
-        return Some(Update::ServedVersionsRemoved(service.into()));
+impl ReplicaReader {
+    /// Returns the state of the store that the replica contains.
+    pub fn known(&self) -> KnownState {
+        lock(&self.content).known()
     }
-    let name = key.strip_prefix(HOST_PREFIX)?;
-    Some(Update::HostRemoved(name.into()))
-}
 
-/// Decodes the item of the host `name`.
-fn decode_host(name: &str, value: &[u8]) -> Result<Update, String> {
-    let info: HostInfo = serde_json::from_slice(value).map_err(|error| error.to_string())?;
-    if info.name != name {
-        let error = ParseError::new("host name", &info.name, "the name in the key");
-        return Err(error.to_string());
+    /// Like [`StoreReplica::changes_for`].
+    pub fn changes_for(&self, known: KnownState) -> ReplicaPage {
+        lock(&self.content).changes_for(known)
     }
-    Ok(Update::Host(info))
-}
-
-fn decode_verdict(suspect: &str, value: &[u8]) -> Result<Update, String> {
-    let suspect = suspect
-        .parse()
-        .map_err(|error: ParseError| error.to_string())?;
-    let verdict = serde_json::from_slice(value).map_err(|error| error.to_string())?;
-    Ok(Update::Verdict(suspect, verdict))
-}
-
-fn written_update(key: &str, entry: &Entry) -> Option<Update> {
-    decode_update(key, entry.value.as_ref()?, entry.revision)
 }
 
-fn decode_update(key: &str, value: &[u8], revision: StoreRevision) -> Option<Update> {
-    let decoded = if key == CONFIGURATION_KEY {
-        decode_configuration(value)
-            .map(|configuration| Update::Configuration(Arc::new(configuration)))
-            .map_err(|error| error.to_string())
-    } else if let Some(id) = key.strip_prefix(ENDPOINT_PREFIX) {
-        // An item that cannot be decoded describes no endpoint, and it replaces any
-        // earlier item, so the endpoint counts as removed.
-        match decode_endpoint(id, value) {
-            Ok(announcement) => Ok(Update::Endpoint(id.into(), announcement)),
-            Err(error) => {
-                tracing::warn!(
-                    key,
-                    revision = revision.0,
-                    %error,
-                    "endpoint item cannot be decoded; treating the endpoint as removed"
-                );
-                Ok(Update::EndpointRemoved(id.into()))
-            }
-        }
-    } else if let Some(name) = key.strip_prefix(EVACUATION_PREFIX) {
-        Ok(Update::Evacuated(name.into(), true))
-    } else if let Some(suspect) = key.strip_prefix(VERDICT_PREFIX) {
-        decode_verdict(suspect, value)
-    } else if let Some(service) = key.strip_prefix(VERSIONS_PREFIX) {
-        serde_json::from_slice(value)
-            .map(|served| Update::ServedVersions(service.into(), served))
-            .map_err(|error| error.to_string())
-    } else if let Some(name) = key.strip_prefix(HOST_PREFIX) {
-        decode_host(name, value)
-    } else {
-        return None;
-    };
-    match decoded {
-        Ok(update) => Some(update),
-        Err(error) => {
-            tracing::warn!(
-                key,
-                revision = revision.0,
-                error,
-                "item cannot be decoded; change ignored"
-            );
-            None
-        }
-    }
+/// Locks state that a panic of another thread leaves at worst stale.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/tests/gateway_replica.rs
+++ b/tests/gateway_replica.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::Arc,
+    thread,
     time::{
         Duration,
         Instant, //
@@ -10,13 +11,16 @@
 };
 
 use cardamombridge::{
-    gateway::store_replica::{
-        ApplyOutcome,
-        ReplicaPage,
-        SETTLE_TIME,
-        StoreReplica,
-        Update,
-        UpdateSender, //
+    gateway::{
+        known_state::KnownState,
+        store_replica::{
+            ApplyOutcome,
+            ReplicaPage,
+            SETTLE_TIME,
+            StoreReplica,
+            Update,
+            UpdateSender, //
+        }, //
     },
     platform::store::ItemChange,
     store_position::{
@@ -30,6 +34,8 @@
 };
 use crossbeam::channel::{
     Receiver,
+    Sender,
+    bounded,
     unbounded, //
 };
 use mio::{
@@ -50,9 +56,12 @@
 
 impl Subject {
     fn new() -> Self {
+        Self::with_queue(unbounded())
+    }
+
+    fn with_queue((sender, updates): (Sender<Update>, Receiver<Update>)) -> Self {
         let poll = Poll::new().expect("a poll");
         let waker = Waker::new(poll.registry(), Token(0)).expect("a waker");
-        let (sender, updates) = unbounded();
         Self {
             replica: StoreReplica::new(UpdateSender::new(sender, Arc::new(waker))),
             updates,
@@ -648,3 +657,93 @@
     assert_eq!(replica.settles_in(almost), Some(Duration::from_millis(1)));
     assert!(subject.value(EVACUATION).is_some());
 }
+
+/// Time limit for calls that do not wait for the reactor.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+fn endpoint_key(number: u64) -> CompactString {
+    format_compact!("servers/e-{number:04}")
+}
+
+/// Returns the number of the endpoint, and of its announcement, in an update.
+fn announced(update: &Update) -> Option<(u64, u64)> {
+    match update {
+        Update::Endpoint(id, announcement) => {
+            let number = id.strip_prefix("e-")?.parse().ok()?;
+            Some((number, announcement.order.sequence))
+        }
+        _ => None,
+    }
+}
+
+/// Guards against a deadlock: the reactor, which alone empties the queue of updates, reads the
+/// replica while the thread that changes it waits for room in that queue.
+#[test]
+fn replica_is_read_while_its_updates_wait_for_the_reactor() {
+    let subject = Subject::with_queue(bounded(4));
+    let items =
+        (0..100).map(|number| change(&endpoint_key(number), number + 1, endpoint("ready", 1)));
+    let page = complete(1, 100, items.collect());
+    let (replica, now) = (subject.replica.clone(), subject.started);
+    let applying = thread::spawn(move || replica.apply(page, now));
+    while !subject.updates.is_full() {
+        thread::yield_now();
+    }
+
+    let replica = subject.replica.clone();
+    let (sender, read) = bounded(1);
+    thread::spawn(move || {
+        let missing = replica.changes_for(KnownState::default());
+        sender.send((replica.known(), missing.changes.len()))
+    });
+    let read = read.recv_timeout(CALL_LIMIT);
+    let mut updates: Vec<Update> = subject.updates.iter().take(101).collect();
+
+    let (known, missing_count) = read.expect("the replica can be read");
+    assert_eq!(known.position.revision, StoreRevision(100));
+    assert_eq!(missing_count, 100);
+    assert_eq!(
+        applying.join().expect("the thread ends"),
+        ApplyOutcome::Applied
+    );
+    assert_eq!(updates.pop(), Some(Update::Synchronised));
+    let numbers: Vec<u64> = updates
+        .iter()
+        .filter_map(announced)
+        .map(|one| one.0)
+        .collect();
+    assert_eq!(numbers, (0..100).collect::<Vec<u64>>());
+}
+
+/// Guards against updates that arrive in another order than the changes, so that the reactor ends
+/// with an earlier state than the replica.
+#[test]
+fn updates_of_several_threads_arrive_in_the_order_of_changes() {
+    let subject = Subject::with_queue(bounded(1));
+    subject.apply(complete(1, 0, Vec::new()));
+    assert_eq!(subject.updates(), [Update::Synchronised]);
+
+    let threads: Vec<_> = (0..3)
+        .map(|offset| {
+            let (replica, now) = (subject.replica.clone(), subject.started);
+            thread::spawn(move || {
+                for revision in (1..300).filter(|revision| revision % 3 == offset) {
+                    let item = change(&endpoint_key(1), revision, endpoint("ready", revision));
+                    replica.apply(changes(1, revision, vec![item]), now);
+                }
+            })
+        })
+        .collect();
+
+    let mut sequences = Vec::new();
+    while sequences.last() != Some(&299) {
+        let update = subject.updates.recv_timeout(CALL_LIMIT);
+        let update = update.expect("the last change arrives");
+        sequences.extend(announced(&update).map(|one| one.1));
+    }
+
+    for thread in threads {
+        thread.join().expect("the thread ends");
+    }
+    assert!(sequences.is_sorted(), "{sequences:?}");
+}
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -930,6 +930,7 @@
             region,
             shutdown_s: SHUTDOWN_S,
             store: Some(self.wires[index].address()),
+            processor: None,
         };
         let host = Host::start_only(&self.store, &options);
         self.process_starts.push(Instant::now());
--- a/tests/gatewayenv/mod.rs
+++ b/tests/gatewayenv/mod.rs
@@ -39,6 +39,11 @@
     }, //
 };
 use nix::{
+    sched::{
+        CpuSet,
+        sched_getaffinity,
+        sched_setaffinity, //
+    },
     sys::signal::{
         Signal,
         kill, //
@@ -90,6 +95,8 @@
     pub shutdown_s: u64,
     /// Address at which the host reaches the store, if not its own address.
     pub store: Option<SocketAddr>,
+    /// Number of the only processor on which the host runs, if it is limited to one.
+    pub processor: Option<usize>,
 }
 
 impl HostOptions {
@@ -100,6 +107,7 @@
             region,
             shutdown_s: 8,
             store: None,
+            processor: None,
         }
     }
 }
@@ -168,13 +176,17 @@
         std::fs::write(&settings, text).expect("settings can be written");
         let log_path = directory.path().join("log");
         let log = File::create(&log_path).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_cardamombridge"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cardamombridge"));
+        command
             .arg("gateway")
             .arg(&settings)
             .stdout(log.try_clone().expect("a second handle"))
-            .stderr(log)
-            .spawn()
-            .expect("the host starts");
+            .stderr(log);
+        let child = match options.processor {
+            Some(number) => on_processor(number, || command.spawn()),
+            None => command.spawn(),
+        };
+        let child = child.expect("the host starts");
         Self {
             child,
             caller_address: ports[0],
@@ -276,6 +288,26 @@
     (store, host)
 }
 
+/// Runs `start` on one of the processors that this thread may use, and lets what it starts use no
+/// other.
+fn on_processor<F, T>(number: usize, start: F) -> T
+where
+    F: FnOnce() -> T,
+{
+    let this_thread = Pid::from_raw(0);
+    let usable = sched_getaffinity(this_thread).expect("the usable processors");
+    let processors: Vec<usize> = (0..CpuSet::count())
+        .filter(|processor| usable.is_set(*processor) == Ok(true))
+        .collect();
+    let mut only = CpuSet::new();
+    only.set(processors[number % processors.len()])
+        .expect("a valid processor");
+    sched_setaffinity(this_thread, &only).expect("a usable processor");
+    let started = start();
+    sched_setaffinity(this_thread, &usable).expect("the usable processors");
+    started
+}
+
 /// Returns loopback addresses with free ports.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
     let listeners: Vec<TcpListener> = (0..count)
@@ -391,6 +423,13 @@
         self.try_send(address).expect("a response")
     }
 
+    /// Like [`Self::send`]; none if the host does not respond within `limit`.
+    pub fn send_within(&self, address: SocketAddr, limit: Duration) -> Option<Response> {
+        let mut stream = TcpStream::connect_timeout(&address, limit).ok()?;
+        stream.write_all(&self.bytes()).ok()?;
+        read_response_parts(&mut stream, &mut Vec::new(), usize::MAX, limit)
+    }
+
     /// Like [`Self::send`]; none if the host does not respond.
     pub fn try_send(&self, address: SocketAddr) -> Option<Response> {
         let mut stream = TcpStream::connect(address).ok()?;
@@ -418,9 +457,17 @@
     read: &mut Vec<u8>,
     most_events: usize,
 ) -> Option<Response> {
-    stream
-        .set_read_timeout(Some(Duration::from_secs(30)))
-        .expect("a time limit");
+    read_response_parts(stream, read, most_events, Duration::from_secs(30))
+}
+
+/// Like [`read_response_until`]; waits up to `limit` for each part of the response.
+fn read_response_parts(
+    stream: &mut TcpStream,
+    read: &mut Vec<u8>,
+    most_events: usize,
+    limit: Duration,
+) -> Option<Response> {
+    stream.set_read_timeout(Some(limit)).expect("a time limit");
     let mut bytes = std::mem::take(read);
     let mut buffer = [0; 4096];
     let (head, length) = loop {
