Apply a bounded number of updates between two polls

Callers saw: answers that are late while thousands of items of the store change, as no connection is served until the last change is applied.

Cause: the reactor emptied its queue of updates in one go, and a thread that waits for room fills it again meanwhile. Of a page of 10,000 announcements, all were applied before the next request was read.

Change: a turn applies up to 64 updates, in their order, and polls without a wait while updates are left.

--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -122,6 +122,8 @@
 const BUSY_TICK: Duration = Duration::from_millis(15);
 /// Maximum interval between timer checks otherwise.
 const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Most updates that are applied between two polls.
+const MAX_UPDATES_PER_TURN: usize = 64;
 /// Interval at which connections are checked for timeouts.
 const SWEEP_INTERVAL_MS: u64 = 250;
 /// Interval at which all endpoints are looked at in case that the change of one was missed.
@@ -398,8 +400,7 @@
     pub fn run(&mut self) -> io::Result<ReactorExit> {
         let mut events = Events::with_capacity(256);
         loop {
-            let has_unread = !self.unread_inbound.is_empty() || !self.unread_upstreams.is_empty();
-            let timeout = match has_unread {
+            let timeout = match self.has_unfinished_turn() {
                 true => Duration::ZERO,
                 false if self.exchanges.is_empty() => IDLE_TICK,
                 false => BUSY_TICK,
@@ -427,6 +428,13 @@
         }
     }
 
+    /// Returns whether a turn has left data unread or updates in the queue.
+    fn has_unfinished_turn(&self) -> bool {
+        !self.unread_inbound.is_empty()
+            || !self.unread_upstreams.is_empty()
+            || !self.updates.is_empty()
+    }
+
     /// Goes on reading connections after the others had their turn.
     fn read_unread(&mut self) {
         for key in std::mem::take(&mut self.unread_inbound) {
@@ -548,8 +556,12 @@
         }
     }
 
+    /// Applies the updates of a turn; others wait until connections had their turn.
     fn receive_updates(&mut self) {
-        while let Ok(update) = self.updates.try_recv() {
+        for _ in 0..MAX_UPDATES_PER_TURN {
+            let Ok(update) = self.updates.try_recv() else {
+                return;
+            };
             self.apply_update(update);
         }
     }
