Give commands to the reactor beside the queue of updates

While the queue of updates was full, SIGTERM and SIGHUP waited for room, so that the host began to stop late and its lease was not ended meanwhile, and a failed renewal held up the next one. With a hung reactor, SIGTERM had no effect.

Cause: commands took the same bounded queue as changes of the replica.

Change: a command is a flag that the reactor takes in each turn, before updates. Who gives one does not wait. A command that is given twice before it is taken counts once, as all three may.

Test: stop_does_not_wait_for_queued_updates (gateway_reactor_turns), a stop beside a full queue before the reactor runs. The other tests of signals are unchanged.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod body;
 pub mod bound;
 pub mod buffer_budget;
+pub mod commands;
 pub mod configuration;
 pub mod connection;
 pub mod copy_checks;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -64,6 +64,7 @@
         BufferBudget,
         ByteCount, //
     },
+    commands::PendingCommands,
     configuration::Configuration,
     connection::{
         InboundConnection,
@@ -144,6 +145,7 @@
     listeners: Vec<(TcpListener, Role)>,
     pub(super) beacon_socket: UdpSocket,
     updates: Receiver<Update>,
+    commands: Arc<PendingCommands>,
     pub(super) inbound: Slab<InboundConnection>,
     pub(super) upstreams: Slab<UpstreamConnection>,
     pub(super) exchanges: Slab<Exchange>,
@@ -284,6 +286,7 @@
             listeners,
             beacon_socket,
             updates,
+            commands: Arc::default(),
             inbound: Slab::new(),
             upstreams: Slab::new(),
             exchanges: Slab::new(),
@@ -359,6 +362,11 @@
         Waker::new(self.poll.registry(), WAKER).map(Arc::new)
     }
 
+    /// Returns the commands that the reactor takes, for the threads that give them.
+    pub fn commands(&self) -> Arc<PendingCommands> {
+        Arc::clone(&self.commands)
+    }
+
     /// Returns the number of live hosts in the region, updated continuously.
     pub fn host_count(&self) -> Arc<AtomicU64> {
         Arc::clone(&self.host_count)
@@ -417,6 +425,7 @@
                 self.handle_event(event);
             }
             self.read_unread();
+            self.receive_commands();
             self.receive_updates();
             self.tick();
             if let Some(exit) = self.exit_if_done() {
@@ -556,6 +565,12 @@
         }
     }
 
+    fn receive_commands(&mut self) {
+        for command in Arc::clone(&self.commands).take() {
+            self.carry_out(command);
+        }
+    }
+
     /// Applies the updates of a turn; others wait until connections had their turn.
     fn receive_updates(&mut self) {
         for _ in 0..MAX_UPDATES_PER_TURN {
@@ -670,6 +685,13 @@
     }
 }
 
+/// Wakes a reactor; if that fails, it goes on at its next tick.
+pub(super) fn wake(waker: &Waker) {
+    if let Err(error) = waker.wake() {
+        tracing::warn!(%error, "could not wake the reactor; it goes on at its next tick");
+    }
+}
+
 /// Registers a connection for reading and writing; false if that fails.
 fn register(poll: &Poll, stream: &mut TcpStream, token: Token) -> bool {
     let interest = Interest::READABLE | Interest::WRITABLE;
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -12,6 +12,10 @@
 use thiserror::Error;
 
 use super::{
+    commands::{
+        Command,
+        CommandSender, //
+    },
     era::{
         EraTracker,
         EraWentBack, //
@@ -20,11 +24,7 @@
         HOST_PREFIX,
         HostInfo, //
     },
-    spread::Spread,
-    store_replica::{
-        Update,
-        UpdateSender, //
-    }, //
+    spread::Spread, //
 };
 use crate::{
     platform::store::{
@@ -92,7 +92,7 @@
     ttl: Duration,
     spread: Spread,
     era: EraTracker,
-    updates: UpdateSender,
+    commands: CommandSender,
 }
 
 impl Registration {
@@ -104,7 +104,7 @@
         info: HostInfo,
         min_lease_ms: u64,
         spread: Spread,
-        updates: UpdateSender,
+        commands: CommandSender,
     ) -> Self {
         Self {
             client: StoreClient::new(address, RESPONSE_TIMEOUT),
@@ -112,7 +112,7 @@
             ttl: LEASE_TTL.max(Duration::from_millis(min_lease_ms)),
             spread,
             era: EraTracker::new(),
-            updates,
+            commands,
         }
     }
 
@@ -136,7 +136,7 @@
                 }
                 Err(error) => {
                     tracing::debug!(%error, "could not register or renew the lease; trying again");
-                    self.updates.send(Update::RenewalFailed);
+                    self.commands.send(Command::RecordFailedRenewal);
                     RETRY_PAUSE
                 }
             };
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -34,6 +34,10 @@
 };
 
 use super::{
+    commands::{
+        Command,
+        CommandSender, //
+    },
     copy_checks::check_copy,
     follower::{
         StoreFollower,
@@ -45,7 +49,6 @@
     spread::Spread,
     store_replica::{
         StoreReplica,
-        Update,
         UpdateSender, //
     },
     stored_verdicts::write_items,
@@ -81,8 +84,9 @@
     let mut reactor = Reactor::new(settings.clone(), updates, telemetry)
         .context("could not open the listening sockets")?
         .with_reload(Box::new(move || reload(&reread)));
-    let updates = UpdateSender::new(sender, reactor.waker()?);
-    let replica = StoreReplica::new(updates.clone());
+    let waker = reactor.waker()?;
+    let commands = CommandSender::new(reactor.commands(), Arc::clone(&waker));
+    let replica = StoreReplica::new(UpdateSender::new(sender, waker));
     let (resync_requests, resync_receiver) = bounded(1);
     reactor.set_replica(replica.reader(), resync_requests);
     let (copy_questions, copy_receiver) = bounded(1);
@@ -110,8 +114,12 @@
 
     let (stop, stopped) = bounded::<()>(1);
     let host_count = reactor.host_count();
-    let deregistered =
-        spawn_registration(&settings, Arc::clone(&host_count), updates.clone(), stopped)?;
+    let deregistered = spawn_registration(
+        &settings,
+        Arc::clone(&host_count),
+        commands.clone(),
+        stopped,
+    )?;
     spawn_followers(
         &settings,
         replica,
@@ -119,8 +127,8 @@
         Arc::clone(&is_stopping),
         host_count,
     )?;
-    spawn_settings_watch(path, updates.clone())?;
-    spawn_signals(updates, stop)?;
+    spawn_settings_watch(path, commands.clone())?;
+    spawn_signals(commands, stop)?;
     let ended = reactor.run().context("the reactor failed")?;
 
     is_stopping.store(true, Ordering::Relaxed);
@@ -151,7 +159,7 @@
 fn spawn_registration(
     settings: &GatewaySettings,
     host_count: Arc<AtomicU64>,
-    updates: UpdateSender,
+    commands: CommandSender,
     stopped: Receiver<()>,
 ) -> anyhow::Result<Receiver<()>> {
     let mut registration = Registration::new(
@@ -159,7 +167,7 @@
         settings.host.clone(),
         settings.min_lease_ms,
         Spread::new(&settings.host.name, host_count),
-        updates,
+        commands,
     );
     let (done, deregistered) = bounded(1);
     thread::Builder::new()
@@ -191,7 +199,7 @@
 }
 
 /// Starts the thread that requests a reload when the settings file has changed.
-fn spawn_settings_watch(path: &Path, updates: UpdateSender) -> anyhow::Result<()> {
+fn spawn_settings_watch(path: &Path, commands: CommandSender) -> anyhow::Result<()> {
     let path = path.to_path_buf();
     let mut known = std::fs::read(&path)?;
     thread::Builder::new()
@@ -210,16 +218,14 @@
                     continue;
                 }
                 known = content;
-                if !updates.send(Update::Reload) {
-                    return;
-                }
+                commands.send(Command::Reload);
             }
         })?;
     Ok(())
 }
 
 fn spawn_signals(
-    updates: UpdateSender,
+    commands: CommandSender,
     stop: crossbeam::channel::Sender<()>,
 ) -> anyhow::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
@@ -228,10 +234,10 @@
         .spawn(move || {
             for signal in signals.forever() {
                 if signal == SIGHUP {
-                    updates.send(Update::Reload);
+                    commands.send(Command::Reload);
                     continue;
                 }
-                updates.send(Update::Stop);
+                commands.send(Command::Stop);
                 // After a second signal, the message is already queued.
                 let _ = stop.try_send(());
             }
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    commands::Command,
     configuration::{
         Configuration,
         Service, //
@@ -69,7 +70,7 @@
 const ORIGIN_BEACON_INTERVAL_MS: u64 = 50;
 
 impl Reactor {
-    /// Applies a change of the replica or a command to the process.
+    /// Applies a change of the replica.
     pub(super) fn apply_update(&mut self, update: Update) {
         let now_ms = self.now_ms();
         match update {
@@ -167,7 +168,6 @@
                 self.copy_checks.record(check, Instant::now());
                 self.continue_version_searches(now_ms);
             }
-            Update::RenewalFailed => self.record_failed_renewal(),
             Update::StoreReturned => {
                 // Announcements that the copy lacks are renewed as after an outage.
                 if self.store_recovered_ms.is_some() {
@@ -175,8 +175,15 @@
                 }
             }
             Update::Synchronised => self.is_synchronised = true,
-            Update::Stop => self.begin_shutdown(now_ms),
-            Update::Reload => self.reload_settings(),
+        }
+    }
+
+    /// Carries out a command to the process.
+    pub(super) fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::RecordFailedRenewal => self.record_failed_renewal(),
+            Command::Reload => self.reload_settings(),
+            Command::Stop => self.begin_shutdown(self.now_ms()),
         }
     }
 
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -50,6 +50,7 @@
     endpoint::Announcement,
     hosts::HostInfo,
     known_state::KnownState,
+    reactor::wake,
     replica_content::Content,
     stored_verdicts::StoredVerdict,
     stored_versions::ServedVersions, //
@@ -65,7 +66,7 @@
 
 pub use super::replica_content::SETTLE_TIME;
 
-/// A message to the reactor: a change of the replica or a command to the process.
+/// A message to the reactor: a change of the replica, or what was found out about it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Update {
     /// A configuration was written.
@@ -88,8 +89,6 @@
     StoreReachable(bool),
     /// Result of a check of the copy, after the changes that it found.
     CopyChecked(CopyCheck),
-    /// The host's lease could not be renewed.
-    RenewalFailed,
     /// Versions of a service whose streams may be taken up.
     ServedVersions(CompactString, ServedVersions),
     /// The item of a service's versions was deleted.
@@ -98,10 +97,6 @@
     StoreReturned,
     /// The first set of changes was applied to the replica.
     Synchronised,
-    /// The process has to shut down.
-    Stop,
-    /// The process has to read its settings again.
-    Reload,
 }
 
 /// Sends updates to the reactor and wakes it.
@@ -135,7 +130,7 @@
             let is_sent = match self.sender.try_send(update) {
                 Ok(()) => true,
                 Err(TrySendError::Full(update)) => {
-                    self.wake();
+                    wake(&self.waker);
                     self.sender.send(update).is_ok()
                 }
                 Err(TrySendError::Disconnected(_)) => false,
@@ -145,19 +140,10 @@
             }
         }
         if is_any_sent {
-            self.wake();
+            wake(&self.waker);
         }
         true
     }
-
-    fn wake(&self) {
-        if let Err(error) = self.waker.wake() {
-            tracing::warn!(
-                %error,
-                "could not wake the reactor; it applies the updates at its next tick"
-            );
-        }
-    }
 }
 
 /// Items or changes, as the store or another host sends them.
--- a/tests/gateway_reactor_turns.rs
+++ b/tests/gateway_reactor_turns.rs
@@ -4,24 +4,34 @@
 mod gatewayenv;
 
 use std::{
-    io::Write,
+    io::{
+        self,
+        Write, //
+    },
     net::{
         SocketAddr,
         TcpStream, //
     },
     path::Path,
-    sync::Arc,
-    thread, //
+    thread,
+    time::Duration, //
 };
 
 use cardamombridge::{
     gateway::{
+        commands::{
+            Command,
+            CommandSender, //
+        },
         endpoint::{
             Announcement,
             AnnouncementOrder,
             Stage, //
         },
-        reactor::Reactor,
+        reactor::{
+            Reactor,
+            ReactorExit, //
+        },
         settings::GatewaySettings,
         store_replica::Update,
         telemetry::Telemetry, //
@@ -40,12 +50,15 @@
     free_addresses,
     read_response, //
 };
-use mio::Waker;
 
 /// Endpoints that the reactor knows.
 const ENDPOINTS: u64 = 2_000;
 /// Updates of which each concerns all endpoints.
 const EVACUATIONS: u64 = 20_000;
+/// Time limit for what does not wait for the reactor.
+const WAIT_LIMIT: Duration = Duration::from_secs(5);
+/// Time for which a host runs after it was told to stop, at least.
+const MIN_SHUTDOWN: Duration = Duration::from_millis(4_200);
 
 fn settings(addresses: &[SocketAddr]) -> GatewaySettings {
     let text = format!(
@@ -85,21 +98,35 @@
     }
 }
 
-/// Opens the sockets of a reactor, which runs in a thread of its own once `begin` gets a message.
+/// A reactor in a thread of its own.
+struct Prepared {
+    commands: CommandSender,
+    exit: Receiver<ReactorExit>,
+}
+
+/// Opens the sockets of a reactor, which runs once `begins` has a message.
 fn prepare_reactor(
     settings: GatewaySettings,
     updates: Receiver<Update>,
-    begin: Receiver<()>,
-) -> Arc<Waker> {
-    let (sender, waker) = bounded(1);
-    // The reactor stays in its thread, which ends with the process.
-    thread::spawn(move || {
+    begins: Receiver<()>,
+) -> Prepared {
+    let (opened, is_opened) = bounded(1);
+    let (ended, exit) = bounded(1);
+    // A reactor that is not stopped ends with the process.
+    thread::spawn(move || -> io::Result<()> {
         let mut reactor = Reactor::new(settings, updates, Telemetry::new())?;
-        sender.send(reactor.waker()?).expect("the test runs");
-        begin.recv().expect("the test runs");
-        reactor.run()
+        let commands = CommandSender::new(reactor.commands(), reactor.waker()?);
+        opened.send(commands).expect("the test runs");
+        begins.recv().expect("the test runs");
+        let exit = reactor.run()?;
+        // A test that is over does not wait for the end.
+        let _ = ended.send(exit);
+        Ok(())
     });
-    waker.recv().expect("the sockets are opened")
+    Prepared {
+        commands: is_opened.recv().expect("the sockets are opened"),
+        exit,
+    }
 }
 
 /// Guards against requests that wait until no update is left.
@@ -108,7 +135,7 @@
     let addresses = free_addresses(5);
     let (sender, updates) = unbounded();
     let (begin, begins) = bounded(1);
-    let _waker = prepare_reactor(settings(&addresses), updates, begins);
+    let _reactor = prepare_reactor(settings(&addresses), updates, begins);
     send_updates(&sender, addresses[4]);
     let mut stream = TcpStream::connect(addresses[1]).expect("the reactor listens");
     let request = Request::get("/cardamombridge/readyz").bytes();
@@ -121,3 +148,27 @@
     assert_eq!(response.map(|response| response.status), Some(503));
     assert!(left > 0, "all updates were applied before the answer");
 }
+
+/// Guards against a signal that waits for room in a full queue of updates, so that neither the host
+/// nor its lease ends meanwhile.
+#[test]
+fn stop_does_not_wait_for_queued_updates() {
+    let addresses = free_addresses(5);
+    let (sender, updates) = bounded(1);
+    let (begin, begins) = bounded(1);
+    let reactor = prepare_reactor(settings(&addresses), updates, begins);
+    sender.send(Update::StoreReachable(true)).expect("room");
+
+    let (done, is_done) = bounded(1);
+    let commands = reactor.commands;
+    thread::spawn(move || {
+        commands.send(Command::Stop);
+        done.send(())
+    });
+    let is_done = is_done.recv_timeout(WAIT_LIMIT);
+    begin.send(()).expect("the reactor waits");
+    let exit = reactor.exit.recv_timeout(MIN_SHUTDOWN + WAIT_LIMIT);
+
+    assert!(is_done.is_ok(), "the signal waits for the reactor");
+    assert_eq!(exit, Ok(ReactorExit { cut_off_count: 0 }));
+}
