--- a/tests/gateway_many_changes.rs
+++ b/tests/gateway_many_changes.rs
@@ -14,7 +14,8 @@
     scripted::{
         Script,
         ScriptedEndpoint, //
-    }, //
+    },
+    wire::Wire, //
 };
 use gatewayenv::{
     Host,
@@ -221,6 +222,36 @@
     assert_eq!(served_by(&hosts), [REQUESTS; 3]);
 }
 
+/// Guards against hosts that hang for good when they fetch many changes from another host.
+#[test]
+fn hosts_without_the_store_serve_after_many_changes_came_from_another_host() {
+    let (store, _endpoint) = store_with_endpoint();
+    let wire = Wire::start(store.address(), 1).expect("the wire starts");
+    let through_wire = |index| HostOptions {
+        store: Some(wire.address()),
+        ..options(index)
+    };
+    let hosts = [
+        Host::start(&store, &options(0)),
+        Host::start(&store, &through_wire(1)),
+        Host::start(&store, &through_wire(2)),
+    ];
+    for host in &hosts[1..] {
+        host.wait_log("\"host registered\",\"host\":\"host-1\"");
+    }
+
+    wire.set_cut(true);
+    announce_others(&store, 0..6_000, 1);
+    wait_until_followed(&store, &hosts, 8);
+
+    assert_eq!(served_by(&hosts), [REQUESTS; 3]);
+    assert!(
+        hosts[1]
+            .log()
+            .contains("received changes from another host")
+    );
+}
+
 /// Guards against a host that cannot be stopped, or has its settings read, while it reads many
 /// items.
 #[test]
