--- a/review/cases-3/bench.rs
+++ b/review/cases-3/bench.rs
@@ -110,7 +110,6 @@
 
 /// A host: the gateway as the deploy file runs it, as a process of its own.
 pub struct Host {
-    pub name: String,
     child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
@@ -146,7 +145,7 @@
             .stderr(output)
             .spawn()
             .expect("the host starts");
-        Self { name: name.into(), child, front: ports[0], ready: ports[1], log }
+        Self { child, front: ports[0], ready: ports[1], log }
     }
 
     /// Waits until the host is ready and its log holds all texts; returns whether it does.
@@ -172,14 +171,6 @@
         answer.is_some_and(|answer| answer.status == 200)
     }
 
-    /// Returns how the process has ended, if it has.
-    pub fn ended(&mut self) -> Option<String> {
-        let status = self.child.try_wait().ok()??;
-        let log = self.log();
-        let last = log.lines().rev().find(|line| !line.starts_with('{')).unwrap_or("");
-        Some(format!("ended by itself, {status}: {last}"))
-    }
-
     /// Kills the process (SIGKILL).
     pub fn kill(&mut self) {
         self.child.kill().expect("the signal is sent");
--- a/review/cases-3/main.rs
+++ b/review/cases-3/main.rs
@@ -1,9 +1,10 @@
 //! Cases of the review: each starts hosts as processes and stand-ins, and judges what clients see.
 
+mod added_host;
 mod bench;
-mod denied_sound;
-mod killed_unframed;
-mod pipelined_overload;
+mod lost_origins;
+mod slow_channel;
+mod slow_readers;
 mod split_take_up;
 mod streams;
 mod unannounced_version;
@@ -28,11 +29,11 @@
     let record = Record::create(&PathBuf::from(folder).join("record.txt"));
     record.line(format!("case {case}, trouble: {}", bench::has_trouble()));
     let run = || match case.as_str() {
-        "killed-unframed" => killed_unframed::run(&record),
         "split-take-up" => split_take_up::run(&record),
         "unannounced-version" => unannounced_version::run(&record),
-        "denied-sound" => denied_sound::run(&record),
-        "pipelined-overload" => pipelined_overload::run(&record),
+        "lost-origins" => lost_origins::run(&record),
+        "slow-readers" => slow_readers::run(&record),
+        "added-host" => added_host::run(&record),
         _ => Verdict::NotRun(format!("no case is called {case}")),
     };
     // The hosts that a case started end when it unwinds.
--- a/review/cases-3/streams.rs
+++ b/review/cases-3/streams.rs
@@ -5,7 +5,7 @@
     net::TcpStream,
 };
 
-use crate::bench::{ReplicaState, Request, lock, sleep_ms};
+use crate::bench::{ReplicaState, Request, lock, sleep_ms, unix_ms};
 
 /// Returns the work of a replica that sends `count` events, each after a pause, and goes on after
 /// the event that `Last-Event-Id` names.
@@ -13,6 +13,24 @@
     count: u64,
     pause_ms: u64,
 ) -> impl Fn(&Request, &mut TcpStream, &ReplicaState) -> io::Result<()> + Send + Sync {
+    work(count, move || sleep_ms(pause_ms))
+}
+
+/// Like [`stream_work`], for an engine that makes an event of all its streams in each step.
+pub fn batched_work(
+    count: u64,
+    step_ms: u64,
+) -> impl Fn(&Request, &mut TcpStream, &ReplicaState) -> io::Result<()> + Send + Sync {
+    work(count, move || sleep_ms(step_ms - unix_ms() % step_ms))
+}
+
+fn work<P>(
+    count: u64,
+    pause: P,
+) -> impl Fn(&Request, &mut TcpStream, &ReplicaState) -> io::Result<()> + Send + Sync
+where
+    P: Fn() + Send + Sync,
+{
     move |request, channel, state| {
         let version = lock(&state.version).clone();
         let after: u64 = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
@@ -24,7 +42,7 @@
         );
         channel.write_all(head.as_bytes())?;
         for number in after + 1..=count {
-            sleep_ms(pause_ms);
+            pause();
             let event = format!("id: {number}\ndata: {version} {number}\n\n");
             channel.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
