Let hosts that were not told where streams began ask others

Cause: a host reports the origin of a stream once, to the hosts that it knows at that moment. A host that comes later, or that loses the packet, never learns of it, and passes on nothing to those that come after it.

Change: - A host fetches all origins from another one once it knows the others, and once more when all others know it: what begins in between is in neither the answer nor a report. It asks hosts of its region first, those that are leaving included, and goes on to the next one if a host does not answer or has itself not asked yet. The answer goes over TCP, so that no packet bounds it; 16,384 origins are kept at most, as before, and an origin keeps its age wherever it is passed on. - A stream that is still unknown waits until up to four hosts of the region and two of each other one have said whether they know it, for 400 ms at most. It is refused as soon as all have said no. - A host that relays an origin from another region does so also if it has learned of it in another way.

By reading, the build before answers the request for origins with 400 and passes over the two new packets; reports go out as before, so it misses nothing.

--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -28,6 +28,10 @@
     endpoint_start::EndSign,
     fleet::Choice,
     hosts::Beacon,
+    origin_exchange::{
+        OriginAnswer,
+        OriginQuestion, //
+    },
     permit_exchange::{
         PermitAnswer,
         PermitQuestion, //
@@ -89,6 +93,10 @@
     /// Room for streams in the sender's region; sent to other regions. The build before does not
     /// read it.
     RegionRoom(RegionRoom),
+    /// Question for the origins of streams. The build before reads neither this nor the next.
+    OriginQuestion(OriginQuestion),
+    /// What the sender knows of them; sent to the host that asked.
+    OriginAnswer(OriginAnswer),
 }
 
 /// Changes of the load that a host places at endpoints.
--- a/src/gateway/peer_changes.rs
+++ b/src/gateway/peer_changes.rs
@@ -1,4 +1,4 @@
-//! HTTP request with which a host fetches store changes from another host.
+//! HTTP requests with which a host fetches what another host knows, above all store changes.
 
 use std::{
     io::{
@@ -54,13 +54,21 @@
 ///
 /// Fails if no complete and valid response arrives in time.
 pub fn fetch_changes(peer: SocketAddr, known: KnownState) -> Result<ReplicaPage, PeerChangesError> {
+    let target = format!("{CHANGES_PATH}?{}", encode_query(known));
+    let bytes = fetch_from_host(peer, &target)?;
+    Ok(postcard::from_bytes(&bytes)?)
+}
+
+/// Fetches the body of the response to a path and query at the host at `peer`.
+///
+/// # Errors
+///
+/// Fails if no complete response with status 200 arrives in time.
+pub(super) fn fetch_from_host(peer: SocketAddr, target: &str) -> Result<Vec<u8>, PeerChangesError> {
     let client = Client::new().with_global_timeout(RESPONSE_TIMEOUT);
     let request = Request::builder()
         .method(Method::GET)
-        .uri(format!(
-            "http://{peer}{CHANGES_PATH}?{}",
-            encode_query(known)
-        ))
+        .uri(format!("http://{peer}{target}"))
         .body(Body::empty())
         .map_err(io::Error::other)?;
     let response = client.request(request)?;
@@ -72,7 +80,7 @@
         .into_body()
         .take(MAX_RESPONSE_BYTES)
         .read_to_end(&mut bytes)?;
-    Ok(postcard::from_bytes(&bytes)?)
+    Ok(bytes)
 }
 
 fn encode_query(known: KnownState) -> String {
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -84,6 +84,7 @@
     },
     known_state::KnownState,
     load_updates::PendingUpdate,
+    origin_exchange::OriginCatchUp,
     permit_exchange::PermitExchange,
     request_sizes::RequestSizes,
     retry_budget::RetryBudget,
@@ -206,6 +207,7 @@
     /// Software versions at which streams began.
     pub(super) origins: StreamOrigins,
     pub(super) pending_origins: PendingOrigins,
+    pub(super) origin_catch_up: OriginCatchUp,
     pub(super) crash_records: CrashRecords,
     /// Requests whose endpoint may have ended because of them.
     pub(super) suspected_crashes: VecDeque<SuspectedCrash>,
@@ -331,6 +333,7 @@
             pending_update: PendingUpdate::default(),
             origins: StreamOrigins::new(),
             pending_origins: PendingOrigins::default(),
+            origin_catch_up: OriginCatchUp::default(),
             crash_records: CrashRecords::new(),
             suspected_crashes: VecDeque::new(),
             next_crash_exchange_ms: 0,
@@ -385,6 +388,11 @@
         self.resync_requests = Some(resync_requests);
     }
 
+    /// Sets the channel of the thread that fetches the origins of streams from other hosts.
+    pub fn set_origin_requests(&mut self, requests: Sender<SocketAddr>) {
+        self.origin_catch_up.set_requests(requests);
+    }
+
     /// Sets the channel of the thread that checks the copy of the store.
     pub fn set_copy_questions(&mut self, questions: Sender<Instant>) {
         self.copy_checks.set_questions(questions);
@@ -590,6 +598,7 @@
         self.exchange_crash_reports(now_ms);
         self.follow_reach(now_ms);
         self.check_exchanges(now_ms);
+        self.catch_up_origins(now_ms);
         self.continue_version_searches(now_ms);
         self.follow_limits(now_ms);
         self.follow_allotments(now_ms);
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -25,6 +25,7 @@
         RequestHead,
         parse_request, //
     },
+    origin_exchange::ORIGINS_PATH,
     peer_changes::{
         CHANGES_PATH,
         encode_changes, //
@@ -154,6 +155,7 @@
         match inbound.role {
             Role::Caller => self.route_request(key, head, body, None),
             Role::Peer if head.path() == CHANGES_PATH => self.handle_changes(key, head.query()),
+            Role::Peer if head.path() == ORIGINS_PATH => self.handle_origins(key),
             Role::Peer => match head.header(FORWARD_HEADER).and_then(ResolvedRoute::decode) {
                 Some(route) => self.route_request(key, head, body, Some(route)),
                 None => self.respond(key, GatewayResponse::new(400)),
@@ -298,6 +300,19 @@
         }
     }
 
+    fn handle_origins(&mut self, key: usize) {
+        match self.encode_origins() {
+            Ok(bytes) => {
+                let response = GatewayResponse::new(200);
+                self.respond_with_body(key, response, "application/octet-stream", &bytes);
+            }
+            Err(error) => {
+                tracing::error!(%error, "could not encode the origins of streams for another host; answered with 500");
+                self.respond(key, GatewayResponse::new(500));
+            }
+        }
+    }
+
     fn handle_metrics(&mut self, key: usize) {
         self.telemetry
             .set_endpoint_paces(&self.fleet, self.now_ms());
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -492,7 +492,7 @@
         self.random_of(hosts)
     }
 
-    fn random_of(&mut self, mut hosts: Vec<HostInfo>) -> Option<HostInfo> {
+    pub(super) fn random_of(&mut self, mut hosts: Vec<HostInfo>) -> Option<HostInfo> {
         let index = self.random_index(hosts.len());
         (!hosts.is_empty()).then(|| hosts.swap_remove(index))
     }
--- a/src/gateway/serve_streams.rs
+++ b/src/gateway/serve_streams.rs
@@ -11,6 +11,7 @@
         Dispatch,
         Exchange, //
     },
+    origin_exchange::OriginLookup,
     reactor::Reactor,
     serve_completion::UNREACHABLE_RETRY_MS,
     software_version::SoftwareVersion,
@@ -20,14 +21,16 @@
     }, //
 };
 
-/// A stream that its caller takes up and whose beginning is unknown, while the store is asked
-/// whether another software version may have begun it.
-#[derive(Debug, Clone, Copy)]
+/// A stream that its caller takes up and whose beginning is unknown, while other hosts are asked
+/// for it, and the store whether another software version may have begun it.
+#[derive(Debug)]
 pub(super) struct VersionSearch {
     key: usize,
     serial: u64,
     /// Versions that join later have not begun the stream.
     arrived_at: Instant,
+    /// Question to other hosts.
+    pub(super) lookup: OriginLookup,
 }
 
 /// What is known of the software version that began a stream.
@@ -51,34 +54,42 @@
         if !exchange.is_taken_up() || exchange.route.software_version.is_some() {
             return self.place_exchange(key);
         }
+        let begun_by = exchange.request.metadata.begun_by.as_deref();
+        let begun_by = begun_by.and_then(AttemptHash::of_stated);
         let search = VersionSearch {
             key,
             serial: exchange.serial,
             arrived_at: Instant::now(),
+            lookup: OriginLookup::new(begun_by, now_ms),
         };
-        if !self.try_place_at_version(search, now_ms) {
+        if !self.try_place_at_version(&search, now_ms) {
             self.version_searches.push(search);
         }
     }
 
-    /// Goes on with the streams whose software version the store was asked for.
+    /// Goes on with the streams whose software version other hosts or the store were asked for.
     pub(super) fn continue_version_searches(&mut self, now_ms: u64) {
-        let searches = std::mem::take(&mut self.version_searches);
-        for search in searches {
+        let mut searches = std::mem::take(&mut self.version_searches);
+        searches.retain(|search| {
             let exchange = self.exchanges.get(search.key);
-            let is_open = exchange.is_some_and(|exchange| exchange.serial == search.serial);
-            if is_open && !self.try_place_at_version(search, now_ms) {
+            exchange.is_some_and(|exchange| exchange.serial == search.serial)
+        });
+        self.look_up_origins(&mut searches, now_ms);
+        for search in searches {
+            if !self.try_place_at_version(&search, now_ms) {
                 self.version_searches.push(search);
             }
         }
     }
 
-    /// Places or refuses a taken-up stream; returns false if the store has to be asked first.
-    fn try_place_at_version(&mut self, search: VersionSearch, now_ms: u64) -> bool {
+    /// Places or refuses a taken-up stream; returns false if other hosts or the store have to be
+    /// asked first.
+    fn try_place_at_version(&mut self, search: &VersionSearch, now_ms: u64) -> bool {
         let exchange = &self.exchanges[search.key];
         let begun_by = exchange.request.metadata.begun_by.as_deref();
         let version = match self.stream_version(begun_by, &exchange.route.service, now_ms) {
             StreamVersion::Known(version) => version,
+            _ if !search.lookup.is_over(now_ms) => return false,
             StreamVersion::Only(version) if self.copy_checks.covers(search.arrived_at) => version,
             StreamVersion::Only(_) if self.may_search(search) => return false,
             StreamVersion::Only(_) | StreamVersion::Unknown => {
@@ -91,7 +102,7 @@
         true
     }
 
-    fn refuse_unknown_version(&mut self, search: VersionSearch) {
+    fn refuse_unknown_version(&mut self, search: &VersionSearch) {
         let checked_at = self.copy_checks.complete_until();
         let metadata = &self.exchanges[search.key].request.metadata;
         tracing::info!(
@@ -107,7 +118,7 @@
 
     /// Asks the store whether the copy lacks a software version; returns false if no answer is
     /// to be expected in time.
-    fn may_search(&mut self, search: VersionSearch) -> bool {
+    fn may_search(&mut self, search: &VersionSearch) -> bool {
         let now = Instant::now();
         let is_late = now >= search.arrived_at + WAIT_LIMIT;
         let is_asked = self.copy_checks.begin(now);
@@ -120,9 +131,9 @@
     /// If the attempt is unknown, it is the only version that has served since, unless the
     /// host may not know all versions.
     fn stream_version(&self, begun_by: Option<&str>, service: &str, now_ms: u64) -> StreamVersion {
-        let known = begun_by.and_then(|attempt| self.origins.version_of(attempt));
-        if let Some(version) = known {
-            return StreamVersion::Known(version.clone());
+        let known = begun_by.and_then(|attempt| self.origins.begun_at(attempt));
+        if let Some(begun_at) = known {
+            return StreamVersion::Known(begun_at.version.clone());
         }
         let only = self.fleet.only_version(service, now_ms);
         let only = only.filter(|only| !self.origins.has_other(service, only, now_ms));
@@ -200,9 +211,9 @@
     /// Records streams that began in another region, for the hosts of this one as well.
     pub(super) fn relay_origins(&mut self, origins: Vec<StreamOrigin>, now_ms: u64) {
         for origin in origins {
-            if self.origins.record(&origin, now_ms) {
-                self.pending_origins.add_relayed(origin);
-            }
+            // Also if this host knows it by now: its region has been told of it by no other.
+            self.origins.record(&origin, now_ms);
+            self.pending_origins.add_relayed(origin);
         }
     }
 }
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -43,6 +43,7 @@
         StoreFollower,
         fetch_from_peers, //
     },
+    origin_exchange::fetch_origins,
     reactor::Reactor,
     registration::Registration,
     settings::GatewaySettings,
@@ -86,7 +87,11 @@
         .with_reload(Box::new(move || reload(&reread)));
     let waker = reactor.waker()?;
     let commands = CommandSender::new(reactor.commands(), Arc::clone(&waker));
-    let replica = StoreReplica::new(UpdateSender::new(sender, waker));
+    let update_sender = UpdateSender::new(sender, waker);
+    let (origin_requests, origin_receiver) = bounded(1);
+    reactor.set_origin_requests(origin_requests);
+    let origin_updates = update_sender.clone();
+    let replica = StoreReplica::new(update_sender);
     let (resync_requests, resync_receiver) = bounded(1);
     reactor.set_replica(replica.reader(), resync_requests);
     let (copy_questions, copy_receiver) = bounded(1);
@@ -97,6 +102,9 @@
     thread::Builder::new()
         .name("verdicts".into())
         .spawn(move || write_items(store_address, &verdict_receiver))?;
+    thread::Builder::new()
+        .name("origins".into())
+        .spawn(move || fetch_origins(&origin_updates, &origin_receiver))?;
     let checked = replica.clone();
     thread::Builder::new()
         .name("copy-checks".into())
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -168,6 +168,7 @@
                 self.copy_checks.record(check, Instant::now());
                 self.continue_version_searches(now_ms);
             }
+            Update::Origins(fetched) => self.apply_fetched_origins(fetched),
             Update::StoreReturned => {
                 // Announcements that the copy lacks are renewed as after an outage.
                 if self.store_recovered_ms.is_some() {
@@ -554,6 +555,8 @@
                     }
                     Ok(Packet::RegionUsage(sent)) => self.allotments.apply_region(&sent, now_ms),
                     Ok(Packet::RegionRoom(sent)) => self.hosts.apply_region_room(sent, now_ms),
+                    Ok(Packet::OriginQuestion(asked)) => self.answer_origin_question(&asked, from),
+                    Ok(Packet::OriginAnswer(answer)) => self.apply_origin_answer(&answer, now_ms),
                     Err(error) => tracing::debug!(%error, "could not decode a packet"),
                 },
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/src/gateway/store_replica.rs
+++ b/src/gateway/store_replica.rs
@@ -51,6 +51,7 @@
     endpoint::Announcement,
     hosts::HostInfo,
     known_state::KnownState,
+    origin_exchange::FetchedOrigins,
     reactor::wake,
     replica_content::Content,
     stored_verdicts::StoredVerdict,
@@ -94,6 +95,8 @@
     ServedVersions(CompactString, ServedVersions),
     /// The item of a service's versions was deleted.
     ServedVersionsRemoved(CompactString),
+    /// Origins of streams that another host knows.
+    Origins(FetchedOrigins),
     /// The store returned from an older copy of itself.
     StoreReturned,
     /// The first set of changes was applied to the replica.
