Let taken-up streams go on at the service that began them

If the services name their versions alike, a stream goes on at another service, and its caller gets data that does not fit together. So does a stream whose route has moved to a service with a version of the same name.

Cause: the service of a request is drawn before it is known whether it takes up a stream, and the version of the stream is then compared with those of the drawn service. The origin of a stream names its service, which was not kept.

Change: an origin is kept with its service, and a version is compared only together with it. A taken-up stream goes to the service of its origin if the route of the configuration in force sends requests there, with a share above zero; otherwise it is refused at once. The route is looked up again when the origin becomes known after a wait. A request is counted for its service once that is settled. New streams are drawn as before.

Tests: tests/gateway_stream_services.rs.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -211,6 +211,18 @@
         self.targets.last().map(|target| &target.service)
     }
 
+    /// Returns whether requests may go to a service.
+    pub fn sends_to(&self, service: &str) -> bool {
+        let is_any_weighted = self.targets.iter().any(|target| target.weight > 0.0);
+        match is_any_weighted {
+            true => {
+                let mut targets = self.targets.iter();
+                targets.any(|target| target.service == service && target.weight > 0.0)
+            }
+            false => self.pick_service(0.0).is_some_and(|only| only == service),
+        }
+    }
+
     /// Returns whether a region may serve the route.
     pub fn allows_region(&self, region: &str) -> bool {
         self.home_regions.is_empty() || self.home_regions.iter().any(|home| home == region)
--- a/src/gateway/serve_caller.rs
+++ b/src/gateway/serve_caller.rs
@@ -199,7 +199,8 @@
                 let configured = configuration.route(host, head.path());
                 let fraction = self.random_fraction();
                 let resolved = configured.and_then(|route| {
-                    let service = route.pick_service(fraction)?;
+                    let begun_at = self.service_of_stream(route, &metadata);
+                    let service = begun_at.or_else(|| route.pick_service(fraction))?;
                     Some((ResolvedRoute::new(route, service.clone()), route.is_public))
                 });
                 let Some((mut route, is_public)) = resolved else {
--- a/src/gateway/serve_placement.rs
+++ b/src/gateway/serve_placement.rs
@@ -75,11 +75,6 @@
             .metadata
             .time_limit_ms
             .unwrap_or(DEFAULT_TIME_LIMIT_MS);
-        // The host that received the request from its caller has counted it.
-        if !is_forwarded {
-            self.retry_budget.record_request(&route.service, now_ms);
-        }
-        self.limits.record_request(&route.service, now_ms);
         let prompt = request.metadata.prompt_tokens;
         let has_size = !is_forwarded && prompt.0 > 0;
         let size = has_size.then(|| {
@@ -135,6 +130,17 @@
         self.place_at_version(key, now_ms);
     }
 
+    /// Counts a request for its service, once that is settled.
+    pub(super) fn count_request(&mut self, key: usize, now_ms: u64) {
+        let exchange = &self.exchanges[key];
+        let service = &exchange.route.service;
+        // The host that received the request from its caller has counted it.
+        if !exchange.is_forwarded {
+            self.retry_budget.record_request(service, now_ms);
+        }
+        self.limits.record_request(service, now_ms);
+    }
+
     /// Returns the time that a request that comes back gets beyond its latency goal.
     fn allowance_ms(
         &self,
--- a/src/gateway/serve_streams.rs
+++ b/src/gateway/serve_streams.rs
@@ -5,6 +5,10 @@
 use compact_str::CompactString;
 
 use super::{
+    configuration::{
+        RetryPolicy,
+        Route, //
+    },
     copy_checks::WAIT_LIMIT,
     exchange::{
         Destination,
@@ -13,10 +17,12 @@
     },
     origin_exchange::OriginLookup,
     reactor::Reactor,
+    request::RequestMetadata,
     serve_completion::UNREACHABLE_RETRY_MS,
     software_version::SoftwareVersion,
     stream_origins::{
         AttemptHash,
+        ServiceVersion,
         StreamOrigin, //
     }, //
 };
@@ -37,9 +43,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum StreamVersion {
     /// The version.
-    Known(SoftwareVersion),
+    Known(ServiceVersion),
     /// The version, unless the copy of the store lacks another one.
-    Only(SoftwareVersion),
+    Only(ServiceVersion),
     /// Unknown.
     Unknown,
 }
@@ -52,6 +58,7 @@
             return;
         };
         if !exchange.is_taken_up() || exchange.route.software_version.is_some() {
+            self.count_request(key, now_ms);
             return self.place_exchange(key);
         }
         let begun_by = exchange.request.metadata.begun_by.as_deref();
@@ -70,13 +77,11 @@
     /// Goes on with the streams whose software version other hosts or the store were asked for.
     pub(super) fn continue_version_searches(&mut self, now_ms: u64) {
         let mut searches = std::mem::take(&mut self.version_searches);
-        searches.retain(|search| {
-            let exchange = self.exchanges.get(search.key);
-            exchange.is_some_and(|exchange| exchange.serial == search.serial)
-        });
         self.look_up_origins(&mut searches, now_ms);
         for search in searches {
-            if !self.try_place_at_version(&search, now_ms) {
+            let exchange = self.exchanges.get(search.key);
+            let is_open = exchange.is_some_and(|exchange| exchange.serial == search.serial);
+            if is_open && !self.try_place_at_version(&search, now_ms) {
                 self.version_searches.push(search);
             }
         }
@@ -87,21 +92,52 @@
     fn try_place_at_version(&mut self, search: &VersionSearch, now_ms: u64) -> bool {
         let exchange = &self.exchanges[search.key];
         let begun_by = exchange.request.metadata.begun_by.as_deref();
-        let version = match self.stream_version(begun_by, &exchange.route.service, now_ms) {
-            StreamVersion::Known(version) => version,
+        let begun_at = match self.stream_version(begun_by, &exchange.route.service, now_ms) {
+            StreamVersion::Known(begun_at) => begun_at,
             _ if !search.lookup.is_over(now_ms) => return false,
-            StreamVersion::Only(version) if self.copy_checks.covers(search.arrived_at) => version,
+            StreamVersion::Only(only) if self.copy_checks.covers(search.arrived_at) => only,
             StreamVersion::Only(_) if self.may_search(search) => return false,
             StreamVersion::Only(_) | StreamVersion::Unknown => {
                 self.refuse_unknown_version(search);
                 return true;
             }
         };
-        self.exchanges[search.key].route.software_version = Some(version);
+        if !self.is_sent_to(exchange, &begun_at.service) {
+            let cause = "the stream's service is not one of its route";
+            self.refuse(search.key, cause, UNREACHABLE_RETRY_MS);
+            return true;
+        }
+        let route = &mut self.exchanges[search.key].route;
+        route.service = begun_at.service;
+        route.software_version = Some(begun_at.version);
+        self.count_request(search.key, now_ms);
         self.place_exchange(search.key);
         true
     }
 
+    /// Returns whether the configuration in force lets a request go to a service.
+    fn is_sent_to(&self, exchange: &Exchange, service: &str) -> bool {
+        let head = &exchange.request.head;
+        let host = head.header("host").unwrap_or_default();
+        let configuration = self.configuration.as_ref();
+        let route = configuration.and_then(|known| known.route(host, head.path()));
+        route.is_some_and(|route| route.sends_to(service))
+    }
+
+    /// Returns the service at which the stream began that a request takes up; none if it begins
+    /// a new one, or if the service is unknown or no longer one of the route.
+    pub(super) fn service_of_stream(
+        &self,
+        route: &Route,
+        metadata: &RequestMetadata,
+    ) -> Option<&CompactString> {
+        let is_taken_up =
+            route.retry_policy == RetryPolicy::Resume && metadata.last_event_id.is_some();
+        let begun_by = metadata.begun_by.as_deref().filter(|_| is_taken_up)?;
+        let service = &self.origins.begun_at(begun_by)?.service;
+        route.sends_to(service).then_some(service)
+    }
+
     fn refuse_unknown_version(&mut self, search: &VersionSearch) {
         let checked_at = self.copy_checks.complete_until();
         let metadata = &self.exchanges[search.key].request.metadata;
@@ -133,12 +169,15 @@
     fn stream_version(&self, begun_by: Option<&str>, service: &str, now_ms: u64) -> StreamVersion {
         let known = begun_by.and_then(|attempt| self.origins.begun_at(attempt));
         if let Some(begun_at) = known {
-            return StreamVersion::Known(begun_at.version.clone());
+            return StreamVersion::Known(begun_at.clone());
         }
         let only = self.fleet.only_version(service, now_ms);
         let only = only.filter(|only| !self.origins.has_other(service, only, now_ms));
         match only.filter(|_| self.store_recovered_ms.is_some()) {
-            Some(version) => StreamVersion::Only(version.clone()),
+            Some(version) => StreamVersion::Only(ServiceVersion {
+                service: service.into(),
+                version: version.clone(),
+            }),
             None => StreamVersion::Unknown,
         }
     }
--- /dev/null
+++ b/tests/gateway_stream_services.rs
@@ -0,0 +1,324 @@
+//! Streams go on at the service that began them, as long as the configuration lets their route go
+//! there.
+
+mod gatewayenv;
+mod streamenv;
+
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use cardamombridge::standin::{
+    metadata_store::MetadataStore,
+    scripted::ScriptedEndpoint, //
+};
+use gatewayenv::{
+    Host,
+    Request,
+    Response,
+    announce_with,
+    configuration,
+    route, //
+};
+use nix::sys::signal::Signal;
+use serde_json::{
+    Value,
+    json, //
+};
+use streamenv::{
+    Begun,
+    EVENT_COUNT,
+    assert_all_go_on,
+    assert_refused_at_once,
+    begin,
+    begin_and_leave,
+    events,
+    first_event,
+    start_hosts,
+    take_up,
+    take_up_all,
+    timed,
+    versions,
+    wait_known, //
+};
+
+/// Streams of a test, so that each service of a split gets some.
+const STREAMS: usize = 24;
+/// Events of a stream that its caller reads before it leaves.
+const EVENTS_BEFORE: usize = 3;
+
+/// Returns a configuration whose route `/chat/` is split over services by weight.
+fn split(version: u64, weights: &[(&str, f64)]) -> Value {
+    let mut chat = route("chat", "streaming", 2, true);
+    let fields = chat.as_object_mut().expect("an object");
+    fields.remove("backend");
+    let shares = weights.iter();
+    let shares: Vec<Value> = shares
+        .map(|(service, weight)| json!({ "backend": service, "weight": weight }))
+        .collect();
+    fields.insert("split".into(), shares.into());
+    let mut all = configuration(version);
+    all["routes"] = json!([chat]);
+    all["backends"] = ["desk-a", "desk-b", "desk-c"]
+        .map(|name| {
+            json!({ "name": name, "health_path": "/healthz", "max_conns": 100, "proto": "h1",
+                    "tls": false, "cold_s": 0.0, "cold_per_s": 0.0 })
+        })
+        .to_vec()
+        .into();
+    all
+}
+
+fn even(services: &[&'static str]) -> Vec<(&'static str, f64)> {
+    services.iter().map(|service| (*service, 1.0)).collect()
+}
+
+fn store_with(configuration: &Value) -> MetadataStore {
+    let store = MetadataStore::start().expect("the store starts");
+    store.put("op/config", configuration);
+    store
+}
+
+/// Starts and announces two endpoints of a version of a service. Their events name both.
+fn endpoints_of(
+    store: &MetadataStore,
+    service: &str,
+    version: &str,
+    region: &str,
+) -> Vec<ScriptedEndpoint> {
+    let start = |number: usize| {
+        let id = format!("{service}-{version}-{number}");
+        let whole = |_, arrival: &_| events(first_event(arrival), EVENT_COUNT, true);
+        let endpoint = ScriptedEndpoint::start(&id, whole).expect("the endpoint starts");
+        let endpoint = endpoint.with_version(&format!("{service}:{version}"));
+        let fields = json!({ "backend": service, "version": version, "slots": 64 });
+        announce_with(store, &endpoint, region, &fields);
+        endpoint
+    };
+    (1..=2).map(start).collect()
+}
+
+/// Starts two hosts of the region north that know `endpoints`, and begins streams at the first.
+fn hosts_with_streams(
+    store: &MetadataStore,
+    endpoints: &[ScriptedEndpoint],
+) -> (Vec<Host>, Vec<Begun>) {
+    let hosts = start_hosts(store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
+    (hosts, begun)
+}
+
+fn kill(host: &mut Host) {
+    host.signal(Signal::SIGKILL);
+    host.wait_end(Duration::from_secs(5));
+}
+
+/// Writes a configuration and waits until it is in force.
+fn configure(store: &MetadataStore, hosts: &[Host], version: u64, weights: &[(&str, f64)]) {
+    store.put("op/config", &split(version, weights));
+    for host in hosts {
+        host.wait_log(&format!("\"configuration in force\",\"version\":{version}"));
+    }
+}
+
+/// Returns the service that began a stream.
+fn service_of(stream: &Begun) -> String {
+    let all = versions(&stream.received);
+    let first = all.first().expect("an event");
+    first.split(':').next().unwrap_or_default().to_owned()
+}
+
+fn arrivals(endpoints: &[ScriptedEndpoint]) -> usize {
+    endpoints.iter().map(|one| one.arrivals().len()).sum()
+}
+
+/// Checks that the streams of the services in `kept` go on, and that others are refused.
+fn assert_go_on_at(kept: &[&str], begun: Vec<Begun>, responses: Vec<Response>) {
+    let pairs = begun.into_iter().zip(responses);
+    let (staying, leaving): (Vec<_>, Vec<_>) =
+        pairs.partition(|(stream, _)| kept.contains(&service_of(stream).as_str()));
+    let (begun, responses): (Vec<Begun>, Vec<Response>) = staying.into_iter().unzip();
+    assert!(!begun.is_empty() && !leaving.is_empty(), "a test of both");
+    assert_all_go_on(&begun, &responses);
+    for (stream, response) in leaving {
+        let text = response.text();
+        let found = versions(&text);
+        assert_eq!(response.status, 503, "{}: {found:?}", stream.attempt);
+    }
+}
+
+/// Guards against a taken-up stream that is drawn to a service at which it did not begin, and
+/// refused because that one does not serve its version.
+#[test]
+fn streams_of_a_split_route_go_on_at_their_service() {
+    let services = ["desk-a", "desk-b", "desk-c"];
+    let store = store_with(&split(7, &even(&services)));
+    let endpoints: Vec<ScriptedEndpoint> = services
+        .iter()
+        .flat_map(|service| endpoints_of(&store, service, &format!("{service}-v1"), "north"))
+        .collect();
+    let (mut hosts, begun) = hosts_with_streams(&store, &endpoints);
+
+    kill(&mut hosts[0]);
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    let found: BTreeSet<String> = begun.iter().map(service_of).collect();
+    assert_eq!(found.len(), services.len(), "streams begin at all services");
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a stream that goes on at another service whose version has the same name.
+#[test]
+fn versions_of_two_services_with_the_same_name_are_told_apart() {
+    let services = ["desk-a", "desk-b", "desk-c"];
+    let store = store_with(&split(7, &even(&services)));
+    let endpoints: Vec<ScriptedEndpoint> = services
+        .iter()
+        .flat_map(|service| endpoints_of(&store, service, "v1", "north"))
+        .collect();
+    let (mut hosts, begun) = hosts_with_streams(&store, &endpoints);
+
+    kill(&mut hosts[0]);
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against a choice by weight for streams that have their service already, with two
+/// versions of each service.
+#[test]
+fn streams_of_a_light_service_go_on_there() {
+    let weights = [("desk-a", 1.0), ("desk-b", 3.0)];
+    let store = store_with(&split(7, &weights));
+    let endpoints: Vec<ScriptedEndpoint> = ["desk-a", "desk-b"]
+        .iter()
+        .flat_map(|service| {
+            ["v1", "v2"]
+                .iter()
+                .flat_map(|version| endpoints_of(&store, service, version, "north"))
+        })
+        .collect();
+    let (mut hosts, begun) = hosts_with_streams(&store, &endpoints);
+
+    kill(&mut hosts[0]);
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against the same draw at a host of another region, which forwards the stream.
+#[test]
+fn streams_of_a_split_route_go_on_when_they_are_forwarded() {
+    let services = ["desk-a", "desk-b"];
+    let store = store_with(&split(7, &even(&services)));
+    let endpoints: Vec<ScriptedEndpoint> = services
+        .iter()
+        .flat_map(|service| endpoints_of(&store, service, "v1", "south"))
+        .collect();
+    let places = [
+        ("host-1", "north"),
+        ("host-2", "north"),
+        ("host-3", "south"),
+    ];
+    let mut hosts = start_hosts(&store, &places);
+    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
+
+    kill(&mut hosts[0]);
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_all_go_on(&begun, &responses);
+}
+
+/// Guards against streams that go on at a service which has left the route, and against a refusal
+/// of those of the services that stay.
+#[test]
+fn streams_of_a_service_that_leaves_a_split_are_refused() {
+    let services = ["desk-a", "desk-b", "desk-c"];
+    let store = store_with(&split(7, &even(&services)));
+    let [first, second, third] =
+        services.map(|service| endpoints_of(&store, service, "v1", "north"));
+    let all: Vec<&ScriptedEndpoint> = first.iter().chain(&second).chain(&third).collect();
+    let mut hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &all);
+    let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
+    configure(&store, &hosts, 8, &even(&services[..2]));
+    let arrivals_before = arrivals(&third);
+
+    kill(&mut hosts[0]);
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_eq!(arrivals(&third), arrivals_before);
+    assert_go_on_at(&services[..2], begun, responses);
+}
+
+/// Guards against the same for a service that stays in the split with no share.
+#[test]
+fn streams_of_a_service_without_a_share_are_refused() {
+    let services = ["desk-a", "desk-b"];
+    let store = store_with(&split(7, &even(&services)));
+    let [first, second] = services.map(|service| endpoints_of(&store, service, "v1", "north"));
+    let all: Vec<&ScriptedEndpoint> = first.iter().chain(&second).collect();
+    let mut hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &all);
+    let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
+    configure(&store, &hosts, 8, &[("desk-a", 1.0), ("desk-b", 0.0)]);
+    let arrivals_before = arrivals(&second);
+
+    kill(&mut hosts[0]);
+    let responses = take_up_all(&begun, hosts[1].caller_address);
+
+    assert_eq!(arrivals(&second), arrivals_before);
+    assert_go_on_at(&services[..1], begun, responses);
+}
+
+/// Guards against a stream that goes on at either service after its route has moved: the old one
+/// gets nothing more, and the new one did not begin it.
+#[test]
+fn streams_of_a_route_that_moves_are_refused_at_once() {
+    let store = store_with(&split(7, &even(&["desk-a"])));
+    let old = endpoints_of(&store, "desk-a", "v1", "north");
+    let new = endpoints_of(&store, "desk-b", "v1", "north");
+    let mut hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, &old.iter().chain(&new).collect::<Vec<_>>());
+    let begun = begin_and_leave(&hosts[0], 1, EVENTS_BEFORE);
+    configure(&store, &hosts, 8, &even(&["desk-b"]));
+    let arrivals_before = arrivals(&old);
+
+    kill(&mut hosts[0]);
+    let request = take_up("a-again", &begun[0].attempt, &begun[0].received);
+    let (response, took) = timed(&request, hosts[1].caller_address);
+
+    assert_refused_at_once(&response, took);
+    assert_eq!((arrivals(&old), arrivals(&new)), (arrivals_before, 0));
+}
+
+/// Guards against new streams that no longer follow the weights of a split.
+#[test]
+fn new_streams_follow_the_weights() {
+    const NEW_STREAMS: usize = 200;
+    let store = store_with(&split(7, &[("desk-a", 1.0), ("desk-b", 9.0)]));
+    let light = endpoints_of(&store, "desk-a", "v1", "north");
+    let heavy = endpoints_of(&store, "desk-b", "v1", "north");
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &light.iter().chain(&heavy).collect::<Vec<_>>());
+
+    for wave in 0..NEW_STREAMS / STREAMS {
+        let requests: Vec<Request> = (0..STREAMS)
+            .map(|number| begin(&format!("a-{wave}-{number}")))
+            .collect();
+        let address = hosts[0].caller_address;
+        std::thread::scope(|scope| {
+            for request in &requests {
+                scope.spawn(move || assert_eq!(request.send(address).status, 200));
+            }
+        });
+    }
+
+    let (light, heavy) = (arrivals(&light) as f64, arrivals(&heavy) as f64);
+    let share = light / (light + heavy);
+    // Five standard deviations of 192 draws around a tenth.
+    assert!((share - 0.1).abs() < 0.11, "share {share}");
+}
