Infer the beginning of a stream only from all services of its route

What callers saw: a stream that is taken up at a host which does not know its origin goes on, with status 200, at another service than the one that began it, if that service has a single version. Data of two services is joined in one stream.

Cause: the host takes the only version of the service that it has just drawn, or that the route has now, for the one that began the stream. The stream may have begun at another target of the split, or at a service that the route had a moment ago.

The routes that each service had are kept with its served versions in the items of the store, so a host knows them that starts after all others have ended. An item of the build before names no routes; then nothing is concluded beside it. Where nothing can be concluded, the stream is refused, once other hosts have said that they do not know it.

Tests: in tests/gateway_stream_services.rs.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -211,6 +211,14 @@
         self.targets.last().map(|target| &target.service)
     }
 
+    /// Returns the service to which all requests go; none if there are several.
+    pub fn only_service(&self) -> Option<&CompactString> {
+        let targets = self.targets.iter().map(|target| &target.service);
+        let mut services = targets.filter(|service| self.sends_to(service));
+        let first = services.next()?;
+        services.all(|service| service == first).then_some(first)
+    }
+
     /// Returns whether requests may go to a service.
     pub fn sends_to(&self, service: &str) -> bool {
         let is_any_weighted = self.targets.iter().any(|target| target.weight > 0.0);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -782,8 +782,11 @@
     pub fn served_versions(&self, now_ms: u64) -> BTreeMap<CompactString, ServedVersions> {
         let current = self.endpoints.versions().iter();
         let current = current.map(|(service, versions)| {
-            let versions = versions.keys().cloned().collect();
-            (service.clone(), ServedVersions { versions })
+            let served = ServedVersions {
+                versions: versions.keys().cloned().collect(),
+                routes: None,
+            };
+            (service.clone(), served)
         });
         let mut served: BTreeMap<CompactString, ServedVersions> = current.collect();
         let former = self.former_versions.iter();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 pub mod request_sizes;
 pub mod response;
 pub mod retry_budget;
+pub mod route_history;
 pub mod route_table;
 pub mod sent_requests;
 pub mod serve_accounts;
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -88,6 +88,7 @@
     permit_exchange::PermitExchange,
     request_sizes::RequestSizes,
     retry_budget::RetryBudget,
+    route_history::RouteHistory,
     serve_crashes::SuspectedCrash,
     serve_health::HealthChecks,
     serve_limits::LimitState,
@@ -208,6 +209,7 @@
     pub(super) origins: StreamOrigins,
     pub(super) pending_origins: PendingOrigins,
     pub(super) origin_catch_up: OriginCatchUp,
+    pub(super) route_history: RouteHistory,
     pub(super) crash_records: CrashRecords,
     /// Requests whose endpoint may have ended because of them.
     pub(super) suspected_crashes: VecDeque<SuspectedCrash>,
@@ -334,6 +336,7 @@
             origins: StreamOrigins::new(),
             pending_origins: PendingOrigins::default(),
             origin_catch_up: OriginCatchUp::default(),
+            route_history: RouteHistory::default(),
             crash_records: CrashRecords::new(),
             suspected_crashes: VecDeque::new(),
             next_crash_exchange_ms: 0,
--- a/src/gateway/serve_streams.rs
+++ b/src/gateway/serve_streams.rs
@@ -92,7 +92,7 @@
     fn try_place_at_version(&mut self, search: &VersionSearch, now_ms: u64) -> bool {
         let exchange = &self.exchanges[search.key];
         let begun_by = exchange.request.metadata.begun_by.as_deref();
-        let begun_at = match self.stream_version(begun_by, &exchange.route.service, now_ms) {
+        let begun_at = match self.stream_version(begun_by, exchange, now_ms) {
             StreamVersion::Known(begun_at) => begun_at,
             _ if !search.lookup.is_over(now_ms) => return false,
             StreamVersion::Only(only) if self.copy_checks.covers(search.arrived_at) => only,
@@ -117,11 +117,25 @@
 
     /// Returns whether the configuration in force lets a request go to a service.
     fn is_sent_to(&self, exchange: &Exchange, service: &str) -> bool {
+        let route = self.configured_route(exchange);
+        route.is_some_and(|route| route.sends_to(service))
+    }
+
+    fn configured_route(&self, exchange: &Exchange) -> Option<&Route> {
         let head = &exchange.request.head;
         let host = head.header("host").unwrap_or_default();
-        let configuration = self.configuration.as_ref();
-        let route = configuration.and_then(|known| known.route(host, head.path()));
-        route.is_some_and(|route| route.sends_to(service))
+        self.configuration.as_ref()?.route(host, head.path())
+    }
+
+    /// Returns the only service at which a stream can have begun that a request takes up; none if
+    /// there are several, in the configuration in force and in those a moment ago.
+    fn only_service(&self, exchange: &Exchange, now_ms: u64) -> Option<&CompactString> {
+        let head = &exchange.request.head;
+        let host = head.header("host").unwrap_or_default();
+        let service = self.configured_route(exchange)?.only_service()?;
+        let history = &self.route_history;
+        let is_only = history.allows_only(service, host, head.path(), now_ms);
+        is_only.then_some(service)
     }
 
     /// Returns the service at which the stream began that a request takes up; none if it begins
@@ -164,22 +178,28 @@
     /// Returns the software version at which the stream of an attempt began, as far as this
     /// host knows.
     ///
-    /// If the attempt is unknown, it is the only version that has served since, unless the
-    /// host may not know all versions.
-    fn stream_version(&self, begun_by: Option<&str>, service: &str, now_ms: u64) -> StreamVersion {
+    /// If the attempt is unknown, it is the only version of the only service that the request can
+    /// have had since, unless the host may not know all versions.
+    fn stream_version(
+        &self,
+        begun_by: Option<&str>,
+        exchange: &Exchange,
+        now_ms: u64,
+    ) -> StreamVersion {
         let known = begun_by.and_then(|attempt| self.origins.begun_at(attempt));
         if let Some(begun_at) = known {
             return StreamVersion::Known(begun_at.clone());
         }
-        let only = self.fleet.only_version(service, now_ms);
-        let only = only.filter(|only| !self.origins.has_other(service, only, now_ms));
-        match only.filter(|_| self.store_recovered_ms.is_some()) {
-            Some(version) => StreamVersion::Only(ServiceVersion {
-                service: service.into(),
+        let only = self.only_service(exchange, now_ms).and_then(|service| {
+            let version = self.fleet.only_version(service, now_ms)?;
+            let has_other = self.origins.has_other(service, version, now_ms);
+            (!has_other).then(|| ServiceVersion {
+                service: service.clone(),
                 version: version.clone(),
-            }),
-            None => StreamVersion::Unknown,
-        }
+            })
+        });
+        let only = only.filter(|_| self.store_recovered_ms.is_some());
+        only.map_or(StreamVersion::Unknown, StreamVersion::Only)
     }
 
     /// Returns whether a region has an endpoint of the software version to which a request
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -2,7 +2,8 @@
 //!
 //! A host that starts knows only the versions that are announced now. A stream may have begun
 //! at another one, whose endpoints left while all hosts were down. One host therefore keeps the
-//! versions of each service in an item, as long as streams that they began may be taken up.
+//! versions of each service in an item, as long as streams that they began may be taken up, and
+//! with them the routes that the service had.
 
 use std::collections::{
     BTreeMap,
@@ -18,6 +19,10 @@
 
 use super::{
     reactor::Reactor,
+    route_history::{
+        HISTORY_MS,
+        RouteKey, //
+    },
     software_version::SoftwareVersion,
     stored_verdicts::StoredWrite,
     stream_origins::ORIGIN_LIFETIME_MS, //
@@ -36,6 +41,9 @@
 pub struct ServedVersions {
     /// The versions.
     pub versions: BTreeSet<SoftwareVersion>,
+    /// Routes of streams that the service had; none in an item of the build before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routes: Option<BTreeSet<RouteKey>>,
 }
 
 /// Items of the store, and the writes that this host makes.
@@ -52,6 +60,9 @@
     pub(super) fn apply_served_versions(&mut self, service: CompactString, served: ServedVersions) {
         let now_ms = self.now_ms();
         // A host that runs for longer knows by itself what served.
+        if now_ms < HISTORY_MS {
+            self.route_history.record_served(&service, &served, now_ms);
+        }
         if now_ms < ORIGIN_LIFETIME_MS {
             for version in &served.versions {
                 self.fleet.record_served(&service, version, now_ms);
@@ -71,7 +82,14 @@
             return;
         }
         self.version_items.next_comparison_ms = now_ms + COMPARE_INTERVAL_MS;
+        let Some(configuration) = self.configuration.clone() else {
+            return;
+        };
         let mut known = self.fleet.served_versions(now_ms);
+        let mut routes = self.route_history.routes(&configuration, now_ms);
+        for (service, served) in &mut known {
+            served.routes = Some(routes.remove(service).unwrap_or_default());
+        }
         let items = &mut self.version_items;
         known.retain(|service, served| items.stored.get(service) != Some(&*served));
         items
--- a/tests/gateway_build_before.rs
+++ b/tests/gateway_build_before.rs
@@ -316,6 +316,7 @@
     let versions = ["v1", "v2"].map(|version| version.parse().expect("a valid version"));
     let served = ServedVersions {
         versions: versions.into_iter().collect(),
+        routes: None,
     };
     let verdict = StoredVerdict {
         crashes: vec![StoredCrash {
--- a/tests/gateway_stream_services.rs
+++ b/tests/gateway_stream_services.rs
@@ -9,9 +9,18 @@
     time::Duration, //
 };
 
-use cardamombridge::standin::{
-    metadata_store::MetadataStore,
-    scripted::ScriptedEndpoint, //
+use cardamombridge::{
+    gateway::{
+        route_history::{
+            HISTORY_MS,
+            RouteHistory, //
+        },
+        stored_versions::ServedVersions, //
+    },
+    standin::{
+        metadata_store::MetadataStore,
+        scripted::ScriptedEndpoint, //
+    },
 };
 use gatewayenv::{
     Host,
@@ -295,6 +304,106 @@
     assert_eq!((arrivals(&old), arrivals(&new)), (arrivals_before, 0));
 }
 
+/// Returns a request that takes up a stream which no host knows.
+fn take_up_unknown(attempt: &str) -> Request {
+    begin(attempt)
+        .with_header("Last-Event-Id", "2")
+        .with_header("Resumes", "a-unknown")
+}
+
+/// Guards against data of two services in one stream: a host takes the only version of the service
+/// that it has drawn for the one that began the stream.
+#[test]
+fn stream_of_unknown_beginning_is_refused_while_its_route_is_split() {
+    let services = ["desk-a", "desk-b"];
+    let store = store_with(&split(7, &even(&services)));
+    let endpoints = services.map(|service| endpoints_of(&store, service, "v1", "north"));
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &endpoints.iter().flatten().collect::<Vec<_>>());
+
+    let (response, took) = timed(&take_up_unknown("a-1"), hosts[0].caller_address);
+
+    assert_refused_at_once(&response, took);
+    assert!(endpoints.iter().all(|one| arrivals(one) == 0));
+}
+
+/// Guards against the same a moment after the route has moved, when only one service is left.
+#[test]
+fn stream_of_unknown_beginning_is_refused_after_its_route_has_moved() {
+    let store = store_with(&split(7, &even(&["desk-a"])));
+    let old = endpoints_of(&store, "desk-a", "v1", "north");
+    let new = endpoints_of(&store, "desk-b", "v1", "north");
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &old.iter().chain(&new).collect::<Vec<_>>());
+    configure(&store, &hosts, 8, &even(&["desk-b"]));
+
+    let (response, took) = timed(&take_up_unknown("a-1"), hosts[0].caller_address);
+
+    assert_refused_at_once(&response, took);
+    assert_eq!((arrivals(&old), arrivals(&new)), (0, 0));
+}
+
+/// Guards against the same at a host that came after the move, with nobody left who knows it.
+#[test]
+fn streams_do_not_go_on_after_their_route_has_moved_and_all_hosts_were_killed() {
+    let store = store_with(&split(7, &even(&["desk-a"])));
+    let old = endpoints_of(&store, "desk-a", "v1", "north");
+    let new = endpoints_of(&store, "desk-b", "v1", "north");
+    let all: Vec<&ScriptedEndpoint> = old.iter().chain(&new).collect();
+    let mut hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &all);
+    let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
+    configure(&store, &hosts, 8, &even(&["desk-b"]));
+    let item = "item of served versions written\",\"key\":\"cardamombridge/versions/desk-b";
+    hosts[0].wait_log(item);
+    let arrivals_before = arrivals(&old);
+
+    kill(&mut hosts[0]);
+    let hosts = start_hosts(&store, &[("host-2", "north")]);
+    wait_known(&hosts, &all);
+    let responses = take_up_all(&begun, hosts[0].caller_address);
+
+    for response in &responses {
+        assert_eq!(response.status, 503, "{:?}", versions(&response.text()));
+    }
+    assert_eq!((arrivals(&old), arrivals(&new)), (arrivals_before, 0));
+}
+
+/// Guards against a refusal of streams that can only have begun at one service, while routes of
+/// other requests go to others.
+#[test]
+fn stream_of_unknown_beginning_goes_on_beside_routes_to_other_services() {
+    let mut all = split(7, &even(&["desk-a"]));
+    let mut other = route("talk", "streaming", 2, true);
+    other["backend"] = "desk-b".into();
+    all["routes"].as_array_mut().expect("a list").push(other);
+    let store = store_with(&all);
+    let own = endpoints_of(&store, "desk-a", "v1", "north");
+    let others = endpoints_of(&store, "desk-b", "v2", "north");
+    let hosts = start_hosts(&store, &[("host-1", "north")]);
+    wait_known(&hosts, &own.iter().chain(&others).collect::<Vec<_>>());
+
+    let response = take_up_unknown("a-1").send(hosts[0].caller_address);
+
+    assert_eq!(response.status, 200);
+    assert_eq!(arrivals(&others), 0);
+}
+
+/// Guards against an item of the build before that reads as "no route": it names none.
+#[test]
+fn an_item_without_routes_allows_no_conclusion() {
+    let item: ServedVersions =
+        serde_json::from_str(r#"{"versions":["v1"]}"#).expect("it is decoded");
+    let mut history = RouteHistory::default();
+
+    history.record_served(&"desk-a".into(), &item, 0);
+
+    let allows = |service, now_ms| history.allows_only(service, "shop.example", "/chat/1", now_ms);
+    assert!(allows("desk-a", 1));
+    assert!(!allows("desk-b", 1));
+    assert!(allows("desk-b", HISTORY_MS));
+}
+
 /// Guards against new streams that no longer follow the weights of a split.
 #[test]
 fn new_streams_follow_the_weights() {
