Let tests of forwarded streams wait until another region's load is known

streams_of_a_split_route_go_on_when_they_are_forwarded failed in 2 of 12 runs: new streams at host-1 were refused with "no capacity in time". The region south tells its load to one random host of the region north each 400 ms, so host-1 may not know it a second after its start. The test now begins its streams once a probe is served, and takes them up at host-2 once that one serves a probe. The two tests of gateway_stream_origins whose region has no endpoint wait alike. No check changes.

--- a/tests/gateway_stream_origins.rs
+++ b/tests/gateway_stream_origins.rs
@@ -47,6 +47,7 @@
     start_hosts,
     take_up_all,
     wait_known,
+    wait_served,
     whole_endpoint, //
 };
 
@@ -154,6 +155,7 @@
     thread::sleep(ADDED_BEFORE);
 
     kill(&mut hosts[0]);
+    wait_served(&added);
     let responses = take_up_all(&begun, added.caller_address);
 
     assert_all_go_on(&begun, &responses);
@@ -178,6 +180,7 @@
     thread::sleep(ADDED_BEFORE);
 
     kill(&mut hosts[0]);
+    wait_served(&added);
     let responses = take_up_all(&begun, added.caller_address);
 
     assert_all_go_on(&begun, &responses);
--- a/tests/gateway_stream_services.rs
+++ b/tests/gateway_stream_services.rs
@@ -49,7 +49,8 @@
     take_up_all,
     timed,
     versions,
-    wait_known, //
+    wait_known,
+    wait_served, //
 };
 
 /// Streams of a test, so that each service of a split gets some.
@@ -233,9 +234,11 @@
     ];
     let mut hosts = start_hosts(&store, &places);
     wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    wait_served(&hosts[0]);
     let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
 
     kill(&mut hosts[0]);
+    wait_served(&hosts[1]);
     let responses = take_up_all(&begun, hosts[1].caller_address);
 
     assert_all_go_on(&begun, &responses);
--- a/tests/streamenv/mod.rs
+++ b/tests/streamenv/mod.rs
@@ -249,6 +249,14 @@
     (response, sent.elapsed())
 }
 
+/// Waits until a host serves new streams, for one whose region has no endpoint: another region
+/// tells its load to one host of a region at a time.
+pub fn wait_served(host: &Host) {
+    wait_until("a stream begins", || {
+        Stream::open(&begin("probe"), host.caller_address).is_some()
+    });
+}
+
 /// A stream that a caller reads event by event; the caller disconnects on drop.
 pub struct Stream {
     connection: TcpStream,
