Remember former services soundly beside hosts of the build before

By reading, two gaps in the record of the services that a route had: - A host that reads an item of the build before, which names no routes, knows for 34 s that any may have gone there, but wrote the routes of the configuration in force into the item. A host that started then took them for all. It now leaves the item as it is until it knows. - A host that reads two configurations at once misses a service that only the first one had. It now also learns of it from the items, which do not extend what it remembers by itself.

The routes in force are computed once for each configuration instead of four times a second, and an answer about origins looks each one up.

Tests: an_item_without_routes_allows_no_conclusion now also checks what is written, and an_item_does_not_extend_what_is_remembered is new; both need functions that this commit changes, so they were not run before it.

--- a/src/gateway/route_history.rs
+++ b/src/gateway/route_history.rs
@@ -57,19 +57,27 @@
     format_compact!("{}{path}", host.to_ascii_lowercase())
 }
 
-/// Services that the routes of streams had.
+/// Services that the routes of streams have and had.
 #[derive(Debug, Default)]
 pub struct RouteHistory {
+    /// Routes of the configuration in force, by service.
+    in_force: BTreeMap<CompactString, BTreeSet<RouteKey>>,
     /// Time until which streams that began there may be taken up, by service and route.
     until_ms: BTreeMap<(CompactString, RouteKey), u64>,
 }
 
 impl RouteHistory {
-    /// Records a configuration that was in force until now.
-    pub fn record(&mut self, configuration: &Configuration, now_ms: u64) {
+    /// Records a configuration that comes into force.
+    pub fn configure(&mut self, configuration: &Configuration, now_ms: u64) {
         self.until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        for (service, keys) in std::mem::take(&mut self.in_force) {
+            for key in keys {
+                let target = (service.clone(), key);
+                self.until_ms.insert(target, now_ms + HISTORY_MS);
+            }
+        }
         for (service, key) in stream_targets(configuration) {
-            self.until_ms.insert((service, key), now_ms + HISTORY_MS);
+            self.in_force.entry(service).or_default().insert(key);
         }
     }
 
@@ -77,10 +85,11 @@
     ///
     /// An item of the build before does not name them, so that any request may have gone there.
     pub fn record_served(&mut self, service: &CompactString, served: &ServedVersions, now_ms: u64) {
+        self.until_ms.retain(|_, until_ms| now_ms < *until_ms);
         let any = || BTreeSet::from([RouteKey::any()]);
         for key in served.routes.clone().unwrap_or_else(any) {
-            let until_ms = now_ms + HISTORY_MS;
-            self.until_ms.insert((service.clone(), key), until_ms);
+            let until_ms = self.until_ms.entry((service.clone(), key));
+            until_ms.or_insert(now_ms + HISTORY_MS);
         }
     }
 
@@ -93,21 +102,16 @@
         })
     }
 
-    /// Returns the routes of each service, now and in the time before.
-    pub fn routes(
-        &self,
-        configuration: &Configuration,
-        now_ms: u64,
-    ) -> BTreeMap<CompactString, BTreeSet<RouteKey>> {
+    /// Returns the routes of a service, now and in the time before; none if they may be more than
+    /// this host knows.
+    pub fn routes_of(&self, service: &str, now_ms: u64) -> Option<BTreeSet<RouteKey>> {
+        let mut routes = self.in_force.get(service).cloned().unwrap_or_default();
         let remembered = self.until_ms.iter();
         let remembered = remembered
-            .filter(|((_, key), until_ms)| now_ms < **until_ms && *key != RouteKey::any())
-            .map(|(target, _)| target.clone());
-        let mut routes: BTreeMap<CompactString, BTreeSet<RouteKey>> = BTreeMap::new();
-        for (service, key) in remembered.chain(stream_targets(configuration)) {
-            routes.entry(service).or_default().insert(key);
-        }
-        routes
+            .filter(|((other, _), until_ms)| other == service && now_ms < **until_ms)
+            .map(|((_, key), _)| key.clone());
+        routes.extend(remembered);
+        (!routes.contains(&RouteKey::any())).then_some(routes)
     }
 }
 
--- a/src/gateway/serve_origins.rs
+++ b/src/gateway/serve_origins.rs
@@ -148,13 +148,12 @@
 
     /// Answers the question of another host, with a packet for each version.
     pub(super) fn answer_origin_question(&mut self, question: &OriginQuestion, from: SocketAddr) {
-        let groups = self.origins.groups_of(&question.attempts, self.now_ms());
-        let is_known = |attempt: &AttemptHash| {
-            let mut known = groups.iter().flat_map(|group| &group.attempts);
-            known.any(|aged| aged.attempt == *attempt)
-        };
+        let now_ms = self.now_ms();
+        let groups = self.origins.groups_of(&question.attempts, now_ms);
         let attempts = question.attempts.iter().copied();
-        let unknown: Vec<AttemptHash> = attempts.filter(|attempt| !is_known(attempt)).collect();
+        let unknown: Vec<AttemptHash> = attempts
+            .filter(|attempt| !self.origins.knows(*attempt, now_ms))
+            .collect();
         let host = self.settings.host.name.clone();
         let answer = |known, unknown| {
             Packet::OriginAnswer(OriginAnswer {
--- a/src/gateway/state_updates.rs
+++ b/src/gateway/state_updates.rs
@@ -244,9 +244,7 @@
         let accounts = &configuration.accounts;
         self.allotments.configure(accounts, possible_count, now_ms);
         self.gap_goals = configuration.gap_goals();
-        if let Some(earlier) = &self.configuration {
-            self.route_history.record(earlier, now_ms);
-        }
+        self.route_history.configure(&configuration, now_ms);
         self.configuration = Some(configuration);
     }
 
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -19,10 +19,7 @@
 
 use super::{
     reactor::Reactor,
-    route_history::{
-        HISTORY_MS,
-        RouteKey, //
-    },
+    route_history::RouteKey,
     software_version::SoftwareVersion,
     stored_verdicts::StoredWrite,
     stream_origins::ORIGIN_LIFETIME_MS, //
@@ -59,10 +56,9 @@
     /// Applies an item of the store: versions that are not announced here served until now.
     pub(super) fn apply_served_versions(&mut self, service: CompactString, served: ServedVersions) {
         let now_ms = self.now_ms();
+        // A configuration may have been replaced before this host read it.
+        self.route_history.record_served(&service, &served, now_ms);
         // A host that runs for longer knows by itself what served.
-        if now_ms < HISTORY_MS {
-            self.route_history.record_served(&service, &served, now_ms);
-        }
         if now_ms < ORIGIN_LIFETIME_MS {
             for version in &served.versions {
                 self.fleet.record_served(&service, version, now_ms);
@@ -78,17 +74,14 @@
 
     /// Writes the items that differ from what this host knows, if it is this host's turn.
     pub(super) fn store_versions(&mut self, now_ms: u64) {
-        if now_ms < self.version_items.next_comparison_ms || !self.is_synchronised {
+        let is_ready = self.is_synchronised && self.configuration.is_some();
+        if now_ms < self.version_items.next_comparison_ms || !is_ready {
             return;
         }
         self.version_items.next_comparison_ms = now_ms + COMPARE_INTERVAL_MS;
-        let Some(configuration) = self.configuration.clone() else {
-            return;
-        };
         let mut known = self.fleet.served_versions(now_ms);
-        let mut routes = self.route_history.routes(&configuration, now_ms);
         for (service, served) in &mut known {
-            served.routes = Some(routes.remove(service).unwrap_or_default());
+            served.routes = self.route_history.routes_of(service, now_ms);
         }
         let items = &mut self.version_items;
         known.retain(|service, served| items.stored.get(service) != Some(&*served));
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -198,6 +198,12 @@
             .any(|(used, _)| used.service == service && used.version != *version)
     }
 
+    /// Returns whether the origin of a stream is known.
+    pub fn knows(&self, attempt: AttemptHash, now_ms: u64) -> bool {
+        let known = self.known.get(&attempt);
+        known.is_some_and(|known| now_ms < known.expires_ms)
+    }
+
     /// Returns all streams, for a host that knows none.
     pub fn groups(&self, now_ms: u64) -> Vec<OriginGroup> {
         group(
--- a/tests/gateway_stream_services.rs
+++ b/tests/gateway_stream_services.rs
@@ -405,6 +405,29 @@
     assert!(allows("desk-a", 1));
     assert!(!allows("desk-b", 1));
     assert!(allows("desk-b", HISTORY_MS));
+    assert_eq!(history.routes_of("desk-a", 1), None);
+    assert_eq!(
+        history.routes_of("desk-a", HISTORY_MS),
+        Some(BTreeSet::new())
+    );
+}
+
+/// Guards against a former service that is never forgotten, because hosts read in the items what
+/// they wrote themselves.
+#[test]
+fn an_item_does_not_extend_what_is_remembered() {
+    let text = r#"{"versions":["v1"],"routes":["shop.example/chat/"]}"#;
+    let item: ServedVersions = serde_json::from_str(text).expect("it is decoded");
+    let mut history = RouteHistory::default();
+    let service = "desk-a".into();
+
+    history.record_served(&service, &item, 0);
+    history.record_served(&service, &item, HISTORY_MS - 1);
+
+    let allows = |path, now_ms| history.allows_only("desk-b", "Shop.Example", path, now_ms);
+    assert!(!allows("/chat/1", HISTORY_MS - 1));
+    assert!(allows("/talk/1", HISTORY_MS - 1));
+    assert!(allows("/chat/1", HISTORY_MS));
 }
 
 /// Guards against new streams that no longer follow the weights of a split.
