Put the form of the item of served versions on the container

The house style derives serialisation with attributes on the container; the field routes had its own. The item is now one of two forms, with and without routes, and is written and read as before: the fixture of the build before and a check in an_item_does_not_extend_what_is_remembered pass. RouteKey gains Display and FromStr.

--- a/src/gateway/route_history.rs
+++ b/src/gateway/route_history.rs
@@ -4,9 +4,14 @@
 //! route no longer has. A host that does not know the origin of a stream may conclude where it
 //! began only from all services that the request can have had since.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    convert::Infallible,
+    fmt,
+    str::FromStr, //
 };
 
 use compact_str::{
@@ -36,6 +41,20 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RouteKey(CompactString);
 
+impl fmt::Display for RouteKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for RouteKey {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self(text.into()))
+    }
+}
+
 impl RouteKey {
     /// Returns the key of a route.
     pub fn new(route: &Route) -> Self {
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -35,14 +35,46 @@
 
 /// Versions of a service whose streams may be taken up.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(from = "VersionsItem", into = "VersionsItem")]
 pub struct ServedVersions {
     /// The versions.
     pub versions: BTreeSet<SoftwareVersion>,
     /// Routes of streams that the service had; none in an item of the build before.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub routes: Option<BTreeSet<RouteKey>>,
 }
 
+/// Form of an item in the store.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum VersionsItem {
+    WithRoutes {
+        versions: BTreeSet<SoftwareVersion>,
+        routes: BTreeSet<RouteKey>,
+    },
+    /// As the build before writes it.
+    VersionsOnly { versions: BTreeSet<SoftwareVersion> },
+}
+
+impl From<VersionsItem> for ServedVersions {
+    fn from(item: VersionsItem) -> Self {
+        let (versions, routes) = match item {
+            VersionsItem::WithRoutes { versions, routes } => (versions, Some(routes)),
+            VersionsItem::VersionsOnly { versions } => (versions, None),
+        };
+        Self { versions, routes }
+    }
+}
+
+impl From<ServedVersions> for VersionsItem {
+    fn from(served: ServedVersions) -> Self {
+        let versions = served.versions;
+        match served.routes {
+            Some(routes) => Self::WithRoutes { versions, routes },
+            None => Self::VersionsOnly { versions },
+        }
+    }
+}
+
 /// Items of the store, and the writes that this host makes.
 #[derive(Debug, Default)]
 pub(super) struct VersionItems {
--- a/tests/gateway_stream_services.rs
+++ b/tests/gateway_stream_services.rs
@@ -418,6 +418,7 @@
 fn an_item_does_not_extend_what_is_remembered() {
     let text = r#"{"versions":["v1"],"routes":["shop.example/chat/"]}"#;
     let item: ServedVersions = serde_json::from_str(text).expect("it is decoded");
+    assert_eq!(serde_json::to_string(&item).expect("it is encoded"), text);
     let mut history = RouteHistory::default();
     let service = "desk-a".into();
 
