Ask up to eight hosts of the region for the origin of a stream

By reading: hosts that were killed a moment ago are still registered, so four drawn ones may all be silent after a loss of several. A question is one small packet to each, and is only asked for a stream that a caller takes up and this host does not know. The number of fetches after the start is named.

--- a/src/gateway/origin_exchange.rs
+++ b/src/gateway/origin_exchange.rs
@@ -35,6 +35,8 @@
 
 /// Path of the request for all origins on a host's peer address.
 pub const ORIGINS_PATH: &str = "/bridge/origins";
+/// Fetches of a host after its start.
+const FETCH_COUNT: u32 = 2;
 /// Time after the first fetch at which all others know this host: one pause between watches
 /// and one beacon of the longest interval.
 const SECOND_FETCH_MS: u64 = 3_000;
@@ -128,7 +130,7 @@
 
     /// Returns whether a host has to be asked now.
     pub fn is_due(&self, now_ms: u64) -> bool {
-        self.finished_count < 2 && !self.is_in_progress && now_ms >= self.next_ms
+        self.finished_count < FETCH_COUNT && !self.is_in_progress && now_ms >= self.next_ms
     }
 
     /// Returns whether a host may be asked that has not been.
--- a/src/gateway/serve_origins.rs
+++ b/src/gateway/serve_origins.rs
@@ -27,7 +27,7 @@
 /// Most attempts in a question, so that each packet of the answer has the size of one.
 const MAX_ATTEMPTS: usize = 32;
 /// Hosts of this region that are asked for the origin of a stream.
-const ASKED_NEAR: usize = 4;
+const ASKED_NEAR: usize = 8;
 /// Hosts of each other region that are asked.
 const ASKED_PER_OTHER_REGION: usize = 2;
 
