Check no endpoint before a host knows whether the store responds

At two of its three hosts "dependency regained" stands before the first "endpoint announced", at host-2 after it: a host that starts applies the items of the store before the update that says that the store responds. A tick between the two took the store for silent, and the host, which knew no other yet, for the one that checks. 8 of 120 hosts that were started alone on checked an endpoint.

Change: the store counts as silent only once a call to it has failed, or a renewal of the lease. A store that is down at the start fails a call.

Test: hosts_that_start_check_no_endpoint_while_the_store_responds starts 40 hosts in turn.

--- a/src/gateway/serve_health.rs
+++ b/src/gateway/serve_health.rs
@@ -67,7 +67,10 @@
         let is_within = |since_ms: Option<u64>, time_ms| {
             since_ms.is_some_and(|since_ms| now_ms < since_ms + time_ms)
         };
-        self.store_recovered_ms.is_none()
+        // A host that has just started may know the items of the store before it has noted that
+        // the store responds.
+        let is_lost = self.store_recovered_ms.is_none() && self.health_checks.has_lost_store;
+        is_lost
             || is_within(
                 self.health_checks.store_returned_ms,
                 ANNOUNCEMENT_RENEWAL_MS,
--- a/tests/gateway_cold_news.rs
+++ b/tests/gateway_cold_news.rs
@@ -152,6 +152,24 @@
     assert_eq!(endpoints[0].health_check_count(), 0);
 }
 
+/// Guards against a health check by a host that has just started: it has read the items of the
+/// store, but not noted yet that the store responds.
+#[test]
+fn hosts_that_start_check_no_endpoint_while_the_store_responds() {
+    const STARTS: usize = 40;
+    let store = store_with_cold_service();
+    let endpoints = start_endpoints(&store);
+
+    for _ in 0..STARTS {
+        let host = Host::start(&store, &HostOptions::default());
+        host.wait_log("\"e-2\"");
+        thread::sleep(REQUEST_PAUSE);
+    }
+
+    let counts = endpoints.iter().map(ScriptedEndpoint::health_check_count);
+    assert_eq!(counts.sum::<usize>(), 0);
+}
+
 /// Guards against endpoints that each host checks.
 #[test]
 fn one_host_checks_an_endpoint_while_the_store_is_down() {
