Share the fixtures of tests of taken-up streams

`kill`, `take_up_unknown` and the two hosts with streams in progress stood in two test files each, and those of split routes in one file that other tests could not use. They move to tests/streamenv and to tests/splitenv. No test and no check changes.

--- a/tests/gateway_stream_origins.rs
+++ b/tests/gateway_stream_origins.rs
@@ -33,30 +33,29 @@
 };
 use gatewayenv::{
     Host,
-    HostOptions,
     store_with_configuration, //
 };
 use nix::sys::signal::Signal;
 use streamenv::{
     BEACON_TIME,
-    Begun,
+    EVENTS_BEFORE,
     STREAM_COUNT,
+    add_host,
     assert_all_go_on,
     begin_and_leave,
+    hosts_with_streams,
+    kill,
     options,
     start_hosts,
+    stop,
     take_up_all,
     wait_known,
     wait_served,
     whole_endpoint, //
 };
 
-/// Events of a stream that its caller reads before it leaves.
-const EVENTS_BEFORE: usize = 3;
 /// Time from the start of a host to the end of the one that could tell it.
 const ADDED_BEFORE: Duration = Duration::from_millis(2_000);
-/// Time limit for the end of a killed process.
-const KILL_LIMIT: Duration = Duration::from_secs(5);
 
 /// Starts two endpoints of each of two versions in a region.
 fn two_versions(store: &MetadataStore, region: &str) -> Vec<ScriptedEndpoint> {
@@ -65,44 +64,12 @@
         .into()
 }
 
-/// Starts a host beside others, and waits until it knows the endpoints.
-fn add_host(store: &MetadataStore, options: &HostOptions, endpoints: &[ScriptedEndpoint]) -> Host {
-    let host = Host::start(store, options);
-    for endpoint in endpoints {
-        let id = endpoint.id();
-        host.wait_log(&format!("\"endpoint announced\",\"endpoint\":\"{id}\""));
-    }
-    host
-}
-
-fn kill(host: &mut Host) {
-    host.signal(Signal::SIGKILL);
-    host.wait_end(KILL_LIMIT);
-}
-
-fn stop(host: &mut Host) {
-    host.signal(Signal::SIGTERM);
-    host.wait_end(KILL_LIMIT * 3);
-}
-
-/// Starts two hosts of the region north that know `endpoints`, and begins streams at the first.
-fn hosts_with_streams(
-    store: &MetadataStore,
-    endpoints: &[ScriptedEndpoint],
-) -> (Host, Host, Vec<Begun>) {
-    let hosts = start_hosts(store, &[("host-1", "north"), ("host-2", "north")]);
-    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
-    let begun = begin_and_leave(&hosts[0], STREAM_COUNT, EVENTS_BEFORE);
-    let [first, second]: [Host; 2] = hosts.try_into().ok().expect("two hosts");
-    (first, second, begun)
-}
-
 /// Guards against a refusal of streams that began before a host was added: it was told of none.
 #[test]
 fn streams_go_on_at_a_host_that_was_added() {
     let store = store_with_configuration();
     let endpoints = two_versions(&store, "north");
-    let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     let added = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(ADDED_BEFORE);
 
@@ -117,12 +84,12 @@
 fn streams_go_on_at_hosts_that_were_added_at_once() {
     let store = store_with_configuration();
     let endpoints = two_versions(&store, "north");
-    let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     let added: Vec<Host> = ["host-3", "host-4", "host-5"]
         .map(|name| Host::start_only(&store, &options(name, "north")))
         .into();
     added.iter().for_each(Host::wait_ready);
-    wait_known(&added, &endpoints.iter().collect::<Vec<_>>());
+    wait_known(&added, &endpoints);
     thread::sleep(ADDED_BEFORE);
 
     kill(&mut first);
@@ -149,7 +116,7 @@
         })
         .collect();
     let mut hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
-    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    wait_known(&hosts, &endpoints);
     let begun = begin_and_leave(&hosts[0], BURST, 1);
     let added = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(ADDED_BEFORE);
@@ -172,7 +139,7 @@
         ("host-3", "south"),
     ];
     let mut hosts = start_hosts(&store, &places);
-    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    wait_known(&hosts, &endpoints);
     let begun = begin_and_leave(&hosts[0], STREAM_COUNT, EVENTS_BEFORE);
     thread::sleep(BEACON_TIME);
     let added = add_host(&store, &options("host-4", "south"), &endpoints);
@@ -197,7 +164,7 @@
         ("host-3", "south"),
     ];
     let mut hosts = start_hosts(&store, &places);
-    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    wait_known(&hosts, &endpoints);
     let begun = begin_and_leave(&hosts[0], STREAM_COUNT, EVENTS_BEFORE);
     thread::sleep(BEACON_TIME);
     kill(&mut hosts[2]);
@@ -216,7 +183,7 @@
 fn streams_go_on_at_a_host_that_was_restarted() {
     let store = store_with_configuration();
     let endpoints = two_versions(&store, "north");
-    let (mut first, mut second, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, mut second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     kill(&mut second);
     let second = add_host(&store, &options("host-2", "north"), &endpoints);
     thread::sleep(ADDED_BEFORE);
@@ -233,7 +200,7 @@
 fn streams_go_on_after_all_hosts_were_replaced_in_turn() {
     let store = store_with_configuration();
     let endpoints = two_versions(&store, "north");
-    let (mut first, mut second, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, mut second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     let mut third = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(BEACON_TIME);
     stop(&mut second);
@@ -252,7 +219,7 @@
 fn streams_of_a_killed_host_go_on_at_a_host_that_is_added_afterwards() {
     let store = store_with_configuration();
     let endpoints = two_versions(&store, "north");
-    let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     kill(&mut first);
 
     let added = add_host(&store, &options("host-3", "north"), &endpoints);
@@ -277,7 +244,7 @@
     let store = store_with_configuration();
     let endpoints = two_versions(&store, "north");
     let hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
-    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    wait_known(&hosts, &endpoints);
     hosts[1].signal(Signal::SIGSTOP);
     overflow_packets(&hosts[1]);
     let begun = begin_and_leave(&hosts[0], STREAM_COUNT, EVENTS_BEFORE);
--- a/tests/gateway_stream_services.rs
+++ b/tests/gateway_stream_services.rs
@@ -2,12 +2,10 @@
 //! there.
 
 mod gatewayenv;
+mod splitenv;
 mod streamenv;
 
-use std::{
-    collections::BTreeSet,
-    time::Duration, //
-};
+use std::collections::BTreeSet;
 
 use cardamombridge::{
     gateway::{
@@ -17,36 +15,34 @@
         },
         stored_versions::ServedVersions, //
     },
-    standin::{
-        metadata_store::MetadataStore,
-        scripted::ScriptedEndpoint, //
-    },
+    standin::scripted::ScriptedEndpoint,
 };
 use gatewayenv::{
-    Host,
     Request,
-    Response,
-    announce_with,
-    configuration,
     route, //
 };
-use nix::sys::signal::Signal;
-use serde_json::{
-    Value,
-    json, //
+use splitenv::{
+    arrivals,
+    assert_go_on_at,
+    configure,
+    endpoints_of,
+    even,
+    service_of,
+    split,
+    store_with, //
 };
 use streamenv::{
-    Begun,
-    EVENT_COUNT,
+    EVENTS_BEFORE,
     assert_all_go_on,
     assert_refused_at_once,
     begin,
     begin_and_leave,
-    events,
-    first_event,
+    hosts_with_streams,
+    kill,
     start_hosts,
     take_up,
     take_up_all,
+    take_up_unknown,
     timed,
     versions,
     wait_known,
@@ -55,109 +51,6 @@
 
 /// Streams of a test, so that each service of a split gets some.
 const STREAMS: usize = 24;
-/// Events of a stream that its caller reads before it leaves.
-const EVENTS_BEFORE: usize = 3;
-
-/// Returns a configuration whose route `/chat/` is split over services by weight.
-fn split(version: u64, weights: &[(&str, f64)]) -> Value {
-    let mut chat = route("chat", "streaming", 2, true);
-    let fields = chat.as_object_mut().expect("an object");
-    fields.remove("backend");
-    let shares = weights.iter();
-    let shares: Vec<Value> = shares
-        .map(|(service, weight)| json!({ "backend": service, "weight": weight }))
-        .collect();
-    fields.insert("split".into(), shares.into());
-    let mut all = configuration(version);
-    all["routes"] = json!([chat]);
-    all["backends"] = ["desk-a", "desk-b", "desk-c"]
-        .map(|name| {
-            json!({ "name": name, "health_path": "/healthz", "max_conns": 100, "proto": "h1",
-                    "tls": false, "cold_s": 0.0, "cold_per_s": 0.0 })
-        })
-        .to_vec()
-        .into();
-    all
-}
-
-fn even(services: &[&'static str]) -> Vec<(&'static str, f64)> {
-    services.iter().map(|service| (*service, 1.0)).collect()
-}
-
-fn store_with(configuration: &Value) -> MetadataStore {
-    let store = MetadataStore::start().expect("the store starts");
-    store.put("op/config", configuration);
-    store
-}
-
-/// Starts and announces two endpoints of a version of a service. Their events name both.
-fn endpoints_of(
-    store: &MetadataStore,
-    service: &str,
-    version: &str,
-    region: &str,
-) -> Vec<ScriptedEndpoint> {
-    let start = |number: usize| {
-        let id = format!("{service}-{version}-{number}");
-        let whole = |_, arrival: &_| events(first_event(arrival), EVENT_COUNT, true);
-        let endpoint = ScriptedEndpoint::start(&id, whole).expect("the endpoint starts");
-        let endpoint = endpoint.with_version(&format!("{service}:{version}"));
-        let fields = json!({ "backend": service, "version": version, "slots": 64 });
-        announce_with(store, &endpoint, region, &fields);
-        endpoint
-    };
-    (1..=2).map(start).collect()
-}
-
-/// Starts two hosts of the region north that know `endpoints`, and begins streams at the first.
-fn hosts_with_streams(
-    store: &MetadataStore,
-    endpoints: &[ScriptedEndpoint],
-) -> (Vec<Host>, Vec<Begun>) {
-    let hosts = start_hosts(store, &[("host-1", "north"), ("host-2", "north")]);
-    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
-    let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
-    (hosts, begun)
-}
-
-fn kill(host: &mut Host) {
-    host.signal(Signal::SIGKILL);
-    host.wait_end(Duration::from_secs(5));
-}
-
-/// Writes a configuration and waits until it is in force.
-fn configure(store: &MetadataStore, hosts: &[Host], version: u64, weights: &[(&str, f64)]) {
-    store.put("op/config", &split(version, weights));
-    for host in hosts {
-        host.wait_log(&format!("\"configuration in force\",\"version\":{version}"));
-    }
-}
-
-/// Returns the service that began a stream.
-fn service_of(stream: &Begun) -> String {
-    let all = versions(&stream.received);
-    let first = all.first().expect("an event");
-    first.split(':').next().unwrap_or_default().to_owned()
-}
-
-fn arrivals(endpoints: &[ScriptedEndpoint]) -> usize {
-    endpoints.iter().map(|one| one.arrivals().len()).sum()
-}
-
-/// Checks that the streams of the services in `kept` go on, and that others are refused.
-fn assert_go_on_at(kept: &[&str], begun: Vec<Begun>, responses: Vec<Response>) {
-    let pairs = begun.into_iter().zip(responses);
-    let (staying, leaving): (Vec<_>, Vec<_>) =
-        pairs.partition(|(stream, _)| kept.contains(&service_of(stream).as_str()));
-    let (begun, responses): (Vec<Begun>, Vec<Response>) = staying.into_iter().unzip();
-    assert!(!begun.is_empty() && !leaving.is_empty(), "a test of both");
-    assert_all_go_on(&begun, &responses);
-    for (stream, response) in leaving {
-        let text = response.text();
-        let found = versions(&text);
-        assert_eq!(response.status, 503, "{}: {found:?}", stream.attempt);
-    }
-}
 
 /// Guards against a taken-up stream that is drawn to a service at which it did not begin, and
 /// refused because that one does not serve its version.
@@ -169,10 +62,10 @@
         .iter()
         .flat_map(|service| endpoints_of(&store, service, &format!("{service}-v1"), "north"))
         .collect();
-    let (mut hosts, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
 
-    kill(&mut hosts[0]);
-    let responses = take_up_all(&begun, hosts[1].caller_address);
+    kill(&mut first);
+    let responses = take_up_all(&begun, second.caller_address);
 
     let found: BTreeSet<String> = begun.iter().map(service_of).collect();
     assert_eq!(found.len(), services.len(), "streams begin at all services");
@@ -188,10 +81,10 @@
         .iter()
         .flat_map(|service| endpoints_of(&store, service, "v1", "north"))
         .collect();
-    let (mut hosts, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
 
-    kill(&mut hosts[0]);
-    let responses = take_up_all(&begun, hosts[1].caller_address);
+    kill(&mut first);
+    let responses = take_up_all(&begun, second.caller_address);
 
     assert_all_go_on(&begun, &responses);
 }
@@ -210,10 +103,10 @@
                 .flat_map(|version| endpoints_of(&store, service, version, "north"))
         })
         .collect();
-    let (mut hosts, begun) = hosts_with_streams(&store, &endpoints);
+    let (mut first, second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
 
-    kill(&mut hosts[0]);
-    let responses = take_up_all(&begun, hosts[1].caller_address);
+    kill(&mut first);
+    let responses = take_up_all(&begun, second.caller_address);
 
     assert_all_go_on(&begun, &responses);
 }
@@ -233,7 +126,7 @@
         ("host-3", "south"),
     ];
     let mut hosts = start_hosts(&store, &places);
-    wait_known(&hosts, &endpoints.iter().collect::<Vec<_>>());
+    wait_known(&hosts, &endpoints);
     wait_served(&hosts[0]);
     let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
 
@@ -307,13 +200,6 @@
     assert_eq!((arrivals(&old), arrivals(&new)), (arrivals_before, 0));
 }
 
-/// Returns a request that takes up a stream which no host knows.
-fn take_up_unknown(attempt: &str) -> Request {
-    begin(attempt)
-        .with_header("Last-Event-Id", "2")
-        .with_header("Resumes", "a-unknown")
-}
-
 /// Guards against data of two services in one stream: a host takes the only version of the service
 /// that it has drawn for the one that began the stream.
 #[test]
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -25,7 +25,6 @@
 use gatewayenv::{
     Host,
     HostOptions,
-    Request,
     Response,
     store_with_configuration,
     wait_until, //
@@ -54,6 +53,7 @@
     start_hosts,
     take_up,
     take_up_all,
+    take_up_unknown,
     timed,
     versions,
     wait_known,
@@ -513,13 +513,6 @@
     assert_all_go_on(&begun, &responses);
 }
 
-/// Returns a request that takes up a stream which no host knows.
-fn take_up_unknown(attempt: &str) -> Request {
-    begin(attempt)
-        .with_header("Last-Event-Id", "2")
-        .with_header("Resumes", "a-unknown")
-}
-
 /// Starts a host whose path to the store can be frozen.
 fn host_behind_wire(store: &MetadataStore) -> (Wire, Vec<Host>) {
     let wire = Wire::start(store.address(), 1).expect("the wire starts");
--- a/tests/streamenv/mod.rs
+++ b/tests/streamenv/mod.rs
@@ -5,6 +5,7 @@
 )]
 
 use std::{
+    borrow::Borrow,
     collections::BTreeSet,
     io::{
         Read,
@@ -14,6 +15,7 @@
         SocketAddr,
         TcpStream, //
     },
+    slice,
     thread,
     time::{
         Duration,
@@ -35,6 +37,7 @@
         }, //
     }, //
 };
+use nix::sys::signal::Signal;
 use serde_json::{
     Value,
     json, //
@@ -53,6 +56,8 @@
 pub const LIMIT_MS: u64 = 5_000;
 /// Events of a whole stream.
 pub const EVENT_COUNT: u64 = 24;
+/// Events that a caller reads before it leaves.
+pub const EVENTS_BEFORE: usize = 3;
 /// Pause after each event of a stream.
 pub const EVENT_PAUSE: Duration = Duration::from_millis(30);
 /// Streams of a test, so that a choice that ignores versions shows.
@@ -63,6 +68,10 @@
 pub const SILENT_REFUSAL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time in which hosts receive beacons from each other.
 pub const BEACON_TIME: Duration = Duration::from_millis(1_000);
+/// Time limit for the end of a killed process.
+const KILL_LIMIT: Duration = Duration::from_secs(5);
+/// Time limit for the end of a process that finishes its requests first.
+const STOP_LIMIT: Duration = Duration::from_secs(15);
 
 /// Returns a host's options.
 pub fn options(name: &'static str, region: &'static str) -> HostOptions {
@@ -85,6 +94,29 @@
     hosts
 }
 
+/// Starts a host beside others, and waits until it knows the endpoints.
+pub fn add_host(
+    store: &MetadataStore,
+    options: &HostOptions,
+    endpoints: &[ScriptedEndpoint],
+) -> Host {
+    let host = Host::start(store, options);
+    wait_known(slice::from_ref(&host), endpoints);
+    host
+}
+
+/// Ends a host at once.
+pub fn kill(host: &mut Host) {
+    host.signal(Signal::SIGKILL);
+    host.wait_end(KILL_LIMIT);
+}
+
+/// Ends a host once it has finished its requests.
+pub fn stop(host: &mut Host) {
+    host.signal(Signal::SIGTERM);
+    host.wait_end(STOP_LIMIT);
+}
+
 /// Returns the number of hosts of a region that a host's directory contains.
 pub fn known_hosts(host: &Host, region: &str) -> usize {
     let path = format!("/cardamombridge/resolve?name={SITE_HOST}&region={region}&zone={region}-a");
@@ -172,10 +204,13 @@
 }
 
 /// Waits until hosts know endpoints.
-pub fn wait_known(hosts: &[Host], endpoints: &[&ScriptedEndpoint]) {
+pub fn wait_known<E>(hosts: &[Host], endpoints: &[E])
+where
+    E: Borrow<ScriptedEndpoint>,
+{
     for host in hosts {
         for endpoint in endpoints {
-            let id = endpoint.id();
+            let id = endpoint.borrow().id();
             host.wait_log(&format!("\"endpoint announced\",\"endpoint\":\"{id}\""));
         }
     }
@@ -204,6 +239,13 @@
         .with_header("Resumes", begun)
 }
 
+/// Returns a request that takes up a stream which no host knows.
+pub fn take_up_unknown(attempt: &str) -> Request {
+    begin(attempt)
+        .with_header("Last-Event-Id", "2")
+        .with_header("Resumes", "a-unknown")
+}
+
 /// Returns the number of complete events in `text`.
 pub fn event_count(text: &str) -> usize {
     text.matches("\n\n").count()
@@ -350,6 +392,19 @@
         .collect()
 }
 
+/// Starts two hosts of the region north that know `endpoints`, and begins streams at the first.
+pub fn hosts_with_streams(
+    store: &MetadataStore,
+    endpoints: &[ScriptedEndpoint],
+    streams: usize,
+) -> (Host, Host, Vec<Begun>) {
+    let hosts = start_hosts(store, &[("host-1", "north"), ("host-2", "north")]);
+    wait_known(&hosts, endpoints);
+    let begun = begin_and_leave(&hosts[0], streams, EVENTS_BEFORE);
+    let [first, second]: [Host; 2] = hosts.try_into().ok().expect("two hosts");
+    (first, second, begun)
+}
+
 /// Takes up all streams at once and returns the responses in the same order.
 pub fn take_up_all(begun: &[Begun], address: SocketAddr) -> Vec<Response> {
     thread::scope(|scope| {
