Name the streams of tests that run at once differently

Tests of one machine share its ports, and all called their streams a-0, a-1 and so on. Attempts of two deployments do not have the same id. The id now holds the port of the host that began the stream.

Nothing is changed in the product.

--- a/tests/streamenv/mod.rs
+++ b/tests/streamenv/mod.rs
@@ -381,7 +381,8 @@
     let callers: Vec<_> = (0..streams)
         .map(|number| {
             thread::spawn(move || {
-                let attempt = format!("a-{number}");
+                // Unlike those of the tests that run beside this one.
+                let attempt = format!("a-{}-{number}", address.port());
                 let mut stream = Stream::open(&begin(&attempt), address).expect("a stream");
                 let received = stream.read_events(count);
                 assert!(event_count(&received) >= count, "{attempt}: {received:?}");
