Start hosts and endpoints of tests of streams in one place

Hosts that are added at once, endpoints of two versions and endpoints of several services were started by loops of their own in up to five tests, some in two files. add_hosts, endpoints_of_two_versions and endpoints_of_each serve all of them now, and ADDED_BEFORE stands once. A comment says why attempts of tests have different ids.

--- a/tests/gateway_stream_origins.rs
+++ b/tests/gateway_stream_origins.rs
@@ -6,30 +6,23 @@
 
 use std::{
     net::UdpSocket,
-    thread,
-    time::Duration, //
+    thread, //
 };
 
-use cardamombridge::{
-    gateway::{
-        load_updates::Packet,
-        origin_exchange::{
-            OriginAnswer,
-            OriginCatchUp,
-            OriginLookup,
-            OriginQuestion, //
-        },
-        stream_origins::{
-            AttemptHash,
-            ORIGIN_LIFETIME_MS,
-            StreamOrigin,
-            StreamOrigins, //
-        }, //
-    },
-    standin::{
-        metadata_store::MetadataStore,
-        scripted::ScriptedEndpoint, //
+use cardamombridge::gateway::{
+    load_updates::Packet,
+    origin_exchange::{
+        OriginAnswer,
+        OriginCatchUp,
+        OriginLookup,
+        OriginQuestion, //
     },
+    stream_origins::{
+        AttemptHash,
+        ORIGIN_LIFETIME_MS,
+        StreamOrigin,
+        StreamOrigins, //
+    }, //
 };
 use gatewayenv::{
     Host,
@@ -37,12 +30,15 @@
 };
 use nix::sys::signal::Signal;
 use streamenv::{
+    ADDED_BEFORE,
     BEACON_TIME,
     EVENTS_BEFORE,
     STREAM_COUNT,
     add_host,
+    add_hosts,
     assert_all_go_on,
     begin_and_leave,
+    endpoints_of_two_versions,
     hosts_with_streams,
     kill,
     options,
@@ -50,25 +46,14 @@
     stop,
     take_up_all,
     wait_known,
-    wait_served,
-    whole_endpoint, //
+    wait_served, //
 };
 
-/// Time from the start of a host to the end of the one that could tell it.
-const ADDED_BEFORE: Duration = Duration::from_millis(2_000);
-
-/// Starts two endpoints of each of two versions in a region.
-fn two_versions(store: &MetadataStore, region: &str) -> Vec<ScriptedEndpoint> {
-    [("e-1", "v1"), ("e-2", "v2"), ("e-3", "v1"), ("e-4", "v2")]
-        .map(|(id, version)| whole_endpoint(store, id, version, region))
-        .into()
-}
-
 /// Guards against a refusal of streams that began before a host was added: it was told of none.
 #[test]
 fn streams_go_on_at_a_host_that_was_added() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     let added = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(ADDED_BEFORE);
@@ -83,13 +68,9 @@
 #[test]
 fn streams_go_on_at_hosts_that_were_added_at_once() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
-    let added: Vec<Host> = ["host-3", "host-4", "host-5"]
-        .map(|name| Host::start_only(&store, &options(name, "north")))
-        .into();
-    added.iter().for_each(Host::wait_ready);
-    wait_known(&added, &endpoints);
+    let added = add_hosts(&store, &["host-3", "host-4", "host-5"], &endpoints);
     thread::sleep(ADDED_BEFORE);
 
     kill(&mut first);
@@ -109,12 +90,7 @@
 fn streams_of_a_burst_go_on_at_a_host_that_was_added_meanwhile() {
     const BURST: usize = 400;
     let store = store_with_configuration();
-    let endpoints: Vec<ScriptedEndpoint> = (1..=8)
-        .map(|number| {
-            let version = ["v1", "v2"][number % 2];
-            whole_endpoint(&store, &format!("e-{number}"), version, "north")
-        })
-        .collect();
+    let endpoints = endpoints_of_two_versions(&store, 8, "north");
     let mut hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
     wait_known(&hosts, &endpoints);
     let begun = begin_and_leave(&hosts[0], BURST, 1);
@@ -132,7 +108,7 @@
 #[test]
 fn streams_go_on_at_a_host_that_was_added_in_another_region() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let places = [
         ("host-1", "north"),
         ("host-2", "south"),
@@ -157,7 +133,7 @@
 #[test]
 fn streams_go_on_at_the_first_host_of_a_region() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let places = [
         ("host-1", "north"),
         ("host-2", "north"),
@@ -182,7 +158,7 @@
 #[test]
 fn streams_go_on_at_a_host_that_was_restarted() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let (mut first, mut second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     kill(&mut second);
     let second = add_host(&store, &options("host-2", "north"), &endpoints);
@@ -199,7 +175,7 @@
 #[test]
 fn streams_go_on_after_all_hosts_were_replaced_in_turn() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let (mut first, mut second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     let mut third = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(BEACON_TIME);
@@ -218,7 +194,7 @@
 #[test]
 fn streams_of_a_killed_host_go_on_at_a_host_that_is_added_afterwards() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAM_COUNT);
     kill(&mut first);
 
@@ -242,7 +218,7 @@
 #[test]
 fn streams_go_on_at_a_host_that_missed_the_reports() {
     let store = store_with_configuration();
-    let endpoints = two_versions(&store, "north");
+    let endpoints = endpoints_of_two_versions(&store, 4, "north");
     let hosts = start_hosts(&store, &[("host-1", "north"), ("host-2", "north")]);
     wait_known(&hosts, &endpoints);
     hosts[1].signal(Signal::SIGSTOP);
--- a/tests/gateway_stream_services.rs
+++ b/tests/gateway_stream_services.rs
@@ -26,6 +26,7 @@
     assert_go_on_at,
     configure,
     endpoints_of,
+    endpoints_of_each,
     even,
     service_of,
     split,
@@ -77,10 +78,7 @@
 fn versions_of_two_services_with_the_same_name_are_told_apart() {
     let services = ["desk-a", "desk-b", "desk-c"];
     let store = store_with(&split(7, &even(&services)));
-    let endpoints: Vec<ScriptedEndpoint> = services
-        .iter()
-        .flat_map(|service| endpoints_of(&store, service, "v1", "north"))
-        .collect();
+    let endpoints = endpoints_of_each(&store, &services, &["v1"], "north");
     let (mut first, second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
 
     kill(&mut first);
@@ -95,14 +93,7 @@
 fn streams_of_a_light_service_go_on_there() {
     let weights = [("desk-a", 1.0), ("desk-b", 3.0)];
     let store = store_with(&split(7, &weights));
-    let endpoints: Vec<ScriptedEndpoint> = ["desk-a", "desk-b"]
-        .iter()
-        .flat_map(|service| {
-            ["v1", "v2"]
-                .iter()
-                .flat_map(|version| endpoints_of(&store, service, version, "north"))
-        })
-        .collect();
+    let endpoints = endpoints_of_each(&store, &["desk-a", "desk-b"], &["v1", "v2"], "north");
     let (mut first, second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
 
     kill(&mut first);
@@ -116,10 +107,7 @@
 fn streams_of_a_split_route_go_on_when_they_are_forwarded() {
     let services = ["desk-a", "desk-b"];
     let store = store_with(&split(7, &even(&services)));
-    let endpoints: Vec<ScriptedEndpoint> = services
-        .iter()
-        .flat_map(|service| endpoints_of(&store, service, "v1", "south"))
-        .collect();
+    let endpoints = endpoints_of_each(&store, &services, &["v1"], "south");
     let places = [
         ("host-1", "north"),
         ("host-2", "north"),
--- a/tests/gateway_stream_split_hosts.rs
+++ b/tests/gateway_stream_split_hosts.rs
@@ -4,34 +4,27 @@
 mod splitenv;
 mod streamenv;
 
-use std::{
-    thread,
-    time::Duration, //
-};
+use std::thread;
 
-use cardamombridge::standin::{
-    metadata_store::MetadataStore,
-    scripted::ScriptedEndpoint, //
-};
-use gatewayenv::{
-    Host,
-    store_with_configuration, //
-};
+use gatewayenv::store_with_configuration;
 use splitenv::{
     arrivals,
     assert_go_on_at,
     configure,
-    endpoints_of,
+    endpoints_of_each,
     even,
     split,
     store_with, //
 };
 use streamenv::{
+    ADDED_BEFORE,
     BEACON_TIME,
     EVENTS_BEFORE,
     add_host,
+    add_hosts,
     assert_all_go_on,
     begin_and_leave,
+    endpoints_of_two_versions,
     hosts_with_streams,
     kill,
     options,
@@ -40,34 +33,20 @@
     take_up_all,
     versions,
     wait_known,
-    wait_served,
-    whole_endpoint, //
+    wait_served, //
 };
 
 const SERVICES: [&str; 3] = ["desk-a", "desk-b", "desk-c"];
+/// Versions of each service; all services name theirs alike.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Streams of a test, so that each version of each service gets some.
 const STREAMS: usize = 48;
-/// Time from the start of a host to the end of the one that could tell it.
-const ADDED_BEFORE: Duration = Duration::from_millis(2_000);
-
-/// Starts endpoints of two versions of each service; the services name their versions alike.
-fn endpoints_of_all(store: &MetadataStore, region: &str) -> Vec<ScriptedEndpoint> {
-    SERVICES
-        .iter()
-        .flat_map(|service| {
-            ["v1", "v2"]
-                .iter()
-                .flat_map(|version| endpoints_of(store, service, version, region))
-        })
-        .collect()
-}
-
 /// Guards against a host that was added and takes the version of a service that it draws for the
 /// one that began a stream.
 #[test]
 fn streams_of_a_split_route_go_on_at_a_host_that_was_added() {
     let store = store_with(&split(7, &even(&SERVICES)));
-    let endpoints = endpoints_of_all(&store, "north");
+    let endpoints = endpoints_of_each(&store, &SERVICES, &VERSIONS, "north");
     let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
     let added = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(ADDED_BEFORE);
@@ -83,10 +62,7 @@
 #[test]
 fn streams_of_services_with_one_version_go_on_at_a_host_that_was_added() {
     let store = store_with(&split(7, &even(&SERVICES)));
-    let endpoints: Vec<ScriptedEndpoint> = SERVICES
-        .iter()
-        .flat_map(|service| endpoints_of(&store, service, "v1", "north"))
-        .collect();
+    let endpoints = endpoints_of_each(&store, &SERVICES, &VERSIONS[..1], "north");
     let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
     let added = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(ADDED_BEFORE);
@@ -102,7 +78,7 @@
 #[test]
 fn streams_of_the_services_that_stay_go_on_after_all_hosts_were_replaced_in_turn() {
     let store = store_with(&split(7, &even(&SERVICES)));
-    let endpoints = endpoints_of_all(&store, "north");
+    let endpoints = endpoints_of_each(&store, &SERVICES, &VERSIONS, "north");
     let (mut first, mut second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
     let third = add_host(&store, &options("host-3", "north"), &endpoints);
     let mut hosts = vec![third];
@@ -126,10 +102,7 @@
 #[test]
 fn streams_of_a_route_that_moves_do_not_go_on_at_a_host_that_was_added() {
     let store = store_with(&split(7, &even(&SERVICES[..1])));
-    let endpoints: Vec<ScriptedEndpoint> = SERVICES[..2]
-        .iter()
-        .flat_map(|service| endpoints_of(&store, service, "v1", "north"))
-        .collect();
+    let endpoints = endpoints_of_each(&store, &SERVICES[..2], &VERSIONS[..1], "north");
     let (mut first, second, begun) = hosts_with_streams(&store, &endpoints, STREAMS);
     let hosts = vec![second];
     configure(&store, &hosts, 8, &even(&SERVICES[1..2]));
@@ -151,7 +124,7 @@
 #[test]
 fn streams_of_a_split_route_go_on_at_a_restarted_host_of_another_region() {
     let store = store_with(&split(7, &even(&SERVICES)));
-    let endpoints = endpoints_of_all(&store, "north");
+    let endpoints = endpoints_of_each(&store, &SERVICES, &VERSIONS, "north");
     let places = [
         ("host-1", "north"),
         ("host-2", "north"),
@@ -178,18 +151,13 @@
 #[test]
 fn streams_go_on_at_hosts_that_were_restarted_at_once() {
     let store = store_with(&split(7, &even(&SERVICES)));
-    let endpoints = endpoints_of_all(&store, "north");
+    let endpoints = endpoints_of_each(&store, &SERVICES, &VERSIONS, "north");
     let names = ["host-1", "host-2", "host-3", "host-4"];
     let mut hosts = start_hosts(&store, &names.map(|name| (name, "north")));
     wait_known(&hosts, &endpoints);
     let begun = begin_and_leave(&hosts[0], STREAMS, EVENTS_BEFORE);
     hosts[2..].iter_mut().for_each(kill);
-    let restarted: Vec<Host> = names[2..]
-        .iter()
-        .map(|name| Host::start_only(&store, &options(name, "north")))
-        .collect();
-    restarted.iter().for_each(Host::wait_ready);
-    wait_known(&restarted, &endpoints);
+    let restarted = add_hosts(&store, &names[2..], &endpoints);
     thread::sleep(ADDED_BEFORE);
 
     hosts[..2].iter_mut().for_each(kill);
@@ -209,12 +177,7 @@
 fn many_streams_go_on_at_a_host_that_was_added() {
     const MANY_STREAMS: usize = 600;
     let store = store_with_configuration();
-    let endpoints: Vec<ScriptedEndpoint> = (1..=20)
-        .map(|number| {
-            let version = ["v1", "v2"][number % 2];
-            whole_endpoint(&store, &format!("e-{number}"), version, "north")
-        })
-        .collect();
+    let endpoints = endpoints_of_two_versions(&store, 20, "north");
     let (mut first, _second, begun) = hosts_with_streams(&store, &endpoints, MANY_STREAMS);
     let added = add_host(&store, &options("host-3", "north"), &endpoints);
     thread::sleep(ADDED_BEFORE);
--- a/tests/splitenv/mod.rs
+++ b/tests/splitenv/mod.rs
@@ -84,6 +84,22 @@
     (1..=2).map(start).collect()
 }
 
+/// Starts and announces two endpoints of each version of each service.
+pub fn endpoints_of_each(
+    store: &MetadataStore,
+    services: &[&str],
+    versions: &[&str],
+    region: &str,
+) -> Vec<ScriptedEndpoint> {
+    let of_service = |service: &&str| -> Vec<ScriptedEndpoint> {
+        let versions = versions.iter();
+        versions
+            .flat_map(|version| endpoints_of(store, service, version, region))
+            .collect()
+    };
+    services.iter().flat_map(of_service).collect()
+}
+
 /// Writes a configuration and waits until it is in force.
 pub fn configure(store: &MetadataStore, hosts: &[Host], version: u64, weights: &[(&str, f64)]) {
     store.put("op/config", &split(version, weights));
--- a/tests/streamenv/mod.rs
+++ b/tests/streamenv/mod.rs
@@ -71,6 +71,8 @@
 pub const SILENT_REFUSAL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time in which hosts receive beacons from each other.
 pub const BEACON_TIME: Duration = Duration::from_millis(1_000);
+/// Time from the start of a host to the end of the one that could tell it.
+pub const ADDED_BEFORE: Duration = Duration::from_millis(2_000);
 /// Time limit for the end of a killed process.
 const KILL_LIMIT: Duration = Duration::from_secs(5);
 /// Time limit for the end of a process that finishes its requests first.
@@ -108,6 +110,21 @@
     host
 }
 
+/// Starts hosts of the region north at once, and waits until they know the endpoints.
+pub fn add_hosts(
+    store: &MetadataStore,
+    names: &[&'static str],
+    endpoints: &[ScriptedEndpoint],
+) -> Vec<Host> {
+    let hosts: Vec<Host> = names
+        .iter()
+        .map(|name| Host::start_only(store, &options(name, "north")))
+        .collect();
+    hosts.iter().for_each(Host::wait_ready);
+    wait_known(&hosts, endpoints);
+    hosts
+}
+
 /// Ends a host at once.
 pub fn kill(host: &mut Host) {
     host.signal(Signal::SIGKILL);
@@ -157,6 +174,19 @@
     })
 }
 
+/// Starts and announces endpoints of a region, half of them of each of two versions.
+pub fn endpoints_of_two_versions(
+    store: &MetadataStore,
+    count: usize,
+    region: &str,
+) -> Vec<ScriptedEndpoint> {
+    let versions = ["v1", "v2"].into_iter().cycle();
+    (1..=count)
+        .zip(versions)
+        .map(|(number, version)| whole_endpoint(store, &format!("e-{number}"), version, region))
+        .collect()
+}
+
 /// Starts and announces an endpoint that breaks off new streams after `end` events and
 /// completes streams that began elsewhere.
 pub fn breaking_endpoint(
@@ -381,7 +411,8 @@
     let callers: Vec<_> = (0..streams)
         .map(|number| {
             thread::spawn(move || {
-                // Unlike those of the tests that run beside this one.
+                // A host of another test that runs at once may be asked for it: it can get the
+                // port of a killed one.
                 let attempt = format!("a-{}-{number}", address.port());
                 let mut stream = Stream::open(&begin(&attempt), address).expect("a stream");
                 let received = stream.read_events(count);
